--- /dev/null
+++ b/cmd/commands.go
@@ -0,0 +1,12 @@
+package cmd
+
+// commands is the list of all commands.
+var commands = []command{
+	{"entry", "run an entry instance", func(op *options) any { return &entryCommand{options: op} }},
+	{"demo", "run a small fleet in one process and send it a burst", func(op *options) any { return &demoCommand{options: op} }},
+	{"init", "print settings to start from", func(op *options) any { return &initCommand{options: op} }},
+	{"check", "check a settings file", func(op *options) any { return &checkCommand{options: op} }},
+	{"schema", "print the JSON schema of settings", func(op *options) any { return &schemaCommand{options: op} }},
+	{"standin", "run a stand-in of an outside system", func(op *options) any { return &standinCommand{options: op} }},
+	{"version", "print the version", func(op *options) any { return &versionCommand{options: op} }},
+}
--- /dev/null
+++ b/cmd/init.go
@@ -0,0 +1,36 @@
+package cmd
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/silvermount/silvermount/internal/config"
+	"github.com/silvermount/silvermount/internal/kernel"
+)
+
+type initCommand struct {
+	*options `no-flag:"true"`
+}
+
+// starter returns settings that pass the check once secrets are put in.
+func starter() config.Settings {
+	return kernel.Defaults(config.Settings{
+		Instance: "entry-1", AvailabilityZone: "a",
+		Callers:   config.Callers{Listen: "127.0.0.1:8080"},
+		Operators: config.Operators{Listen: "127.0.0.1:8081", Key: "change-this-operator-key"},
+		Peers:     config.Peers{Listen: "127.0.0.1:8082", Secret: "change-this-peer-secret"},
+		Platform:  config.Platform{URL: "http://127.0.0.1:7000"},
+	})
+}
+
+// Execute prints the settings.
+func (ic *initCommand) Execute([]string) error {
+	b, err := json.MarshalIndent(starter(), "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "encode settings")
+	}
+	fmt.Fprintln(ic.out, string(b))
+	return nil
+}
--- /dev/null
+++ b/internal/burn/burn_test.go
@@ -0,0 +1,51 @@
+package burn
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/silvermount/silvermount/internal/bundle"
+)
+
+func TestReport(t *testing.T) {
+	classes := []bundle.Class{{Name: "call", Objective: bundle.Objective{Share: 0.99}}}
+	tests := map[string]struct {
+		missed, total int
+		age           time.Duration
+		wantRate      float64
+		wantAlert     bool
+	}{
+		"within budget":         {missed: 1, total: 100, wantRate: 1},
+		"fast burn":             {missed: 30, total: 100, wantRate: 30, wantAlert: true},
+		"old burn leaves short": {missed: 30, total: 100, age: 10 * time.Minute, wantRate: 0},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			now := time.Unix(1_000_000, 0)
+			rc := New(func() time.Time { return now })
+			for i := range tc.total {
+				rc.Add("call", i < tc.missed)
+			}
+			now = now.Add(tc.age)
+			half := rc.Windows()
+			rows, alerts := Report(Merge(half, half), classes)
+			g.Expect(rows[0].Length).To(Equal(5 * time.Minute))
+			g.Expect(rows[0].Rate).To(BeNumerically("~", tc.wantRate, 1e-9))
+			g.Expect(alerts != nil).To(Equal(tc.wantAlert))
+		})
+	}
+}
+
+func TestOldBucketsAreDropped(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	rc := New(func() time.Time { return now })
+	for range 10_000 {
+		rc.Add("call", false)
+		now = now.Add(bucket)
+	}
+	g.Expect(len(rc.classes["call"])).To(BeNumerically("<=", int(kept/bucket)+1))
+}
--- /dev/null
+++ b/internal/claim/decode.go
@@ -0,0 +1,14 @@
+package claim
+
+import (
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/silvermount/silvermount/internal/platform"
+)
+
+func decodeRecord(o platform.Object) (Record, error) {
+	var r Record
+	return r, errors.Wrap(json.Unmarshal(o.Value, &r), "decode claim")
+}
--- /dev/null
+++ b/internal/config/duration.go
@@ -0,0 +1,33 @@
+package config
+
+import (
+	"time"
+
+	"github.com/invopop/jsonschema"
+)
+
+// Duration is a time.Duration written in JSON as a string such as "500ms".
+type Duration time.Duration
+
+// Std returns the value as a time.Duration.
+func (dn Duration) Std() time.Duration { return time.Duration(dn) }
+
+// MarshalText returns the string form.
+func (dn Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(dn).String()), nil
+}
+
+// UnmarshalText reads the string form.
+func (dn *Duration) UnmarshalText(b []byte) error {
+	d, err := time.ParseDuration(string(b))
+	if err != nil {
+		return &Fault{Value: string(b), Want: "a duration such as 500ms"}
+	}
+	*dn = Duration(d)
+	return nil
+}
+
+// JSONSchema describes the string form.
+func (Duration) JSONSchema() *jsonschema.Schema {
+	return &jsonschema.Schema{Type: "string", Pattern: `^([0-9.]+(ns|us|ms|s|m|h))+$`}
+}
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,104 @@
+// Package demo runs a whole small fleet in one process and sends it a burst of mixed prompts.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/silvermount/silvermount/internal/load"
+	"github.com/silvermount/silvermount/internal/localfleet"
+	"github.com/silvermount/silvermount/internal/standin/enginesim"
+)
+
+const (
+	seed      = 7
+	scale     = 20
+	zones     = 3
+	engines   = 8
+	instances = 3
+	// longTokens is the length from which a prompt is left out of the comparison run.
+	longTokens = 100_000
+	stopWait   = 10 * time.Second
+)
+
+// Options are those of the command.
+type Options struct {
+	// Out gets the table.
+	Out io.Writer
+	// Log is used by the instances.
+	Log log.Interface
+	// Keep, when set, is called with a base URL and returns when the demo shall end.
+	Keep func(url string)
+}
+
+// WrongAnswerError says that an answer was missing or not the right one.
+type WrongAnswerError struct{ Right, All int }
+
+// Error gives the counts.
+func (we *WrongAnswerError) Error() string {
+	return fmt.Sprintf("%d of %d answers were whole and right", we.Right, we.All)
+}
+
+func arrivals() []load.Arrival {
+	all := load.Generate(seed, load.Mix{
+		Rate: 20, Length: 20 * time.Second, Burst: 30, LongShare: 0.02, MinTokens: 1_000, ShortTokens: 8_000,
+		LongTokens: longTokens, MaxTokens: 1_000_000, Output: 16, ShortClass: localfleet.ClassCall,
+		LongClass: localfleet.ClassBatch, Organisations: 1, Scale: scale,
+	})
+	// One prompt of a million tokens is always among them.
+	million := load.Arrival{Class: localfleet.ClassBatch, Tokens: 1_000_000, Output: 16, Index: len(all)}
+	return append(all, million)
+}
+
+// Run runs the demo.
+func Run(ctx context.Context, o Options) error {
+	params := enginesim.DefaultParams()
+	params.Scale = scale
+	lf, err := localfleet.Start(ctx, localfleet.Options{
+		Zones: zones, Engines: engines, Instances: instances, Params: params, Log: o.Log,
+	})
+	if err != nil {
+		return err
+	}
+	defer func() {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopWait)
+		defer cancel()
+		lf.Close(ctx)
+	}()
+	t := load.Target{URLs: lf.URLs(), Key: localfleet.Key, Model: localfleet.Model, Seed: seed}
+	t.Progress = func(done, all int) { fmt.Fprintf(o.Out, "  %d of %d answered\n", done, all) }
+	all := arrivals()
+	fmt.Fprintf(o.Out, "%d engines, %d instances, %d availability zones; engine times divided by %d\n", engines, instances, zones, scale)
+	fmt.Fprintf(o.Out, "first the short prompts alone, then the same with the long ones\n")
+	without := load.Run(ctx, t, load.Without(all, longTokens))
+	with := load.Run(ctx, t, all)
+	if err := report(o.Out, with, without); err != nil {
+		return err
+	}
+	if o.Keep != nil {
+		o.Keep(lf.URLs()[0])
+	}
+	return nil
+}
+
+func report(w io.Writer, with, without []load.Result) error {
+	if err := load.WriteTable(w, load.Summarise(with)); err != nil {
+		return err
+	}
+	p50, p95, p99 := load.RatioQuantiles(load.Ratios(with, without))
+	fmt.Fprintf(w, "slowdown of short prompts beside long ones: p50 %.2f, p95 %.2f, p99 %.2f\n", p50, p95, p99)
+	right := 0
+	for _, r := range with {
+		if r.Right {
+			right++
+		}
+	}
+	if right < len(with) {
+		return &WrongAnswerError{Right: right, All: len(with)}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/duty/announce/announce.go
@@ -0,0 +1,91 @@
+// Package announce is the duty that makes the instance known through the platform.
+package announce
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/silvermount/silvermount/internal/fleet"
+	"github.com/silvermount/silvermount/internal/kernel"
+	"github.com/silvermount/silvermount/internal/platform"
+)
+
+func init() {
+	kernel.Register(kernel.Duty{Name: "announce", Phase: kernel.PhaseAnnounce, Start: start})
+}
+
+const retryPause = time.Second
+
+type registrar struct {
+	store *platform.Client
+	self  fleet.Instance
+	every time.Duration
+	// version is that of this instance's object; zero before it exists.
+	version int64
+}
+
+func start(_ context.Context, env *kernel.Env) (kernel.Stop, error) {
+	store, err := kernel.Need[*platform.Client](env)
+	if err != nil {
+		return nil, err
+	}
+	fl, err := kernel.Need[*fleet.Fleet](env)
+	if err != nil {
+		return nil, err
+	}
+	rg := &registrar{store: store, self: fl.Self(), every: env.Settings.Platform.Registration.Std()}
+	lg := env.Logger("announce")
+	stop := kernel.Go(func(ctx context.Context) {
+		for ctx.Err() == nil {
+			wait := rg.every
+			if err := rg.renew(ctx); err != nil && ctx.Err() == nil {
+				lg.WithError(err).Warn("instance not announced")
+				wait = retryPause
+			}
+			select {
+			case <-time.After(wait):
+			case <-ctx.Done():
+			}
+		}
+	})
+	return func(ctx context.Context) error {
+		err := stop(ctx)
+		rg.remove(ctx)
+		return err
+	}, nil
+}
+
+// renew writes this instance's object. The name belongs to this instance, so that an older one is replaced.
+func (rg *registrar) renew(ctx context.Context) error {
+	version, err := rg.write(ctx)
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		o, gerr := rg.store.Get(ctx, platform.KindInstances, rg.self.Name)
+		if gerr != nil {
+			rg.version = 0
+			return gerr
+		}
+		rg.version = o.Version
+		version, err = rg.write(ctx)
+	}
+	if err == nil {
+		rg.version = version
+	}
+	return err
+}
+
+func (rg *registrar) write(ctx context.Context) (int64, error) {
+	if rg.version == 0 {
+		return rg.store.Create(ctx, platform.KindInstances, rg.self.Name, rg.self)
+	}
+	return rg.store.Update(ctx, platform.KindInstances, rg.self.Name, rg.version, rg.self)
+}
+
+// remove takes the object back; when that fails the next start replaces it.
+func (rg *registrar) remove(ctx context.Context) {
+	if rg.version > 0 {
+		_ = rg.store.Delete(ctx, platform.KindInstances, rg.self.Name, rg.version)
+	}
+}
--- /dev/null
+++ b/internal/duty/bundles/bundles.go
@@ -0,0 +1,104 @@
+// Package bundles is the duty that keeps the newest accepted bundle in force.
+package bundles
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/silvermount/silvermount/internal/bundle"
+	"github.com/silvermount/silvermount/internal/duty/knowledge"
+	"github.com/silvermount/silvermount/internal/kernel"
+	"github.com/silvermount/silvermount/internal/peer"
+	"github.com/silvermount/silvermount/internal/platform"
+	"github.com/silvermount/silvermount/internal/rollout"
+)
+
+func init() {
+	kernel.Register(kernel.Duty{Name: "bundles", Phase: kernel.PhaseWork, Start: start})
+}
+
+const retryPause = 200 * time.Millisecond
+
+type follower struct {
+	store  *platform.Client
+	mesh   *peer.Mesh
+	holder *rollout.Holder
+	log    log.Interface
+}
+
+func start(_ context.Context, env *kernel.Env) (kernel.Stop, error) {
+	fo := &follower{log: env.Logger("bundles")}
+	var err error
+	if fo.store, err = kernel.Need[*platform.Client](env); err != nil {
+		return nil, err
+	}
+	if fo.mesh, err = kernel.Need[*peer.Mesh](env); err != nil {
+		return nil, err
+	}
+	if fo.holder, err = kernel.Need[*rollout.Holder](env); err != nil {
+		return nil, err
+	}
+	watch := kernel.Go(func(ctx context.Context) {
+		knowledge.Follow(ctx, fo.store, platform.KindPointers, fo.log, fo.hear)
+	})
+	fetch := kernel.Go(fo.run)
+	return func(ctx context.Context) error {
+		if err := watch(ctx); err != nil {
+			return err
+		}
+		return fetch(ctx)
+	}, nil
+}
+
+func (fo *follower) hear(items []platform.Object) {
+	for _, o := range items {
+		var p rollout.Pointer
+		if o.Name == rollout.PointerName && json.Unmarshal(o.Value, &p) == nil {
+			fo.holder.Hear(p.Version)
+		}
+	}
+}
+
+// run fetches whatever newer bundle was heard of, from the store or else from a peer.
+func (fo *follower) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := fo.holder.Changed()
+		wait := time.Hour
+		if v := fo.holder.Behind(); v > 0 && !fo.fetch(ctx, v) {
+			wait = retryPause
+		}
+		select {
+		case <-changed:
+		case <-time.After(wait):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (fo *follower) fetch(ctx context.Context, version int64) bool {
+	b, err := fo.fromStore(ctx, version)
+	if err != nil {
+		b, err = fo.mesh.FetchBundle(ctx, version)
+	}
+	if err != nil {
+		fo.log.WithField("version", version).WithError(err).Warn("bundle not fetched")
+		return false
+	}
+	if fo.holder.Apply(b) {
+		fo.log.WithField("version", b.Version).Info("bundle in force")
+	}
+	return fo.holder.Behind() == 0
+}
+
+func (fo *follower) fromStore(ctx context.Context, version int64) (bundle.Bundle, error) {
+	o, err := fo.store.Get(ctx, platform.KindBundles, strconv.FormatInt(version, 10))
+	if err != nil {
+		return bundle.Bundle{}, errors.Wrap(err, "read bundle")
+	}
+	return bundle.Parse(o.Value)
+}
--- /dev/null
+++ b/internal/duty/callers/callers.go
@@ -0,0 +1,214 @@
+// Package callers is the duty that serves callers.
+package callers
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+
+	"github.com/silvermount/silvermount/internal/budget"
+	"github.com/silvermount/silvermount/internal/burn"
+	"github.com/silvermount/silvermount/internal/cancel"
+	"github.com/silvermount/silvermount/internal/claim"
+	"github.com/silvermount/silvermount/internal/config"
+	"github.com/silvermount/silvermount/internal/duty/listen"
+	"github.com/silvermount/silvermount/internal/duty/reports"
+	"github.com/silvermount/silvermount/internal/engine"
+	"github.com/silvermount/silvermount/internal/fleet"
+	"github.com/silvermount/silvermount/internal/kernel"
+	"github.com/silvermount/silvermount/internal/peer"
+	"github.com/silvermount/silvermount/internal/platform"
+	"github.com/silvermount/silvermount/internal/policy"
+	_ "github.com/silvermount/silvermount/internal/policy/all" // the policies register themselves
+	"github.com/silvermount/silvermount/internal/policy/lanegrant"
+	"github.com/silvermount/silvermount/internal/rollout"
+	"github.com/silvermount/silvermount/internal/room"
+	"github.com/silvermount/silvermount/internal/router"
+	"github.com/silvermount/silvermount/internal/serve"
+	"github.com/silvermount/silvermount/internal/ticket"
+)
+
+func init() {
+	kernel.Register(kernel.Duty{Name: "callers", Phase: kernel.PhaseListen, Defaults: defaults, Check: check, Start: start})
+}
+
+const (
+	ticketKeep  = 10 * time.Minute
+	ticketLimit = 100_000
+	// chunkTokens is the prompt tokens that an engine is taken to compute in one step.
+	chunkTokens = 2048
+	maxHeader   = 32 << 10
+	idleLimit   = 60 * time.Second
+)
+
+func defaults(s *config.Settings) {
+	c, r := &s.Callers, &s.Routing
+	setDefault(&c.MaxBodyBytes, 16<<20)
+	setDefault(&c.BodyBudgetBytes, 256<<20)
+	setDefault(&c.HeaderTimeout, config.Duration(5*time.Second))
+	setDefault(&r.Policy, lanegrant.Name)
+	setDefault(&r.LongTokens, 100_000)
+	setDefault(&r.LongPerTarget, 1)
+	setDefault(&r.LongShare, 0.4)
+	setDefault(&r.RetryShare, 0.1)
+	setDefault(&r.MaxAttempts, 4)
+	setDefault(&r.MaxWaiting, 2000)
+	setDefault(&s.Stop.BalancerLag, config.Duration(3*time.Second))
+	setDefault(&s.Stop.Drain, config.Duration(10*time.Minute))
+}
+
+func setDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
+
+func check(s config.Settings) config.Faults {
+	var fs config.Faults
+	if _, err := policy.ByName(s.Routing.Policy); err != nil {
+		fs = append(fs, &config.Fault{Path: "routing.policy", Value: s.Routing.Policy, Want: "a registered policy"})
+	}
+	if s.Routing.LongShare < 0 || s.Routing.LongShare > 1 {
+		fs = append(fs, &config.Fault{
+			Path: "routing.long_share", Value: strconv.FormatFloat(s.Routing.LongShare, 'g', -1, 64), Want: "a share from 0 to 1",
+		})
+	}
+	if s.Callers.MaxBodyBytes > s.Callers.BodyBudgetBytes {
+		fs = append(fs, &config.Fault{
+			Path: "callers.body_budget_bytes", Value: strconv.FormatInt(s.Callers.BodyBudgetBytes, 10), Want: "at least max_body_bytes",
+		})
+	}
+	return fs
+}
+
+func start(_ context.Context, env *kernel.Env) (kernel.Stop, error) {
+	d, err := gather(env)
+	if err != nil {
+		return nil, err
+	}
+	ls, err := kernel.Need[*listen.Listeners](env)
+	if err != nil {
+		return nil, err
+	}
+	s := env.Settings
+	sv := serve.New(d, serve.Limits{
+		MaxBodyBytes: s.Callers.MaxBodyBytes, MaxAttempts: s.Routing.MaxAttempts, LongTokens: s.Routing.LongTokens,
+	})
+	kernel.Provide(env, sv)
+	d.Metrics.NewGauge("silvermount_requests_in_flight", func() float64 { return float64(sv.InFlight()) })
+	d.Metrics.NewGauge("silvermount_requests_waiting", func() float64 { return float64(d.Router.Waiting()) })
+	d.Metrics.NewGauge("silvermount_body_bytes", func() float64 { return float64(d.Bodies.Used()) })
+	srv := &http.Server{
+		Handler: sv.Handler(), ReadHeaderTimeout: s.Callers.HeaderTimeout.Std(), MaxHeaderBytes: maxHeader, IdleTimeout: idleLimit,
+	}
+	go func() {
+		if err := srv.Serve(ls.Callers); !errors.Is(err, http.ErrServerClosed) {
+			env.Logger("callers").WithError(err).Error("listener ended")
+		}
+	}()
+	return func(ctx context.Context) error { return drain(ctx, env, srv) }, nil
+}
+
+// drain goes on accepting for the balancer's lag, then waits for attached requests.
+func drain(ctx context.Context, env *kernel.Env, srv *http.Server) error {
+	st := env.Settings.Stop
+	env.Logger("callers").Info("draining")
+	select {
+	case <-time.After(st.BalancerLag.Std()):
+	case <-ctx.Done():
+	}
+	srv.SetKeepAlivesEnabled(false)
+	ctx, cancel := context.WithTimeout(ctx, st.Drain.Std())
+	defer cancel()
+	return errors.Wrap(srv.Shutdown(ctx), "drain callers")
+}
+
+// gather collects what the callers' side works with.
+func gather(env *kernel.Env) (serve.Deps, error) {
+	d := serve.Deps{Incarnation: env.Incarnation, Log: env.Logger("serve"), Stopping: env.Stopping.Load}
+	var err error
+	if d.Fleet, err = kernel.Need[*fleet.Fleet](env); err != nil {
+		return d, err
+	}
+	if d.Bundles, err = kernel.Need[*rollout.Holder](env); err != nil {
+		return d, err
+	}
+	if d.Burn, err = kernel.Need[*burn.Recorder](env); err != nil {
+		return d, err
+	}
+	if d.Canceller, err = kernel.Need[*cancel.Canceller](env); err != nil {
+		return d, err
+	}
+	if d.Metrics, err = kernel.Need[*metrics.Set](env); err != nil {
+		return d, err
+	}
+	clients, err := kernel.Need[reports.Clients](env)
+	if err != nil {
+		return d, err
+	}
+	d.Engine = clients
+	store, err := kernel.Need[*platform.Client](env)
+	if err != nil {
+		return d, err
+	}
+	d.Claims = claim.New(claim.Store{Get: store.Get, Create: store.Create, Update: store.Update, Delete: store.Delete},
+		env.Incarnation, func(incarnation string) bool {
+			_, ok := d.Fleet.PeerByIncarnation(incarnation)
+			return ok || incarnation == env.Incarnation
+		})
+	d.Tickets = ticket.New(env.Incarnation, ticketKeep, ticketLimit, time.Now)
+	d.Retries = budget.NewRetries(env.Settings.Routing.RetryShare, time.Now)
+	d.Bodies = budget.NewMemory(env.Settings.Callers.BodyBudgetBytes)
+	d.Service = serviceCaller()
+	d.Router, err = newRouter(env, d)
+	return d, err
+}
+
+// serviceCaller opens a connection for each call: the transport then has no broken idle one to try again on.
+func serviceCaller() func(fleet.Target, *http.Request) (*http.Response, error) {
+	fresh := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	return func(_ fleet.Target, r *http.Request) (*http.Response, error) { return fresh.Do(r) }
+}
+
+func newRouter(env *kernel.Env, d serve.Deps) (*router.Router, error) {
+	ms, err := kernel.Need[*peer.Mesh](env)
+	if err != nil {
+		return nil, err
+	}
+	r := env.Settings.Routing
+	p, err := policy.ByName(r.Policy)
+	if err != nil {
+		return nil, err
+	}
+	lender := room.New(d.Fleet, d.Engine, func(attempt string, cl *engine.Client) {
+		d.Canceller.Cancel(cancel.Order{Attempt: attempt, Client: cl})
+	})
+	return router.New(d.Fleet, router.Options{
+		Policy:     p,
+		Limits:     policy.Limits{LongPerTarget: r.LongPerTarget, LongShare: r.LongShare, ChunkTokens: chunkTokens},
+		MaxWaiting: r.MaxWaiting, Probe: prober(d), Grant: ms.Grant, Borrow: lender.Reserve,
+	}), nil
+}
+
+// prober asks a target that nobody has confirmed whether it is there. A service is confirmed by its next call.
+func prober(d serve.Deps) func(context.Context, fleet.Target) error {
+	return func(ctx context.Context, t fleet.Target) error {
+		if t.Kind != fleet.KindEngine {
+			return nil
+		}
+		r, err := d.Engine(t).Report(ctx)
+		if err != nil {
+			return err
+		}
+		d.Fleet.ApplyReport(t.Name, r)
+		if r.Leaving {
+			return &engine.StatusError{Status: http.StatusServiceUnavailable, NotStarted: true}
+		}
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/duty/operators/operators.go
@@ -0,0 +1,179 @@
+// Package operators is the duty that serves operators on a listener of their own.
+package operators
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/go-chi/chi/v5"
+
+	"github.com/silvermount/silvermount/internal/burn"
+	"github.com/silvermount/silvermount/internal/config"
+	"github.com/silvermount/silvermount/internal/duty/listen"
+	"github.com/silvermount/silvermount/internal/fleet"
+	"github.com/silvermount/silvermount/internal/kernel"
+	"github.com/silvermount/silvermount/internal/peer"
+	"github.com/silvermount/silvermount/internal/rollout"
+	"github.com/silvermount/silvermount/internal/serve"
+)
+
+func init() {
+	kernel.Register(kernel.Duty{Name: "operators", Phase: kernel.PhaseListen, Check: check, Start: start})
+}
+
+const (
+	minKey      = 8
+	headerLimit = 5 * time.Second
+)
+
+func check(s config.Settings) config.Faults {
+	if len(s.Operators.Key) < minKey {
+		return config.Faults{{Path: "operators.key", Value: "(hidden)", Want: "at least 8 characters"}}
+	}
+	return nil
+}
+
+type api struct {
+	env     *kernel.Env
+	fleet   *fleet.Fleet
+	bundles *rollout.Holder
+	burn    *burn.Recorder
+	metrics *metrics.Set
+	mesh    *peer.Mesh
+	server  *serve.Server
+}
+
+// Status is what an instance says of itself.
+type Status struct {
+	Instance         string          `json:"instance"`
+	Incarnation      string          `json:"incarnation"`
+	AvailabilityZone string          `json:"availability_zone"`
+	Ready            bool            `json:"ready"`
+	Stopping         bool            `json:"stopping"`
+	BundleVersion    int64           `json:"bundle_version"`
+	BundleBehind     int64           `json:"bundle_behind"`
+	InFlight         int64           `json:"in_flight"`
+	Targets          []TargetStatus  `json:"targets"`
+	Peers            []PeerStatus    `json:"peers"`
+	Leaving          []LeavingStatus `json:"leaving"`
+}
+
+// TargetStatus is one target as this instance knows it.
+type TargetStatus struct {
+	Name  string `json:"name"`
+	Owner string `json:"owner"`
+}
+
+// PeerStatus is one peer as this instance knows it.
+type PeerStatus struct {
+	Name          string          `json:"name"`
+	Live          bool            `json:"live"`
+	Heard         config.Duration `json:"heard"`
+	BundleVersion int64           `json:"bundle_version"`
+}
+
+// LeavingStatus is one run of a target that is leaving.
+type LeavingStatus struct {
+	Target      string `json:"target"`
+	Incarnation string `json:"incarnation"`
+}
+
+func start(_ context.Context, env *kernel.Env) (kernel.Stop, error) {
+	a := &api{env: env}
+	var err error
+	if a.fleet, err = kernel.Need[*fleet.Fleet](env); err != nil {
+		return nil, err
+	}
+	if a.bundles, err = kernel.Need[*rollout.Holder](env); err != nil {
+		return nil, err
+	}
+	if a.burn, err = kernel.Need[*burn.Recorder](env); err != nil {
+		return nil, err
+	}
+	if a.metrics, err = kernel.Need[*metrics.Set](env); err != nil {
+		return nil, err
+	}
+	if a.mesh, err = kernel.Need[*peer.Mesh](env); err != nil {
+		return nil, err
+	}
+	if a.server, err = kernel.Need[*serve.Server](env); err != nil {
+		return nil, err
+	}
+	ls, err := kernel.Need[*listen.Listeners](env)
+	if err != nil {
+		return nil, err
+	}
+	a.gauges()
+	srv := &http.Server{Handler: a.handler(), ReadHeaderTimeout: headerLimit}
+	go func() {
+		if err := srv.Serve(ls.Operators); !errors.Is(err, http.ErrServerClosed) {
+			env.Logger("operators").WithError(err).Error("listener ended")
+		}
+	}()
+	return func(ctx context.Context) error { return errors.Wrap(srv.Shutdown(ctx), "stop operators") }, nil
+}
+
+func (ap *api) gauges() {
+	ap.metrics.NewGauge("silvermount_peer_bytes_out", func() float64 { return float64(ap.mesh.BytesOut.Load()) })
+	ap.metrics.NewGauge("silvermount_peer_bytes_in", func() float64 { return float64(ap.mesh.BytesIn.Load()) })
+	ap.metrics.NewGauge("silvermount_peer_messages", func() float64 { return float64(ap.mesh.Messages.Load()) })
+	ap.metrics.NewGauge("silvermount_bundle_version", func() float64 { return float64(ap.bundles.Version()) })
+}
+
+func (ap *api) handler() http.Handler {
+	rt := chi.NewRouter()
+	rt.Use(ap.keyed)
+	rt.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) { ap.metrics.WritePrometheus(w) })
+	rt.Get("/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, ap.status()) })
+	rt.Get("/burn", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, ap.burn.Windows()) })
+	rt.Get("/bundle", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, ap.bundles.Current()) })
+	rt.Post("/targets/{target}/leave", func(w http.ResponseWriter, r *http.Request) {
+		ap.fleet.MarkLeaving(chi.URLParam(r, "target"))
+		w.WriteHeader(http.StatusAccepted)
+	})
+	return rt
+}
+
+func (ap *api) keyed(next http.Handler) http.Handler {
+	want := []byte(ap.env.Settings.Operators.Key)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if subtle.ConstantTimeCompare([]byte(key), want) != 1 {
+			w.WriteHeader(http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (ap *api) status() Status {
+	self := ap.fleet.Self()
+	st := Status{
+		Instance: self.Name, Incarnation: self.Incarnation, AvailabilityZone: self.AvailabilityZone,
+		Ready: ap.server.Ready(), Stopping: ap.server.Stopping(), BundleVersion: ap.bundles.Version(),
+		BundleBehind: ap.bundles.Behind(), InFlight: ap.server.InFlight(),
+	}
+	for _, t := range ap.fleet.Targets() {
+		st.Targets = append(st.Targets, TargetStatus{Name: t.Name, Owner: ap.fleet.Owner(t)})
+	}
+	for _, p := range ap.fleet.Peers() {
+		st.Peers = append(st.Peers, PeerStatus{
+			Name: p.Name, Live: p.Live, Heard: config.Duration(p.Heard.Round(time.Millisecond)), BundleVersion: p.BundleVersion,
+		})
+	}
+	for target, incarnation := range ap.fleet.Leaving() {
+		st.Leaving = append(st.Leaving, LeavingStatus{Target: target, Incarnation: incarnation})
+	}
+	return st
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // an operator that has gone needs no answer
+}
--- /dev/null
+++ b/internal/duty/peers/peers.go
@@ -0,0 +1,127 @@
+// Package peers is the duty that keeps the links to other instances.
+package peers
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/silvermount/silvermount/internal/config"
+	"github.com/silvermount/silvermount/internal/duty/listen"
+	"github.com/silvermount/silvermount/internal/fleet"
+	"github.com/silvermount/silvermount/internal/grant"
+	"github.com/silvermount/silvermount/internal/kernel"
+	"github.com/silvermount/silvermount/internal/peer"
+	"github.com/silvermount/silvermount/internal/rollout"
+)
+
+func init() {
+	kernel.Register(kernel.Duty{Name: "peers", Phase: kernel.PhasePeers, Defaults: defaults, Check: check, Start: start})
+}
+
+const minSecret = 8
+
+func defaults(s *config.Settings) {
+	if s.Peers.Heartbeat == 0 {
+		s.Peers.Heartbeat = config.Duration(500 * time.Millisecond)
+	}
+	if s.Peers.RemoteEvery == 0 {
+		s.Peers.RemoteEvery = 2
+	}
+}
+
+func check(s config.Settings) config.Faults {
+	var fs config.Faults
+	p := s.Peers
+	files := 0
+	for _, f := range []string{p.Certificate, p.Key, p.Authority} {
+		if f != "" {
+			files++
+		}
+	}
+	if files != 0 && files != 3 {
+		fs = append(fs, &config.Fault{Path: "peers.certificate", Value: p.Certificate, Want: "certificate, key and authority together"})
+	}
+	if files == 0 && len(p.Secret) < minSecret {
+		fs = append(fs, &config.Fault{Path: "peers.secret", Value: strconv.Itoa(len(p.Secret)) + " characters", Want: "at least 8, or certificates"})
+	}
+	if span := p.Heartbeat.Std() * time.Duration(max(1, p.RemoteEvery)); 2*span > p.Lost.Std() {
+		fs = append(fs, &config.Fault{Path: "peers.lost", Value: p.Lost.Std().String(), Want: "at least two heartbeats of the slowest kind"})
+	}
+	for _, a := range p.Seeds {
+		fs = append(fs, config.CheckListen("peers.seeds", a)...)
+	}
+	return fs
+}
+
+// Blocked is a part that tests and experiments may provide to cut availability zones off.
+type Blocked func(zone string) bool
+
+func start(_ context.Context, env *kernel.Env) (kernel.Stop, error) {
+	fl, err := kernel.Need[*fleet.Fleet](env)
+	if err != nil {
+		return nil, err
+	}
+	holder, err := kernel.Need[*rollout.Holder](env)
+	if err != nil {
+		return nil, err
+	}
+	ls, err := kernel.Need[*listen.Listeners](env)
+	if err != nil {
+		return nil, err
+	}
+	p := env.Settings.Peers
+	tc, err := tlsConfig(p)
+	if err != nil {
+		return nil, err
+	}
+	blocked, err := kernel.Need[Blocked](env)
+	if err != nil {
+		blocked = func(string) bool { return false }
+	}
+	ledger := grant.New(env.Settings.Routing.LongPerTarget, fl.Busy, time.Now)
+	ms := peer.New(fl, holder, ledger, env.Stopping.Load, peer.Options{
+		Secret: p.Secret, TLS: tc, Heartbeat: p.Heartbeat.Std(), RemoteEvery: p.RemoteEvery, Seeds: p.Seeds,
+		Blocked: blocked, Log: env.Logger("peers"),
+	})
+	kernel.Provide(env, ms)
+	serve := kernel.Go(func(ctx context.Context) {
+		if err := ms.Serve(ctx, ls.Peers); err != nil && ctx.Err() == nil {
+			env.Logger("peers").WithError(err).Error("listener ended")
+		}
+	})
+	run := kernel.Go(ms.Run)
+	return func(ctx context.Context) error {
+		if err := run(ctx); err != nil {
+			return err
+		}
+		return serve(ctx)
+	}, nil
+}
+
+func tlsConfig(p config.Peers) (*tls.Config, error) {
+	if p.Certificate == "" {
+		return nil, nil
+	}
+	cert, err := tls.LoadX509KeyPair(p.Certificate, p.Key)
+	if err != nil {
+		return nil, errors.Wrap(err, "load peer certificate")
+	}
+	pem, err := os.ReadFile(p.Authority)
+	if err != nil {
+		return nil, errors.Wrap(err, "read peer authority")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, config.Faults{{Path: "peers.authority", Value: p.Authority, Want: "a PEM file with a certificate"}}
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{cert}, RootCAs: pool, ClientCAs: pool,
+		ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13,
+	}, nil
+}
--- /dev/null
+++ b/internal/duty/reports/reports.go
@@ -0,0 +1,77 @@
+// Package reports is the duty that asks the targets that this instance owns for their load.
+package reports
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/silvermount/silvermount/internal/config"
+	"github.com/silvermount/silvermount/internal/engine"
+	"github.com/silvermount/silvermount/internal/fleet"
+	"github.com/silvermount/silvermount/internal/kernel"
+)
+
+func init() {
+	kernel.Register(kernel.Duty{Name: "reports", Phase: kernel.PhaseWork, Defaults: defaults, Start: start})
+}
+
+const callTimeout = time.Second
+
+func defaults(s *config.Settings) {
+	if s.Routing.ReportEvery == 0 {
+		s.Routing.ReportEvery = config.Duration(500 * time.Millisecond)
+	}
+}
+
+// Clients returns the client of each engine.
+type Clients func(t fleet.Target) *engine.Client
+
+func start(_ context.Context, env *kernel.Env) (kernel.Stop, error) {
+	fl, err := kernel.Need[*fleet.Fleet](env)
+	if err != nil {
+		return nil, err
+	}
+	clients := NewClients()
+	kernel.Provide(env, clients)
+	return kernel.Go(func(ctx context.Context) {
+		tick := time.NewTicker(env.Settings.Routing.ReportEvery.Std())
+		defer tick.Stop()
+		for {
+			Ask(ctx, fl, clients)
+			select {
+			case <-tick.C:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}), nil
+}
+
+// NewClients returns clients that share connections; those for attempts that may not be repeated open their own.
+func NewClients() Clients {
+	shared := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second}}
+	fresh := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	return func(t fleet.Target) *engine.Client { return engine.New(t.URL, shared, fresh) }
+}
+
+// Ask asks every owned target once and waits for the answers.
+func Ask(ctx context.Context, fl *fleet.Fleet, clients Clients) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, t := range fl.Owned() {
+		if t.Kind != fleet.KindEngine {
+			continue
+		}
+		wg.Go(func() {
+			r, err := clients(t).Report(ctx)
+			if err != nil {
+				return
+			}
+			fl.ApplyReport(t.Name, r)
+		})
+	}
+	wg.Wait()
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,291 @@
+// Package fleet holds what one instance knows of targets and peers.
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/silvermount/silvermount/internal/engine"
+	"github.com/silvermount/silvermount/internal/policy"
+)
+
+// Kind says what a target is.
+type Kind string
+
+// The kinds of target.
+const (
+	KindEngine  Kind = "engine"
+	KindService Kind = "service"
+)
+
+// Target is one back end, as the platform lists it.
+type Target struct {
+	// Name is unique in the fleet.
+	Name string `json:"name"`
+	// Kind is an engine or a plain service.
+	Kind Kind `json:"kind"`
+	// AvailabilityZone is where it runs.
+	AvailabilityZone string `json:"availability_zone"`
+	// URL is the base address.
+	URL string `json:"url"`
+	// Models are those an engine serves; Service names what a service does.
+	Models  []string `json:"models,omitempty"`
+	Service string   `json:"service,omitempty"`
+	// Leaving is set once the platform knows of it.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// Instance is one live entry instance.
+type Instance struct {
+	// Name is unique among live instances.
+	Name string `json:"name"`
+	// Incarnation is unique to one run.
+	Incarnation string `json:"incarnation"`
+	// AvailabilityZone is where it runs.
+	AvailabilityZone string `json:"availability_zone"`
+	// PeerAddress and CallersAddress are IP addresses with a port.
+	PeerAddress    string `json:"peer_address"`
+	CallersAddress string `json:"callers_address"`
+}
+
+// Work is load in flight at one target.
+type Work struct {
+	// Requests counts attempts.
+	Requests int
+	// Prefill is prompt tokens without a first token yet, by length band.
+	Prefill [policy.Bands]int
+	// Memory is KV memory in tokens.
+	Memory int
+	// Long counts long prompts.
+	Long int
+}
+
+func (wk Work) plus(o Work, sign int) Work {
+	wk.Requests += sign * o.Requests
+	wk.Memory += sign * o.Memory
+	wk.Long += sign * o.Long
+	for b := range wk.Prefill {
+		wk.Prefill[b] += sign * o.Prefill[b]
+	}
+	return wk
+}
+
+// Add returns the sum of two loads.
+func (wk Work) Add(o Work) Work { return wk.plus(o, 1) }
+
+type knownTarget struct {
+	Target
+	// incarnation is that of the last report.
+	incarnation string
+	// leaving sticks for the incarnation it was learnt of.
+	leavingOf  string
+	listed     bool
+	own        Work
+	byPeer     map[string]Work
+	summary    Summary
+	summaryAt  time.Time
+	report     engine.Report
+	reportAt   time.Time
+	rate       float64
+	ejectUntil time.Time
+	failures   int
+}
+
+// Summary is what an owner tells of a target.
+type Summary struct {
+	// Target is its name.
+	Target string
+	// Total is all work in flight but the receiver's own.
+	Total Work
+	// Incarnation is that of the target's last report.
+	Incarnation string
+	// MemoryTotal is in tokens; zero when not known.
+	MemoryTotal int
+	// ReportedPrefill is the engine's own figure.
+	ReportedPrefill int
+	// Rate is prompt tokens a second; zero when not known.
+	Rate float64
+	// Age is the time since the owner last heard from the target.
+	Age time.Duration
+}
+
+type knownPeer struct {
+	Instance
+	heardAt  time.Time
+	version  int64
+	stopping bool
+}
+
+// Fleet is safe for use by any goroutine.
+type Fleet struct {
+	self Instance
+	now  func() time.Time
+	lost time.Duration
+
+	mu      sync.Mutex
+	targets map[string]*knownTarget
+	peers   map[string]*knownPeer
+	// changed is closed and replaced whenever a decision could come out differently.
+	changed chan struct{}
+	// order is the sorted names of targets; nil when stale.
+	order []string
+}
+
+// Option changes a Fleet under construction.
+type Option func(*Fleet)
+
+// WithNow replaces the clock.
+func WithNow(now func() time.Time) Option { return func(fl *Fleet) { fl.now = now } }
+
+// WithLost sets the silence after which a peer counts as gone.
+func WithLost(d time.Duration) Option { return func(fl *Fleet) { fl.lost = d } }
+
+// New returns the knowledge of an instance that has heard of nothing yet.
+func New(self Instance, opts ...Option) *Fleet {
+	fl := &Fleet{
+		self: self, now: time.Now, lost: 3 * time.Second,
+		targets: map[string]*knownTarget{}, peers: map[string]*knownPeer{}, changed: make(chan struct{}),
+	}
+	for _, o := range opts {
+		o(fl)
+	}
+	return fl
+}
+
+// Self returns this instance.
+func (fl *Fleet) Self() Instance { return fl.self }
+
+// Changed returns a channel that is closed at the next change.
+func (fl *Fleet) Changed() <-chan struct{} {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return fl.changed
+}
+
+// notify is called with the lock held.
+func (fl *Fleet) notify() {
+	close(fl.changed)
+	fl.changed = make(chan struct{})
+}
+
+// SetTargets takes the platform's list. A target that is no longer listed gets no new work.
+func (fl *Fleet) SetTargets(list []Target) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	for _, kt := range fl.targets {
+		kt.listed = false
+	}
+	for _, t := range list {
+		kt := fl.targets[t.Name]
+		if kt == nil || kt.URL != t.URL {
+			kt = &knownTarget{byPeer: map[string]Work{}}
+			fl.targets[t.Name] = kt
+		}
+		kt.Target = t
+		kt.listed = true
+	}
+	for name, kt := range fl.targets {
+		if !kt.listed && kt.own.Requests == 0 {
+			delete(fl.targets, name)
+		}
+	}
+	fl.order = nil
+	fl.notify()
+}
+
+// names is called with the lock held.
+func (fl *Fleet) names() []string {
+	if fl.order == nil {
+		for n := range fl.targets {
+			fl.order = append(fl.order, n)
+		}
+		slices.Sort(fl.order)
+	}
+	return fl.order
+}
+
+// Target returns a target by name.
+func (fl *Fleet) Target(name string) (Target, bool) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	kt, ok := fl.targets[name]
+	if !ok {
+		return Target{}, false
+	}
+	return kt.Target, true
+}
+
+// Targets returns all listed targets in the order of their names.
+func (fl *Fleet) Targets() []Target {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	var ts []Target
+	for _, n := range fl.names() {
+		if fl.targets[n].listed {
+			ts = append(ts, fl.targets[n].Target)
+		}
+	}
+	return ts
+}
+
+// Owned returns the targets that this instance owns.
+func (fl *Fleet) Owned() []Target {
+	var owned []Target
+	for _, t := range fl.Targets() {
+		if fl.Owner(t) == fl.self.Name {
+			owned = append(owned, t)
+		}
+	}
+	return owned
+}
+
+// Owner returns the name of the instance that owns a target: the highest hash over the live instances of its
+// availability zone, or over all live ones where the zone has none.
+func (fl *Fleet) Owner(t Target) string {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return fl.owner(t.Name, t.AvailabilityZone)
+}
+
+// OwnerOf returns the owner of a name that stands for no target, such as a queue of an availability zone.
+func (fl *Fleet) OwnerOf(name, zone string) string {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return fl.owner(name, zone)
+}
+
+func (fl *Fleet) owner(name, zone string) string {
+	if best := fl.highest(name, zone); best != "" {
+		return best
+	}
+	return fl.highest(name, "")
+}
+
+func (fl *Fleet) highest(name, zone string) string {
+	best, top := "", uint64(0)
+	consider := func(in Instance) {
+		if zone != "" && in.AvailabilityZone != zone {
+			return
+		}
+		h := xxhash.Sum64String(name + "\x00" + in.Name)
+		if best == "" || cmp.Or(cmp.Compare(h, top), cmp.Compare(in.Name, best)) > 0 {
+			best, top = in.Name, h
+		}
+	}
+	consider(fl.self)
+	for _, kp := range fl.peers {
+		if fl.live(kp) {
+			consider(kp.Instance)
+		}
+	}
+	return best
+}
+
+// live is called with the lock held.
+func (fl *Fleet) live(kp *knownPeer) bool {
+	return !kp.stopping && fl.now().Sub(kp.heardAt) < fl.lost
+}
--- /dev/null
+++ b/internal/fleet/load.go
@@ -0,0 +1,242 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"github.com/silvermount/silvermount/internal/engine"
+	"github.com/silvermount/silvermount/internal/policy"
+)
+
+const (
+	// defaultRate is assumed until a target has answered once.
+	defaultRate = 10_000
+	// rateWeight is the weight of a new sample of a target's rate.
+	rateWeight = 0.2
+	// confirmWithin is the silence after which a target needs a probe before new work.
+	confirmWithin = 3 * time.Second
+	// ejectAfter failures in a row take a target out for ejectFor.
+	ejectAfter = 3
+	ejectFor   = 2 * time.Second
+	// ejectFloor is the least share of targets that stays in.
+	ejectFloor = 0.5
+	// rateSampleTokens is the shortest prompt whose time tells the rate.
+	rateSampleTokens = 1000
+)
+
+// ApplyReport takes a load report asked from the target itself.
+func (fl *Fleet) ApplyReport(target string, r engine.Report) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	kt := fl.targets[target]
+	if kt == nil {
+		return
+	}
+	kt.report, kt.reportAt = r, fl.now()
+	kt.incarnation = r.Incarnation
+	if kt.rate == 0 {
+		kt.rate = r.PrefillRate
+	}
+	if r.Leaving {
+		fl.markLeaving(target, r.Incarnation)
+	}
+}
+
+// Confirm notes that a plain service answered.
+func (fl *Fleet) Confirm(target string) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	if kt := fl.targets[target]; kt != nil {
+		kt.reportAt = fl.now()
+		kt.failures = 0
+	}
+}
+
+// MarkLeaving notes that the present incarnation of a target is leaving.
+func (fl *Fleet) MarkLeaving(target string) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	if kt := fl.targets[target]; kt != nil {
+		fl.markLeaving(target, kt.incarnation)
+	}
+}
+
+func (fl *Fleet) markLeaving(target, incarnation string) {
+	if kt := fl.targets[target]; kt != nil && incarnation != "" {
+		kt.leavingOf = incarnation
+	}
+}
+
+// Leaving returns the targets known to be leaving, with the incarnation.
+func (fl *Fleet) Leaving() map[string]string {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	news := map[string]string{}
+	for name, kt := range fl.targets {
+		if kt.leavingOf != "" && kt.leavingOf == kt.incarnation {
+			news[name] = kt.leavingOf
+		}
+	}
+	return news
+}
+
+// Begin notes work that this instance sends to a target.
+func (fl *Fleet) Begin(target string, wk Work) { fl.change(target, wk, 1) }
+
+// End takes back work noted by Begin.
+func (fl *Fleet) End(target string, wk Work) { fl.change(target, wk, -1) }
+
+func (fl *Fleet) change(target string, wk Work, sign int) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	if kt := fl.targets[target]; kt != nil {
+		kt.own = kt.own.plus(wk, sign)
+		if sign < 0 {
+			fl.notify()
+		}
+	}
+}
+
+// Observe learns from an attempt that got its first token while nothing else was being prefilled.
+func (fl *Fleet) Observe(target string, tokens int, took time.Duration) {
+	if tokens < rateSampleTokens || took <= 0 {
+		return
+	}
+	sample := float64(tokens) / took.Seconds()
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	kt := fl.targets[target]
+	if kt == nil {
+		return
+	}
+	if kt.rate == 0 {
+		kt.rate = sample
+	}
+	kt.rate += rateWeight * (sample - kt.rate)
+}
+
+// Failure counts a failed attempt; several in a row take the target out for a while.
+func (fl *Fleet) Failure(target string) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	kt := fl.targets[target]
+	if kt == nil {
+		return
+	}
+	kt.failures++
+	if kt.failures >= ejectAfter {
+		kt.ejectUntil = fl.now().Add(ejectFor)
+		kt.failures = 0
+	}
+}
+
+// Success ends a run of failures.
+func (fl *Fleet) Success(target string) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	if kt := fl.targets[target]; kt != nil {
+		kt.failures = 0
+	}
+}
+
+// Wanted selects candidates.
+type Wanted struct {
+	// Model is set for engines, Service for plain services.
+	Model, Service string
+	// Except names targets that were tried already.
+	Except []string
+	// Peers makes the view include what peers have in flight.
+	Peers bool
+}
+
+// View is the candidates for a request with what must be done before use.
+type View struct {
+	// Candidates are in the order of their names, this availability zone's first.
+	Candidates []policy.Candidate
+	// Unconfirmed are those that need a probe first.
+	Unconfirmed map[string]bool
+}
+
+// Candidates returns the targets that may take new work.
+func (fl *Fleet) Candidates(wn Wanted) View {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	now := fl.now()
+	fit := fl.eligible(wn)
+	in := slices.DeleteFunc(slices.Clone(fit), func(kt *knownTarget) bool { return now.Before(kt.ejectUntil) })
+	if float64(len(in)) >= ejectFloor*float64(len(fit)) {
+		fit = in
+	}
+	vw := View{Unconfirmed: map[string]bool{}}
+	for _, kt := range fit {
+		vw.Candidates = append(vw.Candidates, fl.candidate(kt, wn.Peers))
+		if now.Sub(kt.confirmedAt()) > confirmWithin {
+			vw.Unconfirmed[kt.Name] = true
+		}
+	}
+	return vw
+}
+
+func (kt *knownTarget) confirmedAt() time.Time {
+	heard := kt.summaryAt.Add(-kt.summary.Age)
+	if kt.reportAt.After(heard) {
+		return kt.reportAt
+	}
+	return heard
+}
+
+func (fl *Fleet) eligible(wn Wanted) []*knownTarget {
+	var fit []*knownTarget
+	for _, name := range fl.names() {
+		kt := fl.targets[name]
+		leaving := kt.Leaving || (kt.leavingOf != "" && kt.leavingOf == kt.incarnation)
+		if kt.listed && !leaving && kt.serves(wn) && !slices.Contains(wn.Except, name) {
+			fit = append(fit, kt)
+		}
+	}
+	return fit
+}
+
+func (kt *knownTarget) serves(wn Wanted) bool {
+	if wn.Service != "" {
+		return kt.Kind == KindService && kt.Service == wn.Service
+	}
+	return kt.Kind == KindEngine && slices.Contains(kt.Models, wn.Model)
+}
+
+func (fl *Fleet) candidate(kt *knownTarget, peers bool) policy.Candidate {
+	all := kt.own
+	if peers {
+		all = fl.allWork(kt)
+	}
+	ca := policy.Candidate{
+		Name: kt.Name, Local: kt.AvailabilityZone == fl.self.AvailabilityZone,
+		OwnRequests: kt.own.Requests, OwnPrefill: kt.own.Prefill,
+		AllPrefill: all.Prefill, AllLong: all.Long, AllMemory: all.Memory,
+		ReportedPrefill: kt.report.PrefillTokens, ReportAge: fl.now().Sub(kt.reportAt),
+		Rate: kt.rate, MemoryTotal: kt.report.MemoryTotal,
+	}
+	if ca.MemoryTotal == 0 {
+		ca.MemoryTotal = kt.summary.MemoryTotal
+		ca.ReportedPrefill = kt.summary.ReportedPrefill
+	}
+	if ca.Rate <= 0 {
+		ca.Rate = kt.summary.Rate
+	}
+	ca.RateKnown = ca.Rate > 0
+	if !ca.RateKnown {
+		ca.Rate = defaultRate
+	}
+	return ca
+}
+
+// allWork is the owner's total, corrected by what this instance did since.
+func (fl *Fleet) allWork(kt *knownTarget) Work {
+	if fl.owner(kt.Name, kt.AvailabilityZone) == fl.self.Name {
+		return kt.total()
+	}
+	if fl.now().Sub(kt.summaryAt) > fl.lost {
+		return kt.own
+	}
+	return kt.summary.Total.Add(kt.own)
+}
--- /dev/null
+++ b/internal/fleet/peers.go
@@ -0,0 +1,199 @@
+package fleet
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/silvermount/silvermount/internal/set"
+)
+
+// Beat is what a peer says of itself and of targets.
+type Beat struct {
+	// From is the sender.
+	From Instance
+	// BundleVersion is the sender's version in force.
+	BundleVersion int64
+	// Stopping is set by an instance that is about to end.
+	Stopping bool
+	// Usage is the sender's work at targets that the receiver owns.
+	Usage map[string]Work
+	// Summaries are of targets that the sender owns.
+	Summaries []Summary
+	// Leaving maps targets to the incarnation that is leaving.
+	Leaving map[string]string
+}
+
+// PeerStatus is what is known of one peer.
+type PeerStatus struct {
+	Instance
+	// Heard is the time since its last heartbeat.
+	Heard time.Duration
+	// BundleVersion is its version in force.
+	BundleVersion int64
+	// Live is false for a peer that is silent or stopping.
+	Live bool
+}
+
+// ApplyBeat takes a heartbeat.
+func (fl *Fleet) ApplyBeat(b Beat) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	kp := fl.peers[b.From.Name]
+	if kp == nil {
+		kp = &knownPeer{}
+		fl.peers[b.From.Name] = kp
+	}
+	if kp.Incarnation != "" && kp.Incarnation != b.From.Incarnation {
+		fl.forgetWork(b.From.Name)
+	}
+	address := kp.PeerAddress
+	kp.Instance = b.From
+	if kp.PeerAddress == "" {
+		kp.PeerAddress = address
+	}
+	kp.heardAt, kp.version, kp.stopping = fl.now(), b.BundleVersion, b.Stopping
+	for _, kt := range fl.targets {
+		if _, ok := b.Usage[kt.Name]; !ok && b.Usage != nil {
+			delete(kt.byPeer, b.From.Name)
+		}
+	}
+	for name, wk := range b.Usage {
+		if kt := fl.targets[name]; kt != nil {
+			kt.byPeer[b.From.Name] = wk
+		}
+	}
+	fl.applySummaries(b.Summaries)
+	for name, incarnation := range b.Leaving {
+		fl.markLeaving(name, incarnation)
+	}
+	fl.notify()
+}
+
+func (fl *Fleet) applySummaries(summaries []Summary) {
+	for _, sm := range summaries {
+		kt := fl.targets[sm.Target]
+		if kt == nil {
+			continue
+		}
+		kt.summary, kt.summaryAt = sm, fl.now()
+		if sm.Incarnation != "" && kt.incarnation != sm.Incarnation && fl.owner(kt.Name, kt.AvailabilityZone) != fl.self.Name {
+			kt.incarnation = sm.Incarnation
+		}
+	}
+}
+
+// forgetWork is called with the lock held when a peer has a new incarnation or is gone.
+func (fl *Fleet) forgetWork(peer string) {
+	for _, kt := range fl.targets {
+		delete(kt.byPeer, peer)
+	}
+}
+
+// DropLost forgets the work of peers that are silent and returns their incarnations.
+func (fl *Fleet) DropLost() set.Set[string] {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	gone := set.Of[string]()
+	for name, kp := range fl.peers {
+		if fl.now().Sub(kp.heardAt) >= fl.lost {
+			fl.forgetWork(name)
+			gone = gone.With(kp.Incarnation)
+		}
+	}
+	return gone
+}
+
+// Peers returns all peers ever heard of, by name.
+func (fl *Fleet) Peers() []PeerStatus {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	var ps []PeerStatus
+	for _, kp := range fl.peers {
+		ps = append(ps, PeerStatus{
+			Instance: kp.Instance, Heard: fl.now().Sub(kp.heardAt), BundleVersion: kp.version, Live: fl.live(kp),
+		})
+	}
+	slices.SortFunc(ps, func(a, b PeerStatus) int { return strings.Compare(a.Name, b.Name) })
+	return ps
+}
+
+// PeerByIncarnation returns the peer that has an incarnation, unless it is silent. It may be stopping.
+func (fl *Fleet) PeerByIncarnation(incarnation string) (Instance, bool) {
+	for _, p := range fl.Peers() {
+		if p.Incarnation == incarnation && p.Heard < fl.lost {
+			return p.Instance, true
+		}
+	}
+	return Instance{}, false
+}
+
+// UsageFor returns this instance's work at the targets that a peer owns.
+func (fl *Fleet) UsageFor(peer string) map[string]Work {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	usage := map[string]Work{}
+	for name, kt := range fl.targets {
+		if kt.own != (Work{}) && fl.owner(name, kt.AvailabilityZone) == peer {
+			usage[name] = kt.own
+		}
+	}
+	return usage
+}
+
+// SummariesFor returns what this instance knows of the targets that it owns, less the receiver's own work.
+func (fl *Fleet) SummariesFor(peer string) []Summary {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	var all []Summary
+	for _, name := range fl.names() {
+		kt := fl.targets[name]
+		if !kt.listed || fl.owner(name, kt.AvailabilityZone) != fl.self.Name {
+			continue
+		}
+		all = append(all, Summary{
+			Target: name, Total: kt.total().plus(kt.byPeer[peer], -1), Incarnation: kt.incarnation,
+			MemoryTotal: kt.report.MemoryTotal, ReportedPrefill: kt.report.PrefillTokens,
+			Rate: kt.rate, Age: fl.now().Sub(kt.reportAt),
+		})
+	}
+	return all
+}
+
+// total is the own work and that of peers, as an owner knows it.
+func (kt *knownTarget) total() Work {
+	sum := kt.own
+	for _, wk := range kt.byPeer {
+		sum = sum.Add(wk)
+	}
+	return sum
+}
+
+// Introduce makes a peer known that has not been heard of yet, so that it is dialled.
+func (fl *Fleet) Introduce(in Instance) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	if in.Name == fl.self.Name {
+		return
+	}
+	kp := fl.peers[in.Name]
+	if kp == nil {
+		kp = &knownPeer{Instance: in, heardAt: fl.now().Add(-fl.lost)}
+		fl.peers[in.Name] = kp
+	}
+	if fl.now().Sub(kp.heardAt) >= fl.lost {
+		kp.PeerAddress = in.PeerAddress
+	}
+}
+
+// Busy returns the long prompts and memory in flight at a target, and the memory it has.
+func (fl *Fleet) Busy(target string) (long, memoryUsed, memoryTotal int) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	kt := fl.targets[target]
+	if kt == nil {
+		return 0, 0, 0
+	}
+	wk := kt.total()
+	return wk.Long, wk.Memory, kt.report.MemoryTotal
+}
--- /dev/null
+++ b/internal/grant/grant.go
@@ -0,0 +1,87 @@
+// Package grant is the owner's ledger of long prompts let through to the targets that it owns.
+package grant
+
+import (
+	"sync"
+	"time"
+)
+
+// Key names one grant.
+type Key struct {
+	// Holder is the incarnation of the instance that asked.
+	Holder string
+	// ID is unique for the holder.
+	ID uint64
+}
+
+type held struct {
+	target string
+	memory int
+	until  time.Time
+}
+
+// Ledger is safe for use by any goroutine. It is lost with its owner: a new owner starts empty and learns what is in
+// flight from heartbeats, so that two ledgers for a while cost speed and never a promise.
+type Ledger struct {
+	now   func() time.Time
+	limit int
+	// busy returns the long prompts in flight at a target as heartbeats tell, and its memory.
+	busy func(target string) (long, memoryUsed, memoryTotal int)
+
+	mu   sync.Mutex
+	held map[Key]held
+}
+
+// New returns an empty ledger that allows limit long prompts a target.
+func New(limit int, busy func(target string) (long, memoryUsed, memoryTotal int), now func() time.Time) *Ledger {
+	return &Ledger{now: now, limit: limit, busy: busy, held: map[Key]held{}}
+}
+
+// Ask grants room at a target for a time, or refuses it.
+func (lg *Ledger) Ask(k Key, target string, memory int, hold time.Duration) bool {
+	_, _, total := lg.busy(target)
+	lg.mu.Lock()
+	defer lg.mu.Unlock()
+	now := lg.now()
+	count, used := 0, 0
+	for key, h := range lg.held {
+		if now.After(h.until) {
+			delete(lg.held, key)
+			continue
+		}
+		if h.target == target {
+			count++
+			used += h.memory
+		}
+	}
+	if count >= lg.limit || (total > 0 && used+memory > total) {
+		return false
+	}
+	lg.held[k] = held{target: target, memory: memory, until: now.Add(hold)}
+	return true
+}
+
+// Release gives a grant back. A grant that is not held is no fault: its ledger may have been another's.
+func (lg *Ledger) Release(k Key) {
+	lg.mu.Lock()
+	delete(lg.held, k)
+	lg.mu.Unlock()
+}
+
+// DropHolder releases all grants of an incarnation that is gone.
+func (lg *Ledger) DropHolder(incarnation string) {
+	lg.mu.Lock()
+	defer lg.mu.Unlock()
+	for k := range lg.held {
+		if k.Holder == incarnation {
+			delete(lg.held, k)
+		}
+	}
+}
+
+// Len returns how many grants are held.
+func (lg *Ledger) Len() int {
+	lg.mu.Lock()
+	defer lg.mu.Unlock()
+	return len(lg.held)
+}
--- /dev/null
+++ b/internal/instance/instance.go
@@ -0,0 +1,77 @@
+// Package instance lists the duties of an entry instance in one place and starts them.
+package instance
+
+import (
+	"context"
+
+	"github.com/apex/log"
+
+	"github.com/silvermount/silvermount/internal/config"
+	"github.com/silvermount/silvermount/internal/duty/listen"
+	"github.com/silvermount/silvermount/internal/duty/peers"
+	"github.com/silvermount/silvermount/internal/ident"
+	"github.com/silvermount/silvermount/internal/kernel"
+
+	// Each duty registers itself.
+	_ "github.com/silvermount/silvermount/internal/duty/announce"
+	_ "github.com/silvermount/silvermount/internal/duty/bundles"
+	_ "github.com/silvermount/silvermount/internal/duty/callers"
+	_ "github.com/silvermount/silvermount/internal/duty/cancels"
+	_ "github.com/silvermount/silvermount/internal/duty/knowledge"
+	_ "github.com/silvermount/silvermount/internal/duty/operators"
+	_ "github.com/silvermount/silvermount/internal/duty/reports"
+	_ "github.com/silvermount/silvermount/internal/duty/store"
+	_ "github.com/silvermount/silvermount/internal/duty/sweep"
+)
+
+// Instance is one running entry instance.
+type Instance struct {
+	kn *kernel.Kernel
+}
+
+// Option changes an instance before it starts.
+type Option func(*kernel.Env)
+
+// WithBlocked cuts links to peers in some availability zones; for tests and experiments.
+func WithBlocked(f func(zone string) bool) Option {
+	return func(env *kernel.Env) { kernel.Provide(env, peers.Blocked(f)) }
+}
+
+// Start starts an instance.
+func Start(ctx context.Context, s config.Settings, lg log.Interface, opts ...Option) (*Instance, error) {
+	kn, err := kernel.New(s, ident.New("inst"), lg)
+	if err != nil {
+		return nil, err
+	}
+	for _, o := range opts {
+		o(kn.Env)
+	}
+	if err := kn.Start(ctx); err != nil {
+		return nil, err
+	}
+	return &Instance{kn: kn}, nil
+}
+
+// Env returns what the duties share.
+func (in *Instance) Env() *kernel.Env { return in.kn.Env }
+
+// CallersURL returns the base URL for callers.
+func (in *Instance) CallersURL() string {
+	ls, err := kernel.Need[*listen.Listeners](in.kn.Env)
+	if err != nil {
+		return ""
+	}
+	return "http://" + ls.Callers.Addr().String()
+}
+
+// OperatorsURL returns the base URL for operators.
+func (in *Instance) OperatorsURL() string {
+	ls, err := kernel.Need[*listen.Listeners](in.kn.Env)
+	if err != nil {
+		return ""
+	}
+	return "http://" + ls.Operators.Addr().String()
+}
+
+// Stop ends the instance; attached requests are served to their end.
+func (in *Instance) Stop(ctx context.Context) error { return in.kn.Stop(ctx) }
--- /dev/null
+++ b/internal/kernel/kernel.go
@@ -0,0 +1,212 @@
+// Package kernel starts and stops the duties of one instance.
+package kernel
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"reflect"
+	"slices"
+	"sync/atomic"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/silvermount/silvermount/internal/config"
+)
+
+// Phase orders the start of duties. Duties stop in the reverse order.
+type Phase int
+
+// The phases, in the order in which they start.
+const (
+	PhaseStore Phase = iota
+	PhaseKnowledge
+	PhasePeers
+	PhaseWork
+	PhaseListen
+	PhaseAnnounce
+)
+
+// Duty is one part of an instance. Its function fields may be nil, but for Start.
+type Duty struct {
+	// Name is unique among registered duties.
+	Name string
+	// Phase says when the duty starts.
+	Phase Phase
+	// Defaults fills in settings that were left empty.
+	Defaults func(*config.Settings)
+	// Check returns what is wrong with the settings.
+	Check func(config.Settings) config.Faults
+	// Start returns once the duty serves; Stop is called once.
+	Start func(ctx context.Context, env *Env) (Stop, error)
+}
+
+// Stop ends a duty within the time of ctx.
+type Stop func(ctx context.Context) error
+
+// Skip is the typed reason for which a duty does not run.
+type Skip struct {
+	// Reason is a short lower-case sentence.
+	Reason string
+}
+
+// Error returns the reason.
+func (sk *Skip) Error() string { return "skipped: " + sk.Reason }
+
+// StartError says which duty did not start.
+type StartError struct {
+	// Duty is the name of the duty.
+	Duty string
+	// Cause is never nil.
+	Cause error
+}
+
+// Error names the duty and the cause.
+func (se *StartError) Error() string { return "start " + se.Duty + ": " + se.Cause.Error() }
+
+// Unwrap returns the cause.
+func (se *StartError) Unwrap() error { return se.Cause }
+
+// MissingPartError says that a duty needs a part that none has provided.
+type MissingPartError struct {
+	// Type is the type that was asked for.
+	Type string
+}
+
+// Error names the type.
+func (me *MissingPartError) Error() string { return "no duty provides " + me.Type }
+
+var registered []Duty
+
+// Register adds a duty. It is called from init functions only, and panics on a name used twice.
+func Register(d Duty) {
+	for _, have := range registered {
+		if have.Name == d.Name {
+			panic(fmt.Sprintf("kernel: duty %q registered twice", d.Name))
+		}
+	}
+	registered = append(registered, d)
+	slices.SortStableFunc(registered, func(a, b Duty) int {
+		return cmp.Or(cmp.Compare(a.Phase, b.Phase), cmp.Compare(a.Name, b.Name))
+	})
+}
+
+// Defaults fills in the defaults of every duty.
+func Defaults(s config.Settings) config.Settings {
+	for _, d := range registered {
+		if d.Defaults != nil {
+			d.Defaults(&s)
+		}
+	}
+	return s
+}
+
+// Check returns all that is wrong with the settings, over all duties.
+func Check(s config.Settings) config.Faults {
+	var all config.Faults
+	if s.Instance == "" {
+		all = append(all, &config.Fault{Path: "instance", Want: "a name unique among instances"})
+	}
+	if s.AvailabilityZone == "" {
+		all = append(all, &config.Fault{Path: "availability_zone", Want: "the name of an availability zone"})
+	}
+	for _, d := range registered {
+		if d.Check != nil {
+			all = append(all, d.Check(s)...)
+		}
+	}
+	return all
+}
+
+// Env is what the duties of one instance share.
+type Env struct {
+	// Settings are complete and checked.
+	Settings config.Settings
+	// Incarnation is unique to this run of the instance.
+	Incarnation string
+	// Log carries the name of the instance.
+	Log log.Interface
+	// Stopping is set once and never taken back.
+	Stopping atomic.Bool
+
+	parts map[reflect.Type]any
+}
+
+// Logger returns a logger whose lines start with the fixed prefix of one part.
+func (ev *Env) Logger(part string) log.Interface { return ev.Log.WithField("part", part) }
+
+// Provide puts a part where later duties find it.
+func Provide[T any](env *Env, part T) { env.parts[reflect.TypeFor[T]()] = part }
+
+// Need returns a part that an earlier duty provided.
+func Need[T any](env *Env) (T, error) {
+	part, ok := env.parts[reflect.TypeFor[T]()].(T)
+	if !ok {
+		return part, &MissingPartError{Type: reflect.TypeFor[T]().String()}
+	}
+	return part, nil
+}
+
+type running struct {
+	name string
+	stop Stop
+}
+
+// Kernel is one running instance.
+type Kernel struct {
+	// Env is shared with the duties.
+	Env *Env
+	// running is in the order of start.
+	running []running
+}
+
+// New prepares an instance. Settings are filled with defaults and checked.
+func New(s config.Settings, incarnation string, lg log.Interface) (*Kernel, error) {
+	s = Defaults(s)
+	if err := Check(s).OrNil(); err != nil {
+		return nil, err
+	}
+	env := &Env{
+		Settings:    s,
+		Incarnation: incarnation,
+		Log:         lg.WithField("instance", s.Instance),
+		parts:       map[reflect.Type]any{},
+	}
+	return &Kernel{Env: env}, nil
+}
+
+// Start starts every duty in order. When one fails, those already started are stopped.
+func (kn *Kernel) Start(ctx context.Context) error {
+	for _, d := range registered {
+		stop, err := d.Start(ctx, kn.Env)
+		var sk *Skip
+		if errors.As(err, &sk) {
+			kn.Env.Logger("kernel").WithField("duty", d.Name).WithField("reason", sk.Reason).Info("duty skipped")
+			continue
+		}
+		if err != nil {
+			_ = kn.Stop(ctx)
+			return &StartError{Duty: d.Name, Cause: err}
+		}
+		if stop != nil {
+			kn.running = append(kn.running, running{name: d.Name, stop: stop})
+		}
+	}
+	kn.Env.Logger("kernel").Info("started")
+	return nil
+}
+
+// Stop stops the running duties in reverse order and returns the first error.
+func (kn *Kernel) Stop(ctx context.Context) error {
+	kn.Env.Stopping.Store(true)
+	var first error
+	for _, r := range slices.Backward(kn.running) {
+		if err := r.stop(ctx); err != nil && first == nil {
+			first = errors.Wrapf(err, "stop %s", r.name)
+		}
+	}
+	kn.running = nil
+	kn.Env.Logger("kernel").Info("stopped")
+	return first
+}
--- /dev/null
+++ b/internal/kernel/loop.go
@@ -0,0 +1,24 @@
+package kernel
+
+import (
+	"context"
+	"sync"
+)
+
+// Go runs one goroutine for a duty and returns the Stop that ends and awaits it.
+func Go(run func(ctx context.Context)) Stop {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { run(ctx) })
+	return func(stopCtx context.Context) error {
+		cancel()
+		done := make(chan struct{})
+		go func() { wg.Wait(); close(done) }()
+		select {
+		case <-done:
+			return nil
+		case <-stopCtx.Done():
+			return stopCtx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/internal/life/life_test.go
@@ -0,0 +1,65 @@
+package life
+
+import (
+	"context"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+	"github.com/qmuntal/stateless"
+)
+
+func TestMachine(t *testing.T) {
+	tests := map[string]struct {
+		triggers []Trigger
+		want     State
+		wantErr  bool
+	}{
+		"whole answer":              {triggers: []Trigger{Admit, Dispatch, FirstToken, Finish}, want: Finished},
+		"retry then answer":         {triggers: []Trigger{Admit, Dispatch, Retry, Dispatch, Finish}, want: Finished},
+		"refused before dispatch":   {triggers: []Trigger{Admit, Refuse}, want: Refused},
+		"continue after break":      {triggers: []Trigger{Admit, Dispatch, FirstToken, Retry, Dispatch}, want: Dispatched},
+		"stream cannot be refused":  {triggers: []Trigger{Admit, Dispatch, FirstToken, Refuse}, want: Streaming, wantErr: true},
+		"no dispatch when finished": {triggers: []Trigger{Admit, Dispatch, Finish, Dispatch}, want: Finished, wantErr: true},
+	}
+	mc := New()
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var rec Record
+			var err error
+			for _, tr := range tc.triggers {
+				err = mc.Fire(t.Context(), &rec, tr)
+			}
+			g.Expect(rec.State).To(Equal(tc.want))
+			var te *TransitionError
+			g.Expect(errors.As(err, &te)).To(Equal(tc.wantErr))
+		})
+	}
+}
+
+func BenchmarkSharedMachine(b *testing.B) {
+	mc := New()
+	b.ReportAllocs()
+	for b.Loop() {
+		var rec Record
+		for _, tr := range []Trigger{Admit, Dispatch, Finish} {
+			if err := mc.Fire(context.Background(), &rec, tr); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+}
+
+func BenchmarkMachinePerRequest(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		sm := stateless.NewStateMachine(Received)
+		configure(sm)
+		for _, tr := range []Trigger{Admit, Dispatch, Finish} {
+			if err := sm.Fire(tr); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/load/prompt.go
@@ -0,0 +1,36 @@
+package load
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"strings"
+)
+
+const wordLetters = "abcdefghijklmnopqrstuvwxyz"
+
+// Prompt returns the text of an arrival: four bytes a token, the same for the same seed and index.
+func Prompt(seed uint64, a Arrival) string {
+	rnd := rand.New(rand.NewPCG(seed, uint64(a.Index)))
+	var sb strings.Builder
+	sb.Grow(4 * a.Tokens)
+	word := [4]byte{3: ' '}
+	for range a.Tokens {
+		v := rnd.Uint32()
+		for i := range 3 {
+			word[i] = wordLetters[(v>>(8*i))%26]
+		}
+		sb.Write(word[:])
+	}
+	return sb.String()
+}
+
+type body struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+}
+
+func encode(model, prompt string, output int) ([]byte, error) {
+	return json.Marshal(body{Model: model, Prompt: prompt, MaxTokens: output, Stream: true})
+}
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,168 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/silvermount/silvermount/internal/serve"
+)
+
+// Result is what became of one arrival.
+type Result struct {
+	Arrival
+	// FirstToken and Total count from the intended start; zero when there was none.
+	FirstToken time.Duration `json:"first_token"`
+	Total      time.Duration `json:"total"`
+	// Tokens got and whether the answer is whole and right.
+	Got   int  `json:"got"`
+	Whole bool `json:"whole"`
+	Right bool `json:"right"`
+	// Code and Outcome are set for failures.
+	Code    string `json:"code,omitempty"`
+	Outcome string `json:"outcome,omitempty"`
+
+	text string
+}
+
+// Target is where and how load is sent.
+type Target struct {
+	// URLs are the callers' addresses of instances, taken in turn.
+	URLs []string
+	// Key is the bearer key; Model is asked for.
+	Key, Model string
+	// Seed gives the prompts.
+	Seed uint64
+	// Progress is told how many are done, now and then; nil tells nobody.
+	Progress func(done, all int)
+}
+
+const progressEvery = 2 * time.Second
+
+// Run sends the arrivals, each at its intended time whatever became of the others, and waits for all answers.
+func Run(ctx context.Context, t Target, arrivals []Arrival) []Result {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+	defer client.CloseIdleConnections()
+	results := make([]Result, len(arrivals))
+	bodies := make([][]byte, len(arrivals))
+	prompts := make([]string, len(arrivals))
+	for i, a := range arrivals {
+		prompts[i] = Prompt(t.Seed, a)
+		bodies[i], _ = encode(t.Model, prompts[i], a.Output) // these fields always encode
+	}
+	var wg sync.WaitGroup
+	var done sync.Map
+	start := time.Now()
+	for i, a := range arrivals {
+		wg.Go(func() {
+			if !sleepUntil(ctx, start.Add(a.At)) {
+				results[i] = Result{Arrival: a, Code: "not_sent"}
+				return
+			}
+			results[i] = send(ctx, client, t, a, t.URLs[a.Index%len(t.URLs)], bodies[i], start)
+			results[i].check(prompts[i])
+			done.Store(i, true)
+		})
+	}
+	finished := make(chan struct{})
+	go func() { wg.Wait(); close(finished) }()
+	watch(t, &done, len(arrivals), finished)
+	return results
+}
+
+func watch(t Target, done *sync.Map, all int, finished <-chan struct{}) {
+	tick := time.NewTicker(progressEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-finished:
+			return
+		case <-tick.C:
+			n := 0
+			done.Range(func(any, any) bool { n++; return true })
+			if t.Progress != nil {
+				t.Progress(n, all)
+			}
+		}
+	}
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	select {
+	case <-time.After(time.Until(at)):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+type event struct {
+	Choices []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+	Error *struct {
+		Code    string `json:"code"`
+		Outcome string `json:"outcome"`
+	} `json:"error"`
+}
+
+func send(ctx context.Context, client *http.Client, t Target, a Arrival, url string, body []byte, start time.Time) Result {
+	res := Result{Arrival: a}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/completions", bytes.NewReader(body))
+	if err != nil {
+		res.Code = err.Error()
+		return res
+	}
+	req.Header.Set("Authorization", "Bearer "+t.Key)
+	req.Header.Set(serve.HeaderClass, a.Class)
+	resp, err := client.Do(req)
+	if err != nil {
+		res.Code = "connection"
+		return res
+	}
+	defer resp.Body.Close()
+	res.read(bufio.NewScanner(resp.Body), resp.StatusCode, start.Add(a.At))
+	return res
+}
+
+func (rs *Result) read(sc *bufio.Scanner, status int, intended time.Time) {
+	var text strings.Builder
+	for sc.Scan() {
+		data, ok := strings.CutPrefix(sc.Text(), "data: ")
+		if !ok && status == http.StatusOK {
+			continue
+		}
+		if data == "[DONE]" {
+			rs.Whole = true
+			break
+		}
+		var ev event
+		if !ok {
+			data = sc.Text()
+		}
+		if json.Unmarshal([]byte(data), &ev) != nil {
+			continue
+		}
+		if ev.Error != nil {
+			rs.Code, rs.Outcome = ev.Error.Code, ev.Error.Outcome
+			break
+		}
+		if len(ev.Choices) > 0 {
+			if rs.Got == 0 {
+				rs.FirstToken = time.Since(intended)
+			}
+			rs.Got++
+			text.WriteString(ev.Choices[0].Text)
+		}
+	}
+	rs.Total = time.Since(intended)
+	if !rs.Whole && rs.Code == "" {
+		rs.Code = "cut_off"
+	}
+	rs.text = text.String()
+}
--- /dev/null
+++ b/internal/localfleet/localfleet.go
@@ -0,0 +1,298 @@
+// Package localfleet runs a platform, targets and entry instances in one process on loopback, for the demo,
+// measurements and tests.
+package localfleet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/silvermount/silvermount/internal/bundle"
+	"github.com/silvermount/silvermount/internal/config"
+	"github.com/silvermount/silvermount/internal/fleet"
+	"github.com/silvermount/silvermount/internal/instance"
+	"github.com/silvermount/silvermount/internal/kernel"
+	"github.com/silvermount/silvermount/internal/platform"
+	"github.com/silvermount/silvermount/internal/rollout"
+	"github.com/silvermount/silvermount/internal/standin/enginesim"
+	"github.com/silvermount/silvermount/internal/standin/platformsim"
+	"github.com/silvermount/silvermount/internal/standin/servicesim"
+)
+
+// The names that a local fleet's bundle holds.
+const (
+	Model       = "address"
+	Service     = "valves"
+	Key         = "local-caller-key"
+	OperatorKey = "local-operator-key"
+	ClassCall   = "call"
+	ClassBatch  = "batch"
+
+	loopback  = "127.0.0.1:0"
+	peerKey   = "local-peer-secret"
+	readyWait = 15 * time.Second
+)
+
+// Options size a local fleet.
+type Options struct {
+	// Zones, Engines and Instances are counts; engines and instances are spread over the zones.
+	Zones, Engines, Instances int
+	// Params are those of every engine.
+	Params enginesim.Params
+	// Policy is the routing policy; empty takes the default.
+	Policy string
+	// Adjust may change an instance's settings.
+	Adjust func(*config.Settings)
+	// Log is used by the instances.
+	Log log.Interface
+	// Bundle is the first accepted bundle; nil takes DefaultBundle.
+	Bundle *bundle.Bundle
+	// Blocked cuts the link from one zone to another.
+	Blocked func(from, to string) bool
+}
+
+// Server is one stand-in behind a listener.
+type Server struct {
+	URL string
+	srv *http.Server
+}
+
+// Close breaks all connections and stops listening.
+func (sr *Server) Close() { _ = sr.srv.Close() } // nothing waits for a stand-in
+
+// Serve listens on loopback.
+func Serve(h http.Handler) (*Server, error) {
+	lis, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	go func() { _ = srv.Serve(lis) }() // ends with Close
+	return &Server{URL: "http://" + lis.Addr().String(), srv: srv}, nil
+}
+
+// Engine is one engine with its listener.
+type Engine struct {
+	*enginesim.Engine
+	Name   string
+	server *Server
+}
+
+// Kill ends the engine in the middle of its work.
+func (en *Engine) Kill() {
+	en.Engine.Kill()
+	en.server.Close()
+}
+
+// Fleet is a running local fleet.
+type Fleet struct {
+	Store     *platformsim.Store
+	StoreURL  string
+	Engines   []*Engine
+	Services  *servicesim.Service
+	Instances []*instance.Instance
+	opts      Options
+	servers   []*Server
+}
+
+// DefaultBundle returns the bundle that a local fleet starts with.
+func DefaultBundle() bundle.Bundle {
+	seconds := func(n int) config.Duration { return config.Duration(time.Duration(n) * time.Second) }
+	return bundle.Bundle{
+		Version:       1,
+		Organisations: []bundle.Organisation{{Name: "tywi", KeyDigests: []string{bundle.KeyDigest(Key)}}},
+		Models:        []bundle.Model{{Name: Model, MaxTokens: 1_100_000}},
+		Services:      []string{Service},
+		Classes: []bundle.Class{
+			{
+				Name: ClassCall, Deadline: seconds(120), Priority: 2, ContinueElsewhere: true,
+				Objective: bundle.Objective{FirstToken: config.Duration(680 * time.Millisecond), Share: 0.95},
+			},
+			{
+				Name: ClassBatch, Deadline: seconds(600), Priority: 1, Yields: true, ContinueElsewhere: true,
+				Objective: bundle.Objective{FirstToken: seconds(300), Share: 0.95},
+			},
+		},
+	}
+}
+
+// Start starts a local fleet and waits until every instance is ready and knows the others.
+func Start(ctx context.Context, o Options) (*Fleet, error) {
+	lf := &Fleet{Store: platformsim.New(), Services: servicesim.New(), opts: o}
+	if err := lf.startTargets(); err != nil {
+		lf.Close(ctx)
+		return nil, err
+	}
+	if err := lf.putBundle(); err != nil {
+		lf.Close(ctx)
+		return nil, err
+	}
+	for i := range o.Instances {
+		if _, err := lf.AddInstance(ctx, i); err != nil {
+			lf.Close(ctx)
+			return nil, err
+		}
+	}
+	if err := lf.await(ctx); err != nil {
+		lf.Close(ctx)
+		return nil, err
+	}
+	return lf, nil
+}
+
+func (lf *Fleet) serve(h http.Handler) (*Server, error) {
+	sr, err := Serve(h)
+	if err == nil {
+		lf.servers = append(lf.servers, sr)
+	}
+	return sr, err
+}
+
+func zone(i, zones int) string { return string(rune('a' + i%max(1, zones))) }
+
+func (lf *Fleet) startTargets() error {
+	sr, err := lf.serve(lf.Store.Handler())
+	if err != nil {
+		return err
+	}
+	lf.StoreURL = sr.URL
+	for i := range lf.opts.Engines {
+		if _, err := lf.AddEngine(fmt.Sprintf("engine-%02d", i), zone(i, lf.opts.Zones)); err != nil {
+			return err
+		}
+	}
+	sr, err = lf.serve(lf.Services)
+	if err != nil {
+		return err
+	}
+	return lf.Store.Put(platform.KindTargets, "service-0", fleet.Target{
+		Name: "service-0", Kind: fleet.KindService, AvailabilityZone: zone(0, 1), URL: sr.URL, Service: Service,
+	})
+}
+
+// AddEngine starts an engine and lists it.
+func (lf *Fleet) AddEngine(name, zone string) (*Engine, error) {
+	en := &Engine{Engine: enginesim.New(lf.opts.Params, Model), Name: name}
+	sr, err := lf.serve(en.Handler())
+	if err != nil {
+		return nil, err
+	}
+	en.server = sr
+	lf.Engines = append(lf.Engines, en)
+	return en, lf.Store.Put(platform.KindTargets, name, fleet.Target{
+		Name: name, Kind: fleet.KindEngine, AvailabilityZone: zone, URL: sr.URL, Models: []string{Model},
+	})
+}
+
+func (lf *Fleet) putBundle() error {
+	b := DefaultBundle()
+	if lf.opts.Bundle != nil {
+		b = *lf.opts.Bundle
+	}
+	if err := lf.Store.Put(platform.KindBundles, "1", b); err != nil {
+		return err
+	}
+	return lf.Store.Put(platform.KindPointers, rollout.PointerName, rollout.Pointer{Version: b.Version})
+}
+
+// Settings returns those of the i-th instance.
+func (lf *Fleet) Settings(i int) config.Settings {
+	s := config.Settings{
+		Instance: fmt.Sprintf("entry-%02d", i), AvailabilityZone: zone(i, lf.opts.Zones),
+		Callers:   config.Callers{Listen: loopback},
+		Operators: config.Operators{Listen: loopback, Key: OperatorKey},
+		Peers:     config.Peers{Listen: loopback, Secret: peerKey, Heartbeat: config.Duration(100 * time.Millisecond)},
+		Platform:  config.Platform{URL: lf.StoreURL},
+		Routing:   config.Routing{Policy: lf.opts.Policy, ReportEvery: config.Duration(100 * time.Millisecond)},
+		Stop:      config.Stop{BalancerLag: config.Duration(50 * time.Millisecond)},
+	}
+	if lf.opts.Adjust != nil {
+		lf.opts.Adjust(&s)
+	}
+	return s
+}
+
+// AddInstance starts the i-th instance.
+func (lf *Fleet) AddInstance(ctx context.Context, i int) (*instance.Instance, error) {
+	s := lf.Settings(i)
+	var opts []instance.Option
+	if lf.opts.Blocked != nil {
+		opts = append(opts, instance.WithBlocked(func(to string) bool { return lf.opts.Blocked(s.AvailabilityZone, to) }))
+	}
+	in, err := instance.Start(ctx, s, lf.opts.Log, opts...)
+	if err != nil {
+		return nil, err
+	}
+	lf.Instances = append(lf.Instances, in)
+	return in, nil
+}
+
+// URLs returns the callers' URLs of all instances.
+func (lf *Fleet) URLs() []string {
+	urls := make([]string, len(lf.Instances))
+	for i, in := range lf.Instances {
+		urls[i] = in.CallersURL()
+	}
+	return urls
+}
+
+// NotReadyError says that a local fleet did not come up in time.
+type NotReadyError struct{ Waited time.Duration }
+
+// Error gives the time waited.
+func (nr *NotReadyError) Error() string { return "the local fleet was not ready after " + nr.Waited.String() }
+
+func (lf *Fleet) await(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWait)
+	defer cancel()
+	for !lf.settled() {
+		select {
+		case <-ctx.Done():
+			return &NotReadyError{Waited: readyWait}
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	return nil
+}
+
+func (lf *Fleet) settled() bool {
+	for _, in := range lf.Instances {
+		fl, err := kernel.Need[*fleet.Fleet](in.Env())
+		if err != nil {
+			return false
+		}
+		holder, err := kernel.Need[*rollout.Holder](in.Env())
+		if err != nil || holder.Version() == 0 || len(fl.Targets()) != len(lf.Engines)+1 {
+			return false
+		}
+		live := 0
+		for _, p := range fl.Peers() {
+			if p.Live {
+				live++
+			}
+		}
+		vw := fl.Candidates(fleet.Wanted{Model: Model})
+		if live < len(lf.Instances)-1 || len(vw.Unconfirmed) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Close stops everything.
+func (lf *Fleet) Close(ctx context.Context) {
+	for _, in := range lf.Instances {
+		_ = in.Stop(ctx) // an instance may have been stopped already
+	}
+	for _, en := range lf.Engines {
+		en.Engine.Kill()
+	}
+	for _, sr := range lf.servers {
+		sr.Close()
+	}
+}
--- /dev/null
+++ b/internal/peer/beat.go
@@ -0,0 +1,89 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/silvermount/silvermount/internal/fleet"
+	"github.com/silvermount/silvermount/internal/peer/peerpb"
+	"github.com/silvermount/silvermount/internal/policy"
+)
+
+// beatFor makes a heartbeat for one peer: this instance's work at the targets that the peer owns, and what this
+// instance knows of the targets that it owns itself. So each pair exchanges a few lines only, whatever the size of
+// the fleet. Answers carry summaries, first beats carry usage.
+func (ms *Mesh) beatFor(peer string, seq uint64, answer bool) *peerpb.Beat {
+	self := ms.fl.Self()
+	b := &peerpb.Beat{
+		Seq: seq, BundleVersion: ms.bundles.Version(), Stopping: ms.stopping(), CallersAddress: self.CallersAddress,
+		Instance: self.Name, Incarnation: self.Incarnation, AvailabilityZone: self.AvailabilityZone, Answer: answer,
+	}
+	for target, incarnation := range ms.fl.Leaving() {
+		b.Leaving = append(b.Leaving, &peerpb.Leaving{Target: target, Incarnation: incarnation})
+	}
+	if !answer {
+		for target, wk := range ms.fl.UsageFor(peer) {
+			b.Usage = append(b.Usage, usage(target, wk))
+		}
+		return b
+	}
+	for _, sm := range ms.fl.SummariesFor(peer) {
+		b.Summaries = append(b.Summaries, &peerpb.Summary{
+			Total: usage(sm.Target, sm.Total), Incarnation: sm.Incarnation, MemoryTotal: uint64(sm.MemoryTotal),
+			ReportedPrefill: uint64(sm.ReportedPrefill), Rate: sm.Rate, AgeMillis: millis(sm.Age),
+		})
+	}
+	return b
+}
+
+const maxAge = time.Hour
+
+func millis(d time.Duration) uint32 { return uint32(max(0, min(d, maxAge)).Milliseconds()) }
+
+func usage(target string, wk fleet.Work) *peerpb.Usage {
+	u := &peerpb.Usage{
+		Target: target, Requests: uint32(max(0, wk.Requests)), Memory: uint64(max(0, wk.Memory)), Long: uint32(max(0, wk.Long)),
+	}
+	if policy.Total(wk.Prefill) > 0 {
+		for _, p := range wk.Prefill {
+			u.Prefill = append(u.Prefill, uint64(max(0, p)))
+		}
+	}
+	return u
+}
+
+func work(u *peerpb.Usage) fleet.Work {
+	wk := fleet.Work{Requests: int(u.GetRequests()), Memory: int(u.GetMemory()), Long: int(u.GetLong())}
+	for i, p := range u.GetPrefill() {
+		if i < policy.Bands {
+			wk.Prefill[i] = int(p)
+		}
+	}
+	return wk
+}
+
+// applyBeat takes a heartbeat from either side of a stream. Only first beats tell usage.
+func (ms *Mesh) applyBeat(from fleet.Instance, pb *peerpb.Beat) {
+	from.Name, from.Incarnation, from.AvailabilityZone = pb.GetInstance(), pb.GetIncarnation(), pb.GetAvailabilityZone()
+	from.CallersAddress = pb.GetCallersAddress()
+	b := fleet.Beat{
+		From: from, BundleVersion: pb.GetBundleVersion(), Stopping: pb.GetStopping(), Leaving: map[string]string{},
+	}
+	if !pb.GetAnswer() {
+		b.Usage = map[string]fleet.Work{}
+	}
+	for _, u := range pb.GetUsage() {
+		b.Usage[u.GetTarget()] = work(u)
+	}
+	for _, s := range pb.GetSummaries() {
+		b.Summaries = append(b.Summaries, fleet.Summary{
+			Target: s.GetTotal().GetTarget(), Total: work(s.GetTotal()), Incarnation: s.GetIncarnation(),
+			MemoryTotal: int(s.GetMemoryTotal()), ReportedPrefill: int(s.GetReportedPrefill()), Rate: s.GetRate(),
+			Age: time.Duration(s.GetAgeMillis()) * time.Millisecond,
+		})
+	}
+	for _, l := range pb.GetLeaving() {
+		b.Leaving[l.GetTarget()] = l.GetIncarnation()
+	}
+	ms.fl.ApplyBeat(b)
+	ms.bundles.Hear(pb.GetBundleVersion())
+}
--- /dev/null
+++ b/internal/peer/count.go
@@ -0,0 +1,37 @@
+package peer
+
+import "net"
+
+// countingConn counts the bytes of a connection.
+type countingConn struct {
+	net.Conn
+	ms *Mesh
+}
+
+// Read counts bytes in.
+func (cc *countingConn) Read(b []byte) (int, error) {
+	n, err := cc.Conn.Read(b)
+	cc.ms.BytesIn.Add(int64(n))
+	return n, err
+}
+
+// Write counts bytes out.
+func (cc *countingConn) Write(b []byte) (int, error) {
+	n, err := cc.Conn.Write(b)
+	cc.ms.BytesOut.Add(int64(n))
+	return n, err
+}
+
+type countingListener struct {
+	net.Listener
+	ms *Mesh
+}
+
+// Accept returns a counted connection.
+func (cl *countingListener) Accept() (net.Conn, error) {
+	c, err := cl.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: c, ms: cl.ms}, nil
+}
--- /dev/null
+++ b/internal/policy/all/all.go
@@ -0,0 +1,12 @@
+// Package all lists the routing policies in one place; importing it registers them.
+package all
+
+import (
+	// Each policy registers itself.
+	_ "github.com/silvermount/silvermount/internal/policy/lanegrant"
+	_ "github.com/silvermount/silvermount/internal/policy/lanes"
+	_ "github.com/silvermount/silvermount/internal/policy/leastoutstanding"
+	_ "github.com/silvermount/silvermount/internal/policy/leastwait"
+	_ "github.com/silvermount/silvermount/internal/policy/peerwait"
+	_ "github.com/silvermount/silvermount/internal/policy/roundrobin"
+)
--- /dev/null
+++ b/internal/policy/lanegrant/lanegrant.go
@@ -0,0 +1,16 @@
+// Package lanegrant is lanes with a grant from the target's owner for each long prompt.
+package lanegrant
+
+import (
+	"github.com/silvermount/silvermount/internal/policy"
+	"github.com/silvermount/silvermount/internal/policy/lanes"
+)
+
+// Name is the policy's name in settings.
+const Name = "lanegrant"
+
+func init() {
+	policy.Register(policy.Policy{
+		Name: Name, Rung: 5, Priorities: true, Peers: true, Grants: true, Choose: lanes.Choose,
+	})
+}
--- /dev/null
+++ b/internal/policy/lanes/lanes.go
@@ -0,0 +1,82 @@
+// Package lanes keeps long prompts on few targets and short prompts away from them.
+package lanes
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/silvermount/silvermount/internal/policy"
+)
+
+// Name is the policy's name in settings.
+const Name = "lanes"
+
+func init() {
+	policy.Register(policy.Policy{Name: Name, Rung: 4, Priorities: true, Peers: true, Choose: Choose})
+}
+
+// Choose packs long prompts on targets that already hold one, up to the limits, and spreads short ones over the rest.
+func Choose(in policy.Input) policy.Decision {
+	if in.Request.Long {
+		return chooseLong(in)
+	}
+	return chooseShort(in)
+}
+
+// chooseShort counts half an engine step where a long prompt runs, since a step is not broken off.
+func chooseShort(in policy.Input) policy.Decision {
+	band := policy.Band(in.Request.Tokens)
+	best, wait := policy.Least(len(in.Candidates), in.Turn, func(i int) time.Duration {
+		ca := in.Candidates[i]
+		if !ca.Fits(in.Request) {
+			return -1
+		}
+		cost := ca.Work(policy.Ahead(ca.AllPrefill, band))
+		if Blocked(ca) {
+			cost += ca.Work(in.Limits.ChunkTokens)
+		}
+		return cost
+	})
+	return policy.Decision{Run: best >= 0, Index: max(0, best), Wait: wait}
+}
+
+// Blocked reports whether a long prompt is being computed on the target.
+func Blocked(ca policy.Candidate) bool {
+	return ca.AllLong > 0 && policy.Total(ca.AllPrefill) > policy.Ahead(ca.AllPrefill, 0)
+}
+
+func chooseLong(in policy.Input) policy.Decision {
+	lanes := LaneTargets(in)
+	band := policy.Band(in.Request.Tokens)
+	best, wait := policy.Least(len(in.Candidates), 0, func(i int) time.Duration {
+		ca := in.Candidates[i]
+		if !lanes[i] || !ca.Fits(in.Request) || ca.AllLong >= in.Limits.LongPerTarget {
+			return -1
+		}
+		return ca.Work(policy.Ahead(ca.AllPrefill, band))
+	})
+	return policy.Decision{Run: best >= 0, Index: max(0, best), Wait: wait}
+}
+
+// LaneTargets marks the candidates that take long prompts: those with the lowest hash of their name, up to the share.
+// Every instance with the same list of targets marks the same ones, so that no message is needed.
+func LaneTargets(in policy.Input) []bool {
+	n := len(in.Candidates)
+	count := min(n, max(1, int(math.Round(in.Limits.LongShare*float64(n)))))
+	order := make([]int, n)
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		return cmp.Compare(xxhash.Sum64String(in.Candidates[a].Name), xxhash.Sum64String(in.Candidates[b].Name))
+	})
+	marks := make([]bool, n)
+	for _, i := range order[:count] {
+		marks[i] = true
+	}
+	return marks
+}
--- /dev/null
+++ b/internal/policy/leastoutstanding/leastoutstanding.go
@@ -0,0 +1,23 @@
+// Package leastoutstanding takes the target with the fewest requests of this instance.
+package leastoutstanding
+
+import (
+	"time"
+
+	"github.com/silvermount/silvermount/internal/policy"
+)
+
+// Name is the policy's name in settings.
+const Name = "leastoutstanding"
+
+func init() {
+	policy.Register(policy.Policy{Name: Name, Rung: 1, Choose: Choose})
+}
+
+// Choose takes the candidate with the fewest requests in flight.
+func Choose(in policy.Input) policy.Decision {
+	best, _ := policy.Least(len(in.Candidates), in.Turn, func(i int) time.Duration {
+		return time.Duration(in.Candidates[i].OwnRequests)
+	})
+	return policy.Decision{Run: true, Index: best}
+}
--- /dev/null
+++ b/internal/policy/leastwait/leastwait.go
@@ -0,0 +1,24 @@
+// Package leastwait takes the target with the least predicted wait, from own knowledge and lagging load reports.
+package leastwait
+
+import (
+	"time"
+
+	"github.com/silvermount/silvermount/internal/policy"
+)
+
+// Name is the policy's name in settings.
+const Name = "leastwait"
+
+func init() {
+	policy.Register(policy.Policy{Name: Name, Rung: 2, Choose: Choose})
+}
+
+// Choose takes the candidate whose prompts ahead take the least time.
+func Choose(in policy.Input) policy.Decision {
+	best, wait := policy.Least(len(in.Candidates), in.Turn, func(i int) time.Duration {
+		ca := in.Candidates[i]
+		return ca.Work(max(policy.Total(ca.OwnPrefill), ca.ReportedPrefill))
+	})
+	return policy.Decision{Run: true, Index: best, Wait: wait}
+}
--- /dev/null
+++ b/internal/policy/peerwait/peerwait.go
@@ -0,0 +1,29 @@
+// Package peerwait takes the target with the least predicted wait, counting what peers have in flight and
+// letting shorter prompts go first at the engine.
+package peerwait
+
+import (
+	"time"
+
+	"github.com/silvermount/silvermount/internal/policy"
+)
+
+// Name is the policy's name in settings.
+const Name = "peerwait"
+
+func init() {
+	policy.Register(policy.Policy{Name: Name, Rung: 3, Priorities: true, Peers: true, Choose: Choose})
+}
+
+// Choose takes the candidate whose prompts ahead take the least time; targets without room are left out.
+func Choose(in policy.Input) policy.Decision {
+	band := policy.Band(in.Request.Tokens)
+	best, wait := policy.Least(len(in.Candidates), in.Turn, func(i int) time.Duration {
+		ca := in.Candidates[i]
+		if !ca.Fits(in.Request) {
+			return -1
+		}
+		return ca.Work(policy.Ahead(ca.AllPrefill, band))
+	})
+	return policy.Decision{Run: best >= 0, Index: max(0, best), Wait: wait}
+}
--- /dev/null
+++ b/internal/policy/policy.go
@@ -0,0 +1,180 @@
+// Package policy defines what a routing policy sees and decides. Policies are pure: state in, decision out.
+package policy
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Bands is the number of length bands into which prompts fall, shortest first.
+const Bands = 4
+
+// bandLimits are the lengths in tokens from which the next band starts.
+var bandLimits = [Bands - 1]int{8_000, 32_000, 100_000}
+
+// Band returns the length band of a prompt.
+func Band(tokens int) int {
+	for i, limit := range bandLimits {
+		if tokens < limit {
+			return i
+		}
+	}
+	return Bands - 1
+}
+
+// Request is what a policy knows of a request.
+type Request struct {
+	// Tokens is the length of the prompt, Output the bound on generated tokens.
+	Tokens, Output int
+	// Left is the time to the deadline.
+	Left time.Duration
+	// Long is set from the configured length on.
+	Long bool
+	// Prefix is a hash of the first block of the prompt; zero when the prompt is shorter.
+	Prefix uint64
+}
+
+// Memory returns the KV memory that the request takes, in tokens.
+func (rq Request) Memory() int { return rq.Tokens + rq.Output }
+
+// Candidate is one target that could take the request, as far as this instance knows.
+type Candidate struct {
+	// Name is unique among candidates.
+	Name string
+	// Local is set for targets in this instance's availability zone.
+	Local bool
+	// OwnRequests and OwnPrefill are what this instance has in flight.
+	OwnRequests int
+	OwnPrefill  [Bands]int
+	// AllPrefill, AllLong and AllMemory include what peers have in flight, as last heard.
+	AllPrefill [Bands]int
+	AllLong    int
+	AllMemory  int
+	// ReportedPrefill is the engine's own figure, as old as ReportAge.
+	ReportedPrefill int
+	ReportAge       time.Duration
+	// Rate is prompt tokens a second; always positive.
+	Rate float64
+	// RateKnown is false while Rate is only assumed.
+	RateKnown bool
+	// MemoryTotal is zero when not known.
+	MemoryTotal int
+	// HasPrefix is set when the target is believed to hold the request's first block.
+	HasPrefix bool
+}
+
+// Fits reports whether the request's memory is free, as far as known.
+func (ca Candidate) Fits(rq Request) bool {
+	return ca.MemoryTotal == 0 || ca.AllMemory+rq.Memory() <= ca.MemoryTotal
+}
+
+// Work returns the time that prompt tokens take on the target.
+func (ca Candidate) Work(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / ca.Rate * float64(time.Second))
+}
+
+// Limits are the configured bounds that policies keep.
+type Limits struct {
+	// LongPerTarget bounds long prompts on one target.
+	LongPerTarget int
+	// LongShare bounds the share of targets that take long prompts.
+	LongShare float64
+	// ChunkTokens is the prompt tokens that an engine computes in one step.
+	ChunkTokens int
+}
+
+// Input is all that a decision rests on.
+type Input struct {
+	Request Request
+	// Candidates are in a fixed order and never empty.
+	Candidates []Candidate
+	Limits     Limits
+	// Turn grows with every decision of this instance.
+	Turn uint64
+}
+
+// Decision says where a request runs. The zero value means that it waits.
+type Decision struct {
+	// Run is set when a target was chosen.
+	Run bool
+	// Index is that of the chosen candidate.
+	Index int
+	// Wait is the predicted time before the prompt is started.
+	Wait time.Duration
+}
+
+// Policy is one way to decide.
+type Policy struct {
+	// Name is unique among registered policies.
+	Name string
+	// Rung orders policies from the simplest.
+	Rung int
+	// Priorities is set when the engine is told each request's length band.
+	Priorities bool
+	// Peers is set when the decision uses what peers have in flight.
+	Peers bool
+	// Grants is set when long prompts need a grant from the target's owner.
+	Grants bool
+	// Choose decides. It has no side effects.
+	Choose func(Input) Decision
+}
+
+// UnknownError says that no policy has the name.
+type UnknownError struct{ Name string }
+
+// Error names the policy.
+func (ue *UnknownError) Error() string { return fmt.Sprintf("no policy %q", ue.Name) }
+
+var registered []Policy
+
+// Register adds a policy. It is called from init functions only.
+func Register(p Policy) {
+	registered = append(registered, p)
+	slices.SortFunc(registered, func(a, b Policy) int { return a.Rung - b.Rung })
+}
+
+// ByName returns a registered policy.
+func ByName(name string) (Policy, error) {
+	for _, p := range registered {
+		if p.Name == name {
+			return p, nil
+		}
+	}
+	return Policy{}, &UnknownError{Name: name}
+}
+
+// Names returns the registered policies, simplest first.
+func Names() []string {
+	names := make([]string, len(registered))
+	for i, p := range registered {
+		names[i] = p.Name
+	}
+	return names
+}
+
+// Least returns the index of the smallest cost. Ties go to a later candidate as turn grows, so that instances
+// with the same view do not all choose the same one. Candidates with a negative cost are left out; -1 means none.
+func Least(n int, turn uint64, cost func(i int) time.Duration) (best int, least time.Duration) {
+	best = -1
+	for k := range n {
+		i := int((turn + uint64(k)) % uint64(n))
+		c := cost(i)
+		if c >= 0 && (best < 0 || c < least) {
+			best, least = i, c
+		}
+	}
+	return best, least
+}
+
+// Ahead returns the tokens that run before a prompt of the given band where shorter bands go first.
+func Ahead(prefill [Bands]int, band int) int {
+	sum := 0
+	for b := 0; b <= band; b++ {
+		sum += prefill[b]
+	}
+	return sum
+}
+
+// Total returns the tokens over all bands.
+func Total(prefill [Bands]int) int { return Ahead(prefill, Bands-1) }
--- /dev/null
+++ b/internal/policy/roundrobin/roundrobin.go
@@ -0,0 +1,16 @@
+// Package roundrobin takes targets in turn.
+package roundrobin
+
+import "github.com/silvermount/silvermount/internal/policy"
+
+// Name is the policy's name in settings.
+const Name = "roundrobin"
+
+func init() {
+	policy.Register(policy.Policy{Name: Name, Rung: 0, Choose: Choose})
+}
+
+// Choose takes the next candidate.
+func Choose(in policy.Input) policy.Decision {
+	return policy.Decision{Run: true, Index: int(in.Turn % uint64(len(in.Candidates)))}
+}
--- /dev/null
+++ b/internal/room/room.go
@@ -0,0 +1,114 @@
+// Package room reserves memory on several engines for a prompt that is larger than one, all or nothing.
+package room
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/silvermount/silvermount/internal/engine"
+	"github.com/silvermount/silvermount/internal/failure"
+	"github.com/silvermount/silvermount/internal/fleet"
+	"github.com/silvermount/silvermount/internal/ident"
+	"github.com/silvermount/silvermount/internal/policy"
+)
+
+const (
+	// lendShare is the share of one engine's memory that is lent at the most.
+	lendShare = 0.5
+	// callTimeout bounds one reservation.
+	callTimeout = time.Second
+)
+
+// Lender reserves memory.
+type Lender struct {
+	fl      *fleet.Fleet
+	client  func(fleet.Target) *engine.Client
+	release func(attempt string, cl *engine.Client)
+}
+
+// New returns a lender. release ends a reservation, repeatedly if need be.
+func New(fl *fleet.Fleet, client func(fleet.Target) *engine.Client, release func(attempt string, cl *engine.Client)) *Lender {
+	return &Lender{fl: fl, client: client, release: release}
+}
+
+type part struct {
+	target fleet.Target
+	room   engine.Held
+	memory int
+}
+
+// Reserve takes memory on engines other than main, in the order of their names, so that two prompts meet at the
+// first engine and one of them gives way before it holds anything. When any part fails, all are given back.
+func (ln *Lender) Reserve(ctx context.Context, main fleet.Target, tokens int, hold time.Duration) (release func(), err error) {
+	parts, left := ln.plan(main, tokens, hold)
+	if left > 0 {
+		return nil, failure.New(failure.NoMemory, failure.NotRun, "%d tokens of memory are missing", left).WithRetryAfter(time.Second)
+	}
+	for i, p := range parts {
+		if err := ln.reserve(ctx, p); err != nil {
+			// The reservation that failed may have taken effect without an answer.
+			ln.giveBack(parts[:i+1])
+			return nil, failure.New(failure.NoMemory, failure.NotRun, "%s has no room", p.target.Name).WithCause(err)
+		}
+	}
+	for _, p := range parts {
+		ln.fl.Begin(p.target.Name, fleet.Work{Memory: p.memory})
+	}
+	return func() {
+		for _, p := range parts {
+			ln.fl.End(p.target.Name, fleet.Work{Memory: p.memory})
+		}
+		ln.giveBack(parts)
+	}, nil
+}
+
+func (ln *Lender) reserve(ctx context.Context, p part) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return ln.client(p.target).Reserve(ctx, p.room)
+}
+
+func (ln *Lender) plan(main fleet.Target, tokens int, hold time.Duration) (parts []part, left int) {
+	model := ""
+	if len(main.Models) > 0 {
+		model = main.Models[0]
+	}
+	lenders := ln.fl.Candidates(fleet.Wanted{Model: model, Except: []string{main.Name}, Peers: true}).Candidates
+	slices.SortFunc(lenders, func(a, b policy.Candidate) int {
+		switch {
+		case a.Name < b.Name:
+			return -1
+		case a.Name > b.Name:
+			return 1
+		}
+		return 0
+	})
+	for _, ca := range lenders {
+		if tokens <= 0 {
+			break
+		}
+		take := min(tokens, lendable(ca))
+		t, ok := ln.fl.Target(ca.Name)
+		if take <= 0 || !ok {
+			continue
+		}
+		tokens -= take
+		parts = append(parts, part{target: t, memory: take, room: engine.Held{
+			Attempt: ident.New("room"), Holder: ln.fl.Self().Incarnation, Tokens: take, LeftMillis: hold.Milliseconds(),
+		}})
+	}
+	return parts, max(0, tokens)
+}
+
+// lendable is the memory that an engine can lend and still take short prompts.
+func lendable(ca policy.Candidate) int {
+	most := int(lendShare * float64(ca.MemoryTotal))
+	return most - ca.AllMemory
+}
+
+func (ln *Lender) giveBack(parts []part) {
+	for _, p := range parts {
+		ln.release(p.room.Attempt, ln.client(p.target))
+	}
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,296 @@
+// Package router decides where a request runs, and keeps those that must wait.
+package router
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/silvermount/silvermount/internal/failure"
+	"github.com/silvermount/silvermount/internal/fleet"
+	"github.com/silvermount/silvermount/internal/policy"
+)
+
+const (
+	// recheck bounds the time between two looks at a waiting request when no news comes.
+	recheck = 50 * time.Millisecond
+	// probeTimeout bounds the probe of a target that nobody has confirmed.
+	probeTimeout = 500 * time.Millisecond
+	// admissionMargin is the least time that must be left after the predicted start.
+	admissionMargin = 10 * time.Millisecond
+)
+
+// Ask is a request for a place to run.
+type Ask struct {
+	// Request is what the policy sees.
+	Request policy.Request
+	// Wanted selects targets.
+	Wanted fleet.Wanted
+	// Priority is that of the class; higher goes first.
+	Priority int
+	// Yields is set for work that is refused first.
+	Yields bool
+	// Deadline is when the answer is due.
+	Deadline time.Time
+}
+
+// Place is a target taken for one attempt. Done is called exactly once.
+type Place struct {
+	Target fleet.Target
+	// Predicted is the expected time until the prompt starts.
+	Predicted time.Duration
+	// Alone is set when no other prefill was known at the target.
+	Alone bool
+	// Borrowed is memory in tokens reserved on other engines.
+	Borrowed int
+
+	work    fleet.Work
+	fl      *fleet.Fleet
+	first   sync.Once
+	release []func()
+}
+
+// FirstToken notes that the prompt was computed.
+func (pl *Place) FirstToken() {
+	pl.first.Do(func() {
+		prefill := fleet.Work{Prefill: pl.work.Prefill}
+		pl.fl.End(pl.Target.Name, prefill)
+		pl.work.Prefill = [policy.Bands]int{}
+	})
+}
+
+// Done gives the place back.
+func (pl *Place) Done() {
+	pl.fl.End(pl.Target.Name, pl.work)
+	for _, f := range pl.release {
+		f()
+	}
+}
+
+// Options are the bounds and seams of a Router.
+type Options struct {
+	// Policy decides.
+	Policy policy.Policy
+	// Limits are passed to the policy.
+	Limits policy.Limits
+	// MaxWaiting bounds waiting requests.
+	MaxWaiting int
+	// Now is the clock.
+	Now func() time.Time
+	// Probe asks a target whether it is there; nil takes every target as confirmed.
+	Probe func(ctx context.Context, t fleet.Target) error
+	// Grant asks the owner of a target for room for a long prompt; nil grants always.
+	Grant func(ctx context.Context, t fleet.Target, memory int, hold time.Duration) (release func(), granted bool)
+	// Borrow reserves memory on other engines for a prompt larger than one.
+	Borrow func(ctx context.Context, main fleet.Target, tokens int, hold time.Duration) (release func(), err error)
+}
+
+// Router is safe for use by any goroutine.
+type Router struct {
+	fl   *fleet.Fleet
+	opts Options
+	turn atomic.Uint64
+
+	mu      sync.Mutex
+	waiting []*waiter
+}
+
+type waiter struct {
+	ask   Ask
+	since time.Time
+}
+
+// New returns a router over the fleet.
+func New(fl *fleet.Fleet, o Options) *Router {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	return &Router{fl: fl, opts: o}
+}
+
+// Policy returns the policy in use.
+func (rt *Router) Policy() policy.Policy { return rt.opts.Policy }
+
+// Waiting returns how many requests wait for room.
+func (rt *Router) Waiting() int {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	return len(rt.waiting)
+}
+
+// Acquire returns a place for the request, waiting for room until its deadline. A request whose predicted start
+// lies past its deadline is refused at once.
+func (rt *Router) Acquire(ctx context.Context, ask Ask) (*Place, error) {
+	wt := &waiter{ask: ask, since: rt.opts.Now()}
+	if err := rt.enter(wt); err != nil {
+		return nil, err
+	}
+	defer rt.leave(wt)
+	for {
+		changed := rt.fl.Changed()
+		if rt.first(wt) {
+			pl, err := rt.try(ctx, ask)
+			if _, wait := err.(*noRoomError); !wait {
+				return pl, err
+			}
+		}
+		timer := time.NewTimer(recheck)
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return nil, failure.New(failure.DeadlineExceeded, failure.NotRun, "no room came free in time").
+				WithCause(ctx.Err()).WithRetryAfter(time.Second)
+		}
+		timer.Stop()
+	}
+}
+
+// enter adds a waiter. When too many wait, the newest that yields makes way for one that does not.
+func (rt *Router) enter(wt *waiter) error {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	if len(rt.waiting) >= rt.opts.MaxWaiting {
+		return failure.New(failure.Overloaded, failure.NotRun, "%d requests wait already", len(rt.waiting)).
+			WithRetryAfter(time.Second)
+	}
+	i, _ := slices.BinarySearchFunc(rt.waiting, wt, before)
+	rt.waiting = slices.Insert(rt.waiting, i, wt)
+	return nil
+}
+
+func (rt *Router) leave(wt *waiter) {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	if i := slices.Index(rt.waiting, wt); i >= 0 {
+		rt.waiting = slices.Delete(rt.waiting, i, i+1)
+	}
+}
+
+// first reports whether no more urgent request of the same length band waits.
+func (rt *Router) first(wt *waiter) bool {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	band := policy.Band(wt.ask.Request.Tokens)
+	for _, o := range rt.waiting {
+		if o == wt {
+			return true
+		}
+		if policy.Band(o.ask.Request.Tokens) == band && o.ask.Wanted.Model == wt.ask.Wanted.Model {
+			return false
+		}
+	}
+	return true
+}
+
+// before orders waiters: class priority, then length band, then the start that the deadline asks for.
+func before(a, b *waiter) int {
+	if a.ask.Priority != b.ask.Priority {
+		return b.ask.Priority - a.ask.Priority
+	}
+	if d := policy.Band(a.ask.Request.Tokens) - policy.Band(b.ask.Request.Tokens); d != 0 {
+		return d
+	}
+	return a.ask.Deadline.Compare(b.ask.Deadline)
+}
+
+// noRoomError says that a request has to wait.
+type noRoomError struct{ target string }
+
+// Error names the target that was tried last.
+func (nr *noRoomError) Error() string { return "no room at " + nr.target }
+
+// try decides once. It returns a noRoomError when the request has to wait.
+func (rt *Router) try(ctx context.Context, ask Ask) (*Place, error) {
+	vw := rt.fl.Candidates(ask.Wanted)
+	if len(vw.Candidates) == 0 {
+		return nil, failure.New(failure.NoTarget, failure.NotRun, "no target serves this request now").
+			WithRetryAfter(time.Second)
+	}
+	left := ask.Deadline.Sub(rt.opts.Now())
+	ask.Request.Left = left
+	in := policy.Input{
+		Request: ask.Request, Candidates: vw.Candidates, Limits: rt.opts.Limits, Turn: rt.turn.Add(1),
+	}
+	borrow := rt.borrowing(&in)
+	dec := rt.opts.Policy.Choose(in)
+	if !dec.Run {
+		return nil, &noRoomError{}
+	}
+	ca := in.Candidates[dec.Index]
+	if need := dec.Wait + ca.Work(ask.Request.Tokens) + admissionMargin; ca.RateKnown && need > left {
+		return nil, failure.New(failure.DeadlineTooShort, failure.NotRun, "the first token is expected in %s, past the deadline",
+			need.Round(time.Millisecond)).WithRetryAfter(dec.Wait)
+	}
+	t, ok := rt.fl.Target(ca.Name)
+	if !ok || (vw.Unconfirmed[ca.Name] && !rt.probe(ctx, t)) {
+		return nil, &noRoomError{target: ca.Name}
+	}
+	return rt.take(ctx, ask, ca, t, borrow, dec.Wait)
+}
+
+// borrowing cuts a prompt larger than any one engine to what one engine holds and returns the rest.
+func (rt *Router) borrowing(in *policy.Input) int {
+	largest := 0
+	for _, ca := range in.Candidates {
+		if ca.MemoryTotal == 0 {
+			return 0
+		}
+		largest = max(largest, ca.MemoryTotal)
+	}
+	need := in.Request.Memory()
+	if need <= largest || rt.opts.Borrow == nil {
+		return 0
+	}
+	keep := largest / 2
+	borrowed := need - keep
+	in.Request.Output = max(0, keep-in.Request.Tokens)
+	in.Request.Tokens = min(in.Request.Tokens, keep)
+	return borrowed
+}
+
+func (rt *Router) probe(ctx context.Context, t fleet.Target) bool {
+	if rt.opts.Probe == nil {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	if err := rt.opts.Probe(ctx, t); err != nil {
+		rt.fl.Failure(t.Name)
+		return false
+	}
+	return true
+}
+
+func (rt *Router) take(ctx context.Context, ask Ask, ca policy.Candidate, t fleet.Target, borrow int, wait time.Duration) (*Place, error) {
+	wk := fleet.Work{Requests: 1, Memory: ask.Request.Memory() - borrow}
+	wk.Prefill[policy.Band(ask.Request.Tokens)] = ask.Request.Tokens
+	if ask.Request.Long {
+		wk.Long = 1
+	}
+	pl := &Place{
+		Target: t, Predicted: wait, Alone: policy.Total(ca.AllPrefill) == 0, work: wk, fl: rt.fl, Borrowed: borrow,
+	}
+	hold := ask.Deadline.Sub(rt.opts.Now())
+	rt.fl.Begin(t.Name, wk)
+	if ask.Request.Long && rt.opts.Policy.Grants && rt.opts.Grant != nil {
+		release, granted := rt.opts.Grant(ctx, t, wk.Memory, hold)
+		if !granted {
+			pl.Done()
+			return nil, &noRoomError{target: t.Name}
+		}
+		pl.release = append(pl.release, release)
+	}
+	if borrow > 0 {
+		release, err := rt.opts.Borrow(ctx, t, borrow, hold)
+		if err != nil {
+			pl.Done()
+			return nil, &noRoomError{target: t.Name}
+		}
+		pl.release = append(pl.release, release)
+	}
+	return pl, nil
+}
--- /dev/null
+++ b/internal/serve/answer.go
@@ -0,0 +1,122 @@
+package serve
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/silvermount/silvermount/internal/claim"
+	"github.com/silvermount/silvermount/internal/failure"
+)
+
+const contentTypeEvents = "text/event-stream"
+
+// errorBody is the OpenAI error object with the outcome.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message string          `json:"message"`
+	Type    string          `json:"type"`
+	Code    failure.Code    `json:"code"`
+	Outcome failure.Outcome `json:"outcome"`
+}
+
+// sink passes an answer on to the caller and remembers what was sent.
+type sink struct {
+	w  http.ResponseWriter
+	rc *http.ResponseController
+	// started is set once a status line was written.
+	started bool
+	// events counts the stream events passed on of the present attempt.
+	events int
+	// payloads are the events' data, for going on elsewhere.
+	payloads [][]byte
+	// record, when set, keeps all that was written.
+	record *claim.Answer
+}
+
+func newSink(w http.ResponseWriter) *sink {
+	return &sink{w: w, rc: http.NewResponseController(w)}
+}
+
+func (sk *sink) start(status int, contentType string) {
+	if sk.started {
+		return
+	}
+	sk.started = true
+	if sk.record != nil {
+		sk.record.Status, sk.record.ContentType = status, contentType
+	}
+	sk.w.Header().Set("Content-Type", contentType)
+	sk.w.WriteHeader(status)
+}
+
+func (sk *sink) write(b []byte) error {
+	if sk.record != nil {
+		sk.record.Body = append(sk.record.Body, b...)
+	}
+	_, err := sk.w.Write(b)
+	return errors.Wrap(err, "write to caller")
+}
+
+func (sk *sink) flush() error { return errors.Wrap(sk.rc.Flush(), "flush to caller") }
+
+// fail ends an answer with an error: as a response when nothing was sent, else as an event without a [DONE].
+func (sk *sink) fail(err error) {
+	fe := asFailure(err)
+	b, merr := json.Marshal(errorBody{Error: errorDetail{
+		Message: fe.Message, Type: errorType(fe.Status()), Code: fe.Code, Outcome: fe.Outcome,
+	}})
+	if merr != nil {
+		return
+	}
+	if sk.started {
+		// The caller may be gone; nothing more can be done for it.
+		_, _ = fmt.Fprintf(sk.w, "event: error\ndata: %s\n\n", b)
+		_ = sk.rc.Flush()
+		return
+	}
+	if fe.RetryAfter > 0 {
+		sk.w.Header().Set("Retry-After", retryAfter(fe.RetryAfter))
+	}
+	sk.w.Header().Set("Content-Type", "application/json")
+	sk.w.WriteHeader(fe.Status())
+	_, _ = sk.w.Write(b)
+}
+
+// replay sends a recorded answer.
+func (sk *sink) replay(ans *claim.Answer) {
+	if !ans.Kept {
+		sk.fail(failure.New(failure.KeyInUse, failure.Failed, "the request was run; its answer was too large to keep"))
+		return
+	}
+	sk.start(ans.Status, ans.ContentType)
+	// The caller may be gone; nothing more can be done for it.
+	_ = sk.write(ans.Body)
+}
+
+func retryAfter(d time.Duration) string {
+	return strconv.Itoa(max(1, int(math.Ceil(d.Seconds()))))
+}
+
+func errorType(status int) string {
+	if status < http.StatusInternalServerError {
+		return "invalid_request_error"
+	}
+	return "server_error"
+}
+
+func asFailure(err error) *failure.Error {
+	var fe *failure.Error
+	if errors.As(err, &fe) {
+		return fe
+	}
+	return failure.New(failure.TargetLost, failure.Unknown, "internal failure").WithCause(err)
+}
--- /dev/null
+++ b/internal/serve/inference.go
@@ -0,0 +1,187 @@
+package serve
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"github.com/silvermount/silvermount/internal/claim"
+	"github.com/silvermount/silvermount/internal/failure"
+	"github.com/silvermount/silvermount/internal/fleet"
+	"github.com/silvermount/silvermount/internal/life"
+	"github.com/silvermount/silvermount/internal/router"
+)
+
+// inference serves a chat or text completion.
+func (sv *Server) inference(w http.ResponseWriter, r *http.Request) {
+	sv.serveRequest(w, r, func(ctx context.Context, rq *request, sk *sink) error {
+		if err := rq.parse(); err != nil {
+			return sv.refuse(ctx, rq, err)
+		}
+		return sv.run(ctx, rq, sk)
+	})
+}
+
+// serveRequest does what all requests share: admission, body, run at most once, final error, accounts.
+func (sv *Server) serveRequest(w http.ResponseWriter, r *http.Request, run func(context.Context, *request, *sink) error) {
+	sk := newSink(w)
+	rq, err := sv.open(r)
+	if err != nil {
+		sv.countError(err)
+		sk.fail(err)
+		return
+	}
+	w.Header().Set(HeaderRequestID, rq.id)
+	w.Header().Set(HeaderBundle, strconv.FormatInt(rq.inForce.Version, 10))
+	if sv.Stopping() {
+		w.Header().Set("Connection", "close")
+	}
+	ctx, end, err := sv.begin(w, r, rq)
+	if err != nil {
+		sv.countError(err)
+		sk.fail(err)
+		return
+	}
+	defer end()
+	body, free, err := sv.readBody(r)
+	defer free()
+	if err == nil {
+		rq.body = body
+		err = sv.once(ctx, r, rq, sk, run)
+	}
+	if err != nil {
+		sv.countError(err)
+		sk.fail(err)
+	}
+	sv.account(rq, err)
+}
+
+// once runs a request under its ticket or idempotency key, when it has one.
+func (sv *Server) once(ctx context.Context, r *http.Request, rq *request, sk *sink, run func(context.Context, *request, *sink) error) error {
+	if tk := r.Header.Get(HeaderTicket); tk != "" {
+		return sv.withTicket(ctx, r, tk, rq, sk, run)
+	}
+	if key := r.Header.Get(HeaderKey); key != "" {
+		return sv.withKey(ctx, key, rq, sk, run)
+	}
+	return run(ctx, rq, sk)
+}
+
+func (sv *Server) withKey(ctx context.Context, key string, rq *request, sk *sink, run func(context.Context, *request, *sink) error) error {
+	cl, ans, err := sv.Claims.Take(ctx, claim.Name(rq.org.Name, rq.path+"\x00"+key), rq.body)
+	if err != nil {
+		return err
+	}
+	if ans != nil {
+		sk.replay(ans)
+		return nil
+	}
+	rq.never = true
+	sk.record = &claim.Answer{}
+	err = run(ctx, rq, sk)
+	// The caller has its answer; the record is written even when the caller is gone.
+	settle, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleLimit)
+	defer cancel()
+	switch {
+	case err == nil:
+		cl.Finish(settle, *sk.record)
+	case asFailure(err).Outcome == failure.NotRun:
+		cl.Release(settle)
+	default:
+		cl.Lose(settle)
+	}
+	return err
+}
+
+// refuse ends a request that nothing was sent of.
+func (sv *Server) refuse(ctx context.Context, rq *request, err error) error {
+	if ferr := sv.machine.Fire(ctx, &rq.life, life.Refuse); ferr != nil {
+		return ferr
+	}
+	return err
+}
+
+// run takes an inference request through its attempts.
+func (sv *Server) run(ctx context.Context, rq *request, sk *sink) error {
+	ask := func(tried []string) router.Ask {
+		return router.Ask{
+			Request:  rq.policyRequest(sv.limits.LongTokens),
+			Wanted:   fleet.Wanted{Model: rq.fields.Model, Except: tried, Peers: sv.Router.Policy().Peers},
+			Priority: rq.class.Priority, Yields: rq.class.Yields, Deadline: rq.deadline,
+		}
+	}
+	return sv.attempts(ctx, rq, sk, ask, func(pl *router.Place) error { return sv.attempt(ctx, rq, sk, pl) })
+}
+
+// attempts finds places and calls targets until an answer is whole or no further attempt is allowed.
+func (sv *Server) attempts(ctx context.Context, rq *request, sk *sink, ask func(tried []string) router.Ask, call func(*router.Place) error) error {
+	if err := sv.machine.Fire(ctx, &rq.life, life.Admit); err != nil {
+		return err
+	}
+	sv.Retries.First()
+	var tried []string
+	var last *failure.Error
+	for {
+		pl, err := sv.Router.Acquire(ctx, ask(tried))
+		if err != nil {
+			return sv.end(ctx, rq, sk, worse(last, asFailure(err)))
+		}
+		if err := sv.machine.Fire(ctx, &rq.life, life.Dispatch); err != nil {
+			pl.Done()
+			return err
+		}
+		err = call(pl)
+		pl.Done()
+		if err == nil {
+			return sv.machine.Fire(ctx, &rq.life, life.Finish)
+		}
+		last = worse(last, asFailure(err))
+		if !sv.mayRetry(ctx, rq, sk, err) {
+			return sv.end(ctx, rq, sk, last)
+		}
+		tried = append(tried, pl.Target.Name)
+		if err := sv.machine.Fire(ctx, &rq.life, life.Retry); err != nil {
+			return err
+		}
+	}
+}
+
+// worse returns the later failure, unless an earlier attempt may have run and the later one did not.
+func worse(earlier, later *failure.Error) *failure.Error {
+	if earlier == nil || later.Outcome != failure.NotRun || earlier.Outcome == failure.NotRun {
+		return later
+	}
+	return later.WithOutcome(earlier.Outcome)
+}
+
+// mayRetry decides whether a failed attempt is followed by another.
+func (sv *Server) mayRetry(ctx context.Context, rq *request, sk *sink, err error) bool {
+	fe := asFailure(err)
+	switch {
+	case ctx.Err() != nil || rq.life.Attempts >= sv.limits.MaxAttempts:
+		return false
+	case fe.Code == failure.TooLarge || fe.Code == failure.CallerGone || fe.Code == failure.BadRequest:
+		return false
+	case rq.never && fe.Outcome != failure.NotRun:
+		return false
+	case sk.started && !(rq.class.ContinueElsewhere && sv.rebuild(rq, sk)):
+		return false
+	}
+	return sv.Retries.Take()
+}
+
+// end closes the life of a request that gets no whole answer, and says what is known.
+func (sv *Server) end(ctx context.Context, rq *request, sk *sink, fe *failure.Error) error {
+	trigger := life.Fail
+	if fe.Outcome == failure.NotRun && !sk.started {
+		trigger = life.Refuse
+	}
+	// The life is ended also for a caller that has gone.
+	if ferr := sv.machine.Fire(context.WithoutCancel(ctx), &rq.life, trigger); ferr != nil {
+		return ferr
+	}
+	if sk.started && fe.Outcome == failure.NotRun {
+		return fe.WithOutcome(failure.Failed)
+	}
+	return fe
+}
--- /dev/null
+++ b/internal/serve/request.go
@@ -0,0 +1,205 @@
+package serve
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/silvermount/silvermount/internal/bundle"
+	"github.com/silvermount/silvermount/internal/engine"
+	"github.com/silvermount/silvermount/internal/failure"
+	"github.com/silvermount/silvermount/internal/ident"
+	"github.com/silvermount/silvermount/internal/life"
+	"github.com/silvermount/silvermount/internal/policy"
+	"github.com/silvermount/silvermount/internal/rollout"
+)
+
+const (
+	// defaultOutput is assumed where a caller sets no bound on generated tokens.
+	defaultOutput = 256
+	// prefixBytes is the part of a body by which requests with the same start are recognised.
+	prefixBytes = 4096
+)
+
+// request is one caller's request on its way.
+type request struct {
+	id       string
+	path     string
+	org      bundle.Organisation
+	class    bundle.Class
+	inForce  *rollout.InForce
+	arrived  time.Time
+	deadline time.Time
+	// never is set when nothing of the request may be sent to a second target.
+	never bool
+	body  []byte
+	// fields is set for inference.
+	fields fields
+	life   life.Record
+	// firstAt is when the first token was passed on; zero before.
+	firstAt time.Time
+}
+
+// fields is the part of a body that decisions need.
+type fields struct {
+	Model               string `json:"model"`
+	Stream              bool   `json:"stream"`
+	MaxTokens           int    `json:"max_tokens"`
+	MaxCompletionTokens int    `json:"max_completion_tokens"`
+}
+
+func (rq *request) left() time.Duration { return time.Until(rq.deadline) }
+
+func (rq *request) output() int {
+	switch {
+	case rq.fields.MaxTokens > 0:
+		return rq.fields.MaxTokens
+	case rq.fields.MaxCompletionTokens > 0:
+		return rq.fields.MaxCompletionTokens
+	default:
+		return defaultOutput
+	}
+}
+
+func (rq *request) policyRequest(longTokens int) policy.Request {
+	tokens := max(1, len(rq.body)/engine.BytesPerToken)
+	pr := policy.Request{Tokens: tokens, Output: rq.output(), Long: tokens >= longTokens}
+	if len(rq.body) >= prefixBytes {
+		pr.Prefix = xxhash.Sum64(rq.body[:prefixBytes])
+	}
+	return pr
+}
+
+// open reads everything of a request but its body.
+func (sv *Server) open(r *http.Request) (*request, error) {
+	inf := sv.Bundles.Current()
+	if inf == nil {
+		return nil, failure.New(failure.NotReady, failure.NotRun, "no bundle is in force yet").WithRetryAfter(time.Second)
+	}
+	key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	org, ok := inf.Organisation(key)
+	if !ok {
+		return nil, failure.New(failure.Unauthorized, failure.NotRun, "the bearer key is not known")
+	}
+	class, ok := inf.Class(r.Header.Get(HeaderClass))
+	if !ok {
+		return nil, failure.New(failure.BadRequest, failure.NotRun, "no class %q", r.Header.Get(HeaderClass))
+	}
+	limit, err := timeout(r.Header.Get(HeaderTimeout), class.Deadline.Std())
+	if err != nil {
+		return nil, err
+	}
+	now := timeNow()
+	return &request{
+		id: ident.New("req"), path: r.URL.Path, org: org, class: class, inForce: inf, arrived: now,
+		deadline: now.Add(limit), never: r.Header.Get(HeaderRepeat) == repeatNever,
+	}, nil
+}
+
+// timeout returns the caller's time limit, at most the class's.
+func timeout(asked string, most time.Duration) (time.Duration, error) {
+	if asked == "" {
+		return most, nil
+	}
+	d, err := time.ParseDuration(asked)
+	if err != nil || d <= 0 {
+		return 0, failure.New(failure.BadRequest, failure.NotRun, "%s must be a duration such as 2s, not %q", HeaderTimeout, asked)
+	}
+	return min(d, most), nil
+}
+
+// begin bounds a request by its deadline and its organisation's limit. end is called exactly once.
+func (sv *Server) begin(w http.ResponseWriter, r *http.Request, rq *request) (ctx context.Context, end func(), err error) {
+	if !sv.enter(rq.org) {
+		return nil, nil, failure.New(failure.LimitReached, failure.NotRun, "%s has %d requests in flight",
+			rq.org.Name, rq.org.MaxConcurrent).WithRetryAfter(time.Second)
+	}
+	rc := http.NewResponseController(w)
+	// Both fail only where the writer is not a connection, as in tests.
+	_ = rc.SetReadDeadline(rq.deadline)
+	_ = rc.SetWriteDeadline(rq.deadline.Add(answerGrace))
+	ctx, cancel := context.WithDeadline(r.Context(), rq.deadline)
+	return ctx, func() {
+		cancel()
+		sv.leave(rq.org)
+	}, nil
+}
+
+// answerGrace is the time after the deadline within which the final error may still be written.
+const answerGrace = 250 * time.Millisecond
+
+func (sv *Server) enter(o bundle.Organisation) bool {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	if o.MaxConcurrent > 0 && sv.byOrganisation[o.Name] >= o.MaxConcurrent {
+		return false
+	}
+	sv.byOrganisation[o.Name]++
+	sv.inFlight.Add(1)
+	return true
+}
+
+func (sv *Server) leave(o bundle.Organisation) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.byOrganisation[o.Name]--
+	if sv.byOrganisation[o.Name] == 0 {
+		delete(sv.byOrganisation, o.Name)
+	}
+	sv.inFlight.Add(-1)
+}
+
+// readBody reads a body under the shared budget. free is never nil.
+func (sv *Server) readBody(r *http.Request) (body []byte, free func(), err error) {
+	size := r.ContentLength
+	if size < 0 {
+		size = sv.limits.MaxBodyBytes
+	}
+	if size > sv.limits.MaxBodyBytes {
+		return nil, func() {}, failure.New(failure.TooLarge, failure.NotRun, "the body is larger than %d bytes", sv.limits.MaxBodyBytes)
+	}
+	if !sv.Bodies.Take(size) {
+		return nil, func() {}, failure.New(failure.NoMemory, failure.NotRun, "no memory for the body").WithRetryAfter(time.Second)
+	}
+	free = func() { sv.Bodies.Give(size) }
+	body, err = readAll(r.Body, size, r.ContentLength >= 0)
+	if err != nil {
+		return nil, free, failure.New(failure.BadRequest, failure.NotRun, "the body could not be read").WithCause(err)
+	}
+	if int64(len(body)) > sv.limits.MaxBodyBytes {
+		return nil, free, failure.New(failure.TooLarge, failure.NotRun, "the body is larger than %d bytes", sv.limits.MaxBodyBytes)
+	}
+	return body, free, nil
+}
+
+func readAll(r io.Reader, size int64, exact bool) ([]byte, error) {
+	if !exact {
+		return io.ReadAll(io.LimitReader(r, size+1))
+	}
+	b := make([]byte, size)
+	_, err := io.ReadFull(r, b)
+	return b, err
+}
+
+// parse reads the fields of an inference request and checks them against the bundle.
+func (rq *request) parse() error {
+	if err := json.Unmarshal(rq.body, &rq.fields); err != nil {
+		return failure.New(failure.BadRequest, failure.NotRun, "the body is not a JSON request").WithCause(err)
+	}
+	m, ok := rq.inForce.Model(rq.fields.Model)
+	if !ok {
+		return failure.New(failure.NotFound, failure.NotRun, "no model %q", rq.fields.Model)
+	}
+	if !rq.inForce.MayUse(rq.org, m.Name) {
+		return failure.New(failure.Forbidden, failure.NotRun, "%s may not use %s", rq.org.Name, m.Name)
+	}
+	if tokens := len(rq.body) / engine.BytesPerToken; m.MaxTokens > 0 && tokens > m.MaxTokens {
+		return failure.New(failure.TooLarge, failure.NotRun, "about %d tokens, %s takes %d", tokens, m.Name, m.MaxTokens)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/serve/serve.go
@@ -0,0 +1,119 @@
+// Package serve is the callers' side: it admits requests, runs their attempts and passes answers on.
+package serve
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"github.com/go-chi/chi/v5"
+
+	"github.com/silvermount/silvermount/internal/budget"
+	"github.com/silvermount/silvermount/internal/burn"
+	"github.com/silvermount/silvermount/internal/cancel"
+	"github.com/silvermount/silvermount/internal/claim"
+	"github.com/silvermount/silvermount/internal/engine"
+	"github.com/silvermount/silvermount/internal/fleet"
+	"github.com/silvermount/silvermount/internal/life"
+	"github.com/silvermount/silvermount/internal/rollout"
+	"github.com/silvermount/silvermount/internal/router"
+	"github.com/silvermount/silvermount/internal/ticket"
+)
+
+// The headers of the callers' protocol.
+const (
+	HeaderClass     = "Silvermount-Class"
+	HeaderTimeout   = "Silvermount-Timeout"
+	HeaderRepeat    = "Silvermount-Repeat"
+	HeaderTicket    = "Silvermount-Ticket"
+	HeaderRequestID = "Silvermount-Request-Id"
+	HeaderBundle    = "Silvermount-Bundle"
+	HeaderKey       = "Idempotency-Key"
+	// HeaderServiceKey is the name under which a plain service gets the key: the HTTP transport does not know it,
+	// and so does not send the request a second time by itself.
+	HeaderServiceKey = "Silvermount-Key"
+
+	repeatNever = "never"
+)
+
+// Deps are the parts that the callers' side works with.
+type Deps struct {
+	// Incarnation is that of this instance.
+	Incarnation string
+	Fleet       *fleet.Fleet
+	Router      *router.Router
+	Bundles     *rollout.Holder
+	Retries     *budget.Retries
+	Bodies      *budget.Memory
+	Claims      *claim.Claims
+	Tickets     *ticket.Ledger
+	Burn        *burn.Recorder
+	Canceller   *cancel.Canceller
+	Metrics     *metrics.Set
+	Log         log.Interface
+	// Stopping reports whether a stop was asked for.
+	Stopping func() bool
+	// Engine returns the client of an engine, Service the client for plain services.
+	Engine  func(t fleet.Target) *engine.Client
+	Service func(t fleet.Target, r *http.Request) (*http.Response, error)
+}
+
+// Limits are the bounds of the callers' side.
+type Limits struct {
+	// MaxBodyBytes bounds one body.
+	MaxBodyBytes int64
+	// MaxAttempts bounds the attempts of one request.
+	MaxAttempts int
+	// LongTokens is the length from which a prompt is long.
+	LongTokens int
+}
+
+// Server serves callers. It is safe for use by any goroutine.
+type Server struct {
+	Deps
+	limits   Limits
+	machine  *life.Machine
+	inFlight atomic.Int64
+
+	mu sync.Mutex
+	// byOrganisation counts requests in flight; entries at zero are removed.
+	byOrganisation map[string]int
+}
+
+// New returns a server.
+func New(d Deps, l Limits) *Server {
+	return &Server{Deps: d, limits: l, machine: life.New(), byOrganisation: map[string]int{}}
+}
+
+// Handler serves the callers' protocol.
+func (sv *Server) Handler() http.Handler {
+	rt := chi.NewRouter()
+	rt.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	rt.Get("/readyz", sv.ready)
+	rt.Post("/v1/completions", sv.inference)
+	rt.Post("/v1/chat/completions", sv.inference)
+	rt.Get("/v1/models", sv.models)
+	rt.Post("/v1/tickets", sv.issueTicket)
+	rt.HandleFunc("/services/{service}/*", sv.service)
+	return rt
+}
+
+// InFlight returns how many requests are being served.
+func (sv *Server) InFlight() int64 { return sv.inFlight.Load() }
+
+// Ready reports whether the instance can take requests.
+func (sv *Server) Ready() bool { return sv.Bundles.Current() != nil && !sv.Stopping() }
+
+func (sv *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if !sv.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// timeNow is the clock of deadlines.
+func timeNow() time.Time { return time.Now() }
--- /dev/null
+++ b/internal/session/session_test.go
@@ -0,0 +1,51 @@
+// Package session holds tests of whole sessions through the real HTTP path.
+package session
+
+import (
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	. "github.com/onsi/gomega"
+
+	"github.com/silvermount/silvermount/internal/load"
+	"github.com/silvermount/silvermount/internal/localfleet"
+	"github.com/silvermount/silvermount/internal/standin/enginesim"
+)
+
+func quiet() *log.Logger { return &log.Logger{Handler: discard.New(), Level: log.FatalLevel} }
+
+func start(t *testing.T, o localfleet.Options) *localfleet.Fleet {
+	t.Helper()
+	o.Log = quiet()
+	lf, err := localfleet.Start(t.Context(), o)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { lf.Close(t.Context()) })
+	return lf
+}
+
+func fast(scale float64) enginesim.Params {
+	p := enginesim.DefaultParams()
+	p.Scale = scale
+	return p
+}
+
+func target(lf *localfleet.Fleet, seed uint64) load.Target {
+	return load.Target{URLs: lf.URLs(), Key: localfleet.Key, Model: localfleet.Model, Seed: seed}
+}
+
+func TestPromptLargerThanOneEngine(t *testing.T) {
+	g := NewWithT(t)
+	lf := start(t, localfleet.Options{Zones: 1, Engines: 6, Instances: 2, Params: fast(400)})
+	giants := []load.Arrival{
+		{Class: localfleet.ClassBatch, Tokens: 1_000_000, Output: 4, Index: 0},
+		{Class: localfleet.ClassBatch, Tokens: 900_000, Output: 4, Index: 1, At: time.Millisecond},
+	}
+	for _, r := range load.Run(t.Context(), target(lf, 1), giants) {
+		g.Expect(r.Right).To(BeTrue(), "%+v", r)
+	}
+	for _, en := range lf.Engines {
+		g.Eventually(en.MemoryUsed, 5*time.Second).Should(BeZero(), en.Name)
+	}
+}
--- /dev/null
+++ b/internal/standin/answer/answer.go
@@ -0,0 +1,41 @@
+// Package answer gives the text that a stand-in engine generates, which depends on the prompt alone.
+package answer
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"hash"
+	"strings"
+)
+
+const tokenBytes = 4
+
+// Chain generates tokens one by one. A chain over a prompt plus its first tokens goes on where the first stopped.
+type Chain struct {
+	state hash.Hash
+}
+
+// New returns the chain of a prompt.
+func New(prompt string) *Chain {
+	h := sha256.New()
+	h.Write([]byte(prompt))
+	return &Chain{state: h}
+}
+
+// Next returns the next token, which ends in a space.
+func (ch *Chain) Next() string {
+	sum := ch.state.Sum(nil)
+	token := hex.EncodeToString(sum[:tokenBytes]) + " "
+	ch.state.Write([]byte(token))
+	return token
+}
+
+// Of returns the first n tokens for a prompt.
+func Of(prompt string, n int) string {
+	ch := New(prompt)
+	var sb strings.Builder
+	for range n {
+		sb.WriteString(ch.Next())
+	}
+	return sb.String()
+}
--- /dev/null
+++ b/internal/standin/enginesim/enginesim.go
@@ -0,0 +1,337 @@
+// Package enginesim is a small stand-in for a model engine: it batches continuously, prefills in chunks,
+// honours priorities, holds limited memory and caches prefixes. Its speeds are parameters.
+package enginesim
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/silvermount/silvermount/internal/engine"
+	"github.com/silvermount/silvermount/internal/ident"
+	"github.com/silvermount/silvermount/internal/standin/answer"
+)
+
+// Params are the speeds and sizes of an engine.
+type Params struct {
+	// StepTokens bounds the prompt tokens computed in one step.
+	StepTokens int
+	// StepBase is the fixed time of a step, PrefillToken the time of a prompt token, DecodeToken of a sequence.
+	StepBase, PrefillToken, DecodeToken time.Duration
+	// Knee is the context length at which a prompt token costs twice as much.
+	Knee int
+	// Memory is the KV memory in tokens.
+	Memory int
+	// CacheBlocks is the number of prefix blocks kept; zero keeps none.
+	CacheBlocks int
+	// ReportLag is how old a load report is when it is given out.
+	ReportLag time.Duration
+	// Scale divides all times.
+	Scale float64
+	// Fence makes the engine check the epoch of orders.
+	Fence bool
+}
+
+// DefaultParams resemble an engine that prefills about 20,000 tokens a second.
+func DefaultParams() Params {
+	return Params{
+		StepTokens: 2048, StepBase: 8 * time.Millisecond, PrefillToken: 45 * time.Microsecond,
+		DecodeToken: 200 * time.Microsecond, Knee: 400_000, Memory: 450_000, CacheBlocks: 256,
+		ReportLag: 200 * time.Millisecond, Scale: 1,
+	}
+}
+
+type sequence struct {
+	id, holder, model string
+	priority          int
+	arrived           int
+	deadline          time.Time
+	prompt, output    int
+	// borrowed is memory held on other engines.
+	borrowed int
+	computed int
+	admitted bool
+	chain    *answer.Chain
+	tokens   []string
+	cached   []uint64
+	done     bool
+	broken   bool
+	changed  chan struct{}
+}
+
+func (sq *sequence) memory() int { return max(0, sq.prompt+sq.output-sq.borrowed) }
+
+func (sq *sequence) signal() {
+	close(sq.changed)
+	sq.changed = make(chan struct{})
+}
+
+type timedReport struct {
+	at     time.Time
+	report engine.Report
+}
+
+// Engine is the stand-in.
+type Engine struct {
+	params      Params
+	incarnation string
+
+	mu       sync.Mutex
+	wake     chan struct{}
+	stopped  chan struct{}
+	seqs     map[string]*sequence
+	rooms    map[string]*sequence
+	used     int
+	arrivals int
+	leaving  bool
+	models   map[string]bool
+	reports  []timedReport
+	cache    prefixCache
+	orders   orderBook
+	// runs counts how often each attempt was started.
+	runs map[string]int
+	// hang makes the engine accept attempts and compute nothing.
+	hang bool
+}
+
+// New starts an engine that serves the given models.
+func New(p Params, models ...string) *Engine {
+	en := &Engine{
+		params: p, incarnation: ident.New("engine"), wake: make(chan struct{}, 1), stopped: make(chan struct{}),
+		seqs: map[string]*sequence{}, rooms: map[string]*sequence{}, models: map[string]bool{},
+		cache: newPrefixCache(p.CacheBlocks), runs: map[string]int{},
+	}
+	for _, m := range models {
+		en.models[m] = true
+	}
+	go en.loop()
+	return en
+}
+
+// Kill stops the engine in the middle of its work; open streams break.
+func (en *Engine) Kill() {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	select {
+	case <-en.stopped:
+		return
+	default:
+	}
+	close(en.stopped)
+	for _, sq := range en.seqs {
+		sq.broken = true
+		sq.signal()
+	}
+}
+
+// Leave marks the engine as leaving.
+func (en *Engine) Leave() { en.mu.Lock(); en.leaving = true; en.mu.Unlock() }
+
+// Hang makes the engine compute nothing until it is called with false.
+func (en *Engine) Hang(on bool) {
+	en.mu.Lock()
+	en.hang = on
+	en.mu.Unlock()
+	en.poke()
+}
+
+// MemoryUsed returns the KV memory in use, in tokens.
+func (en *Engine) MemoryUsed() int { en.mu.Lock(); defer en.mu.Unlock(); return en.used }
+
+// Started returns how many attempts were started.
+func (en *Engine) Started() int { en.mu.Lock(); defer en.mu.Unlock(); return en.arrivals }
+
+func (en *Engine) poke() {
+	select {
+	case en.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (en *Engine) loop() {
+	next := time.Now()
+	for {
+		took := en.step()
+		if took == 0 {
+			select {
+			case <-en.wake:
+				next = time.Now()
+				continue
+			case <-en.stopped:
+				return
+			}
+		}
+		if now := time.Now(); next.Before(now.Add(-took)) {
+			next = now
+		}
+		next = next.Add(took)
+		time.Sleep(time.Until(next))
+		select {
+		case <-en.stopped:
+			return
+		default:
+			en.finishStep()
+		}
+	}
+}
+
+// step plans one step and returns how long it takes; zero means that there is nothing to do.
+func (en *Engine) step() time.Duration {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	if en.hang {
+		return 0
+	}
+	order := en.ordered()
+	en.admit(order)
+	took, busy := time.Duration(0), false
+	budget := en.params.StepTokens
+	for _, sq := range order {
+		if !sq.admitted {
+			continue
+		}
+		if sq.computed >= sq.prompt {
+			took += en.params.DecodeToken
+			busy = true
+			continue
+		}
+		chunk := min(budget, sq.prompt-sq.computed)
+		if chunk == 0 {
+			continue
+		}
+		budget -= chunk
+		busy = true
+		took += en.chunkTime(sq.computed, chunk)
+		sq.computed += chunk
+	}
+	if !busy {
+		return 0
+	}
+	took += en.params.StepBase
+	return max(1, time.Duration(float64(took)/en.params.Scale))
+}
+
+func (en *Engine) chunkTime(context, chunk int) time.Duration {
+	factor := 1 + float64(context)/float64(en.params.Knee)
+	return time.Duration(float64(en.params.PrefillToken) * float64(chunk) * factor)
+}
+
+// ordered returns the sequences, most urgent first.
+func (en *Engine) ordered() []*sequence {
+	order := make([]*sequence, 0, len(en.seqs))
+	for _, sq := range en.seqs {
+		if !sq.done && !sq.broken {
+			order = append(order, sq)
+		}
+	}
+	slices.SortFunc(order, func(a, b *sequence) int {
+		if a.priority != b.priority {
+			return b.priority - a.priority
+		}
+		return a.arrived - b.arrived
+	})
+	return order
+}
+
+// admit gives memory to sequences in order; one that does not fit holds back those of its priority and below.
+func (en *Engine) admit(order []*sequence) {
+	for _, sq := range order {
+		if sq.admitted {
+			continue
+		}
+		if en.used+sq.memory() > en.params.Memory {
+			return
+		}
+		sq.admitted = true
+		en.used += sq.memory()
+		sq.computed = min(en.cache.match(sq.cached), max(0, sq.prompt-1))
+	}
+}
+
+// finishStep emits a token for each sequence whose prompt is computed.
+func (en *Engine) finishStep() {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	for _, sq := range en.seqs {
+		if !sq.admitted || sq.done || sq.computed < sq.prompt {
+			continue
+		}
+		if len(sq.tokens) == 0 {
+			en.cache.add(sq.cached)
+		}
+		sq.tokens = append(sq.tokens, sq.chain.Next())
+		if len(sq.tokens) >= sq.output {
+			sq.done = true
+			en.used -= sq.memory()
+			sq.admitted = false
+		}
+		sq.signal()
+	}
+}
+
+// cancel frees a sequence or room.
+func (en *Engine) cancel(id string) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	if rm, ok := en.rooms[id]; ok {
+		en.used -= rm.prompt
+		delete(en.rooms, id)
+	}
+	sq, ok := en.seqs[id]
+	if !ok {
+		return
+	}
+	if sq.admitted {
+		en.used -= sq.memory()
+	}
+	sq.admitted = false
+	sq.broken = sq.broken || !sq.done
+	sq.signal()
+	delete(en.seqs, id)
+	en.poke()
+}
+
+// report returns the newest load report that is at least ReportLag old, else the oldest.
+func (en *Engine) report() engine.Report {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	now := time.Now()
+	en.reports = append(en.reports, timedReport{at: now, report: en.current()})
+	lag := time.Duration(float64(en.params.ReportLag) / en.params.Scale)
+	i := 0
+	for i+1 < len(en.reports) && now.Sub(en.reports[i+1].at) >= lag {
+		i++
+	}
+	en.reports = en.reports[i:]
+	r := en.reports[0].report
+	r.Leaving = en.leaving
+	return r
+}
+
+func (en *Engine) current() engine.Report {
+	r := engine.Report{
+		Incarnation: en.incarnation, Leaving: en.leaving, MemoryUsed: en.used, MemoryTotal: en.params.Memory,
+		PrefillRate: en.rate(),
+	}
+	for m := range en.models {
+		r.Models = append(r.Models, m)
+	}
+	slices.Sort(r.Models)
+	for _, sq := range en.seqs {
+		if sq.done || sq.broken {
+			continue
+		}
+		if sq.admitted {
+			r.Running++
+		} else {
+			r.Queued++
+		}
+		r.PrefillTokens += sq.prompt - sq.computed
+	}
+	return r
+}
+
+func (en *Engine) rate() float64 {
+	step := en.params.StepBase + time.Duration(en.params.StepTokens)*en.params.PrefillToken
+	return float64(en.params.StepTokens) / step.Seconds() * en.params.Scale
+}
--- /dev/null
+++ b/internal/standin/platformsim/platformsim.go
@@ -0,0 +1,238 @@
+// Package platformsim is a small stand-in for the platform's object API, for tests and the demo.
+package platformsim
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/silvermount/silvermount/internal/platform"
+)
+
+const maxWait = 30 * time.Second
+
+type change struct {
+	kind   string
+	object platform.Object
+}
+
+// Store is the stand-in. Its seams may be set at any time.
+type Store struct {
+	mu      sync.Mutex
+	version int64
+	objects map[string]map[string]platform.Object
+	log     []change
+	changed chan struct{}
+	down    bool
+	slow    time.Duration
+	// loseAnswers counts down: that many writes take effect and then break the connection.
+	loseAnswers int
+	// frozen kinds answer lists and watches with what they held when frozen.
+	frozen map[string]platform.Listing
+	reads  int
+	writes int
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{
+		objects: map[string]map[string]platform.Object{},
+		changed: make(chan struct{}),
+		frozen:  map[string]platform.Listing{},
+	}
+}
+
+// SetDown starts or ends an outage.
+func (st *Store) SetDown(down bool) { st.mu.Lock(); st.down = down; st.mu.Unlock() }
+
+// SetSlow delays every answer.
+func (st *Store) SetSlow(d time.Duration) { st.mu.Lock(); st.slow = d; st.mu.Unlock() }
+
+// LoseAnswers makes the next n writes take effect without an answer.
+func (st *Store) LoseAnswers(n int) { st.mu.Lock(); st.loseAnswers = n; st.mu.Unlock() }
+
+// Freeze makes a kind's lists and watches lag until Thaw.
+func (st *Store) Freeze(kind string) {
+	st.mu.Lock()
+	st.frozen[kind] = st.listing(kind)
+	st.mu.Unlock()
+}
+
+// Thaw ends a Freeze.
+func (st *Store) Thaw(kind string) { st.mu.Lock(); delete(st.frozen, kind); st.mu.Unlock() }
+
+// Calls returns how many reads and writes were asked.
+func (st *Store) Calls() (reads, writes int) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.reads, st.writes
+}
+
+// Put writes an object as the platform itself would.
+func (st *Store) Put(kind, name string, value any) error {
+	b, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	st.mu.Lock()
+	st.put(kind, name, b)
+	st.mu.Unlock()
+	return nil
+}
+
+// Handler serves the object API.
+func (st *Store) Handler() http.Handler {
+	rt := chi.NewRouter()
+	rt.Use(st.faults)
+	rt.Get("/objects/{kind}", func(w http.ResponseWriter, r *http.Request) {
+		st.mu.Lock()
+		l := st.listing(chi.URLParam(r, "kind"))
+		st.mu.Unlock()
+		writeJSON(w, l)
+	})
+	rt.Get("/objects/{kind}/{name}", st.get)
+	rt.Put("/objects/{kind}/{name}", st.write)
+	rt.Delete("/objects/{kind}/{name}", st.write)
+	rt.Get("/watch/{kind}", st.watch)
+	return rt
+}
+
+func (st *Store) faults(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		st.mu.Lock()
+		down, slow := st.down, st.slow
+		if r.Method == http.MethodGet {
+			st.reads++
+		} else {
+			st.writes++
+		}
+		st.mu.Unlock()
+		time.Sleep(slow)
+		if down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (st *Store) get(w http.ResponseWriter, r *http.Request) {
+	st.mu.Lock()
+	o, ok := st.objects[chi.URLParam(r, "kind")][chi.URLParam(r, "name")]
+	st.mu.Unlock()
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	writeJSON(w, o)
+}
+
+func (st *Store) write(w http.ResponseWriter, r *http.Request) {
+	kind, name := chi.URLParam(r, "kind"), chi.URLParam(r, "name")
+	want, _ := strconv.ParseInt(r.URL.Query().Get("if_version"), 10, 64)
+	body, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxValueBytes+1))
+	if err != nil || len(body) > platform.MaxValueBytes {
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		return
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.objects[kind][name].Version != want {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	if r.Method == http.MethodDelete {
+		body = nil
+	}
+	o := st.put(kind, name, body)
+	if st.loseAnswers > 0 {
+		st.loseAnswers--
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, o)
+}
+
+func (st *Store) watch(w http.ResponseWriter, r *http.Request) {
+	kind := chi.URLParam(r, "kind")
+	since, _ := strconv.ParseInt(r.URL.Query().Get("since"), 10, 64)
+	wait, _ := time.ParseDuration(r.URL.Query().Get("wait"))
+	timer := time.NewTimer(min(wait, maxWait))
+	defer timer.Stop()
+	for {
+		st.mu.Lock()
+		l := st.since(kind, since)
+		changed, down := st.changed, st.down
+		st.mu.Unlock()
+		if down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if len(l.Items) > 0 {
+			writeJSON(w, l)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			writeJSON(w, l)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// put is called with the lock held.
+func (st *Store) put(kind, name string, value []byte) platform.Object {
+	st.version++
+	o := platform.Object{Name: name, Version: st.version, Value: value}
+	if st.objects[kind] == nil {
+		st.objects[kind] = map[string]platform.Object{}
+	}
+	if value == nil {
+		delete(st.objects[kind], name)
+	} else {
+		st.objects[kind][name] = o
+	}
+	st.log = append(st.log, change{kind: kind, object: o})
+	close(st.changed)
+	st.changed = make(chan struct{})
+	return o
+}
+
+// listing is called with the lock held.
+func (st *Store) listing(kind string) platform.Listing {
+	if l, ok := st.frozen[kind]; ok {
+		return l
+	}
+	l := platform.Listing{Version: st.version}
+	for _, o := range st.objects[kind] {
+		l.Items = append(l.Items, o)
+	}
+	return l
+}
+
+// since is called with the lock held.
+func (st *Store) since(kind string, version int64) platform.Listing {
+	l := platform.Listing{Version: version}
+	if _, ok := st.frozen[kind]; ok {
+		return l
+	}
+	for _, c := range st.log {
+		if c.kind == kind && c.object.Version > version {
+			l.Items = append(l.Items, c.object)
+			l.Version = c.object.Version
+		}
+	}
+	return l
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // a caller that has gone is no concern of the store
+}
--- /dev/null
+++ b/internal/standin/servicesim/servicesim.go
@@ -0,0 +1,55 @@
+// Package servicesim is a small stand-in for a plain service that counts each run.
+package servicesim
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// HeaderRequest carries the caller's name for a request.
+const HeaderRequest = "X-Request-Name"
+
+// Service is the stand-in. Its seams may be set at any time.
+type Service struct {
+	mu sync.Mutex
+	// runs counts by the request's name.
+	runs map[string]int
+	// dropAfter breaks that many connections after the run.
+	dropAfter int
+	delay     time.Duration
+}
+
+// New returns a service.
+func New() *Service { return &Service{runs: map[string]int{}} }
+
+// DropAfterRun makes the next n requests run and then break without an answer.
+func (sv *Service) DropAfterRun(n int) { sv.mu.Lock(); sv.dropAfter = n; sv.mu.Unlock() }
+
+// SetDelay makes each run take that long.
+func (sv *Service) SetDelay(d time.Duration) { sv.mu.Lock(); sv.delay = d; sv.mu.Unlock() }
+
+// Runs returns how often the named request ran.
+func (sv *Service) Runs(name string) int { sv.mu.Lock(); defer sv.mu.Unlock(); return sv.runs[name] }
+
+// ServeHTTP runs one request and answers with its body.
+func (sv *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	sv.mu.Lock()
+	sv.runs[r.Header.Get(HeaderRequest)]++
+	drop, delay := sv.dropAfter > 0, sv.delay
+	if drop {
+		sv.dropAfter--
+	}
+	sv.mu.Unlock()
+	time.Sleep(delay)
+	if drop {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = fmt.Fprintf(w, "done %s", body) // a caller that has gone is no concern of the service
+}
--- /dev/null
+++ b/internal/ticket/ticket.go
@@ -0,0 +1,115 @@
+// Package ticket makes a request with a ticket run at most once without the platform's store: only the incarnation
+// that issued a ticket runs it, from a ledger in its memory.
+package ticket
+
+import (
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/silvermount/silvermount/internal/claim"
+	"github.com/silvermount/silvermount/internal/failure"
+	"github.com/silvermount/silvermount/internal/ident"
+)
+
+const separator = "."
+
+type state int
+
+const (
+	issued state = iota
+	running
+	done
+	lost
+)
+
+type entry struct {
+	state  state
+	answer *claim.Answer
+	until  time.Time
+}
+
+// Ledger holds the tickets of one incarnation. It is safe for use by any goroutine.
+type Ledger struct {
+	incarnation string
+	keep        time.Duration
+	limit       int
+	now         func() time.Time
+
+	mu      sync.Mutex
+	entries map[string]*entry
+}
+
+// New returns an empty ledger that keeps each ticket for a time, and at most limit tickets.
+func New(incarnation string, keep time.Duration, limit int, now func() time.Time) *Ledger {
+	return &Ledger{incarnation: incarnation, keep: keep, limit: limit, now: now, entries: map[string]*entry{}}
+}
+
+// Issuer returns the incarnation that a ticket names.
+func Issuer(ticket string) string {
+	issuer, _, _ := strings.Cut(ticket, separator)
+	return issuer
+}
+
+// Issue returns a new ticket and how long it is kept.
+func (lg *Ledger) Issue() (string, time.Duration, error) {
+	lg.mu.Lock()
+	defer lg.mu.Unlock()
+	lg.sweep()
+	if len(lg.entries) >= lg.limit {
+		return "", 0, failure.New(failure.Overloaded, failure.NotRun, "%d tickets are out", len(lg.entries)).
+			WithRetryAfter(time.Second)
+	}
+	id := lg.incarnation + separator + ident.New("ticket")
+	lg.entries[id] = &entry{until: lg.now().Add(lg.keep)}
+	return id, lg.keep, nil
+}
+
+// Take honours a ticket: it returns nothing when the request may run now, or the recorded answer of its run.
+func (lg *Ledger) Take(ticket string) (*claim.Answer, error) {
+	lg.mu.Lock()
+	defer lg.mu.Unlock()
+	lg.sweep()
+	en := lg.entries[ticket]
+	switch {
+	case en == nil:
+		return nil, failure.New(failure.TicketUnknown, failure.Unknown, "the ticket is not, or no longer, known")
+	case en.state == issued:
+		en.state = running
+		return nil, nil
+	case en.state == done:
+		return en.answer, nil
+	case en.state == running:
+		return nil, failure.New(failure.KeyInUse, failure.Unknown, "the request is running").WithRetryAfter(time.Second)
+	default:
+		return nil, failure.New(failure.KeyInUse, failure.Unknown, "the request was run; its result is not known")
+	}
+}
+
+// Finish records the answer of the run.
+func (lg *Ledger) Finish(ticket string, ans claim.Answer) {
+	lg.set(ticket, entry{state: done, answer: &ans})
+}
+
+// Release lets the ticket be used again, after a request of which nothing was run.
+func (lg *Ledger) Release(ticket string) { lg.set(ticket, entry{state: issued}) }
+
+// Lose records that the result is not known.
+func (lg *Ledger) Lose(ticket string) { lg.set(ticket, entry{state: lost}) }
+
+func (lg *Ledger) set(ticket string, en entry) {
+	lg.mu.Lock()
+	defer lg.mu.Unlock()
+	en.until = lg.now().Add(lg.keep)
+	lg.entries[ticket] = &en
+}
+
+// sweep is called with the lock held.
+func (lg *Ledger) sweep() {
+	now := lg.now()
+	for id, en := range lg.entries {
+		if en.state != running && now.After(en.until) {
+			delete(lg.entries, id)
+		}
+	}
+}
--- /dev/null
+++ b/main.go
@@ -0,0 +1,10 @@
+// Package main starts silvermount.
+package main
+
+import (
+	"os"
+
+	"github.com/silvermount/silvermount/cmd"
+)
+
+func main() { os.Exit(cmd.Main(os.Args[1:], os.Stdout, os.Stderr)) }
