feat: complete the thin path from caller to engine

A grant whose answer came just as the asker stopped waiting was held until the request's deadline. Change: grants are leases of 3 s renewed by heartbeats; an answer that arrives late is given back.

--- a/internal/burn/burn.go
+++ b/internal/burn/burn.go
@@ -39,7 +39,9 @@
 }
 
 // Add returns the sum.
-func (ct Count) Add(o Count) Count { return Count{Total: ct.Total + o.Total, Missed: ct.Missed + o.Missed} }
+func (ct Count) Add(o Count) Count {
+	return Count{Total: ct.Total + o.Total, Missed: ct.Missed + o.Missed}
+}
 
 // Window is the count of one class over one window, mergeable over instances.
 type Window struct {
--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -19,7 +19,8 @@
 	}{
 		"within budget":         {missed: 1, total: 100, wantRate: 1},
 		"fast burn":             {missed: 30, total: 100, wantRate: 30, wantAlert: true},
-		"old burn leaves short": {missed: 30, total: 100, age: 10 * time.Minute, wantRate: 0},
+		"slow pair still burns": {missed: 30, total: 100, age: 10 * time.Minute, wantRate: 0, wantAlert: true},
+		"burn is forgotten":     {missed: 30, total: 100, age: 7 * time.Hour, wantRate: 0},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -12,7 +12,7 @@
 		want string
 	}{
 		"good":          {in: `{"instance":"a1","stop":{"drain":"5s"}}`},
-		"unknown field": {in: `{"instanse":"a1"}`, want: "unknown field"},
+		"unknown field": {in: `{"instant":"a1"}`, want: "unknown field"},
 		"bad duration":  {in: `{"stop":{"drain":"soon"}}`, want: "a duration such as"},
 		"wrong type":    {in: `{"routing":{"max_attempts":"x"}}`, want: "routing.max_attempts"},
 	}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -95,7 +95,9 @@
 	for _, r := range with {
 		if r.Right {
 			right++
+			continue
 		}
+		fmt.Fprintf(w, "prompt of %d tokens: %d of %d tokens, %s %s after %s\n", r.Tokens, r.Got, r.Output, r.Code, r.Outcome, r.Total)
 	}
 	if right < len(with) {
 		return &WrongAnswerError{Right: right, All: len(with)}
--- a/internal/duty/callers/callers.go
+++ b/internal/duty/callers/callers.go
@@ -164,16 +164,15 @@
 	d.Tickets = ticket.New(env.Incarnation, ticketKeep, ticketLimit, time.Now)
 	d.Retries = budget.NewRetries(env.Settings.Routing.RetryShare, time.Now)
 	d.Bodies = budget.NewMemory(env.Settings.Callers.BodyBudgetBytes)
-	d.Service = serviceCaller()
+	d.Service = callService
 	d.Router, err = newRouter(env, d)
 	return d, err
 }
 
-// serviceCaller opens a connection for each call: the transport then has no broken idle one to try again on.
-func serviceCaller() func(fleet.Target, *http.Request) (*http.Response, error) {
-	fresh := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	return func(_ fleet.Target, r *http.Request) (*http.Response, error) { return fresh.Do(r) }
-}
+// serviceClient opens a connection for each call: the transport then has no broken idle one to try again on.
+var serviceClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+func callService(_ fleet.Target, r *http.Request) (*http.Response, error) { return serviceClient.Do(r) }
 
 func newRouter(env *kernel.Env, d serve.Deps) (*router.Router, error) {
 	ms, err := kernel.Need[*peer.Mesh](env)
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -2,6 +2,7 @@
 package grant
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -14,10 +15,14 @@
 	ID uint64
 }
 
+// Lease is how long a grant is held without a heartbeat that tells of its use.
+const Lease = 3 * time.Second
+
 type held struct {
 	target string
 	memory int
-	until  time.Time
+	// since is when it was granted, until when it runs out.
+	since, until time.Time
 }
 
 // Ledger is safe for use by any goroutine. It is lost with its owner: a new owner starts empty and learns what is in
@@ -37,7 +42,7 @@
 	return &Ledger{now: now, limit: limit, busy: busy, held: map[Key]held{}}
 }
 
-// Ask grants room at a target for a time, or refuses it.
+// Ask grants room at a target for at most a time, or refuses it. A grant whose answer is lost runs out with Lease.
 func (lg *Ledger) Ask(k Key, target string, memory int, hold time.Duration) bool {
 	_, _, total := lg.busy(target)
 	lg.mu.Lock()
@@ -57,10 +62,28 @@
 	if count >= lg.limit || (total > 0 && used+memory > total) {
 		return false
 	}
-	lg.held[k] = held{target: target, memory: memory, until: now.Add(hold)}
+	lg.held[k] = held{target: target, memory: memory, since: now, until: now.Add(min(hold, Lease))}
 	return true
 }
 
+// Renew extends the newest grants of a holder at a target, as many as a heartbeat says are in use.
+func (lg *Ledger) Renew(holder, target string, inUse int) {
+	lg.mu.Lock()
+	defer lg.mu.Unlock()
+	var keys []Key
+	for k, h := range lg.held {
+		if k.Holder == holder && h.target == target {
+			keys = append(keys, k)
+		}
+	}
+	slices.SortFunc(keys, func(a, b Key) int { return lg.held[b].since.Compare(lg.held[a].since) })
+	for _, k := range keys[:min(inUse, len(keys))] {
+		h := lg.held[k]
+		h.until = lg.now().Add(Lease)
+		lg.held[k] = h
+	}
+}
+
 // Release gives a grant back. A grant that is not held is no fault: its ledger may have been another's.
 func (lg *Ledger) Release(k Key) {
 	lg.mu.Lock()
--- /dev/null
+++ b/internal/grant/grant_test.go
@@ -0,0 +1,43 @@
+package grant
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestLedger(t *testing.T) {
+	a, b := Key{Holder: "a", ID: 1}, Key{Holder: "b", ID: 2}
+	tests := map[string]struct {
+		between func(lg *Ledger, now *time.Time)
+		memory  int
+		want    bool
+	}{
+		"second long prompt waits":        {between: func(*Ledger, *time.Time) {}, memory: 1},
+		"room after release":              {between: func(lg *Ledger, _ *time.Time) { lg.Release(a) }, memory: 1, want: true},
+		"room after holder is gone":       {between: func(lg *Ledger, _ *time.Time) { lg.DropHolder("a") }, memory: 1, want: true},
+		"lost answer runs out":            {between: func(_ *Ledger, now *time.Time) { *now = now.Add(Lease + 1) }, memory: 1, want: true},
+		"renewed by heartbeat":            {between: renewed(1), memory: 1},
+		"heartbeat without use runs out":  {between: renewed(0), memory: 1, want: true},
+		"more memory than the target has": {between: func(lg *Ledger, _ *time.Time) { lg.Release(a) }, memory: 101},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			now := time.Unix(0, 0)
+			lg := New(1, func(string) (int, int, int) { return 0, 0, 100 }, func() time.Time { return now })
+			g.Expect(lg.Ask(a, "t", 1, time.Minute)).To(BeTrue())
+			tc.between(lg, &now)
+			g.Expect(lg.Ask(b, "t", tc.memory, time.Minute)).To(Equal(tc.want))
+		})
+	}
+}
+
+func renewed(inUse int) func(*Ledger, *time.Time) {
+	return func(lg *Ledger, now *time.Time) {
+		*now = now.Add(Lease / 2)
+		lg.Renew("a", "t", inUse)
+		*now = now.Add(Lease/2 + 1)
+	}
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -7,21 +7,20 @@
 	"github.com/apex/log"
 
 	"github.com/silvermount/silvermount/internal/config"
-	"github.com/silvermount/silvermount/internal/duty/listen"
-	"github.com/silvermount/silvermount/internal/duty/peers"
-	"github.com/silvermount/silvermount/internal/ident"
-	"github.com/silvermount/silvermount/internal/kernel"
-
 	// Each duty registers itself.
 	_ "github.com/silvermount/silvermount/internal/duty/announce"
 	_ "github.com/silvermount/silvermount/internal/duty/bundles"
 	_ "github.com/silvermount/silvermount/internal/duty/callers"
 	_ "github.com/silvermount/silvermount/internal/duty/cancels"
 	_ "github.com/silvermount/silvermount/internal/duty/knowledge"
+	"github.com/silvermount/silvermount/internal/duty/listen"
 	_ "github.com/silvermount/silvermount/internal/duty/operators"
+	"github.com/silvermount/silvermount/internal/duty/peers"
 	_ "github.com/silvermount/silvermount/internal/duty/reports"
 	_ "github.com/silvermount/silvermount/internal/duty/store"
 	_ "github.com/silvermount/silvermount/internal/duty/sweep"
+	"github.com/silvermount/silvermount/internal/ident"
+	"github.com/silvermount/silvermount/internal/kernel"
 )
 
 // Instance is one running entry instance.
--- a/internal/load/summary.go
+++ b/internal/load/summary.go
@@ -42,7 +42,7 @@
 		row := Row{UpTo: high}
 		var times []time.Duration
 		for _, r := range results {
-			if r.Arrival.Tokens <= low || r.Arrival.Tokens > high {
+			if r.Tokens <= low || r.Tokens > high {
 				continue
 			}
 			row.add(r)
--- a/internal/localfleet/localfleet.go
+++ b/internal/localfleet/localfleet.go
@@ -245,7 +245,9 @@
 type NotReadyError struct{ Waited time.Duration }
 
 // Error gives the time waited.
-func (nr *NotReadyError) Error() string { return "the local fleet was not ready after " + nr.Waited.String() }
+func (nr *NotReadyError) Error() string {
+	return "the local fleet was not ready after " + nr.Waited.String()
+}
 
 func (lf *Fleet) await(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyWait)
--- a/internal/peer/beat.go
+++ b/internal/peer/beat.go
@@ -85,5 +85,15 @@
 		b.Leaving[l.GetTarget()] = l.GetIncarnation()
 	}
 	ms.fl.ApplyBeat(b)
+	ms.renew(from.Incarnation, b.Usage)
 	ms.bundles.Hear(pb.GetBundleVersion())
 }
+
+// renew extends the grants that a heartbeat tells are in use.
+func (ms *Mesh) renew(holder string, usage map[string]fleet.Work) {
+	for target, wk := range usage {
+		if wk.Long > 0 {
+			ms.grants.Renew(holder, target, wk.Long)
+		}
+	}
+}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -49,6 +49,7 @@
 		for incarnation := range ms.fl.DropLost().All() {
 			ms.grants.DropHolder(incarnation)
 		}
+		ms.renew(ms.fl.Self().Incarnation, ms.fl.UsageFor(ms.fl.Self().Name))
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
@@ -214,10 +215,12 @@
 		lk.mu.Lock()
 		ch := lk.answers[k.Answer.GetId()]
 		delete(lk.answers, k.Answer.GetId())
-		lk.mu.Unlock()
 		if ch != nil {
+			// The channel has room for its one answer; forget looks there under the same lock.
 			ch <- k.Answer.GetGranted()
-		} else if k.Answer.GetGranted() {
+		}
+		lk.mu.Unlock()
+		if ch == nil && k.Answer.GetGranted() {
 			lk.release(k.Answer.GetId(), "")
 		}
 	case *peerpb.Frame_BundleBody:
@@ -250,11 +253,22 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	// An answer that comes later finds nobody waiting and is released.
+	lk.forget(id, target, ch)
+	return func() {}, false
+}
+
+// forget stops waiting for an answer. One that came just now is given back here, a later one by take.
+func (lk *link) forget(id uint64, target string, ch <-chan bool) {
 	lk.mu.Lock()
 	delete(lk.answers, id)
 	lk.mu.Unlock()
-	return func() {}, false
+	select {
+	case granted := <-ch:
+		if granted {
+			lk.release(id, target)
+		}
+	default:
+	}
 }
 
 func (lk *link) release(id uint64, target string) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/silvermount/silvermount/internal/failure"
 	"github.com/silvermount/silvermount/internal/fleet"
 	"github.com/silvermount/silvermount/internal/policy"
@@ -132,7 +134,8 @@
 		changed := rt.fl.Changed()
 		if rt.first(wt) {
 			pl, err := rt.try(ctx, ask)
-			if _, wait := err.(*noRoomError); !wait {
+			var wait *noRoomError
+			if !errors.As(err, &wait) {
 				return pl, err
 			}
 		}
--- a/internal/serve/inference.go
+++ b/internal/serve/inference.go
@@ -164,7 +164,7 @@
 		return false
 	case rq.never && fe.Outcome != failure.NotRun:
 		return false
-	case sk.started && !(rq.class.ContinueElsewhere && sv.rebuild(rq, sk)):
+	case sk.started && (!rq.class.ContinueElsewhere || !sv.rebuild(rq, sk)):
 		return false
 	}
 	return sv.Retries.Take()
