--- a/cmd/commands.go
+++ b/cmd/commands.go
@@ -8,5 +8,6 @@
 	{"check", "check a settings file", func(op *options) any { return &checkCommand{options: op} }},
 	{"schema", "print the JSON schema of settings", func(op *options) any { return &schemaCommand{options: op} }},
 	{"standin", "run a stand-in of an outside system", func(op *options) any { return &standinCommand{options: op} }},
+	{"experiment", "measure routing policies on the same arrivals", func(op *options) any { return &experimentCommand{options: op} }},
 	{"version", "print the version", func(op *options) any { return &versionCommand{options: op} }},
 }
--- /dev/null
+++ b/internal/experiment/experiment.go
@@ -0,0 +1,270 @@
+// Package experiment measures routing policies against each other on the same arrivals.
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/silvermount/silvermount/internal/config"
+	"github.com/silvermount/silvermount/internal/load"
+	"github.com/silvermount/silvermount/internal/localfleet"
+	"github.com/silvermount/silvermount/internal/standin/enginesim"
+)
+
+// longTokens is the length from which a prompt is left out of the comparison run.
+const longTokens = 100_000
+
+const stopWait = 5 * time.Second
+
+// Fault is something that goes wrong during a run.
+type Fault string
+
+// The faults.
+const (
+	FaultNone     Fault = "none"
+	FaultStale    Fault = "stale-reports"
+	FaultEngine   Fault = "engine-killed"
+	FaultInstance Fault = "instance-killed"
+	FaultZone     Fault = "zone-cut"
+	FaultPlatform Fault = "platform-down"
+)
+
+// Faults lists all faults.
+var Faults = []Fault{FaultNone, FaultStale, FaultEngine, FaultInstance, FaultZone, FaultPlatform}
+
+// Preset is one users' fleet.
+type Preset struct {
+	// Name is that of the fleet.
+	Name string
+	// Engines, Instances and Zones are its sizes.
+	Engines, Instances, Zones int
+	// Mix is the load at an event's start.
+	Mix load.Mix
+}
+
+// Presets are the users' fleets.
+var Presets = []Preset{
+	{Name: "tywi", Engines: 20, Instances: 8, Zones: 3, Mix: load.Mix{
+		Rate: 40, Length: 20 * time.Second, Burst: 40, LongShare: 0.02, MinTokens: 1_000, ShortTokens: 8_000,
+		LongTokens: longTokens, MaxTokens: 1_000_000, Output: 8, Organisations: 10,
+		ShortClass: localfleet.ClassCall, LongClass: localfleet.ClassBatch,
+	}},
+	{Name: "acervo", Engines: 20, Instances: 8, Zones: 3, Mix: load.Mix{
+		Rate: 16, Length: 30 * time.Second, Burst: 20, LongShare: 0.02, MinTokens: 1_000, ShortTokens: 32_000,
+		LongTokens: longTokens, MaxTokens: 1_000_000, Output: 8, Organisations: 10,
+		ShortClass: localfleet.ClassCall, LongClass: localfleet.ClassBatch,
+	}},
+}
+
+// Options select what is run.
+type Options struct {
+	// Fleets, Policies and Faults are names; Seeds give the arrivals.
+	Fleets   []string
+	Policies []string
+	Faults   []Fault
+	Seeds    []uint64
+	// Scale divides engine times and the times of arrivals.
+	Scale float64
+	// Instances, when set, replaces the preset's count: one instance knows everything in flight.
+	Instances int
+	// LongShare, when set, replaces the default share of targets that take long prompts.
+	LongShare float64
+	// Progress gets a line a run.
+	Progress io.Writer
+	// Log is used by the instances.
+	Log log.Interface
+}
+
+// Cell is the outcome of one run.
+type Cell struct {
+	Fleet  string `json:"fleet"`
+	Policy string `json:"policy"`
+	Fault  Fault  `json:"fault"`
+	Seed   uint64 `json:"seed"`
+	// SlowP50, SlowP95 and SlowP99 are the slowdown of short prompts beside long ones.
+	SlowP50 float64 `json:"slow_p50"`
+	SlowP95 float64 `json:"slow_p95"`
+	SlowP99 float64 `json:"slow_p99"`
+	// IdleP50 and IdleP95 are the time to the first token over that on an idle target, all lengths.
+	IdleP50 float64 `json:"idle_p50"`
+	IdleP95 float64 `json:"idle_p95"`
+	// ShortP99 is the time to the first token of short prompts, unscaled.
+	ShortP99 time.Duration `json:"short_p99"`
+	// LongP50 and LongP95 are of the long prompts' first tokens, unscaled.
+	LongP50 time.Duration `json:"long_p50"`
+	LongP95 time.Duration `json:"long_p95"`
+	// Requests, Right and Refused count; Late counts admitted requests without a whole answer.
+	Requests int `json:"requests"`
+	Right    int `json:"right"`
+	Refused  int `json:"refused"`
+	Late     int `json:"late"`
+}
+
+// Run runs all combinations and returns a cell for each.
+func Run(ctx context.Context, o Options) ([]Cell, error) {
+	var cells []Cell
+	for _, p := range Presets {
+		if !slices.Contains(o.Fleets, p.Name) {
+			continue
+		}
+		for _, fault := range o.Faults {
+			for _, seed := range o.Seeds {
+				for _, name := range o.Policies {
+					c, err := runOne(ctx, o, p, name, fault, seed)
+					if err != nil {
+						return cells, err
+					}
+					cells = append(cells, c)
+					fmt.Fprintf(o.Progress, "%s %s %s seed %d: short slowdown p95 %.2f p99 %.2f, right %d of %d\n",
+						p.Name, name, fault, seed, c.SlowP95, c.SlowP99, c.Right, c.Requests)
+				}
+			}
+		}
+	}
+	return cells, nil
+}
+
+func runOne(ctx context.Context, o Options, p Preset, policy string, fault Fault, seed uint64) (Cell, error) {
+	params := enginesim.DefaultParams()
+	params.Scale = o.Scale
+	if fault == FaultStale {
+		params.ReportLag = 5 * time.Second
+	}
+	instances := p.Instances
+	if o.Instances > 0 {
+		instances = o.Instances
+	}
+	cut := &cutter{}
+	lf, err := localfleet.Start(ctx, localfleet.Options{
+		Zones: p.Zones, Engines: p.Engines, Instances: instances, Params: params, Policy: policy, Log: o.Log,
+		Blocked: cut.blocked,
+		Adjust: func(s *config.Settings) {
+			if o.LongShare > 0 {
+				s.Routing.LongShare = o.LongShare
+			}
+		},
+	})
+	if err != nil {
+		return Cell{}, err
+	}
+	defer func() {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopWait)
+		defer cancel()
+		lf.Close(ctx)
+	}()
+	mix := p.Mix
+	mix.Scale = o.Scale
+	all := load.Generate(seed, mix)
+	t := load.Target{URLs: lf.URLs(), Key: localfleet.Key, Model: localfleet.Model, Seed: seed}
+	without := load.Run(ctx, t, load.Without(all, longTokens))
+	undo := inject(ctx, lf, fault, cut, time.Duration(float64(mix.Length)/o.Scale/3))
+	with := load.Run(ctx, t, all)
+	undo()
+	return measure(Cell{Fleet: p.Name, Policy: policy, Fault: fault, Seed: seed}, params, with, without), nil
+}
+
+func measure(c Cell, params enginesim.Params, with, without []load.Result) Cell {
+	c.SlowP50, c.SlowP95, c.SlowP99 = load.RatioQuantiles(load.Ratios(with, without))
+	var idle []float64
+	var short, long []time.Duration
+	for _, r := range with {
+		c.Requests++
+		if r.Right {
+			c.Right++
+		} else if r.Outcome == "not_run" {
+			c.Refused++
+		} else {
+			c.Late++
+		}
+		if r.FirstToken == 0 {
+			continue
+		}
+		idle = append(idle, float64(r.FirstToken)/float64(params.Alone(r.Tokens)))
+		real := time.Duration(float64(r.FirstToken) * params.Scale)
+		if r.Tokens >= longTokens {
+			long = append(long, real)
+		} else {
+			short = append(short, real)
+		}
+	}
+	c.IdleP50, c.IdleP95, _ = load.RatioQuantiles(idle)
+	c.ShortP99 = load.Quantile(short, 99)
+	c.LongP50, c.LongP95 = load.Quantile(long, 50), load.Quantile(long, 95)
+	return c
+}
+
+// Medians returns a row for each fleet, fault and policy, in the order in which they were run.
+func Medians(cells []Cell) []Cell {
+	type key struct {
+		fleet, policy string
+		fault         Fault
+	}
+	var order []key
+	groups := map[key][]Cell{}
+	for _, c := range cells {
+		k := key{c.Fleet, c.Policy, c.Fault}
+		if groups[k] == nil {
+			order = append(order, k)
+		}
+		groups[k] = append(groups[k], c)
+	}
+	var rows []Cell
+	for _, k := range order {
+		rows = append(rows, median(groups[k]))
+	}
+	return rows
+}
+
+func median(group []Cell) Cell {
+	m := group[0]
+	number := func(f func(Cell) float64) float64 {
+		vs := make([]float64, len(group))
+		for i, c := range group {
+			vs[i] = f(c)
+		}
+		slices.Sort(vs)
+		return vs[len(vs)/2]
+	}
+	span := func(f func(Cell) time.Duration) time.Duration {
+		return time.Duration(number(func(c Cell) float64 { return float64(f(c)) }))
+	}
+	m.SlowP50, m.SlowP95 = number(func(c Cell) float64 { return c.SlowP50 }), number(func(c Cell) float64 { return c.SlowP95 })
+	m.SlowP99 = number(func(c Cell) float64 { return c.SlowP99 })
+	m.IdleP50, m.IdleP95 = number(func(c Cell) float64 { return c.IdleP50 }), number(func(c Cell) float64 { return c.IdleP95 })
+	m.ShortP99 = span(func(c Cell) time.Duration { return c.ShortP99 })
+	m.LongP50, m.LongP95 = span(func(c Cell) time.Duration { return c.LongP50 }), span(func(c Cell) time.Duration { return c.LongP95 })
+	m.Requests, m.Right, m.Refused, m.Late = 0, 0, 0, 0
+	for _, c := range group {
+		m.Requests += c.Requests
+		m.Right += c.Right
+		m.Refused += c.Refused
+		m.Late += c.Late
+	}
+	return m
+}
+
+// WriteTable writes the medians with the short p99 against the first policy of the same fleet and fault.
+func WriteTable(w io.Writer, rows []Cell) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 1, ' ', 0)
+	fmt.Fprintln(tw, "| fleet\t| fault\t| policy\t| slowdown p50\t| p95\t| p99\t| short p99\t| times better\t| over idle p50\t| p95\t| long p50\t| long p95\t| right\t| refused\t| late\t|")
+	fmt.Fprintln(tw, "|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|")
+	base := map[string]time.Duration{}
+	for _, r := range rows {
+		k := r.Fleet + string(r.Fault)
+		if base[k] == 0 {
+			base[k] = r.ShortP99
+		}
+		better := float64(base[k]) / float64(max(1, r.ShortP99))
+		fmt.Fprintf(tw, "| %s\t| %s\t| %s\t| %.2f\t| %.2f\t| %.2f\t| %s\t| %.1f\t| %.2f\t| %.2f\t| %s\t| %s\t| %d of %d\t| %d\t| %d\t|\n",
+			r.Fleet, r.Fault, r.Policy, r.SlowP50, r.SlowP95, r.SlowP99, r.ShortP99.Round(10*time.Millisecond), better,
+			r.IdleP50, r.IdleP95, r.LongP50.Round(100*time.Millisecond), r.LongP95.Round(100*time.Millisecond),
+			r.Right, r.Requests, r.Refused, r.Late)
+	}
+	return tw.Flush()
+}
--- /dev/null
+++ b/internal/experiment/fault.go
@@ -0,0 +1,44 @@
+package experiment
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/silvermount/silvermount/internal/localfleet"
+)
+
+// cutZone is the availability zone that is cut off.
+const cutZone = "a"
+
+// cutter cuts the links between one availability zone and the others.
+type cutter struct {
+	on atomic.Bool
+}
+
+func (ct *cutter) blocked(from, to string) bool {
+	return ct.on.Load() && (from == cutZone) != (to == cutZone)
+}
+
+// inject makes a fault happen after a delay. The function returned ends it.
+func inject(ctx context.Context, lf *localfleet.Fleet, f Fault, cut *cutter, after time.Duration) func() {
+	timer := time.AfterFunc(after, func() {
+		switch f {
+		case FaultEngine:
+			lf.Engines[0].Kill()
+		case FaultInstance:
+			// Callers of the killed instance go to another by the balancer, which is not part of this.
+			lf.Instances[len(lf.Instances)-1].Env().Stopping.Store(true)
+		case FaultZone:
+			cut.on.Store(true)
+		case FaultPlatform:
+			lf.Store.SetDown(true)
+		case FaultNone, FaultStale:
+		}
+	})
+	return func() {
+		timer.Stop()
+		cut.on.Store(false)
+		lf.Store.SetDown(false)
+	}
+}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -34,6 +34,8 @@
 type Target struct {
 	// URLs are the callers' addresses of instances, taken in turn.
 	URLs []string
+	// Pick, when set, is asked for an address instead, as a balancer is.
+	Pick func(index int) string
 	// Key is the bearer key; Model is asked for.
 	Key, Model string
 	// Seed gives the prompts.
@@ -42,6 +44,13 @@
 	Progress func(done, all int)
 }
 
+func (tg Target) pick(index int) string {
+	if tg.Pick != nil {
+		return tg.Pick(index)
+	}
+	return tg.URLs[index%len(tg.URLs)]
+}
+
 const progressEvery = 2 * time.Second
 
 // Run sends the arrivals, each at its intended time whatever became of the others, and waits for all answers.
@@ -64,7 +73,7 @@
 				results[i] = Result{Arrival: a, Code: "not_sent"}
 				return
 			}
-			results[i] = send(ctx, client, t, a, t.URLs[a.Index%len(t.URLs)], bodies[i], start)
+			results[i] = send(ctx, client, t, a, t.pick(a.Index), bodies[i], start)
 			results[i].check(prompts[i])
 			done.Store(i, true)
 		})
--- a/internal/serve/inference.go
+++ b/internal/serve/inference.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/silvermount/silvermount/internal/claim"
 	"github.com/silvermount/silvermount/internal/failure"
@@ -45,6 +46,8 @@
 	defer end()
 	body, free, err := sv.readBody(r)
 	defer free()
+	// The read deadline was for the body; left in place it would look like a caller that goes away.
+	_ = sk.rc.SetReadDeadline(time.Time{})
 	if err == nil {
 		rq.body = body
 		err = sv.once(ctx, r, rq, sk, run)
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -91,6 +91,7 @@
 // Handler serves the callers' protocol.
 func (sv *Server) Handler() http.Handler {
 	rt := chi.NewRouter()
+	rt.Use(boundWrites)
 	rt.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	rt.Get("/readyz", sv.ready)
 	rt.Post("/v1/completions", sv.inference)
@@ -101,6 +102,19 @@
 	return rt
 }
 
+// smallAnswerLimit bounds the writing of answers that belong to no admitted request.
+const smallAnswerLimit = 30 * time.Second
+
+// boundWrites gives every request a write deadline of its own: one left by an earlier request on the same connection
+// would cut the answer off.
+func boundWrites(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// It fails only where the writer is not a connection, as in tests.
+		_ = http.NewResponseController(w).SetWriteDeadline(timeNow().Add(smallAnswerLimit))
+		next.ServeHTTP(w, r)
+	})
+}
+
 // InFlight returns how many requests are being served.
 func (sv *Server) InFlight() int64 { return sv.inFlight.Load() }
 
--- a/internal/standin/enginesim/enginesim.go
+++ b/internal/standin/enginesim/enginesim.go
@@ -41,6 +41,20 @@
 	}
 }
 
+// Alone returns the time to the first token of a prompt on an idle engine.
+func (pr Params) Alone(tokens int) time.Duration {
+	sum := time.Duration(0)
+	for at := 0; at < tokens; at += pr.StepTokens {
+		sum += pr.StepBase + pr.chunkTime(at, min(pr.StepTokens, tokens-at))
+	}
+	return time.Duration(float64(sum) / pr.Scale)
+}
+
+func (pr Params) chunkTime(context, chunk int) time.Duration {
+	factor := 1 + float64(context)/float64(pr.Knee)
+	return time.Duration(float64(pr.PrefillToken) * float64(chunk) * factor)
+}
+
 type sequence struct {
 	id, holder, model string
 	priority          int
@@ -201,7 +215,7 @@
 		}
 		budget -= chunk
 		busy = true
-		took += en.chunkTime(sq.computed, chunk)
+		took += en.params.chunkTime(sq.computed, chunk)
 		sq.computed += chunk
 	}
 	if !busy {
@@ -211,11 +225,6 @@
 	return max(1, time.Duration(float64(took)/en.params.Scale))
 }
 
-func (en *Engine) chunkTime(context, chunk int) time.Duration {
-	factor := 1 + float64(context)/float64(en.params.Knee)
-	return time.Duration(float64(en.params.PrefillToken) * float64(chunk) * factor)
-}
-
 // ordered returns the sequences, most urgent first.
 func (en *Engine) ordered() []*sequence {
 	order := make([]*sequence, 0, len(en.seqs))
