fix: do not withdraw an instance's object while its renewal still runs

Cause: found by the race detector: when the stop's time was over, the removal read what the renewal wrote. Change: the removal is skipped then; the object is replaced at the next start. Tests stop their fleets with a context of their own.

--- a/internal/duty/announce/announce.go
+++ b/internal/duty/announce/announce.go
@@ -51,9 +51,12 @@
 		}
 	})
 	return func(ctx context.Context) error {
-		err := stop(ctx)
+		// A renewal that still runs would race with the removal.
+		if err := stop(ctx); err != nil {
+			return err
+		}
 		rg.remove(ctx)
-		return err
+		return nil
 	}, nil
 }
 
--- a/internal/session/failure_test.go
+++ b/internal/session/failure_test.go
@@ -1,6 +1,7 @@
 package session
 
 import (
+	"bytes"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -100,14 +101,10 @@
 	lf := start(t, localfleet.Options{Zones: 1, Engines: 3, Instances: 2, Params: fast(10)})
 	client := &http.Client{Timeout: 60 * time.Millisecond}
 	for i := range 30 {
-		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, lf.URLs()[i%2]+"/v1/completions", nil)
+		body := completion(load.Prompt(9, load.Arrival{Tokens: 20_000, Index: i}), 500, true)
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, lf.URLs()[i%2]+"/v1/completions", bytes.NewReader(body))
 		g.Expect(err).NotTo(HaveOccurred())
 		req.Header.Set("Authorization", "Bearer "+localfleet.Key)
-		req.Body = http.NoBody
-		a := load.Arrival{Tokens: 20_000, Index: i}
-		body := completion(load.Prompt(9, a), 500, true)
-		req, _ = http.NewRequestWithContext(t.Context(), http.MethodPost, req.URL.String(), newReader(body))
-		req.Header.Set("Authorization", "Bearer "+localfleet.Key)
 		resp, err := client.Do(req)
 		if err == nil {
 			resp.Body.Close()
--- a/internal/session/once_test.go
+++ b/internal/session/once_test.go
@@ -1,9 +1,7 @@
 package session
 
 import (
-	"bytes"
 	"encoding/json"
-	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -15,8 +13,6 @@
 	"github.com/silvermount/silvermount/internal/standin/servicesim"
 )
 
-func newReader(b []byte) io.Reader { return bytes.NewReader(b) }
-
 const valvePath = "/services/" + localfleet.Service + "/records"
 
 func small(t *testing.T) *localfleet.Fleet {
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -2,6 +2,7 @@
 package session
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -14,6 +15,8 @@
 	"github.com/silvermount/silvermount/internal/standin/enginesim"
 )
 
+const stopWait = 10 * time.Second
+
 func quiet() *log.Logger { return &log.Logger{Handler: discard.New(), Level: log.FatalLevel} }
 
 func start(t *testing.T, o localfleet.Options) *localfleet.Fleet {
@@ -21,7 +24,12 @@
 	o.Log = quiet()
 	lf, err := localfleet.Start(t.Context(), o)
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	t.Cleanup(func() { lf.Close(t.Context()) })
+	t.Cleanup(func() {
+		// The test's own context has ended by now.
+		ctx, cancel := context.WithTimeout(context.Background(), stopWait)
+		defer cancel()
+		lf.Close(ctx)
+	})
 	return lf
 }
 
