feat: send short prompts to owned targets, and ask two other owners when those are busy

Cause: with heartbeats half a second old, eight instances saw the same targets idle and all sent there; ties were even broken in the same order everywhere (a request each 10 ms over 20 engines took 51 ms instead of 17). Change: ties are broken by a hash; each target's owner is chosen with bounded load and kept until who is live changes; policy owners sends short prompts to owned targets, whose load is known exactly, and asks two other owners when the wait there is over a tenth of the prompt's own time.

--- a/internal/duty/callers/callers.go
+++ b/internal/duty/callers/callers.go
@@ -24,7 +24,7 @@
 	"github.com/silvermount/silvermount/internal/platform"
 	"github.com/silvermount/silvermount/internal/policy"
 	_ "github.com/silvermount/silvermount/internal/policy/all" // the policies register themselves
-	"github.com/silvermount/silvermount/internal/policy/lanegrant"
+	"github.com/silvermount/silvermount/internal/policy/owners"
 	"github.com/silvermount/silvermount/internal/rollout"
 	"github.com/silvermount/silvermount/internal/room"
 	"github.com/silvermount/silvermount/internal/router"
@@ -50,7 +50,7 @@
 	setDefault(&c.MaxBodyBytes, 16<<20)
 	setDefault(&c.BodyBudgetBytes, 256<<20)
 	setDefault(&c.HeaderTimeout, config.Duration(5*time.Second))
-	setDefault(&r.Policy, lanegrant.Name)
+	setDefault(&r.Policy, owners.Name)
 	setDefault(&r.LongTokens, 100_000)
 	setDefault(&r.LongPerTarget, 1)
 	setDefault(&r.LongShare, 0.4)
@@ -187,11 +187,14 @@
 	lender := room.New(d.Fleet, d.Engine, func(attempt string, cl *engine.Client) {
 		d.Canceller.Cancel(cancel.Order{Attempt: attempt, Client: cl})
 	})
-	return router.New(d.Fleet, router.Options{
+	rt := router.New(d.Fleet, router.Options{
 		Policy:     p,
 		Limits:     policy.Limits{LongPerTarget: r.LongPerTarget, LongShare: r.LongShare, ChunkTokens: chunkTokens},
 		MaxWaiting: r.MaxWaiting, Probe: prober(d), Grant: ms.Grant, Borrow: lender.Reserve,
-	}), nil
+		AskShort: ms.AskShort,
+	})
+	ms.SetChooseShort(rt.Offer)
+	return rt, nil
 }
 
 // prober asks a target that nobody has confirmed whether it is there. A service is confirmed by its next call.
--- /dev/null
+++ b/internal/fleet/asked.go
@@ -0,0 +1,63 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/silvermount/silvermount/internal/grant"
+	"github.com/silvermount/silvermount/internal/policy"
+)
+
+// askedShare is how much longer than predicted a prompt that was asked for is counted.
+const askedShare = 1.2
+
+// asked is a short prompt that a peer sends to an owned target.
+type asked struct {
+	tokens, band int
+	until        time.Time
+}
+
+// NoteAsked counts a peer's short prompt at an owned target until it has surely been computed.
+func (fl *Fleet) NoteAsked(target string, k grant.Key, tokens int, wait time.Duration) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	kt := fl.targets[target]
+	if kt == nil {
+		return
+	}
+	rate := kt.rate
+	if rate <= 0 {
+		rate = defaultRate
+	}
+	work := time.Duration(float64(tokens) / rate * float64(time.Second))
+	kt.asked[k] = asked{
+		tokens: tokens, band: policy.Band(tokens),
+		until: fl.now().Add(time.Duration(float64(wait+work) * askedShare)),
+	}
+}
+
+// DropAsked takes back what NoteAsked counted.
+func (fl *Fleet) DropAsked(target string, k grant.Key) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	if kt := fl.targets[target]; kt != nil {
+		delete(kt.asked, k)
+	}
+}
+
+// countAsked puts what peers asked for in the place of what their heartbeats tell of short prompts.
+func (fl *Fleet) countAsked(kt *knownTarget, all *Work) {
+	now := fl.now()
+	for b := range shortBands {
+		all.Prefill[b] = kt.own.Prefill[b]
+	}
+	for k, a := range kt.asked {
+		if now.After(a.until) {
+			delete(kt.asked, k)
+			continue
+		}
+		all.Prefill[a.band] += a.tokens
+	}
+}
+
+// shortBands is the number of length bands whose prompts are asked for one by one.
+const shortBands = policy.Bands - 1
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -2,14 +2,12 @@
 package fleet
 
 import (
-	"cmp"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/silvermount/silvermount/internal/engine"
+	"github.com/silvermount/silvermount/internal/grant"
 	"github.com/silvermount/silvermount/internal/policy"
 )
 
@@ -86,6 +84,7 @@
 	listed     bool
 	own        Work
 	byPeer     map[string]Work
+	asked      map[grant.Key]asked
 	summary    Summary
 	summaryAt  time.Time
 	report     engine.Report
@@ -133,6 +132,7 @@
 	changed chan struct{}
 	// order is the sorted names of targets; nil when stale.
 	order []string
+	owned owners
 }
 
 // Option changes a Fleet under construction.
@@ -182,7 +182,7 @@
 	for _, t := range list {
 		kt := fl.targets[t.Name]
 		if kt == nil || kt.URL != t.URL {
-			kt = &knownTarget{byPeer: map[string]Work{}}
+			kt = &knownTarget{byPeer: map[string]Work{}, asked: map[grant.Key]asked{}}
 			fl.targets[t.Name] = kt
 		}
 		kt.Target = t
@@ -194,6 +194,7 @@
 		}
 	}
 	fl.order = nil
+	fl.owned = owners{}
 	fl.notify()
 }
 
@@ -243,48 +244,6 @@
 	return owned
 }
 
-// Owner returns the name of the instance that owns a target: the highest hash over the live instances of its
-// availability zone, or over all live ones where the zone has none.
-func (fl *Fleet) Owner(t Target) string {
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	return fl.owner(t.Name, t.AvailabilityZone)
-}
-
-// OwnerOf returns the owner of a name that stands for no target, such as a queue of an availability zone.
-func (fl *Fleet) OwnerOf(name, zone string) string {
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	return fl.owner(name, zone)
-}
-
-func (fl *Fleet) owner(name, zone string) string {
-	if best := fl.highest(name, zone); best != "" {
-		return best
-	}
-	return fl.highest(name, "")
-}
-
-func (fl *Fleet) highest(name, zone string) string {
-	best, top := "", uint64(0)
-	consider := func(in Instance) {
-		if zone != "" && in.AvailabilityZone != zone {
-			return
-		}
-		h := xxhash.Sum64String(name + "\x00" + in.Name)
-		if best == "" || cmp.Or(cmp.Compare(h, top), cmp.Compare(in.Name, best)) > 0 {
-			best, top = in.Name, h
-		}
-	}
-	consider(fl.self)
-	for _, kp := range fl.peers {
-		if fl.live(kp) {
-			consider(kp.Instance)
-		}
-	}
-	return best
-}
-
 // live is called with the lock held.
 func (fl *Fleet) live(kp *knownPeer) bool {
 	return !kp.stopping && fl.now().Sub(kp.heardAt) < fl.lost
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -152,6 +152,9 @@
 	Except []string
 	// Peers makes the view include what peers have in flight.
 	Peers bool
+	// Owned leaves out targets that this instance does not own. What peers have in flight of short prompts is then
+	// taken from what they asked for, which is newer than their heartbeats.
+	Owned bool
 }
 
 // View is the candidates for a request with what must be done before use.
@@ -174,7 +177,7 @@
 	}
 	vw := View{Unconfirmed: map[string]bool{}}
 	for _, kt := range fit {
-		vw.Candidates = append(vw.Candidates, fl.candidate(kt, wn.Peers))
+		vw.Candidates = append(vw.Candidates, fl.candidate(kt, wn))
 		if now.Sub(kt.confirmedAt()) > confirmWithin {
 			vw.Unconfirmed[kt.Name] = true
 		}
@@ -195,6 +198,9 @@
 	for _, name := range fl.names() {
 		kt := fl.targets[name]
 		leaving := kt.Leaving || (kt.leavingOf != "" && kt.leavingOf == kt.incarnation)
+		if wn.Owned && fl.owner(name) != fl.self.Name {
+			continue
+		}
 		if kt.listed && !leaving && kt.serves(wn) && !slices.Contains(wn.Except, name) {
 			fit = append(fit, kt)
 		}
@@ -209,11 +215,14 @@
 	return kt.Kind == KindEngine && slices.Contains(kt.Models, wn.Model)
 }
 
-func (fl *Fleet) candidate(kt *knownTarget, peers bool) policy.Candidate {
+func (fl *Fleet) candidate(kt *knownTarget, wn Wanted) policy.Candidate {
 	all := kt.own
-	if peers {
+	if wn.Peers {
 		all = fl.allWork(kt)
 	}
+	if wn.Owned {
+		fl.countAsked(kt, &all)
+	}
 	ca := policy.Candidate{
 		Name: kt.Name, Local: kt.AvailabilityZone == fl.self.AvailabilityZone,
 		OwnRequests: kt.own.Requests, OwnPrefill: kt.own.Prefill,
@@ -237,7 +246,7 @@
 
 // allWork is the owner's total, corrected by what this instance did since.
 func (fl *Fleet) allWork(kt *knownTarget) Work {
-	if fl.owner(kt.Name, kt.AvailabilityZone) == fl.self.Name {
+	if fl.owner(kt.Name) == fl.self.Name {
 		return kt.total()
 	}
 	if fl.now().Sub(kt.summaryAt) > fl.lost {
--- /dev/null
+++ b/internal/fleet/owners.go
@@ -0,0 +1,109 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// ownersFor is how long the computed owners hold when nothing is heard that would change them.
+const ownersFor = 200 * time.Millisecond
+
+// owners is who owns each target, computed from one view of who is live.
+type owners struct {
+	of map[string]string
+	at time.Time
+}
+
+// Owner returns the name of the instance that owns a target.
+func (fl *Fleet) Owner(t Target) string {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return fl.owner(t.Name)
+}
+
+// owner is called with the lock held. A target that is not known has no owner.
+func (fl *Fleet) owner(name string) string {
+	if fl.owned.of == nil || fl.now().Sub(fl.owned.at) > ownersFor {
+		fl.owned = owners{of: fl.assign(), at: fl.now()}
+	}
+	return fl.owned.of[name]
+}
+
+// assign gives each target to a live instance of its availability zone, or of any where the zone has none: to the one
+// with the highest hash that has less than its share. So no instance owns more than one above the mean, and a change of
+// instances moves few targets.
+func (fl *Fleet) assign() map[string]string {
+	all := fl.liveInstances()
+	byZone := map[string][]Instance{}
+	for _, in := range all {
+		byZone[in.AvailabilityZone] = append(byZone[in.AvailabilityZone], in)
+	}
+	targets := map[string]int{}
+	for _, name := range fl.names() {
+		targets[fl.targets[name].AvailabilityZone]++
+	}
+	of := make(map[string]string, len(fl.targets))
+	load := map[string]int{}
+	for _, name := range fl.names() {
+		zone := fl.targets[name].AvailabilityZone
+		able, share := byZone[zone], targets[zone]
+		if len(able) == 0 {
+			able, share = all, len(fl.targets)
+		}
+		most := (share + len(able) - 1) / len(able)
+		best := highest(name, able, func(in Instance) bool { return load[in.Name] < most })
+		of[name] = best
+		load[best]++
+	}
+	return of
+}
+
+// highest returns the instance with the highest hash among those that may take more, or among all when none may.
+func highest(name string, able []Instance, may func(Instance) bool) string {
+	best, top := "", uint64(0)
+	for _, in := range able {
+		h := xxhash.Sum64String(name + "\x00" + in.Name)
+		if may(in) && (best == "" || cmp.Or(cmp.Compare(h, top), cmp.Compare(in.Name, best)) > 0) {
+			best, top = in.Name, h
+		}
+	}
+	if best == "" {
+		return highest(name, able, func(Instance) bool { return true })
+	}
+	return best
+}
+
+// liveInstances returns this instance and its live peers, by name. It is called with the lock held.
+func (fl *Fleet) liveInstances() []Instance {
+	all := []Instance{fl.self}
+	for _, kp := range fl.peers {
+		if fl.live(kp) {
+			all = append(all, kp.Instance)
+		}
+	}
+	slices.SortFunc(all, func(a, b Instance) int { return cmp.Compare(a.Name, b.Name) })
+	return all
+}
+
+// OtherOwners returns the live peers that own an engine with the model, this availability zone's first.
+func (fl *Fleet) OtherOwners(model string) (near, far []string) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	seen := map[string]bool{fl.self.Name: true, "": true}
+	for _, kt := range fl.eligible(Wanted{Model: model}) {
+		owner := fl.owner(kt.Name)
+		if seen[owner] {
+			continue
+		}
+		seen[owner] = true
+		if kp := fl.peers[owner]; kp != nil && kp.AvailabilityZone == fl.self.AvailabilityZone {
+			near = append(near, owner)
+		} else {
+			far = append(far, owner)
+		}
+	}
+	return near, far
+}
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -52,6 +52,9 @@
 	if kp.PeerAddress == "" {
 		kp.PeerAddress = address
 	}
+	if !fl.live(kp) || b.Stopping {
+		fl.owned = owners{}
+	}
 	kp.heardAt, kp.version, kp.stopping = fl.now(), b.BundleVersion, b.Stopping
 	for _, kt := range fl.targets {
 		if _, ok := b.Usage[kt.Name]; !ok && b.Usage != nil {
@@ -77,7 +80,7 @@
 			continue
 		}
 		kt.summary, kt.summaryAt = sm, fl.now()
-		if sm.Incarnation != "" && kt.incarnation != sm.Incarnation && fl.owner(kt.Name, kt.AvailabilityZone) != fl.self.Name {
+		if sm.Incarnation != "" && kt.incarnation != sm.Incarnation && fl.owner(kt.Name) != fl.self.Name {
 			kt.incarnation = sm.Incarnation
 		}
 	}
@@ -134,7 +137,7 @@
 	defer fl.mu.Unlock()
 	usage := map[string]Work{}
 	for name, kt := range fl.targets {
-		if kt.own != (Work{}) && fl.owner(name, kt.AvailabilityZone) == peer {
+		if kt.own != (Work{}) && fl.owner(name) == peer {
 			usage[name] = kt.own
 		}
 	}
@@ -148,7 +151,7 @@
 	var all []Summary
 	for _, name := range fl.names() {
 		kt := fl.targets[name]
-		if !kt.listed || fl.owner(name, kt.AvailabilityZone) != fl.self.Name {
+		if !kt.listed || fl.owner(name) != fl.self.Name {
 			continue
 		}
 		all = append(all, Summary{
--- a/internal/localfleet/localfleet.go
+++ b/internal/localfleet/localfleet.go
@@ -83,6 +83,9 @@
 	server *Server
 }
 
+// URL returns the address of the engine.
+func (en *Engine) URL() string { return en.server.URL }
+
 // Kill ends the engine in the middle of its work.
 func (en *Engine) Kill() {
 	en.Engine.Kill()
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -37,6 +37,7 @@
 
 	mu      sync.Mutex
 	answers map[uint64]chan bool
+	shorts  map[uint64]chan *peerpb.ShortAnswer
 	bodies  []chan *peerpb.BundleBody
 }
 
@@ -75,7 +76,7 @@
 		lk := ms.links[address]
 		if keep && lk == nil {
 			ctx, cancel := context.WithCancel(ctx)
-			lk = &link{ms: ms, address: address, cancel: cancel, out: ring.New[*peerpb.Frame](outSize), answers: map[uint64]chan bool{}}
+			lk = &link{ms: ms, address: address, cancel: cancel, out: ring.New[*peerpb.Frame](outSize), answers: map[uint64]chan bool{}, shorts: map[uint64]chan *peerpb.ShortAnswer{}}
 			ms.links[address] = lk
 			go lk.keep(ctx)
 		}
@@ -223,6 +224,8 @@
 		if ch == nil && k.Answer.GetGranted() {
 			lk.release(k.Answer.GetId(), "")
 		}
+	case *peerpb.Frame_ShortAnswer:
+		lk.takeShort(k.ShortAnswer)
 	case *peerpb.Frame_BundleBody:
 		lk.mu.Lock()
 		waiting := lk.bodies
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -65,6 +65,8 @@
 	opts     Options
 	stopping func() bool
 
+	chooseShort atomic.Pointer[ChooseShort]
+
 	mu sync.Mutex
 	// links are by the peer's address.
 	links map[string]*link
@@ -137,8 +139,12 @@
 		hold := time.Duration(k.Ask.GetHoldMillis()) * time.Millisecond
 		ok := ms.grants.Ask(key, k.Ask.GetTarget(), int(k.Ask.GetMemory()), hold)
 		return &peerpb.Frame{Kind: &peerpb.Frame_Answer{Answer: &peerpb.Answer{Id: k.Ask.GetId(), Granted: ok}}}
+	case *peerpb.Frame_ShortAsk:
+		return ms.answerShort(from, k.ShortAsk)
 	case *peerpb.Frame_Release:
-		ms.grants.Release(grant.Key{Holder: from.Incarnation, ID: k.Release.GetId()})
+		key := grant.Key{Holder: from.Incarnation, ID: k.Release.GetId()}
+		ms.grants.Release(key)
+		ms.fl.DropAsked(k.Release.GetTarget(), key)
 	case *peerpb.Frame_BundleAsk:
 		return ms.bundleBody(k.BundleAsk.GetVersion())
 	}
--- a/internal/policy/all/all.go
+++ b/internal/policy/all/all.go
@@ -7,6 +7,7 @@
 	_ "github.com/silvermount/silvermount/internal/policy/lanes"
 	_ "github.com/silvermount/silvermount/internal/policy/leastoutstanding"
 	_ "github.com/silvermount/silvermount/internal/policy/leastwait"
+	_ "github.com/silvermount/silvermount/internal/policy/owners"
 	_ "github.com/silvermount/silvermount/internal/policy/peerwait"
 	_ "github.com/silvermount/silvermount/internal/policy/roundrobin"
 )
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -90,7 +90,7 @@
 	// Candidates are in a fixed order and never empty.
 	Candidates []Candidate
 	Limits     Limits
-	// Turn grows with every decision of this instance.
+	// Turn grows with every decision of this instance, from a start of its own.
 	Turn uint64
 }
 
@@ -116,6 +116,8 @@
 	Peers bool
 	// Grants is set when long prompts need a grant from the target's owner.
 	Grants bool
+	// Owners is set when short prompts go to targets that this instance owns, or that another owner offers.
+	Owners bool
 	// Choose decides. It has no side effects.
 	Choose func(Input) Decision
 }
@@ -153,12 +155,13 @@
 	return names
 }
 
-// Least returns the index of the smallest cost. Ties go to a later candidate as turn grows, so that instances
-// with the same view do not all choose the same one. Candidates with a negative cost are left out; -1 means none.
+// Least returns the index of the smallest cost. Ties are broken by a hash of turn, so that instances with the same
+// view do not all choose the same one. Candidates with a negative cost are left out; -1 means none.
 func Least(n int, turn uint64, cost func(i int) time.Duration) (best int, least time.Duration) {
 	best = -1
+	first := mix(turn) % uint64(n)
 	for k := range n {
-		i := int((turn + uint64(k)) % uint64(n))
+		i := int((first + uint64(k)) % uint64(n))
 		c := cost(i)
 		if c >= 0 && (best < 0 || c < least) {
 			best, least = i, c
@@ -167,6 +170,14 @@
 	return best, least
 }
 
+// mix is the finishing step of the SplitMix64 generator.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
+}
+
 // Ahead returns the tokens that run before a prompt of the given band where shorter bands go first.
 func Ahead(prefill [Bands]int, band int) int {
 	sum := 0
--- /dev/null
+++ b/internal/router/owners.go
@@ -0,0 +1,98 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/silvermount/silvermount/internal/fleet"
+	"github.com/silvermount/silvermount/internal/offer"
+	"github.com/silvermount/silvermount/internal/policy"
+)
+
+// askFrom is the part of a prompt's own time that it may wait at an owned target before others are asked.
+const askFrom = 0.1
+
+// viaOwners places a short prompt at an owned target, or at that of another owner who offers a shorter wait.
+func (rt *Router) viaOwners(ctx context.Context, ask Ask, left time.Duration) (*Place, error) {
+	own := ask
+	own.Wanted.Owned = true
+	home, err := rt.choose(own, left)
+	if err == nil && home.Predicted <= time.Duration(askFrom*float64(home.alone)) {
+		return home, nil
+	}
+	best := rt.bestOffer(ctx, ask)
+	switch {
+	case best == nil && err != nil:
+		// Nobody answered: this instance's own view of all targets has to do.
+		return rt.choose(ask, left)
+	case best == nil:
+		return home, nil
+	case err == nil && home.Predicted <= best.Wait:
+		best.Release()
+		return home, nil
+	}
+	if err == nil {
+		home.undo()
+	}
+	return rt.accept(ask, *best)
+}
+
+// bestOffer asks other owners and returns the offer with the least wait; the others are given back.
+func (rt *Router) bestOffer(ctx context.Context, ask Ask) *offer.Offer {
+	if rt.opts.AskShort == nil {
+		return nil
+	}
+	var best *offer.Offer
+	for _, of := range rt.opts.AskShort(ctx, ask.Wanted.Model, ask.Request) {
+		switch {
+		case tried(ask, of.Target):
+			of.Release()
+		case best == nil:
+			best = &of
+		case of.Wait < best.Wait:
+			best.Release()
+			best = &of
+		default:
+			of.Release()
+		}
+	}
+	return best
+}
+
+func tried(ask Ask, target string) bool {
+	for _, t := range ask.Wanted.Except {
+		if t == target {
+			return true
+		}
+	}
+	return false
+}
+
+// accept takes a place that another owner offered.
+func (rt *Router) accept(ask Ask, of offer.Offer) (*Place, error) {
+	t, ok := rt.fl.Target(of.Target)
+	if !ok {
+		of.Release()
+		return nil, &noRoomError{target: of.Target}
+	}
+	pl := &Place{Target: t, Predicted: of.Wait, work: workOf(ask.Request, 0), fl: rt.fl, release: []func(){of.Release}}
+	rt.fl.Begin(t.Name, pl.work)
+	return pl, nil
+}
+
+// Offer chooses the best owned target for another instance's short prompt.
+func (rt *Router) Offer(model string, rq policy.Request) (target string, wait time.Duration, ok bool) {
+	rt.decide.Lock()
+	defer rt.decide.Unlock()
+	vw := rt.fl.Candidates(fleet.Wanted{Model: model, Peers: true, Owned: true})
+	if len(vw.Candidates) == 0 {
+		return "", 0, false
+	}
+	dec := rt.opts.Policy.Choose(policy.Input{
+		Request: rq, Candidates: vw.Candidates, Limits: rt.opts.Limits, Turn: rt.turn.Add(1),
+	})
+	if !dec.Run {
+		return "", 0, false
+	}
+	return vw.Candidates[dec.Index].Name, dec.Wait, true
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -9,10 +9,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/silvermount/silvermount/internal/failure"
 	"github.com/silvermount/silvermount/internal/fleet"
+	"github.com/silvermount/silvermount/internal/offer"
 	"github.com/silvermount/silvermount/internal/policy"
 	"github.com/silvermount/silvermount/internal/room"
 )
@@ -53,6 +55,7 @@
 	work    fleet.Work
 	fl      *fleet.Fleet
 	probe   bool
+	alone   time.Duration
 	first   sync.Once
 	release []func()
 }
@@ -98,6 +101,8 @@
 	Probe func(ctx context.Context, t fleet.Target) error
 	// Grant asks the owner of a target for room for a long prompt; nil grants always.
 	Grant func(ctx context.Context, t fleet.Target, memory int, hold time.Duration) (release func(), granted bool)
+	// AskShort asks other owners for a place for a short prompt; nil asks nobody.
+	AskShort func(ctx context.Context, model string, rq policy.Request) []offer.Offer
 	// Borrow reserves memory on the main and other engines for a prompt larger than one.
 	Borrow func(ctx context.Context, main fleet.Target, tokens int, hold time.Duration) (release func(), err error)
 }
@@ -126,7 +131,9 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
-	return &Router{fl: fl, opts: o}
+	rt := &Router{fl: fl, opts: o}
+	rt.turn.Store(xxhash.Sum64String(fl.Self().Name))
+	return rt
 }
 
 // Policy returns the policy in use.
@@ -235,9 +242,11 @@
 func (rt *Router) try(ctx context.Context, ask Ask) (*Place, error) {
 	left := ask.Deadline.Sub(rt.opts.Now())
 	ask.Request.Left = left
-	rt.decide.Lock()
-	pl, err := rt.choose(ask, left)
-	rt.decide.Unlock()
+	choose := rt.choose
+	if rt.opts.Policy.Owners && !ask.Request.Long && ask.Wanted.Model != "" {
+		choose = func(ask Ask, left time.Duration) (*Place, error) { return rt.viaOwners(ctx, ask, left) }
+	}
+	pl, err := choose(ask, left)
 	if err != nil {
 		return nil, err
 	}
@@ -248,9 +257,11 @@
 	return rt.secure(ctx, ask, pl, left)
 }
 
-// choose asks the policy and notes the work at the target. It is called with the decide lock held, so that two
-// requests of this instance see each other.
+// choose asks the policy and notes the work at the target, in one step, so that two requests of this instance see
+// each other.
 func (rt *Router) choose(ask Ask, left time.Duration) (*Place, error) {
+	rt.decide.Lock()
+	defer rt.decide.Unlock()
 	vw := rt.fl.Candidates(ask.Wanted)
 	if len(vw.Candidates) == 0 {
 		return nil, failure.New(failure.NoTarget, failure.NotRun, "no target serves this request now").
@@ -276,6 +287,7 @@
 	pl := &Place{
 		Target: t, Predicted: dec.Wait, Alone: policy.Total(ca.AllPrefill) == 0, Borrowed: borrow,
 		work: workOf(ask.Request, borrow), fl: rt.fl, probe: vw.Unconfirmed[ca.Name],
+		alone: ca.Work(ask.Request.Tokens),
 	}
 	rt.fl.Begin(t.Name, pl.work)
 	return pl, nil
