perf: learn what a long prompt costs the short ones beside it, and lend half of an engine at the most

Cause: short prompts went to engines with a long one when the others had a queue of over 100 ms, since half a step was counted; a step at a million tokens of context takes over three times as long. Two prompts larger than one engine could borrow the whole memory of a third, where short ones then waited 19 s (unscaled 96 s). And the second run of the experiment found its prompts in the engines' caches, which made it look better than it is. Change: the extra time is learnt from the answers; lending counts what is lent already; the experiment runs without prefix cache.

--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -133,6 +133,8 @@
 func runOne(ctx context.Context, o Options, p Preset, policy string, fault Fault, seed uint64) (Cell, error) {
 	params := enginesim.DefaultParams()
 	params.Scale = o.Scale
+	// The second run sends the prompts of the first again; a cache would make it look faster than it is.
+	params.CacheBlocks = 0
 	if fault == FaultStale {
 		params.ReportLag = 5 * time.Second
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -134,8 +134,13 @@
 	// order is the sorted names of targets; nil when stale.
 	order []string
 	owned owners
+	// besideLong is the learnt extra time of a short prompt beside a long one.
+	besideLong time.Duration
 }
 
+// firstBesideLong is assumed until a short prompt has run beside a long one.
+const firstBesideLong = 400 * time.Millisecond
+
 // Option changes a Fleet under construction.
 type Option func(*Fleet)
 
@@ -148,7 +153,7 @@
 // New returns the knowledge of an instance that has heard of nothing yet.
 func New(self Instance, opts ...Option) *Fleet {
 	fl := &Fleet{
-		self: self, now: time.Now, lost: 3 * time.Second,
+		self: self, now: time.Now, lost: 3 * time.Second, besideLong: firstBesideLong,
 		targets: map[string]*knownTarget{}, peers: map[string]*knownPeer{}, changed: make(chan struct{}),
 	}
 	for _, o := range opts {
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -122,6 +122,13 @@
 	kt.rate += rateWeight * (sample - kt.rate)
 }
 
+// ObserveBesideLong learns from a short prompt that ran beside a long one by how much it came later than predicted.
+func (fl *Fleet) ObserveBesideLong(extra time.Duration) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.besideLong += time.Duration(rateWeight * float64(max(0, extra)-fl.besideLong))
+}
+
 // Failure counts a failed attempt; several in a row take the target out for a while.
 func (fl *Fleet) Failure(target string) {
 	fl.mu.Lock()
@@ -252,6 +259,7 @@
 	if ca.Rate <= 0 {
 		ca.Rate = kt.summary.Rate
 	}
+	ca.BesideLong = fl.besideLong
 	ca.RateKnown = ca.Rate > 0
 	if !ca.RateKnown {
 		ca.Rate = defaultRate
--- a/internal/policy/lanes/lanes.go
+++ b/internal/policy/lanes/lanes.go
@@ -27,7 +27,7 @@
 	return chooseShort(in)
 }
 
-// chooseShort counts half an engine step where a long prompt runs, since a step is not broken off.
+// chooseShort counts the extra time beside a long prompt, since an engine does not break off a step.
 func chooseShort(in policy.Input) policy.Decision {
 	band := policy.Band(in.Request.Tokens)
 	best, wait := policy.Least(len(in.Candidates), in.Turn, func(i int) time.Duration {
@@ -37,7 +37,7 @@
 		}
 		cost := ca.Work(policy.Ahead(ca.AllPrefill, band))
 		if Blocked(ca) {
-			cost += ca.Work(in.Limits.ChunkTokens)
+			cost += ca.BesideLong
 		}
 		return cost
 	})
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -60,6 +60,8 @@
 	RateKnown bool
 	// MemoryTotal is zero when not known.
 	MemoryTotal int
+	// BesideLong is the extra time that a short prompt takes where a long one runs, learnt from what targets do.
+	BesideLong time.Duration
 	// HasPrefix is set when the target is believed to hold the request's first block.
 	HasPrefix bool
 }
--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -108,7 +108,7 @@
 
 // lendable is the memory that an engine can lend and still take short prompts.
 func lendable(ca policy.Candidate) int {
-	return min(ca.MemoryTotal/LendPart, ca.MemoryTotal-ca.AllMemory)
+	return ca.MemoryTotal/LendPart - ca.AllMemory
 }
 
 func (ln *Lender) giveBack(parts []part) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -16,6 +16,7 @@
 	"github.com/silvermount/silvermount/internal/fleet"
 	"github.com/silvermount/silvermount/internal/offer"
 	"github.com/silvermount/silvermount/internal/policy"
+	"github.com/silvermount/silvermount/internal/policy/lanes"
 	"github.com/silvermount/silvermount/internal/room"
 )
 
@@ -52,17 +53,21 @@
 	// Borrowed is memory in tokens that is reserved before the attempt, for a prompt larger than one engine.
 	Borrowed int
 
-	work    fleet.Work
-	fl      *fleet.Fleet
-	probe   bool
-	alone   time.Duration
-	first   sync.Once
-	release []func()
+	work  fleet.Work
+	fl    *fleet.Fleet
+	probe bool
+	// alone is the prompt's own time; besideLong is the part of Predicted that a long prompt adds, zero without one.
+	alone, besideLong time.Duration
+	first             sync.Once
+	release           []func()
 }
 
-// FirstToken notes that the prompt was computed.
-func (pl *Place) FirstToken() {
+// FirstToken notes that the prompt was computed, and how long after it was sent.
+func (pl *Place) FirstToken(took time.Duration) {
 	pl.first.Do(func() {
+		if pl.besideLong > 0 {
+			pl.fl.ObserveBesideLong(took - (pl.Predicted - pl.besideLong) - pl.alone)
+		}
 		prefill := fleet.Work{Prefill: pl.work.Prefill}
 		pl.fl.End(pl.Target.Name, prefill)
 		pl.work.Prefill = [policy.Bands]int{}
@@ -289,6 +294,9 @@
 		work: workOf(ask.Request, borrow), fl: rt.fl, probe: vw.Unconfirmed[ca.Name],
 		alone: ca.Work(ask.Request.Tokens),
 	}
+	if lanes.Blocked(ca) && !ask.Request.Long {
+		pl.besideLong = ca.BesideLong
+	}
 	rt.fl.Begin(t.Name, pl.work)
 	return pl, nil
 }
