--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 	go test -run '^$$' -bench . -benchmem ./internal/...
 
 slopes:
-	go run . slopes
+	go run . slopes --json docs/measurements/slopes.json
 
 ci:
 	bash .ci/run
--- /dev/null
+++ b/cmd/bundle.go
@@ -0,0 +1,219 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"text/tabwriter"
+	"time"
+
+	"github.com/silvermount/silvermount/internal/signoff"
+)
+
+const (
+	bundleLimit = 30 * time.Second
+	rollPause   = 100 * time.Millisecond
+)
+
+// bundleCommand holds the subcommands.
+type bundleCommand struct {
+	Check  bundleCheck  `command:"check" description:"check a bundle file"`
+	Push   bundlePush   `command:"push" description:"write a bundle to the store and show what it changes"`
+	Sign   bundleSign   `command:"sign" description:"have every instance prepare a pushed bundle, then accept it"`
+	Roll   bundleRoll   `command:"roll" description:"push, sign and wait until the bundle is in force everywhere"`
+	Status bundleStatus `command:"status" description:"show which version is in force at which instance"`
+}
+
+func newBundleCommand(op *options) *bundleCommand {
+	return &bundleCommand{
+		Check: bundleCheck{options: op}, Push: bundlePush{options: op}, Sign: bundleSign{options: op},
+		Roll: bundleRoll{options: op}, Status: bundleStatus{options: op},
+	}
+}
+
+// fileArg is the bundle file.
+type fileArg struct {
+	File string `positional-arg-name:"FILE" required:"true"`
+}
+
+type bundleCheck struct {
+	*options `no-flag:"true"`
+	Args     fileArg `positional-args:"true" required:"true"`
+}
+
+// Execute checks the file.
+func (bc *bundleCheck) Execute([]string) error {
+	if _, err := readBundle(bc.Args.File); err != nil {
+		return err
+	}
+	fmt.Fprintln(bc.out, "bundle is good")
+	return nil
+}
+
+type bundlePush struct {
+	*options `no-flag:"true"`
+	platformOptions
+	Args fileArg `positional-args:"true" required:"true"`
+}
+
+// Execute pushes the file.
+func (bp *bundlePush) Execute([]string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), bundleLimit)
+	defer cancel()
+	_, err := push(ctx, bp.options, &bp.platformOptions, bp.Args.File)
+	return err
+}
+
+func push(ctx context.Context, op *options, po *platformOptions, file string) (int64, error) {
+	b, err := readBundle(file)
+	if err != nil {
+		return 0, err
+	}
+	office := signoff.New(po.store())
+	old, err := office.Accepted(ctx)
+	if err != nil {
+		return 0, err
+	}
+	for _, line := range signoff.Diff(old, b) {
+		fmt.Fprintln(op.out, line)
+	}
+	version, err := office.Push(ctx, b)
+	if err == nil {
+		fmt.Fprintf(op.out, "pushed as version %d on top of %d\n", version, old.Version)
+	}
+	return version, err
+}
+
+type bundleSign struct {
+	*options `no-flag:"true"`
+	platformOptions
+	Force bool `long:"force" description:"accept although an instance cannot be asked or finds a fault"`
+	Args  struct {
+		Version int64 `positional-arg-name:"VERSION" required:"true"`
+	} `positional-args:"true" required:"true"`
+}
+
+// Execute signs the version off.
+func (bs *bundleSign) Execute([]string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), bundleLimit)
+	defer cancel()
+	return sign(ctx, bs.options, &bs.platformOptions, bs.Args.Version, bs.Force)
+}
+
+// NotPreparedError says which instances did not prepare a bundle.
+type NotPreparedError struct{ Lines []string }
+
+// Error lists the instances.
+func (np *NotPreparedError) Error() string {
+	return fmt.Sprintf("not accepted, %d instances are not prepared: %v", len(np.Lines), np.Lines)
+}
+
+func sign(ctx context.Context, op *options, po *platformOptions, version int64, force bool) error {
+	replies, err := po.ops().Prepare(ctx, version)
+	if err != nil {
+		return err
+	}
+	var faults []string
+	for _, r := range replies {
+		switch {
+		case r.Err != nil:
+			faults = append(faults, r.Instance.Name+": "+r.Err.Error())
+		case r.Value.Fault != "":
+			faults = append(faults, r.Instance.Name+": "+r.Value.Fault)
+		}
+	}
+	if len(faults) > 0 && !force {
+		return &NotPreparedError{Lines: faults}
+	}
+	if err := signoff.New(po.store()).Sign(ctx, version); err != nil {
+		return err
+	}
+	fmt.Fprintf(op.out, "version %d is accepted, prepared by %d of %d instances\n", version, len(replies)-len(faults), len(replies))
+	return nil
+}
+
+type bundleRoll struct {
+	*options `no-flag:"true"`
+	platformOptions
+	Force bool    `long:"force" description:"accept although an instance cannot be asked or finds a fault"`
+	Args  fileArg `positional-args:"true" required:"true"`
+}
+
+// Execute rolls the file out.
+func (br *bundleRoll) Execute([]string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), bundleLimit)
+	defer cancel()
+	version, err := push(ctx, br.options, &br.platformOptions, br.Args.File)
+	if err != nil {
+		return err
+	}
+	if err := sign(ctx, br.options, &br.platformOptions, version, br.Force); err != nil {
+		return err
+	}
+	return br.await(ctx, version)
+}
+
+// NotEverywhereError says that a bundle was accepted and is not in force everywhere yet.
+type NotEverywhereError struct {
+	Version int64
+	Missing []string
+}
+
+// Error lists the instances.
+func (ne *NotEverywhereError) Error() string {
+	return "version " + strconv.FormatInt(ne.Version, 10) + " is accepted; not yet in force at " + fmt.Sprint(ne.Missing)
+}
+
+func (br *bundleRoll) await(ctx context.Context, version int64) error {
+	began := time.Now()
+	for {
+		replies, err := br.ops().Statuses(ctx)
+		var missing []string
+		for _, r := range replies {
+			if r.Err != nil || r.Value.BundleVersion < version {
+				missing = append(missing, r.Instance.Name)
+			}
+		}
+		if err == nil && len(missing) == 0 {
+			fmt.Fprintf(br.out, "in force at %d instances after %s\n", len(replies), time.Since(began).Round(time.Millisecond))
+			return nil
+		}
+		select {
+		case <-time.After(rollPause):
+		case <-ctx.Done():
+			return &NotEverywhereError{Version: version, Missing: missing}
+		}
+	}
+}
+
+type bundleStatus struct {
+	*options `no-flag:"true"`
+	platformOptions
+}
+
+// Execute prints a line for each instance.
+func (bs *bundleStatus) Execute([]string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), bundleLimit)
+	defer cancel()
+	replies, err := bs.ops().Statuses(ctx)
+	if err != nil {
+		return err
+	}
+	tw := tabwriter.NewWriter(bs.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, "INSTANCE\tZONE\tVERSION\tBEHIND\tREADY\tPEERS LIVE\tNOTE")
+	for _, r := range replies {
+		if r.Err != nil {
+			fmt.Fprintf(tw, "%s\t%s\t?\t?\t?\t?\tcannot be asked: %v\n", r.Instance.Name, r.Instance.AvailabilityZone, r.Err)
+			continue
+		}
+		live := 0
+		for _, p := range r.Value.Peers {
+			if p.Live {
+				live++
+			}
+		}
+		fmt.Fprintf(tw, "%s\t%s\t%d\t%d\t%t\t%d of %d\t\n", r.Value.Instance, r.Value.AvailabilityZone, r.Value.BundleVersion,
+			r.Value.BundleBehind, r.Value.Ready, live, len(r.Value.Peers))
+	}
+	return tw.Flush()
+}
--- a/cmd/check.go
+++ b/cmd/check.go
@@ -9,6 +9,7 @@
 
 type checkCommand struct {
 	*options `no-flag:"true"`
+	Bundle   string `long:"bundle" description:"bundle that the settings must be able to stop under"`
 	Args     struct {
 		File string `positional-arg-name:"FILE" required:"true"`
 	} `positional-args:"true" required:"true"`
@@ -20,7 +21,16 @@
 	if err != nil {
 		return err
 	}
-	if err := kernel.Check(kernel.Defaults(s)).OrNil(); err != nil {
+	s = kernel.Defaults(s)
+	faults := kernel.Check(s)
+	if cc.Bundle != "" {
+		b, err := readBundle(cc.Bundle)
+		if err != nil {
+			return err
+		}
+		faults = append(faults, b.FitsStop(s.Stop.Drain.Std())...)
+	}
+	if err := faults.OrNil(); err != nil {
 		return err
 	}
 	fmt.Fprintln(cc.out, "settings are good")
--- a/cmd/commands.go
+++ b/cmd/commands.go
@@ -3,10 +3,14 @@
 // commands is the list of all commands.
 var commands = []command{
 	{"entry", "run an entry instance", func(op *options) any { return &entryCommand{options: op} }},
+	{"bundle", "check, push, sign, roll and show bundles", func(op *options) any { return newBundleCommand(op) }},
+	{"burn", "show how fast each class burns its service level", func(op *options) any { return &burnCommand{options: op} }},
 	{"demo", "run a small fleet in one process and send it a burst", func(op *options) any { return &demoCommand{options: op} }},
 	{"init", "print settings to start from", func(op *options) any { return &initCommand{options: op} }},
 	{"check", "check a settings file", func(op *options) any { return &checkCommand{options: op} }},
 	{"schema", "print the JSON schema of settings", func(op *options) any { return &schemaCommand{options: op} }},
+	{"load", "send arrivals to instances and measure the answers", func(op *options) any { return &loadCommand{options: op} }},
+	{"slopes", "measure how the cost of control grows with the fleet", func(op *options) any { return &slopesCommand{options: op} }},
 	{"standin", "run a stand-in of an outside system", func(op *options) any { return &standinCommand{options: op} }},
 	{"experiment", "measure routing policies on the same arrivals", func(op *options) any { return &experimentCommand{options: op} }},
 	{"version", "print the version", func(op *options) any { return &versionCommand{options: op} }},
--- /dev/null
+++ b/cmd/platform.go
@@ -0,0 +1,16 @@
+package cmd
+
+import (
+	"github.com/silvermount/silvermount/internal/ops"
+	"github.com/silvermount/silvermount/internal/platform"
+)
+
+// platformOptions say how operators reach the platform and the instances.
+type platformOptions struct {
+	Platform string `long:"platform" default:"http://127.0.0.1:7000" description:"base URL of the platform's object API"`
+	Key      string `long:"operator-key" env:"SILVERMOUNT_OPERATOR_KEY" description:"key for the operators' listeners of instances"`
+}
+
+func (po *platformOptions) store() *platform.Client { return platform.New(po.Platform) }
+
+func (po *platformOptions) ops() *ops.Client { return ops.New(po.store(), po.Key) }
--- /dev/null
+++ b/cmd/slopes.go
@@ -0,0 +1,37 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/silvermount/silvermount/internal/slopes"
+)
+
+type slopesCommand struct {
+	*options  `no-flag:"true"`
+	Instances []int  `long:"instances" default:"2" default:"4" default:"8" default:"16" default:"32" description:"sizes of fleet to measure"`
+	JSON      string `long:"json" description:"file for the figures"`
+}
+
+// Execute measures the slopes.
+func (sc *slopesCommand) Execute([]string) error {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	lg := sc.logger()
+	lg.Level = max(lg.Level, log.FatalLevel)
+	rp, err := slopes.Run(ctx, slopes.Options{Instances: sc.Instances, Progress: sc.out, Log: lg})
+	if err != nil || sc.JSON == "" {
+		return err
+	}
+	b, err := json.MarshalIndent(rp, "", " ")
+	if err != nil {
+		return errors.Wrap(err, "encode figures")
+	}
+	return errors.Wrap(os.WriteFile(sc.JSON, b, 0o644), "write figures")
+}
--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -18,6 +19,8 @@
 type Bundle struct {
 	// Version is positive and grows with every accepted bundle.
 	Version int64 `json:"version"`
+	// Base is the accepted version on top of which this one was pushed.
+	Base int64 `json:"base,omitempty"`
 	// Organisations have unique names.
 	Organisations []Organisation `json:"organisations"`
 	// Classes have unique names; the first is the default.
@@ -48,6 +51,8 @@
 	Deadline config.Duration `json:"deadline"`
 	// Priority is higher for more urgent work.
 	Priority int `json:"priority"`
+	// Job is set for work that nobody waits for; it is kept in the store until done.
+	Job bool `json:"job,omitempty"`
 	// Yields is set for work that is refused first under load.
 	Yields bool `json:"yields,omitempty"`
 	// ContinueElsewhere allows a broken stream to go on at another target.
@@ -89,9 +94,9 @@
 	return bd, bd.Check().OrNil()
 }
 
-// Digest returns the digest of the content without its version: the same content is the same sign-off.
+// Digest returns the digest of the content without its versions: the same content is the same sign-off.
 func (bd Bundle) Digest() (string, error) {
-	bd.Version = 0
+	bd.Version, bd.Base = 0, 0
 	b, err := json.Marshal(bd)
 	if err != nil {
 		return "", errors.Wrap(err, "encode bundle")
@@ -100,9 +105,9 @@
 	return hex.EncodeToString(sum[:]), nil
 }
 
-// WithVersion returns a copy at another version.
-func (bd Bundle) WithVersion(v int64) Bundle {
-	bd.Version = v
+// WithVersion returns a copy at another version on top of a base.
+func (bd Bundle) WithVersion(v, base int64) Bundle {
+	bd.Version, bd.Base = v, base
 	return bd
 }
 
@@ -150,6 +155,20 @@
 	return fs
 }
 
+// FitsStop returns a fault for each class that callers wait on and that may last longer than a planned stop waits.
+func (bd Bundle) FitsStop(drain time.Duration) config.Faults {
+	var fs config.Faults
+	for _, c := range bd.Classes {
+		if !c.Job && c.Deadline.Std() > drain {
+			fs = append(fs, &config.Fault{
+				Path: "classes." + c.Name + ".deadline", Value: c.Deadline.Std().String(),
+				Want: "at most stop.drain (" + drain.String() + "), or a job class",
+			})
+		}
+	}
+	return fs
+}
+
 // Class returns the named class; an empty name means the first.
 func (bd Bundle) Class(name string) (Class, bool) {
 	if name == "" && len(bd.Classes) > 0 {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -69,6 +69,11 @@
 	Heartbeat Duration `json:"heartbeat"`
 	// RemoteEvery is how many heartbeats pass between two to a peer in another availability zone.
 	RemoteEvery int `json:"remote_every"`
+	// FullMesh is the number of peers up to which each instance is linked to all others. In a larger fleet it is
+	// linked to those in its availability zone and to RemoteLinks in each other.
+	FullMesh int `json:"full_mesh"`
+	// RemoteLinks is at least one.
+	RemoteLinks int `json:"remote_links"`
 	// Lost is the silence after which a peer counts as gone.
 	Lost Duration `json:"lost"`
 }
--- a/internal/duty/announce/announce.go
+++ b/internal/duty/announce/announce.go
@@ -1,4 +1,5 @@
-// Package announce is the duty that makes the instance known through the platform.
+// Package announce is the duty that makes the instance known through the platform. It starts before the callers' side,
+// and so stops after it: the entry is taken back once the last request is served.
 package announce
 
 import (
@@ -13,7 +14,7 @@
 )
 
 func init() {
-	kernel.Register(kernel.Duty{Name: "announce", Phase: kernel.PhaseAnnounce, Start: start})
+	kernel.Register(kernel.Duty{Name: "announce", Phase: kernel.PhasePeers, Start: start})
 }
 
 const retryPause = time.Second
--- a/internal/duty/knowledge/knowledge.go
+++ b/internal/duty/knowledge/knowledge.go
@@ -26,6 +26,10 @@
 	watchWait = 20 * time.Second
 	minPause  = 200 * time.Millisecond
 	maxPause  = 5 * time.Second
+	// targetPace and instancePace are the least times between two calls to watch: in a large fleet the objects of
+	// instances change many times a second, and each call of each instance counts.
+	targetPace   = 500 * time.Millisecond
+	instancePace = 5 * time.Second
 )
 
 func defaults(s *config.Settings) {
@@ -46,6 +50,7 @@
 	self := fleet.Instance{
 		Name: env.Settings.Instance, Incarnation: env.Incarnation, AvailabilityZone: env.Settings.AvailabilityZone,
 		PeerAddress: ls.Peers.Addr().String(), CallersAddress: ls.CallersAddress,
+		OperatorsAddress: ls.Operators.Addr().String(),
 	}
 	fl := fleet.New(self, fleet.WithLost(env.Settings.Peers.Lost.Std()))
 	kernel.Provide(env, fl)
@@ -53,13 +58,11 @@
 	kernel.Provide(env, burn.New(time.Now))
 	lg := env.Logger("knowledge")
 	targets := kernel.Go(func(ctx context.Context) {
-		Follow(ctx, cl, platform.KindTargets, lg, func(items []platform.Object) { fl.SetTargets(decode[fleet.Target](items, lg)) })
+		Follow(ctx, cl, platform.KindTargets, targetPace, lg, func(items []platform.Object) { fl.SetTargets(decode[fleet.Target](items, lg)) })
 	})
 	instances := kernel.Go(func(ctx context.Context) {
-		Follow(ctx, cl, platform.KindInstances, lg, func(items []platform.Object) {
-			for _, in := range decode[fleet.Instance](items, lg) {
-				fl.Introduce(in)
-			}
+		Follow(ctx, cl, platform.KindInstances, instancePace, lg, func(items []platform.Object) {
+			fl.SetInstances(decode[fleet.Listed](items, lg))
 		})
 	})
 	return func(ctx context.Context) error {
@@ -74,21 +77,25 @@
 	var all []T
 	for _, o := range items {
 		var v T
-		if err := json.Unmarshal(o.Value, &v); err != nil {
+		err := json.Unmarshal(o.Value, &v)
+		if err != nil {
 			lg.WithField("object", o.Name).WithError(err).Warn("object skipped")
 			continue
 		}
+		if l, ok := any(&v).(*fleet.Listed); ok {
+			l.Version = o.Version
+		}
 		all = append(all, v)
 	}
 	return all
 }
 
-// Follow lists a kind, then watches it, and calls apply with all objects after each change. It goes on through
-// outages with what it heard last.
-func Follow(ctx context.Context, cl *platform.Client, kind string, lg log.Interface, apply func([]platform.Object)) {
+// Follow lists a kind, then watches it with at least pace between two calls, and calls apply with all objects after each
+// change. It goes on through outages with what it heard last.
+func Follow(ctx context.Context, cl *platform.Client, kind string, pace time.Duration, lg log.Interface, apply func([]platform.Object)) {
 	pause := minPause
 	for ctx.Err() == nil {
-		err := follow(ctx, cl, kind, apply, func() { pause = minPause })
+		err := follow(ctx, cl, kind, pace, apply, func() { pause = minPause })
 		if ctx.Err() != nil {
 			return
 		}
@@ -101,7 +108,7 @@
 	}
 }
 
-func follow(ctx context.Context, cl *platform.Client, kind string, apply func([]platform.Object), heard func()) error {
+func follow(ctx context.Context, cl *platform.Client, kind string, pace time.Duration, apply func([]platform.Object), heard func()) error {
 	l, err := cl.List(ctx, kind)
 	if err != nil {
 		return err
@@ -123,6 +130,11 @@
 			}
 			apply(items)
 		}
+		select {
+		case <-time.After(pace):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 		next, err := cl.Watch(ctx, kind, l.Version, watchWait)
 		if err != nil {
 			return err
--- a/internal/duty/operators/operators.go
+++ b/internal/duty/operators/operators.go
@@ -6,6 +6,7 @@
 	"crypto/subtle"
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -13,12 +14,14 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-chi/chi/v5"
 
+	"github.com/silvermount/silvermount/internal/bundle"
 	"github.com/silvermount/silvermount/internal/burn"
 	"github.com/silvermount/silvermount/internal/config"
 	"github.com/silvermount/silvermount/internal/duty/listen"
 	"github.com/silvermount/silvermount/internal/fleet"
 	"github.com/silvermount/silvermount/internal/kernel"
 	"github.com/silvermount/silvermount/internal/peer"
+	"github.com/silvermount/silvermount/internal/platform"
 	"github.com/silvermount/silvermount/internal/rollout"
 	"github.com/silvermount/silvermount/internal/serve"
 )
@@ -47,6 +50,7 @@
 	metrics *metrics.Set
 	mesh    *peer.Mesh
 	server  *serve.Server
+	store   *platform.Client
 }
 
 // Status is what an instance says of itself.
@@ -105,6 +109,9 @@
 	if a.server, err = kernel.Need[*serve.Server](env); err != nil {
 		return nil, err
 	}
+	if a.store, err = kernel.Need[*platform.Client](env); err != nil {
+		return nil, err
+	}
 	ls, err := kernel.Need[*listen.Listeners](env)
 	if err != nil {
 		return nil, err
@@ -133,6 +140,7 @@
 	rt.Get("/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, ap.status()) })
 	rt.Get("/burn", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, ap.burn.Windows()) })
 	rt.Get("/bundle", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, ap.bundles.Current()) })
+	rt.Post("/prepare/{version}", ap.prepare)
 	rt.Post("/targets/{target}/leave", func(w http.ResponseWriter, r *http.Request) {
 		ap.fleet.MarkLeaving(chi.URLParam(r, "target"))
 		w.WriteHeader(http.StatusAccepted)
@@ -140,6 +148,34 @@
 	return rt
 }
 
+// Prepared is the answer to a prepare.
+type Prepared struct {
+	Version int64 `json:"version"`
+	// Fault is empty when the instance can put the bundle in force.
+	Fault string `json:"fault,omitempty"`
+}
+
+// prepare fetches and checks a pushed bundle, without putting it in force.
+func (ap *api) prepare(w http.ResponseWriter, r *http.Request) {
+	version, err := strconv.ParseInt(chi.URLParam(r, "version"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	answer := Prepared{Version: version}
+	o, err := ap.store.Get(r.Context(), platform.KindBundles, strconv.FormatInt(version, 10))
+	if err == nil {
+		var b bundle.Bundle
+		if b, err = bundle.Parse(o.Value); err == nil {
+			err = b.FitsStop(ap.env.Settings.Stop.Drain.Std()).OrNil()
+		}
+	}
+	if err != nil {
+		answer.Fault = err.Error()
+	}
+	writeJSON(w, answer)
+}
+
 func (ap *api) keyed(next http.Handler) http.Handler {
 	want := []byte(ap.env.Settings.Operators.Key)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/duty/peers/peers.go
+++ b/internal/duty/peers/peers.go
@@ -30,6 +30,12 @@
 	if s.Peers.Heartbeat == 0 {
 		s.Peers.Heartbeat = config.Duration(500 * time.Millisecond)
 	}
+	if s.Peers.FullMesh == 0 {
+		s.Peers.FullMesh = 32
+	}
+	if s.Peers.RemoteLinks == 0 {
+		s.Peers.RemoteLinks = 2
+	}
 	if s.Peers.RemoteEvery == 0 {
 		s.Peers.RemoteEvery = 2
 	}
@@ -87,6 +93,7 @@
 	ledger := grant.New(env.Settings.Routing.LongPerTarget, fl.Busy, time.Now)
 	ms := peer.New(fl, holder, ledger, env.Stopping.Load, peer.Options{
 		Secret: p.Secret, TLS: tc, Heartbeat: p.Heartbeat.Std(), RemoteEvery: p.RemoteEvery, Seeds: p.Seeds,
+		FullMesh: p.FullMesh, RemoteLinks: p.RemoteLinks,
 		Blocked: blocked, Log: env.Logger("peers"),
 	})
 	kernel.Provide(env, ms)
--- a/internal/duty/sweep/sweep.go
+++ b/internal/duty/sweep/sweep.go
@@ -23,8 +23,6 @@
 	callTimeout = 2 * time.Second
 	// grace is the time past its deadline after which an attempt is surely over.
 	grace = 2 * time.Second
-	// goneFor is how long a holder must be silent before what it holds is freed.
-	goneFor = 10 * time.Second
 )
 
 func start(_ context.Context, env *kernel.Env) (kernel.Stop, error) {
@@ -55,10 +53,10 @@
 	}), nil
 }
 
-// Sweep frees, at the targets that this instance owns, what is past its deadline or held for an incarnation that is
-// gone. It returns how many it freed.
+// Sweep frees, at the targets that this instance owns, what is past its deadline or held for an incarnation that has
+// ended. It returns how many it freed.
 func Sweep(ctx context.Context, fl *fleet.Fleet, clients reports.Clients) int {
-	gone := Gone(fl.Peers())
+	gone := fl.Ended()
 	freed := 0
 	for _, t := range fl.Owned() {
 		if t.Kind == fleet.KindEngine {
@@ -68,17 +66,6 @@
 	return freed
 }
 
-// Gone returns the incarnations of peers that have been silent for long.
-func Gone(peers []fleet.PeerStatus) set.Set[string] {
-	gone := set.Of[string]()
-	for _, p := range peers {
-		if p.Incarnation != "" && p.Heard > goneFor {
-			gone = gone.With(p.Incarnation)
-		}
-	}
-	return gone
-}
-
 func sweepOne(ctx context.Context, cl *engine.Client, gone set.Set[string]) int {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- /dev/null
+++ b/internal/duty/sweep/sweep_test.go
@@ -0,0 +1,45 @@
+package sweep
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/silvermount/silvermount/internal/engine"
+	"github.com/silvermount/silvermount/internal/fleet"
+	"github.com/silvermount/silvermount/internal/set"
+)
+
+func TestOver(t *testing.T) {
+	tests := map[string]struct {
+		held engine.Held
+		want bool
+	}{
+		"running":                 {held: engine.Held{Holder: "live", LeftMillis: 1}},
+		"just past its deadline":  {held: engine.Held{Holder: "live", LeftMillis: -1}},
+		"past deadline and grace": {held: engine.Held{Holder: "live", LeftMillis: -(grace.Milliseconds() + 1)}, want: true},
+		"holder has ended":        {held: engine.Held{Holder: "ended", LeftMillis: 1e6}, want: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			NewWithT(t).Expect(Over(tc.held, set.Of("ended"))).To(Equal(tc.want))
+		})
+	}
+}
+
+// TestSilenceIsNoEnd shows that the work of an instance that is merely cut off is not swept away.
+func TestSilenceIsNoEnd(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	fl := fleet.New(fleet.Instance{Name: "self"}, fleet.WithNow(func() time.Time { return now }))
+	peer := fleet.Instance{Name: "p", Incarnation: "p-1"}
+	fl.SetInstances([]fleet.Listed{{Instance: peer, Version: 1}})
+	fl.ApplyBeat(fleet.Beat{From: peer})
+	now = now.Add(time.Hour)
+	g.Expect(fl.Ended().Has("p-1")).To(BeFalse())
+	fl.ApplyBeat(fleet.Beat{From: fleet.Instance{Name: "p", Incarnation: "p-2"}})
+	g.Expect(fl.Ended().Has("p-1")).To(BeTrue())
+	fl.SetInstances(nil)
+	g.Expect(fl.Ended().Has("p-2")).To(BeTrue())
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"github.com/silvermount/silvermount/internal/engine"
 	"github.com/silvermount/silvermount/internal/grant"
 	"github.com/silvermount/silvermount/internal/policy"
+	"github.com/silvermount/silvermount/internal/set"
 )
 
 // Kind says what a target is.
@@ -48,6 +49,8 @@
 	// PeerAddress and CallersAddress are IP addresses with a port.
 	PeerAddress    string `json:"peer_address"`
 	CallersAddress string `json:"callers_address"`
+	// OperatorsAddress is where its status is asked for.
+	OperatorsAddress string `json:"operators_address,omitempty"`
 }
 
 // Work is load in flight at one target.
@@ -118,6 +121,10 @@
 	heardAt  time.Time
 	version  int64
 	stopping bool
+	listed   bool
+	// renewal is the version of its object, and renewedAt when that last changed.
+	renewal   int64
+	renewedAt time.Time
 }
 
 // Fleet is safe for use by any goroutine.
@@ -129,6 +136,8 @@
 	mu      sync.Mutex
 	targets map[string]*knownTarget
 	peers   map[string]*knownPeer
+	// ended only grows, up to a bound.
+	ended set.Set[string]
 	// changed is closed and replaced whenever a decision could come out differently.
 	changed chan struct{}
 	// order is the sorted names of targets; nil when stale.
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -22,6 +22,8 @@
 	downFor = time.Second
 	// ejectFloor is the least share of targets that stays in.
 	ejectFloor = 0.5
+	// manyTargets is the number of candidates from which only those nearby are weighed.
+	manyTargets = 64
 	// rateSampleTokens is the shortest prompt whose time tells the rate.
 	rateSampleTokens = 1000
 )
@@ -189,7 +191,7 @@
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	now := fl.now()
-	fit := fl.eligible(wn)
+	fit := fl.nearby(fl.eligible(wn))
 	in := slices.DeleteFunc(slices.Clone(fit), func(kt *knownTarget) bool { return now.Before(kt.ejectUntil) })
 	if float64(len(in)) >= ejectFloor*float64(len(fit)) {
 		fit = in
@@ -204,6 +206,24 @@
 	return vw
 }
 
+// nearby leaves out other availability zones in a large fleet, where this one has targets enough and a message to
+// each other zone for every decision would not pay.
+func (fl *Fleet) nearby(all []*knownTarget) []*knownTarget {
+	if len(all) <= manyTargets {
+		return all
+	}
+	var near []*knownTarget
+	for _, kt := range all {
+		if kt.AvailabilityZone == fl.self.AvailabilityZone {
+			near = append(near, kt)
+		}
+	}
+	if len(near) == 0 {
+		return all
+	}
+	return near
+}
+
 func (kt *knownTarget) confirmedAt() time.Time {
 	heard := kt.summaryAt.Add(-kt.summary.Age)
 	if kt.reportAt.After(heard) {
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -24,6 +24,9 @@
 	Leaving map[string]string
 }
 
+// goneAfter is the silence after which nobody expects a peer to come back as it was.
+const goneAfter = 10 * time.Minute
+
 // PeerStatus is what is known of one peer.
 type PeerStatus struct {
 	Instance
@@ -33,6 +36,8 @@
 	BundleVersion int64
 	// Live is false for a peer that is silent or stopping.
 	Live bool
+	// Listed is set while the platform lists it.
+	Listed bool
 }
 
 // ApplyBeat takes a heartbeat.
@@ -46,6 +51,7 @@
 	}
 	if kp.Incarnation != "" && kp.Incarnation != b.From.Incarnation {
 		fl.forgetWork(b.From.Name)
+		fl.markEnded(kp.Incarnation)
 	}
 	address := kp.PeerAddress
 	kp.Instance = b.From
@@ -114,17 +120,18 @@
 	var ps []PeerStatus
 	for _, kp := range fl.peers {
 		ps = append(ps, PeerStatus{
-			Instance: kp.Instance, Heard: fl.now().Sub(kp.heardAt), BundleVersion: kp.version, Live: fl.live(kp),
+			Instance: kp.Instance, Heard: fl.now().Sub(kp.heardAt), BundleVersion: kp.version, Live: fl.live(kp), Listed: kp.listed,
 		})
 	}
 	slices.SortFunc(ps, func(a, b PeerStatus) int { return strings.Compare(a.Name, b.Name) })
 	return ps
 }
 
-// PeerByIncarnation returns the peer that has an incarnation, unless it is silent. It may be stopping.
+// PeerByIncarnation returns the peer that has an incarnation. It may be stopping, or gone without a word; a peer in
+// another availability zone is often known from the platform only.
 func (fl *Fleet) PeerByIncarnation(incarnation string) (Instance, bool) {
 	for _, p := range fl.Peers() {
-		if p.Incarnation == incarnation && p.Heard < fl.lost {
+		if p.Incarnation == incarnation && p.Heard < goneAfter {
 			return p.Instance, true
 		}
 	}
@@ -172,21 +179,91 @@
 	return sum
 }
 
-// Introduce makes a peer known that has not been heard of yet, so that it is dialled.
-func (fl *Fleet) Introduce(in Instance) {
+// SetInstances takes the platform's list of instances, so that those not heard of yet are dialled. One that is no
+// longer listed has ended: an instance takes its entry back after its last request.
+func (fl *Fleet) SetInstances(list []Listed) {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
-	if in.Name == fl.self.Name {
-		return
+	listed := map[string]bool{}
+	for _, in := range list {
+		if in.Name != fl.self.Name {
+			listed[in.Name] = true
+			fl.introduce(in)
+			fl.noteRenewal(in)
+		}
 	}
+	for name, kp := range fl.peers {
+		if kp.listed && !listed[name] {
+			kp.listed = false
+			fl.markEnded(kp.Incarnation)
+		}
+	}
+}
+
+// Listed is an instance in the platform's list, with the version of its object.
+type Listed struct {
+	Instance
+	Version int64
+}
+
+// noteRenewal notes by this instance's own clock when an instance's object last changed.
+func (fl *Fleet) noteRenewal(in Listed) {
+	kp := fl.peers[in.Name]
+	if kp.renewal != in.Version {
+		kp.renewal, kp.renewedAt = in.Version, fl.now()
+	}
+}
+
+// Gone reports whether an incarnation has ended, or has neither been heard of nor renewed its object for a time.
+func (fl *Fleet) Gone(incarnation string, silence time.Duration) bool {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	if fl.ended.Has(incarnation) {
+		return true
+	}
+	now := fl.now()
+	for _, kp := range fl.peers {
+		if kp.Incarnation == incarnation {
+			return now.Sub(kp.heardAt) > silence && now.Sub(kp.renewedAt) > silence
+		}
+	}
+	return false
+}
+
+func (fl *Fleet) introduce(in Listed) {
 	kp := fl.peers[in.Name]
 	if kp == nil {
-		kp = &knownPeer{Instance: in, heardAt: fl.now().Add(-fl.lost)}
+		kp = &knownPeer{heardAt: fl.now().Add(-fl.lost)}
 		fl.peers[in.Name] = kp
 	}
-	if fl.now().Sub(kp.heardAt) >= fl.lost {
-		kp.PeerAddress = in.PeerAddress
+	kp.listed = true
+	if fl.now().Sub(kp.heardAt) < fl.lost {
+		return
+	}
+	if kp.Incarnation != in.Incarnation {
+		fl.markEnded(kp.Incarnation)
 	}
+	kp.Instance = in.Instance
+}
+
+// maxEnded bounds the ended incarnations that are remembered.
+const maxEnded = 4096
+
+func (fl *Fleet) markEnded(incarnation string) {
+	if incarnation == "" {
+		return
+	}
+	if fl.ended.Len() >= maxEnded {
+		fl.ended = set.Of[string]()
+	}
+	fl.ended = fl.ended.With(incarnation)
+}
+
+// Ended returns the incarnations of instances that are known to have ended. Silence alone is no such knowledge.
+func (fl *Fleet) Ended() set.Set[string] {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return fl.ended
 }
 
 // Busy returns the long prompts and memory in flight at a target, and the memory it has.
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -12,6 +12,7 @@
 	_ "github.com/silvermount/silvermount/internal/duty/bundles"
 	_ "github.com/silvermount/silvermount/internal/duty/callers"
 	_ "github.com/silvermount/silvermount/internal/duty/cancels"
+	_ "github.com/silvermount/silvermount/internal/duty/jobs"
 	_ "github.com/silvermount/silvermount/internal/duty/knowledge"
 	"github.com/silvermount/silvermount/internal/duty/listen"
 	_ "github.com/silvermount/silvermount/internal/duty/operators"
@@ -72,5 +73,14 @@
 	return "http://" + ls.Operators.Addr().String()
 }
 
+// PeersAddress returns the address for other instances.
+func (in *Instance) PeersAddress() string {
+	ls, err := kernel.Need[*listen.Listeners](in.kn.Env)
+	if err != nil {
+		return ""
+	}
+	return ls.Peers.Addr().String()
+}
+
 // Stop ends the instance; attached requests are served to their end.
 func (in *Instance) Stop(ctx context.Context) error { return in.kn.Stop(ctx) }
--- /dev/null
+++ b/internal/job/job.go
@@ -0,0 +1,133 @@
+// Package job defines work that nobody waits for, kept in the platform's store until it is done.
+package job
+
+import (
+	"time"
+
+	"github.com/silvermount/silvermount/internal/failure"
+)
+
+// State is where a job stands.
+type State string
+
+// The states of a job. All but Queued and Running are final.
+const (
+	Queued    State = "queued"
+	Running   State = "running"
+	Done      State = "done"
+	Failed    State = "failed"
+	Cancelled State = "cancelled"
+	// Unknown is the state of a job that may not be repeated and whose run was lost.
+	Unknown State = "unknown"
+)
+
+// Final reports whether nothing more happens to a job in the state.
+func (st State) Final() bool { return st != Queued && st != Running }
+
+// Record is the stored object of a job. It is immutable; the With methods return copies.
+type Record struct {
+	// ID is unique.
+	ID string `json:"id"`
+	// Organisation and Class say whose work it is.
+	Organisation string `json:"organisation"`
+	Class        string `json:"class"`
+	// Path is that of the callers' protocol, such as /v1/completions.
+	Path string `json:"path"`
+	// Never is set when the job may not be run twice.
+	Never bool `json:"never,omitempty"`
+	// Parts is the number of stored parts of the body.
+	Parts int `json:"parts"`
+	// Created and Deadline are by the clock of the instance that accepted the job.
+	Created  time.Time `json:"created"`
+	Deadline time.Time `json:"deadline"`
+	State    State     `json:"state"`
+	// Owner is the incarnation that runs the job; empty unless Running.
+	Owner string `json:"owner,omitempty"`
+	// Dispatched is set before a job that may not be repeated is sent to a target.
+	Dispatched bool `json:"dispatched,omitempty"`
+	// Result is set once the state is final.
+	Result *Result `json:"result,omitempty"`
+}
+
+// Result is the end of a job.
+type Result struct {
+	// Ended is by the clock of the last owner.
+	Ended time.Time `json:"ended"`
+	// Status, ContentType and Parts are those of the answer of a job that is done.
+	Status      int    `json:"status,omitempty"`
+	ContentType string `json:"content_type,omitempty"`
+	Parts       int    `json:"parts,omitempty"`
+	// Code, Outcome and Message are set for one that is not.
+	Code    failure.Code    `json:"code,omitempty"`
+	Outcome failure.Outcome `json:"outcome,omitempty"`
+	Message string          `json:"message,omitempty"`
+}
+
+// WithOwner returns the record as run by an incarnation.
+func (rc Record) WithOwner(incarnation string) Record {
+	rc.State, rc.Owner = Running, incarnation
+	return rc
+}
+
+// WithQueued returns the record as given back by its owner.
+func (rc Record) WithQueued() Record {
+	rc.State, rc.Owner, rc.Dispatched = Queued, "", false
+	return rc
+}
+
+// WithDispatched returns the record as about to be sent to a target.
+func (rc Record) WithDispatched() Record {
+	rc.Dispatched = true
+	return rc
+}
+
+// WithEnd returns the record in a final state.
+func (rc Record) WithEnd(st State, rs Result) Record {
+	rc.State, rc.Owner, rc.Result = st, "", &rs
+	return rc
+}
+
+// Step is what an instance does about a job next.
+type Step int
+
+// The steps.
+const (
+	// Leave does nothing.
+	Leave Step = iota
+	// Take claims the job and runs it.
+	Take
+	// GiveUp ends a job whose only run was lost.
+	GiveUp
+	// Expire ends a job whose deadline is past.
+	Expire
+	// Forget deletes a job whose result was kept for its time.
+	Forget
+)
+
+// Keep is how long a job's result is kept.
+const Keep = 24 * time.Hour
+
+// Next decides about a job that this instance is responsible for. ownerGone tells whether an incarnation has ended.
+// The decision is pure; what it leads to rests on a conditional write, so that two instances that both think
+// themselves responsible cost a refused write and no second run.
+func Next(rc Record, now time.Time, ownerGone func(incarnation string) bool) Step {
+	switch {
+	case rc.State.Final():
+		if rc.Result != nil && now.Sub(rc.Result.Ended) > Keep {
+			return Forget
+		}
+		return Leave
+	case rc.State == Queued && now.After(rc.Deadline):
+		return Expire
+	case rc.State == Queued:
+		return Take
+	case !ownerGone(rc.Owner):
+		return Leave
+	case rc.Never && rc.Dispatched:
+		return GiveUp
+	case now.After(rc.Deadline):
+		return Expire
+	default:
+		return Take
+	}
+}
--- /dev/null
+++ b/internal/job/job_test.go
@@ -0,0 +1,40 @@
+package job
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestNext(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	open := Record{State: Queued, Deadline: now.Add(time.Hour)}
+	late := Record{State: Queued, Deadline: now.Add(-time.Second)}
+	kept := open.WithEnd(Done, Result{Ended: now.Add(-Keep / 2)})
+	old := open.WithEnd(Done, Result{Ended: now.Add(-Keep - 1)})
+	never := open
+	never.Never = true
+	tests := map[string]struct {
+		rc   Record
+		want Step
+	}{
+		"queued is taken":                            {rc: open, want: Take},
+		"queued past its deadline":                   {rc: late, want: Expire},
+		"running by a live owner":                    {rc: open.WithOwner("live"), want: Leave},
+		"late but running by a live owner":           {rc: late.WithOwner("live"), want: Leave},
+		"owner is gone":                              {rc: open.WithOwner("gone"), want: Take},
+		"owner is gone past the deadline":            {rc: late.WithOwner("gone"), want: Expire},
+		"never repeated, owner gone before dispatch": {rc: never.WithOwner("gone"), want: Take},
+		"never repeated, owner gone after dispatch":  {rc: never.WithOwner("gone").WithDispatched(), want: GiveUp},
+		"never repeated, given back before dispatch": {rc: never.WithOwner("gone").WithQueued(), want: Take},
+		"result is kept":                             {rc: kept, want: Leave},
+		"result was kept long enough":                {rc: old, want: Forget},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := Next(tc.rc, now, func(incarnation string) bool { return incarnation == "gone" })
+			NewWithT(t).Expect(got).To(Equal(tc.want))
+		})
+	}
+}
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -25,7 +25,6 @@
 	PhasePeers
 	PhaseWork
 	PhaseListen
-	PhaseAnnounce
 )
 
 // Duty is one part of an instance. Its function fields may be nil, but for Start.
--- /dev/null
+++ b/internal/localfleet/front.go
@@ -0,0 +1,41 @@
+package localfleet
+
+import (
+	"io"
+	"net/http"
+	"sync/atomic"
+)
+
+// Front stands between one instance and the platform's stand-in, so that the instance can be cut off from it.
+type Front struct {
+	*Server
+	cut atomic.Bool
+}
+
+// NewFront returns a front before a base URL.
+func NewFront(base string) (*Front, error) {
+	fr := &Front{}
+	sr, err := Serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fr.pass(w, r, base) }))
+	fr.Server = sr
+	return fr, err
+}
+
+// SetCut cuts the instance off, or lets it through again.
+func (fr *Front) SetCut(cut bool) { fr.cut.Store(cut) }
+
+func (fr *Front) pass(w http.ResponseWriter, r *http.Request, base string) {
+	if fr.cut.Load() {
+		panic(http.ErrAbortHandler)
+	}
+	req, err := http.NewRequestWithContext(r.Context(), r.Method, base+r.URL.RequestURI(), r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil || fr.cut.Load() {
+		panic(http.ErrAbortHandler)
+	}
+	defer resp.Body.Close()
+	w.WriteHeader(resp.StatusCode)
+	_, _ = io.Copy(w, resp.Body) // the instance may have gone
+}
--- a/internal/localfleet/localfleet.go
+++ b/internal/localfleet/localfleet.go
@@ -32,6 +32,7 @@
 	OperatorKey = "local-operator-key"
 	ClassCall   = "call"
 	ClassBatch  = "batch"
+	ClassJob    = "overnight"
 
 	loopback  = "127.0.0.1:0"
 	peerKey   = "local-peer-secret"
@@ -120,6 +121,10 @@
 				Name: ClassBatch, Deadline: seconds(600), Priority: 1, Yields: true, ContinueElsewhere: true,
 				Objective: bundle.Objective{FirstToken: seconds(300), Share: 0.95},
 			},
+			{
+				Name: ClassJob, Deadline: seconds(8 * 3600), Job: true, Yields: true,
+				Objective: bundle.Objective{FirstToken: seconds(8 * 3600), Share: 0.95},
+			},
 		},
 	}
 }
--- a/internal/peer/beat.go
+++ b/internal/peer/beat.go
@@ -12,10 +12,8 @@
 // instance knows of the targets that it owns itself. So each pair exchanges a few lines only, whatever the size of
 // the fleet. Answers carry summaries, first beats carry usage.
 func (ms *Mesh) beatFor(peer string, seq uint64, answer bool) *peerpb.Beat {
-	self := ms.fl.Self()
 	b := &peerpb.Beat{
-		Seq: seq, BundleVersion: ms.bundles.Version(), Stopping: ms.stopping(), CallersAddress: self.CallersAddress,
-		Instance: self.Name, Incarnation: self.Incarnation, AvailabilityZone: self.AvailabilityZone, Answer: answer,
+		Seq: seq, BundleVersion: ms.bundles.Version(), Stopping: ms.stopping(), Answer: answer,
 	}
 	for target, incarnation := range ms.fl.Leaving() {
 		b.Leaving = append(b.Leaving, &peerpb.Leaving{Target: target, Incarnation: incarnation})
@@ -61,10 +59,16 @@
 	return wk
 }
 
+// sender returns who a hello says it is from.
+func sender(h *peerpb.Hello) fleet.Instance {
+	return fleet.Instance{
+		Name: h.GetInstance(), Incarnation: h.GetIncarnation(), AvailabilityZone: h.GetAvailabilityZone(),
+		PeerAddress: h.GetPeerAddress(), CallersAddress: h.GetCallersAddress(),
+	}
+}
+
 // applyBeat takes a heartbeat from either side of a stream. Only first beats tell usage.
 func (ms *Mesh) applyBeat(from fleet.Instance, pb *peerpb.Beat) {
-	from.Name, from.Incarnation, from.AvailabilityZone = pb.GetInstance(), pb.GetIncarnation(), pb.GetAvailabilityZone()
-	from.CallersAddress = pb.GetCallersAddress()
 	b := fleet.Beat{
 		From: from, BundleVersion: pb.GetBundleVersion(), Stopping: pb.GetStopping(), Leaving: map[string]string{},
 	}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -1,13 +1,16 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"storj.io/drpc/drpcconn"
 
@@ -27,13 +30,13 @@
 
 // link is the stream that this instance opened to one peer.
 type link struct {
-	ms       *Mesh
-	address  string
-	cancel   context.CancelFunc
-	up       atomic.Bool
-	instance atomic.Pointer[string]
-	zone     atomic.Pointer[string]
-	out      *ring.Ring[*peerpb.Frame]
+	ms      *Mesh
+	address string
+	cancel  context.CancelFunc
+	up      atomic.Bool
+	// peer is known from the first answer on.
+	peer atomic.Pointer[fleet.Instance]
+	out  *ring.Ring[*peerpb.Frame]
 
 	mu      sync.Mutex
 	answers map[uint64]chan bool
@@ -59,12 +62,29 @@
 	}
 }
 
-// connect opens links to peers that have none and closes those to peers long gone.
-func (ms *Mesh) connect(ctx context.Context) {
+// wanted returns the addresses of peers, and whether a link to each is to be kept: all of a small fleet; of a large one
+// those of this availability zone and the few of each other that have the highest hash with this instance.
+func (ms *Mesh) wanted() map[string]bool {
+	peers := ms.fl.Peers()
+	self := ms.fl.Self()
+	rank := func(p fleet.PeerStatus) uint64 { return xxhash.Sum64String(self.Name + "\x00" + p.Name) }
+	slices.SortFunc(peers, func(a, b fleet.PeerStatus) int { return cmp.Compare(rank(b), rank(a)) })
 	wanted := map[string]bool{}
-	for _, p := range ms.fl.Peers() {
-		wanted[p.PeerAddress] = wanted[p.PeerAddress] || p.Heard < forgetAfter
+	remote := map[string]int{}
+	for _, p := range peers {
+		keep := p.Listed || p.Heard < forgetAfter
+		if far := p.AvailabilityZone != self.AvailabilityZone; far && keep && len(peers) > ms.opts.FullMesh {
+			keep = remote[p.AvailabilityZone] < ms.opts.RemoteLinks
+			remote[p.AvailabilityZone]++
+		}
+		wanted[p.PeerAddress] = wanted[p.PeerAddress] || keep
 	}
+	return wanted
+}
+
+// connect opens links to peers that have none and closes those to peers long gone.
+func (ms *Mesh) connect(ctx context.Context) {
+	wanted := ms.wanted()
 	for _, s := range ms.opts.Seeds {
 		wanted[s] = true
 	}
@@ -135,7 +155,7 @@
 		return errors.Wrap(err, "open stream")
 	}
 	defer stream.Close()
-	if err := stream.Send(lk.ms.hello()); err != nil {
+	if err := stream.Send(&peerpb.Frame{Kind: &peerpb.Frame_Hello{Hello: lk.ms.hello()}}); err != nil {
 		return errors.Wrap(err, "send hello")
 	}
 	go func() {
@@ -184,7 +204,7 @@
 }
 
 func (lk *link) sendOne(stream peerpb.DRPCPeer_ExchangeClient, f *peerpb.Frame) error {
-	if z := lk.zone.Load(); z != nil && lk.ms.opts.Blocked(*z) {
+	if p := lk.peer.Load(); p != nil && lk.ms.opts.Blocked(p.AvailabilityZone) {
 		return &UnreachableError{Instance: lk.name()}
 	}
 	lk.ms.Messages.Add(1)
@@ -193,25 +213,34 @@
 
 // due reports whether a heartbeat is sent at this tick; peers elsewhere get fewer.
 func (lk *link) due(n uint64) bool {
-	z := lk.zone.Load()
-	return z == nil || *z == lk.ms.fl.Self().AvailabilityZone || n%uint64(lk.ms.opts.RemoteEvery) == 0
+	p := lk.peer.Load()
+	return p == nil || p.AvailabilityZone == lk.ms.fl.Self().AvailabilityZone || n%uint64(lk.ms.opts.RemoteEvery) == 0
 }
 
 func (lk *link) name() string {
-	if n := lk.instance.Load(); n != nil {
-		return *n
+	if p := lk.peer.Load(); p != nil {
+		return p.Name
 	}
 	return ""
 }
 
+// takeBeat takes an answer. The first one of a stream tells who answers.
+func (lk *link) takeBeat(b *peerpb.Beat) {
+	if h := b.GetSender(); h != nil {
+		in := sender(h)
+		in.PeerAddress = lk.address
+		lk.peer.Store(&in)
+	}
+	if p := lk.peer.Load(); p != nil {
+		lk.up.Store(true)
+		lk.ms.applyBeat(*p, b)
+	}
+}
+
 func (lk *link) take(f *peerpb.Frame) {
 	switch k := f.GetKind().(type) {
 	case *peerpb.Frame_Beat:
-		name, zone := k.Beat.GetInstance(), k.Beat.GetAvailabilityZone()
-		lk.instance.Store(&name)
-		lk.zone.Store(&zone)
-		lk.up.Store(true)
-		lk.ms.applyBeat(fleet.Instance{PeerAddress: lk.address}, k.Beat)
+		lk.takeBeat(k.Beat)
 	case *peerpb.Frame_Answer:
 		lk.mu.Lock()
 		ch := lk.answers[k.Answer.GetId()]
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -49,6 +49,9 @@
 	Heartbeat time.Duration
 	// RemoteEvery is how many beats pass between two to a peer elsewhere.
 	RemoteEvery int
+	// FullMesh is the number of peers up to which all are linked; beyond it only those in the same availability zone
+	// and RemoteLinks in each other.
+	FullMesh, RemoteLinks int
 	// Seeds are tried when they are not yet known as peers.
 	Seeds []string
 	// Blocked cuts the link to a peer; for tests and experiments.
@@ -108,11 +111,8 @@
 		ms.opts.Log.WithField("peer", h.GetInstance()).Warn("peer turned away")
 		return &StrangerError{Instance: h.GetInstance()}
 	}
-	from := fleet.Instance{
-		Name: h.GetInstance(), Incarnation: h.GetIncarnation(), AvailabilityZone: h.GetAvailabilityZone(),
-		PeerAddress: h.GetPeerAddress(),
-	}
-	for {
+	from := sender(h)
+	for told := false; ; {
 		f, err := stream.Recv()
 		if err != nil {
 			return errors.Wrap(err, "receive")
@@ -121,6 +121,9 @@
 			return &UnreachableError{Instance: from.Name}
 		}
 		if out := ms.answer(from, f); out != nil {
+			if b := out.GetBeat(); b != nil && !told {
+				b.Sender, told = ms.hello(), true
+			}
 			if err := stream.Send(out); err != nil {
 				return errors.Wrap(err, "send")
 			}
@@ -165,7 +168,9 @@
 // proof is the keyed digest of who a hello says it is from.
 func proof(secret string, h *peerpb.Hello) []byte {
 	m := hmac.New(sha256.New, []byte(secret))
-	for _, part := range []string{h.GetInstance(), h.GetIncarnation(), h.GetAvailabilityZone(), h.GetPeerAddress(), string(h.GetNonce())} {
+	for _, part := range []string{
+		h.GetInstance(), h.GetIncarnation(), h.GetAvailabilityZone(), h.GetPeerAddress(), h.GetCallersAddress(), string(h.GetNonce()),
+	} {
 		// A hash takes every write.
 		_, _ = m.Write([]byte(part))
 		_, _ = m.Write([]byte{0})
@@ -173,16 +178,16 @@
 	return m.Sum(nil)
 }
 
-func (ms *Mesh) hello() *peerpb.Frame {
+func (ms *Mesh) hello() *peerpb.Hello {
 	self := ms.fl.Self()
 	nonce := make([]byte, nonceBytes)
 	_, _ = rand.Read(nonce) // crypto/rand.Read never fails
 	h := &peerpb.Hello{
 		Instance: self.Name, Incarnation: self.Incarnation, AvailabilityZone: self.AvailabilityZone,
-		PeerAddress: self.PeerAddress, Nonce: nonce,
+		PeerAddress: self.PeerAddress, CallersAddress: self.CallersAddress, Nonce: nonce,
 	}
 	h.Proof = proof(ms.opts.Secret, h)
-	return &peerpb.Frame{Kind: &peerpb.Frame_Hello{Hello: h}}
+	return h
 }
 
 // Grant asks the owner of a target for room; this instance's own ledger is asked directly. When the owner cannot
@@ -220,7 +225,7 @@
 	ms.mu.Lock()
 	defer ms.mu.Unlock()
 	for _, lk := range ms.links {
-		if lk.up.Load() && lk.instance.Load() != nil && *lk.instance.Load() == instance {
+		if lk.up.Load() && lk.name() == instance {
 			return lk
 		}
 	}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -32,6 +32,15 @@
 	return o, ok
 }
 
+// OrganisationNamed returns an organisation by its name.
+func (inf *InForce) OrganisationNamed(name string) (bundle.Organisation, bool) {
+	i := slices.IndexFunc(inf.Organisations, func(o bundle.Organisation) bool { return o.Name == name })
+	if i < 0 {
+		return bundle.Organisation{}, false
+	}
+	return inf.Organisations[i], true
+}
+
 // MayUse reports whether an organisation may use a model.
 func (inf *InForce) MayUse(o bundle.Organisation, model string) bool {
 	return len(o.Models) == 0 || slices.Contains(o.Models, model)
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -2,7 +2,9 @@
 package serve
 
 import (
+	"context"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +18,7 @@
 	"github.com/silvermount/silvermount/internal/cancel"
 	"github.com/silvermount/silvermount/internal/claim"
 	"github.com/silvermount/silvermount/internal/engine"
+	"github.com/silvermount/silvermount/internal/failure"
 	"github.com/silvermount/silvermount/internal/fleet"
 	"github.com/silvermount/silvermount/internal/life"
 	"github.com/silvermount/silvermount/internal/rollout"
@@ -81,11 +84,13 @@
 	mu sync.Mutex
 	// byOrganisation counts requests in flight; entries at zero are removed.
 	byOrganisation map[string]int
+	// mounted are handlers of other duties, by the start of their path.
+	mounted map[string]http.Handler
 }
 
 // New returns a server.
 func New(d Deps, l Limits) *Server {
-	return &Server{Deps: d, limits: l, machine: life.New(), byOrganisation: map[string]int{}}
+	return &Server{Deps: d, limits: l, machine: life.New(), byOrganisation: map[string]int{}, mounted: map[string]http.Handler{}}
 }
 
 // Handler serves the callers' protocol.
@@ -99,9 +104,33 @@
 	rt.Get("/v1/models", sv.models)
 	rt.Post("/v1/tickets", sv.issueTicket)
 	rt.HandleFunc("/services/{service}/*", sv.service)
+	rt.NotFound(sv.other)
 	return rt
 }
 
+// Mount adds the handler of another duty under a path.
+func (sv *Server) Mount(path string, h http.Handler) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.mounted[path] = h
+}
+
+// other serves mounted paths.
+func (sv *Server) other(w http.ResponseWriter, r *http.Request) {
+	sv.mu.Lock()
+	mounted := sv.mounted
+	sv.mu.Unlock()
+	for path, h := range mounted {
+		if rest, ok := strings.CutPrefix(r.URL.Path, path); ok && (rest == "" || rest[0] == '/') {
+			inner := r.Clone(context.WithValue(r.Context(), chi.RouteCtxKey, nil))
+			inner.URL.Path = "/" + strings.TrimPrefix(rest, "/")
+			h.ServeHTTP(w, inner)
+			return
+		}
+	}
+	newSink(w).fail(failure.New(failure.NotFound, failure.NotRun, "no such path"))
+}
+
 // smallAnswerLimit bounds the writing of answers that belong to no admitted request.
 const smallAnswerLimit = 30 * time.Second
 
--- /dev/null
+++ b/internal/signoff/signoff_test.go
@@ -0,0 +1,94 @@
+package signoff
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+
+	"github.com/silvermount/silvermount/internal/bundle"
+	"github.com/silvermount/silvermount/internal/config"
+	"github.com/silvermount/silvermount/internal/localfleet"
+	"github.com/silvermount/silvermount/internal/platform"
+	"github.com/silvermount/silvermount/internal/standin/platformsim"
+)
+
+func office(t *testing.T) (*Office, *platformsim.Store) {
+	t.Helper()
+	st := platformsim.New()
+	sr, err := localfleet.Serve(st.Handler())
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(sr.Close)
+	return New(platform.New(sr.URL)), st
+}
+
+func withClass(name string) bundle.Bundle {
+	return bundle.Bundle{Classes: []bundle.Class{{
+		Name: name, Deadline: config.Duration(time.Second), Objective: bundle.Objective{Share: 0.9},
+	}}}
+}
+
+func TestRacingOperatorsHaveOneWinner(t *testing.T) {
+	g := NewWithT(t)
+	of, _ := office(t)
+	const operators = 6
+	versions := make([]int64, operators)
+	for i := range operators {
+		v, err := of.Push(t.Context(), withClass(string(rune('a'+i))))
+		g.Expect(err).NotTo(HaveOccurred())
+		versions[i] = v
+	}
+	var wg sync.WaitGroup
+	errs := make([]error, operators)
+	for i, v := range versions {
+		wg.Go(func() { errs[i] = of.Sign(t.Context(), v) })
+	}
+	wg.Wait()
+	now, _, err := of.current(t.Context())
+	g.Expect(err).NotTo(HaveOccurred())
+	winners := 0
+	for i, err := range errs {
+		if err == nil {
+			winners++
+			g.Expect(now.Version).To(Equal(versions[i]))
+			continue
+		}
+		var race *RaceError
+		g.Expect(errors.As(err, &race)).To(BeTrue(), "%v", err)
+		g.Expect(race.Winner).To(Equal(now.Version))
+	}
+	g.Expect(winners).To(Equal(1))
+}
+
+func TestLostAnswersAreTheSameSignOff(t *testing.T) {
+	g := NewWithT(t)
+	of, st := office(t)
+	st.LoseAnswers(1)
+	v, err := of.Push(t.Context(), withClass("a"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(v).To(Equal(int64(1)))
+	st.LoseAnswers(1)
+	g.Expect(of.Sign(t.Context(), v)).To(Succeed())
+	g.Expect(of.Sign(t.Context(), v)).To(Succeed())
+	again, err := of.Push(t.Context(), withClass("b"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(again).To(Equal(int64(2)))
+}
+
+func TestDiff(t *testing.T) {
+	tests := map[string]struct {
+		old, next bundle.Bundle
+		want      int
+	}{
+		"same":    {old: withClass("a"), next: withClass("a")},
+		"added":   {next: withClass("a"), want: 1},
+		"renamed": {old: withClass("a"), next: withClass("b"), want: 2},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			NewWithT(t).Expect(Diff(tc.old, tc.next)).To(HaveLen(tc.want))
+		})
+	}
+}
--- /dev/null
+++ b/internal/slopes/slopes.go
@@ -0,0 +1,336 @@
+// Package slopes measures how the cost of control grows with the size of the fleet.
+package slopes
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"runtime"
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/silvermount/silvermount/internal/bundle"
+	"github.com/silvermount/silvermount/internal/config"
+	"github.com/silvermount/silvermount/internal/fleet"
+	"github.com/silvermount/silvermount/internal/kernel"
+	"github.com/silvermount/silvermount/internal/load"
+	"github.com/silvermount/silvermount/internal/localfleet"
+	"github.com/silvermount/silvermount/internal/peer"
+	"github.com/silvermount/silvermount/internal/policy"
+	"github.com/silvermount/silvermount/internal/policy/owners"
+	"github.com/silvermount/silvermount/internal/standin/enginesim"
+)
+
+const (
+	settle   = 500 * time.Millisecond
+	span     = 4 * time.Second
+	stopWait = 10 * time.Second
+	// longTokens is the length from which a prompt is long.
+	longTokens = 100_000
+)
+
+// Point is the cost of control per instance for one size of fleet, without requests.
+type Point struct {
+	Instances int `json:"instances"`
+	Targets   int `json:"targets"`
+	// MessagesPerSecond and BytesPerSecond are sent by one instance to its peers.
+	MessagesPerSecond float64 `json:"messages_per_second"`
+	BytesPerSecond    float64 `json:"bytes_per_second"`
+	// CoreShare is the processor time of one instance, its share of the stand-ins included, as a share of a core.
+	CoreShare float64 `json:"core_share"`
+	// HeapBytes is the heap of one instance, its share of the stand-ins included.
+	HeapBytes float64 `json:"heap_bytes"`
+	// StoreReads and StoreWrites are a second for one instance.
+	StoreReads  float64 `json:"store_reads_per_second"`
+	StoreWrites float64 `json:"store_writes_per_second"`
+}
+
+// Requests is the cost of serving for one rate.
+type Requests struct {
+	PerSecond         float64 `json:"requests_per_second"`
+	MessagesPerSecond float64 `json:"messages_per_second"`
+	BytesPerSecond    float64 `json:"bytes_per_second"`
+	Served            int     `json:"served"`
+}
+
+// Latency is the time of short requests on an idle engine, with and without an instance between.
+type Latency struct {
+	DirectP50 time.Duration `json:"direct_p50"`
+	DirectP99 time.Duration `json:"direct_p99"`
+	EntryP50  time.Duration `json:"entry_p50"`
+	EntryP99  time.Duration `json:"entry_p99"`
+}
+
+// Decision is the time of one routing decision.
+type Decision struct {
+	Targets  int           `json:"targets"`
+	Peers    int           `json:"peers"`
+	Decision time.Duration `json:"decision"`
+}
+
+// Bundle is the size of a bundle, and the time to take it in.
+type Bundle struct {
+	Organisations int           `json:"organisations"`
+	Bytes         int           `json:"bytes"`
+	Parse         time.Duration `json:"parse"`
+}
+
+// Report is all that was measured.
+type Report struct {
+	Points    []Point    `json:"points"`
+	Requests  []Requests `json:"requests"`
+	Latency   Latency    `json:"latency"`
+	Decisions []Decision `json:"decisions"`
+	Bundles   []Bundle   `json:"bundles"`
+}
+
+// Options select what is measured.
+type Options struct {
+	// Instances are the sizes of fleet.
+	Instances []int
+	// Progress gets a line for each figure.
+	Progress io.Writer
+	// Log is used by the instances.
+	Log log.Interface
+}
+
+// Run measures everything.
+func Run(ctx context.Context, o Options) (Report, error) {
+	var rp Report
+	for _, n := range o.Instances {
+		p, err := point(ctx, o, n)
+		if err != nil {
+			return rp, errors.Wrapf(err, "measure %d instances", n)
+		}
+		rp.Points = append(rp.Points, p)
+		fmt.Fprintf(o.Progress, "%d instances, %d targets: %.0f messages/s, %.0f bytes/s, %.2f%% of a core, %.1f MB, %.2f reads/s, %.3f writes/s each\n",
+			p.Instances, p.Targets, p.MessagesPerSecond, p.BytesPerSecond, 100*p.CoreShare, p.HeapBytes/1e6, p.StoreReads, p.StoreWrites)
+	}
+	for _, rate := range []float64{50, 100, 200, 400} {
+		r, err := requests(ctx, o, rate)
+		if err != nil {
+			return rp, errors.Wrap(err, "measure requests")
+		}
+		rp.Requests = append(rp.Requests, r)
+		fmt.Fprintf(o.Progress, "%.0f requests/s over 8 instances: %.0f messages/s, %.0f bytes/s each\n", r.PerSecond, r.MessagesPerSecond, r.BytesPerSecond)
+	}
+	var err error
+	if rp.Latency, err = latency(ctx, o); err != nil {
+		return rp, errors.Wrap(err, "measure latency")
+	}
+	fmt.Fprintf(o.Progress, "direct p50 %s p99 %s, by an instance p50 %s p99 %s\n",
+		rp.Latency.DirectP50, rp.Latency.DirectP99, rp.Latency.EntryP50, rp.Latency.EntryP99)
+	rp.Decisions = decisions()
+	for _, d := range rp.Decisions {
+		fmt.Fprintf(o.Progress, "%d targets, %d peers: %s a decision\n", d.Targets, d.Peers, d.Decision)
+	}
+	rp.Bundles, err = bundles()
+	for _, b := range rp.Bundles {
+		fmt.Fprintf(o.Progress, "%d organisations: %d bytes, %s to take in\n", b.Organisations, b.Bytes, b.Parse)
+	}
+	return rp, err
+}
+
+// defaults gives an instance the heartbeats of a real fleet instead of a test's.
+func defaults(s *config.Settings) {
+	s.Peers.Heartbeat, s.Routing.ReportEvery = 0, 0
+	s.Platform.Registration = config.Duration(5 * time.Second)
+}
+
+func point(ctx context.Context, o Options, n int) (Point, error) {
+	p := Point{Instances: n, Targets: 4 * n}
+	runtime.GC()
+	heapBefore := heap()
+	// One availability zone, so that every pair exchanges at the full rate.
+	lf, err := localfleet.Start(ctx, localfleet.Options{
+		Zones: 1, Engines: p.Targets, Instances: n, Params: enginesim.DefaultParams(), Log: o.Log, Adjust: defaults,
+	})
+	if err != nil {
+		return p, err
+	}
+	defer closeFleet(ctx, lf)
+	time.Sleep(settle)
+	before := wire(lf)
+	beforeReads, beforeWrites := lf.Store.Calls()
+	cpu, began := processor(), time.Now()
+	time.Sleep(span)
+	took := time.Since(began).Seconds()
+	p.CoreShare = (processor() - cpu).Seconds() / took / float64(n)
+	after := wire(lf)
+	p.MessagesPerSecond, p.BytesPerSecond = after.minus(before).each(took, n)
+	reads, writes := lf.Store.Calls()
+	p.StoreReads = float64(reads-beforeReads) / took / float64(n)
+	p.StoreWrites = float64(writes-beforeWrites) / took / float64(n)
+	runtime.GC()
+	p.HeapBytes = (heap() - heapBefore) / float64(n)
+	return p, nil
+}
+
+type traffic struct{ messages, bytes int64 }
+
+func (tr traffic) minus(o traffic) traffic {
+	return traffic{tr.messages - o.messages, tr.bytes - o.bytes}
+}
+
+func (tr traffic) each(seconds float64, n int) (messages, bytes float64) {
+	return float64(tr.messages) / seconds / float64(n), float64(tr.bytes) / seconds / float64(n)
+}
+
+func wire(lf *localfleet.Fleet) traffic {
+	var sum traffic
+	for _, in := range lf.Instances {
+		if ms, err := kernel.Need[*peer.Mesh](in.Env()); err == nil {
+			sum.messages += ms.Messages.Load()
+			sum.bytes += ms.BytesOut.Load()
+		}
+	}
+	return sum
+}
+
+func processor() time.Duration {
+	var ru syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &ru) != nil {
+		return 0
+	}
+	return time.Duration(ru.Utime.Nano() + ru.Stime.Nano())
+}
+
+func heap() float64 {
+	var ms runtime.MemStats
+	runtime.ReadMemStats(&ms)
+	return float64(ms.HeapAlloc + ms.StackInuse)
+}
+
+func closeFleet(ctx context.Context, lf *localfleet.Fleet) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopWait)
+	defer cancel()
+	lf.Close(ctx)
+}
+
+// requests measures what short requests add to the messages between instances, at half the engines' speed.
+func requests(ctx context.Context, o Options, rate float64) (Requests, error) {
+	const instances, seconds, speed = 8, 4, 20
+	params := enginesim.DefaultParams()
+	params.Scale, params.CacheBlocks = speed, 0
+	lf, err := localfleet.Start(ctx, localfleet.Options{
+		Zones: 1, Engines: 20, Instances: instances, Params: params, Log: o.Log, Adjust: defaults,
+	})
+	if err != nil {
+		return Requests{}, err
+	}
+	defer closeFleet(ctx, lf)
+	arrivals := load.Generate(1, load.Mix{
+		Rate: rate, Length: seconds * time.Second, MinTokens: 1_000, ShortTokens: 8_000, LongTokens: longTokens, MaxTokens: longTokens,
+		Output: 4, ShortClass: localfleet.ClassCall, LongClass: localfleet.ClassCall, Organisations: 1, Scale: 1,
+	})
+	before, began := wire(lf), time.Now()
+	results := load.Run(ctx, load.Target{URLs: lf.URLs(), Key: localfleet.Key, Model: localfleet.Model, Seed: 1}, arrivals)
+	took := time.Since(began).Seconds()
+	r := Requests{PerSecond: rate}
+	r.MessagesPerSecond, r.BytesPerSecond = wire(lf).minus(before).each(took, instances)
+	for _, res := range results {
+		if res.Right {
+			r.Served++
+		}
+	}
+	return r, nil
+}
+
+// latency compares short requests sent straight to an engine with the same by an instance.
+func latency(ctx context.Context, o Options) (Latency, error) {
+	params := enginesim.DefaultParams()
+	params.Scale, params.CacheBlocks = 100, 0
+	lf, err := localfleet.Start(ctx, localfleet.Options{Zones: 1, Engines: 1, Instances: 1, Params: params, Log: o.Log})
+	if err != nil {
+		return Latency{}, err
+	}
+	defer closeFleet(ctx, lf)
+	arrivals := make([]load.Arrival, 500)
+	for i := range arrivals {
+		arrivals[i] = load.Arrival{
+			At: time.Duration(i) * 8 * time.Millisecond, Class: localfleet.ClassCall, Tokens: 1000, Output: 1, Index: i,
+		}
+	}
+	measure := func(url string) (p50, p99 time.Duration) {
+		var times []time.Duration
+		for _, r := range load.Run(ctx, load.Target{URLs: []string{url}, Key: localfleet.Key, Model: localfleet.Model, Seed: 1}, arrivals) {
+			times = append(times, r.FirstToken)
+		}
+		return load.Quantile(times, 50), load.Quantile(times, 99)
+	}
+	var lt Latency
+	lt.DirectP50, lt.DirectP99 = measure(lf.Engines[0].URL())
+	lt.EntryP50, lt.EntryP99 = measure(lf.URLs()[0])
+	return lt, nil
+}
+
+// decisions times the view of the fleet and the choice, at today's size and at that of one availability zone in two years.
+func decisions() []Decision {
+	const rounds = 300
+	p, err := policy.ByName(owners.Name)
+	if err != nil {
+		return nil
+	}
+	var all []Decision
+	for _, size := range []Decision{{Targets: 23, Peers: 7}, {Targets: 229, Peers: 52}, {Targets: 1600, Peers: 369}} {
+		fl := fleet.New(fleet.Instance{Name: "self", AvailabilityZone: "a"})
+		var list []fleet.Target
+		for i := range size.Targets {
+			list = append(list, fleet.Target{
+				Name: fmt.Sprintf("engine-%04d", i), Kind: fleet.KindEngine, AvailabilityZone: zoneOf(i, size), Models: []string{"m"},
+			})
+		}
+		fl.SetTargets(list)
+		for i := range size.Peers {
+			fl.ApplyBeat(fleet.Beat{From: fleet.Instance{Name: fmt.Sprintf("entry-%03d", i), AvailabilityZone: zoneOf(i, size)}})
+		}
+		began := time.Now()
+		for turn := range rounds {
+			vw := fl.Candidates(fleet.Wanted{Model: "m", Peers: true, Owned: turn%2 == 0})
+			if len(vw.Candidates) > 0 {
+				p.Choose(policy.Input{
+					Request: policy.Request{Tokens: 2000}, Candidates: vw.Candidates, Turn: uint64(turn), Limits: policy.Limits{LongShare: 0.4},
+				})
+			}
+		}
+		size.Decision = time.Since(began) / rounds
+		all = append(all, size)
+	}
+	return all
+}
+
+// zoneOf spreads the largest size over seven availability zones.
+func zoneOf(i int, size Decision) string {
+	if size.Peers < 100 {
+		return "a"
+	}
+	return string(rune('a' + i%7))
+}
+
+func bundles() ([]Bundle, error) {
+	var all []Bundle
+	for _, n := range []int{10, 100, 1000, 6800} {
+		b := localfleet.DefaultBundle()
+		for i := range n {
+			key := bundle.KeyDigest(fmt.Sprintf("key-%d", i))
+			b.Organisations = append(b.Organisations, bundle.Organisation{Name: fmt.Sprintf("organisation-%04d", i), KeyDigests: []string{key}})
+		}
+		for i := range 26 {
+			b.Models = append(b.Models, bundle.Model{Name: fmt.Sprintf("model-%02d", i), MaxTokens: longTokens})
+		}
+		doc, err := json.Marshal(b)
+		if err != nil {
+			return all, errors.Wrap(err, "encode bundle")
+		}
+		began := time.Now()
+		if _, err := bundle.Parse(doc); err != nil {
+			return all, err
+		}
+		all = append(all, Bundle{Organisations: n, Bytes: len(doc), Parse: time.Since(began)})
+	}
+	return all, nil
+}
--- a/internal/standin/platformsim/platformsim.go
+++ b/internal/standin/platformsim/platformsim.go
@@ -85,6 +85,14 @@
 	return nil
 }
 
+// Object returns an object as the store holds it.
+func (st *Store) Object(kind, name string) (platform.Object, bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	o, ok := st.objects[kind][name]
+	return o, ok
+}
+
 // Handler serves the object API.
 func (st *Store) Handler() http.Handler {
 	rt := chi.NewRouter()
