--- a/cmd/experiment.go
+++ b/cmd/experiment.go
@@ -23,6 +23,7 @@
 	Scale     float64  `long:"scale" default:"8" description:"times are divided by this"`
 	Instances int      `long:"instances" description:"number of instances instead of the fleet's"`
 	LongShare float64  `long:"long-share" description:"share of targets for long prompts instead of the default"`
+	Events    bool     `long:"events" description:"let the bundle tell of the event that the arrivals are"`
 	JSON      string   `long:"json" description:"file for the figures of every run"`
 	Plot      string   `long:"plot" description:"file for a plot, SVG or PNG"`
 }
@@ -35,7 +36,7 @@
 	lg.Level = max(lg.Level, log.FatalLevel)
 	o := experiment.Options{
 		Fleets: ec.Fleets, Policies: ec.Policies, Seeds: ec.Seeds, Scale: ec.Scale, Instances: ec.Instances,
-		LongShare: ec.LongShare, Progress: ec.err, Log: lg,
+		LongShare: ec.LongShare, Events: ec.Events, Progress: ec.err, Log: lg,
 	}
 	if len(o.Policies) == 0 {
 		o.Policies = policy.Names()
--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -21,12 +21,16 @@
 	Version int64 `json:"version"`
 	// Base is the accepted version on top of which this one was pushed.
 	Base int64 `json:"base,omitempty"`
+	// Parts are the digests of stored parts with the organisations; empty in a whole bundle.
+	Parts []string `json:"parts,omitempty"`
 	// Organisations have unique names.
 	Organisations []Organisation `json:"organisations"`
 	// Classes have unique names; the first is the default.
 	Classes []Class `json:"classes"`
 	// Models have unique names.
 	Models []Model `json:"models"`
+	// Events have unique names.
+	Events []Event `json:"events,omitempty"`
 	// Services are the plain services that callers may reach.
 	Services []string `json:"services,omitempty"`
 }
@@ -79,6 +83,31 @@
 	Copies int `json:"copies,omitempty"`
 }
 
+// eventLead is how long before its start an event counts, so that its targets are free of long prompts by then.
+const eventLead = time.Minute
+
+// Event is a known start of load, such as an outage hour or the opening of a reading room.
+type Event struct {
+	// Name is unique.
+	Name string `json:"name"`
+	// Start is when it begins, Length how long it lasts.
+	Start  time.Time       `json:"start"`
+	Length config.Duration `json:"length"`
+	// TokensPerSecond is the expected load of short prompts over the fleet.
+	TokensPerSecond float64 `json:"tokens_per_second"`
+}
+
+// Expected returns the tokens a second of short prompts that events bring at a time.
+func (bd Bundle) Expected(now time.Time) float64 {
+	sum := 0.0
+	for _, ev := range bd.Events {
+		if now.After(ev.Start.Add(-eventLead)) && now.Before(ev.Start.Add(ev.Length.Std())) {
+			sum += ev.TokensPerSecond
+		}
+	}
+	return sum
+}
+
 // KeyDigest returns the digest under which a bearer key stands in a bundle.
 func KeyDigest(key string) string {
 	sum := sha256.Sum256([]byte(key))
@@ -138,6 +167,12 @@
 	for _, m := range bd.Models {
 		unique("models.name", m.Name)
 	}
+	for _, ev := range bd.Events {
+		unique("events.name", ev.Name)
+		if ev.Length <= 0 || ev.TokensPerSecond < 0 {
+			fs = append(fs, &config.Fault{Path: "events.length", Value: ev.Length.Std().String(), Want: "a positive duration and load"})
+		}
+	}
 	if len(bd.Classes) == 0 {
 		fs = append(fs, &config.Fault{Path: "classes", Value: "[]", Want: "at least one class"})
 	}
--- /dev/null
+++ b/internal/bundlestore/bundlestore.go
@@ -0,0 +1,106 @@
+// Package bundlestore keeps bundles in the platform's store, large ones in parts.
+package bundlestore
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/silvermount/silvermount/internal/bundle"
+	"github.com/silvermount/silvermount/internal/platform"
+)
+
+// kindParts holds the parts of large bundles, under their digests.
+const kindParts = "bundleparts"
+
+// Store reads and writes bundles. It is safe for use by any goroutine.
+type Store struct {
+	client *platform.Client
+
+	mu sync.Mutex
+	// parts are those of the bundle read last.
+	parts map[string][]byte
+}
+
+// New returns a store on a client.
+func New(client *platform.Client) *Store { return &Store{client: client, parts: map[string][]byte{}} }
+
+// partObject is a stored part.
+type partObject struct {
+	Body []byte `json:"body"`
+}
+
+// Create writes a bundle under its version: first its parts, then the object that names them. A conflict means that the
+// version is taken.
+func (sr *Store) Create(ctx context.Context, b bundle.Bundle) error {
+	index, parts, err := b.Split()
+	if err != nil {
+		return err
+	}
+	for _, p := range parts {
+		if err := sr.createPart(ctx, p); err != nil {
+			return errors.Wrap(err, "write part")
+		}
+	}
+	_, err = sr.client.Create(ctx, platform.KindBundles, strconv.FormatInt(b.Version, 10), index)
+	return err
+}
+
+// createPart writes a part that is not there yet. Its name is its content, so that a conflict means that it is there.
+func (sr *Store) createPart(ctx context.Context, p bundle.Part) error {
+	sr.mu.Lock()
+	_, known := sr.parts[p.Digest]
+	sr.mu.Unlock()
+	if known {
+		return nil
+	}
+	_, err := sr.client.Create(ctx, kindParts, p.Digest, partObject{Body: p.Body})
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		return nil
+	}
+	return err
+}
+
+// Get reads a bundle. Parts that the bundle read before had too are not read again.
+func (sr *Store) Get(ctx context.Context, version int64) (bundle.Bundle, error) {
+	o, err := sr.client.Get(ctx, platform.KindBundles, strconv.FormatInt(version, 10))
+	if err != nil {
+		return bundle.Bundle{}, errors.Wrap(err, "read bundle")
+	}
+	index, err := bundle.Parse(o.Value)
+	if err != nil {
+		return bundle.Bundle{}, err
+	}
+	used := map[string][]byte{}
+	whole, err := index.Join(func(digest string) ([]byte, error) {
+		body, perr := sr.part(ctx, digest)
+		used[digest] = body
+		return body, perr
+	})
+	if err != nil {
+		return bundle.Bundle{}, err
+	}
+	sr.mu.Lock()
+	sr.parts = used
+	sr.mu.Unlock()
+	return whole, nil
+}
+
+func (sr *Store) part(ctx context.Context, digest string) ([]byte, error) {
+	sr.mu.Lock()
+	body, ok := sr.parts[digest]
+	sr.mu.Unlock()
+	if ok {
+		return body, nil
+	}
+	o, err := sr.client.Get(ctx, kindParts, digest)
+	if err != nil {
+		return nil, errors.Wrap(err, "read part")
+	}
+	var p partObject
+	return p.Body, errors.Wrap(json.Unmarshal(o.Value, &p), "decode part")
+}
--- /dev/null
+++ b/internal/demandmeter/demandmeter_test.go
@@ -0,0 +1,36 @@
+package demandmeter
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestMeter(t *testing.T) {
+	tests := map[string]struct {
+		assumed float64
+		every   time.Duration
+		count   int
+		idle    time.Duration
+		want    float64
+	}{
+		"steady":              {every: 100 * time.Millisecond, count: 200, want: 10_000},
+		"assumed at first":    {assumed: 5_000, want: 5_000},
+		"assumed fades":       {assumed: 5_000, idle: 20 * Span, want: 0},
+		"falls after arrival": {every: 100 * time.Millisecond, count: 200, idle: 20 * Span, want: 0},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			now := time.Unix(0, 0)
+			mt := New(tc.assumed, func() time.Time { return now })
+			for range tc.count {
+				mt.Add(1_000)
+				now = now.Add(tc.every)
+			}
+			now = now.Add(tc.idle)
+			g.Expect(mt.Rate()).To(BeNumerically("~", tc.want, 600))
+		})
+	}
+}
--- a/internal/duty/bundles/bundles.go
+++ b/internal/duty/bundles/bundles.go
@@ -4,13 +4,11 @@
 import (
 	"context"
 	"encoding/json"
-	"strconv"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/cockroachdb/errors"
 
-	"github.com/silvermount/silvermount/internal/bundle"
+	"github.com/silvermount/silvermount/internal/bundlestore"
 	"github.com/silvermount/silvermount/internal/duty/knowledge"
 	"github.com/silvermount/silvermount/internal/kernel"
 	"github.com/silvermount/silvermount/internal/peer"
@@ -25,7 +23,7 @@
 const retryPause = 200 * time.Millisecond
 
 type follower struct {
-	store  *platform.Client
+	store  *bundlestore.Store
 	mesh   *peer.Mesh
 	holder *rollout.Holder
 	log    log.Interface
@@ -33,10 +31,11 @@
 
 func start(_ context.Context, env *kernel.Env) (kernel.Stop, error) {
 	fo := &follower{log: env.Logger("bundles")}
-	var err error
-	if fo.store, err = kernel.Need[*platform.Client](env); err != nil {
+	client, err := kernel.Need[*platform.Client](env)
+	if err != nil {
 		return nil, err
 	}
+	fo.store = bundlestore.New(client)
 	if fo.mesh, err = kernel.Need[*peer.Mesh](env); err != nil {
 		return nil, err
 	}
@@ -44,7 +43,7 @@
 		return nil, err
 	}
 	watch := kernel.Go(func(ctx context.Context) {
-		knowledge.Follow(ctx, fo.store, platform.KindPointers, 0, fo.log, fo.hear)
+		knowledge.Follow(ctx, client, platform.KindPointers, 0, fo.log, fo.hear)
 	})
 	fetch := kernel.Go(fo.run)
 	return func(ctx context.Context) error {
@@ -81,7 +80,7 @@
 }
 
 func (fo *follower) fetch(ctx context.Context, version int64) bool {
-	b, err := fo.fromStore(ctx, version)
+	b, err := fo.store.Get(ctx, version)
 	if err != nil {
 		b, err = fo.mesh.FetchBundle(ctx, version)
 	}
@@ -94,11 +93,3 @@
 	}
 	return fo.holder.Behind() == 0
 }
-
-func (fo *follower) fromStore(ctx context.Context, version int64) (bundle.Bundle, error) {
-	o, err := fo.store.Get(ctx, platform.KindBundles, strconv.FormatInt(version, 10))
-	if err != nil {
-		return bundle.Bundle{}, errors.Wrap(err, "read bundle")
-	}
-	return bundle.Parse(o.Value)
-}
--- a/internal/duty/callers/callers.go
+++ b/internal/duty/callers/callers.go
@@ -39,8 +39,6 @@
 const (
 	ticketKeep  = 10 * time.Minute
 	ticketLimit = 100_000
-	// chunkTokens is the prompt tokens that an engine is taken to compute in one step.
-	chunkTokens = 2048
 	maxHeader   = 32 << 10
 	idleLimit   = 60 * time.Second
 )
@@ -189,9 +187,14 @@
 	})
 	rt := router.New(d.Fleet, router.Options{
 		Policy:     p,
-		Limits:     policy.Limits{LongPerTarget: r.LongPerTarget, LongShare: r.LongShare, ChunkTokens: chunkTokens},
+		Limits:     policy.Limits{LongPerTarget: r.LongPerTarget, LongShare: r.LongShare},
 		MaxWaiting: r.MaxWaiting, Probe: prober(d), Grant: ms.Grant, Borrow: lender.Reserve,
-		AskShort: ms.AskShort,
+		AskShort: ms.AskShort, Expected: func() float64 {
+			if cur := d.Bundles.Current(); cur != nil {
+				return cur.Expected(time.Now())
+			}
+			return 0
+		},
 	})
 	ms.SetChooseShort(rt.Offer)
 	return rt, nil
--- a/internal/duty/operators/operators.go
+++ b/internal/duty/operators/operators.go
@@ -14,7 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-chi/chi/v5"
 
-	"github.com/silvermount/silvermount/internal/bundle"
+	"github.com/silvermount/silvermount/internal/bundlestore"
 	"github.com/silvermount/silvermount/internal/burn"
 	"github.com/silvermount/silvermount/internal/config"
 	"github.com/silvermount/silvermount/internal/duty/listen"
@@ -50,7 +50,7 @@
 	metrics *metrics.Set
 	mesh    *peer.Mesh
 	server  *serve.Server
-	store   *platform.Client
+	store   *bundlestore.Store
 }
 
 // Status is what an instance says of itself.
@@ -109,9 +109,11 @@
 	if a.server, err = kernel.Need[*serve.Server](env); err != nil {
 		return nil, err
 	}
-	if a.store, err = kernel.Need[*platform.Client](env); err != nil {
+	client, err := kernel.Need[*platform.Client](env)
+	if err != nil {
 		return nil, err
 	}
+	a.store = bundlestore.New(client)
 	ls, err := kernel.Need[*listen.Listeners](env)
 	if err != nil {
 		return nil, err
@@ -163,12 +165,9 @@
 		return
 	}
 	answer := Prepared{Version: version}
-	o, err := ap.store.Get(r.Context(), platform.KindBundles, strconv.FormatInt(version, 10))
+	b, err := ap.store.Get(r.Context(), version)
 	if err == nil {
-		var b bundle.Bundle
-		if b, err = bundle.Parse(o.Value); err == nil {
-			err = b.FitsStop(ap.env.Settings.Stop.Drain.Std()).OrNil()
-		}
+		err = b.FitsStop(ap.env.Settings.Stop.Drain.Std()).OrNil()
 	}
 	if err != nil {
 		answer.Fault = err.Error()
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -11,6 +11,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/silvermount/silvermount/internal/bundle"
 	"github.com/silvermount/silvermount/internal/config"
 	"github.com/silvermount/silvermount/internal/load"
 	"github.com/silvermount/silvermount/internal/localfleet"
@@ -20,6 +21,9 @@
 // longTokens is the length from which a prompt is left out of the comparison run.
 const longTokens = 100_000
 
+// eventExtra is the time of an event besides the arrivals of the two runs: the fleet starts, and the first run ends.
+const eventExtra = 3 * time.Second
+
 const stopWait = 5 * time.Second
 
 // Fault is something that goes wrong during a run.
@@ -73,6 +77,8 @@
 	Scale float64
 	// Instances, when set, replaces the preset's count: one instance knows everything in flight.
 	Instances int
+	// Events makes the bundle tell of the event that the arrivals are.
+	Events bool
 	// LongShare, when set, replaces the default share of targets that take long prompts.
 	LongShare float64
 	// Progress gets a line a run.
@@ -143,9 +149,16 @@
 		instances = o.Instances
 	}
 	cut := &cutter{}
+	mix := p.Mix
+	mix.Scale = o.Scale
+	all := load.Generate(seed, mix)
+	b := localfleet.DefaultBundle()
+	if o.Events {
+		b.Events = []bundle.Event{event(all)}
+	}
 	lf, err := localfleet.Start(ctx, localfleet.Options{
 		Zones: p.Zones, Engines: p.Engines, Instances: instances, Params: params, Policy: policy, Log: o.Log,
-		Blocked: cut.blocked,
+		Blocked: cut.blocked, Bundle: &b,
 		Adjust: func(s *config.Settings) {
 			if o.LongShare > 0 {
 				s.Routing.LongShare = o.LongShare
@@ -160,9 +173,6 @@
 		defer cancel()
 		lf.Close(ctx)
 	}()
-	mix := p.Mix
-	mix.Scale = o.Scale
-	all := load.Generate(seed, mix)
 	t := load.Target{URLs: lf.URLs(), Key: localfleet.Key, Model: localfleet.Model, Seed: seed}
 	without := load.Run(ctx, t, load.Without(all, longTokens))
 	undo := inject(ctx, lf, fault, cut, time.Duration(float64(mix.Length)/o.Scale/3))
@@ -171,6 +181,19 @@
 	return measure(Cell{Fleet: p.Name, Policy: policy, Fault: fault, Seed: seed}, params, with, without), nil
 }
 
+// event is what an operator who knows the arrivals would expect: the load of short prompts while they come. The runs with
+// and without long prompts both fall into it.
+func event(all []load.Arrival) bundle.Event {
+	tokens := 0
+	for _, a := range load.Without(all, longTokens) {
+		tokens += a.Tokens
+	}
+	span := all[len(all)-1].At
+	return bundle.Event{
+		Name: "measured", Start: time.Now(), Length: config.Duration(2*span + eventExtra), TokensPerSecond: float64(tokens) / span.Seconds(),
+	}
+}
+
 func measure(c Cell, params enginesim.Params, with, without []load.Result) Cell {
 	c.SlowP50, c.SlowP95, c.SlowP99 = load.RatioQuantiles(load.Ratios(with, without))
 	var idle []float64
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,137 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/silvermount/silvermount/internal/engine"
+)
+
+type clock struct{ at time.Time }
+
+// newFleet returns the view of instance self in zone a, with peers and targets spread over zones.
+func newFleet(peers, targets, zones int) (*Fleet, *clock) {
+	ck := &clock{at: time.Unix(1_000_000, 0)}
+	fl := New(Instance{Name: "self", AvailabilityZone: "a"}, WithNow(func() time.Time { return ck.at }))
+	var list []Target
+	for i := range targets {
+		list = append(list, Target{
+			Name: fmt.Sprintf("engine-%02d", i), Kind: KindEngine, AvailabilityZone: string(rune('a' + i%zones)), Models: []string{"m"},
+		})
+	}
+	fl.SetTargets(list)
+	for i := range peers {
+		fl.ApplyBeat(Beat{From: Instance{Name: fmt.Sprintf("peer-%02d", i), Incarnation: "1", AvailabilityZone: string(rune('a' + i%zones))}})
+	}
+	return fl, ck
+}
+
+func TestOwnersShareEvenly(t *testing.T) {
+	tests := map[string]struct{ peers, targets, zones, most int }{
+		"alone":               {targets: 5, zones: 1, most: 5},
+		"one zone":            {peers: 3, targets: 8, zones: 1, most: 2},
+		"zones of their own":  {peers: 6, targets: 12, zones: 3, most: 2},
+		"a zone without peer": {peers: 1, targets: 9, zones: 3, most: 9},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			fl, _ := newFleet(tc.peers, tc.targets, tc.zones)
+			counts := map[string]int{}
+			for _, tg := range fl.Targets() {
+				owner := fl.Owner(tg)
+				g.Expect(owner).NotTo(BeEmpty())
+				counts[owner]++
+			}
+			for owner, n := range counts {
+				g.Expect(n).To(BeNumerically("<=", tc.most), owner)
+			}
+		})
+	}
+}
+
+func TestOwnershipMovesFromASilentPeer(t *testing.T) {
+	g := NewWithT(t)
+	fl, ck := newFleet(1, 6, 1)
+	g.Expect(fl.Owned()).To(HaveLen(3))
+	ck.at = ck.at.Add(time.Minute)
+	g.Expect(fl.Owned()).To(HaveLen(6))
+	fl.ApplyBeat(Beat{From: Instance{Name: "peer-00", Incarnation: "1", AvailabilityZone: "a"}})
+	g.Expect(fl.Owned()).To(HaveLen(3))
+}
+
+func names(vw View) []string {
+	var all []string
+	for _, ca := range vw.Candidates {
+		all = append(all, ca.Name)
+	}
+	return all
+}
+
+func TestCandidatesAfter(t *testing.T) {
+	wanted := Wanted{Model: "m", Peers: true}
+	tests := map[string]struct {
+		do   func(fl *Fleet, ck *clock)
+		want []string
+	}{
+		"nothing":                    {do: func(*Fleet, *clock) {}, want: []string{"engine-00", "engine-01"}},
+		"own report of leaving":      {do: func(fl *Fleet, _ *clock) { fl.ApplyReport("engine-00", engine.Report{Incarnation: "x", Leaving: true}) }, want: []string{"engine-01"}},
+		"peer's news of leaving":     {do: leavingNews, want: []string{"engine-01"}},
+		"leaving, then a new run":    {do: newRun, want: []string{"engine-00", "engine-01"}},
+		"a refused connection":       {do: func(fl *Fleet, _ *clock) { fl.Down("engine-00") }, want: []string{"engine-01"}},
+		"refused everywhere":         {do: func(fl *Fleet, _ *clock) { fl.Down("engine-00"); fl.Down("engine-01") }},
+		"refused, some time ago":     {do: func(fl *Fleet, ck *clock) { fl.Down("engine-00"); ck.at = ck.at.Add(2 * downFor) }, want: []string{"engine-00", "engine-01"}},
+		"failures in a row":          {do: func(fl *Fleet, _ *clock) { failures(fl, "engine-00") }, want: []string{"engine-01"}},
+		"failures everywhere: floor": {do: func(fl *Fleet, _ *clock) { failures(fl, "engine-00"); failures(fl, "engine-01") }, want: []string{"engine-00", "engine-01"}},
+		"no longer listed":           {do: func(fl *Fleet, _ *clock) { fl.SetTargets(fl.Targets()[1:]) }, want: []string{"engine-01"}},
+		"report of another model": {do: func(fl *Fleet, _ *clock) {
+			fl.ApplyReport("engine-00", engine.Report{Incarnation: "x", Models: []string{"n"}})
+		}, want: []string{"engine-01"}},
+		"success between failures": {do: func(fl *Fleet, _ *clock) {
+			fl.Failure("engine-00")
+			fl.Success("engine-00")
+			fl.Failure("engine-00")
+			fl.Failure("engine-00")
+		}, want: []string{"engine-00", "engine-01"}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			fl, ck := newFleet(0, 2, 1)
+			tc.do(fl, ck)
+			NewWithT(t).Expect(names(fl.Candidates(wanted))).To(Equal(tc.want))
+		})
+	}
+}
+
+func leavingNews(fl *Fleet, _ *clock) {
+	fl.ApplyReport("engine-00", engine.Report{Incarnation: "x"})
+	fl.ApplyBeat(Beat{From: Instance{Name: "p"}, Leaving: map[string]string{"engine-00": "x"}})
+}
+
+func newRun(fl *Fleet, ck *clock) {
+	leavingNews(fl, ck)
+	fl.ApplyReport("engine-00", engine.Report{Incarnation: "y"})
+}
+
+func failures(fl *Fleet, target string) {
+	for range ejectAfter {
+		fl.Failure(target)
+	}
+}
+
+// TestWorkIsCountedOnce shows that an owner's summary leaves out the receiver's own work.
+func TestWorkIsCountedOnce(t *testing.T) {
+	g := NewWithT(t)
+	owner, _ := newFleet(0, 1, 1)
+	wk := Work{Requests: 1, Memory: 10, Long: 1}
+	owner.Begin("engine-00", wk)
+	asker := Instance{Name: "peer-00", Incarnation: "1", AvailabilityZone: "b"}
+	owner.ApplyBeat(Beat{From: asker, Usage: map[string]Work{"engine-00": wk}})
+	g.Expect(owner.SummariesFor("peer-00")[0].Total.Memory).To(Equal(10))
+	g.Expect(owner.SummariesFor("another")[0].Total.Memory).To(Equal(20))
+	owner.ApplyBeat(Beat{From: Instance{Name: "peer-00", Incarnation: "2", AvailabilityZone: "b"}})
+	g.Expect(owner.SummariesFor("another")[0].Total.Memory).To(Equal(10), "work of an ended run is forgotten")
+}
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -278,11 +278,11 @@
 		fl.countAsked(kt, &all)
 	}
 	ca := policy.Candidate{
-		Name: kt.Name, Local: kt.AvailabilityZone == fl.self.AvailabilityZone,
+		Name:        kt.Name,
 		OwnRequests: kt.own.Requests, OwnPrefill: kt.own.Prefill,
 		AllPrefill: all.Prefill, AllLong: all.Long, AllMemory: all.Memory,
-		ReportedPrefill: kt.report.PrefillTokens, ReportAge: fl.now().Sub(kt.reportAt),
-		Rate: kt.rate, MemoryTotal: kt.report.MemoryTotal,
+		ReportedPrefill: kt.report.PrefillTokens,
+		Rate:            kt.rate, MemoryTotal: kt.report.MemoryTotal,
 	}
 	if ca.MemoryTotal == 0 {
 		ca.MemoryTotal = kt.summary.MemoryTotal
--- a/internal/fleet/owners.go
+++ b/internal/fleet/owners.go
@@ -88,6 +88,13 @@
 	return all
 }
 
+// LiveInstances returns the number of live instances, this one included.
+func (fl *Fleet) LiveInstances() int {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return len(fl.liveInstances())
+}
+
 // OtherOwners returns the live peers that own an engine with the model, this availability zone's first.
 func (fl *Fleet) OtherOwners(model string) (near, far []string) {
 	fl.mu.Lock()
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -145,7 +145,13 @@
 	if lk.ms.opts.TLS == nil {
 		return conn, nil
 	}
-	tc := tls.Client(conn, lk.ms.opts.TLS)
+	host, _, err := net.SplitHostPort(lk.address)
+	if err != nil {
+		return nil, errors.Wrap(err, "read peer address")
+	}
+	tlsConfig := lk.ms.opts.TLS.Clone()
+	tlsConfig.ServerName = host
+	tc := tls.Client(conn, tlsConfig)
 	return tc, errors.Wrap(tc.HandshakeContext(ctx), "prove peer")
 }
 
--- a/internal/policy/all/all.go
+++ b/internal/policy/all/all.go
@@ -3,6 +3,7 @@
 
 import (
 	// Each policy registers itself.
+	_ "github.com/silvermount/silvermount/internal/policy/demand"
 	_ "github.com/silvermount/silvermount/internal/policy/lanegrant"
 	_ "github.com/silvermount/silvermount/internal/policy/lanes"
 	_ "github.com/silvermount/silvermount/internal/policy/leastoutstanding"
--- /dev/null
+++ b/internal/policy/demand/demand.go
@@ -0,0 +1,17 @@
+// Package demand is owners with the number of targets for long prompts taken from the demand: what the short prompts
+// that arrive, or that an event is expected to bring, do not need, and at least what long prompts need to be in time.
+package demand
+
+import (
+	"github.com/silvermount/silvermount/internal/policy"
+	"github.com/silvermount/silvermount/internal/policy/lanes"
+)
+
+// Name is the policy's name in settings.
+const Name = "demand"
+
+func init() {
+	policy.Register(policy.Policy{
+		Name: Name, Rung: 7, Priorities: true, Peers: true, Grants: true, Owners: true, Demand: true, Choose: lanes.Choose,
+	})
+}
--- a/internal/policy/lanes/lanes.go
+++ b/internal/policy/lanes/lanes.go
@@ -67,6 +67,9 @@
 func LaneTargets(in policy.Input) []bool {
 	n := len(in.Candidates)
 	count := min(n, max(1, int(math.Round(in.Limits.LongShare*float64(n)))))
+	if in.Follows {
+		count = demanded(in, count)
+	}
 	order := make([]int, n)
 	for i := range order {
 		order[i] = i
@@ -80,3 +83,20 @@
 	}
 	return marks
 }
+
+// shortUse is the share of a target's time that short prompts may take before they wait for each other too long.
+const shortUse = 0.4
+
+// demanded returns the number of targets for long prompts: at most most, and none that short prompts need, unless long
+// prompts would be late.
+func demanded(in policy.Input, most int) int {
+	rate := 0.0
+	for _, ca := range in.Candidates {
+		rate += ca.Rate
+	}
+	n := len(in.Candidates)
+	rate /= float64(n)
+	free := n - int(math.Ceil(in.Demand.Short/(rate*shortUse)))
+	late := int(math.Ceil(in.Demand.LongNeed / rate))
+	return min(n, max(1, min(free, most), min(late, most)))
+}
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -27,12 +27,8 @@
 type Request struct {
 	// Tokens is the length of the prompt, Output the bound on generated tokens.
 	Tokens, Output int
-	// Left is the time to the deadline.
-	Left time.Duration
 	// Long is set from the configured length on.
 	Long bool
-	// Prefix is a hash of the first block of the prompt; zero when the prompt is shorter.
-	Prefix uint64
 }
 
 // Memory returns the KV memory that the request takes, in tokens.
@@ -42,8 +38,6 @@
 type Candidate struct {
 	// Name is unique among candidates.
 	Name string
-	// Local is set for targets in this instance's availability zone.
-	Local bool
 	// OwnRequests and OwnPrefill are what this instance has in flight.
 	OwnRequests int
 	OwnPrefill  [Bands]int
@@ -51,9 +45,8 @@
 	AllPrefill [Bands]int
 	AllLong    int
 	AllMemory  int
-	// ReportedPrefill is the engine's own figure, as old as ReportAge.
+	// ReportedPrefill is the engine's own figure, which lags behind.
 	ReportedPrefill int
-	ReportAge       time.Duration
 	// Rate is prompt tokens a second; always positive.
 	Rate float64
 	// RateKnown is false while Rate is only assumed.
@@ -62,8 +55,6 @@
 	MemoryTotal int
 	// BesideLong is the extra time that a short prompt takes where a long one runs, learnt from what targets do.
 	BesideLong time.Duration
-	// HasPrefix is set when the target is believed to hold the request's first block.
-	HasPrefix bool
 }
 
 // Fits reports whether the request's memory is free, as far as known.
@@ -82,8 +73,6 @@
 	LongPerTarget int
 	// LongShare bounds the share of targets that take long prompts.
 	LongShare float64
-	// ChunkTokens is the prompt tokens that an engine computes in one step.
-	ChunkTokens int
 }
 
 // Input is all that a decision rests on.
@@ -92,10 +81,22 @@
 	// Candidates are in a fixed order and never empty.
 	Candidates []Candidate
 	Limits     Limits
+	// Demand is set for policies that follow it.
+	Demand Demand
+	// Follows is set for policies that follow the demand.
+	Follows bool
 	// Turn grows with every decision of this instance, from a start of its own.
 	Turn uint64
 }
 
+// Demand is what arrives, over all instances.
+type Demand struct {
+	// Short is prompt tokens a second of short prompts.
+	Short float64
+	// LongNeed is prompt tokens a second that waiting long prompts need to be in time.
+	LongNeed float64
+}
+
 // Decision says where a request runs. The zero value means that it waits.
 type Decision struct {
 	// Run is set when a target was chosen.
@@ -120,6 +121,8 @@
 	Grants bool
 	// Owners is set when short prompts go to targets that this instance owns, or that another owner offers.
 	Owners bool
+	// Demand is set when the number of targets for long prompts follows the demand.
+	Demand bool
 	// Choose decides. It has no side effects.
 	Choose func(Input) Decision
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"github.com/silvermount/silvermount/internal/demandmeter"
 	"github.com/silvermount/silvermount/internal/failure"
 	"github.com/silvermount/silvermount/internal/fleet"
 	"github.com/silvermount/silvermount/internal/offer"
@@ -102,6 +102,8 @@
 	MaxWaiting int
 	// Now is the clock.
 	Now func() time.Time
+	// Expected returns the tokens a second of short prompts that events bring now, over all instances; nil means none.
+	Expected func() float64
 	// Probe asks a target whether it is there; nil takes every target as confirmed.
 	Probe func(ctx context.Context, t fleet.Target) error
 	// Grant asks the owner of a target for room for a long prompt; nil grants always.
@@ -117,6 +119,8 @@
 	fl   *fleet.Fleet
 	opts Options
 	turn atomic.Uint64
+	// arriving measures the short prompts of this instance.
+	arriving *demandmeter.Meter
 
 	// decide is held from the view of the fleet to the note of the work.
 	decide sync.Mutex
@@ -126,17 +130,12 @@
 	waiting []*waiter
 }
 
-type waiter struct {
-	ask   Ask
-	since time.Time
-}
-
 // New returns a router over the fleet.
 func New(fl *fleet.Fleet, o Options) *Router {
 	if o.Now == nil {
 		o.Now = time.Now
 	}
-	rt := &Router{fl: fl, opts: o}
+	rt := &Router{fl: fl, opts: o, arriving: demandmeter.New(assumedShort, o.Now)}
 	rt.turn.Store(xxhash.Sum64String(fl.Self().Name))
 	return rt
 }
@@ -154,12 +153,15 @@
 // Acquire returns a place for the request, waiting for room until its deadline. A request whose predicted start
 // lies past its deadline is refused at once.
 func (rt *Router) Acquire(ctx context.Context, ask Ask) (*Place, error) {
-	wt := &waiter{ask: ask, since: rt.opts.Now()}
+	if !ask.Request.Long {
+		rt.arriving.Add(ask.Request.Tokens)
+	}
+	wt := &waiter{ask: ask, out: make(chan struct{})}
 	if err := rt.enter(wt); err != nil {
 		return nil, err
 	}
 	defer rt.leave(wt)
-	for {
+	for waits := false; ; waits = true {
 		changed := rt.fl.Changed()
 		if rt.first(wt) {
 			pl, err := rt.try(ctx, ask)
@@ -171,11 +173,19 @@
 				changed = nil
 			}
 		}
+		if !waits {
+			if err := rt.inTime(wt); err != nil {
+				return nil, err
+			}
+		}
 		// The jitter keeps those who were refused together from asking together again.
 		timer := time.NewTimer(recheck/2 + rand.N(recheck))
 		select {
 		case <-changed:
 		case <-timer.C:
+		case <-wt.out:
+			timer.Stop()
+			return nil, rt.overloaded()
 		case <-ctx.Done():
 			timer.Stop()
 			return nil, failure.New(failure.DeadlineExceeded, failure.NotRun, "no room came free in time").
@@ -185,54 +195,6 @@
 	}
 }
 
-// enter adds a waiter. When too many wait, the newest that yields makes way for one that does not.
-func (rt *Router) enter(wt *waiter) error {
-	rt.mu.Lock()
-	defer rt.mu.Unlock()
-	if len(rt.waiting) >= rt.opts.MaxWaiting {
-		return failure.New(failure.Overloaded, failure.NotRun, "%d requests wait already", len(rt.waiting)).
-			WithRetryAfter(time.Second)
-	}
-	i, _ := slices.BinarySearchFunc(rt.waiting, wt, before)
-	rt.waiting = slices.Insert(rt.waiting, i, wt)
-	return nil
-}
-
-func (rt *Router) leave(wt *waiter) {
-	rt.mu.Lock()
-	defer rt.mu.Unlock()
-	if i := slices.Index(rt.waiting, wt); i >= 0 {
-		rt.waiting = slices.Delete(rt.waiting, i, i+1)
-	}
-}
-
-// first reports whether no more urgent request of the same length band waits.
-func (rt *Router) first(wt *waiter) bool {
-	rt.mu.Lock()
-	defer rt.mu.Unlock()
-	band := policy.Band(wt.ask.Request.Tokens)
-	for _, o := range rt.waiting {
-		if o == wt {
-			return true
-		}
-		if policy.Band(o.ask.Request.Tokens) == band && o.ask.Wanted.Model == wt.ask.Wanted.Model {
-			return false
-		}
-	}
-	return true
-}
-
-// before orders waiters: class priority, then length band, then the start that the deadline asks for.
-func before(a, b *waiter) int {
-	if a.ask.Priority != b.ask.Priority {
-		return b.ask.Priority - a.ask.Priority
-	}
-	if d := policy.Band(a.ask.Request.Tokens) - policy.Band(b.ask.Request.Tokens); d != 0 {
-		return d
-	}
-	return a.ask.Deadline.Compare(b.ask.Deadline)
-}
-
 // noRoomError says that a request has to wait.
 type noRoomError struct {
 	target string
@@ -246,7 +208,6 @@
 // try decides once. It returns a noRoomError when the request has to wait.
 func (rt *Router) try(ctx context.Context, ask Ask) (*Place, error) {
 	left := ask.Deadline.Sub(rt.opts.Now())
-	ask.Request.Left = left
 	choose := rt.choose
 	if rt.opts.Policy.Owners && !ask.Request.Long && ask.Wanted.Model != "" {
 		choose = func(ask Ask, left time.Duration) (*Place, error) { return rt.viaOwners(ctx, ask, left) }
@@ -275,6 +236,9 @@
 	in := policy.Input{
 		Request: ask.Request, Candidates: vw.Candidates, Limits: rt.opts.Limits, Turn: rt.turn.Add(1),
 	}
+	if rt.opts.Policy.Demand {
+		in.Demand, in.Follows = rt.demand(ask), true
+	}
 	borrow := rt.borrowing(&in)
 	dec := rt.opts.Policy.Choose(in)
 	if !dec.Run {
--- /dev/null
+++ b/internal/router/router_test.go
@@ -0,0 +1,95 @@
+package router
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+
+	"github.com/silvermount/silvermount/internal/engine"
+	"github.com/silvermount/silvermount/internal/failure"
+	"github.com/silvermount/silvermount/internal/fleet"
+	"github.com/silvermount/silvermount/internal/policy"
+	"github.com/silvermount/silvermount/internal/policy/lanes"
+)
+
+// oneEngine returns a router before one engine that computes 1,000 tokens a second and takes one long prompt.
+func oneEngine(maxWaiting int) *Router {
+	fl := fleet.New(fleet.Instance{Name: "self", AvailabilityZone: "a"})
+	fl.SetTargets([]fleet.Target{{Name: "e", Kind: fleet.KindEngine, AvailabilityZone: "a", Models: []string{"m"}}})
+	fl.ApplyReport("e", engine.Report{Incarnation: "e-1", MemoryTotal: 1_000_000, PrefillRate: 1_000})
+	return New(fl, Options{
+		Policy:     policy.Policy{Peers: true, Choose: lanes.Choose},
+		Limits:     policy.Limits{LongPerTarget: 1, LongShare: 1},
+		MaxWaiting: maxWaiting,
+	})
+}
+
+func long(tokens int, limit time.Duration) Ask {
+	return Ask{
+		Request: policy.Request{Tokens: tokens, Long: true}, Wanted: fleet.Wanted{Model: "m", Peers: true},
+		Deadline: time.Now().Add(limit),
+	}
+}
+
+func codeOf(err error) failure.Code {
+	var fe *failure.Error
+	if errors.As(err, &fe) && fe.Outcome == failure.NotRun && fe.RetryAfter > 0 {
+		return fe.Code
+	}
+	return ""
+}
+
+func TestAcquireBehindALongPrompt(t *testing.T) {
+	tests := map[string]struct {
+		ask      Ask
+		waitings int
+		want     failure.Code
+	}{
+		"has time and waits for its turn":      {ask: long(100_000, time.Hour), waitings: 10},
+		"would be late by its own prompt":      {ask: long(100_000, time.Second), waitings: 10, want: failure.DeadlineTooShort},
+		"no room to wait":                      {ask: long(100_000, time.Hour), want: failure.Overloaded},
+		"a short prompt goes beside the other": {ask: Ask{Request: policy.Request{Tokens: 10}, Wanted: fleet.Wanted{Model: "m"}, Deadline: time.Now().Add(time.Hour)}, waitings: 10},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			rt := oneEngine(10)
+			first, err := rt.Acquire(t.Context(), long(100_000, time.Hour))
+			g.Expect(err).NotTo(HaveOccurred())
+			rt.opts.MaxWaiting = tc.waitings
+			if tc.want == "" {
+				time.AfterFunc(20*time.Millisecond, first.Done)
+			}
+			pl, err := rt.Acquire(t.Context(), tc.ask)
+			g.Expect(codeOf(err)).To(Equal(tc.want))
+			g.Expect(pl == nil).To(Equal(tc.want != ""))
+			g.Expect(rt.Waiting()).To(BeZero())
+		})
+	}
+}
+
+func TestWhatYieldsMakesWay(t *testing.T) {
+	g := NewWithT(t)
+	rt := oneEngine(1)
+	first, err := rt.Acquire(t.Context(), long(100_000, time.Hour))
+	g.Expect(err).NotTo(HaveOccurred())
+	yielding := long(100_000, time.Hour)
+	yielding.Yields = true
+	evicted := make(chan error, 1)
+	go func() {
+		_, err := rt.Acquire(context.Background(), yielding)
+		evicted <- err
+	}()
+	g.Eventually(rt.Waiting).Should(Equal(1))
+	got := make(chan error, 1)
+	go func() {
+		_, err := rt.Acquire(context.Background(), long(100_000, time.Hour))
+		got <- err
+	}()
+	g.Expect(codeOf(<-evicted)).To(Equal(failure.Overloaded))
+	first.Done()
+	g.Expect(<-got).NotTo(HaveOccurred())
+}
--- /dev/null
+++ b/internal/router/waiting.go
@@ -0,0 +1,135 @@
+package router
+
+import (
+	"slices"
+	"time"
+
+	"github.com/silvermount/silvermount/internal/failure"
+	"github.com/silvermount/silvermount/internal/fleet"
+	"github.com/silvermount/silvermount/internal/policy"
+)
+
+// waiter is a request that has no place yet.
+type waiter struct {
+	ask Ask
+	// out is closed when the request has to make way.
+	out chan struct{}
+}
+
+// before orders waiters: class priority, then length band, then deadline.
+func before(a, b *waiter) int {
+	if a.ask.Priority != b.ask.Priority {
+		return b.ask.Priority - a.ask.Priority
+	}
+	if d := policy.Band(a.ask.Request.Tokens) - policy.Band(b.ask.Request.Tokens); d != 0 {
+		return d
+	}
+	return a.ask.Deadline.Compare(b.ask.Deadline)
+}
+
+// enter adds a waiter. When too many wait, the last of those that yield makes way for one that does not.
+func (rt *Router) enter(wt *waiter) error {
+	rt.mu.Lock()
+	full := len(rt.waiting) >= rt.opts.MaxWaiting
+	if full && (wt.ask.Yields || !rt.evict()) {
+		rt.mu.Unlock()
+		return rt.overloaded()
+	}
+	defer rt.mu.Unlock()
+	i, _ := slices.BinarySearchFunc(rt.waiting, wt, before)
+	rt.waiting = slices.Insert(rt.waiting, i, wt)
+	return nil
+}
+
+// evict ends the last waiter that yields. It is called with the lock held.
+func (rt *Router) evict() bool {
+	for i, wt := range slices.Backward(rt.waiting) {
+		if wt.ask.Yields {
+			close(wt.out)
+			rt.waiting = slices.Delete(rt.waiting, i, i+1)
+			return true
+		}
+	}
+	return false
+}
+
+func (rt *Router) leave(wt *waiter) {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	if i := slices.Index(rt.waiting, wt); i >= 0 {
+		rt.waiting = slices.Delete(rt.waiting, i, i+1)
+	}
+}
+
+// first reports whether no more urgent request of the same length band and model waits.
+func (rt *Router) first(wt *waiter) bool {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	for _, o := range rt.waiting {
+		if o == wt {
+			return true
+		}
+		if sameQueue(o, wt) {
+			return false
+		}
+	}
+	return true
+}
+
+func sameQueue(a, b *waiter) bool {
+	return policy.Band(a.ask.Request.Tokens) == policy.Band(b.ask.Request.Tokens) &&
+		a.ask.Wanted.Model == b.ask.Wanted.Model && a.ask.Wanted.Service == b.ask.Wanted.Service
+}
+
+// inTime refuses a request at once when those before it in its queue and its own prompt take longer than it has.
+func (rt *Router) inTime(wt *waiter) error {
+	rt.mu.Lock()
+	tokens := wt.ask.Request.Tokens
+	for _, o := range rt.waiting {
+		if o == wt {
+			break
+		}
+		if sameQueue(o, wt) {
+			tokens += o.ask.Request.Tokens
+		}
+	}
+	rt.mu.Unlock()
+	need, known := rt.drainTime(wt.ask, tokens)
+	if left := wt.ask.Deadline.Sub(rt.opts.Now()); known && need > left {
+		return failure.New(failure.DeadlineTooShort, failure.NotRun, "the queue before it takes about %s, past the deadline",
+			need.Round(time.Millisecond)).WithRetryAfter(need - left)
+	}
+	return nil
+}
+
+// drainTime is how long the targets that may take a request need for some prompt tokens. It is not known while no
+// target has told its speed.
+func (rt *Router) drainTime(ask Ask, tokens int) (need time.Duration, known bool) {
+	sum := 0.0
+	for _, ca := range rt.fl.Candidates(fleet.Wanted{Model: ask.Wanted.Model, Service: ask.Wanted.Service}).Candidates {
+		if ca.RateKnown {
+			sum += ca.Rate
+		}
+	}
+	if ask.Request.Long {
+		sum *= rt.opts.Limits.LongShare
+	}
+	if sum <= 0 {
+		return 0, false
+	}
+	return time.Duration(float64(tokens) / sum * float64(time.Second)), true
+}
+
+// overloaded tells the caller to come back when what waits now is done.
+func (rt *Router) overloaded() error {
+	rt.mu.Lock()
+	tokens, ask := 0, Ask{}
+	for _, wt := range rt.waiting {
+		tokens += wt.ask.Request.Tokens
+		ask = wt.ask
+	}
+	n := len(rt.waiting)
+	rt.mu.Unlock()
+	need, _ := rt.drainTime(ask, tokens)
+	return failure.New(failure.Overloaded, failure.NotRun, "%d requests wait already", n).WithRetryAfter(max(time.Second, need))
+}
--- a/internal/serve/account.go
+++ b/internal/serve/account.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/silvermount/silvermount/internal/failure"
 )
@@ -22,7 +23,7 @@
 	if err != nil && asFailure(err).Code == failure.CallerGone {
 		return
 	}
-	took := timeNow().Sub(rq.arrived)
+	took := time.Now().Sub(rq.arrived)
 	if !rq.firstAt.IsZero() {
 		took = rq.firstAt.Sub(rq.arrived)
 	}
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -38,7 +38,7 @@
 		Priority: sv.enginePriority(rq), Fresh: rq.never,
 	}
 	sk.events = 0
-	began := timeNow()
+	began := time.Now()
 	resp, err := cl.Start(ctx, at)
 	if err != nil {
 		return sv.startFailed(ctx, at, cl, pl, err)
@@ -139,11 +139,11 @@
 
 // firstToken learns from the first part of an answer.
 func (sv *Server) firstToken(ctx context.Context, rq *request, pl *router.Place, began time.Time) {
-	pl.FirstToken(timeNow().Sub(began))
+	pl.FirstToken(time.Now().Sub(began))
 	if !rq.firstAt.IsZero() {
 		return
 	}
-	rq.firstAt = timeNow()
+	rq.firstAt = time.Now()
 	if pl.Alone && rq.fields.Stream {
 		sv.Fleet.Observe(pl.Target.Name, len(rq.body)/engine.BytesPerToken, rq.firstAt.Sub(began))
 	}
--- a/internal/serve/inference.go
+++ b/internal/serve/inference.go
@@ -13,6 +13,9 @@
 	"github.com/silvermount/silvermount/internal/router"
 )
 
+// runFunc takes an admitted request through its attempts.
+type runFunc func(ctx context.Context, rq *request, sk *sink) error
+
 // inference serves a chat or text completion.
 func (sv *Server) inference(w http.ResponseWriter, r *http.Request) {
 	sv.serveRequest(w, r, func(ctx context.Context, rq *request, sk *sink) error {
@@ -24,7 +27,7 @@
 }
 
 // serveRequest does what all requests share: admission, body, run at most once, final error, accounts.
-func (sv *Server) serveRequest(w http.ResponseWriter, r *http.Request, run func(context.Context, *request, *sink) error) {
+func (sv *Server) serveRequest(w http.ResponseWriter, r *http.Request, run runFunc) {
 	sk := newSink(w)
 	rq, err := sv.open(r)
 	if err != nil {
@@ -46,9 +49,10 @@
 	defer end()
 	body, free, err := sv.readBody(r)
 	defer free()
-	// The read deadline was for the body; left in place it would look like a caller that goes away.
-	_ = sk.rc.SetReadDeadline(time.Time{})
 	if err == nil {
+		// The read deadline was for the body; left in place it would look like a caller that goes away. After a body that
+		// did not come it stays, else the server would wait for the rest before it ends the connection.
+		_ = sk.rc.SetReadDeadline(time.Time{})
 		rq.body = body
 		err = sv.once(ctx, r, rq, sk, run)
 	}
@@ -60,7 +64,7 @@
 }
 
 // once runs a request under its ticket or idempotency key, when it has one.
-func (sv *Server) once(ctx context.Context, r *http.Request, rq *request, sk *sink, run func(context.Context, *request, *sink) error) error {
+func (sv *Server) once(ctx context.Context, r *http.Request, rq *request, sk *sink, run runFunc) error {
 	if tk := r.Header.Get(HeaderTicket); tk != "" {
 		return sv.withTicket(ctx, r, tk, rq, sk, run)
 	}
@@ -70,7 +74,7 @@
 	return run(ctx, rq, sk)
 }
 
-func (sv *Server) withKey(ctx context.Context, key string, rq *request, sk *sink, run func(context.Context, *request, *sink) error) error {
+func (sv *Server) withKey(ctx context.Context, key string, rq *request, sk *sink, run runFunc) error {
 	cl, ans, err := sv.Claims.Take(ctx, claim.Name(rq.org.Name, rq.path+"\x00"+key), rq.body)
 	if err != nil {
 		return err
--- a/internal/serve/job.go
+++ b/internal/serve/job.go
@@ -92,7 +92,7 @@
 		return nil, failure.New(failure.Forbidden, failure.NotRun, "no organisation %q", j.Organisation)
 	}
 	return &request{
-		id: ident.New("req"), path: j.Path, org: org, class: class, inForce: inf, arrived: timeNow(), deadline: j.Deadline,
+		id: ident.New("req"), path: j.Path, org: org, class: class, inForce: inf, arrived: time.Now(), deadline: j.Deadline,
 		never: j.Never, body: j.Body,
 	}, nil
 }
--- a/internal/serve/request.go
+++ b/internal/serve/request.go
@@ -8,8 +8,6 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/silvermount/silvermount/internal/bundle"
 	"github.com/silvermount/silvermount/internal/engine"
 	"github.com/silvermount/silvermount/internal/failure"
@@ -19,12 +17,8 @@
 	"github.com/silvermount/silvermount/internal/rollout"
 )
 
-const (
-	// defaultOutput is assumed where a caller sets no bound on generated tokens.
-	defaultOutput = 256
-	// prefixBytes is the part of a body by which requests with the same start are recognised.
-	prefixBytes = 4096
-)
+// defaultOutput is assumed where a caller sets no bound on generated tokens.
+const defaultOutput = 256
 
 // request is one caller's request on its way.
 type request struct {
@@ -68,11 +62,7 @@
 
 func (rq *request) policyRequest(longTokens int) policy.Request {
 	tokens := max(1, len(rq.body)/engine.BytesPerToken)
-	pr := policy.Request{Tokens: tokens, Output: rq.output(), Long: tokens >= longTokens}
-	if len(rq.body) >= prefixBytes {
-		pr.Prefix = xxhash.Sum64(rq.body[:prefixBytes])
-	}
-	return pr
+	return policy.Request{Tokens: tokens, Output: rq.output(), Long: tokens >= longTokens}
 }
 
 // open reads everything of a request but its body.
@@ -94,7 +84,7 @@
 	if err != nil {
 		return nil, err
 	}
-	now := timeNow()
+	now := time.Now()
 	return &request{
 		id: ident.New("req"), path: r.URL.Path, org: org, class: class, inForce: inf, arrived: now,
 		deadline: now.Add(limit), never: r.Header.Get(HeaderRepeat) == repeatNever,
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -139,7 +139,7 @@
 func boundWrites(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		// It fails only where the writer is not a connection, as in tests.
-		_ = http.NewResponseController(w).SetWriteDeadline(timeNow().Add(smallAnswerLimit))
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(smallAnswerLimit))
 		next.ServeHTTP(w, r)
 	})
 }
@@ -157,6 +157,3 @@
 	}
 	w.WriteHeader(http.StatusOK)
 }
-
-// timeNow is the clock of deadlines.
-func timeNow() time.Time { return time.Now() }
--- a/internal/serve/tickets.go
+++ b/internal/serve/tickets.go
@@ -40,7 +40,7 @@
 }
 
 // withTicket runs a request once here, or passes it to the instance that issued its ticket.
-func (sv *Server) withTicket(ctx context.Context, r *http.Request, tk string, rq *request, sk *sink, run func(context.Context, *request, *sink) error) error {
+func (sv *Server) withTicket(ctx context.Context, r *http.Request, tk string, rq *request, sk *sink, run runFunc) error {
 	if ticket.Issuer(tk) != sv.Incarnation {
 		return sv.passOn(ctx, r, tk, rq, sk)
 	}
--- a/internal/session/failure_test.go
+++ b/internal/session/failure_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"bytes"
+	"fmt"
+	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -219,3 +223,23 @@
 		return live
 	}, 10*time.Second).Should(Equal(2))
 }
+
+// TestHalfSentBodyEndsAtTheDeadline promises a body and sends half of it.
+func TestHalfSentBodyEndsAtTheDeadline(t *testing.T) {
+	g := NewWithT(t)
+	lf := start(t, localfleet.Options{Zones: 1, Engines: 1, Instances: 1, Params: fast(100)})
+	conn, err := net.Dial("tcp", strings.TrimPrefix(lf.URLs()[0], "http://"))
+	g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n%s: 200ms\r\nContent-Length: 1000\r\n\r\n{\"model\"",
+		localfleet.Key, serve.HeaderTimeout)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(conn.SetReadDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+	answer, err := io.ReadAll(conn)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(answer)).To(And(ContainSubstring("400"), ContainSubstring(`"outcome":"not_run"`)))
+	sv, err := kernel.Need[*serve.Server](lf.Instances[0].Env())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(sv.InFlight).Should(BeZero())
+	g.Expect(sv.Bodies.Used()).To(BeZero())
+}
--- a/internal/signoff/signoff.go
+++ b/internal/signoff/signoff.go
@@ -6,12 +6,12 @@
 	"encoding/json"
 	"fmt"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/silvermount/silvermount/internal/bundle"
+	"github.com/silvermount/silvermount/internal/bundlestore"
 	"github.com/silvermount/silvermount/internal/platform"
 	"github.com/silvermount/silvermount/internal/rollout"
 )
@@ -32,11 +32,14 @@
 
 // Office accepts bundles for operators.
 type Office struct {
-	store *platform.Client
+	store   *platform.Client
+	bundles *bundlestore.Store
 }
 
 // New returns an office on the store.
-func New(store *platform.Client) *Office { return &Office{store: store} }
+func New(store *platform.Client) *Office {
+	return &Office{store: store, bundles: bundlestore.New(store)}
+}
 
 // current returns the accepted pointer; a zero pointer before the first bundle.
 func (of *Office) current(ctx context.Context) (rollout.Pointer, int64, error) {
@@ -63,11 +66,7 @@
 
 // Pushed returns a pushed bundle.
 func (of *Office) Pushed(ctx context.Context, version int64) (bundle.Bundle, error) {
-	o, err := of.store.Get(ctx, platform.KindBundles, strconv.FormatInt(version, 10))
-	if err != nil {
-		return bundle.Bundle{}, errors.Wrap(err, "read bundle")
-	}
-	return bundle.Parse(o.Value)
+	return of.bundles.Get(ctx, version)
 }
 
 // Push writes a bundle under the first free version after the accepted one. The same content pushed again after a lost
@@ -82,7 +81,7 @@
 		return 0, err
 	}
 	for version := p.Version + 1; ; {
-		_, err := of.store.Create(ctx, platform.KindBundles, strconv.FormatInt(version, 10), b.WithVersion(version, p.Version))
+		err := of.bundles.Create(ctx, b.WithVersion(version, p.Version))
 		if err == nil {
 			return version, nil
 		}
--- a/internal/slopes/slopes.go
+++ b/internal/slopes/slopes.go
@@ -74,9 +74,12 @@
 
 // Bundle is the size of a bundle, and the time to take it in.
 type Bundle struct {
-	Organisations int           `json:"organisations"`
-	Bytes         int           `json:"bytes"`
-	Parse         time.Duration `json:"parse"`
+	Organisations int `json:"organisations"`
+	// Bytes is the whole bundle; ChangeBytes is what is read again when one organisation changes.
+	Bytes       int `json:"bytes"`
+	ChangeBytes int `json:"change_bytes"`
+	// Parse is the time to take the whole bundle in.
+	Parse time.Duration `json:"parse"`
 }
 
 // Report is all that was measured.
@@ -130,7 +133,7 @@
 	}
 	rp.Bundles, err = bundles()
 	for _, b := range rp.Bundles {
-		fmt.Fprintf(o.Progress, "%d organisations: %d bytes, %s to take in\n", b.Organisations, b.Bytes, b.Parse)
+		fmt.Fprintf(o.Progress, "%d organisations: %d bytes, %d read when one changes, %s to take in\n", b.Organisations, b.Bytes, b.ChangeBytes, b.Parse)
 	}
 	return rp, err
 }
@@ -330,7 +333,29 @@
 		if _, err := bundle.Parse(doc); err != nil {
 			return all, err
 		}
-		all = append(all, Bundle{Organisations: n, Bytes: len(doc), Parse: time.Since(began)})
+		took := time.Since(began)
+		change, err := changeBytes(b)
+		if err != nil {
+			return all, err
+		}
+		all = append(all, Bundle{Organisations: n, Bytes: len(doc), ChangeBytes: change, Parse: took})
 	}
 	return all, nil
 }
+
+// changeBytes is the size of a bundle's index and of its largest part.
+func changeBytes(b bundle.Bundle) (int, error) {
+	index, parts, err := b.Split()
+	if err != nil {
+		return 0, err
+	}
+	doc, err := json.Marshal(index)
+	if err != nil {
+		return 0, errors.Wrap(err, "encode index")
+	}
+	largest := 0
+	for _, p := range parts {
+		largest = max(largest, len(p.Body))
+	}
+	return len(doc) + largest, nil
+}
