--- a/internal/serve/account.go
+++ b/internal/serve/account.go
@@ -23,7 +23,7 @@
 	if err != nil && asFailure(err).Code == failure.CallerGone {
 		return
 	}
-	took := time.Now().Sub(rq.arrived)
+	took := time.Since(rq.arrived)
 	if !rq.firstAt.IsZero() {
 		took = rq.firstAt.Sub(rq.arrived)
 	}
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -139,7 +139,7 @@
 
 // firstToken learns from the first part of an answer.
 func (sv *Server) firstToken(ctx context.Context, rq *request, pl *router.Place, began time.Time) {
-	pl.FirstToken(time.Now().Sub(began))
+	pl.FirstToken(time.Since(began))
 	if !rq.firstAt.IsZero() {
 		return
 	}
