feat: tell chance from slowdown in the experiment

Cause: the slowdown of one short prompt is the ratio of two runs, and most of the p95 of 2 came without any long prompt near: by tenths of a second the p50 is 1.0 and the p95 1.4. Change: the run without long prompts is made twice; their ratio is the floor; the quantiles of the runs are also set against each other. Conclusion: the floor stands beside every slowdown.

--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -21,7 +21,7 @@
 // longTokens is the length from which a prompt is left out of the comparison run.
 const longTokens = 100_000
 
-// eventExtra is the time of an event besides the arrivals of the two runs: the fleet starts, and the first run ends.
+// eventExtra is the time of an event besides the arrivals of the three runs: the fleet starts, and the first run ends.
 const eventExtra = 3 * time.Second
 
 const stopWait = 5 * time.Second
@@ -97,6 +97,12 @@
 	SlowP50 float64 `json:"slow_p50"`
 	SlowP95 float64 `json:"slow_p95"`
 	SlowP99 float64 `json:"slow_p99"`
+	// FloorP95 and FloorP99 are the same between two runs without long prompts: what chance alone gives.
+	FloorP95 float64 `json:"floor_p95"`
+	FloorP99 float64 `json:"floor_p99"`
+	// RatioP95 and RatioP99 are the quantiles of the run with long prompts over those of the run without.
+	RatioP95 float64 `json:"ratio_p95"`
+	RatioP99 float64 `json:"ratio_p99"`
 	// IdleP50 and IdleP95 are the time to the first token over that on an idle target, all lengths.
 	IdleP50 float64 `json:"idle_p50"`
 	IdleP95 float64 `json:"idle_p95"`
@@ -175,10 +181,13 @@
 	}()
 	t := load.Target{URLs: lf.URLs(), Key: localfleet.Key, Model: localfleet.Model, Seed: seed}
 	without := load.Run(ctx, t, load.Without(all, longTokens))
+	again := load.Run(ctx, t, load.Without(all, longTokens))
 	undo := inject(ctx, lf, fault, cut, time.Duration(float64(mix.Length)/o.Scale/3))
 	with := load.Run(ctx, t, all)
 	undo()
-	return measure(Cell{Fleet: p.Name, Policy: policy, Fault: fault, Seed: seed}, params, with, without), nil
+	c := Cell{Fleet: p.Name, Policy: policy, Fault: fault, Seed: seed}
+	_, c.FloorP95, c.FloorP99 = load.RatioQuantiles(load.Ratios(again, without))
+	return measure(c, params, with, without), nil
 }
 
 // event is what an operator who knows the arrivals would expect: the load of short prompts while they come. The runs with
@@ -190,7 +199,7 @@
 	}
 	span := all[len(all)-1].At
 	return bundle.Event{
-		Name: "measured", Start: time.Now(), Length: config.Duration(2*span + eventExtra), TokensPerSecond: float64(tokens) / span.Seconds(),
+		Name: "measured", Start: time.Now(), Length: config.Duration(3*span + eventExtra), TokensPerSecond: float64(tokens) / span.Seconds(),
 	}
 }
 
@@ -218,12 +227,30 @@
 			short = append(short, real)
 		}
 	}
+	base := firstTokens(without)
+	c.RatioP95 = over(load.Quantile(short, 95), load.Quantile(base, 95), params.Scale)
+	c.RatioP99 = over(load.Quantile(short, 99), load.Quantile(base, 99), params.Scale)
 	c.IdleP50, c.IdleP95, _ = load.RatioQuantiles(idle)
 	c.ShortP99 = load.Quantile(short, 99)
 	c.LongP50, c.LongP95 = load.Quantile(long, 50), load.Quantile(long, 95)
 	return c
 }
 
+func firstTokens(results []load.Result) []time.Duration {
+	var times []time.Duration
+	for _, r := range results {
+		if r.FirstToken > 0 {
+			times = append(times, r.FirstToken)
+		}
+	}
+	return times
+}
+
+// over returns an unscaled time over a scaled one.
+func over(unscaled, scaled time.Duration, scale float64) float64 {
+	return float64(unscaled) / (float64(max(1, scaled)) * scale)
+}
+
 // Medians returns a row for each fleet, fault and policy, in the order in which they were run.
 func Medians(cells []Cell) []Cell {
 	type key struct {
@@ -260,6 +287,8 @@
 		return time.Duration(number(func(c Cell) float64 { return float64(f(c)) }))
 	}
 	m.SlowP50, m.SlowP95 = number(func(c Cell) float64 { return c.SlowP50 }), number(func(c Cell) float64 { return c.SlowP95 })
+	m.FloorP95, m.FloorP99 = number(func(c Cell) float64 { return c.FloorP95 }), number(func(c Cell) float64 { return c.FloorP99 })
+	m.RatioP95, m.RatioP99 = number(func(c Cell) float64 { return c.RatioP95 }), number(func(c Cell) float64 { return c.RatioP99 })
 	m.SlowP99 = number(func(c Cell) float64 { return c.SlowP99 })
 	m.IdleP50, m.IdleP95 = number(func(c Cell) float64 { return c.IdleP50 }), number(func(c Cell) float64 { return c.IdleP95 })
 	m.ShortP99 = span(func(c Cell) time.Duration { return c.ShortP99 })
@@ -277,8 +306,8 @@
 // WriteTable writes the medians with the short p99 against the first policy of the same fleet and fault.
 func WriteTable(w io.Writer, rows []Cell) error {
 	tw := tabwriter.NewWriter(w, 0, 0, 1, ' ', 0)
-	fmt.Fprintln(tw, "| fleet\t| fault\t| policy\t| slowdown p50\t| p95\t| p99\t| short p99\t| times better\t| over idle p50\t| p95\t| long p50\t| long p95\t| right\t| refused\t| late\t|")
-	fmt.Fprintln(tw, "|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|")
+	fmt.Fprintln(tw, "| fleet\t| fault\t| policy\t| slowdown p50\t| p95\t| p99\t| floor p95\t| p99\t| quantiles p95\t| p99\t| short p99\t| times better\t| over idle p50\t| p95\t| long p50\t| long p95\t| right\t| refused\t| late\t|")
+	fmt.Fprintln(tw, "|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|")
 	base := map[string]time.Duration{}
 	for _, r := range rows {
 		k := r.Fleet + string(r.Fault)
@@ -286,8 +315,8 @@
 			base[k] = r.ShortP99
 		}
 		better := float64(base[k]) / float64(max(1, r.ShortP99))
-		fmt.Fprintf(tw, "| %s\t| %s\t| %s\t| %.2f\t| %.2f\t| %.2f\t| %s\t| %.1f\t| %.2f\t| %.2f\t| %s\t| %s\t| %d of %d\t| %d\t| %d\t|\n",
-			r.Fleet, r.Fault, r.Policy, r.SlowP50, r.SlowP95, r.SlowP99, r.ShortP99.Round(10*time.Millisecond), better,
+		fmt.Fprintf(tw, "| %s\t| %s\t| %s\t| %.2f\t| %.2f\t| %.2f\t| %.2f\t| %.2f\t| %.2f\t| %.2f\t| %s\t| %.1f\t| %.2f\t| %.2f\t| %s\t| %s\t| %d of %d\t| %d\t| %d\t|\n",
+			r.Fleet, r.Fault, r.Policy, r.SlowP50, r.SlowP95, r.SlowP99, r.FloorP95, r.FloorP99, r.RatioP95, r.RatioP99, r.ShortP99.Round(10*time.Millisecond), better,
 			r.IdleP50, r.IdleP95, r.LongP50.Round(100*time.Millisecond), r.LongP95.Round(100*time.Millisecond),
 			r.Right, r.Requests, r.Refused, r.Late)
 	}
