fix: end an answer without waiting for its record, and bound the wait for jobs at a stop

Cause, found by reading: the end of an answer with a key waited up to 10 s for a store that hangs; a job that may not be repeated could hold a planned stop up for its whole deadline, and could be cancelled by it before the store had told this instance of its kind; a mounted path could be added while requests read the map. Change: the record is waited for 250 ms and written on behind; the stop's drain bounds jobs too, and the kind of a job is kept with its run; the map is replaced, never changed.

--- a/internal/duty/jobs/http.go
+++ b/internal/duty/jobs/http.go
@@ -170,8 +170,8 @@
 		return err
 	}
 	kp.mu.Lock()
-	if stop := kp.running[v.ID]; stop != nil {
-		stop()
+	if run, ok := kp.running[v.ID]; ok {
+		run.cancel()
 	}
 	kp.mu.Unlock()
 	serve.JSON(w, nv.Record)
--- a/internal/duty/jobs/jobs.go
+++ b/internal/duty/jobs/jobs.go
@@ -51,11 +51,18 @@
 	mu sync.Mutex
 	// known is what the store last told.
 	known map[string]job.Versioned
-	// running holds the cancel of each job run here.
-	running map[string]context.CancelFunc
+	// running holds each job run here.
+	running map[string]ownRun
 	wg      sync.WaitGroup
 }
 
+// ownRun is a job that this instance runs.
+type ownRun struct {
+	cancel context.CancelFunc
+	// never is set when the job may not be run twice.
+	never bool
+}
+
 func start(_ context.Context, env *kernel.Env) (kernel.Stop, error) {
 	client, err := kernel.Need[*platform.Client](env)
 	if err != nil {
@@ -64,7 +71,7 @@
 	kp := &keeper{
 		store: job.NewStore(client), incarnation: env.Incarnation, log: env.Logger("jobs"), stopping: env.Stopping.Load,
 		lapse: lapsedAfter * env.Settings.Platform.Registration.Std(),
-		known: map[string]job.Versioned{}, running: map[string]context.CancelFunc{},
+		known: map[string]job.Versioned{}, running: map[string]ownRun{},
 	}
 	if kp.server, err = kernel.Need[*serve.Server](env); err != nil {
 		return nil, err
@@ -85,6 +92,8 @@
 				return err
 			}
 		}
+		ctx, cancel := context.WithTimeout(ctx, env.Settings.Stop.Drain.Std())
+		defer cancel()
 		kp.drain(ctx)
 		return nil
 	}, nil
@@ -197,7 +206,7 @@
 	}
 	jobCtx, cancel := context.WithCancel(work)
 	kp.mu.Lock()
-	kp.running[v.ID] = cancel
+	kp.running[v.ID] = ownRun{cancel: cancel, never: v.Never}
 	kp.mu.Unlock()
 	kp.wg.Go(func() {
 		defer cancel()
@@ -264,9 +273,9 @@
 	case <-time.After(handOver):
 	}
 	kp.mu.Lock()
-	for id, cancel := range kp.running {
-		if v := kp.known[id]; !v.Never {
-			cancel()
+	for _, run := range kp.running {
+		if !run.never {
+			run.cancel()
 		}
 	}
 	kp.mu.Unlock()
--- a/internal/serve/inference.go
+++ b/internal/serve/inference.go
@@ -86,20 +86,33 @@
 	rq.never = true
 	sk.record = &claim.Answer{}
 	err = run(ctx, rq, sk)
-	// The caller has its answer; the record is written even when the caller is gone.
-	settle, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleLimit)
-	defer cancel()
-	switch {
-	case err == nil:
-		cl.Finish(settle, *sk.record)
-	case asFailure(err).Outcome == failure.NotRun:
-		cl.Release(settle)
-	default:
-		cl.Lose(settle)
-	}
+	settle(ctx, cl, sk.record, err)
 	return err
 }
 
+// settle records how a request with a key ended. The record is written also when the caller is gone; when the store is
+// slow it goes on behind, so that the end of the caller's answer does not wait for it.
+func settle(ctx context.Context, cl *claim.Claim, ans *claim.Answer, err error) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleLimit)
+		defer cancel()
+		switch {
+		case err == nil:
+			cl.Finish(ctx, *ans)
+		case asFailure(err).Outcome == failure.NotRun:
+			cl.Release(ctx)
+		default:
+			cl.Lose(ctx)
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(settleWait):
+	}
+}
+
 // refuse ends a request that nothing was sent of.
 func (sv *Server) refuse(ctx context.Context, rq *request, err error) error {
 	if ferr := sv.machine.Fire(ctx, &rq.life, life.Refuse); ferr != nil {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"strings"
 	"sync"
@@ -84,7 +85,7 @@
 	mu sync.Mutex
 	// byOrganisation counts requests in flight; entries at zero are removed.
 	byOrganisation map[string]int
-	// mounted are handlers of other duties, by the start of their path.
+	// mounted are handlers of other duties, by the start of their path. The map is replaced, never changed.
 	mounted map[string]http.Handler
 }
 
@@ -112,7 +113,10 @@
 func (sv *Server) Mount(path string, h http.Handler) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	sv.mounted[path] = h
+	// Requests read the old map meanwhile.
+	mounted := maps.Clone(sv.mounted)
+	mounted[path] = h
+	sv.mounted = mounted
 }
 
 // other serves mounted paths.
--- a/internal/serve/tickets.go
+++ b/internal/serve/tickets.go
@@ -12,8 +12,12 @@
 	"github.com/silvermount/silvermount/internal/ticket"
 )
 
-// settleLimit bounds the time to record the result of a request with a key.
-const settleLimit = 10 * time.Second
+const (
+	// settleLimit bounds the time to record the result of a request with a key.
+	settleLimit = 10 * time.Second
+	// settleWait is how much of it the caller's answer waits for, so that one who asks again at once finds the record.
+	settleWait = 250 * time.Millisecond
+)
 
 // headerPassed marks a request that another instance passed on, so that it is not passed on again.
 const headerPassed = "Silvermount-Passed"
--- /dev/null
+++ b/internal/session/bench_test.go
@@ -0,0 +1,45 @@
+package session
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/silvermount/silvermount/internal/localfleet"
+	"github.com/silvermount/silvermount/internal/standin/enginesim"
+)
+
+// BenchmarkCompletion sends small plain completions through one instance to one engine, all in this process. The
+// allocations are those of caller, instance and engine together.
+func BenchmarkCompletion(b *testing.B) {
+	params := enginesim.DefaultParams()
+	params.Scale = 1e6
+	lf, err := localfleet.Start(b.Context(), localfleet.Options{Zones: 1, Engines: 4, Instances: 1, Params: params, Log: quiet()})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer lf.Close(b.Context())
+	url, body := lf.URLs()[0]+"/v1/completions", completion("hello", 1, false)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	b.ReportAllocs()
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			req, _ := http.NewRequestWithContext(b.Context(), http.MethodPost, url, bytes.NewReader(body))
+			req.Header.Set("Authorization", "Bearer "+localfleet.Key)
+			resp, err := client.Do(req)
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+			if resp.StatusCode != http.StatusOK {
+				b.Errorf("status %d", resp.StatusCode)
+				return
+			}
+		}
+	})
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
+}
--- a/internal/session/once_test.go
+++ b/internal/session/once_test.go
@@ -120,3 +120,20 @@
 	g.Expect(rep.outcome).To(Equal("unknown"))
 	g.Consistently(func() int { return lf.Services.Runs("valve-11") }, 200*time.Millisecond).Should(Equal(1))
 }
+
+// TestAnswerDoesNotWaitForItsRecord has the store hang after the claim: the caller's answer ends all the same.
+func TestAnswerDoesNotWaitForItsRecord(t *testing.T) {
+	g := NewWithT(t)
+	lf := small(t)
+	lf.Services.SetDelay(300 * time.Millisecond)
+	time.AfterFunc(150*time.Millisecond, func() { lf.Store.SetSlow(4 * time.Second) })
+	done := make(chan reply, 1)
+	go func() {
+		done <- call(t, http.MethodPost, lf.URLs()[0]+valvePath, []byte("open"), serve.HeaderKey, "valve-12", servicesim.HeaderRequest, "valve-12")
+	}()
+	var rep reply
+	// The store's answers take 4 s; the record is tried for 10 s.
+	g.Eventually(done, 3*time.Second).Should(Receive(&rep))
+	g.Expect(rep.status).To(Equal(http.StatusOK), rep.body)
+	lf.Store.SetSlow(0)
+}
