fix: try any target again once all were tried

Cause: found by a new test of broken streams: with one engine left, a request whose first attempt broke was told that no target serves it. Change: the list of tried targets is dropped then. Stand-in engines can break streams and cross answers; a resumed chat stays a chat; load and experiment have tests of their own. Before: 503 no_target after one break. After: streams broken once, twice and three times are whole and right.

--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,74 @@
+package load
+
+import (
+	"bufio"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/silvermount/silvermount/internal/standin/answer"
+)
+
+func mix() Mix {
+	return Mix{
+		Rate: 50, Length: 20 * time.Second, Burst: 40, LongShare: 0.02, MinTokens: 1_000, ShortTokens: 8_000, LongTokens: 100_000,
+		MaxTokens: 1_000_000, Output: 4, ShortClass: "s", LongClass: "l", Organisations: 5, Scale: 10,
+	}
+}
+
+func TestArrivalsAreTheSameForASeed(t *testing.T) {
+	g := NewWithT(t)
+	all := Generate(3, mix())
+	g.Expect(Generate(3, mix())).To(Equal(all))
+	g.Expect(Generate(4, mix())).NotTo(Equal(all))
+	g.Expect(Prompt(3, all[0])).To(Equal(Prompt(3, all[0])))
+	long := len(all) - len(Without(all, 100_000))
+	g.Expect(float64(long)/float64(len(all))).To(BeNumerically("~", 0.02, 0.012), "one prompt in fifty is long")
+	g.Expect(all[len(all)-1].At).To(BeNumerically("<=", 2*time.Second), "times are scaled")
+	for _, a := range all {
+		g.Expect(a.Tokens).To(And(BeNumerically(">=", 1_000), BeNumerically("<=", 1_000_000)))
+		g.Expect(a.Class == "l").To(Equal(a.Tokens >= 100_000))
+	}
+}
+
+func TestResultRead(t *testing.T) {
+	whole := func(text string) string { return `data: {"choices":[{"text":"` + text + `"}]}` + "\n\n" }
+	right := answer.New("p").Next()
+	tests := map[string]struct {
+		stream                string
+		status                int
+		wantWhole, wantRight  bool
+		wantCode, wantOutcome string
+	}{
+		"whole and right": {stream: whole(right) + "data: [DONE]\n", status: 200, wantWhole: true, wantRight: true},
+		"whole and wrong": {stream: whole("another ") + "data: [DONE]\n", status: 200, wantWhole: true},
+		"cut off":         {stream: whole(right), status: 200, wantCode: "cut_off"},
+		"error event": {
+			stream: whole(right) + "event: error\n" + `data: {"error":{"code":"target_lost","outcome":"unknown"}}` + "\n",
+			status: 200, wantCode: "target_lost", wantOutcome: "unknown",
+		},
+		"refused": {stream: `{"error":{"code":"overloaded","outcome":"not_run"}}`, status: 503, wantCode: "overloaded", wantOutcome: "not_run"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			rs := Result{Arrival: Arrival{Output: 1}}
+			rs.read(bufio.NewScanner(strings.NewReader(tc.stream)), tc.status, time.Now())
+			rs.check("p")
+			g.Expect(rs.Whole).To(Equal(tc.wantWhole))
+			g.Expect(rs.Right).To(Equal(tc.wantRight))
+			g.Expect(rs.Code).To(Equal(tc.wantCode))
+			g.Expect(rs.Outcome).To(Equal(tc.wantOutcome))
+		})
+	}
+}
+
+func TestRatiosPairTheSameArrivals(t *testing.T) {
+	g := NewWithT(t)
+	at := func(index int, d time.Duration) Result { return Result{Arrival: Arrival{Index: index}, FirstToken: d} }
+	with := []Result{at(1, 30), at(2, 20), at(9, 99)}
+	without := []Result{at(2, 10), at(1, 10), at(3, 10)}
+	g.Expect(Ratios(with, without)).To(ConsistOf(3.0, 2.0))
+}
--- a/internal/serve/inference.go
+++ b/internal/serve/inference.go
@@ -143,6 +143,11 @@
 	var last *failure.Error
 	for {
 		pl, err := sv.Router.Acquire(ctx, ask(tried))
+		if err != nil && len(tried) > 0 && asFailure(err).Code == failure.NoTarget {
+			// All were tried: any may be tried again.
+			tried = nil
+			pl, err = sv.Router.Acquire(ctx, ask(tried))
+		}
 		if err != nil {
 			return sv.end(ctx, rq, sk, worse(last, asFailure(err)))
 		}
--- /dev/null
+++ b/internal/session/stream_test.go
@@ -0,0 +1,81 @@
+package session
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/silvermount/silvermount/internal/kernel"
+	"github.com/silvermount/silvermount/internal/localfleet"
+	"github.com/silvermount/silvermount/internal/serve"
+	"github.com/silvermount/silvermount/internal/standin/answer"
+)
+
+// streamed returns the text of a whole stream; it fails on one without an end mark.
+func streamed(t *testing.T, body string) string {
+	t.Helper()
+	g := NewWithT(t)
+	g.Expect(strings.TrimSpace(body)).To(HaveSuffix("data: [DONE]"))
+	var text strings.Builder
+	for _, line := range strings.Split(body, "\n") {
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok || data == "[DONE]" {
+			continue
+		}
+		var ev struct {
+			Choices []struct {
+				Text  string
+				Delta struct{ Content string }
+			}
+		}
+		g.Expect(json.Unmarshal([]byte(data), &ev)).To(Succeed())
+		text.WriteString(ev.Choices[0].Text + ev.Choices[0].Delta.Content)
+	}
+	return text.String()
+}
+
+func TestStreamsGoOnAfterABreak(t *testing.T) {
+	const output = 12
+	chat := []byte(`{"model":"address","messages":[{"role":"user","content":"where is valve 7"}],"max_tokens":12,"stream":true}`)
+	tests := map[string]struct {
+		fault        func(*localfleet.Fleet)
+		path, prompt string
+		body         []byte
+		resumed      bool
+	}{
+		"broken once, resumed": {
+			fault: func(lf *localfleet.Fleet) { lf.Engines[0].BreakStreams(1) }, path: "/v1/completions", prompt: "hello",
+			body: completion("hello", output, true), resumed: true,
+		},
+		"chat broken twice, resumed": {
+			fault: func(lf *localfleet.Fleet) { lf.Engines[0].BreakStreams(2) }, path: "/v1/chat/completions", prompt: "where is valve 7",
+			body: chat, resumed: true,
+		},
+		"broken too often, continued": {
+			fault: func(lf *localfleet.Fleet) { lf.Engines[0].BreakStreams(3) }, path: "/v1/chat/completions", prompt: "where is valve 7",
+			body: chat, resumed: true,
+		},
+		"an answer of another attempt is dropped": {
+			fault: func(lf *localfleet.Fleet) { lf.Engines[0].CrossAnswers(1) }, path: "/v1/completions", prompt: "hello",
+			body: completion("hello", output, true),
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			lf := start(t, localfleet.Options{Zones: 1, Engines: 1, Instances: 1, Params: fast(50)})
+			tc.fault(lf)
+			rep := call(t, http.MethodPost, lf.URLs()[0]+tc.path, tc.body)
+			g.Expect(rep.status).To(Equal(http.StatusOK), rep.body)
+			g.Expect(streamed(t, rep.body)).To(Equal(answer.Of(tc.prompt, output)))
+			sv, err := kernel.Need[*serve.Server](lf.Instances[0].Env())
+			g.Expect(err).NotTo(HaveOccurred())
+			count := sv.Metrics.GetOrCreateCounter("silvermount_streams_resumed_total").Get()
+			g.Expect(count > 0).To(Equal(tc.resumed))
+			g.Eventually(lf.Engines[0].MemoryUsed).Should(BeZero())
+		})
+	}
+}
--- a/internal/standin/enginesim/enginesim.go
+++ b/internal/standin/enginesim/enginesim.go
@@ -57,10 +57,12 @@
 
 type sequence struct {
 	id, holder, model string
-	priority          int
-	arrived           int
-	deadline          time.Time
-	prompt, output    int
+	// chat is set for chat completions.
+	chat           bool
+	priority       int
+	arrived        int
+	deadline       time.Time
+	prompt, output int
 	// borrowed is memory held on other engines.
 	borrowed int
 	computed int
@@ -106,6 +108,8 @@
 	runs map[string]int
 	// hang makes the engine accept attempts and compute nothing.
 	hang bool
+	// breaks and crosses count down the streams to break and the answers to cross.
+	breaks, crosses int
 }
 
 // New starts an engine that serves the given models.
@@ -149,6 +153,31 @@
 	en.poke()
 }
 
+// BreakStreams makes the next n streams lose their connection after some tokens, while the engine goes on.
+func (en *Engine) BreakStreams(n int) { en.mu.Lock(); en.breaks = n; en.mu.Unlock() }
+
+// CrossAnswers makes the next n answers come under the id of another attempt.
+func (en *Engine) CrossAnswers(n int) { en.mu.Lock(); en.crosses = n; en.mu.Unlock() }
+
+// takes counts a seam down and reports whether it was set.
+func (en *Engine) takes(seam *int) bool {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	if *seam == 0 {
+		return false
+	}
+	*seam--
+	return true
+}
+
+// echo returns the id that an answer comes under.
+func (en *Engine) echo(sq *sequence) string {
+	if en.takes(&en.crosses) {
+		return "another-attempt"
+	}
+	return sq.id
+}
+
 // MemoryUsed returns the KV memory in use, in tokens.
 func (en *Engine) MemoryUsed() int { en.mu.Lock(); defer en.mu.Unlock(); return en.used }
 
--- a/internal/standin/enginesim/http.go
+++ b/internal/standin/enginesim/http.go
@@ -15,7 +15,11 @@
 	"github.com/silvermount/silvermount/internal/standin/answer"
 )
 
-const defaultOutput = 16
+const (
+	defaultOutput = 16
+	// breakAfter is the number of tokens after which a stream is broken when asked for.
+	breakAfter = 2
+)
 
 type message struct {
 	Role    string `json:"role"`
@@ -99,16 +103,16 @@
 			refuse(w, http.StatusBadRequest)
 			return
 		}
-		sq, status := en.begin(r.Header, cr)
+		sq, status := en.begin(r.Header, cr, chat)
 		if status != http.StatusOK {
 			refuse(w, status)
 			return
 		}
 		if cr.Stream {
-			en.stream(w, r, sq, 0, chat)
+			en.stream(w, r, sq, 0)
 			return
 		}
-		en.whole(w, r, sq, chat)
+		en.whole(w, r, sq)
 	}
 }
 
@@ -117,7 +121,7 @@
 	w.WriteHeader(status)
 }
 
-func (en *Engine) begin(h http.Header, cr completionRequest) (*sequence, int) {
+func (en *Engine) begin(h http.Header, cr completionRequest, chat bool) (*sequence, int) {
 	prompt := cr.text()
 	if cr.MaxTokens == 0 {
 		cr.MaxTokens = defaultOutput
@@ -126,7 +130,7 @@
 	priority, _ := strconv.Atoi(h.Get(engine.HeaderPriority))
 	borrowed, _ := strconv.Atoi(h.Get(engine.HeaderBorrowed))
 	sq := &sequence{
-		id: h.Get(engine.HeaderAttempt), holder: h.Get(engine.HeaderHolder), model: cr.Model, priority: priority,
+		id: h.Get(engine.HeaderAttempt), holder: h.Get(engine.HeaderHolder), model: cr.Model, priority: priority, chat: chat,
 		deadline: time.Now().Add(time.Duration(left) * time.Millisecond),
 		prompt:   max(1, len(prompt)/engine.BytesPerToken), output: cr.MaxTokens, borrowed: borrowed,
 		chain: answer.New(prompt), cached: blockHashes(prompt), changed: make(chan struct{}),
@@ -174,7 +178,7 @@
 	}
 }
 
-func (en *Engine) whole(w http.ResponseWriter, r *http.Request, sq *sequence, chat bool) {
+func (en *Engine) whole(w http.ResponseWriter, r *http.Request, sq *sequence) {
 	var sb strings.Builder
 	n := 0
 	for n < sq.output {
@@ -187,10 +191,10 @@
 	}
 	reason := "length"
 	ch := choice{Text: sb.String(), FinishReason: &reason}
-	if chat {
+	if sq.chat {
 		ch = choice{Message: &message{Role: "assistant", Content: sb.String()}, FinishReason: &reason}
 	}
-	w.Header().Set(engine.HeaderAttempt, sq.id)
+	w.Header().Set(engine.HeaderAttempt, en.echo(sq))
 	writeJSON(w, completion{
 		ID: sq.id, Object: "completion", Model: sq.model, Choices: []choice{ch},
 		Usage: &usage{PromptTokens: sq.prompt, CompletionTokens: n},
@@ -198,9 +202,9 @@
 	en.cancel(sq.id)
 }
 
-func (en *Engine) stream(w http.ResponseWriter, r *http.Request, sq *sequence, from int, chat bool) {
+func (en *Engine) stream(w http.ResponseWriter, r *http.Request, sq *sequence, from int) {
 	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set(engine.HeaderAttempt, sq.id)
+	w.Header().Set(engine.HeaderAttempt, en.echo(sq))
 	rc := http.NewResponseController(w)
 	w.WriteHeader(http.StatusOK)
 	_ = rc.Flush() // a caller that has gone shows at the next write
@@ -212,19 +216,22 @@
 		}
 		for _, t := range tokens {
 			n++
-			writeEvent(w, sq, t, n == sq.output, chat)
+			writeEvent(w, sq, t, n == sq.output)
 		}
 		if rc.Flush() != nil {
 			return
 		}
+		if n >= breakAfter && n < sq.output && en.takes(&en.breaks) {
+			panic(http.ErrAbortHandler)
+		}
 	}
 	_, _ = io.WriteString(w, "data: [DONE]\n\n") // as above
 	en.cancel(sq.id)
 }
 
-func writeEvent(w io.Writer, sq *sequence, token string, last, chat bool) {
+func writeEvent(w io.Writer, sq *sequence, token string, last bool) {
 	ch := choice{Text: token}
-	if chat {
+	if sq.chat {
 		ch = choice{Delta: &message{Role: "assistant", Content: token}}
 	}
 	if last {
@@ -246,7 +253,7 @@
 		refuse(w, http.StatusNotFound)
 		return
 	}
-	en.stream(w, r, sq, from, r.URL.Query().Get("chat") != "")
+	en.stream(w, r, sq, from)
 }
 
 func (en *Engine) held(w http.ResponseWriter, _ *http.Request) {
