fix: share owned targets out evenly

Cause: requests cost 1.7 messages each even on idle engines: with 20 engines for 8 instances the bound of three left one instance with none, which then asked others for every prompt. Change: no two instances differ by more than one target of a kind; engines and services are shared out apart.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -30,11 +30,13 @@
 }
 
 func TestOwnersShareEvenly(t *testing.T) {
-	tests := map[string]struct{ peers, targets, zones, most int }{
-		"alone":               {targets: 5, zones: 1, most: 5},
-		"one zone":            {peers: 3, targets: 8, zones: 1, most: 2},
-		"zones of their own":  {peers: 6, targets: 12, zones: 3, most: 2},
-		"a zone without peer": {peers: 1, targets: 9, zones: 3, most: 9},
+	tests := map[string]struct{ peers, targets, zones, least, most int }{
+		"alone":               {targets: 5, zones: 1, least: 5, most: 5},
+		"one zone":            {peers: 3, targets: 8, zones: 1, least: 2, most: 2},
+		"not evenly":          {peers: 7, targets: 20, zones: 1, least: 2, most: 3},
+		"one more than even":  {peers: 7, targets: 17, zones: 1, least: 2, most: 3},
+		"zones of their own":  {peers: 6, targets: 12, zones: 3, least: 1, most: 2},
+		"a zone without peer": {peers: 1, targets: 9, zones: 3, least: 3, most: 6},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -46,8 +48,9 @@
 				g.Expect(owner).NotTo(BeEmpty())
 				counts[owner]++
 			}
+			g.Expect(counts).To(HaveLen(tc.peers+1), "every instance owns some")
 			for owner, n := range counts {
-				g.Expect(n).To(BeNumerically("<=", tc.most), owner)
+				g.Expect(n).To(And(BeNumerically(">=", tc.least), BeNumerically("<=", tc.most)), owner)
 			}
 		})
 	}
--- a/internal/fleet/owners.go
+++ b/internal/fleet/owners.go
@@ -32,35 +32,54 @@
 	return fl.owned.of[name]
 }
 
+// group is the targets that are shared out together.
+type group struct {
+	zone string
+	kind Kind
+}
+
 // assign gives each target to a live instance of its availability zone, or of any where the zone has none: to the one
-// with the highest hash that has less than its share. So no instance owns more than one above the mean, and a change of
-// instances moves few targets.
+// with the highest hash that has less than its share. No two instances differ by more than one target of a kind, and a
+// change of instances moves few targets.
 func (fl *Fleet) assign() map[string]string {
 	all := fl.liveInstances()
 	byZone := map[string][]Instance{}
 	for _, in := range all {
 		byZone[in.AvailabilityZone] = append(byZone[in.AvailabilityZone], in)
 	}
-	targets := map[string]int{}
+	members := map[group][]string{}
 	for _, name := range fl.names() {
-		targets[fl.targets[name].AvailabilityZone]++
+		kt := fl.targets[name]
+		gr := group{zone: kt.AvailabilityZone, kind: kt.Kind}
+		members[gr] = append(members[gr], name)
 	}
 	of := make(map[string]string, len(fl.targets))
-	load := map[string]int{}
-	for _, name := range fl.names() {
-		zone := fl.targets[name].AvailabilityZone
-		able, share := byZone[zone], targets[zone]
+	for gr, names := range members {
+		able := byZone[gr.zone]
 		if len(able) == 0 {
-			able, share = all, len(fl.targets)
+			able = all
 		}
-		most := (share + len(able) - 1) / len(able)
-		best := highest(name, able, func(in Instance) bool { return load[in.Name] < most })
-		of[name] = best
-		load[best]++
+		share(names, able, of)
 	}
 	return of
 }
 
+// share gives names to instances, each its even share; the first few may take one more.
+func share(names []string, able []Instance, of map[string]string) {
+	load := map[string]int{}
+	even, more := len(names)/len(able), len(names)%len(able)
+	for _, name := range names {
+		best := highest(name, able, func(in Instance) bool {
+			return load[in.Name] < even || (load[in.Name] == even && more > 0)
+		})
+		if load[best] >= even {
+			more--
+		}
+		load[best]++
+		of[name] = best
+	}
+}
+
 // highest returns the instance with the highest hash among those that may take more, or among all when none may.
 func highest(name string, able []Instance, may func(Instance) bool) string {
 	best, top := "", uint64(0)
