fix: do not borrow memory from an engine that is not there

Change: engines that nobody has heard of lately lend nothing; a refused connection takes one out at once, and what was never connected is not cancelled.

--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -48,8 +48,12 @@
 	}
 	for i, p := range parts {
 		if err := ln.reserve(ctx, p); err != nil {
-			// The reservation that failed may have taken effect without an answer.
-			ln.giveBack(parts[:i+1])
+			held := parts[:i+1] // the reservation that failed may have taken effect without an answer
+			if engine.NeverConnected(err) {
+				ln.fl.Down(p.target.Name)
+				held = parts[:i]
+			}
+			ln.giveBack(held)
 			return nil, failure.New(failure.NoMemory, failure.NotRun, "%s has no room", p.target.Name).WithCause(err)
 		}
 	}
@@ -75,7 +79,9 @@
 	if len(main.Models) > 0 {
 		model = main.Models[0]
 	}
-	lenders := ln.fl.Candidates(fleet.Wanted{Model: model, Peers: true}).Candidates
+	vw := ln.fl.Candidates(fleet.Wanted{Model: model, Peers: true})
+	// An engine that nobody has heard of lately would spoil every reservation that it is part of.
+	lenders := slices.DeleteFunc(vw.Candidates, func(ca policy.Candidate) bool { return vw.Unconfirmed[ca.Name] })
 	slices.SortFunc(lenders, func(a, b policy.Candidate) int { return strings.Compare(a.Name, b.Name) })
 	keep := 0
 	for _, ca := range lenders {
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -73,3 +73,20 @@
 		})
 	}
 }
+
+// TestLargePromptBesideADeadEngine kills the engine whose room would be reserved first.
+func TestLargePromptBesideADeadEngine(t *testing.T) {
+	g := NewWithT(t)
+	lf := start(t, localfleet.Options{Zones: 3, Engines: 7, Instances: 3, Params: fast(400)})
+	lf.Engines[0].Kill()
+	// Index 1 goes to an instance in another availability zone, which is not told by the owner that the engine is down.
+	giant := []load.Arrival{{Class: localfleet.ClassBatch, Tokens: 900_000, Output: 4, Index: 1}}
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	for _, r := range load.Run(ctx, target(lf, 1), giant) {
+		g.Expect(r.Right).To(BeTrue(), "%+v", r)
+	}
+	for _, en := range lf.Engines[1:] {
+		g.Eventually(en.MemoryUsed, 5*time.Second).Should(BeZero(), en.Name)
+	}
+}
