--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -20,6 +20,8 @@
 	HeaderDeadline = "X-Deadline-Ms"
 	HeaderPriority = "X-Priority"
 	HeaderBorrowed = "X-Borrowed-Tokens"
+	// HeaderNotStarted is set by an engine that refuses an attempt before starting it.
+	HeaderNotStarted = "X-Not-Started"
 )
 
 // BytesPerToken is the estimate by which prompts are measured before an engine has counted them.
@@ -216,9 +218,6 @@
 	return do(hc.http, req)
 }
 
-// headerNotStarted is set by an engine that refuses an attempt before starting it.
-const headerNotStarted = "X-Not-Started"
-
 func do(client *http.Client, req *http.Request) (*http.Response, error) {
 	resp, err := client.Do(req)
 	if err != nil {
@@ -226,7 +225,7 @@
 	}
 	if resp.StatusCode != http.StatusOK {
 		resp.Body.Close()
-		return nil, &StatusError{Status: resp.StatusCode, NotStarted: resp.Header.Get(headerNotStarted) != ""}
+		return nil, &StatusError{Status: resp.StatusCode, NotStarted: resp.Header.Get(HeaderNotStarted) != ""}
 	}
 	return resp, nil
 }
--- a/internal/router/owners.go
+++ b/internal/router/owners.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/silvermount/silvermount/internal/fleet"
@@ -45,7 +46,7 @@
 	var best *offer.Offer
 	for _, of := range rt.opts.AskShort(ctx, ask.Wanted.Model, ask.Request) {
 		switch {
-		case tried(ask, of.Target):
+		case slices.Contains(ask.Wanted.Except, of.Target):
 			of.Release()
 		case best == nil:
 			best = &of
@@ -59,15 +60,6 @@
 	return best
 }
 
-func tried(ask Ask, target string) bool {
-	for _, t := range ask.Wanted.Except {
-		if t == target {
-			return true
-		}
-	}
-	return false
-}
-
 // accept takes a place that another owner offered.
 func (rt *Router) accept(ask Ask, of offer.Offer) (*Place, error) {
 	t, ok := rt.fl.Target(of.Target)
--- a/internal/standin/enginesim/http.go
+++ b/internal/standin/enginesim/http.go
@@ -117,7 +117,7 @@
 }
 
 func refuse(w http.ResponseWriter, status int) {
-	w.Header().Set("X-Not-Started", "true")
+	w.Header().Set(engine.HeaderNotStarted, "true")
 	w.WriteHeader(status)
 }
 
