--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -22,7 +22,7 @@
 	}
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	in, err := instance.Start(ctx, s, ec.logger())
+	in, err := instance.Start(ctx, s, ec.outLogger())
 	if err != nil {
 		return err
 	}
--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/silvermount/silvermount/internal/ops"
-	"github.com/silvermount/silvermount/internal/platform"
+	"github.com/silvermount/silvermount/internal/objectstore"
 )
 
 // platformOptions say how operators reach the platform and the instances.
@@ -11,6 +11,6 @@
 	Key      string `long:"operator-key" env:"SILVERMOUNT_OPERATOR_KEY" description:"key for the operators' listeners of instances"`
 }
 
-func (po *platformOptions) store() *platform.Client { return platform.New(po.Platform) }
+func (po *platformOptions) store() *objectstore.Client { return objectstore.New(po.Platform) }
 
 func (po *platformOptions) ops() *ops.Client { return ops.New(po.store(), po.Key) }
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -42,9 +42,9 @@
 }
 
 const (
-	// retryBurst is how many retries are saved up at the most.
+	// retryBurst is how many retries are saved up at the most, unless set otherwise.
 	retryBurst = 20
-	// retryTrickle is how many retries a second are allowed without traffic.
+	// retryTrickle is how many retries a second are allowed without traffic, unless set otherwise.
 	retryTrickle = 0.2
 )
 
@@ -53,14 +53,30 @@
 	mu    sync.Mutex
 	share float64
 	now   func() time.Time
-	// saved is between zero and retryBurst.
+	// burst is the most that is saved, trickle what is saved each second without traffic.
+	burst, trickle float64
+	// saved is between zero and burst.
 	saved float64
 	last  time.Time
 }
 
+// RetryOption changes a Retries under construction.
+type RetryOption func(*Retries)
+
+// WithBurst sets how many retries are saved up at the most.
+func WithBurst(n float64) RetryOption { return func(rt *Retries) { rt.burst = n } }
+
+// WithTrickle sets how many retries a second are allowed without traffic.
+func WithTrickle(perSecond float64) RetryOption { return func(rt *Retries) { rt.trickle = perSecond } }
+
 // NewRetries returns a budget of share retries for each first attempt.
-func NewRetries(share float64, now func() time.Time) *Retries {
-	return &Retries{share: share, now: now, saved: retryBurst, last: now()}
+func NewRetries(share float64, now func() time.Time, opts ...RetryOption) *Retries {
+	rt := &Retries{share: share, now: now, burst: retryBurst, trickle: retryTrickle, last: now()}
+	for _, o := range opts {
+		o(rt)
+	}
+	rt.saved = rt.burst
+	return rt
 }
 
 // First notes a first attempt.
@@ -75,7 +91,7 @@
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
 	now := rt.now()
-	rt.add(now.Sub(rt.last).Seconds() * retryTrickle)
+	rt.add(now.Sub(rt.last).Seconds() * rt.trickle)
 	rt.last = now
 	if rt.saved < 1 {
 		return false
@@ -84,4 +100,11 @@
 	return true
 }
 
-func (rt *Retries) add(n float64) { rt.saved = min(retryBurst, rt.saved+n) }
+// Left reports whether a retry is there, without taking it.
+func (rt *Retries) Left() bool {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	return rt.saved >= 1
+}
+
+func (rt *Retries) add(n float64) { rt.saved = min(rt.burst, rt.saved+n) }
--- a/internal/bundlestore/bundlestore.go
+++ b/internal/bundlestore/bundlestore.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/silvermount/silvermount/internal/bundle"
-	"github.com/silvermount/silvermount/internal/platform"
+	"github.com/silvermount/silvermount/internal/objectstore"
 )
 
 // kindParts holds the parts of large bundles, under their digests.
@@ -18,7 +18,7 @@
 
 // Store reads and writes bundles. It is safe for use by any goroutine.
 type Store struct {
-	client *platform.Client
+	client *objectstore.Client
 
 	mu sync.Mutex
 	// parts are those of the bundle read last.
@@ -26,7 +26,7 @@
 }
 
 // New returns a store on a client.
-func New(client *platform.Client) *Store { return &Store{client: client, parts: map[string][]byte{}} }
+func New(client *objectstore.Client) *Store { return &Store{client: client, parts: map[string][]byte{}} }
 
 // partObject is a stored part.
 type partObject struct {
@@ -45,7 +45,7 @@
 			return errors.Wrap(err, "write part")
 		}
 	}
-	_, err = sr.client.Create(ctx, platform.KindBundles, strconv.FormatInt(b.Version, 10), index)
+	_, err = sr.client.Create(ctx, objectstore.KindBundles, strconv.FormatInt(b.Version, 10), index)
 	return err
 }
 
@@ -58,7 +58,7 @@
 		return nil
 	}
 	_, err := sr.client.Create(ctx, kindParts, p.Digest, partObject{Body: p.Body})
-	var conflict *platform.ConflictError
+	var conflict *objectstore.ConflictError
 	if errors.As(err, &conflict) {
 		return nil
 	}
@@ -67,7 +67,7 @@
 
 // Get reads a bundle. Parts that the bundle read before had too are not read again.
 func (sr *Store) Get(ctx context.Context, version int64) (bundle.Bundle, error) {
-	o, err := sr.client.Get(ctx, platform.KindBundles, strconv.FormatInt(version, 10))
+	o, err := sr.client.Get(ctx, objectstore.KindBundles, strconv.FormatInt(version, 10))
 	if err != nil {
 		return bundle.Bundle{}, errors.Wrap(err, "read bundle")
 	}
--- a/internal/bundlestore/bundlestore_test.go
+++ b/internal/bundlestore/bundlestore_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/silvermount/silvermount/internal/bundle"
 	"github.com/silvermount/silvermount/internal/config"
-	"github.com/silvermount/silvermount/internal/platform"
+	"github.com/silvermount/silvermount/internal/objectstore"
 	"github.com/silvermount/silvermount/internal/standin/platformsim"
 )
 
@@ -19,7 +19,7 @@
 	st := platformsim.New()
 	sr := httptest.NewServer(st.Handler())
 	defer sr.Close()
-	client := platform.New(sr.URL, platform.WithRates(1000, 1000))
+	client := objectstore.New(sr.URL, objectstore.WithRates(1000, 1000))
 	b := bundle.Bundle{Version: 1, Classes: []bundle.Class{{
 		Name: "c", Deadline: config.Duration(time.Second), Objective: bundle.Objective{Share: 0.9},
 	}}}
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -12,7 +12,7 @@
 
 	"github.com/silvermount/silvermount/internal/failure"
 	"github.com/silvermount/silvermount/internal/ident"
-	"github.com/silvermount/silvermount/internal/platform"
+	"github.com/silvermount/silvermount/internal/objectstore"
 )
 
 // State is what a claim says about its run.
@@ -60,7 +60,7 @@
 
 // Store is the part of the platform's client that claims need.
 type Store struct {
-	Get    func(ctx context.Context, kind, name string) (platform.Object, error)
+	Get    func(ctx context.Context, kind, name string) (objectstore.Object, error)
 	Create func(ctx context.Context, kind, name string, value any) (int64, error)
 	Update func(ctx context.Context, kind, name string, version int64, value any) (int64, error)
 	Delete func(ctx context.Context, kind, name string, version int64) error
@@ -71,7 +71,7 @@
 	store  Store
 	holder string
 	live   func(incarnation string) bool
-	decode func(platform.Object) (Record, error)
+	decode func(objectstore.Object) (Record, error)
 }
 
 // New returns the claims of the instance with the given incarnation. live tells whether another one still runs.
@@ -99,12 +99,12 @@
 	sum := sha256.Sum256(body)
 	rec := Record{Token: ident.New("claim"), Holder: cs.holder, Body: hex.EncodeToString(sum[:]), State: Running}
 	for {
-		version, err := cs.store.Create(ctx, platform.KindClaims, name, rec)
+		version, err := cs.store.Create(ctx, objectstore.KindClaims, name, rec)
 		if err == nil {
 			return &Claim{cs: cs, name: name, version: version, record: rec}, nil, nil
 		}
-		var conflict *platform.ConflictError
-		var unknown *platform.UnknownError
+		var conflict *objectstore.ConflictError
+		var unknown *objectstore.UnknownError
 		if errors.As(err, &conflict) || errors.As(err, &unknown) {
 			cl, ans, settled, err := cs.settle(ctx, name, rec)
 			if settled {
@@ -121,7 +121,7 @@
 
 // settle reads a claim back and decides by its token whose it is.
 func (cs *Claims) settle(ctx context.Context, name string, mine Record) (*Claim, *Answer, bool, error) {
-	o, err := cs.store.Get(ctx, platform.KindClaims, name)
+	o, err := cs.store.Get(ctx, objectstore.KindClaims, name)
 	if err != nil {
 		return nil, nil, false, nil
 	}
@@ -166,7 +166,7 @@
 
 // Release gives the key back after a request of which nothing was run.
 func (cm *Claim) Release(ctx context.Context) {
-	cm.repeat(ctx, func() error { return cm.cs.store.Delete(ctx, platform.KindClaims, cm.name, cm.version) })
+	cm.repeat(ctx, func() error { return cm.cs.store.Delete(ctx, objectstore.KindClaims, cm.name, cm.version) })
 }
 
 // Finish records the answer for those who ask again.
@@ -189,7 +189,7 @@
 
 func (cm *Claim) write(ctx context.Context, rec Record) {
 	cm.repeat(ctx, func() error {
-		_, err := cm.cs.store.Update(ctx, platform.KindClaims, cm.name, cm.version, rec)
+		_, err := cm.cs.store.Update(ctx, objectstore.KindClaims, cm.name, cm.version, rec)
 		return err
 	})
 }
@@ -199,8 +199,8 @@
 func (cm *Claim) repeat(ctx context.Context, write func() error) {
 	for {
 		err := write()
-		var conflict *platform.ConflictError
-		var gone *platform.NotFoundError
+		var conflict *objectstore.ConflictError
+		var gone *objectstore.NotFoundError
 		if err == nil || errors.As(err, &conflict) || errors.As(err, &gone) {
 			return
 		}
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -15,7 +15,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/silvermount/silvermount/internal/failure"
-	"github.com/silvermount/silvermount/internal/platform"
+	"github.com/silvermount/silvermount/internal/objectstore"
 )
 
 // faultyStore is one claim object whose writes can be refused or lose their answers. Its lock orders its steps.
@@ -71,24 +71,24 @@
 func (fs *faultyStore) lock(ctx context.Context) error {
 	time.Sleep(time.Duration(fs.draw(20)) * time.Millisecond)
 	if ctx.Err() != nil {
-		return &platform.UnavailableError{Cause: ctx.Err()}
+		return &objectstore.UnavailableError{Cause: ctx.Err()}
 	}
 	fs.step <- struct{}{}
 	return nil
 }
 
-func (fs *faultyStore) get(ctx context.Context, kind, name string) (platform.Object, error) {
+func (fs *faultyStore) get(ctx context.Context, kind, name string) (objectstore.Object, error) {
 	if err := fs.lock(ctx); err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	defer func() { <-fs.step }()
 	if fs.fails() {
-		return platform.Object{}, &platform.UnavailableError{Cause: context.DeadlineExceeded}
+		return objectstore.Object{}, &objectstore.UnavailableError{Cause: context.DeadlineExceeded}
 	}
 	if fs.value == nil {
-		return platform.Object{}, &platform.NotFoundError{Kind: kind, Name: name}
+		return objectstore.Object{}, &objectstore.NotFoundError{Kind: kind, Name: name}
 	}
-	return platform.Object{Name: name, Version: fs.version, Value: fs.value}, nil
+	return objectstore.Object{Name: name, Version: fs.version, Value: fs.value}, nil
 }
 
 // write applies a conditional write, or not, and answers, or not.
@@ -98,19 +98,19 @@
 	}
 	defer func() { <-fs.step }()
 	if fs.fails() {
-		return 0, &platform.UnknownError{Cause: context.DeadlineExceeded}
+		return 0, &objectstore.UnknownError{Cause: context.DeadlineExceeded}
 	}
 	have := fs.version
 	if fs.value == nil {
 		have = 0
 	}
 	if have != want {
-		return 0, &platform.ConflictError{Kind: platform.KindClaims, Name: name}
+		return 0, &objectstore.ConflictError{Kind: objectstore.KindClaims, Name: name}
 	}
 	fs.version++
 	fs.value = value
 	if fs.fails() {
-		return 0, &platform.UnknownError{Cause: context.DeadlineExceeded}
+		return 0, &objectstore.UnknownError{Cause: context.DeadlineExceeded}
 	}
 	return fs.version, nil
 }
--- a/internal/claim/decode.go
+++ b/internal/claim/decode.go
@@ -5,10 +5,10 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/silvermount/silvermount/internal/platform"
+	"github.com/silvermount/silvermount/internal/objectstore"
 )
 
-func decodeRecord(o platform.Object) (Record, error) {
+func decodeRecord(o objectstore.Object) (Record, error) {
 	var r Record
 	return r, errors.Wrap(json.Unmarshal(o.Value, &r), "decode claim")
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -29,6 +29,9 @@
 	Routing Routing `json:"routing"`
 	// Stop says how a planned stop runs.
 	Stop Stop `json:"stop"`
+	// Gateway is set on instances that serve the protocol of an adapter in place of the product's own; the sections
+	// above but the instance's name and availability zone then stay unused.
+	Gateway *Gateway `json:"gateway,omitempty"`
 }
 
 // Callers holds the limits of the callers' listener.
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,179 @@
+// Package dispatch chooses the target of each request from what this instance and its peers have in flight.
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/silvermount/silvermount/internal/failure"
+	"github.com/silvermount/silvermount/internal/placement"
+	"github.com/silvermount/silvermount/internal/reservation"
+	"github.com/silvermount/silvermount/internal/routes"
+	"github.com/silvermount/silvermount/internal/targets"
+)
+
+// Ask is a request that needs a target.
+type Ask struct {
+	// Request is the caller's id; it breaks ties.
+	Request string
+	Service routes.Service
+	// Avoid are incarnations that are not to be chosen.
+	Avoid []string
+	// PromptTokens, MostAnswer and AnswerHint are zero when not known.
+	PromptTokens, MostAnswer, AnswerHint int
+	// Events is how many events of the answer were passed on already.
+	Events int
+	// Objective and LongestPause are the route's; zero when it has none.
+	Objective, LongestPause time.Duration
+	Arrived, Deadline       time.Time
+	// Resumed is set when the answer goes on after some event.
+	Resumed bool
+}
+
+// Helper is a target that reads a part of the prompt.
+type Helper struct {
+	ID, Address string
+	// Reservation names memory set aside there; empty when none is.
+	Reservation string
+}
+
+// Dispatcher chooses targets. Its methods may be called by any goroutine.
+type Dispatcher struct {
+	targets *targets.Directory
+	keeper  *reservation.Keeper
+	opts    Options
+	book    *book
+}
+
+// Options are the settings and seams of a Dispatcher.
+type Options struct {
+	// Instance and AvailabilityZone are this instance's own.
+	Instance, AvailabilityZone string
+	// Now is the steady clock.
+	Now func() time.Time
+	// Changed is told when what this instance has in flight changes.
+	Changed func()
+}
+
+// New returns a dispatcher.
+func New(dr *targets.Directory, kp *reservation.Keeper, op Options) *Dispatcher {
+	return &Dispatcher{targets: dr, keeper: kp, opts: op, book: newBook()}
+}
+
+// Own returns what this instance has in flight, by incarnation.
+func (ds *Dispatcher) Own() map[string]placement.Load { return ds.book.ownLoads() }
+
+// Heard takes what a peer has in flight; nil forgets the peer.
+func (ds *Dispatcher) Heard(peer string, loads map[string]placement.Load) { ds.book.setPeer(peer, loads) }
+
+const (
+	// waitStep is how often a request without room looks again when nothing wakes it: a few passes of an engine.
+	waitStep = 20 * time.Millisecond
+	// waitShare is the share of the objective for which a request waits for room before it is refused.
+	waitShare = 0.8
+	// comeBack is when a caller should come back after a refusal for lack of room: a few passes of an engine.
+	comeBack = 300 * time.Millisecond
+)
+
+// Acquire chooses a target and books the request there. A request without room waits for a part of its objective.
+// Release must be called on the slot.
+func (ds *Dispatcher) Acquire(ctx context.Context, as Ask) (*Slot, error) {
+	patience := as.Arrived.Add(time.Duration(waitShare * float64(as.Objective)))
+	for {
+		woken := ds.book.woken()
+		sl, ok, err := ds.try(ctx, as)
+		if err != nil {
+			return nil, err
+		}
+		if ok {
+			return sl, nil
+		}
+		if ds.opts.Now().After(patience) {
+			return nil, failure.New(failure.Overloaded, failure.NotRun, "no target has room").WithRetryAfter(comeBack)
+		}
+		timer := time.NewTimer(waitStep)
+		select {
+		case <-woken:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// try makes one choice. It reports false when there is no room now.
+func (ds *Dispatcher) try(ctx context.Context, as Ask) (*Slot, bool, error) {
+	tgs := ds.usable(as)
+	if len(tgs) == 0 {
+		return nil, false, failure.New(failure.NoTarget, failure.NotRun, "no target of the service takes work").WithRetryAfter(comeBack)
+	}
+	if as.Service.Engine == nil || as.PromptTokens == 0 {
+		return ds.leastBusy(as, tgs), true, nil
+	}
+	return ds.place(ctx, as, tgs)
+}
+
+// usable returns the service's targets without those to avoid, unless no other is left.
+func (ds *Dispatcher) usable(as Ask) []targets.Target {
+	all := ds.targets.Usable(as.Service.Name)
+	left := make([]targets.Target, 0, len(all))
+	for _, tg := range all {
+		if !contains(as.Avoid, tg.ID) {
+			left = append(left, tg)
+		}
+	}
+	return left
+}
+
+func contains(ids []string, id string) bool {
+	for _, have := range ids {
+		if have == id {
+			return true
+		}
+	}
+	return false
+}
+
+// leastBusy chooses the target of a plain service with the fewest requests in flight, near ones first.
+func (ds *Dispatcher) leastBusy(as Ask, tgs []targets.Target) *Slot {
+	ds.book.mu.Lock()
+	defer ds.book.mu.Unlock()
+	best, bestCost := 0, 0.0
+	for i, tg := range tgs {
+		cost := float64(ds.book.total(tg.ID).Writers) / float64(max(1, tg.Slots))
+		if tg.AvailabilityZone != ds.opts.AvailabilityZone {
+			cost += farCost
+		}
+		cost += tieCost * fraction(as.Request, ds.opts.Instance, tg.ID)
+		if i == 0 || cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	sl := &Slot{ds: ds, Target: tgs[best], Candidates: len(tgs), Priority: -1}
+	sl.book(tgs[best].ID, placement.Load{Writers: 1})
+	return sl
+}
+
+const (
+	// farCost is what another availability zone counts, in shares of a target's slots: one more request at the near
+	// target outweighs it.
+	farCost = 0.1
+	// tieCost spreads equal targets and stays below one request.
+	tieCost = 0.05
+)
+
+// fraction is a number in [0, 1) that differs by request, instance and target.
+func fraction(parts ...string) float64 {
+	var h xxhash.Digest
+	h.Reset()
+	for _, p := range parts {
+		// A hash takes every write.
+		_, _ = h.WriteString(p)
+	}
+	return float64(h.Sum64()>>11) / (1 << 53)
+}
--- /dev/null
+++ b/internal/dispatch/place.go
@@ -0,0 +1,162 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/silvermount/silvermount/internal/failure"
+	"github.com/silvermount/silvermount/internal/placement"
+	"github.com/silvermount/silvermount/internal/reservation"
+	"github.com/silvermount/silvermount/internal/targets"
+)
+
+const (
+	// worthBase and worthPerThousand give the worth of an answer: the users' sheets rank their kinds of request about
+	// like this (1.3 at 5,000 tokens, 3.9 at 45,000, 15 at 133,000).
+	worthBase        = 0.7
+	worthPerThousand = 0.1
+	// worthLate is the share of an answer's worth that is left when it is late, on all sheets.
+	worthLate = 0.25
+	// pauseUnset stands for the longest pause of a route that sets none.
+	pauseUnset = time.Second
+)
+
+// prompt describes a request to the placement.
+func (ds *Dispatcher) prompt(as Ask) placement.Prompt {
+	worth := worthBase + worthPerThousand*float64(as.PromptTokens)/1000
+	now := ds.opts.Now()
+	pause := as.LongestPause
+	if pause <= 0 {
+		pause = pauseUnset
+	}
+	return placement.Prompt{
+		Tokens: int64(as.PromptTokens), Answer: int64(expectedAnswer(as)),
+		Objective: max(as.Objective, time.Millisecond), Used: now.Sub(as.Arrived), LongestPause: pause,
+		InTime: placement.WorthOf(worth), Late: placement.WorthOf(worth * worthLate), Left: as.Deadline.Sub(now),
+	}
+}
+
+// expectedAnswer is the caller's guess, else the usual answer, at most the bound that the caller set.
+func expectedAnswer(as Ask) int {
+	expected := as.AnswerHint
+	if expected == 0 {
+		expected = int(as.Service.Engine.UsualAnswer)
+	}
+	if as.MostAnswer > 0 {
+		expected = min(expected, as.MostAnswer)
+	}
+	return max(1, expected)
+}
+
+// place chooses the targets of a prompt and books it there.
+func (ds *Dispatcher) place(ctx context.Context, as Ask, tgs []targets.Target) (*Slot, bool, error) {
+	pr := ds.prompt(as)
+	sl, ok := ds.choose(as, pr, tgs)
+	if !ok {
+		return nil, false, nil
+	}
+	if len(sl.plan.Reserve) == 0 {
+		return sl, true, nil
+	}
+	if err := ds.reserve(ctx, sl, tgs); err != nil {
+		sl.Release()
+		var re *reservation.RefusedError
+		if errors.As(err, &re) {
+			return nil, false, nil
+		}
+		return nil, false, failure.New(failure.NoMemory, failure.NotRun, "memory could not be set aside").
+			WithCause(err).WithRetryAfter(comeBack)
+	}
+	return sl, true, nil
+}
+
+// choose books the plan of least expected loss under the book's lock, so that two requests do not see the same room.
+func (ds *Dispatcher) choose(as Ask, pr placement.Prompt, tgs []targets.Target) (*Slot, bool) {
+	ds.book.mu.Lock()
+	defer ds.book.mu.Unlock()
+	cands := make([]placement.Target, len(tgs))
+	byID := make(map[string]targets.Target, len(tgs))
+	for i, tg := range tgs {
+		cands[i] = placement.Target{
+			Name: tg.ID, Near: tg.AvailabilityZone == ds.opts.AvailabilityZone, Load: ds.book.total(tg.ID), Pace: 1, Helper: true,
+		}
+		byID[tg.ID] = tg
+	}
+	seed := xxhash.Sum64String(ds.opts.Instance + as.Request)
+	pl, ok := placement.Choose(*as.Service.Engine, pr, cands, placement.Options{Seed: seed})
+	if !ok {
+		return nil, false
+	}
+	sl := &Slot{
+		ds: ds, Target: byID[pl.Main], Candidates: len(tgs), Priority: priority(as), prompt: pr, plan: pl,
+		FirstPredicted: pl.FirstToken, PausePredicted: pl.Pause,
+	}
+	parts := 1 + len(pl.Helpers)
+	reading := pr.Reading(parts)
+	if len(pl.Reserve) > 0 {
+		reading = reading.WithMemory(0)
+	}
+	sl.book(pl.Main, reading)
+	for _, id := range pl.Helpers {
+		sl.Helpers = append(sl.Helpers, Helper{ID: id, Address: byID[id].Address})
+		sl.book(id, pr.Helping(parts))
+	}
+	for _, sh := range pl.Reserve {
+		sl.bookHeld(sh.Target, placement.Load{Memory: sh.Tokens})
+	}
+	return sl, true
+}
+
+// reserve sets aside the memory of a plan. The main target's own reservation comes first among the helpers.
+func (ds *Dispatcher) reserve(ctx context.Context, sl *Slot, tgs []targets.Target) error {
+	address := map[string]string{}
+	for _, tg := range tgs {
+		address[tg.ID] = tg.Address
+	}
+	places := make([]reservation.Place, 0, len(sl.plan.Reserve))
+	for _, sh := range sl.plan.Reserve {
+		places = append(places, reservation.Place{Address: address[sh.Target], Tokens: sh.Tokens})
+	}
+	rv, err := ds.keeper.Take(ctx, places)
+	if err != nil {
+		return err
+	}
+	sl.reservation = rv
+	sl.Helpers = nil
+	for _, sh := range sl.plan.Reserve {
+		sl.Helpers = append(sl.Helpers, Helper{ID: sh.Target, Address: address[sh.Target], Reservation: rv.ID()})
+	}
+	return nil
+}
+
+// The ranks of prompts at an engine, most urgent first. Short prompts have the shortest objectives; a stream that goes
+// on elsewhere has a caller who already reads.
+const (
+	rankResumed = 0
+	rankShort   = 1
+	rankMiddle  = 3
+	rankLong    = 5
+	rankGiant   = 6
+
+	shortTokens  = 16_000
+	middleTokens = 80_000
+	longTokens   = 200_000
+)
+
+func priority(as Ask) int {
+	switch {
+	case as.Resumed:
+		return rankResumed
+	case as.PromptTokens <= shortTokens:
+		return rankShort
+	case as.PromptTokens <= middleTokens:
+		return rankMiddle
+	case as.PromptTokens <= longTokens:
+		return rankLong
+	default:
+		return rankGiant
+	}
+}
--- a/internal/duty/announce/announce.go
+++ b/internal/duty/announce/announce.go
@@ -10,7 +10,7 @@
 
 	"github.com/silvermount/silvermount/internal/fleet"
 	"github.com/silvermount/silvermount/internal/kernel"
-	"github.com/silvermount/silvermount/internal/platform"
+	"github.com/silvermount/silvermount/internal/objectstore"
 )
 
 func init() {
@@ -20,7 +20,7 @@
 const retryPause = time.Second
 
 type registrar struct {
-	store *platform.Client
+	store *objectstore.Client
 	self  fleet.Instance
 	every time.Duration
 	// version is that of this instance's object; zero before it exists.
@@ -28,7 +28,7 @@
 }
 
 func start(_ context.Context, env *kernel.Env) (kernel.Stop, error) {
-	store, err := kernel.Need[*platform.Client](env)
+	store, err := kernel.Need[*objectstore.Client](env)
 	if err != nil {
 		return nil, err
 	}
@@ -64,9 +64,9 @@
 // renew writes this instance's object. The name belongs to this instance, so that an older one is replaced.
 func (rg *registrar) renew(ctx context.Context) error {
 	version, err := rg.write(ctx)
-	var conflict *platform.ConflictError
+	var conflict *objectstore.ConflictError
 	if errors.As(err, &conflict) {
-		o, gerr := rg.store.Get(ctx, platform.KindInstances, rg.self.Name)
+		o, gerr := rg.store.Get(ctx, objectstore.KindInstances, rg.self.Name)
 		if gerr != nil {
 			rg.version = 0
 			return gerr
@@ -82,14 +82,14 @@
 
 func (rg *registrar) write(ctx context.Context) (int64, error) {
 	if rg.version == 0 {
-		return rg.store.Create(ctx, platform.KindInstances, rg.self.Name, rg.self)
+		return rg.store.Create(ctx, objectstore.KindInstances, rg.self.Name, rg.self)
 	}
-	return rg.store.Update(ctx, platform.KindInstances, rg.self.Name, rg.version, rg.self)
+	return rg.store.Update(ctx, objectstore.KindInstances, rg.self.Name, rg.version, rg.self)
 }
 
 // remove takes the object back; when that fails the next start replaces it.
 func (rg *registrar) remove(ctx context.Context) {
 	if rg.version > 0 {
-		_ = rg.store.Delete(ctx, platform.KindInstances, rg.self.Name, rg.version)
+		_ = rg.store.Delete(ctx, objectstore.KindInstances, rg.self.Name, rg.version)
 	}
 }
--- a/internal/duty/bundles/bundles.go
+++ b/internal/duty/bundles/bundles.go
@@ -12,7 +12,7 @@
 	"github.com/silvermount/silvermount/internal/duty/knowledge"
 	"github.com/silvermount/silvermount/internal/kernel"
 	"github.com/silvermount/silvermount/internal/peer"
-	"github.com/silvermount/silvermount/internal/platform"
+	"github.com/silvermount/silvermount/internal/objectstore"
 	"github.com/silvermount/silvermount/internal/rollout"
 )
 
@@ -31,7 +31,7 @@
 
 func start(_ context.Context, env *kernel.Env) (kernel.Stop, error) {
 	fo := &follower{log: env.Logger("bundles")}
-	client, err := kernel.Need[*platform.Client](env)
+	client, err := kernel.Need[*objectstore.Client](env)
 	if err != nil {
 		return nil, err
 	}
@@ -43,7 +43,7 @@
 		return nil, err
 	}
 	watch := kernel.Go(func(ctx context.Context) {
-		knowledge.Follow(ctx, client, platform.KindPointers, 0, fo.log, fo.hear)
+		knowledge.Follow(ctx, client, objectstore.KindPointers, 0, fo.log, fo.hear)
 	})
 	fetch := kernel.Go(fo.run)
 	return func(ctx context.Context) error {
@@ -54,7 +54,7 @@
 	}, nil
 }
 
-func (fo *follower) hear(items []platform.Object) {
+func (fo *follower) hear(items []objectstore.Object) {
 	for _, o := range items {
 		var p rollout.Pointer
 		if o.Name == rollout.PointerName && json.Unmarshal(o.Value, &p) == nil {
--- a/internal/duty/callers/callers.go
+++ b/internal/duty/callers/callers.go
@@ -21,7 +21,7 @@
 	"github.com/silvermount/silvermount/internal/fleet"
 	"github.com/silvermount/silvermount/internal/kernel"
 	"github.com/silvermount/silvermount/internal/peer"
-	"github.com/silvermount/silvermount/internal/platform"
+	"github.com/silvermount/silvermount/internal/objectstore"
 	"github.com/silvermount/silvermount/internal/policy"
 	_ "github.com/silvermount/silvermount/internal/policy/all" // the policies register themselves
 	"github.com/silvermount/silvermount/internal/policy/owners"
@@ -150,7 +150,7 @@
 		return d, err
 	}
 	d.Engine = clients
-	store, err := kernel.Need[*platform.Client](env)
+	store, err := kernel.Need[*objectstore.Client](env)
 	if err != nil {
 		return d, err
 	}
--- /dev/null
+++ b/internal/duty/facts/facts.go
@@ -0,0 +1,147 @@
+// Package facts is the duty that follows the configuration and the list of targets in the store.
+package facts
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+
+	"github.com/silvermount/silvermount/internal/adapter"
+	"github.com/silvermount/silvermount/internal/config"
+	"github.com/silvermount/silvermount/internal/follow"
+	"github.com/silvermount/silvermount/internal/kernel"
+	"github.com/silvermount/silvermount/internal/objectstore"
+	"github.com/silvermount/silvermount/internal/routes"
+	"github.com/silvermount/silvermount/internal/targets"
+)
+
+func init() {
+	kernel.Register(kernel.Duty{Name: "facts", Role: config.RoleGateway, Phase: kernel.PhaseKnowledge, Start: start})
+}
+
+const (
+	// configurationWait bounds a silent watch of the configuration: its silence is the age of the proof that no key was
+	// taken away, and that proof may be as old as a few seconds only.
+	configurationWait = 1500 * time.Millisecond
+	// targetsWait bounds a silent watch of the targets; a watch that was cut in silence is found after it.
+	targetsWait = 2 * time.Second
+)
+
+// reader takes what the store says.
+type reader struct {
+	ad  adapter.Adapter
+	rts *routes.Holder
+	dr  *targets.Directory
+	lg  log.Interface
+	// version is the newest configuration read; it is used by one goroutine.
+	version int64
+}
+
+func start(_ context.Context, env *kernel.Env) (kernel.Stop, error) {
+	ad, err := kernel.Need[adapter.Adapter](env)
+	if err != nil {
+		return nil, err
+	}
+	rts, err := kernel.Need[*routes.Holder](env)
+	if err != nil {
+		return nil, err
+	}
+	dr, err := kernel.Need[*targets.Directory](env)
+	if err != nil {
+		return nil, err
+	}
+	ms, err := kernel.Need[*metrics.Set](env)
+	if err != nil {
+		return nil, err
+	}
+	calls := ms.GetOrCreateCounter("silvermount_store_calls_total")
+	st := ad.Store(env.Settings.Gateway.Store, calls.Inc)
+	rd := &reader{ad: ad, rts: rts, dr: dr, lg: env.Logger("facts")}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { rd.configuration(st, env.Logger("store")).Run(ctx) })
+	wg.Go(func() { rd.targets(st, env.Logger("store")).Run(ctx) })
+	return func(context.Context) error {
+		cancel()
+		wg.Wait()
+		return nil
+	}, nil
+}
+
+func (rd *reader) configuration(st follow.Store, lg log.Interface) *follow.Follower {
+	return &follow.Follower{
+		Store: st, Kind: rd.ad.ConfigurationKind, Wait: configurationWait, Log: lg,
+		Replace: func(items []objectstore.Object, evidence time.Time) {
+			for _, it := range items {
+				rd.readConfiguration(it, evidence)
+			}
+		},
+		Change:  rd.readConfiguration,
+		Confirm: func(evidence time.Time) { rd.rts.Confirm(rd.version, evidence) },
+		Trouble: func(error) {},
+	}
+}
+
+func (rd *reader) readConfiguration(it objectstore.Object, evidence time.Time) {
+	if it.Name != rd.ad.ConfigurationName || len(it.Value) == 0 {
+		return
+	}
+	ct, err := rd.ad.Configuration(it.Value)
+	if err != nil {
+		rd.lg.WithError(err).WithField("version", it.Version).Error("configuration cannot be read; the present one stays in force")
+		return
+	}
+	rd.version = ct.Version
+	if rd.rts.Offer(routes.New(ct), it.Value, evidence) {
+		rd.lg.WithFields(log.Fields{
+			"version": ct.Version, "routes": len(ct.Routes), "services": len(ct.Services), "source": "store",
+			"age": time.Since(evidence).Round(time.Millisecond).String(),
+		}).Info("configuration in force")
+	}
+}
+
+func (rd *reader) targets(st follow.Store, lg log.Interface) *follow.Follower {
+	return &follow.Follower{
+		Store: st, Kind: rd.ad.TargetKind, Wait: targetsWait, Log: lg,
+		Replace: func(items []objectstore.Object, evidence time.Time) {
+			list := make([]targets.Target, 0, len(items))
+			for _, it := range items {
+				if tg, ok := rd.target(it); ok {
+					list = append(list, tg)
+				}
+			}
+			rd.tell(rd.dr.Replace(list, evidence))
+		},
+		Change: func(it objectstore.Object, evidence time.Time) {
+			if len(it.Value) == 0 {
+				rd.tell(rd.dr.Remove(it.Name, evidence))
+				return
+			}
+			if tg, ok := rd.target(it); ok {
+				rd.tell(rd.dr.Put(tg, evidence))
+			}
+		},
+		Confirm: rd.dr.Confirm,
+		Trouble: func(error) { rd.dr.Trouble() },
+	}
+}
+
+func (rd *reader) target(it objectstore.Object) (targets.Target, bool) {
+	tg, err := rd.ad.Target(it)
+	if err != nil {
+		rd.lg.WithError(err).WithField("target", it.Name).Error("target cannot be read and is left out")
+		return tg, false
+	}
+	return tg, true
+}
+
+func (rd *reader) tell(changes []targets.Change) {
+	for _, ch := range changes {
+		rd.lg.WithFields(log.Fields{
+			"target": ch.Target.ID, "service": ch.Target.Service, "address": ch.Target.Address, "source": "store",
+		}).Info("target " + ch.What)
+	}
+}
--- /dev/null
+++ b/internal/duty/frontend/frontend.go
@@ -0,0 +1,222 @@
+// Package frontend is the duty that serves callers, readiness and metrics on a gateway.
+package frontend
+
+import (
+	"context"
+	stdlog "log"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+	"github.com/go-chi/chi/v5"
+
+	"github.com/silvermount/silvermount/internal/adapter"
+	"github.com/silvermount/silvermount/internal/budget"
+	"github.com/silvermount/silvermount/internal/config"
+	"github.com/silvermount/silvermount/internal/dispatch"
+	"github.com/silvermount/silvermount/internal/gateway"
+	"github.com/silvermount/silvermount/internal/kernel"
+	"github.com/silvermount/silvermount/internal/routes"
+	"github.com/silvermount/silvermount/internal/targets"
+	"github.com/silvermount/silvermount/internal/upstream"
+)
+
+func init() {
+	kernel.Register(kernel.Duty{Name: "frontend", Role: config.RoleGateway, Phase: kernel.PhaseListen, Start: start})
+}
+
+const (
+	// headerTimeout bounds the reading of headers; callers stay within a few seconds.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is longer than callers keep an idle connection (the configuration's limit is 15 s).
+	idleTimeout = 75 * time.Second
+	// maxHeader is four times the configuration's limit.
+	maxHeader = 64 << 10
+	// balancerLag is how long new connections still come after a stop was asked for: the balancer asks every second and
+	// takes an instance out after two refusals.
+	balancerLag = 3200 * time.Millisecond
+	// stopMargin is left of the grace for the end of the process.
+	stopMargin = 700 * time.Millisecond
+	// proofMargin is taken off the revocation bound for the time between the check of the proof and the first byte sent.
+	proofMargin = 600 * time.Millisecond
+	// sweepEvery is how often idle connections to targets are looked through.
+	sweepEvery = time.Second
+)
+
+// servers are the listeners of a gateway.
+type servers struct {
+	gw    *gateway.Gateway
+	lg    log.Interface
+	list  []*http.Server
+	stops []func()
+}
+
+func start(ctx context.Context, env *kernel.Env) (kernel.Stop, error) {
+	gw, err := build(env)
+	if err != nil {
+		return nil, err
+	}
+	ms, err := kernel.Need[*metrics.Set](env)
+	if err != nil {
+		return nil, err
+	}
+	pl, err := kernel.Need[*upstream.Pool](env)
+	if err != nil {
+		return nil, err
+	}
+	sv := &servers{gw: gw, lg: env.Logger("frontend")}
+	st := env.Settings.Gateway
+	for _, l := range []struct {
+		address string
+		handler http.Handler
+	}{{st.Callers, gw}, {st.Readiness, readiness(gw)}, {st.Metrics, figures(ms)}} {
+		if err := sv.serve(ctx, l.address, l.handler); err != nil {
+			sv.close()
+			return nil, err
+		}
+	}
+	sv.sweep(pl)
+	grace := st.Grace.Std()
+	return func(ctx context.Context) error { return sv.stop(ctx, grace) }, nil
+}
+
+// build joins the parts of the gateway.
+func build(env *kernel.Env) (*gateway.Gateway, error) {
+	ad, err := kernel.Need[adapter.Adapter](env)
+	if err != nil {
+		return nil, err
+	}
+	rts, err := kernel.Need[*routes.Holder](env)
+	if err != nil {
+		return nil, err
+	}
+	dr, err := kernel.Need[*targets.Directory](env)
+	if err != nil {
+		return nil, err
+	}
+	ds, err := kernel.Need[*dispatch.Dispatcher](env)
+	if err != nil {
+		return nil, err
+	}
+	pl, err := kernel.Need[*upstream.Pool](env)
+	if err != nil {
+		return nil, err
+	}
+	ms, err := kernel.Need[*metrics.Set](env)
+	if err != nil {
+		return nil, err
+	}
+	st := env.Settings.Gateway
+	lm := gateway.Limits{MaxBodyBytes: st.MaxBodyBytes}
+	if bound := st.RevocationBound.Std(); bound > 0 {
+		lm.ProofAge = max(bound-proofMargin, bound/2)
+	}
+	return gateway.New(gateway.Deps{
+		Protocol: ad.Protocol, Routes: rts, Targets: dr, Dispatcher: ds, Pool: pl, Retries: retries(st),
+		Bodies: budget.NewMemory(st.BodyBudgetBytes), Metrics: ms, Log: env.Logger("gateway"),
+		Random: rand.Float64, Now: time.Now, Stopping: env.Stopping.Load,
+	}, lm), nil
+}
+
+// floorInstances is the number of instances that share the floor of the retry budget, until it is known how many live.
+const floorInstances = 8
+
+func retries(st *config.Gateway) *budget.Retries {
+	floor := float64(st.RetryFloor) / floorInstances
+	return budget.NewRetries(st.RetryShare, time.Now,
+		budget.WithBurst(floor/2), budget.WithTrickle(floor/2/st.RetryWindow.Std().Seconds()))
+}
+
+func (sv *servers) serve(ctx context.Context, address string, h http.Handler) error {
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "bind listener")
+	}
+	hs := &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		ErrorLog: stdlog.New(lineWriter{lg: sv.lg}, "", 0),
+	}
+	sv.list = append(sv.list, hs)
+	go func() {
+		if err := hs.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			sv.lg.WithError(err).WithField("address", address).Error("listener ended")
+		}
+	}()
+	return nil
+}
+
+// lineWriter turns the lines of the HTTP server into log lines.
+type lineWriter struct{ lg log.Interface }
+
+// Write logs one line.
+func (lw lineWriter) Write(b []byte) (int, error) {
+	lw.lg.WithField("cause", string(b)).Debug("connection ended with an error")
+	return len(b), nil
+}
+
+func readiness(gw *gateway.Gateway) http.Handler {
+	rt := chi.NewRouter()
+	rt.Get("/*", func(w http.ResponseWriter, _ *http.Request) {
+		if !gw.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	return rt
+}
+
+func figures(ms *metrics.Set) http.Handler {
+	rt := chi.NewRouter()
+	rt.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		ms.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	return rt
+}
+
+func (sv *servers) sweep(pl *upstream.Pool) {
+	tick := time.NewTicker(sweepEvery)
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-tick.C:
+				pl.Sweep()
+			case <-done:
+				return
+			}
+		}
+	}()
+	sv.stops = append(sv.stops, func() { tick.Stop(); close(done) })
+}
+
+// stop serves on until the balancer sends nothing new, then ends when the last answer has, at the latest before the
+// grace is over.
+func (sv *servers) stop(ctx context.Context, grace time.Duration) error {
+	sv.lg.WithField("in_flight", sv.gw.InFlight()).Info("stopping")
+	began := time.Now()
+	time.Sleep(min(balancerLag, grace/2))
+	ctx, cancel := context.WithDeadline(ctx, began.Add(grace-stopMargin))
+	defer cancel()
+	err := sv.list[0].Shutdown(ctx)
+	if err != nil {
+		sv.lg.WithField("in_flight", sv.gw.InFlight()).Warn("grace is over before the last answer")
+	}
+	sv.close()
+	return errors.Wrap(err, "finish requests")
+}
+
+func (sv *servers) close() {
+	for _, stop := range sv.stops {
+		stop()
+	}
+	for _, hs := range sv.list {
+		_ = hs.Close() // its listener may have been closed by Shutdown
+	}
+}
--- a/internal/duty/jobs/http.go
+++ b/internal/duty/jobs/http.go
@@ -12,7 +12,7 @@
 	"github.com/silvermount/silvermount/internal/failure"
 	"github.com/silvermount/silvermount/internal/ident"
 	"github.com/silvermount/silvermount/internal/job"
-	"github.com/silvermount/silvermount/internal/platform"
+	"github.com/silvermount/silvermount/internal/objectstore"
 	"github.com/silvermount/silvermount/internal/serve"
 )
 
@@ -30,11 +30,11 @@
 	if errors.As(err, &fe) {
 		return fe
 	}
-	var missing *platform.NotFoundError
+	var missing *objectstore.NotFoundError
 	if errors.As(err, &missing) {
 		return failure.New(failure.NotFound, failure.NotRun, "no such job")
 	}
-	var unknown *platform.UnknownError
+	var unknown *objectstore.UnknownError
 	if errors.As(err, &unknown) {
 		return failure.New(failure.StoreUnknown, failure.Unknown, "it cannot be told whether the store took the change").
 			WithCause(err).WithRetryAfter(time.Second)
@@ -163,7 +163,7 @@
 	}
 	nv, err := kp.store.Update(ctx, v, v.WithEnd(job.Cancelled, job.Result{Ended: time.Now()}))
 	if err != nil {
-		var conflict *platform.ConflictError
+		var conflict *objectstore.ConflictError
 		if errors.As(err, &conflict) {
 			return failure.New(failure.Conflict, failure.NotRun, "the job changed just now").WithRetryAfter(time.Second)
 		}
--- a/internal/duty/jobs/jobs.go
+++ b/internal/duty/jobs/jobs.go
@@ -15,7 +15,7 @@
 	"github.com/silvermount/silvermount/internal/fleet"
 	"github.com/silvermount/silvermount/internal/job"
 	"github.com/silvermount/silvermount/internal/kernel"
-	"github.com/silvermount/silvermount/internal/platform"
+	"github.com/silvermount/silvermount/internal/objectstore"
 	"github.com/silvermount/silvermount/internal/serve"
 )
 
@@ -64,7 +64,7 @@
 }
 
 func start(_ context.Context, env *kernel.Env) (kernel.Stop, error) {
-	client, err := kernel.Need[*platform.Client](env)
+	client, err := kernel.Need[*objectstore.Client](env)
 	if err != nil {
 		return nil, err
 	}
@@ -82,7 +82,7 @@
 	kp.server.Mount("/v1/jobs", kp.handler())
 	work, cancelWork := context.WithCancel(context.Background())
 	follow := kernel.Go(func(ctx context.Context) {
-		knowledge.Follow(ctx, client, platform.KindJobs, pace, kp.log, kp.learn)
+		knowledge.Follow(ctx, client, objectstore.KindJobs, pace, kp.log, kp.learn)
 	})
 	look := kernel.Go(func(ctx context.Context) { kp.run(ctx, work) })
 	return func(ctx context.Context) error {
@@ -99,7 +99,7 @@
 	}, nil
 }
 
-func (kp *keeper) learn(items []platform.Object) {
+func (kp *keeper) learn(items []objectstore.Object) {
 	known := map[string]job.Versioned{}
 	for _, o := range items {
 		if v, err := job.Decode(o); err == nil {
--- a/internal/duty/knowledge/knowledge.go
+++ b/internal/duty/knowledge/knowledge.go
@@ -14,7 +14,7 @@
 	"github.com/silvermount/silvermount/internal/duty/listen"
 	"github.com/silvermount/silvermount/internal/fleet"
 	"github.com/silvermount/silvermount/internal/kernel"
-	"github.com/silvermount/silvermount/internal/platform"
+	"github.com/silvermount/silvermount/internal/objectstore"
 	"github.com/silvermount/silvermount/internal/rollout"
 )
 
@@ -39,7 +39,7 @@
 }
 
 func start(_ context.Context, env *kernel.Env) (kernel.Stop, error) {
-	cl, err := kernel.Need[*platform.Client](env)
+	cl, err := kernel.Need[*objectstore.Client](env)
 	if err != nil {
 		return nil, err
 	}
@@ -58,10 +58,10 @@
 	kernel.Provide(env, burn.New(time.Now))
 	lg := env.Logger("knowledge")
 	targets := kernel.Go(func(ctx context.Context) {
-		Follow(ctx, cl, platform.KindTargets, targetPace, lg, func(items []platform.Object) { fl.SetTargets(decode[fleet.Target](items, lg)) })
+		Follow(ctx, cl, objectstore.KindTargets, targetPace, lg, func(items []objectstore.Object) { fl.SetTargets(decode[fleet.Target](items, lg)) })
 	})
 	instances := kernel.Go(func(ctx context.Context) {
-		Follow(ctx, cl, platform.KindInstances, instancePace, lg, func(items []platform.Object) {
+		Follow(ctx, cl, objectstore.KindInstances, instancePace, lg, func(items []objectstore.Object) {
 			fl.SetInstances(decode[fleet.Listed](items, lg))
 		})
 	})
@@ -73,7 +73,7 @@
 	}, nil
 }
 
-func decode[T any](items []platform.Object, lg log.Interface) []T {
+func decode[T any](items []objectstore.Object, lg log.Interface) []T {
 	var all []T
 	for _, o := range items {
 		var v T
@@ -92,7 +92,7 @@
 
 // Follow lists a kind, then watches it with at least pace between two calls, and calls apply with all objects after each
 // change. It goes on through outages with what it heard last.
-func Follow(ctx context.Context, cl *platform.Client, kind string, pace time.Duration, lg log.Interface, apply func([]platform.Object)) {
+func Follow(ctx context.Context, cl *objectstore.Client, kind string, pace time.Duration, lg log.Interface, apply func([]objectstore.Object)) {
 	pause := minPause
 	for ctx.Err() == nil {
 		err := follow(ctx, cl, kind, pace, apply, func() { pause = minPause })
@@ -108,12 +108,12 @@
 	}
 }
 
-func follow(ctx context.Context, cl *platform.Client, kind string, pace time.Duration, apply func([]platform.Object), heard func()) error {
+func follow(ctx context.Context, cl *objectstore.Client, kind string, pace time.Duration, apply func([]objectstore.Object), heard func()) error {
 	l, err := cl.List(ctx, kind)
 	if err != nil {
 		return err
 	}
-	all := map[string]platform.Object{}
+	all := map[string]objectstore.Object{}
 	for {
 		heard()
 		for _, o := range l.Items {
@@ -124,7 +124,7 @@
 			all[o.Name] = o
 		}
 		if len(l.Items) > 0 {
-			items := make([]platform.Object, 0, len(all))
+			items := make([]objectstore.Object, 0, len(all))
 			for _, o := range all {
 				items = append(items, o)
 			}
--- a/internal/duty/operators/operators.go
+++ b/internal/duty/operators/operators.go
@@ -21,7 +21,7 @@
 	"github.com/silvermount/silvermount/internal/fleet"
 	"github.com/silvermount/silvermount/internal/kernel"
 	"github.com/silvermount/silvermount/internal/peer"
-	"github.com/silvermount/silvermount/internal/platform"
+	"github.com/silvermount/silvermount/internal/objectstore"
 	"github.com/silvermount/silvermount/internal/rollout"
 	"github.com/silvermount/silvermount/internal/serve"
 )
@@ -109,7 +109,7 @@
 	if a.server, err = kernel.Need[*serve.Server](env); err != nil {
 		return nil, err
 	}
-	client, err := kernel.Need[*platform.Client](env)
+	client, err := kernel.Need[*objectstore.Client](env)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/duty/orders/orders.go
+++ b/internal/duty/orders/orders.go
@@ -15,7 +15,7 @@
 	"github.com/silvermount/silvermount/internal/kernel"
 	"github.com/silvermount/silvermount/internal/lease"
 	"github.com/silvermount/silvermount/internal/order"
-	"github.com/silvermount/silvermount/internal/platform"
+	"github.com/silvermount/silvermount/internal/objectstore"
 	"github.com/silvermount/silvermount/internal/rollout"
 )
 
@@ -49,7 +49,7 @@
 }
 
 func start(_ context.Context, env *kernel.Env) (kernel.Stop, error) {
-	store, err := kernel.Need[*platform.Client](env)
+	store, err := kernel.Need[*objectstore.Client](env)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/duty/store/store.go
+++ b/internal/duty/store/store.go
@@ -10,7 +10,7 @@
 
 	"github.com/silvermount/silvermount/internal/config"
 	"github.com/silvermount/silvermount/internal/kernel"
-	"github.com/silvermount/silvermount/internal/platform"
+	"github.com/silvermount/silvermount/internal/objectstore"
 )
 
 func init() {
@@ -48,8 +48,8 @@
 	set := metrics.NewSet()
 	p := env.Settings.Platform
 	reads, writes := set.NewCounter(`silvermount_store_calls_total{kind="read"}`), set.NewCounter(`silvermount_store_calls_total{kind="write"}`)
-	cl := platform.New(p.URL, platform.WithRates(p.WritesPerSecond, p.ReadsPerSecond), platform.WithTimeout(p.Timeout.Std()),
-		platform.WithOnCall(func(write bool) {
+	cl := objectstore.New(p.URL, objectstore.WithRates(p.WritesPerSecond, p.ReadsPerSecond), objectstore.WithTimeout(p.Timeout.Std()),
+		objectstore.WithOnCall(func(write bool) {
 			if write {
 				writes.Inc()
 				return
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -47,6 +47,12 @@
 	StoreUnknown     Code = "store_outcome_unknown"
 	Conflict         Code = "conflict"
 	NotReady         Code = "not_ready"
+	// ProofTooOld means that the configuration was not confirmed for so long that a key may have been taken away.
+	ProofTooOld Code = "proof_too_old"
+	// TargetUnreachable means that nothing was sent to the target.
+	TargetUnreachable Code = "target_unreachable"
+	// TargetShed means that the target turned the request away without running it.
+	TargetShed Code = "target_shed"
 )
 
 var statusOf = map[Code]int{
@@ -72,6 +78,10 @@
 	StoreUnknown:     http.StatusServiceUnavailable,
 	Conflict:         http.StatusConflict,
 	NotReady:         http.StatusServiceUnavailable,
+
+	ProofTooOld:       http.StatusServiceUnavailable,
+	TargetUnreachable: http.StatusServiceUnavailable,
+	TargetShed:        http.StatusServiceUnavailable,
 }
 
 // Error is a failure with its kind and outcome. It is immutable; the With methods return copies.
--- /dev/null
+++ b/internal/follow/follow.go
@@ -0,0 +1,122 @@
+// Package follow keeps a copy of one kind of object of the store up to date by lists and watches.
+package follow
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/silvermount/silvermount/internal/objectstore"
+)
+
+const (
+	// retryLeast and retryMost bound the pause after a failed call. The most keeps several tries within the few
+	// seconds in which a change must be in force.
+	retryLeast = 100 * time.Millisecond
+	retryMost  = 800 * time.Millisecond
+)
+
+// Store asks the store. Both fields are set.
+type Store struct {
+	// List returns all objects of a kind.
+	List func(ctx context.Context, kind string) (objectstore.Listing, error)
+	// Watch waits at most wait for changes after a version. A HistoryGoneError asks for a new list.
+	Watch func(ctx context.Context, kind string, since int64, wait time.Duration) (objectstore.Listing, error)
+}
+
+// Follower follows one kind. Its function fields are called by one goroutine. Evidence is the time on the steady clock
+// just before the store was asked: what the answer says held then or later.
+type Follower struct {
+	Store Store
+	Kind  string
+	// Wait bounds one watch; while it waits in silence the newest evidence grows old.
+	Wait time.Duration
+	// Replace takes a whole list.
+	Replace func(items []objectstore.Object, evidence time.Time)
+	// Change takes one change; a removed object has no value.
+	Change func(item objectstore.Object, evidence time.Time)
+	// Confirm is told that all changes up to the evidence were taken.
+	Confirm func(evidence time.Time)
+	// Trouble is told of each failed call.
+	Trouble func(err error)
+	Log     log.Interface
+
+	// lost is set between a failed call and the next good one.
+	lost bool
+}
+
+// Run follows until ctx ends.
+func (fo *Follower) Run(ctx context.Context) {
+	pause := retryLeast
+	for ctx.Err() == nil {
+		since, err := fo.list(ctx)
+		for err == nil {
+			pause = retryLeast
+			since, err = fo.watch(ctx, since)
+		}
+		var hg *objectstore.HistoryGoneError
+		if errors.As(err, &hg) {
+			fo.Log.WithField("kind", fo.Kind).WithField("version", since).Info("history gone, listing again")
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		fo.failed(err)
+		wait(ctx, pause/2+rand.N(pause))
+		pause = min(retryMost, pause*2)
+	}
+}
+
+func (fo *Follower) list(ctx context.Context) (int64, error) {
+	evidence := time.Now()
+	l, err := fo.Store.List(ctx, fo.Kind)
+	if err != nil {
+		return 0, errors.Wrap(err, "list")
+	}
+	fo.regained()
+	fo.Replace(l.Items, evidence)
+	fo.Confirm(evidence)
+	return l.Version, nil
+}
+
+func (fo *Follower) watch(ctx context.Context, since int64) (int64, error) {
+	evidence := time.Now()
+	l, err := fo.Store.Watch(ctx, fo.Kind, since, fo.Wait)
+	if err != nil {
+		return since, errors.Wrap(err, "watch")
+	}
+	fo.regained()
+	for _, it := range l.Items {
+		fo.Change(it, evidence)
+	}
+	fo.Confirm(evidence)
+	return l.Version, nil
+}
+
+func (fo *Follower) failed(err error) {
+	if !fo.lost {
+		fo.Log.WithField("kind", fo.Kind).WithField("cause", err.Error()).Warn("lost the store")
+	}
+	fo.lost = true
+	fo.Trouble(err)
+}
+
+func (fo *Follower) regained() {
+	if fo.lost {
+		fo.Log.WithField("kind", fo.Kind).Info("regained the store")
+	}
+	fo.lost = false
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	tm := time.NewTimer(d)
+	defer tm.Stop()
+	select {
+	case <-tm.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/gateway/admit.go
@@ -0,0 +1,188 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/silvermount/silvermount/internal/failure"
+	"github.com/silvermount/silvermount/internal/life"
+	"github.com/silvermount/silvermount/internal/routes"
+)
+
+const (
+	// comeBackUnready is when a caller of an instance without configuration or fresh proof should come back: about
+	// what one question to the store takes while it recovers.
+	comeBackUnready = 500 * time.Millisecond
+	// comeBackFull is when a caller should come back after a refusal for lack of room.
+	comeBackFull = 300 * time.Millisecond
+	// bodyTimeout bounds the reading of a body.
+	bodyTimeout = 10 * time.Second
+)
+
+// request is one caller's request on its way. It is used by one goroutine.
+type request struct {
+	Facts
+	method  string
+	target  string
+	host    string
+	path    string
+	header  http.Header
+	body    []byte
+	route   routes.Route
+	table   *routes.Table
+	service string
+	org     routes.Organisation
+	keyed   bool
+	arrived time.Time
+	// deadline is the earlier of the caller's and the route's.
+	deadline time.Time
+	// free gives the body's memory back; never nil.
+	free func()
+	life life.Record
+	// mayHaveRun is set once a target was sent the request and did not say that it left it alone.
+	mayHaveRun bool
+	// tried holds the incarnations that were sent the request.
+	tried []string
+	// avoid holds the incarnations that are not asked again: tried, or not reachable.
+	avoid []string
+	// lastEvent is the last event passed on; negative before the first.
+	lastEvent int64
+	// written counts the answer tokens passed on, as far as known.
+	events int
+}
+
+func refused(code failure.Code, comeBack time.Duration, format string, args ...any) *failure.Error {
+	return failure.New(code, failure.NotRun, format, args...).WithRetryAfter(comeBack)
+}
+
+// admit reads a request and checks that the configuration in force allows it.
+func (gw *Gateway) admit(r *http.Request, sk *sink, began time.Time) (*request, error) {
+	rq := &request{
+		method: r.Method, target: r.RequestURI, host: r.Host, path: r.URL.EscapedPath(), header: r.Header,
+		arrived: began, free: func() {},
+	}
+	fa, err := gw.Protocol.Read(r)
+	if err != nil {
+		return rq, failure.New(failure.BadRequest, failure.NotRun, "the request cannot be read").WithCause(err)
+	}
+	rq.Facts = fa
+	rq.lastEvent = fa.ResumeAfter
+	if err := gw.allow(rq); err != nil {
+		return rq, err
+	}
+	rq.deadline = began.Add(rq.route.Timeout)
+	if fa.Wait > 0 && began.Add(fa.Wait).Before(rq.deadline) {
+		rq.deadline = began.Add(fa.Wait)
+	}
+	// Both deadlines fail only where the writer is not a connection, as in tests.
+	_ = sk.rc.SetWriteDeadline(rq.deadline.Add(answerGrace))
+	_ = sk.rc.SetReadDeadline(began.Add(min(bodyTimeout, time.Until(rq.deadline))))
+	if err := gw.readBody(r, rq); err != nil {
+		return rq, err
+	}
+	_ = sk.rc.SetReadDeadline(time.Time{})
+	return rq, nil
+}
+
+// allow looks a request up in the configuration in force now.
+func (gw *Gateway) allow(rq *request) error {
+	tb, provenAt := gw.Routes.Current()
+	if tb == nil {
+		return refused(failure.NotReady, comeBackUnready, "no configuration is in force yet")
+	}
+	rt, ok := tb.Route(rq.host, rq.path)
+	if !ok {
+		return failure.New(failure.NotFound, failure.NotRun, "no route leads there")
+	}
+	rq.table = tb
+	rq.route = rt
+	rq.keyed = tb.NeedsKey(rt)
+	if !rq.keyed {
+		return nil
+	}
+	og, ok := tb.Organisation(rq.Key)
+	if !ok {
+		return failure.New(failure.Unauthorized, failure.NotRun, "the key is not known")
+	}
+	rq.org = og
+	if age := gw.Now().Sub(provenAt); gw.limits.ProofAge > 0 && age > gw.limits.ProofAge {
+		return refused(failure.ProofTooOld, comeBackUnready, "the configuration was last confirmed %s ago", age.Round(time.Millisecond))
+	}
+	return nil
+}
+
+// answerGrace is the time after the deadline within which the final error may still be written.
+const answerGrace = 250 * time.Millisecond
+
+// readBody reads a body under the shared budget.
+func (gw *Gateway) readBody(r *http.Request, rq *request) error {
+	most := gw.limits.MaxBodyBytes
+	if lm := rq.table.Limits().MaxBodyBytes; lm > 0 {
+		most = min(most, lm)
+	}
+	size := r.ContentLength
+	if size > most {
+		return failure.New(failure.TooLarge, failure.NotRun, "the body is larger than %d bytes", most)
+	}
+	if size == 0 {
+		return nil
+	}
+	if size > 0 {
+		return gw.readSized(r.Body, rq, size)
+	}
+	return gw.readChunked(r.Body, rq, most)
+}
+
+func (gw *Gateway) readSized(body io.Reader, rq *request, size int64) error {
+	if !gw.take(rq, size) {
+		return refused(failure.NoMemory, comeBackFull, "no memory for the body")
+	}
+	rq.body = make([]byte, size)
+	_, err := io.ReadFull(body, rq.body)
+	return bodyFailure(err)
+}
+
+// chunkStep is how much of a body of unknown length is accounted for at a time.
+const chunkStep = 64 << 10
+
+func (gw *Gateway) readChunked(body io.Reader, rq *request, most int64) error {
+	for {
+		if !gw.take(rq, chunkStep) {
+			return refused(failure.NoMemory, comeBackFull, "no memory for the body")
+		}
+		b, err := io.ReadAll(io.LimitReader(body, chunkStep))
+		rq.body = append(rq.body, b...)
+		if err != nil {
+			return bodyFailure(err)
+		}
+		if int64(len(rq.body)) > most {
+			return failure.New(failure.TooLarge, failure.NotRun, "the body is larger than %d bytes", most)
+		}
+		if len(b) < chunkStep {
+			return nil
+		}
+	}
+}
+
+// take accounts for n more bytes of a body.
+func (gw *Gateway) take(rq *request, n int64) bool {
+	if !gw.Bodies.Take(n) {
+		return false
+	}
+	before := rq.free
+	rq.free = func() {
+		gw.Bodies.Give(n)
+		before()
+	}
+	return true
+}
+
+func bodyFailure(err error) error {
+	if err == nil {
+		return nil
+	}
+	return failure.New(failure.CallerGone, failure.NotRun, "the body could not be read").WithCause(errors.Wrap(err, "read body"))
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,86 @@
+// Package gateway takes callers' requests through their life: admission, attempts at targets, and the answer. It knows
+// no header or field of the protocol that callers and targets speak; a Protocol translates.
+package gateway
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+
+	"github.com/silvermount/silvermount/internal/budget"
+	"github.com/silvermount/silvermount/internal/dispatch"
+	"github.com/silvermount/silvermount/internal/life"
+	"github.com/silvermount/silvermount/internal/routes"
+	"github.com/silvermount/silvermount/internal/targets"
+	"github.com/silvermount/silvermount/internal/upstream"
+)
+
+// Deps are the parts that a gateway works with. All are set.
+type Deps struct {
+	Protocol   Protocol
+	Routes     *routes.Holder
+	Targets    *targets.Directory
+	Dispatcher *dispatch.Dispatcher
+	Pool       *upstream.Pool
+	Retries    *budget.Retries
+	Bodies     *budget.Memory
+	Metrics    *metrics.Set
+	Log        log.Interface
+	// Random is uniform in [0, 1).
+	Random func() float64
+	// Now is the steady clock.
+	Now func() time.Time
+	// Stopping reports whether a stop was asked for.
+	Stopping func() bool
+}
+
+// Limits are the bounds of a gateway.
+type Limits struct {
+	// MaxBodyBytes bounds one body where the configuration does not.
+	MaxBodyBytes int64
+	// ProofAge is the age of the newest proof of the configuration from which requests with a key are refused; zero
+	// for no bound.
+	ProofAge time.Duration
+}
+
+// Gateway serves callers. It is safe for use by any goroutine.
+type Gateway struct {
+	Deps
+	limits   Limits
+	machine  *life.Machine
+	inFlight atomic.Int64
+}
+
+// New returns a gateway.
+func New(dp Deps, lm Limits) *Gateway {
+	return &Gateway{Deps: dp, limits: lm, machine: life.New()}
+}
+
+// InFlight returns how many requests are being served.
+func (gw *Gateway) InFlight() int64 { return gw.inFlight.Load() }
+
+// Ready reports whether the instance can take new callers.
+func (gw *Gateway) Ready() bool {
+	tb, _ := gw.Routes.Current()
+	return tb != nil && !gw.Stopping()
+}
+
+// ServeHTTP serves one request.
+func (gw *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	gw.inFlight.Add(1)
+	defer gw.inFlight.Add(-1)
+	began := gw.Now()
+	if gw.Stopping() {
+		w.Header().Set("Connection", "close")
+	}
+	sk := &sink{w: w, rc: http.NewResponseController(w)}
+	rq, err := gw.admit(r, sk, began)
+	if err == nil {
+		defer rq.free()
+		err = gw.run(r.Context(), rq, sk)
+	}
+	gw.finish(rq, sk, err)
+}
--- /dev/null
+++ b/internal/gateway/protocol.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+)
+
+// Facts are what a caller's request says of itself.
+type Facts struct {
+	// RequestID is unique to one try of a caller.
+	RequestID string
+	// Key is the secret that names the organisation; empty when none was sent.
+	Key string
+	// Wait is how long the caller waits; zero when it does not say.
+	Wait time.Duration
+	// PromptTokens is zero for requests to plain services.
+	PromptTokens int
+	// MostAnswerTokens bounds the answer; zero when unknown.
+	MostAnswerTokens int
+	// AnswerHint is the caller's guess of the answer's tokens; zero when it has none.
+	AnswerHint int
+	// ResumeAfter is the last event that the caller already has; negative when it starts anew.
+	ResumeAfter int64
+}
+
+// Attempt is what a target is told beyond the caller's own request.
+type Attempt struct {
+	// TargetID is the incarnation that is meant; any other must not run the request.
+	TargetID string
+	// Organisation is empty on routes without keys.
+	Organisation string
+	// Left is how long the target may work.
+	Left time.Duration
+	// Priority is the rank at the target, zero first; negative leaves it out.
+	Priority int
+	// Helpers are the targets that read a share of the prompt.
+	Helpers []Helper
+	// ResumeAfter is the last event that was passed on; negative when the answer starts anew.
+	ResumeAfter int64
+}
+
+// Helper is another target that reads a part of a prompt.
+type Helper struct {
+	// Address is an IP address and port.
+	Address string
+	// Reservation names memory set aside there; empty when none is.
+	Reservation string
+}
+
+// Verdict says what the head of a target's answer means.
+type Verdict int
+
+// The verdicts.
+const (
+	// Answered is an answer to pass on unchanged.
+	Answered Verdict = iota
+	// Failed is a failure of the target after it began; it may be passed on unchanged.
+	Failed
+	// Shed means that the target has not run the request and will not.
+	Shed
+	// Misdirected means that another incarnation has the address; it has not run the request.
+	Misdirected
+	// Unproven is an answer that cannot be passed on: it lacks what shows that it is whole and the target's own.
+	Unproven
+)
+
+// Protocol translates between the callers' and targets' protocol and this package. All fields are set.
+type Protocol struct {
+	// Read returns the facts of a caller's request.
+	Read func(*http.Request) (Facts, error)
+	// Write completes the headers of a request to a target; h starts as a copy of the caller's.
+	Write func(h http.Header, at Attempt)
+	// Mine reports whether an answer belongs to the request.
+	Mine func(resp *http.Response, requestID string) bool
+	// Judge classifies the head of an answer.
+	Judge func(*http.Response) Verdict
+	// AtFault returns the address of the target that a shed answer names as its cause; empty when it names none.
+	AtFault func(*http.Response) string
+}
--- /dev/null
+++ b/internal/gateway/receive.go
@@ -0,0 +1,138 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/silvermount/silvermount/internal/dispatch"
+	"github.com/silvermount/silvermount/internal/failure"
+	"github.com/silvermount/silvermount/internal/life"
+	"github.com/silvermount/silvermount/internal/upstream"
+)
+
+// receive passes a target's answer on.
+func (gw *Gateway) receive(ctx context.Context, rq *request, sk *sink, sl *dispatch.Slot, an *upstream.Answer) error {
+	verdict := gw.Protocol.Judge(an.Response)
+	if verdict != Misdirected {
+		rq.tried = append(rq.tried, sl.Target.ID)
+	}
+	switch verdict {
+	case Shed:
+		return gw.shed(rq, sl, an)
+	case Misdirected:
+		gw.Targets.MarkLeaving(sl.Target.ID)
+		gw.logBelief(sl.Target, "gone", "another incarnation has the address")
+		return failure.New(failure.TargetUnreachable, gw.outcome(rq), "another target has the address").WithRetryAfter(comeBackFull)
+	case Unproven:
+		rq.mayHaveRun = true
+		err := &UnprovenAnswerError{Status: an.StatusCode}
+		gw.failed(rq, sl.Target, err)
+		return failure.New(failure.TargetLost, failure.Unknown, "the answer cannot be passed on").WithCause(err)
+	}
+	rq.mayHaveRun = true
+	if verdict == Answered && rq.route.Streaming && an.StatusCode == http.StatusOK {
+		return gw.stream(ctx, rq, sk, sl, an)
+	}
+	return gw.plain(ctx, rq, sk, sl, an, verdict)
+}
+
+// UnprovenAnswerError says that an answer lacks what shows that it is whole and the target's own.
+type UnprovenAnswerError struct{ Status int }
+
+// Error gives the status.
+func (ue *UnprovenAnswerError) Error() string {
+	return "answer with status " + strconv.Itoa(ue.Status) + " is not provably the target's own"
+}
+
+func (gw *Gateway) shed(rq *request, sl *dispatch.Slot, an *upstream.Answer) error {
+	// The body is short; reading it lets the connection be used again.
+	if _, err := io.CopyN(io.Discard, an.Body, bufferMost); errors.Is(err, io.EOF) {
+		an.Whole()
+	}
+	sl.Shed(gw.Protocol.AtFault(an.Response))
+	gw.logAttemptFailed(rq, sl.Target, &ShedError{Status: an.StatusCode}, true)
+	return failure.New(failure.TargetShed, gw.outcome(rq), "the target has no room").WithRetryAfter(comeBackFull)
+}
+
+// ShedError says that a target turned a request away without running it.
+type ShedError struct{ Status int }
+
+// Error gives the status.
+func (se *ShedError) Error() string {
+	return "the target turned the request away with status " + strconv.Itoa(se.Status)
+}
+
+// bufferMost is how much of an answer is held back until it is whole; larger ones are passed on as they come.
+const bufferMost = 256 << 10
+
+// plain passes on an answer that is no stream. Short ones are passed on when they are whole, so that a broken one can
+// still be asked for elsewhere.
+func (gw *Gateway) plain(ctx context.Context, rq *request, sk *sink, sl *dispatch.Slot, an *upstream.Answer, v Verdict) error {
+	body, err := io.ReadAll(io.LimitReader(an.Body, bufferMost))
+	if err != nil {
+		return gw.brokenOff(ctx, rq, sl, err)
+	}
+	if len(body) < bufferMost {
+		an.Whole()
+	}
+	if v == Failed && gw.retryFailed(ctx, rq, sk) {
+		gw.failed(rq, sl.Target, &TargetFailureError{Status: an.StatusCode})
+		return failure.New(failure.TargetRefused, failure.Failed, "the target answered %d", an.StatusCode)
+	}
+	if v == Answered {
+		gw.Targets.Success(sl.Target.ID)
+	}
+	sl.FirstToken()
+	if err := gw.fire(ctx, rq, life.FirstToken); err != nil {
+		return err
+	}
+	rest := io.Reader(bytes.NewReader(nil))
+	if len(body) == bufferMost {
+		rest = an.Body
+	}
+	return gw.passPlain(ctx, rq, sk, an, body, rest)
+}
+
+func (gw *Gateway) passPlain(ctx context.Context, rq *request, sk *sink, an *upstream.Answer, body []byte, rest io.Reader) error {
+	copyHeader(sk.w.Header(), an.Header)
+	if len(body) < bufferMost {
+		sk.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	sk.start(an.StatusCode)
+	if err := sk.write(body); err != nil {
+		return failure.New(failure.CallerGone, failure.Failed, "the caller went away").WithCause(err)
+	}
+	_, err := io.Copy(sk.w, rest)
+	if err != nil {
+		return gw.timeUp(ctx, rq).WithCause(err)
+	}
+	if len(body) == bufferMost {
+		an.Whole()
+	}
+	return nil
+}
+
+// TargetFailureError is a failure that a target answered with.
+type TargetFailureError struct{ Status int }
+
+// Error gives the status.
+func (te *TargetFailureError) Error() string { return "the target answered " + strconv.Itoa(te.Status) }
+
+// retryFailed reports whether a failure that a target answered is to be tried elsewhere in place of being passed on.
+func (gw *Gateway) retryFailed(ctx context.Context, rq *request, sk *sink) bool {
+	return ctx.Err() == nil && !rq.route.Exclusive() && !sk.started &&
+		gw.stillThere(rq) < rq.route.MaxAttempts && gw.Retries.Left()
+}
+
+func (gw *Gateway) brokenOff(ctx context.Context, rq *request, sl *dispatch.Slot, err error) error {
+	if ctx.Err() != nil {
+		return gw.timeUp(ctx, rq).WithCause(err)
+	}
+	gw.failed(rq, sl.Target, err)
+	return failure.New(failure.TargetLost, failure.Unknown, "the target broke off").WithCause(err)
+}
--- /dev/null
+++ b/internal/gateway/run.go
@@ -0,0 +1,260 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/silvermount/silvermount/internal/dispatch"
+	"github.com/silvermount/silvermount/internal/failure"
+	"github.com/silvermount/silvermount/internal/life"
+	"github.com/silvermount/silvermount/internal/targets"
+	"github.com/silvermount/silvermount/internal/upstream"
+)
+
+// dialTries bounds the targets that are tried in a row because they take no connection: nothing is sent there, so no
+// retry is spent.
+const dialTries = 4
+
+// run takes an admitted request through its attempts.
+func (gw *Gateway) run(ctx context.Context, rq *request, sk *sink) error {
+	ctx, cancel := context.WithDeadline(ctx, rq.deadline)
+	defer cancel()
+	if err := gw.fire(ctx, rq, life.Admit); err != nil {
+		return err
+	}
+	gw.Retries.First()
+	rq.service = rq.route.Pick(gw.Random())
+	var last *failure.Error
+	for dials := 0; ; {
+		err := gw.attempt(ctx, rq, sk)
+		if err == nil {
+			return gw.fire(ctx, rq, life.Finish)
+		}
+		last = asFailure(err)
+		if unsent(last) && dials < dialTries && ctx.Err() == nil {
+			dials++
+			continue
+		}
+		if !gw.mayRetry(ctx, rq, sk, last) {
+			return last
+		}
+		if err := gw.fire(ctx, rq, life.Retry); err != nil {
+			return err
+		}
+	}
+}
+
+// unsent reports whether an attempt ended before anything was sent to the target it was meant for.
+func unsent(fe *failure.Error) bool { return fe.Code == failure.TargetUnreachable }
+
+// attempt finds a target, sends the request there and passes the answer on.
+func (gw *Gateway) attempt(ctx context.Context, rq *request, sk *sink) error {
+	if len(rq.tried) == 0 {
+		// The configuration may have changed while earlier targets were not reached, or the process may have been frozen.
+		if err := gw.allow(rq); err != nil {
+			return err
+		}
+	}
+	sl, err := gw.Dispatcher.Acquire(ctx, gw.ask(rq))
+	if err != nil {
+		return gw.noTarget(ctx, rq, err)
+	}
+	defer sl.Release()
+	if !gw.Targets.TakesWork(sl.Target.ID) {
+		rq.avoid = append(rq.avoid, sl.Target.ID)
+		return failure.New(failure.TargetUnreachable, gw.outcome(rq), "the target began to leave")
+	}
+	if rq.life.State == life.Waiting {
+		if err := gw.fire(ctx, rq, life.Dispatch); err != nil {
+			return err
+		}
+	}
+	an, err := gw.send(ctx, rq, sl)
+	if err != nil {
+		return err
+	}
+	defer an.Close()
+	return gw.receive(ctx, rq, sk, sl, an)
+}
+
+func (gw *Gateway) ask(rq *request) dispatch.Ask {
+	sv, _ := rq.table.Service(rq.service)
+	sv.Name = rq.service
+	return dispatch.Ask{
+		Request: rq.RequestID, Service: sv, Avoid: rq.avoid,
+		PromptTokens: rq.PromptTokens, MostAnswer: rq.MostAnswerTokens, AnswerHint: rq.AnswerHint, Events: rq.events,
+		Objective: rq.route.Objective, LongestPause: rq.route.LongestPause,
+		Arrived: rq.arrived, Deadline: rq.deadline, Resumed: rq.lastEvent >= 0,
+	}
+}
+
+func (gw *Gateway) noTarget(ctx context.Context, rq *request, err error) error {
+	if ctx.Err() != nil {
+		return gw.timeUp(ctx, rq)
+	}
+	var fe *failure.Error
+	if errors.As(err, &fe) {
+		return fe.WithOutcome(gw.outcome(rq))
+	}
+	return failure.New(failure.NoTarget, gw.outcome(rq), "no target can take the request").WithCause(err).WithRetryAfter(comeBackFull)
+}
+
+// outcome is what is known so far about whether the request ran.
+func (gw *Gateway) outcome(rq *request) failure.Outcome {
+	if rq.mayHaveRun {
+		return failure.Unknown
+	}
+	return failure.NotRun
+}
+
+// timeUp is the failure of a request whose time is over or whose caller has gone.
+func (gw *Gateway) timeUp(ctx context.Context, rq *request) *failure.Error {
+	if gw.Now().Before(rq.deadline) && ctx.Err() != nil {
+		return failure.New(failure.CallerGone, gw.outcome(rq), "the caller went away")
+	}
+	return failure.New(failure.DeadlineExceeded, gw.outcome(rq), "the time is over")
+}
+
+// send sends a request to the target that was found.
+func (gw *Gateway) send(ctx context.Context, rq *request, sl *dispatch.Slot) (*upstream.Answer, error) {
+	h := rq.header.Clone()
+	left := rq.deadline.Sub(gw.Now())
+	at := Attempt{
+		TargetID: sl.Target.ID, Organisation: rq.org.Name, Left: left, Priority: sl.Priority,
+		ResumeAfter: rq.lastEvent,
+	}
+	for _, hp := range sl.Helpers {
+		at.Helpers = append(at.Helpers, Helper{Address: hp.Address, Reservation: hp.Reservation})
+	}
+	gw.Protocol.Write(h, at)
+	ca := upstream.Call{
+		Address: sl.Target.Address, Method: rq.method, Target: rq.target, Host: rq.host, Header: h, Body: rq.body,
+		Exclusive: rq.route.Exclusive(),
+		Mine:      func(resp *http.Response) bool { return gw.Protocol.Mine(resp, rq.RequestID) },
+	}
+	gw.logAttempt(rq, sl)
+	rq.avoid = append(rq.avoid, sl.Target.ID)
+	began := gw.Now()
+	an, err := gw.exchange(ctx, rq, sl, ca)
+	if err != nil {
+		return nil, gw.sendFailed(ctx, rq, sl, err)
+	}
+	gw.observe("silvermount_target_answer_seconds", gw.Now().Sub(began))
+	return an, nil
+}
+
+// exchange sends the call, and gives it up early where another target may still answer.
+func (gw *Gateway) exchange(ctx context.Context, rq *request, sl *dispatch.Slot, ca upstream.Call) (*upstream.Answer, error) {
+	most := gw.silenceMost(rq, sl)
+	if most <= 0 {
+		return gw.Pool.Do(ctx, ca)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	timer := time.AfterFunc(most, func() { cancel(&SilentTargetError{After: most}) })
+	defer timer.Stop()
+	an, err := gw.Pool.Do(ctx, ca)
+	if err != nil {
+		return nil, errors.Wrap(withCause(ctx, err), "wait for answer")
+	}
+	return an, nil
+}
+
+func withCause(ctx context.Context, err error) error {
+	var se *SilentTargetError
+	if errors.As(context.Cause(ctx), &se) {
+		return &upstream.SendError{Sent: true, Cause: se}
+	}
+	return err
+}
+
+// SilentTargetError says that a target gave no answer while another could still give one.
+type SilentTargetError struct{ After time.Duration }
+
+// Error says how long it was silent.
+func (se *SilentTargetError) Error() string { return "no answer within " + se.After.String() }
+
+// silenceShare is how many objectives a repeatable plain request waits for one target: by then the answer is late and
+// another target can still give it.
+const silenceShare = 2
+
+// silenceMost is how long a target may be silent before its answer; zero for no bound.
+func (gw *Gateway) silenceMost(rq *request, _ *dispatch.Slot) time.Duration {
+	if rq.route.Exclusive() || rq.route.Streaming || len(rq.tried) > 0 || rq.route.MaxAttempts < 2 {
+		return 0
+	}
+	return silenceShare * rq.route.Objective
+}
+
+// sendFailed tells what is known after an attempt without an answer.
+func (gw *Gateway) sendFailed(ctx context.Context, rq *request, sl *dispatch.Slot, err error) error {
+	var se *upstream.SendError
+	if errors.As(err, &se) && !se.Sent {
+		if ctx.Err() != nil {
+			return gw.timeUp(ctx, rq)
+		}
+		gw.Targets.Unreachable(sl.Target.ID)
+		gw.logAttemptFailed(rq, sl.Target, err, false)
+		return failure.New(failure.TargetUnreachable, gw.outcome(rq), "the target took no connection").
+			WithCause(err).WithRetryAfter(comeBackFull)
+	}
+	rq.tried = append(rq.tried, sl.Target.ID)
+	rq.mayHaveRun = true
+	if ctx.Err() != nil {
+		return gw.timeUp(ctx, rq)
+	}
+	gw.failed(rq, sl.Target, err)
+	return failure.New(failure.TargetLost, failure.Unknown, "the target broke off before it answered").WithCause(err)
+}
+
+// failed notes a failed attempt at a target.
+func (gw *Gateway) failed(rq *request, tg targets.Target, err error) {
+	gw.logAttemptFailed(rq, tg, err, true)
+	if gw.Targets.Failure(tg.ID) {
+		gw.Log.WithField("target", tg.ID).WithField("service", tg.Service).Warn("target left out for failing")
+	}
+}
+
+// mayRetry decides whether a failed attempt is followed by another, and spends from the retry budget.
+func (gw *Gateway) mayRetry(ctx context.Context, rq *request, sk *sink, fe *failure.Error) bool {
+	switch {
+	case ctx.Err() != nil:
+		return false
+	case fe.Code != failure.TargetLost && fe.Code != failure.TargetRefused && fe.Code != failure.TargetShed:
+		return false
+	case rq.route.Exclusive() && rq.mayHaveRun:
+		return false
+	case sk.started && !rq.route.Resumable:
+		return false
+	case gw.stillThere(rq) >= rq.route.MaxAttempts:
+		return false
+	}
+	return gw.Retries.Take()
+}
+
+// stillThere counts the targets that were sent the request and still take work: one that has ended does not use up an
+// attempt.
+func (gw *Gateway) stillThere(rq *request) int {
+	n := 0
+	for _, id := range rq.tried {
+		if gw.Targets.TakesWork(id) {
+			n++
+		}
+	}
+	return n
+}
+
+func (gw *Gateway) fire(ctx context.Context, rq *request, tr life.Trigger) error {
+	// The life goes on to its end also for a caller that has gone.
+	return gw.machine.Fire(context.WithoutCancel(ctx), &rq.life, tr)
+}
+
+func asFailure(err error) *failure.Error {
+	var fe *failure.Error
+	if errors.As(err, &fe) {
+		return fe
+	}
+	return failure.New(failure.TargetLost, failure.Unknown, "internal failure").WithCause(err)
+}
--- /dev/null
+++ b/internal/gateway/sink.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/silvermount/silvermount/internal/failure"
+	"github.com/silvermount/silvermount/internal/life"
+)
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// copyHeader copies all headers that do not concern one connection only.
+func copyHeader(to, from http.Header) {
+	dropped := from.Values("Connection")
+	for k, vs := range from {
+		if !slices.Contains(hopHeaders, k) && !listed(dropped, k) {
+			to[k] = vs
+		}
+	}
+}
+
+// listed reports whether a Connection header names a header.
+func listed(values []string, name string) bool {
+	for _, v := range values {
+		for _, part := range strings.Split(v, ",") {
+			if strings.EqualFold(strings.TrimSpace(part), name) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// sink passes an answer on to the caller and remembers whether it has begun.
+type sink struct {
+	w  http.ResponseWriter
+	rc *http.ResponseController
+	// started is set once a status line was written.
+	started bool
+	// status is what was written; zero before.
+	status int
+}
+
+func (sk *sink) start(status int) {
+	sk.started = true
+	sk.status = status
+	sk.w.WriteHeader(status)
+}
+
+func (sk *sink) write(b []byte) error {
+	_, err := sk.w.Write(b)
+	return errors.Wrap(err, "write to caller")
+}
+
+func (sk *sink) flush() error { return errors.Wrap(sk.rc.Flush(), "flush to caller") }
+
+// finish ends a request: it answers a failure, closes the request's life and writes its last log line.
+func (gw *Gateway) finish(rq *request, sk *sink, err error) {
+	if err == nil {
+		gw.logServed(rq, sk)
+		return
+	}
+	fe := asFailure(err)
+	gw.endLife(rq, sk, fe)
+	gw.logFailed(rq, sk, fe)
+	if sk.started {
+		// Half an answer must not look whole: the connection is broken off.
+		panic(http.ErrAbortHandler)
+	}
+	sk.fail(fe)
+}
+
+func (gw *Gateway) endLife(rq *request, sk *sink, fe *failure.Error) {
+	tr := life.Fail
+	if rq.life.State == life.Received || (fe.Outcome == failure.NotRun && !sk.started) {
+		tr = life.Refuse
+	}
+	if err := gw.machine.Fire(contextFree, &rq.life, tr); err != nil {
+		gw.Log.WithError(err).WithField("request", rq.RequestID).Error("life of the request broken")
+	}
+}
+
+// fail answers a failure in place of an answer.
+func (sk *sink) fail(fe *failure.Error) {
+	if fe.Code == failure.CallerGone {
+		// Nobody reads an answer; the connection is closed so that it looks like none.
+		panic(http.ErrAbortHandler)
+	}
+	if fe.Outcome == failure.NotRun && fe.RetryAfter > 0 {
+		sk.w.Header().Set("Retry-After", strconv.FormatFloat(fe.RetryAfter.Seconds(), 'f', 2, 64))
+	}
+	body := string(fe.Code) + ": " + fe.Message + "\n"
+	sk.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	sk.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	sk.start(finalStatus(fe))
+	// The caller may be gone; nothing more can be done for it.
+	_ = sk.write([]byte(body))
+}
+
+// finalStatus is the status of a failure. The statuses that promise that a request has not run and will not are
+// answered only where that is known.
+func finalStatus(fe *failure.Error) int {
+	status := fe.Status()
+	if fe.Outcome == failure.NotRun {
+		if status >= http.StatusInternalServerError {
+			return http.StatusServiceUnavailable
+		}
+		return status
+	}
+	if fe.Code == failure.DeadlineExceeded {
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
+// since rounds a time for a log line.
+func since(from, to time.Time) time.Duration { return to.Sub(from).Round(100 * time.Microsecond) }
--- /dev/null
+++ b/internal/gateway/stream.go
@@ -0,0 +1,178 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/silvermount/silvermount/internal/dispatch"
+	"github.com/silvermount/silvermount/internal/failure"
+	"github.com/silvermount/silvermount/internal/life"
+	"github.com/silvermount/silvermount/internal/upstream"
+)
+
+const (
+	// eventMost bounds one event.
+	eventMost = 1 << 20
+	// stallFloor is the least silence inside a stream after which it is taken up elsewhere: a target that depends on a
+	// lost one stands still for about as long before it says so, and callers give up after two seconds.
+	stallFloor = 1200 * time.Millisecond
+	// stallPauses is the same in longest pauses of the route.
+	stallPauses = 3
+)
+
+var idField = []byte("id:")
+
+// event is one whole event of a stream.
+type event struct {
+	raw []byte
+	// id is negative when the event has none.
+	id int64
+}
+
+// CutEventError says that a stream ended inside an event.
+type CutEventError struct{}
+
+// Error says what happened.
+func (*CutEventError) Error() string { return "the stream ended inside an event" }
+
+// EventTooLargeError says that an event is larger than the bound.
+type EventTooLargeError struct{}
+
+// Error says what happened.
+func (*EventTooLargeError) Error() string { return "an event is too large" }
+
+// readEvent returns the next whole event, or io.EOF at the proper end of a stream.
+func readEvent(br *bufio.Reader) (event, error) {
+	ev := event{id: -1}
+	for {
+		line, err := br.ReadBytes('\n')
+		ev.raw = append(ev.raw, line...)
+		if errors.Is(err, io.EOF) && len(bytes.TrimSpace(ev.raw)) > 0 {
+			return event{}, &CutEventError{}
+		}
+		if err != nil {
+			return event{}, err
+		}
+		if len(ev.raw) > eventMost {
+			return event{}, &EventTooLargeError{}
+		}
+		text := bytes.TrimRight(line, "\r\n")
+		if v, ok := bytes.CutPrefix(text, idField); ok {
+			if n, perr := strconv.ParseInt(string(bytes.TrimSpace(v)), 10, 64); perr == nil {
+				ev.id = n
+			}
+		}
+		if len(text) == 0 && len(ev.raw) > len(line) {
+			return ev, nil
+		}
+		if len(text) == 0 {
+			ev.raw = ev.raw[:0]
+		}
+	}
+}
+
+// stream passes on the events of an answer as they come.
+func (gw *Gateway) stream(ctx context.Context, rq *request, sk *sink, sl *dispatch.Slot, an *upstream.Answer) error {
+	br := bufio.NewReader(an.Body)
+	stall := max(stallFloor, stallPauses*rq.route.LongestPause)
+	wd := newWatchdog(an, stall)
+	defer wd.stop()
+	fresh := true
+	for {
+		ev, err := readEvent(br)
+		if errors.Is(err, io.EOF) {
+			return gw.streamEnded(ctx, rq, sk, sl, an)
+		}
+		if err != nil {
+			return gw.brokenOff(ctx, rq, sl, wd.cause(err))
+		}
+		if fresh {
+			fresh = false
+			sl.FirstToken()
+			gw.observeFirst(rq)
+			if err := gw.fire(ctx, rq, life.FirstToken); err != nil {
+				return err
+			}
+		}
+		wd.reset(stall)
+		sl.Event()
+		if ev.id >= 0 && ev.id <= rq.lastEvent {
+			// The event was passed on before the stream moved here.
+			continue
+		}
+		if err := gw.passEvent(rq, sk, an, ev, br.Buffered() == 0); err != nil {
+			return err
+		}
+	}
+}
+
+func (gw *Gateway) passEvent(rq *request, sk *sink, an *upstream.Answer, ev event, flush bool) error {
+	if !sk.started {
+		copyHeader(sk.w.Header(), an.Header)
+		sk.w.Header().Del("Content-Length")
+		sk.start(an.StatusCode)
+	}
+	err := sk.write(ev.raw)
+	if err == nil && flush {
+		err = sk.flush()
+	}
+	if err != nil {
+		return failure.New(failure.CallerGone, failure.Failed, "the caller went away").WithCause(err)
+	}
+	rq.lastEvent = max(rq.lastEvent, ev.id)
+	rq.events++
+	return nil
+}
+
+func (gw *Gateway) streamEnded(ctx context.Context, rq *request, sk *sink, sl *dispatch.Slot, an *upstream.Answer) error {
+	if ctx.Err() != nil {
+		return gw.timeUp(ctx, rq)
+	}
+	an.Whole()
+	gw.Targets.Success(sl.Target.ID)
+	if !sk.started {
+		copyHeader(sk.w.Header(), an.Header)
+		sk.start(an.StatusCode)
+	}
+	return nil
+}
+
+// watchdog closes an answer that stays silent for too long.
+type watchdog struct {
+	timer *time.Timer
+	limit time.Duration
+	fired chan struct{}
+}
+
+func newWatchdog(an *upstream.Answer, limit time.Duration) *watchdog {
+	wd := &watchdog{limit: limit, fired: make(chan struct{})}
+	wd.timer = time.AfterFunc(firstEventMost, func() {
+		close(wd.fired)
+		an.Break()
+	})
+	return wd
+}
+
+// firstEventMost bounds the silence between the head of a stream and its first event. The head comes with the first
+// token.
+const firstEventMost = 3 * time.Second
+
+func (wd *watchdog) reset(d time.Duration) { wd.timer.Reset(d) }
+
+func (wd *watchdog) stop() { wd.timer.Stop() }
+
+// cause returns the silence as the cause of a broken stream, if it was.
+func (wd *watchdog) cause(err error) error {
+	select {
+	case <-wd.fired:
+		return &SilentTargetError{After: wd.limit}
+	default:
+		return err
+	}
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -12,6 +12,9 @@
 	_ "github.com/silvermount/silvermount/internal/duty/bundles"
 	_ "github.com/silvermount/silvermount/internal/duty/callers"
 	_ "github.com/silvermount/silvermount/internal/duty/cancels"
+	_ "github.com/silvermount/silvermount/internal/duty/facts"
+	_ "github.com/silvermount/silvermount/internal/duty/forwarding"
+	_ "github.com/silvermount/silvermount/internal/duty/frontend"
 	_ "github.com/silvermount/silvermount/internal/duty/jobs"
 	_ "github.com/silvermount/silvermount/internal/duty/knowledge"
 	"github.com/silvermount/silvermount/internal/duty/listen"
@@ -23,6 +26,8 @@
 	_ "github.com/silvermount/silvermount/internal/duty/sweep"
 	"github.com/silvermount/silvermount/internal/ident"
 	"github.com/silvermount/silvermount/internal/kernel"
+	// Each adapter registers itself.
+	_ "github.com/silvermount/silvermount/platform"
 )
 
 // Instance is one running entry instance.
--- a/internal/job/store.go
+++ b/internal/job/store.go
@@ -11,7 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/silvermount/silvermount/internal/platform"
+	"github.com/silvermount/silvermount/internal/objectstore"
 )
 
 const (
@@ -30,11 +30,11 @@
 
 // Store keeps jobs in the platform's store.
 type Store struct {
-	client *platform.Client
+	client *objectstore.Client
 }
 
 // NewStore returns a store of jobs.
-func NewStore(client *platform.Client) *Store { return &Store{client: client} }
+func NewStore(client *objectstore.Client) *Store { return &Store{client: client} }
 
 // Versioned is a record with the version of its object.
 type Versioned struct {
@@ -49,7 +49,7 @@
 		return Versioned{}, err
 	}
 	rc.Parts = parts
-	version, err := sr.create(ctx, platform.KindJobs, rc.ID, rc)
+	version, err := sr.create(ctx, objectstore.KindJobs, rc.ID, rc)
 	return Versioned{Record: rc, Version: version}, err
 }
 
@@ -58,7 +58,7 @@
 func (sr *Store) create(ctx context.Context, kind, name string, value any) (int64, error) {
 	for {
 		version, err := sr.client.Create(ctx, kind, name, value)
-		var conflict *platform.ConflictError
+		var conflict *objectstore.ConflictError
 		switch {
 		case err == nil:
 			return version, nil
@@ -79,12 +79,12 @@
 // Update replaces the record. After a lost answer the object is read back: it is settled whether the write took effect.
 func (sr *Store) Update(ctx context.Context, v Versioned, next Record) (Versioned, error) {
 	for {
-		version, err := sr.client.Update(ctx, platform.KindJobs, v.ID, v.Version, next)
+		version, err := sr.client.Update(ctx, objectstore.KindJobs, v.ID, v.Version, next)
 		if err == nil {
 			return Versioned{Record: next, Version: version}, nil
 		}
-		var unknown *platform.UnknownError
-		var away *platform.UnavailableError
+		var unknown *objectstore.UnknownError
+		var away *objectstore.UnavailableError
 		if !errors.As(err, &unknown) && !errors.As(err, &away) {
 			return v, err
 		}
@@ -92,7 +92,7 @@
 			if same(now.Record, next) {
 				return now, nil
 			}
-			return v, &platform.ConflictError{Kind: platform.KindJobs, Name: v.ID}
+			return v, &objectstore.ConflictError{Kind: objectstore.KindJobs, Name: v.ID}
 		}
 		select {
 		case <-time.After(retryEvery):
@@ -110,7 +110,7 @@
 
 // Get reads a record.
 func (sr *Store) Get(ctx context.Context, id string) (Versioned, error) {
-	o, err := sr.client.Get(ctx, platform.KindJobs, id)
+	o, err := sr.client.Get(ctx, objectstore.KindJobs, id)
 	if err != nil {
 		return Versioned{}, err
 	}
@@ -118,14 +118,14 @@
 }
 
 // Decode reads the record in an object.
-func Decode(o platform.Object) (Versioned, error) {
+func Decode(o objectstore.Object) (Versioned, error) {
 	v := Versioned{Version: o.Version}
 	return v, errors.Wrap(json.Unmarshal(o.Value, &v.Record), "decode job")
 }
 
 // List reads all records.
 func (sr *Store) List(ctx context.Context) ([]Versioned, error) {
-	l, err := sr.client.List(ctx, platform.KindJobs)
+	l, err := sr.client.List(ctx, objectstore.KindJobs)
 	if err != nil {
 		return nil, err
 	}
@@ -163,7 +163,7 @@
 			sr.removePart(ctx, v.ID+".out."+strconv.Itoa(i))
 		}
 	}
-	return sr.client.Delete(ctx, platform.KindJobs, v.ID, v.Version)
+	return sr.client.Delete(ctx, objectstore.KindJobs, v.ID, v.Version)
 }
 
 // removePart deletes a part; one that stays is deleted with the job's next removal.
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -31,6 +31,8 @@
 type Duty struct {
 	// Name is unique among registered duties.
 	Name string
+	// Role is that of the instances that run the duty; empty for config.RoleEntry.
+	Role config.Role
 	// Phase says when the duty starts.
 	Phase Phase
 	// Defaults fills in settings that were left empty.
@@ -41,6 +43,9 @@
 	Start func(ctx context.Context, env *Env) (Stop, error)
 }
 
+// serves reports whether an instance with the settings runs the duty.
+func (d Duty) serves(s config.Settings) bool { return cmp.Or(d.Role, config.RoleEntry) == s.Role() }
+
 // Stop ends a duty within the time of ctx.
 type Stop func(ctx context.Context) error
 
@@ -94,7 +99,7 @@
 // Defaults fills in the defaults of every duty.
 func Defaults(s config.Settings) config.Settings {
 	for _, d := range registered {
-		if d.Defaults != nil {
+		if d.Defaults != nil && d.serves(s) {
 			d.Defaults(&s)
 		}
 	}
@@ -111,7 +116,7 @@
 		all = append(all, &config.Fault{Path: "availability_zone", Want: "the name of an availability zone"})
 	}
 	for _, d := range registered {
-		if d.Check != nil {
+		if d.Check != nil && d.serves(s) {
 			all = append(all, d.Check(s)...)
 		}
 	}
@@ -178,6 +183,9 @@
 // Start starts every duty in order. When one fails, those already started are stopped.
 func (kn *Kernel) Start(ctx context.Context) error {
 	for _, d := range registered {
+		if !d.serves(kn.Env.Settings) {
+			continue
+		}
 		stop, err := d.Start(ctx, kn.Env)
 		var sk *Skip
 		if errors.As(err, &sk) {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -10,7 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/silvermount/silvermount/internal/platform"
+	"github.com/silvermount/silvermount/internal/objectstore"
 )
 
 // Record is the stored object.
@@ -25,7 +25,7 @@
 
 // Lease is one instance's part in a lease. It is safe for use by any goroutine.
 type Lease struct {
-	store  *platform.Client
+	store  *objectstore.Client
 	name   string
 	holder string
 	ttl    time.Duration
@@ -43,7 +43,7 @@
 }
 
 // New returns an instance's part in the named lease.
-func New(store *platform.Client, name, holder string, ttl time.Duration, now func() time.Duration) *Lease {
+func New(store *objectstore.Client, name, holder string, ttl time.Duration, now func() time.Duration) *Lease {
 	return &Lease{store: store, name: name, holder: holder, ttl: ttl, now: now}
 }
 
@@ -60,8 +60,8 @@
 // Try renews the lease, or takes it when its holder has not renewed it for its whole time as this instance saw it.
 func (ls *Lease) Try(ctx context.Context) error {
 	began := ls.now()
-	o, err := ls.store.Get(ctx, platform.KindLeases, ls.name)
-	var missing *platform.NotFoundError
+	o, err := ls.store.Get(ctx, objectstore.KindLeases, ls.name)
+	var missing *objectstore.NotFoundError
 	if errors.As(err, &missing) {
 		return ls.write(ctx, began, 0, Record{Holder: ls.holder, Epoch: 1})
 	}
@@ -98,9 +98,9 @@
 func (ls *Lease) write(ctx context.Context, began time.Duration, version int64, rc Record) error {
 	var err error
 	if version == 0 {
-		_, err = ls.store.Create(ctx, platform.KindLeases, ls.name, rc)
+		_, err = ls.store.Create(ctx, objectstore.KindLeases, ls.name, rc)
 	} else {
-		_, err = ls.store.Update(ctx, platform.KindLeases, ls.name, version, rc)
+		_, err = ls.store.Update(ctx, objectstore.KindLeases, ls.name, version, rc)
 	}
 	if err != nil {
 		return errors.Wrap(err, "write lease")
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -7,7 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/silvermount/silvermount/internal/platform"
+	"github.com/silvermount/silvermount/internal/objectstore"
 	"github.com/silvermount/silvermount/internal/standin/platformsim"
 )
 
@@ -22,7 +22,7 @@
 	st = platformsim.New()
 	sr := httptest.NewServer(st.Handler())
 	t.Cleanup(sr.Close)
-	client := platform.New(sr.URL)
+	client := objectstore.New(sr.URL)
 	ck = &clock{at: time.Hour}
 	return New(client, "orders-a", "inst-a", ttl, ck.now), New(client, "orders-a", "inst-b", ttl, ck.now), ck, st
 }
--- a/internal/localfleet/localfleet.go
+++ b/internal/localfleet/localfleet.go
@@ -17,7 +17,7 @@
 	"github.com/silvermount/silvermount/internal/fleet"
 	"github.com/silvermount/silvermount/internal/instance"
 	"github.com/silvermount/silvermount/internal/kernel"
-	"github.com/silvermount/silvermount/internal/platform"
+	"github.com/silvermount/silvermount/internal/objectstore"
 	"github.com/silvermount/silvermount/internal/rollout"
 	"github.com/silvermount/silvermount/internal/standin/enginesim"
 	"github.com/silvermount/silvermount/internal/standin/platformsim"
@@ -178,7 +178,7 @@
 	if err != nil {
 		return err
 	}
-	return lf.Store.Put(platform.KindTargets, "service-0", fleet.Target{
+	return lf.Store.Put(objectstore.KindTargets, "service-0", fleet.Target{
 		Name: "service-0", Kind: fleet.KindService, AvailabilityZone: zone(0, 1), URL: sr.URL, Service: Service,
 	})
 }
@@ -192,7 +192,7 @@
 	}
 	en.server = sr
 	lf.Engines = append(lf.Engines, en)
-	return en, lf.Store.Put(platform.KindTargets, name, fleet.Target{
+	return en, lf.Store.Put(objectstore.KindTargets, name, fleet.Target{
 		Name: name, Kind: fleet.KindEngine, AvailabilityZone: zone, URL: sr.URL, Models: []string{Model},
 	})
 }
@@ -202,10 +202,10 @@
 	if lf.opts.Bundle != nil {
 		b = *lf.opts.Bundle
 	}
-	if err := lf.Store.Put(platform.KindBundles, "1", b); err != nil {
+	if err := lf.Store.Put(objectstore.KindBundles, "1", b); err != nil {
 		return err
 	}
-	return lf.Store.Put(platform.KindPointers, rollout.PointerName, rollout.Pointer{Version: b.Version})
+	return lf.Store.Put(objectstore.KindPointers, rollout.PointerName, rollout.Pointer{Version: b.Version})
 }
 
 // Settings returns those of the i-th instance.
--- a/internal/platform/platform.go
+++ b/internal/objectstore/objectstore.go
@@ -1,5 +1,5 @@
-// Package platform is the typed client of the platform's object API.
-package platform
+// Package objectstore is the typed client of the platform's object API.
+package objectstore
 
 import (
 	"bytes"
@@ -59,6 +59,12 @@
 // Error names the object.
 func (ce *ConflictError) Error() string { return "conflict on " + ce.Kind + "/" + ce.Name }
 
+// HistoryGoneError says that a watch asked for changes that the store no longer has: list again.
+type HistoryGoneError struct{ Kind string }
+
+// Error names the kind.
+func (he *HistoryGoneError) Error() string { return "history of " + he.Kind + " is gone" }
+
 // UnavailableError says that the call had no effect since the store did not take it.
 type UnavailableError struct{ Cause error }
 
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -14,7 +14,7 @@
 	"github.com/silvermount/silvermount/internal/burn"
 	"github.com/silvermount/silvermount/internal/duty/operators"
 	"github.com/silvermount/silvermount/internal/fleet"
-	"github.com/silvermount/silvermount/internal/platform"
+	"github.com/silvermount/silvermount/internal/objectstore"
 )
 
 const callTimeout = 2 * time.Second
@@ -27,12 +27,12 @@
 
 // Client asks all instances that the platform lists.
 type Client struct {
-	store *platform.Client
+	store *objectstore.Client
 	key   string
 }
 
 // New returns a client that presents the operators' key.
-func New(store *platform.Client, key string) *Client { return &Client{store: store, key: key} }
+func New(store *objectstore.Client, key string) *Client { return &Client{store: store, key: key} }
 
 // Reply is what one instance answered.
 type Reply[T any] struct {
@@ -58,7 +58,7 @@
 }
 
 func askAll[T any](ctx context.Context, cl *Client, method, path string) ([]Reply[T], error) {
-	l, err := cl.store.List(ctx, platform.KindInstances)
+	l, err := cl.store.List(ctx, objectstore.KindInstances)
 	if err != nil {
 		return nil, errors.Wrap(err, "list instances")
 	}
--- /dev/null
+++ b/internal/reservation/reservation.go
@@ -0,0 +1,158 @@
+// Package reservation sets memory aside at several targets for one prompt, keeps it while the request runs, and gives
+// it back whatever happens: what this process cannot give back lapses by itself soon after.
+package reservation
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// hold is how long memory stays set aside after the last renewal: short enough that memory of a killed instance is
+	// free again before the users count it as lost (four seconds on their sheets).
+	hold = 3 * time.Second
+	// renewEvery leaves two further tries within a hold.
+	renewEvery = time.Second
+	// askTimeout bounds one question to a target: many round trips inside a region.
+	askTimeout = 400 * time.Millisecond
+)
+
+// releaseAgain are the pauses after which an order is given back once more when an answer was lost: a lost order may
+// still be carried out up to about twelve seconds later.
+var releaseAgain = []time.Duration{500 * time.Millisecond, 2 * time.Second, 4 * time.Second, 7 * time.Second}
+
+// Place is memory wanted at one target.
+type Place struct {
+	// Address is an IP address and port.
+	Address string
+	// Tokens is above zero.
+	Tokens int64
+}
+
+// RefusedError says that a target has not enough free memory.
+type RefusedError struct{ Address string }
+
+// Error names the target.
+func (re *RefusedError) Error() string { return "no memory free at " + re.Address }
+
+// Keeper sets memory aside. It is safe for use by any goroutine.
+type Keeper struct {
+	// Reserve sets memory aside or renews it; a RefusedError says that it surely did not. Seams of the adapter.
+	Reserve func(ctx context.Context, address, id string, tokens int64, hold time.Duration) error
+	// Release gives memory back; it succeeds also when there is none.
+	Release func(ctx context.Context, address, id string) error
+	// NewID returns an id that is used once.
+	NewID func() string
+	Log   log.Interface
+}
+
+// Reservation is memory set aside for one request.
+type Reservation struct {
+	kp     *Keeper
+	id     string
+	places []Place
+	stop   context.CancelFunc
+	done   sync.WaitGroup
+}
+
+// ID names the reservation at each of its targets.
+func (rv *Reservation) ID() string { return rv.id }
+
+// Take sets memory aside at all places, or at none.
+func (kp *Keeper) Take(ctx context.Context, places []Place) (*Reservation, error) {
+	rv := &Reservation{kp: kp, id: kp.NewID(), places: places}
+	errs := make([]error, len(places))
+	var wg sync.WaitGroup
+	for i, pc := range places {
+		wg.Go(func() { errs[i] = kp.ask(ctx, pc, rv.id) })
+	}
+	wg.Wait()
+	var first error
+	for i, err := range errs {
+		if err == nil {
+			continue
+		}
+		if first == nil {
+			first = err
+		}
+		kp.Log.WithField("address", places[i].Address).WithField("reservation", rv.id).
+			WithField("tokens", strconv.FormatInt(places[i].Tokens, 10)).WithField("cause", err.Error()).Info("memory not set aside")
+	}
+	if first != nil {
+		rv.giveBack(errs)
+		return nil, first
+	}
+	ctx, rv.stop = context.WithCancel(context.WithoutCancel(ctx))
+	rv.done.Go(func() { rv.keep(ctx) })
+	return rv, nil
+}
+
+func (kp *Keeper) ask(ctx context.Context, pc Place, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	return errors.Wrap(kp.Reserve(ctx, pc.Address, id, pc.Tokens, hold), "set memory aside")
+}
+
+// keep renews until it is stopped.
+func (rv *Reservation) keep(ctx context.Context) {
+	tick := time.NewTicker(renewEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		for _, pc := range rv.places {
+			if err := rv.kp.ask(ctx, pc, rv.id); err != nil && ctx.Err() == nil {
+				rv.kp.Log.WithField("address", pc.Address).WithField("reservation", rv.id).WithError(err).Warn("memory not renewed")
+			}
+		}
+	}
+}
+
+// Release ends the renewals and gives the memory back in the background.
+func (rv *Reservation) Release() {
+	rv.stop()
+	go func() {
+		// A renewal under way could set the memory aside once more.
+		rv.done.Wait()
+		rv.giveBack(make([]error, len(rv.places)))
+	}()
+}
+
+// giveBack releases at every place that may hold memory. Those whose order had no answer are told again later.
+func (rv *Reservation) giveBack(asked []error) {
+	for i, pc := range rv.places {
+		var re *RefusedError
+		if errors.As(asked[i], &re) {
+			continue
+		}
+		go rv.kp.release(pc, rv.id, asked[i] != nil)
+	}
+}
+
+func (kp *Keeper) release(pc Place, id string, unsure bool) {
+	err := kp.releaseOnce(pc, id)
+	for _, pause := range releaseAgain {
+		if err == nil && !unsure {
+			return
+		}
+		time.Sleep(pause)
+		err = kp.releaseOnce(pc, id)
+	}
+	if err != nil {
+		kp.Log.WithField("address", pc.Address).WithField("reservation", id).WithError(err).Warn("memory not given back; it lapses")
+	}
+}
+
+func (kp *Keeper) releaseOnce(pc Place, id string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	return errors.Wrap(kp.Release(ctx, pc.Address, id), "give memory back")
+}
--- /dev/null
+++ b/internal/routes/holder.go
@@ -0,0 +1,64 @@
+package routes
+
+import (
+	"sync"
+	"time"
+)
+
+// Holder keeps the newest configuration in force and the time of the newest proof that it is the newest.
+// It is safe for use by any goroutine.
+type Holder struct {
+	mu sync.Mutex
+	// table only ever gives way to a higher version.
+	table *Table
+	// document is what the table was decoded from; peers may ask for it.
+	document []byte
+	// provenAt is on the steady clock, taken before the store was asked; it only grows.
+	provenAt time.Time
+}
+
+// Offer puts a table in force if it is newer than the present one, and reports whether it did. Evidence is the time
+// before which the store cannot have held a newer version.
+func (hd *Holder) Offer(tb *Table, document []byte, evidence time.Time) bool {
+	hd.mu.Lock()
+	defer hd.mu.Unlock()
+	newer := hd.table == nil || tb.version > hd.table.version
+	if newer {
+		hd.table = tb
+		hd.document = document
+	}
+	if tb.version == hd.table.version && evidence.After(hd.provenAt) {
+		hd.provenAt = evidence
+	}
+	return newer
+}
+
+// Confirm notes that a version was the newest at a time. It reports false when that version is not in force here yet.
+func (hd *Holder) Confirm(version int64, evidence time.Time) bool {
+	hd.mu.Lock()
+	defer hd.mu.Unlock()
+	if hd.table == nil || version > hd.table.version {
+		return false
+	}
+	if version == hd.table.version && evidence.After(hd.provenAt) {
+		hd.provenAt = evidence
+	}
+	return true
+}
+
+// Current returns the table in force, nil before the first, and the time of the newest proof.
+func (hd *Holder) Current() (tb *Table, provenAt time.Time) {
+	hd.mu.Lock()
+	defer hd.mu.Unlock()
+	return hd.table, hd.provenAt
+}
+
+// Document returns what the table in force was decoded from.
+func (hd *Holder) Document() (version int64, document []byte) {
+	hd.mu.Lock()
+	defer hd.mu.Unlock()
+	if hd.table == nil {
+		return 0, nil
+	}
+	return hd.table.version, hd.document
+}
--- a/internal/session/bundle_test.go
+++ b/internal/session/bundle_test.go
@@ -12,7 +12,7 @@
 	"github.com/silvermount/silvermount/internal/instance"
 	"github.com/silvermount/silvermount/internal/kernel"
 	"github.com/silvermount/silvermount/internal/localfleet"
-	"github.com/silvermount/silvermount/internal/platform"
+	"github.com/silvermount/silvermount/internal/objectstore"
 	"github.com/silvermount/silvermount/internal/rollout"
 	"github.com/silvermount/silvermount/internal/signoff"
 )
@@ -31,7 +31,7 @@
 	g := NewWithT(t)
 	b := localfleet.DefaultBundle()
 	b.Organisations = append(b.Organisations, bundle.Organisation{Name: "org-" + key, KeyDigests: []string{bundle.KeyDigest(key)}})
-	office := signoff.New(platform.New(lf.StoreURL))
+	office := signoff.New(objectstore.New(lf.StoreURL))
 	v, err := office.Push(t.Context(), b)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(office.Sign(t.Context(), v)).To(Succeed())
@@ -59,7 +59,7 @@
 	rep := call(t, http.MethodGet, lf.URLs()[1]+"/v1/models", nil, "Authorization", "Bearer second-key")
 	g.Expect(rep.status).To(Equal(http.StatusOK))
 	// The store now shows an older pointer, as a lagging replica would: nobody goes back.
-	g.Expect(lf.Store.Put(platform.KindPointers, rollout.PointerName, rollout.Pointer{Version: 1})).To(Succeed())
+	g.Expect(lf.Store.Put(objectstore.KindPointers, rollout.PointerName, rollout.Pointer{Version: 1})).To(Succeed())
 	for _, in := range lf.Instances {
 		g.Consistently(version(in), 300*time.Millisecond).Should(Equal(int64(2)))
 	}
--- a/internal/session/failure_test.go
+++ b/internal/session/failure_test.go
@@ -18,7 +18,7 @@
 	"github.com/silvermount/silvermount/internal/kernel"
 	"github.com/silvermount/silvermount/internal/load"
 	"github.com/silvermount/silvermount/internal/localfleet"
-	"github.com/silvermount/silvermount/internal/platform"
+	"github.com/silvermount/silvermount/internal/objectstore"
 	"github.com/silvermount/silvermount/internal/serve"
 )
 
@@ -122,7 +122,7 @@
 func TestLeavingTargetGetsNoNewWork(t *testing.T) {
 	tests := map[string]func(*localfleet.Fleet){
 		"all well":               func(*localfleet.Fleet) {},
-		"platform's list frozen": func(lf *localfleet.Fleet) { lf.Store.Freeze(platform.KindTargets) },
+		"platform's list frozen": func(lf *localfleet.Fleet) { lf.Store.Freeze(objectstore.KindTargets) },
 		"platform down":          func(lf *localfleet.Fleet) { lf.Store.SetDown(true) },
 	}
 	for name, fault := range tests {
--- a/internal/session/job_test.go
+++ b/internal/session/job_test.go
@@ -13,7 +13,7 @@
 	"github.com/silvermount/silvermount/internal/config"
 	"github.com/silvermount/silvermount/internal/job"
 	"github.com/silvermount/silvermount/internal/localfleet"
-	"github.com/silvermount/silvermount/internal/platform"
+	"github.com/silvermount/silvermount/internal/objectstore"
 	"github.com/silvermount/silvermount/internal/serve"
 	"github.com/silvermount/silvermount/internal/standin/answer"
 )
@@ -88,7 +88,7 @@
 	rc := submit(t, lf.URLs()[0], "a deed")
 	never := submit(t, lf.URLs()[0], "a valve record", serve.HeaderRepeat, "never")
 	record := func(id string) (out job.Record) {
-		o, ok := lf.Store.Object(platform.KindJobs, id)
+		o, ok := lf.Store.Object(objectstore.KindJobs, id)
 		g.Expect(ok).To(BeTrue())
 		v, err := job.Decode(o)
 		g.Expect(err).NotTo(HaveOccurred())
--- a/internal/session/order_test.go
+++ b/internal/session/order_test.go
@@ -10,7 +10,7 @@
 	"github.com/silvermount/silvermount/internal/bundle"
 	"github.com/silvermount/silvermount/internal/engine"
 	"github.com/silvermount/silvermount/internal/localfleet"
-	"github.com/silvermount/silvermount/internal/platform"
+	"github.com/silvermount/silvermount/internal/objectstore"
 	"github.com/silvermount/silvermount/internal/signoff"
 )
 
@@ -22,7 +22,7 @@
 	lf := start(t, localfleet.Options{Zones: 1, Engines: 3, Instances: 2, Params: p})
 	b := localfleet.DefaultBundle()
 	b.Models = []bundle.Model{{Name: localfleet.Model, Copies: 1}, {Name: "crew", Copies: 1}}
-	office := signoff.New(platform.New(lf.StoreURL))
+	office := signoff.New(objectstore.New(lf.StoreURL))
 	v, err := office.Push(t.Context(), b)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(office.Sign(t.Context(), v)).To(Succeed())
--- a/internal/signoff/signoff.go
+++ b/internal/signoff/signoff.go
@@ -12,7 +12,7 @@
 
 	"github.com/silvermount/silvermount/internal/bundle"
 	"github.com/silvermount/silvermount/internal/bundlestore"
-	"github.com/silvermount/silvermount/internal/platform"
+	"github.com/silvermount/silvermount/internal/objectstore"
 	"github.com/silvermount/silvermount/internal/rollout"
 )
 
@@ -32,19 +32,19 @@
 
 // Office accepts bundles for operators.
 type Office struct {
-	store   *platform.Client
+	store   *objectstore.Client
 	bundles *bundlestore.Store
 }
 
 // New returns an office on the store.
-func New(store *platform.Client) *Office {
+func New(store *objectstore.Client) *Office {
 	return &Office{store: store, bundles: bundlestore.New(store)}
 }
 
 // current returns the accepted pointer; a zero pointer before the first bundle.
 func (of *Office) current(ctx context.Context) (rollout.Pointer, int64, error) {
-	o, err := of.store.Get(ctx, platform.KindPointers, rollout.PointerName)
-	var missing *platform.NotFoundError
+	o, err := of.store.Get(ctx, objectstore.KindPointers, rollout.PointerName)
+	var missing *objectstore.NotFoundError
 	if errors.As(err, &missing) {
 		return rollout.Pointer{}, 0, nil
 	}
@@ -85,8 +85,8 @@
 		if err == nil {
 			return version, nil
 		}
-		var conflict *platform.ConflictError
-		var unknown *platform.UnknownError
+		var conflict *objectstore.ConflictError
+		var unknown *objectstore.UnknownError
 		if !errors.As(err, &conflict) && !errors.As(err, &unknown) {
 			return 0, errors.Wrap(err, "write bundle")
 		}
@@ -138,10 +138,10 @@
 
 func (of *Office) move(ctx context.Context, at int64, p rollout.Pointer) error {
 	if at == 0 {
-		_, err := of.store.Create(ctx, platform.KindPointers, rollout.PointerName, p)
+		_, err := of.store.Create(ctx, objectstore.KindPointers, rollout.PointerName, p)
 		return err
 	}
-	_, err := of.store.Update(ctx, platform.KindPointers, rollout.PointerName, at, p)
+	_, err := of.store.Update(ctx, objectstore.KindPointers, rollout.PointerName, at, p)
 	return err
 }
 
--- a/internal/signoff/signoff_test.go
+++ b/internal/signoff/signoff_test.go
@@ -11,7 +11,7 @@
 	"github.com/silvermount/silvermount/internal/bundle"
 	"github.com/silvermount/silvermount/internal/config"
 	"github.com/silvermount/silvermount/internal/localfleet"
-	"github.com/silvermount/silvermount/internal/platform"
+	"github.com/silvermount/silvermount/internal/objectstore"
 	"github.com/silvermount/silvermount/internal/standin/platformsim"
 )
 
@@ -21,7 +21,7 @@
 	sr, err := localfleet.Serve(st.Handler())
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(sr.Close)
-	return New(platform.New(sr.URL)), st
+	return New(objectstore.New(sr.URL)), st
 }
 
 func withClass(name string) bundle.Bundle {
--- a/internal/standin/platformsim/platformsim.go
+++ b/internal/standin/platformsim/platformsim.go
@@ -11,21 +11,21 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"github.com/silvermount/silvermount/internal/platform"
+	"github.com/silvermount/silvermount/internal/objectstore"
 )
 
 const maxWait = 30 * time.Second
 
 type change struct {
 	kind   string
-	object platform.Object
+	object objectstore.Object
 }
 
 // Store is the stand-in. Its seams may be set at any time.
 type Store struct {
 	mu      sync.Mutex
 	version int64
-	objects map[string]map[string]platform.Object
+	objects map[string]map[string]objectstore.Object
 	log     []change
 	changed chan struct{}
 	down    bool
@@ -33,7 +33,7 @@
 	// loseAnswers counts down: that many writes take effect and then break the connection.
 	loseAnswers int
 	// frozen kinds answer lists and watches with what they held when frozen.
-	frozen map[string]platform.Listing
+	frozen map[string]objectstore.Listing
 	reads  int
 	writes int
 }
@@ -41,9 +41,9 @@
 // New returns an empty store.
 func New() *Store {
 	return &Store{
-		objects: map[string]map[string]platform.Object{},
+		objects: map[string]map[string]objectstore.Object{},
 		changed: make(chan struct{}),
-		frozen:  map[string]platform.Listing{},
+		frozen:  map[string]objectstore.Listing{},
 	}
 }
 
@@ -86,7 +86,7 @@
 }
 
 // Object returns an object as the store holds it.
-func (st *Store) Object(kind, name string) (platform.Object, bool) {
+func (st *Store) Object(kind, name string) (objectstore.Object, bool) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	o, ok := st.objects[kind][name]
@@ -143,8 +143,8 @@
 func (st *Store) write(w http.ResponseWriter, r *http.Request) {
 	kind, name := chi.URLParam(r, "kind"), chi.URLParam(r, "name")
 	want, _ := strconv.ParseInt(r.URL.Query().Get("if_version"), 10, 64)
-	body, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxValueBytes+1))
-	if err != nil || len(body) > platform.MaxValueBytes {
+	body, err := io.ReadAll(io.LimitReader(r.Body, objectstore.MaxValueBytes+1))
+	if err != nil || len(body) > objectstore.MaxValueBytes {
 		w.WriteHeader(http.StatusRequestEntityTooLarge)
 		return
 	}
@@ -196,11 +196,11 @@
 }
 
 // put is called with the lock held.
-func (st *Store) put(kind, name string, value []byte) platform.Object {
+func (st *Store) put(kind, name string, value []byte) objectstore.Object {
 	st.version++
-	o := platform.Object{Name: name, Version: st.version, Value: value}
+	o := objectstore.Object{Name: name, Version: st.version, Value: value}
 	if st.objects[kind] == nil {
-		st.objects[kind] = map[string]platform.Object{}
+		st.objects[kind] = map[string]objectstore.Object{}
 	}
 	if value == nil {
 		delete(st.objects[kind], name)
@@ -214,11 +214,11 @@
 }
 
 // listing is called with the lock held.
-func (st *Store) listing(kind string) platform.Listing {
+func (st *Store) listing(kind string) objectstore.Listing {
 	if l, ok := st.frozen[kind]; ok {
 		return l
 	}
-	l := platform.Listing{Version: st.version}
+	l := objectstore.Listing{Version: st.version}
 	for _, o := range st.objects[kind] {
 		l.Items = append(l.Items, o)
 	}
@@ -226,8 +226,8 @@
 }
 
 // since is called with the lock held.
-func (st *Store) since(kind string, version int64) platform.Listing {
-	l := platform.Listing{Version: version}
+func (st *Store) since(kind string, version int64) objectstore.Listing {
+	l := objectstore.Listing{Version: version}
 	if _, ok := st.frozen[kind]; ok {
 		return l
 	}
--- /dev/null
+++ b/internal/targets/targets.go
@@ -0,0 +1,313 @@
+// Package targets keeps what this instance believes of each target: whether it takes work, is leaving, gone, or failing.
+package targets
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// goneGrace is how long a target whose entry lapsed while the store was in trouble still takes work: the store
+	// shows live targets again about two seconds after it is back.
+	goneGrace = 2200 * time.Millisecond
+	// forgetAfter is how long a target that is gone is remembered, well past any list that still names it.
+	forgetAfter = 60 * time.Second
+	// ejectAfter is the number of failures in a row that takes a target out.
+	ejectAfter = 3
+	// ejectFor is how long a target is first left out; it doubles with each further ejection up to ejectMost.
+	ejectFor  = time.Second
+	ejectMost = 8 * time.Second
+	// unreachableFor is how long a target that took no connection is left out: about a restart's detection time.
+	unreachableFor = time.Second
+	// ejectShare bounds the share of a service's targets that are left out for failing.
+	ejectShare = 0.5
+)
+
+// Target is one incarnation of a target as the store lists it.
+type Target struct {
+	// ID is unique to the incarnation and never used again.
+	ID      string
+	Service string
+	// Address is an IP address and port.
+	Address          string
+	AvailabilityZone string
+	// Slots is how many requests it works on at a time.
+	Slots int
+	// Leaving targets take no new work.
+	Leaving bool
+}
+
+// entry is what is believed of one target. Its fields are guarded by the directory.
+type entry struct {
+	Target
+	// leaving is never taken back.
+	leaving bool
+	// goneAt is when the entry was missed; zero while it is listed.
+	goneAt time.Time
+	// lapsed is set when the entry went while the store was in trouble.
+	lapsed bool
+	// outUntil is when an ejected target may be tried again.
+	outUntil time.Time
+	// failures counts those in a row; ejections those since the last success.
+	failures, ejections int
+}
+
+// Directory is the set of known targets. It is safe for use by any goroutine.
+type Directory struct {
+	now func() time.Time
+
+	mu      sync.Mutex
+	entries map[string]*entry
+	// leaving holds incarnations that were told to be leaving before they were listed.
+	leaving map[string]time.Time
+	// troubleAt is when the store was last seen in trouble.
+	troubleAt time.Time
+	// heard is the time of the newest evidence.
+	heard time.Time
+}
+
+// New returns an empty directory.
+func New(now func() time.Time) *Directory {
+	return &Directory{now: now, entries: map[string]*entry{}, leaving: map[string]time.Time{}}
+}
+
+// Change is what a call changed about one target.
+type Change struct {
+	Target Target
+	// What is one of "listed", "leaving", "gone" and "back".
+	What string
+}
+
+// storeTroubleWindow is how long after trouble of the store a missing entry is taken as lapsed, not as gone.
+const storeTroubleWindow = 5 * time.Second
+
+// Trouble notes that the store could not be asked.
+func (dr *Directory) Trouble() {
+	dr.mu.Lock()
+	dr.troubleAt = dr.now()
+	dr.mu.Unlock()
+}
+
+// Replace takes a whole list. Evidence is when the store was asked.
+func (dr *Directory) Replace(list []Target, evidence time.Time) []Change {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	dr.heard = evidence
+	var changes []Change
+	listed := map[string]bool{}
+	for _, tg := range list {
+		listed[tg.ID] = true
+		changes = append(changes, dr.put(tg)...)
+	}
+	for id, en := range dr.entries {
+		if !listed[id] {
+			changes = append(changes, dr.miss(en)...)
+		}
+	}
+	dr.forget()
+	return changes
+}
+
+// Put takes one listed target.
+func (dr *Directory) Put(tg Target, evidence time.Time) []Change {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	dr.heard = evidence
+	return dr.put(tg)
+}
+
+// Remove notes that a target's entry is gone.
+func (dr *Directory) Remove(id string, evidence time.Time) []Change {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	dr.heard = evidence
+	dr.forget()
+	if en, ok := dr.entries[id]; ok {
+		return dr.miss(en)
+	}
+	return nil
+}
+
+// Confirm notes that the list was unchanged at a time.
+func (dr *Directory) Confirm(evidence time.Time) {
+	dr.mu.Lock()
+	dr.heard = evidence
+	dr.mu.Unlock()
+}
+
+func (dr *Directory) put(tg Target) []Change {
+	en, known := dr.entries[tg.ID]
+	if !known {
+		en = &entry{}
+		dr.entries[tg.ID] = en
+	}
+	back := known && !en.goneAt.IsZero()
+	wasLeaving := en.leaving
+	_, told := dr.leaving[tg.ID]
+	en.Target = tg
+	en.goneAt = time.Time{}
+	en.lapsed = false
+	en.leaving = en.leaving || tg.Leaving || told
+	switch {
+	case en.leaving && !wasLeaving:
+		dr.leaving[tg.ID] = dr.now()
+		return []Change{{Target: tg, What: "leaving"}}
+	case back:
+		return []Change{{Target: tg, What: "back"}}
+	case !known:
+		return []Change{{Target: tg, What: "listed"}}
+	}
+	return nil
+}
+
+func (dr *Directory) miss(en *entry) []Change {
+	if !en.goneAt.IsZero() {
+		return nil
+	}
+	now := dr.now()
+	en.goneAt = now
+	en.lapsed = !dr.troubleAt.IsZero() && now.Sub(dr.troubleAt) < storeTroubleWindow
+	return []Change{{Target: en.Target, What: "gone"}}
+}
+
+func (dr *Directory) forget() {
+	now := dr.now()
+	for id, en := range dr.entries {
+		if !en.goneAt.IsZero() && now.Sub(en.goneAt) > forgetAfter {
+			delete(dr.entries, id)
+		}
+	}
+	for id, at := range dr.leaving {
+		if now.Sub(at) > forgetAfter && dr.entries[id] == nil {
+			delete(dr.leaving, id)
+		}
+	}
+}
+
+// MarkLeaving notes that an incarnation is leaving, whoever says so. It is never taken back. It reports whether that
+// was news.
+func (dr *Directory) MarkLeaving(id string) bool {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	if _, told := dr.leaving[id]; told {
+		return false
+	}
+	dr.leaving[id] = dr.now()
+	if en, ok := dr.entries[id]; ok {
+		en.leaving = true
+	}
+	return true
+}
+
+// Leaving returns the incarnations known to be leaving, sorted.
+func (dr *Directory) Leaving() []string {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	ids := make([]string, 0, len(dr.leaving))
+	for id := range dr.leaving {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Success notes a good answer.
+func (dr *Directory) Success(id string) {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	if en, ok := dr.entries[id]; ok {
+		en.failures, en.ejections = 0, 0
+		en.outUntil = time.Time{}
+	}
+}
+
+// Failure notes a failed attempt and reports whether it took the target out.
+func (dr *Directory) Failure(id string) bool {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	en, ok := dr.entries[id]
+	if !ok {
+		return false
+	}
+	en.failures++
+	if en.failures < ejectAfter {
+		return false
+	}
+	en.failures = 0
+	en.outUntil = dr.now().Add(min(ejectMost, ejectFor<<en.ejections))
+	en.ejections = min(en.ejections+1, 3)
+	return true
+}
+
+// Unreachable notes that a target took no connection.
+func (dr *Directory) Unreachable(id string) {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	if en, ok := dr.entries[id]; ok {
+		en.outUntil = dr.now().Add(unreachableFor)
+	}
+}
+
+// Usable returns the targets of a service that may get work now, sorted by incarnation. Failing targets are left out
+// unless too few are left.
+func (dr *Directory) Usable(service string) []Target {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	now := dr.now()
+	var good, out []Target
+	for _, en := range dr.entries {
+		if en.Service != service || !en.takesWork(now) {
+			continue
+		}
+		if now.Before(en.outUntil) {
+			out = append(out, en.Target)
+			continue
+		}
+		good = append(good, en.Target)
+	}
+	if float64(len(out)) > ejectShare*float64(len(good)+len(out)) {
+		good = append(good, out...)
+	}
+	slices.SortFunc(good, func(a, b Target) int { return strings.Compare(a.ID, b.ID) })
+	return good
+}
+
+// TakesWork reports whether a target may be sent a request at this moment.
+func (dr *Directory) TakesWork(id string) bool {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	en, ok := dr.entries[id]
+	return ok && en.takesWork(dr.now())
+}
+
+func (en *entry) takesWork(now time.Time) bool {
+	if en.leaving {
+		return false
+	}
+	if en.goneAt.IsZero() {
+		return true
+	}
+	return en.lapsed && now.Sub(en.goneAt) < goneGrace
+}
+
+// Len returns how many targets are listed.
+func (dr *Directory) Len() int {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	n := 0
+	for _, en := range dr.entries {
+		if en.goneAt.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
+// HeardAt returns the time of the newest evidence of the list.
+func (dr *Directory) HeardAt() time.Time {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	return dr.heard
+}
--- /dev/null
+++ b/internal/upstream/conn.go
@@ -0,0 +1,118 @@
+// Package upstream sends requests to targets over kept connections. Unlike the standard transport it never sends a
+// request a second time by itself, tells whether anything was written, and skips surplus answers.
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// dialTimeout is many round trips inside a region (at most a few milliseconds) and well under a short request's
+	// objective, so that another target can still be tried.
+	dialTimeout = 250 * time.Millisecond
+	// unackedTimeout ends a connection whose peer acknowledges nothing: two retransmissions and a margin.
+	unackedTimeout = 3 * time.Second
+	// keepAliveIdle and keepAliveInterval find silent peers of requests that wait for an answer.
+	keepAliveIdle     = 2 * time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 2
+	// readBuffer holds the head of an answer and several events.
+	readBuffer = 8 << 10
+)
+
+// conn is one kept connection. It serves one request at a time.
+type conn struct {
+	net.Conn
+	br *bufio.Reader
+	// restedAt is when the last answer ended; zero for a new connection.
+	restedAt time.Time
+	// keep is how long the target keeps an idle connection, as far as it says.
+	keep time.Duration
+}
+
+// DialError says that no connection came up; nothing was sent.
+type DialError struct {
+	Address string
+	Cause   error
+}
+
+// Error names the address.
+func (de *DialError) Error() string { return "no connection to " + de.Address + ": " + de.Cause.Error() }
+
+// Unwrap returns the cause.
+func (de *DialError) Unwrap() error { return de.Cause }
+
+func dial(ctx context.Context, address string) (*conn, error) {
+	dl := net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+		},
+		Control: boundUnacked,
+	}
+	nc, err := dl.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, &DialError{Address: address, Cause: err}
+	}
+	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBuffer)}, nil
+}
+
+// boundUnacked makes the kernel give up a connection whose peer acknowledges nothing.
+func boundUnacked(_, _ string, rc syscall.RawConn) error {
+	var serr error
+	err := rc.Control(func(fd uintptr) {
+		serr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return errors.Wrap(err, "reach socket")
+	}
+	return errors.Wrap(serr, "set user timeout")
+}
+
+// quiet reports whether an idle connection is still open and has nothing to read: bytes that came unasked belong to
+// no request.
+func (cn *conn) quiet() bool {
+	if cn.br.Buffered() > 0 {
+		return false
+	}
+	sc, ok := cn.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var open bool
+	err = rc.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, rerr := syscall.Read(int(fd), b[:])
+		open = errors.Is(rerr, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && open
+}
+
+// keepTime returns how long the target keeps the connection, as its answer says; zero when it says nothing.
+func keepTime(h http.Header) time.Duration {
+	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
+		v, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !ok {
+			continue
+		}
+		if n, err := strconv.Atoi(v); err == nil {
+			return time.Duration(n) * time.Second
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/upstream/exchange.go
@@ -0,0 +1,160 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Call is one request to one target.
+type Call struct {
+	// Address is an IP address and port.
+	Address string
+	Method  string
+	// Target is the path and query as they stand on the request line.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Exclusive requests may run only once: they go out on connections that have rested for a short time only.
+	Exclusive bool
+	// Mine reports whether an answer belongs to this call; others are skipped.
+	Mine func(*http.Response) bool
+}
+
+// SendError says that an exchange broke off.
+type SendError struct {
+	// Sent is false when certainly nothing of the request reached the target.
+	Sent  bool
+	Cause error
+}
+
+// Error tells whether anything was sent.
+func (se *SendError) Error() string {
+	if !se.Sent {
+		return "not sent: " + se.Cause.Error()
+	}
+	return "broken off after sending: " + se.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (se *SendError) Unwrap() error { return se.Cause }
+
+// StrayAnswerError says that a connection carried answers of other requests only.
+type StrayAnswerError struct{}
+
+// Error says what came.
+func (*StrayAnswerError) Error() string { return "the answer belongs to another request" }
+
+// strayMost bounds the answers of other requests that are skipped before a connection is given up.
+const strayMost = 3
+
+// strayBodyMost bounds the bytes of such an answer.
+const strayBodyMost = 1 << 20
+
+// Answer is the head of a target's answer and its open body. Close must be called.
+type Answer struct {
+	*http.Response
+	pool    *Pool
+	address string
+	cn      *conn
+	// written is closed once the request is out, or cannot be sent any more.
+	written chan struct{}
+	// wroteAll is valid once written is closed.
+	wroteAll *bool
+	stop     func() bool
+	whole    bool
+}
+
+// Do sends a call and returns the head of its answer. Cancelling ctx closes the connection, which ends the work at the
+// target.
+func (pl *Pool) Do(ctx context.Context, ca Call) (*Answer, error) {
+	cn, _, err := pl.get(ctx, ca.Address, ca.Exclusive)
+	if err != nil {
+		return nil, &SendError{Sent: false, Cause: err}
+	}
+	stop := context.AfterFunc(ctx, func() { cn.Close() })
+	if ctx.Err() != nil {
+		stop()
+		pl.drop(ca.Address, cn)
+		return nil, &SendError{Sent: false, Cause: ctx.Err()}
+	}
+	an := &Answer{pool: pl, address: ca.Address, cn: cn, stop: stop, written: make(chan struct{}), wroteAll: new(bool)}
+	req := ca.request()
+	go an.write(req)
+	an.Response, err = readAnswer(cn, req, ca.Mine)
+	if err != nil {
+		an.Close()
+		return nil, &SendError{Sent: true, Cause: err}
+	}
+	return an, nil
+}
+
+func (ca Call) request() *http.Request {
+	// An opaque URL keeps the request line as the caller wrote it.
+	req := &http.Request{
+		Method: ca.Method, URL: &url.URL{Opaque: ca.Target}, Host: ca.Host, Header: ca.Header,
+		ProtoMajor: 1, ProtoMinor: 1,
+	}
+	if len(ca.Body) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(ca.Body))
+		req.ContentLength = int64(len(ca.Body))
+	}
+	return req
+}
+
+// write sends the request beside the reading of the answer: a target may answer before it has read a long body.
+func (an *Answer) write(req *http.Request) {
+	defer close(an.written)
+	// A failed write shows as a failed or early answer on the same connection.
+	*an.wroteAll = req.Write(an.cn) == nil
+}
+
+func readAnswer(cn *conn, req *http.Request, mine func(*http.Response) bool) (*http.Response, error) {
+	for range strayMost {
+		resp, err := http.ReadResponse(cn.br, req)
+		if err != nil {
+			return nil, errors.Wrap(err, "read answer")
+		}
+		if resp.StatusCode >= http.StatusOK && (mine == nil || mine(resp)) {
+			return resp, nil
+		}
+		_, err = io.CopyN(io.Discard, resp.Body, strayBodyMost)
+		resp.Body.Close()
+		if !errors.Is(err, io.EOF) || resp.Close {
+			return nil, &StrayAnswerError{}
+		}
+	}
+	return nil, &StrayAnswerError{}
+}
+
+// Whole notes that the body was read to its end, so that the connection can be used again.
+func (an *Answer) Whole() { an.whole = true }
+
+// Break closes the connection under a reader, whose read then fails. Close must still be called.
+func (an *Answer) Break() { an.cn.Close() }
+
+// Close ends the exchange. The connection rests if request and answer are whole, else it is closed.
+func (an *Answer) Close() {
+	cancelled := !an.stop()
+	if an.Response != nil && an.whole && !cancelled && !an.Response.Close && an.sent() {
+		an.cn.keep = keepTime(an.Response.Header)
+		an.pool.rest(an.address, an.cn)
+		return
+	}
+	an.pool.drop(an.address, an.cn)
+}
+
+// sent reports whether the whole request is out already.
+func (an *Answer) sent() bool {
+	select {
+	case <-an.written:
+		return *an.wroteAll
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,146 @@
+package upstream
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+const (
+	// restMost is how long an idle connection is used again when the target does not say how long it keeps it.
+	restMost = 4 * time.Second
+	// restMostExclusive is the same for requests that may run only once: a close that crosses such a request leaves
+	// its outcome unknown.
+	restMostExclusive = time.Second
+	// keepMargin is taken off the time that the target says.
+	keepMargin = 700 * time.Millisecond
+	// idleMost bounds the idle connections to one target.
+	idleMost = 8
+)
+
+// Pool keeps connections to targets. It is safe for use by any goroutine.
+type Pool struct {
+	now    func() time.Time
+	dialed *metrics.Counter
+
+	mu sync.Mutex
+	// idle holds the connections at rest by address, the last used at the end.
+	idle map[string][]*conn
+	// open counts all connections by address; entries at zero are removed.
+	open map[string]int
+}
+
+// NewPool returns an empty pool that counts new connections in a metric.
+func NewPool(now func() time.Time, ms *metrics.Set) *Pool {
+	return &Pool{
+		now: now, idle: map[string][]*conn{}, open: map[string]int{},
+		dialed: ms.GetOrCreateCounter("silvermount_target_connections_opened_total"),
+	}
+}
+
+// get returns a connection at rest, or a new one.
+func (pl *Pool) get(ctx context.Context, address string, exclusive bool) (cn *conn, reused bool, err error) {
+	for {
+		cn = pl.take(address)
+		if cn == nil {
+			break
+		}
+		if pl.usable(cn, exclusive) {
+			return cn, true, nil
+		}
+		pl.drop(address, cn)
+	}
+	cn, err = dial(ctx, address)
+	if err != nil {
+		return nil, false, err
+	}
+	pl.dialed.Inc()
+	pl.mu.Lock()
+	pl.open[address]++
+	pl.mu.Unlock()
+	return cn, false, nil
+}
+
+func (pl *Pool) take(address string) *conn {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	list := pl.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	cn := list[len(list)-1]
+	pl.idle[address] = list[:len(list)-1]
+	return cn
+}
+
+func (pl *Pool) usable(cn *conn, exclusive bool) bool {
+	most := restMost
+	if cn.keep > 0 {
+		most = cn.keep - keepMargin
+	}
+	if exclusive {
+		most = min(most, restMostExclusive)
+	}
+	return pl.now().Sub(cn.restedAt) < most && cn.quiet()
+}
+
+// rest takes a connection back whose last answer was whole.
+func (pl *Pool) rest(address string, cn *conn) {
+	cn.restedAt = pl.now()
+	pl.mu.Lock()
+	full := len(pl.idle[address]) >= idleMost
+	if !full {
+		pl.idle[address] = append(pl.idle[address], cn)
+	}
+	pl.mu.Unlock()
+	if full {
+		pl.drop(address, cn)
+	}
+}
+
+func (pl *Pool) drop(address string, cn *conn) {
+	cn.Close()
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	pl.open[address]--
+	if pl.open[address] <= 0 {
+		delete(pl.open, address)
+	}
+}
+
+// Open returns how many connections lead to an address.
+func (pl *Pool) Open(address string) int {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	return pl.open[address]
+}
+
+// Sweep closes connections that have rested too long.
+func (pl *Pool) Sweep() {
+	now := pl.now()
+	old := map[string][]*conn{}
+	pl.mu.Lock()
+	for address, list := range pl.idle {
+		var kept []*conn
+		for _, cn := range list {
+			if now.Sub(cn.restedAt) < max(restMost, cn.keep) {
+				kept = append(kept, cn)
+				continue
+			}
+			old[address] = append(old[address], cn)
+		}
+		if len(kept) == 0 {
+			delete(pl.idle, address)
+			continue
+		}
+		pl.idle[address] = kept
+	}
+	pl.mu.Unlock()
+	for address, list := range old {
+		for _, cn := range list {
+			pl.drop(address, cn)
+		}
+	}
+}
