--- a/internal/duty/facts/facts.go
+++ b/internal/duty/facts/facts.go
@@ -11,6 +11,7 @@
 
 	"github.com/silvermount/silvermount/internal/adapter"
 	"github.com/silvermount/silvermount/internal/config"
+	"github.com/silvermount/silvermount/internal/duty/forwarding"
 	"github.com/silvermount/silvermount/internal/follow"
 	"github.com/silvermount/silvermount/internal/kernel"
 	"github.com/silvermount/silvermount/internal/objectstore"
@@ -36,6 +37,8 @@
 	rts *routes.Holder
 	dr  *targets.Directory
 	lg  log.Interface
+	// changed is told of news that peers may lack.
+	changed *forwarding.Changed
 	// version is the newest configuration read; it is used by one goroutine.
 	version int64
 }
@@ -57,9 +60,13 @@
 	if err != nil {
 		return nil, err
 	}
+	ch, err := kernel.Need[*forwarding.Changed](env)
+	if err != nil {
+		return nil, err
+	}
 	calls := ms.GetOrCreateCounter("silvermount_store_calls_total")
 	st := ad.Store(env.Settings.Gateway.Store, calls.Inc)
-	rd := &reader{ad: ad, rts: rts, dr: dr, lg: env.Logger("facts")}
+	rd := &reader{ad: ad, rts: rts, dr: dr, lg: env.Logger("facts"), changed: ch}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { rd.configuration(st, env.Logger("store")).Run(ctx) })
@@ -80,7 +87,10 @@
 			}
 		},
 		Change:  rd.readConfiguration,
-		Confirm: func(evidence time.Time) { rd.rts.Confirm(rd.version, evidence) },
+		Confirm: func(evidence time.Time) {
+			rd.rts.Confirm(rd.version, evidence)
+			rd.changed.Tell()
+		},
 		Trouble: func(error) {},
 	}
 }
@@ -144,4 +154,7 @@
 			"target": ch.Target.ID, "service": ch.Target.Service, "address": ch.Target.Address, "source": "store",
 		}).Info("target " + ch.What)
 	}
+	if len(changes) > 0 {
+		rd.changed.Tell()
+	}
 }
--- a/internal/duty/forwarding/forwarding.go
+++ b/internal/duty/forwarding/forwarding.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -25,10 +26,19 @@
 	})
 }
 
-// Changed is told when what this instance has in flight changes.
+// Changed is told when what this instance knows or has in flight changes. It is safe for use by any goroutine.
 type Changed struct {
-	// Publish is set by the duty that talks to peers; nil until then.
-	Publish func()
+	publish atomic.Pointer[func()]
+}
+
+// Set sets who is told.
+func (ch *Changed) Set(publish func()) { ch.publish.Store(&publish) }
+
+// Tell tells of a change; before Set it does nothing.
+func (ch *Changed) Tell() {
+	if publish := ch.publish.Load(); publish != nil {
+		(*publish)()
+	}
 }
 
 const (
@@ -87,11 +97,7 @@
 		Reserve: ad.Reserve, Release: ad.Release, NewID: func() string { return ident.New("mem") }, Log: env.Logger("memory"),
 	}
 	ds := dispatch.New(dr, kp, dispatch.Options{
-		Instance: env.Settings.Instance, AvailabilityZone: env.Settings.AvailabilityZone, Now: time.Now, Changed: func() {
-			if ch.Publish != nil {
-				ch.Publish()
-			}
-		},
+		Instance: env.Settings.Instance, AvailabilityZone: env.Settings.AvailabilityZone, Now: time.Now, Changed: ch.Tell,
 	})
 	kernel.Provide(env, ad)
 	kernel.Provide(env, ms)
--- /dev/null
+++ b/internal/duty/members/members.go
@@ -0,0 +1,231 @@
+// Package members is the duty that tells peers what this instance knows and has in flight, and hears the same of them.
+package members
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/silvermount/silvermount/internal/adapter"
+	"github.com/silvermount/silvermount/internal/config"
+	"github.com/silvermount/silvermount/internal/dispatch"
+	"github.com/silvermount/silvermount/internal/duty/forwarding"
+	"github.com/silvermount/silvermount/internal/gossip"
+	"github.com/silvermount/silvermount/internal/kernel"
+	"github.com/silvermount/silvermount/internal/peerstate"
+	"github.com/silvermount/silvermount/internal/placement"
+	"github.com/silvermount/silvermount/internal/routes"
+	"github.com/silvermount/silvermount/internal/targets"
+)
+
+func init() {
+	kernel.Register(kernel.Duty{Name: "members", Role: config.RoleGateway, Phase: kernel.PhasePeers, Start: start})
+}
+
+const (
+	// configurationDocument is what a peer is asked for whose configuration is newer.
+	configurationDocument = "configuration"
+	// fetchTimeout bounds that question: many round trips, and well under the time a change has to be in force.
+	fetchTimeout = 600 * time.Millisecond
+	// fetchesWaiting bounds the peers remembered as having a newer configuration; more are told again by their next
+	// heartbeat.
+	fetchesWaiting = 4
+)
+
+// newer is a peer that told of a newer configuration.
+type newer struct {
+	from     gossip.Member
+	version  int64
+	evidence time.Time
+}
+
+// duty joins the mesh to what this instance knows.
+type duty struct {
+	ad    adapter.Adapter
+	rts   *routes.Holder
+	dr    *targets.Directory
+	ds    *dispatch.Dispatcher
+	lg    log.Interface
+	ms    *gossip.Mesh
+	fetch chan newer
+}
+
+func start(ctx context.Context, env *kernel.Env) (kernel.Stop, error) {
+	du, err := build(env)
+	if err != nil {
+		return nil, err
+	}
+	ch, err := kernel.Need[*forwarding.Changed](env)
+	if err != nil {
+		return nil, err
+	}
+	gw := env.Settings.Gateway
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", gw.Peers)
+	if err != nil {
+		return nil, errors.Wrap(err, "bind listener")
+	}
+	du.ms = gossip.New(du.options(env))
+	ch.Set(du.ms.Publish)
+	kernel.Provide(env, du.ms)
+	return du.run(l, env), nil
+}
+
+func build(env *kernel.Env) (*duty, error) {
+	ad, err := kernel.Need[adapter.Adapter](env)
+	if err != nil {
+		return nil, err
+	}
+	rts, err := kernel.Need[*routes.Holder](env)
+	if err != nil {
+		return nil, err
+	}
+	dr, err := kernel.Need[*targets.Directory](env)
+	if err != nil {
+		return nil, err
+	}
+	ds, err := kernel.Need[*dispatch.Dispatcher](env)
+	if err != nil {
+		return nil, err
+	}
+	return &duty{ad: ad, rts: rts, dr: dr, ds: ds, lg: env.Logger("peers"), fetch: make(chan newer, fetchesWaiting)}, nil
+}
+
+func (du *duty) options(env *kernel.Env) gossip.Options {
+	gw := env.Settings.Gateway
+	return gossip.Options{
+		Self: gossip.Member{
+			Name: env.Settings.Instance, Incarnation: env.Incarnation, Address: gw.Peers,
+			AvailabilityZone: env.Settings.AvailabilityZone,
+		},
+		Seeds: gw.Seeds, Body: du.body, Receive: du.receive, OnLost: du.lost, Serve: du.serve, Log: du.lg,
+	}
+}
+
+func (du *duty) run(l net.Listener, env *kernel.Env) kernel.Stop {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { du.ended(ctx, du.ms.Serve(ctx, l)) })
+	wg.Go(func() { du.ended(ctx, du.ms.Run(ctx)) })
+	wg.Go(func() { du.fetchAll(ctx) })
+	return func(context.Context) error {
+		env.Logger("peers").Info("leaving the other instances")
+		cancel()
+		wg.Wait()
+		return nil
+	}
+}
+
+func (du *duty) ended(ctx context.Context, err error) {
+	if err != nil && ctx.Err() == nil {
+		du.lg.WithError(err).Error("exchange with peers ended")
+	}
+}
+
+// body returns this instance's state.
+func (du *duty) body() []byte {
+	st := peerstate.State{Leaving: du.dr.Leaving(), Loads: du.ds.Own()}
+	if tb, provenAt := du.rts.Current(); tb != nil {
+		st.Configuration = tb.Version()
+		st.ProofAge = time.Since(provenAt)
+	}
+	b, err := st.Encode()
+	if err != nil {
+		du.lg.WithError(err).Error("own state not told")
+		return nil
+	}
+	return b
+}
+
+// receive takes a peer's state.
+func (du *duty) receive(from gossip.Member, body []byte, age time.Duration) {
+	if len(body) == 0 {
+		return
+	}
+	st, err := peerstate.Decode(body)
+	if err != nil {
+		du.lg.WithError(err).WithField("peer", from.Name).Error("peer's state cannot be read")
+		return
+	}
+	loads := st.Loads
+	if loads == nil {
+		loads = map[string]placement.Load{}
+	}
+	du.ds.Heard(from.Name, loads)
+	for _, id := range st.Leaving {
+		if du.dr.MarkLeaving(id) {
+			du.lg.WithFields(log.Fields{"target": id, "peer": from.Name, "age": age.String(), "source": "peer"}).Info("target leaving")
+		}
+	}
+	if st.Configuration == 0 {
+		return
+	}
+	evidence := time.Now().Add(-age - st.ProofAge)
+	if du.rts.Confirm(st.Configuration, evidence) {
+		return
+	}
+	select {
+	case du.fetch <- newer{from: from, version: st.Configuration, evidence: evidence}:
+	default:
+		// Others are asked already; the peer's next heartbeat tells again.
+	}
+}
+
+func (du *duty) lost(mb gossip.Member) {
+	du.lg.WithFields(log.Fields{"peer": mb.Name, "incarnation": mb.Incarnation}).Warn("lost a peer")
+	du.ds.Heard(mb.Name, nil)
+}
+
+func (du *duty) serve(name string) ([]byte, bool) {
+	if name != configurationDocument {
+		return nil, false
+	}
+	_, doc := du.rts.Document()
+	return doc, doc != nil
+}
+
+// fetchAll asks peers for newer configurations, one at a time.
+func (du *duty) fetchAll(ctx context.Context) {
+	for {
+		select {
+		case nw := <-du.fetch:
+			du.fetchOne(ctx, nw)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (du *duty) fetchOne(ctx context.Context, nw newer) {
+	if tb, _ := du.rts.Current(); tb != nil && tb.Version() >= nw.version {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	lg := du.lg.WithField("peer", nw.from.Name).WithField("version", nw.version)
+	doc, err := du.ms.Fetch(ctx, nw.from, configurationDocument)
+	if err != nil {
+		lg.WithError(err).Warn("newer configuration not fetched")
+		return
+	}
+	ct, err := du.ad.Configuration(doc)
+	if err != nil {
+		lg.WithError(err).Error("peer's configuration cannot be read")
+		return
+	}
+	if ct.Version < nw.version {
+		return
+	}
+	evidence := nw.evidence
+	if ct.Version > nw.version {
+		// The proof was of an older version.
+		evidence = time.Time{}
+	}
+	if du.rts.Offer(routes.New(ct), doc, evidence) {
+		lg.WithFields(log.Fields{"version": ct.Version, "routes": len(ct.Routes), "source": "peer"}).Info("configuration in force")
+	}
+}
--- /dev/null
+++ b/internal/gossip/failure.go
@@ -0,0 +1,27 @@
+package gossip
+
+// MalformedError says that a message could not be read or written.
+type MalformedError struct{ Message string }
+
+// Error names the message.
+func (me *MalformedError) Error() string { return "malformed gossip message: " + me.Message }
+
+// SelfError says that an address led back to this instance.
+type SelfError struct{ Address string }
+
+// Error names the address.
+func (se *SelfError) Error() string { return "address " + se.Address + " is this instance" }
+
+// MissingError says that a peer has no document of a name.
+type MissingError struct{ Instance, Document string }
+
+// Error names the peer and the document.
+func (me *MissingError) Error() string {
+	return "instance " + me.Instance + " has no document " + me.Document
+}
+
+// LinkError says that the link to an instance could not be used.
+type LinkError struct{ Instance, Reason string }
+
+// Error names the instance and the reason.
+func (le *LinkError) Error() string { return "link to instance " + le.Instance + " " + le.Reason }
--- /dev/null
+++ b/internal/gossip/fetch.go
@@ -0,0 +1,81 @@
+package gossip
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc"
+)
+
+const (
+	exchangeRPC = "/gossip.Mesh/Exchange"
+	fetchRPC    = "/gossip.Mesh/Fetch"
+)
+
+// description tells drpc the two methods of a mesh.
+type description struct{}
+
+// NumMethods returns the number of methods.
+func (description) NumMethods() int { return 2 }
+
+// Method returns the nth method.
+func (description) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
+	switch n {
+	case 0:
+		receive := func(srv any, _ context.Context, in1, _ any) (drpc.Message, error) {
+			return nil, srv.(*Mesh).accept(in1.(drpc.Stream))
+		}
+		return exchangeRPC, encoding{}, receive, (*Mesh).accept, true
+	case 1:
+		receive := func(srv any, _ context.Context, in1, _ any) (drpc.Message, error) {
+			return srv.(*Mesh).serveDocument(in1.(*request)), nil
+		}
+		method := func(*Mesh, context.Context, *request) (*document, error) { return nil, nil }
+		return fetchRPC, encoding{}, receive, method, true
+	}
+	return "", nil, nil, nil, false
+}
+
+func (ms *Mesh) serveDocument(rq *request) *document {
+	body, found := ms.opts.Serve(rq.Name)
+	return &document{Found: found, Body: body}
+}
+
+// Fetch asks a member for a document: over a connection of its own, so that a large document delays no heartbeat, or,
+// when the member's address does not answer, over the link that the member opened.
+func (ms *Mesh) Fetch(ctx context.Context, m Member, name string) ([]byte, error) {
+	doc, err := ms.fetch(ctx, m, name)
+	if err != nil {
+		return nil, err
+	}
+	if !doc.Found {
+		return nil, &MissingError{Instance: m.Name, Document: name}
+	}
+	return doc.Body, nil
+}
+
+func (ms *Mesh) fetch(ctx context.Context, m Member, name string) (document, error) {
+	var doc document
+	conn, _, err := dial(ctx, m.Address)
+	if err != nil {
+		lk := ms.linkTo(m)
+		if lk == nil {
+			return doc, err
+		}
+		return lk.ask(ctx, request{Name: name})
+	}
+	defer conn.Close()
+	err = conn.Invoke(ctx, fetchRPC, encoding{}, &request{Name: name}, &doc)
+	return doc, errors.Wrap(err, "fetch document")
+}
+
+func (ms *Mesh) linkTo(m Member) *link {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	for lk := range ms.links {
+		if lk.peer.Name == m.Name && lk.peer.Incarnation == m.Incarnation {
+			return lk
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/gossip/gossip.go
@@ -0,0 +1,334 @@
+// Package gossip keeps the list of live instances and spreads the state of each to all others.
+//
+// Every two instances keep one stream, or in a large fleet only those that the plan says; the states of the others are
+// then relayed. An instance sends a heartbeat each interval, and on a stream only what its peer does not know yet. So
+// what waits for a peer is never more than the newest state of each member.
+package gossip
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"maps"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+)
+
+// Member is one process of the fleet.
+type Member struct {
+	Name string
+	// Incarnation differs between two processes of one name.
+	Incarnation string
+	// Address is the ip:port of the gossip listener.
+	Address          string
+	AvailabilityZone string
+	// Stopping says that the process takes no new work.
+	Stopping bool
+}
+
+// Options are what New needs. Callbacks are called one at a time; they must be short and must not call Fetch.
+type Options struct {
+	// Self is this process.
+	Self Member
+	// Seeds are addresses to start from. They may be out of date, and may be this instance's own.
+	Seeds []string
+	// Interval is the time between two heartbeats.
+	Interval time.Duration
+	// Lost is the silence after which a member is not live.
+	Lost time.Duration
+	// Coalesce is the least time between two sends that Publish causes.
+	Coalesce time.Duration
+	// FullMesh is the number of members up to which every two are linked; beyond it each is linked to those in the same
+	// availability zone and to RemoteLinks in each other.
+	FullMesh, RemoteLinks int
+	// Body returns this instance's state now. The slice must not be changed afterwards.
+	Body func() []byte
+	// Receive takes the newest state of a member, and the time since its sender made it as far as known. It is called
+	// again with the last state when a lost member comes back.
+	Receive func(from Member, body []byte, age time.Duration)
+	// OnLost is called once when a member is lost, and when another incarnation replaces it.
+	OnLost func(Member)
+	// Serve returns a document that a peer asked for. It may be called by several goroutines at once.
+	Serve func(name string) ([]byte, bool)
+	// Log is the part's logger.
+	Log log.Interface
+	// Now is a steady clock.
+	Now func() time.Time
+}
+
+const (
+	// defaultInterval allows eight heartbeats within the default silence.
+	defaultInterval = 250 * time.Millisecond
+	// defaultLost is the silence of a process that restarts at once, and some more.
+	defaultLost = 2 * time.Second
+	// defaultCoalesce bounds the sends for a busy instance to a hundred a second.
+	defaultCoalesce = 10 * time.Millisecond
+	// defaultFullMesh is where the relays' work becomes less than that of the links saved.
+	defaultFullMesh = 16
+	// defaultRemoteLinks leaves one relay when the other fails.
+	defaultRemoteLinks = 2
+	// forgetAfter is the silence after which a member is no longer dialled: longer than a restart.
+	forgetAfter = time.Minute
+	// redialPause bounds the attempts at an address to two a second.
+	redialPause = 500 * time.Millisecond
+	// dialGrace is how long the instance with the higher name waits for the other to dial: two attempts and their pause.
+	dialGrace = 1500 * time.Millisecond
+	// idleLosts is the number of silences Options.Lost after which a stream is closed.
+	idleLosts = 3
+)
+
+func (o Options) withDefaults() Options {
+	o.Interval = cmp.Or(o.Interval, defaultInterval)
+	o.Lost = cmp.Or(o.Lost, defaultLost)
+	o.Coalesce = cmp.Or(o.Coalesce, defaultCoalesce)
+	o.FullMesh = cmp.Or(o.FullMesh, defaultFullMesh)
+	o.RemoteLinks = cmp.Or(o.RemoteLinks, defaultRemoteLinks)
+	if o.Body == nil {
+		o.Body = func() []byte { return nil }
+	}
+	if o.Receive == nil {
+		o.Receive = func(Member, []byte, time.Duration) {}
+	}
+	if o.OnLost == nil {
+		o.OnLost = func(Member) {}
+	}
+	if o.Serve == nil {
+		o.Serve = func(string) ([]byte, bool) { return nil, false }
+	}
+	if o.Log == nil {
+		o.Log = log.Log
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	return o
+}
+
+// Mesh is this instance's view of the fleet and its links.
+type Mesh struct {
+	opts Options
+	// kick has room for one signal: there is something to send.
+	kick chan struct{}
+	// published says that Options.Body is to be called at the next send.
+	published atomic.Bool
+
+	// calls is held while callbacks run, so that they see changes in their order. It is taken before mu.
+	calls sync.Mutex
+	mu    sync.Mutex
+	self  *record
+	// records are the other members by name, live and lost, until they are forgotten.
+	records map[string]*record
+	// list is the version of the member list: it grows when a member comes, goes or changes.
+	list uint64
+	// plan was made for the list of version planned.
+	plan    plan
+	planned uint64
+	links   map[*link]struct{}
+	// opened is the number of links there were.
+	opened uint64
+	dials  map[string]*dialState
+	awake  awakeClock
+}
+
+// New returns a mesh; Serve and Run do its work.
+func New(o Options) *Mesh {
+	o = o.withDefaults()
+	now := o.Now()
+	ms := &Mesh{
+		opts:    o,
+		kick:    make(chan struct{}, 1),
+		self:    &record{card: card{Member: o.Self}, live: true, pulse: 1},
+		records: map[string]*record{},
+		list:    1,
+		links:   map[*link]struct{}{},
+		dials:   map[string]*dialState{},
+		awake:   awakeClock{step: o.Interval, last: now},
+	}
+	ms.published.Store(true)
+	return ms
+}
+
+// Serve answers peers until ctx ends.
+func (ms *Mesh) Serve(ctx context.Context, lis net.Listener) error {
+	mux := drpcmux.New()
+	if err := mux.Register(ms, description{}); err != nil {
+		return errors.Wrap(err, "register gossip service")
+	}
+	sv := drpcserver.NewWithOptions(mux, drpcserver.Options{
+		Manager: managerOptions(),
+		Log:     func(err error) { ms.opts.Log.WithError(err).Debug("gossip connection ended") },
+	})
+	return errors.Wrap(sv.Serve(ctx, boundedListener{Listener: lis}), "serve gossip")
+}
+
+// Run sends heartbeats, keeps links and judges silence until ctx ends.
+func (ms *Mesh) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	tick := time.NewTicker(ms.opts.Interval)
+	defer tick.Stop()
+	pause := time.NewTimer(0)
+	defer pause.Stop()
+	kick := ms.kick
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			ms.beat()
+		case <-kick:
+			// Further signals wait in the channel until the pause is over.
+			kick = nil
+			pause.Reset(ms.opts.Coalesce)
+		case <-pause.C:
+			kick = ms.kick
+		}
+		ms.refresh()
+		ms.connect(ctx, &wg)
+		ms.wakeLinks()
+	}
+}
+
+// Publish says that this instance's state has changed. It never blocks.
+func (ms *Mesh) Publish() {
+	ms.published.Store(true)
+	ms.signal()
+}
+
+func (ms *Mesh) signal() {
+	select {
+	case ms.kick <- struct{}{}:
+	default:
+		// A signal waits already.
+	}
+}
+
+// Live returns the live members and this instance, by name.
+func (ms *Mesh) Live() []Member {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	return ms.liveLocked()
+}
+
+func (ms *Mesh) liveLocked() []Member {
+	live := []Member{ms.self.Member}
+	for _, r := range ms.records {
+		if r.live {
+			live = append(live, r.Member)
+		}
+	}
+	slices.SortFunc(live, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return live
+}
+
+// SetStopping tells all members that this instance is stopping.
+func (ms *Mesh) SetStopping() {
+	ms.mu.Lock()
+	ms.self.Stopping = true
+	ms.self.pulse++
+	ms.list++
+	ms.mu.Unlock()
+	ms.signal()
+}
+
+// refresh takes this instance's state anew when it was published.
+func (ms *Mesh) refresh() {
+	if !ms.published.Swap(false) {
+		return
+	}
+	body := ms.opts.Body()
+	now := ms.opts.Now()
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	if body == nil || ms.self.version > 0 && bytes.Equal(body, ms.self.body) {
+		return
+	}
+	ms.self.pulse++
+	ms.self.version, ms.self.body, ms.self.made = ms.self.pulse, body, now
+}
+
+// beat begins an interval: it renews this instance's pulse, and drops members that were silent for too long.
+func (ms *Mesh) beat() {
+	ms.published.Store(true)
+	now := ms.opts.Now()
+	ms.calls.Lock()
+	defer ms.calls.Unlock()
+	ms.mu.Lock()
+	ms.awake = ms.awake.advanced(now)
+	ms.self.pulse++
+	gone := ms.judge(ms.awake.at(now))
+	ms.mu.Unlock()
+	for _, m := range gone {
+		ms.opts.Log.WithField("instance", m.Name).Info("member lost")
+		ms.opts.OnLost(m)
+	}
+}
+
+// judge returns the members that are now lost and forgets those lost for long.
+func (ms *Mesh) judge(awake time.Duration) []Member {
+	var gone []Member
+	for name, r := range ms.records {
+		silence := awake - r.heard
+		if r.live && silence >= ms.opts.Lost {
+			r.live = false
+			ms.list++
+			gone = append(gone, r.Member)
+		}
+		if silence >= max(forgetAfter, ms.opts.Lost) {
+			delete(ms.records, name)
+		}
+	}
+	for lk := range ms.links {
+		if awake-lk.heard >= idleLosts*ms.opts.Lost {
+			lk.close()
+		}
+	}
+	return gone
+}
+
+func (ms *Mesh) wakeLinks() {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	for lk := range ms.links {
+		lk.wakeUp()
+	}
+}
+
+// replan makes the plan for the live members, when they changed.
+func (ms *Mesh) replan() {
+	if ms.planned == ms.list {
+		return
+	}
+	ms.plan = newPlan(ms.self.Member, ms.liveLocked(), ms.opts.FullMesh, ms.opts.RemoteLinks)
+	ms.planned = ms.list
+}
+
+// wanted returns the members, live or lost, that a link is to be kept to. Lost members are planned for beside the live
+// ones, so that neither an availability zone that is cut off is given up nor a dead member takes a live one's place.
+func (ms *Mesh) wanted() []*record {
+	ms.replan()
+	known := []Member{ms.self.Member}
+	for _, r := range ms.records {
+		known = append(known, r.Member)
+	}
+	chosen := byZone(known).choose(ms.self.Member, ms.opts.RemoteLinks)
+	return slices.Collect(func(yield func(*record) bool) {
+		for r := range maps.Values(ms.records) {
+			keep := r.live && ms.plan.linked(ms.self.Member, r.Member) || len(known) <= ms.opts.FullMesh ||
+				r.AvailabilityZone == ms.self.AvailabilityZone || slices.Contains(chosen, r.Name)
+			if keep && !yield(r) {
+				return
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/gossip/link.go
@@ -0,0 +1,288 @@
+package gossip
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcctx"
+)
+
+// link is one stream to a peer, opened by either side. One goroutine receives and one sends.
+type link struct {
+	ms        *Mesh
+	transport io.Closer
+	stream    drpc.Stream
+	// address is where this instance dialled; it is empty when the peer did.
+	address string
+	// wake has room for one signal: there may be something to send.
+	wake chan struct{}
+
+	// The fields below are guarded by ms.mu.
+
+	// peer is known, and has a name, once the peer's first frame is here.
+	peer Member
+	// opened only grows from link to link.
+	opened uint64
+	// heard is when the last frame came, at first when the link was opened, by the awake clock.
+	heard time.Duration
+	// unwanted is since when the plan has no such link, by the awake clock; 0 when it has.
+	unwanted time.Duration
+	// told is what the peer was sent about each member, by name; list is the version of the member list it was sent.
+	told map[string]told
+	list uint64
+	// asks and answers wait to be sent, at most maxAsks of each.
+	asks    []ask
+	answers []answer
+	// waiting are who asked, by ask ID; each channel has room for its one answer.
+	waiting map[uint64]chan document
+	lastAsk uint64
+
+	// done is closed when the link has ended.
+	done chan struct{}
+	// cards are those received, by entry ID. Only the receiving goroutine uses them.
+	cards map[uint64]card
+}
+
+// told is the newest that a peer was sent about one member.
+type told struct {
+	card
+	id             uint64
+	pulse, version uint64
+}
+
+func (ms *Mesh) newLink(stream drpc.Stream, transport io.Closer, address string) *link {
+	now := ms.opts.Now()
+	lk := &link{
+		ms: ms, transport: transport, stream: stream, address: address, wake: make(chan struct{}, 1),
+		told: map[string]told{}, cards: map[uint64]card{}, waiting: map[uint64]chan document{}, done: make(chan struct{}),
+	}
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	ms.opened++
+	lk.opened = ms.opened
+	lk.heard = ms.awake.at(now)
+	ms.links[lk] = struct{}{}
+	lk.wakeUp()
+	return lk
+}
+
+// accept serves a stream that a peer opened.
+func (ms *Mesh) accept(stream drpc.Stream) error {
+	transport, ok := drpcctx.Transport(stream.Context())
+	if !ok {
+		return &MalformedError{Message: "a stream without a connection"}
+	}
+	return ms.newLink(stream, transport, "").exchange(stream.Context())
+}
+
+// open keeps a stream to an address until it ends.
+func (ms *Mesh) open(ctx context.Context, address string) error {
+	conn, transport, err := dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	stream, err := conn.NewStream(ctx, exchangeRPC, encoding{})
+	if err != nil {
+		return errors.Wrap(err, "open stream")
+	}
+	return ms.newLink(stream, transport, address).exchange(ctx)
+}
+
+// exchange sends and receives until either fails.
+func (lk *link) exchange(ctx context.Context) error {
+	defer lk.ms.drop(lk)
+	defer lk.close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		// The receiver ends, and tells why, when the connection is closed.
+		defer lk.close()
+		if err := lk.send(ctx); err != nil && ctx.Err() == nil {
+			lk.ms.opts.Log.WithError(err).Debug("gossip send failed")
+		}
+	}()
+	for {
+		var fr frame
+		if err := lk.stream.MsgRecv(&fr, encoding{}); err != nil {
+			return errors.Wrap(err, "receive")
+		}
+		if err := lk.take(fr); err != nil {
+			return err
+		}
+		lk.answer(fr.Asks)
+		lk.takeAnswers(fr.Answers)
+	}
+}
+
+func (lk *link) close() {
+	// Closing twice is harmless, and there is nothing to do about a connection that fails to close.
+	_ = lk.transport.Close()
+}
+
+func (lk *link) wakeUp() {
+	select {
+	case lk.wake <- struct{}{}:
+	default:
+		// A signal waits already; the sender then sends the newest.
+	}
+}
+
+// send sends what is new to the peer each time that the link is woken.
+func (lk *link) send(ctx context.Context) error {
+	for {
+		select {
+		case <-lk.wake:
+		case <-ctx.Done():
+			return nil
+		}
+		fr := lk.news()
+		if fr.empty() {
+			continue
+		}
+		if err := lk.stream.MsgSend(fr, encoding{}); err != nil {
+			return errors.Wrap(err, "send")
+		}
+	}
+}
+
+// news returns what the peer was not told yet.
+func (lk *link) news() *frame {
+	ms := lk.ms
+	now := ms.opts.Now()
+	fr := &frame{}
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	fr.Asks, lk.asks = lk.asks, nil
+	fr.Answers, lk.answers = lk.answers, nil
+	lk.tell(fr, ms.self, true, now)
+	if lk.list == ms.list {
+		for _, name := range ms.plan.origins {
+			if r := ms.records[name]; r != nil {
+				lk.tell(fr, r, lk.relays(r), now)
+			}
+		}
+		return fr
+	}
+	for _, r := range ms.records {
+		if r.Name != lk.peer.Name || r.Incarnation != lk.peer.Incarnation {
+			lk.tell(fr, r, lk.relays(r), now)
+		}
+	}
+	lk.list = ms.list
+	return fr
+}
+
+func (lk *link) relays(r *record) bool {
+	return lk.peer.Name != "" && lk.ms.plan.relays(lk.ms.self.Member, r.Member, lk.peer)
+}
+
+// tell adds to a frame what the peer does not know of a member: its card, and when states is set its pulse and state.
+func (lk *link) tell(fr *frame, r *record, states bool, now time.Time) {
+	if !r.live {
+		return
+	}
+	td, known := lk.told[r.Name]
+	e := entry{ID: td.id}
+	if !known {
+		td.id = uint64(len(lk.told))
+		e.ID = td.id
+	}
+	if td.Incarnation != r.Incarnation {
+		td.pulse, td.version = 0, 0
+	}
+	if !known || td.card != r.card {
+		td.card = r.card
+		e.Card = &td.card
+	}
+	if e.Card != nil || states && r.pulse > td.pulse {
+		td.pulse = r.pulse
+		e.Pulse, e.PulseAge = r.pulse, lk.ms.silence(r, now)
+	}
+	if states && r.version > td.version {
+		td.version = r.version
+		e.Version, e.Body, e.BodyAge = r.version, r.body, now.Sub(r.made)
+	}
+	if e.Pulse == 0 && e.Version == 0 {
+		return
+	}
+	lk.told[r.Name] = td
+	fr.Entries = append(fr.Entries, e)
+}
+
+// silence returns how long a member was not heard.
+func (ms *Mesh) silence(r *record, now time.Time) time.Duration {
+	if r == ms.self {
+		return 0
+	}
+	return ms.awake.at(now) - r.heard
+}
+
+// take takes a frame.
+func (lk *link) take(fr frame) error {
+	ms := lk.ms
+	now := ms.opts.Now()
+	ms.calls.Lock()
+	defer ms.calls.Unlock()
+	ms.mu.Lock()
+	events, err := lk.takeLocked(fr, now)
+	ms.mu.Unlock()
+	ms.notify(events)
+	return err
+}
+
+func (lk *link) takeLocked(fr frame, now time.Time) ([]event, error) {
+	var events []event
+	lk.heard = lk.ms.awake.at(now)
+	for _, e := range fr.Entries {
+		if e.Card != nil {
+			lk.cards[e.ID] = *e.Card
+		}
+		c, ok := lk.cards[e.ID]
+		if !ok || c.Name == "" {
+			return events, &MalformedError{Message: "an entry about nobody"}
+		}
+		if e.ID == senderID {
+			if err := lk.meet(c.Member); err != nil {
+				return events, err
+			}
+		}
+		events = append(events, lk.ms.hear(c, e, now)...)
+	}
+	return events, nil
+}
+
+// meet notes who the peer says it is.
+func (lk *link) meet(m Member) error {
+	ms := lk.ms
+	first := lk.peer.Name == ""
+	lk.peer = m
+	isSelf := m.Name == ms.self.Name && m.Incarnation == ms.self.Incarnation
+	if ds := ms.dials[lk.address]; ds != nil && (isSelf || m.Name != ms.self.Name) {
+		ds.reached = m.Name
+	}
+	if isSelf {
+		return &SelfError{Address: lk.address}
+	}
+	if first {
+		// What is relayed depends on who the peer is.
+		lk.list = 0
+		lk.wakeUp()
+	}
+	return nil
+}
+
+// drop forgets a link that has ended.
+func (ms *Mesh) drop(lk *link) {
+	now := ms.opts.Now()
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	delete(ms.links, lk)
+	close(lk.done)
+	if r := ms.records[lk.peer.Name]; r != nil && r.Incarnation == lk.peer.Incarnation {
+		r.unlinked = ms.awake.at(now)
+	}
+}
--- /dev/null
+++ b/internal/gossip/mesh_test.go
@@ -0,0 +1,465 @@
+package gossip
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	. "github.com/onsi/gomega"
+)
+
+// patience is far beyond what any wait in these tests needs, also on a busy machine.
+const patience = 30 * time.Second
+
+// never is longer than any test.
+const never = 24 * time.Hour
+
+// node is a mesh with what its callbacks were told.
+type node struct {
+	ms  *Mesh
+	lis net.Listener
+
+	mu       sync.Mutex
+	body     []byte
+	received map[string]string
+	order    []string
+	lost     []Member
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = lis.Close() })
+	return lis
+}
+
+// deadAddress returns an address at which nobody listens.
+func deadAddress(t *testing.T) string {
+	t.Helper()
+	lis := listen(t)
+	_ = lis.Close()
+	return lis.Addr().String()
+}
+
+func newNode(t *testing.T, o Options) *node {
+	t.Helper()
+	nd := &node{lis: listen(t), received: map[string]string{}}
+	nd.body = []byte("state of " + o.Self.Name)
+	if o.Self.Incarnation == "" {
+		o.Self.Incarnation = "1"
+	}
+	if o.Self.Address == "" {
+		o.Self.Address = nd.lis.Addr().String()
+	}
+	if o.Interval == 0 {
+		o.Interval = 20 * time.Millisecond
+	}
+	if o.Log == nil {
+		o.Log = &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
+	}
+	o.Body, o.Receive, o.OnLost = nd.state, nd.receive, nd.lose
+	nd.ms = New(o)
+	return nd
+}
+
+// start runs a node until the test ends or the returned function is called.
+func (nd *node) start(t *testing.T) (stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	lis := nd.lis
+	wg.Go(func() { _ = nd.ms.Serve(ctx, lis) })
+	wg.Go(func() { _ = nd.ms.Run(ctx) })
+	stop = func() {
+		cancel()
+		wg.Wait()
+	}
+	t.Cleanup(stop)
+	return stop
+}
+
+func startNode(t *testing.T, o Options) *node {
+	t.Helper()
+	nd := newNode(t, o)
+	nd.start(t)
+	return nd
+}
+
+func (nd *node) address() string { return nd.lis.Addr().String() }
+
+func (nd *node) state() []byte {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	return nd.body
+}
+
+func (nd *node) publish(body []byte) {
+	nd.mu.Lock()
+	nd.body = body
+	nd.mu.Unlock()
+	nd.ms.Publish()
+}
+
+func (nd *node) receive(from Member, body []byte, _ time.Duration) {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	nd.received[from.Name] = string(body)
+	nd.order = append(nd.order, string(body))
+}
+
+func (nd *node) lose(m Member) {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	nd.lost = append(nd.lost, m)
+}
+
+func (nd *node) lostMembers() []Member {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	return slices.Clone(nd.lost)
+}
+
+func (nd *node) stateOf(name string) func() string {
+	return func() string {
+		nd.mu.Lock()
+		defer nd.mu.Unlock()
+		return nd.received[name]
+	}
+}
+
+func (nd *node) states() int {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	return len(nd.received)
+}
+
+func (nd *node) names() []string {
+	var names []string
+	for _, m := range nd.ms.Live() {
+		names = append(names, m.Name)
+	}
+	return names
+}
+
+func (nd *node) linkCount() int {
+	nd.ms.mu.Lock()
+	defer nd.ms.mu.Unlock()
+	return len(nd.ms.links)
+}
+
+// peers returns the names at the other ends of the node's links, each once.
+func (nd *node) peers() []string {
+	nd.ms.mu.Lock()
+	defer nd.ms.mu.Unlock()
+	var names []string
+	for lk := range nd.ms.links {
+		names = append(names, lk.peer.Name)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+func TestThreeMembersFindEachOtherThroughOneSeed(t *testing.T) {
+	g := NewWithT(t)
+	a := newNode(t, Options{Self: Member{Name: "a"}})
+	a.ms.opts.Seeds = []string{a.address()}
+	a.start(t)
+	b := startNode(t, Options{Self: Member{Name: "b"}, Seeds: []string{a.address()}})
+	c := startNode(t, Options{Self: Member{Name: "c"}, Seeds: []string{a.address()}})
+	for _, nd := range []*node{a, b, c} {
+		g.Eventually(nd.names, patience).Should(Equal([]string{"a", "b", "c"}))
+		g.Eventually(nd.states, patience).Should(Equal(2))
+		g.Eventually(nd.linkCount, patience).Should(Equal(2))
+	}
+	g.Expect(c.stateOf("b")()).To(Equal("state of b"))
+}
+
+func TestSeeds(t *testing.T) {
+	tests := map[string]func(t *testing.T, good, own string) []string{
+		"one is dead":          func(t *testing.T, good, _ string) []string { return []string{deadAddress(t), good} },
+		"one is the own":       func(_ *testing.T, good, own string) []string { return []string{own, good} },
+		"one cannot be parsed": func(_ *testing.T, good, _ string) []string { return []string{"nonsense", good} },
+	}
+	for name, seeds := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			a := startNode(t, Options{Self: Member{Name: "a"}})
+			b := newNode(t, Options{Self: Member{Name: "b"}})
+			b.ms.opts.Seeds = seeds(t, a.address(), b.address())
+			b.start(t)
+			g.Eventually(a.names, patience).Should(Equal([]string{"a", "b"}))
+			g.Eventually(b.stateOf("a"), patience).Should(Equal("state of a"))
+		})
+	}
+}
+
+func TestSeedThatIsThisInstanceUnderAnotherAddress(t *testing.T) {
+	g := NewWithT(t)
+	a := newNode(t, Options{Self: Member{Name: "a", Address: deadAddress(t)}})
+	a.ms.opts.Seeds = []string{a.address()}
+	a.start(t)
+	g.Eventually(func() string {
+		a.ms.mu.Lock()
+		defer a.ms.mu.Unlock()
+		if ds := a.ms.dials[a.address()]; ds != nil {
+			return ds.reached
+		}
+		return ""
+	}, patience).Should(Equal("a"))
+	g.Eventually(a.linkCount, patience).Should(BeZero())
+	g.Expect(a.names()).To(Equal([]string{"a"}))
+}
+
+func TestNewestStateWins(t *testing.T) {
+	g := NewWithT(t)
+	a := startNode(t, Options{Self: Member{Name: "a"}})
+	b := startNode(t, Options{Self: Member{Name: "b"}, Seeds: []string{a.address()}})
+	const last = 200
+	for i := range last + 1 {
+		a.publish([]byte(strconv.Itoa(i)))
+	}
+	g.Eventually(b.stateOf("a"), patience).Should(Equal(strconv.Itoa(last)))
+	var seen []int
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range b.order {
+		if n, err := strconv.Atoi(s); err == nil {
+			seen = append(seen, n)
+		}
+	}
+	g.Expect(slices.IsSorted(seen)).To(BeTrue(), "states came in order: %v", seen)
+}
+
+func TestPublishDoesNotWaitForTheInterval(t *testing.T) {
+	g := NewWithT(t)
+	a := startNode(t, Options{Self: Member{Name: "a"}, Interval: never, Lost: 2 * never})
+	b := startNode(t, Options{Self: Member{Name: "b"}, Interval: never, Lost: 2 * never, Seeds: []string{a.address()}})
+	g.Eventually(b.stateOf("a"), patience).Should(Equal("state of a"))
+	for i := range 5 {
+		a.publish([]byte(fmt.Sprint("new ", i)))
+		g.Eventually(b.stateOf("a"), patience).Should(Equal(fmt.Sprint("new ", i)))
+	}
+	b.publish([]byte("new"))
+	g.Eventually(a.stateOf("b"), patience).Should(Equal("new"))
+}
+
+func TestLostAndBack(t *testing.T) {
+	g := NewWithT(t)
+	a := startNode(t, Options{Self: Member{Name: "a"}})
+	b := newNode(t, Options{Self: Member{Name: "b"}, Seeds: []string{a.address()}})
+	stop := b.start(t)
+	g.Eventually(a.stateOf("b"), patience).Should(Equal("state of b"))
+	stop()
+	g.Eventually(a.names, patience).Should(Equal([]string{"a"}))
+	g.Eventually(a.lostMembers, patience).Should(ConsistOf(b.ms.self.Member))
+	a.mu.Lock()
+	delete(a.received, "b")
+	a.mu.Unlock()
+	var err error
+	b.lis, err = net.Listen("tcp", b.address())
+	g.Expect(err).NotTo(HaveOccurred())
+	b.start(t)
+	g.Eventually(a.names, patience).Should(Equal([]string{"a", "b"}))
+	g.Eventually(a.stateOf("b"), patience).Should(Equal("state of b"))
+	g.Expect(a.lostMembers()).To(HaveLen(1))
+}
+
+func TestRestartReplacesTheOldIncarnation(t *testing.T) {
+	tests := map[string]struct{ before, after string }{
+		"the new one sorts higher": {before: "1", after: "2"},
+		"the new one sorts lower":  {before: "2", after: "1"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			// Nobody is lost by silence here.
+			o := Options{Lost: never}
+			o.Self = Member{Name: "a"}
+			a := startNode(t, o)
+			o.Seeds = []string{a.address()}
+			o.Self = Member{Name: "c"}
+			c := startNode(t, o)
+			o.Self = Member{Name: "b", Incarnation: tt.before}
+			old := newNode(t, o)
+			stop := old.start(t)
+			g.Eventually(a.stateOf("b"), patience).Should(Equal("state of b"))
+			g.Eventually(c.stateOf("b"), patience).Should(Equal("state of b"))
+			stop()
+			o.Self.Incarnation = tt.after
+			b := newNode(t, o)
+			b.body = []byte("after")
+			b.start(t)
+			for _, nd := range []*node{a, c} {
+				g.Eventually(nd.stateOf("b"), patience).Should(Equal("after"))
+				g.Expect(nd.ms.Live()).To(ContainElement(b.ms.self.Member))
+				g.Expect(nd.lostMembers()).To(ConsistOf(old.ms.self.Member))
+			}
+		})
+	}
+}
+
+func TestOneWayDial(t *testing.T) {
+	for _, closed := range []string{"a", "b", "c"} {
+		t.Run(closed+" cannot be dialled", func(t *testing.T) {
+			g := NewWithT(t)
+			o := Options{Serve: func(name string) ([]byte, bool) { return []byte("the " + name), name == "map" }}
+			seed := startNode(t, Options{Self: Member{Name: "s"}})
+			o.Seeds = []string{seed.address()}
+			nodes := map[string]*node{}
+			for _, name := range []string{"a", "b", "c"} {
+				o.Self = Member{Name: name}
+				if name == closed {
+					o.Self.Address = deadAddress(t)
+				}
+				nodes[name] = startNode(t, o)
+			}
+			for name, nd := range nodes {
+				for other := range nodes {
+					if other != name {
+						g.Eventually(nd.stateOf(other), patience).Should(Equal("state of "+other), "at %s", name)
+					}
+				}
+				if name == closed {
+					continue
+				}
+				body, err := nd.ms.Fetch(t.Context(), nodes[closed].ms.self.Member, "map")
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(string(body)).To(Equal("the map"))
+				_, err = nd.ms.Fetch(t.Context(), nodes[closed].ms.self.Member, "other")
+				g.Expect(err).To(MatchError(&MissingError{Instance: closed, Document: "other"}))
+			}
+		})
+	}
+}
+
+func TestPartialMeshRelaysStates(t *testing.T) {
+	g := NewWithT(t)
+	const members, full = 24, 6
+	var nodes []*node
+	var seeds []string
+	for i := range members {
+		nd := startNode(t, Options{
+			Self:     Member{Name: fmt.Sprintf("m%02d", i), AvailabilityZone: string(rune('x' + i%3))},
+			Seeds:    seeds,
+			Interval: 100 * time.Millisecond,
+			// So many members in one process may be slow under the race detector.
+			Lost:     patience,
+			FullMesh: full,
+		})
+		if i == 0 {
+			seeds = []string{nd.address()}
+		}
+		nodes = append(nodes, nd)
+	}
+	for _, nd := range nodes {
+		g.Eventually(nd.states, patience).Should(Equal(members - 1))
+	}
+	nodes[5].publish([]byte("new"))
+	for i, nd := range nodes {
+		if i != 5 {
+			g.Eventually(nd.stateOf("m05"), patience).Should(Equal("new"), "at %d", i)
+		}
+	}
+	for _, nd := range nodes {
+		g.Expect(nd.lostMembers()).To(BeEmpty())
+	}
+}
+
+func TestPartialMeshClosesSpareLinks(t *testing.T) {
+	g := NewWithT(t)
+	o := Options{FullMesh: 3, RemoteLinks: 1, Lost: 2 * time.Second}
+	var nodes []*node
+	for i := range 9 {
+		o.Self = Member{Name: fmt.Sprint("m", i), AvailabilityZone: string(rune('x' + i%3))}
+		nodes = append(nodes, startNode(t, o))
+		o.Seeds = []string{nodes[0].address()}
+	}
+	var all []Member
+	for _, nd := range nodes {
+		all = append(all, nd.ms.self.Member)
+	}
+	pl := newPlan(all[0], all, o.FullMesh, o.RemoteLinks)
+	for i, nd := range nodes {
+		var planned []string
+		for j, m := range all {
+			if i != j && pl.linked(all[i], m) {
+				planned = append(planned, m.Name)
+			}
+		}
+		g.Eventually(nd.names, patience).Should(HaveLen(9))
+		g.Eventually(nd.peers, patience).Should(Equal(planned))
+	}
+}
+
+func TestFetch(t *testing.T) {
+	serve := func(name string) ([]byte, bool) { return bytes.Repeat([]byte("x"), 1<<20), name == "map" }
+	g := NewWithT(t)
+	a := startNode(t, Options{Self: Member{Name: "a"}, Serve: serve})
+	b := startNode(t, Options{Self: Member{Name: "b"}})
+	body, err := b.ms.Fetch(t.Context(), a.ms.self.Member, "map")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(body).To(HaveLen(1 << 20))
+	_, err = b.ms.Fetch(t.Context(), a.ms.self.Member, "other")
+	g.Expect(err).To(MatchError(&MissingError{Instance: "a", Document: "other"}))
+	_, err = b.ms.Fetch(t.Context(), Member{Name: "c", Address: deadAddress(t)}, "map")
+	g.Expect(err).To(MatchError(ContainSubstring("dial peer")))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = b.ms.Fetch(ctx, a.ms.self.Member, "map")
+	g.Expect(err).To(MatchError(context.Canceled))
+}
+
+func TestFetchFromASilentPeerEndsWithTheContext(t *testing.T) {
+	g := NewWithT(t)
+	// The kernel completes the handshake; nobody accepts.
+	silent := listen(t)
+	b := startNode(t, Options{Self: Member{Name: "b"}})
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := b.ms.Fetch(ctx, Member{Name: "a", Address: silent.Addr().String()}, "map")
+	g.Expect(err).To(MatchError(context.DeadlineExceeded))
+}
+
+func TestPeerThatNeverReadsDelaysNoOther(t *testing.T) {
+	g := NewWithT(t)
+	const bodyBytes, rounds = 1 << 20, 30
+	a := startNode(t, Options{Self: Member{Name: "a"}})
+	b := startNode(t, Options{Self: Member{Name: "b"}, Seeds: []string{a.address()}})
+	g.Eventually(b.stateOf("a"), patience).Should(Equal("state of a"))
+
+	conn, _, err := dial(t.Context(), a.address())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	stream, err := conn.NewStream(t.Context(), exchangeRPC, encoding{})
+	g.Expect(err).NotTo(HaveOccurred())
+	hello := card{Member: Member{Name: "silent", Incarnation: "1", Address: deadAddress(t)}}
+	g.Expect(stream.MsgSend(&frame{Entries: []entry{{Card: &hello, Pulse: 1}}}, encoding{})).To(Succeed())
+	g.Eventually(a.peers, patience).Should(Equal([]string{"b", "silent"}))
+
+	for i := range rounds {
+		body := bytes.Repeat([]byte{byte('a' + i)}, bodyBytes)
+		a.publish(body)
+		g.Eventually(func() bool { return b.stateOf("a")() == string(body) }, patience).Should(BeTrue())
+	}
+	g.Eventually(a.peers, patience).Should(Equal([]string{"b"}))
+	g.Expect(a.lostMembers()).NotTo(ContainElement(b.ms.self.Member))
+}
+
+func TestSetStopping(t *testing.T) {
+	g := NewWithT(t)
+	a := startNode(t, Options{Self: Member{Name: "a"}})
+	b := startNode(t, Options{Self: Member{Name: "b"}, Seeds: []string{a.address()}})
+	g.Eventually(b.names, patience).Should(Equal([]string{"a", "b"}))
+	a.ms.SetStopping()
+	g.Eventually(func() bool { return b.ms.Live()[0].Stopping }, patience).Should(BeTrue())
+	g.Expect(b.lostMembers()).To(BeEmpty())
+}
--- /dev/null
+++ b/internal/gossip/record.go
@@ -0,0 +1,140 @@
+package gossip
+
+import (
+	"slices"
+	"time"
+)
+
+// record is what is known of one member.
+type record struct {
+	card
+	// live turns false once per silence.
+	live bool
+	// pulse is the highest pulse known of this incarnation.
+	pulse uint64
+	// heard is when that pulse was heard, by the awake clock.
+	heard time.Duration
+	// unlinked is when the member was first known, or its last link ended, by the awake clock.
+	unlinked time.Duration
+	// version is the pulse at which body was made; 0 when there is none.
+	version uint64
+	body    []byte
+	// made is when the member made body, by this instance's clock.
+	made time.Time
+}
+
+// follows reports whether c is of a newer process than r. Two incarnations of one generation are put in some order that
+// all members agree on; the live process takes a higher generation when it hears of the other.
+func (c card) follows(r *record) bool {
+	if c.Generation != r.Generation {
+		return c.Generation > r.Generation
+	}
+	return c.Incarnation > r.Incarnation
+}
+
+// event is a callback to be made.
+type event struct {
+	lost   bool
+	member Member
+	body   []byte
+	age    time.Duration
+}
+
+// notify makes callbacks; the caller holds ms.calls.
+func (ms *Mesh) notify(events []event) {
+	for _, ev := range events {
+		if ev.lost {
+			ms.opts.Log.WithField("instance", ev.member.Name).Info("member replaced")
+			ms.opts.OnLost(ev.member)
+			continue
+		}
+		ms.opts.Receive(ev.member, ev.body, ev.age)
+	}
+}
+
+// hear takes an entry about the process that c names; the caller holds ms.mu.
+func (ms *Mesh) hear(c card, e entry, now time.Time) []event {
+	if c.Name == ms.self.Name {
+		ms.refute(c)
+		return nil
+	}
+	r, events := ms.recordFor(c, e, now)
+	if r == nil {
+		return events
+	}
+	if !ms.takePulse(r, c, e, now) && e.Version <= r.version {
+		return events
+	}
+	return append(events, ms.takeBody(r, e, now)...)
+}
+
+// refute takes a higher generation when another incarnation of this instance's name is told of.
+func (ms *Mesh) refute(c card) {
+	if c.Incarnation == ms.self.Incarnation || c.Generation < ms.self.Generation {
+		return
+	}
+	ms.opts.Log.WithField("incarnation", c.Incarnation).Info("replacing an earlier process of this name")
+	ms.self.Generation = c.Generation + 1
+	ms.self.pulse++
+	ms.list++
+	ms.signal()
+}
+
+// recordFor returns the record that an entry is about, new when the process is; nil when the entry is out of date.
+func (ms *Mesh) recordFor(c card, e entry, now time.Time) (*record, []event) {
+	r := ms.records[c.Name]
+	if r != nil && r.Incarnation == c.Incarnation {
+		return r, nil
+	}
+	if e.Pulse == 0 || e.PulseAge >= ms.opts.Lost {
+		return nil, nil
+	}
+	if r != nil && r.live && !c.follows(r) {
+		return nil, nil
+	}
+	var events []event
+	if r != nil && r.live {
+		events = []event{{lost: true, member: r.Member}}
+	}
+	r = &record{card: c, unlinked: ms.awake.at(now)}
+	ms.records[c.Name] = r
+	return r, events
+}
+
+// takePulse takes a newer pulse, and reports whether the member came back to life by it.
+func (ms *Mesh) takePulse(r *record, c card, e entry, now time.Time) bool {
+	if e.Pulse <= r.pulse {
+		return false
+	}
+	r.pulse = e.Pulse
+	r.heard = max(r.heard, ms.awake.at(now)-e.PulseAge)
+	if r.card != c {
+		r.card = c
+		ms.changed()
+	}
+	if r.live || ms.awake.at(now)-r.heard >= ms.opts.Lost {
+		return false
+	}
+	r.live = true
+	ms.changed()
+	return true
+}
+
+func (ms *Mesh) changed() {
+	ms.list++
+	ms.signal()
+}
+
+// takeBody takes a newer state, and returns the newest there is of a live member.
+func (ms *Mesh) takeBody(r *record, e entry, now time.Time) []event {
+	if e.Version > r.version {
+		r.version, r.body, r.made = e.Version, e.Body, now.Add(-e.BodyAge)
+		if slices.Contains(ms.plan.origins, r.Name) {
+			ms.signal()
+		}
+	}
+	if r.version == 0 || !r.live {
+		return nil
+	}
+	return []event{{member: r.Member, body: r.body, age: now.Sub(r.made)}}
+}
--- /dev/null
+++ b/internal/gossip/wire.go
@@ -0,0 +1,334 @@
+package gossip
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/encoding/protowire"
+	"storj.io/drpc"
+)
+
+// card is what the member list holds of one process.
+type card struct {
+	Member
+	// Generation orders the incarnations of a name: a process that hears of another incarnation of its own name takes
+	// a higher one.
+	Generation uint64
+}
+
+// entry tells about one process. Fields that the receiver knows already are left out.
+type entry struct {
+	// ID stands for the process on one stream; the first entry with an ID has a card. senderID is the sender.
+	ID uint64
+	// Card is nil when it was sent before on this stream and has not changed.
+	Card *card
+	// Pulse only grows within an incarnation; 0 means that the entry tells none.
+	Pulse uint64
+	// PulseAge is the time since the process itself was heard.
+	PulseAge time.Duration
+	// Version is the pulse at which Body was made; 0 means that the entry has no body.
+	Version uint64
+	Body    []byte
+	BodyAge time.Duration
+}
+
+// senderID is the entry ID of the sender itself.
+const senderID = 0
+
+// frame is the message of a stream, in both directions.
+type frame struct {
+	Entries []entry
+	Asks    []ask
+	Answers []answer
+}
+
+func (fr *frame) empty() bool {
+	return len(fr.Entries) == 0 && len(fr.Asks) == 0 && len(fr.Answers) == 0
+}
+
+// ask asks for a document on the stream.
+type ask struct {
+	// ID is unique among the asks of one sender on one stream.
+	ID uint64
+	request
+}
+
+// answer answers the ask of its ID.
+type answer struct {
+	ID uint64
+	document
+}
+
+// request asks for a document.
+type request struct{ Name string }
+
+// document answers a request.
+type document struct {
+	Found bool
+	Body  []byte
+}
+
+// Field numbers on the wire. They are never used again for something else.
+const (
+	frameEntry  protowire.Number = 1
+	frameAsk    protowire.Number = 2
+	frameAnswer protowire.Number = 3
+
+	entryID       protowire.Number = 1
+	entryCard     protowire.Number = 2
+	entryPulse    protowire.Number = 3
+	entryPulseAge protowire.Number = 4
+	entryVersion  protowire.Number = 5
+	entryBody     protowire.Number = 6
+	entryBodyAge  protowire.Number = 7
+
+	cardName        protowire.Number = 1
+	cardIncarnation protowire.Number = 2
+	cardAddress     protowire.Number = 3
+	cardZone        protowire.Number = 4
+	cardStopping    protowire.Number = 5
+	cardGeneration  protowire.Number = 6
+
+	requestName protowire.Number = 1
+	requestID   protowire.Number = 2
+
+	documentFound protowire.Number = 1
+	documentBody  protowire.Number = 2
+	documentID    protowire.Number = 3
+)
+
+// encoding writes messages in the protocol buffer wire format.
+type encoding struct{}
+
+// Marshal returns the bytes of a message.
+func (en encoding) Marshal(msg drpc.Message) ([]byte, error) { return en.MarshalAppend(nil, msg) }
+
+// MarshalAppend appends the bytes of a message.
+func (encoding) MarshalAppend(b []byte, msg drpc.Message) ([]byte, error) {
+	switch m := msg.(type) {
+	case *frame:
+		return m.append(b), nil
+	case *request:
+		return m.append(b), nil
+	case *document:
+		return m.append(b), nil
+	}
+	return nil, &MalformedError{Message: "of an unknown type"}
+}
+
+// Unmarshal reads a message; it keeps no part of b.
+func (encoding) Unmarshal(b []byte, msg drpc.Message) error {
+	switch m := msg.(type) {
+	case *frame:
+		return eachField(b, m.set)
+	case *request:
+		return eachField(b, m.set)
+	case *document:
+		return eachField(b, m.set)
+	}
+	return &MalformedError{Message: "of an unknown type"}
+}
+
+func (fr *frame) append(b []byte) []byte {
+	for _, e := range fr.Entries {
+		b = appendMessage(b, frameEntry, e.append(nil))
+	}
+	for _, a := range fr.Asks {
+		b = appendMessage(b, frameAsk, appendVarint(a.append(nil), requestID, a.ID))
+	}
+	for _, a := range fr.Answers {
+		b = appendMessage(b, frameAnswer, appendVarint(a.append(nil), documentID, a.ID))
+	}
+	return b
+}
+
+func (rq request) append(b []byte) []byte { return appendBytes(b, requestName, []byte(rq.Name)) }
+
+func (doc document) append(b []byte) []byte {
+	b = appendBool(b, documentFound, doc.Found)
+	return appendBytes(b, documentBody, doc.Body)
+}
+
+func (e entry) append(b []byte) []byte {
+	b = appendVarint(b, entryID, e.ID)
+	if e.Card != nil {
+		b = appendMessage(b, entryCard, e.Card.append(nil))
+	}
+	b = appendVarint(b, entryPulse, e.Pulse)
+	b = appendVarint(b, entryPulseAge, micros(e.PulseAge))
+	b = appendVarint(b, entryVersion, e.Version)
+	b = appendBytes(b, entryBody, e.Body)
+	return appendVarint(b, entryBodyAge, micros(e.BodyAge))
+}
+
+func (c card) append(b []byte) []byte {
+	b = appendBytes(b, cardName, []byte(c.Name))
+	b = appendBytes(b, cardIncarnation, []byte(c.Incarnation))
+	b = appendBytes(b, cardAddress, []byte(c.Address))
+	b = appendBytes(b, cardZone, []byte(c.AvailabilityZone))
+	b = appendBool(b, cardStopping, c.Stopping)
+	return appendVarint(b, cardGeneration, c.Generation)
+}
+
+// set takes a field of a frame.
+func (fr *frame) set(f field) error {
+	var err error
+	switch f.num {
+	case frameEntry:
+		var e entry
+		err = eachField(f.bytes, e.set)
+		fr.Entries = append(fr.Entries, e)
+	case frameAsk:
+		var a ask
+		err = eachField(f.bytes, a.set)
+		fr.Asks = append(fr.Asks, a)
+	case frameAnswer:
+		var a answer
+		err = eachField(f.bytes, a.set)
+		fr.Answers = append(fr.Answers, a)
+	}
+	return err
+}
+
+func (a *ask) set(f field) error {
+	if f.num == requestID {
+		a.ID = f.varint
+		return nil
+	}
+	return a.request.set(f)
+}
+
+func (a *answer) set(f field) error {
+	if f.num == documentID {
+		a.ID = f.varint
+		return nil
+	}
+	return a.document.set(f)
+}
+
+func (rq *request) set(f field) error {
+	if f.num == requestName {
+		rq.Name = string(f.bytes)
+	}
+	return nil
+}
+
+func (doc *document) set(f field) error {
+	switch f.num {
+	case documentFound:
+		doc.Found = f.varint != 0
+	case documentBody:
+		doc.Body = bytes.Clone(f.bytes)
+	}
+	return nil
+}
+
+func (e *entry) set(f field) error {
+	switch f.num {
+	case entryID:
+		e.ID = f.varint
+	case entryCard:
+		e.Card = &card{}
+		return eachField(f.bytes, e.Card.set)
+	case entryPulse:
+		e.Pulse = f.varint
+	case entryPulseAge:
+		e.PulseAge = duration(f.varint)
+	case entryVersion:
+		e.Version = f.varint
+	case entryBody:
+		e.Body = bytes.Clone(f.bytes)
+	case entryBodyAge:
+		e.BodyAge = duration(f.varint)
+	}
+	return nil
+}
+
+func (c *card) set(f field) error {
+	switch f.num {
+	case cardName:
+		c.Name = string(f.bytes)
+	case cardIncarnation:
+		c.Incarnation = string(f.bytes)
+	case cardAddress:
+		c.Address = string(f.bytes)
+	case cardZone:
+		c.AvailabilityZone = string(f.bytes)
+	case cardStopping:
+		c.Stopping = f.varint != 0
+	case cardGeneration:
+		c.Generation = f.varint
+	}
+	return nil
+}
+
+// maxAge is the longest age that is told: far beyond every use of an age, and safe to count in a Duration.
+const maxAge = time.Hour
+
+func micros(d time.Duration) uint64 { return uint64(max(0, min(d, maxAge)).Microseconds()) }
+
+func duration(us uint64) time.Duration {
+	return time.Duration(min(us, uint64(maxAge.Microseconds()))) * time.Microsecond
+}
+
+// field is one field of a message; which of varint and bytes is set depends on its wire type.
+type field struct {
+	num    protowire.Number
+	varint uint64
+	bytes  []byte
+}
+
+// eachField calls take for each field; fields of other wire types are passed over.
+func eachField(b []byte, take func(field) error) error {
+	for len(b) > 0 {
+		num, typ, n := protowire.ConsumeTag(b)
+		if n < 0 {
+			return errors.Wrap(&MalformedError{Message: protowire.ParseError(n).Error()}, "read tag")
+		}
+		b = b[n:]
+		f := field{num: num}
+		switch typ {
+		case protowire.VarintType:
+			f.varint, n = protowire.ConsumeVarint(b)
+		case protowire.BytesType:
+			f.bytes, n = protowire.ConsumeBytes(b)
+		default:
+			f.num = 0
+			n = protowire.ConsumeFieldValue(num, typ, b)
+		}
+		if n < 0 {
+			return errors.Wrap(&MalformedError{Message: protowire.ParseError(n).Error()}, "read field")
+		}
+		b = b[n:]
+		if err := take(f); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func appendVarint(b []byte, num protowire.Number, v uint64) []byte {
+	if v == 0 {
+		return b
+	}
+	b = protowire.AppendTag(b, num, protowire.VarintType)
+	return protowire.AppendVarint(b, v)
+}
+
+func appendBool(b []byte, num protowire.Number, v bool) []byte {
+	return appendVarint(b, num, protowire.EncodeBool(v))
+}
+
+func appendBytes(b []byte, num protowire.Number, v []byte) []byte {
+	if len(v) == 0 {
+		return b
+	}
+	return appendMessage(b, num, v)
+}
+
+// appendMessage also appends a message without fields: unlike an empty string it is not the same as none.
+func appendMessage(b []byte, num protowire.Number, v []byte) []byte {
+	b = protowire.AppendTag(b, num, protowire.BytesType)
+	return protowire.AppendBytes(b, v)
+}
--- /dev/null
+++ b/internal/gossip/wire_test.go
@@ -0,0 +1,71 @@
+package gossip
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func drawDuration(rt *rapid.T, label string) time.Duration {
+	return time.Duration(rapid.Int64Range(0, maxAge.Microseconds()).Draw(rt, label)) * time.Microsecond
+}
+
+func drawBytes(rt *rapid.T, label string) []byte {
+	b := rapid.SliceOfN(rapid.Byte(), 0, 20).Draw(rt, label)
+	if len(b) == 0 {
+		return nil
+	}
+	return b
+}
+
+func drawEntry(rt *rapid.T) entry {
+	e := entry{
+		ID: rapid.Uint64().Draw(rt, "id"), Pulse: rapid.Uint64().Draw(rt, "pulse"), PulseAge: drawDuration(rt, "pulse age"),
+		Version: rapid.Uint64().Draw(rt, "version"), Body: drawBytes(rt, "body"), BodyAge: drawDuration(rt, "body age"),
+	}
+	if rapid.Bool().Draw(rt, "with card") {
+		e.Card = &card{
+			Member: Member{
+				Name: rapid.String().Draw(rt, "name"), Incarnation: rapid.String().Draw(rt, "incarnation"),
+				Address: rapid.String().Draw(rt, "address"), AvailabilityZone: rapid.String().Draw(rt, "zone"),
+				Stopping: rapid.Bool().Draw(rt, "stopping"),
+			},
+			Generation: rapid.Uint64().Draw(rt, "generation"),
+		}
+	}
+	return e
+}
+
+func TestFrameIsReadAsWritten(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		g := NewWithT(rt)
+		var in, out frame
+		for range rapid.IntRange(0, 4).Draw(rt, "entries") {
+			in.Entries = append(in.Entries, drawEntry(rt))
+		}
+		for range rapid.IntRange(0, 2).Draw(rt, "asks") {
+			in.Asks = append(in.Asks, ask{ID: rapid.Uint64().Draw(rt, "id"), request: request{Name: rapid.String().Draw(rt, "name")}})
+			in.Answers = append(in.Answers, answer{
+				ID: rapid.Uint64().Draw(rt, "id"), document: document{Found: rapid.Bool().Draw(rt, "found"), Body: drawBytes(rt, "body")},
+			})
+		}
+		b, err := encoding{}.Marshal(&in)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(encoding{}.Unmarshal(b, &out)).To(Succeed())
+		g.Expect(out).To(Equal(in))
+	})
+}
+
+func TestAnyBytesAreReadOrRefused(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var malformed *MalformedError
+		var fr frame
+		err := encoding{}.Unmarshal(rapid.SliceOf(rapid.Byte()).Draw(rt, "bytes"), &fr)
+		if err != nil {
+			NewWithT(rt).Expect(errors.As(err, &malformed)).To(BeTrue())
+		}
+	})
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -18,6 +18,7 @@
 	_ "github.com/silvermount/silvermount/internal/duty/jobs"
 	_ "github.com/silvermount/silvermount/internal/duty/knowledge"
 	"github.com/silvermount/silvermount/internal/duty/listen"
+	_ "github.com/silvermount/silvermount/internal/duty/members"
 	_ "github.com/silvermount/silvermount/internal/duty/operators"
 	_ "github.com/silvermount/silvermount/internal/duty/orders"
 	"github.com/silvermount/silvermount/internal/duty/peers"
--- /dev/null
+++ b/internal/placement/choose_test.go
@@ -0,0 +1,252 @@
+package placement
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func TestChooseAmongIdleTargets(t *testing.T) {
+	cases := map[string]struct {
+		pr          Prompt
+		least, most int
+	}{
+		"a short prompt stays whole":   {shortPrompt(), 1, 1},
+		"a long prompt is split":       {longPrompt(133_000), 2, mostParts},
+		"a longer prompt is split too": {longPrompt(220_000), 3, mostParts},
+	}
+	for name, ca := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			pl, ok := Choose(typical, ca.pr, idle(18), Options{Seed: 1})
+			g.Expect(ok).To(BeTrue())
+			g.Expect(len(names(pl))).To(And(BeNumerically(">=", ca.least), BeNumerically("<=", ca.most)))
+			g.Expect(pl.FirstToken).To(BeNumerically("<", ca.pr.Objective))
+			g.Expect(pl.Reserve).To(BeEmpty())
+		})
+	}
+}
+
+func TestAShortPromptAvoidsATargetThatReadsALongPart(t *testing.T) {
+	for name, reading := range map[string]Load{
+		"a whole prompt": longPrompt(133_000).Reading(1),
+		"a part of two":  longPrompt(133_000).Helping(2),
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			for seed := range uint64(50) {
+				ts := idle(3)
+				ts[0].Load = reading
+				ts[2].Load = reading
+				pl, ok := Choose(typical, shortPrompt(), ts, Options{Seed: seed})
+				g.Expect(ok).To(BeTrue())
+				g.Expect(pl.Main).To(Equal(ts[1].Name))
+			}
+		})
+	}
+}
+
+func TestALongPromptSparesShortWriters(t *testing.T) {
+	g := NewWithT(t)
+	ts := idle(18)
+	for ix := range 12 {
+		ts[ix].Load = shortPrompt().Writing()
+	}
+	pl, ok := Choose(typical, longPrompt(133_000), ts, Options{Seed: 1})
+	g.Expect(ok).To(BeTrue())
+	writers := 0
+	for _, name := range names(pl) {
+		if slices.ContainsFunc(ts[:12], func(ta Target) bool { return ta.Name == name }) {
+			writers++
+		}
+	}
+	if writers > 0 {
+		g.Expect(pl.Pause).To(BeNumerically("<", 250*time.Millisecond))
+	}
+	g.Expect(pl.FirstToken).To(BeNumerically("<", 2500*time.Millisecond))
+}
+
+func TestArrivalsMakePartsSmaller(t *testing.T) {
+	g := NewWithT(t)
+	pr := longPrompt(133_000)
+	few, ok := Choose(typical, pr, idle(18), Options{Seed: 1})
+	g.Expect(ok).To(BeTrue())
+	many, ok := Choose(typical, pr, idle(18), Options{Seed: 1, Arrivals: shortPrompt().Writing()})
+	g.Expect(ok).To(BeTrue())
+	g.Expect(many.Part.Tokens).To(BeNumerically("<", few.Part.Tokens))
+}
+
+func TestATargetThatCannotHelpIsNotAsked(t *testing.T) {
+	cases := map[string]func(*Target){
+		"not available":  func(ta *Target) { ta.Helper = false },
+		"helps too many": func(ta *Target) { ta.Helps = typical.Slots },
+	}
+	for name, spoil := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			ts := idle(18)
+			for ix := range ts[2:] {
+				spoil(&ts[2+ix])
+			}
+			pl, ok := Choose(typical, longPrompt(133_000), ts, Options{Seed: 1})
+			g.Expect(ok).To(BeTrue())
+			g.Expect(pl.Helpers).NotTo(BeEmpty())
+			for _, he := range pl.Helpers {
+				g.Expect(he).To(BeElementOf(ts[0].Name, ts[1].Name))
+			}
+		})
+	}
+}
+
+func TestNoPlan(t *testing.T) {
+	hurried := shortPrompt()
+	hurried.Left = 50 * time.Millisecond
+	full := idle(3)
+	for ix := range full {
+		full[ix].Load.Memory = typical.Memory - 1000
+	}
+	cases := map[string]struct {
+		pr Prompt
+		ts []Target
+	}{
+		"no target":                       {shortPrompt(), nil},
+		"no time":                         {hurried, idle(3)},
+		"larger than all memory together": {longPrompt(600_000), idle(2)},
+		"larger than all that is free":    {longPrompt(300_000), full},
+	}
+	for name, ca := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			_, ok := Choose(typical, ca.pr, ca.ts, Options{})
+			g.Expect(ok).To(BeFalse())
+		})
+	}
+}
+
+func TestAPromptThatFitsNowhereIsReserved(t *testing.T) {
+	g := NewWithT(t)
+	ts := idle(6)
+	for ix := range ts {
+		ts[ix].Load.Memory = typical.Memory - 60_000
+	}
+	pr := longPrompt(100_000)
+	pl, ok := Choose(typical, pr, ts, Options{Seed: 3})
+	g.Expect(ok).To(BeTrue())
+	g.Expect(pl.Reserve).NotTo(BeEmpty())
+	expectReserved(g, pl, pr, ts)
+}
+
+func TestALargePromptUsesWhatIsFree(t *testing.T) {
+	g := NewWithT(t)
+	ts := idle(18)
+	for ix := range ts[2:] {
+		ts[2+ix].Load.Memory = typical.Memory - 1000
+	}
+	pr := longPrompt(400_000)
+	pl, ok := Choose(typical, pr, ts, Options{Seed: 3})
+	g.Expect(ok).To(BeTrue())
+	expectReserved(g, pl, pr, ts)
+}
+
+// expectReserved expects the reservations of a plan to cover a prompt within the free memory.
+func expectReserved(g Gomega, pl Plan, pr Prompt, ts []Target) {
+	sum := int64(0)
+	var holders []string
+	for _, sh := range pl.Reserve {
+		at := slices.IndexFunc(ts, func(ta Target) bool { return ta.Name == sh.Target })
+		g.Expect(sh.Tokens).To(And(BeNumerically(">", 0), BeNumerically("<=", ts[at].free(&typical))))
+		sum += sh.Tokens
+		holders = append(holders, sh.Target)
+	}
+	g.Expect(sum).To(BeNumerically(">=", pr.need()))
+	g.Expect(holders).To(Equal(names(pl)))
+	g.Expect(len(holders)).To(BeNumerically("<=", mostReserved))
+}
+
+func TestPlansHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		pr := genPrompt().Draw(t, "prompt")
+		ts := genTargets().Draw(t, "targets")
+		op := Options{Seed: rapid.Uint64().Draw(t, "seed")}
+		pl, ok := Choose(typical, pr, ts, op)
+		again, okAgain := Choose(typical, pr, ts, op)
+		g.Expect(okAgain).To(Equal(ok))
+		g.Expect(again).To(Equal(pl))
+		if !ok {
+			return
+		}
+		all := names(pl)
+		g.Expect(len(all)).To(BeNumerically("<=", mostParts))
+		g.Expect(slices.Compact(slices.Sorted(slices.Values(all)))).To(HaveLen(len(all)))
+		g.Expect(pl.FirstToken).To(BeNumerically("<=", pr.Left))
+		g.Expect(pl.Loss).To(BeNumerically(">=", 0))
+		if pr.need() > typical.Memory {
+			g.Expect(pl.Reserve).NotTo(BeEmpty())
+		}
+		if len(pl.Reserve) > 0 {
+			expectReserved(g, pl, pr, ts)
+		}
+	})
+}
+
+func TestThePredictionIsThatOfTheChosenTargets(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		pr := genPrompt().Draw(t, "prompt")
+		ts := genTargets().Draw(t, "targets")
+		pl, ok := Choose(typical, pr, ts, Options{})
+		if !ok {
+			return
+		}
+		var chosen []Target
+		for _, name := range names(pl) {
+			at := slices.IndexFunc(ts, func(ta Target) bool { return ta.Name == name })
+			chosen = append(chosen, ts[at])
+		}
+		g.Expect(pl.FirstToken).To(Equal(typical.FirstToken(pr, chosen[0], chosen[1:]...)))
+	})
+}
+
+func TestSeedsSpreadTies(t *testing.T) {
+	g := NewWithT(t)
+	ts := idle(18)
+	for ix := range ts {
+		ts[ix].Near = true
+	}
+	mains := map[string]int{}
+	for seed := range uint64(900) {
+		pl, ok := Choose(typical, shortPrompt(), ts, Options{Seed: seed})
+		g.Expect(ok).To(BeTrue())
+		mains[pl.Main]++
+	}
+	g.Expect(mains).To(HaveLen(18))
+	for _, count := range mains {
+		g.Expect(count).To(And(BeNumerically(">", 20), BeNumerically("<", 90)))
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	cases := map[string]struct {
+		pr Prompt
+		ts []Target
+	}{
+		"short-60":    {shortPrompt(), busy(60)},
+		"middle-60":   {middlePrompt(), busy(60)},
+		"long-60":     {longPrompt(133_000), busy(60)},
+		"reserved-60": {longPrompt(500_000), busy(60)},
+	}
+	for name, ca := range cases {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			seed := uint64(0)
+			for b.Loop() {
+				seed++
+				Choose(typical, ca.pr, ca.ts, Options{Seed: seed, Arrivals: shortPrompt().Writing()})
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/placement/load.go
@@ -0,0 +1,100 @@
+package placement
+
+import "time"
+
+// limits are the lower bounds of the classes of writers by longest pause. They hold the pauses that the sheets of the
+// deployments name (250 ms, 600 ms and 1 s) and steps of at most two between and around them.
+var limits = [...]time.Duration{
+	50 * time.Millisecond,
+	100 * time.Millisecond,
+	150 * time.Millisecond,
+	250 * time.Millisecond,
+	400 * time.Millisecond,
+	600 * time.Millisecond,
+	1000 * time.Millisecond,
+	2000 * time.Millisecond,
+}
+
+// classes is the number of classes of writers by longest pause.
+const classes = len(limits)
+
+// classOf returns the class whose bound is the largest one that does not exceed the longest pause.
+func classOf(pause time.Duration) int {
+	cl := 0
+	for cl+1 < classes && limits[cl+1] <= pause {
+		cl++
+	}
+	return cl
+}
+
+// Load is what is in flight at one target, over all instances. It is additive: the loads of several requests are summed
+// with Plus and taken away again with Minus, without rounding.
+type Load struct {
+	// Whole is the unread part of prompts that are read in one piece.
+	Whole Backlog
+	// Parts is the unread part of split prompts, which is read ahead of Whole; the two do not overlap.
+	Parts Backlog
+	// Readers is the number of requests whose main target this is and which have no first token yet.
+	Readers int
+	// Writers is the number of requests that write here.
+	Writers int
+	// Context is the number of tokens of context that the steps here pay for, with parts held for writers elsewhere.
+	Context int64
+	// Memory is the number of tokens held or to be held, with expected answers and reserved memory.
+	Memory int64
+	// Waiting is what the readers lose together when all of them are late.
+	Waiting Worth
+	// DelayCost is what the readers lose together for each second of delay.
+	DelayCost Worth
+	// AtRisk is what the writers of each class of longest pause lose together when a pause is longer.
+	AtRisk [classes]Worth
+}
+
+// Plus returns the sum of two loads.
+func (lo Load) Plus(ot Load) Load {
+	lo.Whole = lo.Whole.Plus(ot.Whole)
+	lo.Parts = lo.Parts.Plus(ot.Parts)
+	lo.Readers += ot.Readers
+	lo.Writers += ot.Writers
+	lo.Context += ot.Context
+	lo.Memory += ot.Memory
+	lo.Waiting += ot.Waiting
+	lo.DelayCost += ot.DelayCost
+	for cl := range lo.AtRisk {
+		lo.AtRisk[cl] += ot.AtRisk[cl]
+	}
+	return lo
+}
+
+// Minus returns the load without another one. It is the inverse of Plus.
+func (lo Load) Minus(ot Load) Load {
+	lo.Whole = lo.Whole.Minus(ot.Whole)
+	lo.Parts = lo.Parts.Minus(ot.Parts)
+	lo.Readers -= ot.Readers
+	lo.Writers -= ot.Writers
+	lo.Context -= ot.Context
+	lo.Memory -= ot.Memory
+	lo.Waiting -= ot.Waiting
+	lo.DelayCost -= ot.DelayCost
+	for cl := range lo.AtRisk {
+		lo.AtRisk[cl] -= ot.AtRisk[cl]
+	}
+	return lo
+}
+
+// WithMemory returns the load with other memory, as for a request whose memory is reserved.
+func (lo Load) WithMemory(tokens int64) Load {
+	lo.Memory = tokens
+	return lo
+}
+
+// WithContext returns the load with other context, as for a request whose memory is reserved.
+func (lo Load) WithContext(tokens int64) Load {
+	lo.Context = tokens
+	return lo
+}
+
+// unread returns all reading that has not been done.
+func (lo *Load) unread() Backlog {
+	return lo.Whole.Plus(lo.Parts)
+}
--- /dev/null
+++ b/internal/placement/loss.go
@@ -0,0 +1,84 @@
+package placement
+
+import "time"
+
+const (
+	// ramp is the share of a limit by which a prediction may be off either way; pauses and first tokens between are
+	// late with a chance that grows evenly. It is the writer's guess until predictions are measured.
+	ramp = 0.2
+	// memoryRamp is the same for memory, of which only the answers are a guess.
+	memoryRamp = 0.05
+	// earlyShare is the share of the worth at risk that a first token at the objective costs compared with one at
+	// once. It is small beside any chance of being late, and makes the earlier of two good plans win.
+	earlyShare = 0.02
+	// partRisk is the share of the worth in time that each helper costs, since one that is gone or refuses fails the
+	// prompt. It answers to one in 500 parts, a guess until refusals are counted.
+	partRisk = 0.002
+	// wholeDelay is the share of its reading by which a prompt read in one piece delays the others, since only those
+	// behind it or in its pass wait for it.
+	wholeDelay = 0.5
+)
+
+// pauseLoss returns what the writers at a target are expected to lose at a pause.
+func pauseLoss(lo *Load, pause float64) float64 {
+	loss := 0.0
+	for cl := range lo.AtRisk {
+		if pause <= classBounds[cl].from {
+			break
+		}
+		if lo.AtRisk[cl] != 0 {
+			loss += float64(lo.AtRisk[cl]) * classBounds[cl].chance(pause)
+		}
+	}
+	return loss
+}
+
+// delayLoss returns what the readers at a target are expected to lose to a part whose reading takes a time there.
+func delayLoss(lo *Load, reading float64, split bool) float64 {
+	if !split {
+		reading *= wholeDelay
+	}
+	loss := float64(lo.DelayCost) * reading / float64(time.Second)
+	return min(loss, float64(lo.Waiting))
+}
+
+// stake is what a prompt has to lose.
+type stake struct {
+	// inTime and atRisk are the worth of an answer in time, and what of it is lost when the answer is late.
+	inTime, atRisk float64
+	// used is the nanoseconds that have passed since arrival.
+	used float64
+	// objective and pause bound the first token since arrival and the pauses.
+	objective, pause bound
+	// early is what a nanosecond up to the first token costs.
+	early float64
+}
+
+// stake returns what the prompt has to lose.
+func (pr *Prompt) stake() stake {
+	risk := float64(pr.atRisk())
+	return stake{
+		inTime:    float64(pr.InTime),
+		atRisk:    risk,
+		used:      float64(pr.Used),
+		objective: boundOf(float64(pr.Objective), ramp),
+		pause:     boundOf(float64(pr.LongestPause), ramp),
+		early:     earlyShare * risk / float64(pr.Objective),
+	}
+}
+
+// firstLoss returns what is expected to be lost by the first token alone.
+func (st *stake) firstLoss(first float64) float64 {
+	return st.loss(first, 1)
+}
+
+// loss returns what is expected to be lost by the first token and the pauses, which are in time with a chance.
+func (st *stake) loss(first, pausesInTime float64) float64 {
+	inTime := (1 - st.objective.chance(first+st.used)) * pausesInTime
+	return st.atRisk*(1-inTime) + st.early*first
+}
+
+// fullLoss returns what is expected to be lost to full memory, where the newest request is preempted.
+func (st *stake) fullLoss(en *Engine, used int64) float64 {
+	return st.inTime * boundOf(float64(en.Memory), memoryRamp).chance(float64(used))
+}
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,124 @@
+package placement
+
+import (
+	"fmt"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// typical holds the figures of a typical deployment.
+var typical = Engine{
+	Slots:              16,
+	Stride:             43,
+	Chunk:              2048,
+	Memory:             232_000,
+	Step:               1020 * time.Microsecond,
+	PerWriter:          2260 * time.Nanosecond,
+	PerThousandContext: 4310 * time.Nanosecond,
+	PerThousandRead:    1000 * time.Second / 206_000,
+	PerMillionPairs:    138 * time.Microsecond,
+	Hop:                75 * time.Microsecond,
+	ZoneDelay:          500 * time.Microsecond,
+	UsualPrompt:        12_331,
+	UsualAnswer:        1303,
+}
+
+func shortPrompt() Prompt {
+	return Prompt{
+		Tokens: 5000, Answer: 600, Objective: 300 * time.Millisecond, LongestPause: 250 * time.Millisecond,
+		InTime: WorthOf(1), Late: WorthOf(0.2), Left: 10 * time.Second,
+	}
+}
+
+func middlePrompt() Prompt {
+	return Prompt{
+		Tokens: 45_000, Answer: 1300, Objective: 1500 * time.Millisecond, LongestPause: 600 * time.Millisecond,
+		InTime: WorthOf(3), Late: WorthOf(1), Left: 20 * time.Second,
+	}
+}
+
+func longPrompt(tokens int64) Prompt {
+	return Prompt{
+		Tokens: tokens, Answer: 2000, Objective: 2500 * time.Millisecond, LongestPause: time.Second,
+		InTime: WorthOf(10), Late: WorthOf(4), Left: 40 * time.Second,
+	}
+}
+
+// idle returns targets without load.
+func idle(count int) []Target {
+	ts := make([]Target, count)
+	for ix := range ts {
+		ts[ix] = Target{Name: fmt.Sprintf("10.2.64.%d:8080", ix), Near: ix%3 == 0, Pace: 1, Helper: true}
+	}
+	return ts
+}
+
+// busy returns targets with short writers and a few readers.
+func busy(count int) []Target {
+	ts := idle(count)
+	for ix := range ts {
+		for range 2 + ix%7 {
+			ts[ix].Load = ts[ix].Load.Plus(shortPrompt().Writing())
+		}
+		for range ix % 3 {
+			ts[ix].Load = ts[ix].Load.Plus(shortPrompt().Reading(1))
+		}
+	}
+	return ts
+}
+
+// names returns all targets that a plan touches, the main one first.
+func names(pl Plan) []string {
+	return append([]string{pl.Main}, pl.Helpers...)
+}
+
+func genPrompt() *rapid.Generator[Prompt] {
+	return rapid.Custom(func(t *rapid.T) Prompt {
+		pr := longPrompt(rapid.Int64Range(1, 600_000).Draw(t, "tokens"))
+		pr.Answer = rapid.Int64Range(1, 8000).Draw(t, "answer")
+		pr.Objective = time.Duration(rapid.IntRange(100, 5000).Draw(t, "objective")) * time.Millisecond
+		pr.LongestPause = time.Duration(rapid.IntRange(30, 3000).Draw(t, "pause")) * time.Millisecond
+		pr.Used = time.Duration(rapid.IntRange(0, 3000).Draw(t, "used")) * time.Millisecond
+		pr.InTime = WorthOf(rapid.Float64Range(0, 20).Draw(t, "in time"))
+		pr.Late = pr.InTime / 3
+		pr.Left = time.Duration(rapid.IntRange(1, 120).Draw(t, "left")) * time.Second
+		return pr
+	})
+}
+
+func genLoad() *rapid.Generator[Load] {
+	return rapid.Custom(func(t *rapid.T) Load {
+		var lo Load
+		for range rapid.IntRange(0, 8).Draw(t, "requests") {
+			pr := genPrompt().Draw(t, "prompt")
+			parts := rapid.IntRange(1, mostParts).Draw(t, "parts")
+			kinds := []Load{pr.Reading(parts), pr.Helping(parts), pr.Writing()}
+			lo = lo.Plus(rapid.SampledFrom(kinds).Draw(t, "kind"))
+		}
+		return lo
+	})
+}
+
+func genTarget(name string) *rapid.Generator[Target] {
+	return rapid.Custom(func(t *rapid.T) Target {
+		return Target{
+			Name:   name,
+			Near:   rapid.Bool().Draw(t, "near"),
+			Load:   genLoad().Draw(t, "load"),
+			Pace:   rapid.Float64Range(1, 4).Draw(t, "pace"),
+			Helps:  rapid.IntRange(0, 20).Draw(t, "helps"),
+			Helper: rapid.Bool().Draw(t, "helper"),
+		}
+	})
+}
+
+func genTargets() *rapid.Generator[[]Target] {
+	return rapid.Custom(func(t *rapid.T) []Target {
+		ts := make([]Target, rapid.IntRange(0, 24).Draw(t, "targets"))
+		for ix := range ts {
+			ts[ix] = genTarget(fmt.Sprint("t", ix)).Draw(t, "target")
+		}
+		return ts
+	})
+}
--- /dev/null
+++ b/internal/placement/predict.go
@@ -0,0 +1,111 @@
+package placement
+
+import "time"
+
+// passUnderWay is the share of the pass under way that is left on average when a prompt arrives.
+const passUnderWay = 0.5
+
+// PassTime returns the duration of the next pass at a target.
+func (en Engine) PassTime(ta Target) time.Duration {
+	lo := &ta.Load
+	steps := en.steps(lo)
+	ba := en.within(lo.unread(), steps*en.Chunk)
+	ns := float64(steps)*en.step(lo.Writers, lo.Context) + en.reading(ba)
+	return time.Duration(ta.pace() * ns)
+}
+
+// Pause returns the longest pause of a writer at a target while a part is read there.
+func (en Engine) Pause(ta Target, part Backlog) time.Duration {
+	return time.Duration(en.readPause(&ta, part, en.stepAt(&ta)))
+}
+
+// FirstToken returns the time to the first token of a prompt that is read in even parts at a main target, which comes
+// first, and its helpers. It is the time of the last part, since the first token comes after it.
+func (en Engine) FirstToken(pr Prompt, main Target, helpers ...Target) time.Duration {
+	parts := 1 + len(helpers)
+	pa := pr.part(parts)
+	ns := en.slotWait(&main) + en.readTime(&main, pa, parts > 1, en.stepAt(&main))
+	for ix := range helpers {
+		he := &helpers[ix]
+		ns = max(ns, en.readTime(he, pa, true, en.stepAt(he)))
+	}
+	return time.Duration(ns)
+}
+
+// steps returns the number of steps of a pass.
+func (en *Engine) steps(lo *Load) int64 {
+	if lo.Writers > 0 {
+		return int64(en.Stride)
+	}
+	return 1
+}
+
+// stepAt returns the nanoseconds of one step without reading at a target of pace 1.
+func (en *Engine) stepAt(ta *Target) float64 {
+	return en.step(ta.Load.Writers, ta.Load.Context)
+}
+
+// readPause returns the nanoseconds of a pass with writers, of steps that take a time without reading, that reads a
+// part and what else waits.
+func (en *Engine) readPause(ta *Target, part Backlog, step float64) float64 {
+	lo := &ta.Load
+	ba := en.within(lo.unread().Plus(part), en.passRoom())
+	return ta.pace() * (float64(en.Stride)*step + en.reading(ba))
+}
+
+// readTime returns the nanoseconds until a part is read. Split prompts are read ahead of whole ones, which still fill
+// the passes up. A part counts as read at the end of its pass. The steps take a time without reading.
+func (en *Engine) readTime(ta *Target, part Backlog, split bool, step float64) float64 {
+	lo := &ta.Load
+	own := lo.Parts.Plus(part)
+	behind := lo.Whole
+	if !split {
+		own = own.Plus(lo.Whole)
+		behind = Backlog{}
+	}
+	steps := en.steps(lo)
+	room := steps * en.Chunk
+	passes := max(ceilDiv(own.Tokens, room), 1)
+	rest := passes*room + room/2 - own.Tokens
+	reading := en.reading(own) + en.reading(en.fillUp(behind, rest, room))
+	base := float64(steps) * step
+	ns := ta.pace() * ((passUnderWay+float64(passes))*base + reading)
+	return ns + en.delay(ta)
+}
+
+// fillUp returns what is read of the whole prompts behind a part in the rest of its passes. The bound of the pairs is
+// that of a pass, which the rest is on average, as it must not fall when more parts leave less of the pass.
+func (en *Engine) fillUp(behind Backlog, rest, room int64) Backlog {
+	ba := en.within(behind, room)
+	ba.Tokens = min(behind.Tokens, rest)
+	return ba
+}
+
+// delay returns the nanoseconds of a message to a target.
+func (en *Engine) delay(ta *Target) float64 {
+	if ta.Near {
+		return 0
+	}
+	return float64(en.ZoneDelay)
+}
+
+// slotWait returns the nanoseconds a prompt waits for a slot at its main target. Full slots come free once in the time
+// of a usual answer each.
+func (en *Engine) slotWait(ta *Target) float64 {
+	lo := &ta.Load
+	over := lo.Readers + lo.Writers + 1 - en.Slots
+	if over <= 0 {
+		return 0
+	}
+	passes := ceilDiv(en.UsualAnswer, int64(en.Stride))
+	answer := float64(passes) * en.pass(lo.Writers, lo.Context)
+	return ta.pace() * answer * float64(over) / float64(en.Slots)
+}
+
+// writePass returns the nanoseconds of a pass without reading once all readers write, and further writers with them.
+func (en *Engine) writePass(ta *Target, writers int, context int64) float64 {
+	lo := &ta.Load
+	wri := min(lo.Readers+lo.Writers+writers, en.Slots)
+	con := lo.Context + lo.Whole.Tokens + context
+	return ta.pace() * en.pass(wri, con)
+}
--- /dev/null
+++ b/internal/placement/predict_test.go
@@ -0,0 +1,103 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func TestPassTime(t *testing.T) {
+	oneWriter := Load{Writers: 1, Context: 10_000}
+	cases := map[string]struct {
+		ta   Target
+		want time.Duration
+	}{
+		"idle: one step":          {Target{}, 1020 * time.Microsecond},
+		"a writer: a stride":      {Target{Load: oneWriter}, 45810 * time.Microsecond},
+		"a slow target":           {Target{Load: oneWriter, Pace: 2}, 91620 * time.Microsecond},
+		"a pace below 1 is 1":     {Target{Load: oneWriter, Pace: 0.5}, 45810 * time.Microsecond},
+		"reading without writers": {Target{Load: Load{Whole: Backlog{Tokens: 5000}}}, 10962 * time.Microsecond},
+		"reading with a writer": {
+			Target{Load: oneWriter.Plus(Load{Whole: Backlog{Tokens: 20_600, Pairs: 100_000_000}})},
+			159610 * time.Microsecond,
+		},
+	}
+	for name, ca := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			g.Expect(typical.PassTime(ca.ta)).To(BeNumerically("~", ca.want, 10*time.Microsecond))
+		})
+	}
+}
+
+func TestPauseOfASplitPrompt(t *testing.T) {
+	ta := Target{Load: shortPrompt().Writing()}
+	pr := longPrompt(133_000)
+	cases := map[string]struct {
+		parts       int
+		least, most time.Duration
+	}{
+		"whole": {1, time.Second, 2 * time.Second},
+		"in 4":  {4, 400 * time.Millisecond, 600 * time.Millisecond},
+		"in 17": {17, 100 * time.Millisecond, 200 * time.Millisecond},
+	}
+	for name, ca := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			pause := typical.Pause(ta, pr.part(ca.parts))
+			g.Expect(pause).To(BeNumerically(">", ca.least))
+			g.Expect(pause).To(BeNumerically("<", ca.most))
+		})
+	}
+}
+
+func TestAPartIsReadAheadOfWholePrompts(t *testing.T) {
+	g := NewWithT(t)
+	pr := longPrompt(120_000)
+	other := idle(2)
+	waiting := other[0]
+	waiting.Load = longPrompt(200_000).Reading(1)
+	g.Expect(typical.FirstToken(pr, waiting, other[1])).To(BeNumerically("<", typical.FirstToken(pr, waiting)/3))
+}
+
+func TestFullSlotsDelayTheFirstToken(t *testing.T) {
+	g := NewWithT(t)
+	var ta Target
+	ta.Load.Writers = typical.Slots - 1
+	free := typical.FirstToken(shortPrompt(), ta)
+	ta.Load.Writers++
+	g.Expect(typical.FirstToken(shortPrompt(), ta)).To(BeNumerically(">", free+50*time.Millisecond))
+}
+
+func TestMoreLoadNeverGivesAnEarlierFirstToken(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		pr := genPrompt().Draw(t, "prompt")
+		ta := genTarget("a").Draw(t, "main")
+		he := genTarget("b").Draw(t, "helper")
+		alone := typical.FirstToken(pr, ta)
+		split := typical.FirstToken(pr, ta, he)
+		pass := typical.PassTime(ta)
+		pause := typical.Pause(ta, pr.part(2))
+		more := genLoad().Draw(t, "more")
+		ta.Load = ta.Load.Plus(more)
+		he.Load = he.Load.Plus(more)
+		g.Expect(typical.FirstToken(pr, ta)).To(BeNumerically(">=", alone))
+		g.Expect(typical.FirstToken(pr, ta, he)).To(BeNumerically(">=", split))
+		g.Expect(typical.PassTime(ta)).To(BeNumerically(">=", pass))
+		g.Expect(typical.Pause(ta, pr.part(2))).To(BeNumerically(">=", pause))
+	})
+}
+
+func TestASlowerTargetNeverGivesAnEarlierFirstToken(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		pr := genPrompt().Draw(t, "prompt")
+		ta := genTarget("a").Draw(t, "target")
+		first := typical.FirstToken(pr, ta)
+		ta.Pace *= 1.5
+		g.Expect(typical.FirstToken(pr, ta)).To(BeNumerically(">=", first))
+	})
+}
--- /dev/null
+++ b/internal/placement/prompt.go
@@ -0,0 +1,84 @@
+package placement
+
+import "time"
+
+// Prompt is a request that has to be placed.
+type Prompt struct {
+	// Tokens is the number of tokens in the prompt.
+	Tokens int64
+	// Answer is the number of tokens expected in the answer.
+	Answer int64
+	// Objective is the time from arrival to first token within which the answer has its full worth; it is above 0.
+	Objective time.Duration
+	// Used is the time that has passed since arrival.
+	Used time.Duration
+	// LongestPause is the longest pause between events at which the answer has its full worth; it is above 0.
+	LongestPause time.Duration
+	// InTime is the worth of an answer in time.
+	InTime Worth
+	// Late is the worth of a late answer; it is at most InTime.
+	Late Worth
+	// Left is the time until the deadline.
+	Left time.Duration
+}
+
+// Reading returns the load at the main target until the first token, when the prompt is read in a number of parts.
+func (pr Prompt) Reading(parts int) Load {
+	lo := Load{
+		Readers:   1,
+		Memory:    pr.need(),
+		Waiting:   pr.atRisk(),
+		DelayCost: pr.delayCost(),
+	}
+	if parts > 1 {
+		lo.Parts = pr.part(parts)
+		return lo
+	}
+	lo.Whole = pr.part(1)
+	return lo
+}
+
+// Helping returns the load at each helper until the first token, when the prompt is read in a number of parts.
+func (pr Prompt) Helping(parts int) Load {
+	return Load{Parts: pr.part(parts)}
+}
+
+// Writing returns the load at the main target from the first token on, when the whole prompt is held there.
+func (pr Prompt) Writing() Load {
+	lo := Load{Writers: 1, Context: pr.Tokens, Memory: pr.need()}
+	lo.AtRisk[classOf(pr.LongestPause)] = pr.atRisk()
+	return lo
+}
+
+// need returns the memory that the prompt and its answer take.
+func (pr *Prompt) need() int64 {
+	return pr.Tokens + pr.Answer
+}
+
+// atRisk returns what is lost when the answer is late.
+func (pr *Prompt) atRisk() Worth {
+	return pr.InTime - pr.Late
+}
+
+// delayCost returns what a second of delay costs when all delays up to the objective are equally likely to matter.
+func (pr *Prompt) delayCost() Worth {
+	return Worth(float64(pr.atRisk()) / pr.Objective.Seconds())
+}
+
+// part returns what each of a number of even parts reads; each has an equal share of the pairs of the whole prompt.
+func (pr *Prompt) part(parts int) Backlog {
+	pa := int64(parts)
+	return Backlog{
+		Tokens: ceilDiv(pr.Tokens, pa),
+		Pairs:  ceilDiv(pr.Tokens*pr.Tokens/2, pa),
+	}
+}
+
+// ceilDiv returns the quotient of two whole numbers that are not negative, rounded up.
+func ceilDiv(num, den int64) int64 {
+	if num <= den {
+		// This spares the division, which is slow beside the rest of a prediction.
+		return min(num, 1)
+	}
+	return (num + den - 1) / den
+}
--- /dev/null
+++ b/internal/placement/target.go
@@ -0,0 +1,32 @@
+package placement
+
+// Target is an engine at which a prompt can run, and what is known of it.
+type Target struct {
+	// Name tells the target from the others.
+	Name string
+	// Near is true in the availability zone of the instance that chooses.
+	Near bool
+	// Load is what is in flight there.
+	Load Load
+	// Pace is the factor by which it is slower than its figures; values below 1 count as 1.
+	Pace float64
+	// Helps is the number of parts it reads for main targets elsewhere.
+	Helps int
+	// Helper is true while it may be asked to help.
+	Helper bool
+}
+
+// pace returns the factor by which the target is slower than its figures.
+func (ta *Target) pace() float64 {
+	return max(ta.Pace, 1)
+}
+
+// free returns the memory that is left there.
+func (ta *Target) free(en *Engine) int64 {
+	return max(en.Memory-ta.Load.Memory, 0)
+}
+
+// helps reports whether the target accepts another part.
+func (ta *Target) helps(en *Engine) bool {
+	return ta.Helper && ta.Helps < en.Slots
+}
