--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -2,10 +2,15 @@
 
 import (
 	"context"
+	"os"
 	"os/signal"
 	"syscall"
+	"time"
+
+	"github.com/apex/log"
 
 	"github.com/silvermount/silvermount/internal/config"
+	"github.com/silvermount/silvermount/internal/eventlog"
 	"github.com/silvermount/silvermount/internal/instance"
 )
 
@@ -14,18 +19,49 @@
 	Settings string `long:"settings" required:"true" description:"settings file"`
 }
 
-// Execute runs the instance until it is asked to stop.
+// logDrain bounds the writing of the last log lines.
+const logDrain = 300 * time.Millisecond
+
+// Execute runs the instance until it is asked to stop. A hang-up signal reloads the settings.
 func (ec *entryCommand) Execute([]string) error {
+	// Registered before anything else: a hang-up during the start must not end the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
 	s, err := config.Load(ec.Settings)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer cancel()
-	in, err := instance.Start(ctx, s, ec.outLogger())
+	sk := eventlog.New(ec.out)
+	defer func() {
+		ctx, cancel := context.WithTimeout(context.Background(), logDrain)
+		defer cancel()
+		// Nothing is left to log to when standard output does not take the last lines.
+		_ = sk.Close(ctx)
+	}()
+	lg := &log.Logger{Handler: sk, Level: log.MustParseLevel(ec.LogLevel)}
+	in, err := instance.Start(ctx, s, lg)
 	if err != nil {
 		return err
 	}
-	<-ctx.Done()
-	return in.Stop(context.Background())
+	for {
+		select {
+		case <-ctx.Done():
+			return in.Stop(context.Background())
+		case <-hangups:
+			ec.reload(in, lg)
+		}
+	}
+}
+
+// reload reads the settings again; those that are not good change nothing.
+func (ec *entryCommand) reload(in *instance.Instance, lg log.Interface) {
+	s, err := config.Load(ec.Settings)
+	if err == nil {
+		err = in.Reload(s)
+	}
+	if err != nil {
+		lg.WithField("part", "settings").WithError(err).Error("settings not reloaded; the present ones stay in force")
+	}
 }
--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -1,8 +1,8 @@
 package cmd
 
 import (
-	"github.com/silvermount/silvermount/internal/ops"
 	"github.com/silvermount/silvermount/internal/objectstore"
+	"github.com/silvermount/silvermount/internal/ops"
 )
 
 // platformOptions say how operators reach the platform and the instances.
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -27,11 +27,6 @@
 	err io.Writer
 }
 
-// outLogger logs to standard output.
-func (op *options) outLogger() *log.Logger {
-	return &log.Logger{Handler: logfmt.New(op.out), Level: log.MustParseLevel(op.LogLevel)}
-}
-
 func (op *options) logger() *log.Logger {
 	return &log.Logger{Handler: logfmt.New(op.err), Level: log.MustParseLevel(op.LogLevel)}
 }
--- a/internal/bundlestore/bundlestore.go
+++ b/internal/bundlestore/bundlestore.go
@@ -26,7 +26,9 @@
 }
 
 // New returns a store on a client.
-func New(client *objectstore.Client) *Store { return &Store{client: client, parts: map[string][]byte{}} }
+func New(client *objectstore.Client) *Store {
+	return &Store{client: client, parts: map[string][]byte{}}
+}
 
 // partObject is a stored part.
 type partObject struct {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -66,7 +66,9 @@
 func (ds *Dispatcher) Own() map[string]placement.Load { return ds.book.ownLoads() }
 
 // Heard takes what a peer has in flight; nil forgets the peer.
-func (ds *Dispatcher) Heard(peer string, loads map[string]placement.Load) { ds.book.setPeer(peer, loads) }
+func (ds *Dispatcher) Heard(peer string, loads map[string]placement.Load) {
+	ds.book.setPeer(peer, loads)
+}
 
 const (
 	// waitStep is how often a request without room looks again when nothing wakes it: a few passes of an engine.
--- a/internal/duty/bundles/bundles.go
+++ b/internal/duty/bundles/bundles.go
@@ -11,8 +11,8 @@
 	"github.com/silvermount/silvermount/internal/bundlestore"
 	"github.com/silvermount/silvermount/internal/duty/knowledge"
 	"github.com/silvermount/silvermount/internal/kernel"
-	"github.com/silvermount/silvermount/internal/peer"
 	"github.com/silvermount/silvermount/internal/objectstore"
+	"github.com/silvermount/silvermount/internal/peer"
 	"github.com/silvermount/silvermount/internal/rollout"
 )
 
--- a/internal/duty/callers/callers.go
+++ b/internal/duty/callers/callers.go
@@ -20,8 +20,8 @@
 	"github.com/silvermount/silvermount/internal/engine"
 	"github.com/silvermount/silvermount/internal/fleet"
 	"github.com/silvermount/silvermount/internal/kernel"
-	"github.com/silvermount/silvermount/internal/peer"
 	"github.com/silvermount/silvermount/internal/objectstore"
+	"github.com/silvermount/silvermount/internal/peer"
 	"github.com/silvermount/silvermount/internal/policy"
 	_ "github.com/silvermount/silvermount/internal/policy/all" // the policies register themselves
 	"github.com/silvermount/silvermount/internal/policy/owners"
--- a/internal/duty/facts/facts.go
+++ b/internal/duty/facts/facts.go
@@ -86,7 +86,7 @@
 				rd.readConfiguration(it, evidence)
 			}
 		},
-		Change:  rd.readConfiguration,
+		Change: rd.readConfiguration,
 		Confirm: func(evidence time.Time) {
 			rd.rts.Confirm(rd.version, evidence)
 			rd.changed.Tell()
--- a/internal/duty/frontend/frontend.go
+++ b/internal/duty/frontend/frontend.go
@@ -111,15 +111,21 @@
 		return nil, err
 	}
 	st := env.Settings.Gateway
+	gw := gateway.New(gateway.Deps{
+		Protocol: ad.Protocol, Routes: rts, Targets: dr, Dispatcher: ds, Pool: pl, Retries: retries(st),
+		Bodies: budget.NewMemory(st.BodyBudgetBytes), Metrics: ms, Log: env.Logger("gateway"),
+		Random: rand.Float64, Now: time.Now, Stopping: env.Stopping.Load,
+	}, limits(st))
+	env.OnReload(func(s config.Settings) { gw.SetLimits(limits(s.Gateway)) })
+	return gw, nil
+}
+
+func limits(st *config.Gateway) gateway.Limits {
 	lm := gateway.Limits{MaxBodyBytes: st.MaxBodyBytes}
 	if bound := st.RevocationBound.Std(); bound > 0 {
 		lm.ProofAge = max(bound-proofMargin, bound/2)
 	}
-	return gateway.New(gateway.Deps{
-		Protocol: ad.Protocol, Routes: rts, Targets: dr, Dispatcher: ds, Pool: pl, Retries: retries(st),
-		Bodies: budget.NewMemory(st.BodyBudgetBytes), Metrics: ms, Log: env.Logger("gateway"),
-		Random: rand.Float64, Now: time.Now, Stopping: env.Stopping.Load,
-	}, lm), nil
+	return lm
 }
 
 // floorInstances is the number of instances that share the floor of the retry budget, until it is known how many live.
--- a/internal/duty/operators/operators.go
+++ b/internal/duty/operators/operators.go
@@ -20,8 +20,8 @@
 	"github.com/silvermount/silvermount/internal/duty/listen"
 	"github.com/silvermount/silvermount/internal/fleet"
 	"github.com/silvermount/silvermount/internal/kernel"
-	"github.com/silvermount/silvermount/internal/peer"
 	"github.com/silvermount/silvermount/internal/objectstore"
+	"github.com/silvermount/silvermount/internal/peer"
 	"github.com/silvermount/silvermount/internal/rollout"
 	"github.com/silvermount/silvermount/internal/serve"
 )
--- a/internal/duty/orders/orders.go
+++ b/internal/duty/orders/orders.go
@@ -14,8 +14,8 @@
 	"github.com/silvermount/silvermount/internal/fleet"
 	"github.com/silvermount/silvermount/internal/kernel"
 	"github.com/silvermount/silvermount/internal/lease"
-	"github.com/silvermount/silvermount/internal/order"
 	"github.com/silvermount/silvermount/internal/objectstore"
+	"github.com/silvermount/silvermount/internal/order"
 	"github.com/silvermount/silvermount/internal/rollout"
 )
 
--- /dev/null
+++ b/internal/eventlog/eventlog_test.go
@@ -0,0 +1,322 @@
+package eventlog
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	. "github.com/onsi/gomega"
+)
+
+var noon = time.Date(2026, 12, 1, 12, 0, 0, 0, time.UTC)
+
+func atNoon() time.Time { return noon }
+
+// writer records every write; while it is held, writes wait.
+type writer struct {
+	mu     sync.Mutex
+	writes []string
+	held   chan struct{}
+	err    error
+}
+
+func (wr *writer) Write(b []byte) (int, error) {
+	if wr.held != nil {
+		<-wr.held
+	}
+	wr.mu.Lock()
+	defer wr.mu.Unlock()
+	if wr.err != nil {
+		return 0, wr.err
+	}
+	wr.writes = append(wr.writes, string(b))
+	return len(b), nil
+}
+
+func (wr *writer) lines() []string {
+	wr.mu.Lock()
+	defer wr.mu.Unlock()
+	return strings.Split(strings.TrimSuffix(strings.Join(wr.writes, ""), "\n"), "\n")
+}
+
+// only returns the lines of one message.
+func (wr *writer) only(msg string) []string {
+	var kept []string
+	for _, l := range wr.lines() {
+		if strings.Contains(l, fmt.Sprintf("msg=%q", msg)) {
+			kept = append(kept, l)
+		}
+	}
+	return kept
+}
+
+func logger(sk *Sink) *log.Logger { return &log.Logger{Handler: sk, Level: log.DebugLevel} }
+
+type failing struct{}
+
+func (*failing) Error() string { panic("no text") }
+
+func TestLine(t *testing.T) {
+	tests := map[string]struct {
+		fields log.Fields
+		want   string
+	}{
+		"no fields":          {want: ``},
+		"sorted, part first": {fields: log.Fields{"b": 1, "a": true, "part": "gateway"}, want: ` a=true b=1`},
+		"numbers":            {fields: log.Fields{"a": int64(-3), "b": uint64(4), "c": 0.25, "d": uint8(7)}, want: ` a=-3 b=4 c=0.25 d=7`},
+		"times":              {fields: log.Fields{"a": 1500 * time.Millisecond, "b": noon}, want: ` a=1.5s b=2026-12-01T12:00:00.000000Z`},
+		"error":              {fields: log.Fields{"a": io.ErrUnexpectedEOF}, want: ` a="unexpected EOF"`},
+		"empty":              {fields: log.Fields{"a": ""}, want: ` a=""`},
+		"equals sign":        {fields: log.Fields{"a": "x=y"}, want: ` a="x=y"`},
+		"quote and slash":    {fields: log.Fields{"a": `say "hi" \ bye`}, want: ` a="say \"hi\" \\ bye"`},
+		"line ends":          {fields: log.Fields{"a": "x\ny\r\tz"}, want: ` a="x\ny\r\tz"`},
+		"control bytes":      {fields: log.Fields{"a": "\x1b[0m\x7f"}, want: ` a="\u001b[0m\u007f"`},
+		"not UTF-8":          {fields: log.Fields{"a": "x\xffy"}, want: " a=\"x\ufffdy\""},
+		"letters":            {fields: log.Fields{"a": "Tŷ-gwyn"}, want: ` a=Tŷ-gwyn`},
+		"bad key":            {fields: log.Fields{"a b=\"": 1, "": 2}, want: ` _=2 a_b__=1`},
+		"taken key":          {fields: log.Fields{"time": 1, "msg": "x"}, want: ` _msg=x _time=1`},
+		"nil":                {fields: log.Fields{"a": nil}, want: ` a=<nil>`},
+		"panicking error":    {fields: log.Fields{"a": (*failing)(nil)}, want: ` a=<nil>`},
+		"long value":         {fields: log.Fields{"a": strings.Repeat("é", maxValue)}, want: ` a=` + strings.Repeat("é", maxValue/2) + `...`},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			ln := &line{}
+			ln.format(noon, &log.Entry{Level: log.InfoLevel, Message: "a line", Fields: tc.fields})
+			part := ""
+			if p, ok := tc.fields["part"]; ok {
+				part = fmt.Sprintf(" part=%v", p)
+			}
+			g.Expect(string(ln.buf)).To(Equal(`time=2026-12-01T12:00:00.000000Z level=info` + part + ` msg="a line"` + tc.want + "\n"))
+		})
+	}
+}
+
+func TestLimits(t *testing.T) {
+	tests := map[string]struct {
+		write func(lg *log.Logger, i int)
+		lines int
+		want  int
+	}{
+		"common":         {write: func(lg *log.Logger, _ int) { lg.Info("a line") }, lines: 9, want: 2},
+		"served":         {write: func(lg *log.Logger, _ int) { lg.WithField("outcome", "served").Info("a line") }, lines: 9, want: 2},
+		"not served":     {write: func(lg *log.Logger, _ int) { lg.WithField("outcome", "refused").Info("a line") }, lines: 9, want: 5},
+		"warning":        {write: func(lg *log.Logger, _ int) { lg.Warn("a line") }, lines: 9, want: 5},
+		"error":          {write: func(lg *log.Logger, _ int) { lg.Error("a line") }, lines: 4, want: 4},
+		"limits apart":   {write: func(lg *log.Logger, i int) { alternate(lg, i) }, lines: 18, want: 7},
+		"under both":     {write: func(lg *log.Logger, i int) { alternate(lg, i) }, lines: 4, want: 4},
+		"debug is lower": {write: func(lg *log.Logger, _ int) { lg.Debug("a line") }, lines: 3, want: 2},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			set, wr := metrics.NewSet(), &writer{}
+			sk := New(wr, WithClock(atNoon), WithMetrics(set), WithKindLimit(2), WithUrgentLimit(5))
+			lg := logger(sk)
+			for i := range tc.lines {
+				tc.write(lg, i)
+			}
+			lg.Info("another kind")
+			g.Expect(sk.Close(t.Context())).To(Succeed())
+			g.Expect(wr.only("a line")).To(HaveLen(tc.want))
+			g.Expect(wr.only("another kind")).To(HaveLen(1))
+			left := tc.lines - tc.want
+			g.Expect(set.GetOrCreateCounter(leftOutCounter).Get()).To(Equal(uint64(left)))
+			if left == 0 {
+				g.Expect(wr.only("lines left out")).To(BeEmpty())
+				return
+			}
+			want := fmt.Sprintf(`time=2026-12-01T12:00:00.000000Z level=warn part=eventlog msg="lines left out" count=%d kind="a line"`, left)
+			g.Expect(wr.only("lines left out")).To(Equal([]string{want}))
+		})
+	}
+}
+
+func alternate(lg *log.Logger, i int) {
+	if i%2 == 0 {
+		lg.Info("a line")
+		return
+	}
+	lg.Warn("a line")
+}
+
+// TestLimitsStartAnew checks the default limit over seconds, a late reading of the clock and a clock set back.
+func TestLimitsStartAnew(t *testing.T) {
+	g := NewWithT(t)
+	qs := newQuotas(defaultKindLimit, defaultUrgentLimit)
+	admitted := func(at time.Time) (n int) {
+		for range 2 * defaultUrgentLimit {
+			if qs.admit(at, "a line", false) {
+				n++
+			}
+		}
+		return n
+	}
+	g.Expect(admitted(noon)).To(Equal(50))
+	g.Expect(admitted(noon.Add(time.Second))).To(Equal(50))
+	g.Expect(admitted(noon)).To(Equal(0))
+	g.Expect(admitted(noon.Add(-time.Hour))).To(Equal(50))
+	g.Expect(qs.take()).To(Equal([]leftOut{{kind: "a line", count: 4*2*defaultUrgentLimit - 150}}))
+	g.Expect(qs.take()).To(BeEmpty())
+}
+
+func TestKindsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	qs := newQuotas(1, 1)
+	for i := range 10 * maxKinds {
+		qs.admit(noon, fmt.Sprint("kind ", i), false)
+	}
+	g.Expect(qs.kinds).To(HaveLen(maxKinds + 1))
+	g.Expect(qs.take()).To(Equal([]leftOut{{kind: otherKinds, count: 9*maxKinds - 1}}))
+	qs.admit(noon.Add(2*time.Second), "a line", false)
+	g.Expect(qs.kinds).To(HaveLen(1))
+}
+
+// TestTellsOnceASecond runs in fake time: what is left out is told at each full second and not twice.
+func TestTellsOnceASecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		wr := &writer{}
+		sk := New(wr, WithKindLimit(1))
+		lg := logger(sk)
+		for range 3 {
+			lg.Info("a line")
+		}
+		time.Sleep(tellPause / 2)
+		synctest.Wait()
+		g.Expect(wr.only("lines left out")).To(BeEmpty())
+		time.Sleep(3 * tellPause)
+		synctest.Wait()
+		g.Expect(wr.only("lines left out")).To(ConsistOf(ContainSubstring(`count=2 kind="a line"`)))
+		lg.Info("a line")
+		lg.Info("a line")
+		time.Sleep(tellPause)
+		synctest.Wait()
+		g.Expect(wr.only("lines left out")).To(HaveLen(2))
+		g.Expect(sk.Close(t.Context())).To(Succeed())
+	})
+}
+
+// TestBatches writes many lines within one pause and expects one write.
+func TestBatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		wr := &writer{}
+		sk := New(wr, WithKindLimit(100))
+		for i := range 100 {
+			logger(sk).WithField("i", i).Info("a line")
+		}
+		time.Sleep(2 * flushPause)
+		synctest.Wait()
+		g.Expect(wr.writes).To(HaveLen(1))
+		g.Expect(wr.lines()).To(HaveLen(100))
+		g.Expect(wr.lines()[99]).To(HaveSuffix("i=99"))
+		g.Expect(sk.Close(t.Context())).To(Succeed())
+	})
+}
+
+// TestHeldWriter holds the writer: callers go on, the ring bounds what waits, and the rest is counted and told.
+func TestHeldWriter(t *testing.T) {
+	g := NewWithT(t)
+	set, wr := metrics.NewSet(), &writer{held: make(chan struct{})}
+	sk := New(wr, WithClock(atNoon), WithMetrics(set), WithKindLimit(1000), WithCapacity(10))
+	for range 500 {
+		logger(sk).Info("a line")
+	}
+	left := set.GetOrCreateCounter(leftOutCounter)
+	g.Expect(left.Get()).To(BeNumerically(">", 0))
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	var nd *NotDrainedError
+	g.Expect(errors.As(sk.Close(ended), &nd)).To(BeTrue())
+	g.Expect(nd).To(MatchError(context.Canceled))
+	close(wr.held)
+	g.Expect(sk.Close(t.Context())).To(Succeed())
+	g.Expect(len(wr.only("a line")) + int(left.Get())).To(Equal(500))
+	g.Expect(wr.only("lines left out")).To(ConsistOf(ContainSubstring(fmt.Sprintf("count=%d", left.Get()))))
+}
+
+func TestAfterClose(t *testing.T) {
+	g := NewWithT(t)
+	set, wr := metrics.NewSet(), &writer{}
+	sk := New(wr, WithMetrics(set))
+	logger(sk).Info("a line")
+	g.Expect(sk.Close(t.Context())).To(Succeed())
+	logger(sk).Info("a late line")
+	g.Expect(sk.Close(t.Context())).To(Succeed())
+	g.Expect(wr.lines()).To(ConsistOf(ContainSubstring("a line")))
+	g.Expect(set.GetOrCreateCounter(leftOutCounter).Get()).To(Equal(uint64(1)))
+}
+
+func TestFailingWriter(t *testing.T) {
+	g := NewWithT(t)
+	set, wr := metrics.NewSet(), &writer{err: io.ErrClosedPipe}
+	sk := New(wr, WithMetrics(set))
+	logger(sk).Info("a line")
+	logger(sk).Info("a line")
+	err := sk.Close(t.Context())
+	var we *WriteError
+	g.Expect(errors.As(err, &we)).To(BeTrue())
+	g.Expect(err).To(MatchError(io.ErrClosedPipe))
+	// The line that tells of the two is lost as well.
+	g.Expect(we.Lines).To(Equal(3))
+	g.Expect(set.GetOrCreateCounter(leftOutCounter).Get()).To(Equal(uint64(3)))
+}
+
+// TestManyCallers closes the sink while goroutines log: each line is written whole or counted.
+func TestManyCallers(t *testing.T) {
+	g := NewWithT(t)
+	const callers, each = 8, 500
+	set := metrics.NewSet()
+	var buf bytes.Buffer
+	sk := New(&buf, WithMetrics(set), WithClock(atNoon), WithKindLimit(callers*each), WithCapacity(100))
+	var wg sync.WaitGroup
+	var sent atomic.Int64
+	for i := range callers {
+		wg.Go(func() {
+			for range each {
+				logger(sk).WithField("caller", i).Info("a line")
+				sent.Add(1)
+			}
+		})
+	}
+	g.Eventually(sent.Load, 10*time.Second).Should(BeNumerically(">", callers*each/2))
+	g.Expect(sk.Close(t.Context())).To(Succeed())
+	wg.Wait()
+	written := 0
+	for _, l := range strings.Split(strings.TrimSpace(buf.String()), "\n") {
+		if strings.Contains(l, `msg="a line"`) {
+			g.Expect(l).To(MatchRegexp(`^time=\S+ level=info msg="a line" caller=\d$`))
+			written++
+		}
+	}
+	g.Expect(written + int(set.GetOrCreateCounter(leftOutCounter).Get())).To(Equal(callers * each))
+}
+
+func BenchmarkHandleLog(b *testing.B) {
+	tests := map[string]int{"written": 1 << 30, "left out": 0}
+	fields := log.Fields{"part": "gateway", "request": "req-0123456789abcdef", "target": "a-1", "status": 200, "elapsed": 1500 * time.Millisecond}
+	for name, limit := range tests {
+		b.Run(name, func(b *testing.B) {
+			sk := New(io.Discard, WithKindLimit(limit), WithCapacity(1<<16))
+			defer sk.Close(context.Background())
+			e := &log.Entry{Level: log.InfoLevel, Message: "request served", Fields: fields}
+			b.ReportAllocs()
+			for b.Loop() {
+				_ = sk.HandleLog(e)
+			}
+			b.ReportMetric(float64(sk.leftOut.Get())/float64(b.N), "left-out/op")
+		})
+	}
+}
--- /dev/null
+++ b/internal/explain/collect.go
@@ -0,0 +1,134 @@
+package explain
+
+import "slices"
+
+// The reasons for which a line belongs to an account.
+const (
+	whyRequest    = "request"
+	whyBelief     = "belief"
+	whyConfig     = "config"
+	whyDependency = "dependency"
+	whyMissing    = "missing"
+)
+
+// collector chooses the lines of an account.
+type collector struct {
+	// lines are all lines kept, in order of time.
+	lines []*line
+	// why has the lines that belong to the account.
+	why map[*line]string
+	// missing are made-up lines that stand for lines not found, each before the line that needed it.
+	missing map[*line][]*line
+}
+
+func newCollector(lines []*line) *collector {
+	return &collector{lines: lines, why: map[*line]string{}, missing: map[*line][]*line{}}
+}
+
+// collect marks the lines of the request and those that explain them.
+func (cl *collector) collect(about func(*line) bool) {
+	for i, ln := range cl.lines {
+		if !about(ln) {
+			continue
+		}
+		cl.why[ln] = whyRequest
+		earlier := cl.lines[:i]
+		cl.dependencies(ln, earlier)
+		cl.beliefs(ln, earlier)
+		cl.config(ln, earlier)
+	}
+}
+
+// mark gives a line a reason unless it has one.
+func (cl *collector) mark(ln *line, why string) {
+	if cl.why[ln] == "" {
+		cl.why[ln] = why
+	}
+}
+
+// dependencies marks what the instance lost or regained shortly before.
+func (cl *collector) dependencies(of *line, earlier []*line) {
+	for _, ln := range slices.Backward(earlier) {
+		if of.at.Sub(ln.at) > dependencyWindow {
+			return
+		}
+		if ln.instance == of.instance && ln.dependency() {
+			cl.mark(ln, whyDependency)
+		}
+	}
+}
+
+// beliefs marks the newest line of each message about the target of an attempt, at most maxBeliefs of them.
+func (cl *collector) beliefs(of *line, earlier []*line) {
+	target := of.get("target")
+	if target == "" {
+		return
+	}
+	found := map[string]bool{}
+	for _, ln := range slices.Backward(earlier) {
+		if len(found) == maxBeliefs {
+			break
+		}
+		if msg := ln.get("msg"); !found[msg] && ln.believes(of) {
+			found[msg] = true
+			cl.mark(ln, whyBelief)
+		}
+	}
+	if len(found) == 0 {
+		cl.miss(of, "no earlier line about the target", field{key: "target", raw: target, value: target})
+	}
+}
+
+// believes reports whether a line says what the instance of an attempt held of its target. Incarnations are
+// compared when both lines have one.
+func (ln *line) believes(of *line) bool {
+	if !ln.belief() || ln.instance != of.instance || ln.get("target") != of.get("target") {
+		return false
+	}
+	a, b := ln.get("incarnation"), of.get("incarnation")
+	return a == "" || b == "" || a == b
+}
+
+// config marks where the version that a line names came into force.
+func (cl *collector) config(of *line, earlier []*line) {
+	version := of.get("config")
+	if version == "" {
+		return
+	}
+	for _, ln := range slices.Backward(earlier) {
+		if ln.instance == of.instance && ln.config() && ln.get("version") == version {
+			cl.mark(ln, whyConfig)
+			return
+		}
+	}
+	cl.miss(of, "no earlier line about the configuration", field{key: "version", raw: version, value: version})
+}
+
+// miss says that a line was not found, once for each thing that is missing at an instance.
+func (cl *collector) miss(of *line, msg string, what field) {
+	for _, lns := range cl.missing {
+		for _, ln := range lns {
+			if ln.instance == of.instance && ln.get("msg") == msg && ln.get(what.key) == what.value {
+				return
+			}
+		}
+	}
+	ln := &line{instance: of.instance, at: of.at, fields: []field{{key: "msg", raw: msg, value: msg}, what}}
+	cl.missing[of] = append(cl.missing[of], ln)
+}
+
+// entries returns the marked lines in order of time.
+func (cl *collector) entries() []entry {
+	var es []entry
+	for _, ln := range cl.lines {
+		why := cl.why[ln]
+		if why == "" {
+			continue
+		}
+		for _, ms := range cl.missing[ln] {
+			es = append(es, entry{line: ms, why: whyMissing})
+		}
+		es = append(es, entry{line: ln, why: why})
+	}
+	return es
+}
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,192 @@
+package explain
+
+import (
+	"bytes"
+	"errors"
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+var update = flag.Bool("update", false, "renew the golden files")
+
+// TestAccounts compares accounts with the golden files.
+func TestAccounts(t *testing.T) {
+	tests := map[string]struct{ file, id string }{
+		"refused though targets were free": {file: "refused", id: "req-7"},
+		"a stream broken off":              {file: "broken", id: "req-8"},
+		"may not be repeated":              {file: "unrepeatable", id: "req-9"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			logs, err := os.ReadFile(filepath.Join("testdata", tc.file+".log"))
+			g.Expect(err).NotTo(HaveOccurred())
+			ac, err := Find(bytes.NewReader(logs), tc.id)
+			g.Expect(err).NotTo(HaveOccurred())
+			var got bytes.Buffer
+			g.Expect(ac.Print(&got)).To(Succeed())
+			golden := filepath.Join("testdata", tc.file+".golden")
+			if *update {
+				g.Expect(os.WriteFile(golden, got.Bytes(), 0o644)).To(Succeed())
+			}
+			want, err := os.ReadFile(golden)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(got.String()).To(Equal(string(want)))
+		})
+	}
+}
+
+func TestUnknownRequest(t *testing.T) {
+	g := NewWithT(t)
+	_, err := Find(strings.NewReader("time=2026-12-01T12:00:00Z request=req-10\nx\n"), "req-1")
+	var ur *UnknownRequestError
+	g.Expect(errors.As(err, &ur)).To(BeTrue())
+	g.Expect(*ur).To(Equal(UnknownRequestError{ID: "req-1", Lines: 2}))
+}
+
+func TestFailingReader(t *testing.T) {
+	g := NewWithT(t)
+	_, err := Find(iotest.ErrReader(os.ErrClosed), "req-1")
+	g.Expect(err).To(MatchError(os.ErrClosed))
+}
+
+// TestContext checks which lines an account takes beside the request's own. Line a is always expected.
+func TestContext(t *testing.T) {
+	const attempt = `time=2026-12-01T12:00:20Z instance=i1 msg=a request=r target=t incarnation=2 config=5`
+	tests := map[string]struct {
+		line string
+		want bool
+	}{
+		"belief":                      {line: `time=2026-12-01T12:00:01Z instance=i1 part=targets msg=b target=t incarnation=2`, want: true},
+		"belief without incarnation":  {line: `time=2026-12-01T12:00:01Z instance=i1 part=targets msg=b target=t`, want: true},
+		"belief of the same time":     {line: `time=2026-12-01T12:00:20Z instance=i1 part=targets msg=b target=t`, want: true},
+		"belief later":                {line: `time=2026-12-01T12:00:21Z instance=i1 part=targets msg=b target=t`},
+		"another incarnation":         {line: `time=2026-12-01T12:00:01Z instance=i1 part=targets msg=b target=t incarnation=1`},
+		"another target":              {line: `time=2026-12-01T12:00:01Z instance=i1 part=targets msg=b target=u incarnation=2`},
+		"another instance":            {line: `time=2026-12-01T12:00:01Z instance=i2 part=targets msg=b target=t incarnation=2`},
+		"another request":             {line: `time=2026-12-01T12:00:01Z instance=i1 msg=b request=s target=t incarnation=2`},
+		"configuration":               {line: `time=2026-12-01T12:00:01Z instance=i1 part=routes msg="configuration in force" version=5`, want: true},
+		"another version":             {line: `time=2026-12-01T12:00:01Z instance=i1 part=routes msg="configuration in force" version=4`},
+		"configuration elsewhere":     {line: `time=2026-12-01T12:00:01Z instance=i2 part=routes msg="configuration in force" version=5`},
+		"lost store in the window":    {line: `time=2026-12-01T12:00:10Z instance=i1 part=store msg="lost store"`, want: true},
+		"regained peer in the window": {line: `time=2026-12-01T12:00:12Z instance=i1 part=peers msg="regained peer"`, want: true},
+		"lost store before it":        {line: `time=2026-12-01T12:00:09.9Z instance=i1 part=store msg="lost store"`},
+		"lost store elsewhere":        {line: `time=2026-12-01T12:00:10Z instance=i2 part=store msg="lost store"`},
+		"lost store later":            {line: `time=2026-12-01T12:00:21Z instance=i1 part=store msg="lost store"`},
+		"store, other message":        {line: `time=2026-12-01T12:00:10Z instance=i1 part=store msg="slow store"`},
+		"other part":                  {line: `time=2026-12-01T12:00:10Z instance=i1 part=gateway msg="lost caller"`},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			ac, err := Find(strings.NewReader(tc.line+"\n"+attempt), "r")
+			g.Expect(err).NotTo(HaveOccurred())
+			want := parse(tc.line)
+			taken := false
+			for _, en := range ac.entries {
+				taken = taken || en.why != whyMissing && en.get("msg") == want.get("msg")
+			}
+			g.Expect(taken).To(Equal(tc.want))
+		})
+	}
+}
+
+// TestBeliefsAreBounded gives many beliefs: the newest line of each of the newest messages is taken.
+func TestBeliefsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	var sb strings.Builder
+	at := time.Date(2026, 12, 1, 12, 0, 0, 0, time.UTC)
+	for i := range 20 {
+		sb.WriteString("time=" + at.Add(time.Duration(i)*time.Second).Format(time.RFC3339) + " msg=" + string("abcde"[i%5]) + " target=t\n")
+	}
+	sb.WriteString("time=" + at.Add(time.Hour).Format(time.RFC3339) + " msg=z target=t request=r\n")
+	ac, err := Find(strings.NewReader(sb.String()), "r")
+	g.Expect(err).NotTo(HaveOccurred())
+	var msgs string
+	for _, en := range ac.entries {
+		msgs += en.get("msg")
+	}
+	g.Expect(msgs).To(Equal("cdez"))
+	g.Expect(ac.entries[0].at).To(Equal(at.Add(17 * time.Second)))
+}
+
+func TestParse(t *testing.T) {
+	tests := map[string]struct {
+		text     string
+		instance string
+		want     map[string]string
+	}{
+		"plain":                {text: `a=1 b=two`, want: map[string]string{"a": "1", "b": "two"}},
+		"quotes":               {text: `a="x \"y\" = z\n" b=2`, want: map[string]string{"a": "x \"y\" = z\n", "b": "2"}},
+		"empty values":         {text: `a= b="" c=3`, want: map[string]string{"a": "", "b": "", "c": "3"}},
+		"prefix":               {text: `edge-1 12.345 | a=1`, instance: "edge-1", want: map[string]string{"a": "1"}},
+		"prefix in brackets":   {text: `[edge-1] a=1`, instance: "edge-1", want: map[string]string{"a": "1"}},
+		"field before prefix":  {text: `edge-1 | instance=edge-2`, instance: "edge-2", want: map[string]string{}},
+		"word after a pair":    {text: `a=1 word b=2`, want: map[string]string{"a": "1", "b": "2"}},
+		"cut off in a quote":   {text: `a=1 b="half a li`, want: map[string]string{"a": "1", "b": "half a li"}},
+		"cut off at an escape": {text: `a=1 b="half\`, want: map[string]string{"a": "1", "b": `half\`}},
+		"nothing":              {text: "  \n", want: map[string]string{}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			ln := parse(tc.text)
+			g.Expect(ln.instance).To(Equal(tc.instance))
+			for k, v := range tc.want {
+				g.Expect(ln.get(k)).To(Equal(v), k)
+			}
+		})
+	}
+}
+
+// TestParseAnything feeds arbitrary text: parsing ends and does not panic.
+func TestParseAnything(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		parse(rapid.StringOf(rapid.RuneFrom([]rune(`ab= "\|`))).Draw(t, "text"))
+	})
+}
+
+// TestLineWithoutTime keeps such a line behind the one before it of its instance.
+func TestLineWithoutTime(t *testing.T) {
+	g := NewWithT(t)
+	logs := "i1 | time=2026-12-01T12:00:05Z msg=a request=r\ni1 | msg=b request=r\ni2 | time=2026-12-01T12:00:04Z msg=c request=r\n"
+	ac, err := Find(strings.NewReader(logs), "r")
+	g.Expect(err).NotTo(HaveOccurred())
+	var msgs string
+	for _, en := range ac.entries {
+		msgs += en.get("msg")
+	}
+	g.Expect(msgs).To(Equal("cab"))
+}
+
+// TestMissingOnce says once that no line tells of a target or a configuration.
+func TestMissingOnce(t *testing.T) {
+	g := NewWithT(t)
+	const attempt = "time=2026-12-01T12:00:05Z instance=i1 msg=a request=r target=t config=5\n"
+	ac, err := Find(strings.NewReader(attempt+attempt), "r")
+	g.Expect(err).NotTo(HaveOccurred())
+	var whys []string
+	for _, en := range ac.entries {
+		whys = append(whys, en.why)
+	}
+	g.Expect(whys).To(Equal([]string{whyMissing, whyMissing, whyRequest, whyRequest}))
+}
+
+// TestOwnLineStaysOwn keeps the reason of a request's own line that is also a lost dependency.
+func TestOwnLineStaysOwn(t *testing.T) {
+	g := NewWithT(t)
+	logs := "time=2026-12-01T12:00:05Z instance=i1 part=targets msg=\"lost target\" request=r\n" +
+		"time=2026-12-01T12:00:06Z instance=i1 part=gateway msg=\"request failed\" request=r\n"
+	ac, err := Find(strings.NewReader(logs), "r")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(ac.entries).To(HaveLen(2))
+	g.Expect(ac.entries[0].why).To(Equal(whyRequest))
+}
--- /dev/null
+++ b/internal/explain/print.go
@@ -0,0 +1,86 @@
+package explain
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+)
+
+// timeLayout has a fixed width, so that the columns of an account stay in line.
+const timeLayout = "2006-01-02T15:04:05.000000Z07:00"
+
+// Print writes the account as a table.
+func (ac Account) Print(w io.Writer) error {
+	if _, err := io.WriteString(w, ac.summary()); err != nil {
+		return errors.Wrap(err, "print account")
+	}
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, "TIME\tINSTANCE\tWHY\tPART\tEVENT")
+	for _, en := range ac.entries {
+		fmt.Fprintln(tw, en.row())
+	}
+	return errors.Wrap(tw.Flush(), "print account")
+}
+
+// summary counts the request's own lines and says how long they lasted.
+func (ac Account) summary() string {
+	var own []entry
+	instances := map[string]bool{}
+	for _, en := range ac.entries {
+		if en.why == whyRequest {
+			own = append(own, en)
+			instances[en.instance] = true
+		}
+	}
+	took := own[len(own)-1].at.Sub(own[0].at)
+	s := fmt.Sprintf("request %s: %s of %s within %s", ac.id, plural(len(own), "line"), plural(len(instances), "instance"), took)
+	if len(instances) > 1 {
+		s += "; each time is the clock of its instance"
+	}
+	return s + "\n"
+}
+
+// row returns the columns of a line.
+func (en entry) row() string {
+	at := "-"
+	if !en.at.IsZero() {
+		at = en.at.UTC().Format(timeLayout)
+	}
+	cells := []string{at, orDash(en.instance), en.why, orDash(en.get("part")), en.event()}
+	return strings.Join(cells, "\t")
+}
+
+// event returns the message and the fields that have no column.
+func (en entry) event() string {
+	words := []string{en.get("msg")}
+	if level := en.get("level"); level != "" && level != "info" {
+		words = append(words, "level="+level)
+	}
+	for _, fd := range en.fields {
+		switch fd.key {
+		case "time", "level", "part", "msg", "instance", "request":
+		default:
+			words = append(words, fd.key+"="+fd.raw)
+		}
+	}
+	return strings.Join(words, " ")
+}
+
+func orDash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
+
+// plural returns a count with its noun.
+func plural(n int, noun string) string {
+	if n == 1 {
+		return "1 " + noun
+	}
+	return strconv.Itoa(n) + " " + noun + "s"
+}
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -108,7 +108,8 @@
 		return failure.New(failure.Unauthorized, failure.NotRun, "the key is not known")
 	}
 	rq.org = og
-	if age := gw.Now().Sub(provenAt); gw.limits.ProofAge > 0 && age > gw.limits.ProofAge {
+	most := gw.limits.Load().ProofAge
+	if age := gw.Now().Sub(provenAt); most > 0 && age > most {
 		return refused(failure.ProofTooOld, comeBackUnready, "the configuration was last confirmed %s ago", age.Round(time.Millisecond))
 	}
 	return nil
@@ -119,7 +120,7 @@
 
 // readBody reads a body under the shared budget.
 func (gw *Gateway) readBody(r *http.Request, rq *request) error {
-	most := gw.limits.MaxBodyBytes
+	most := gw.limits.Load().MaxBodyBytes
 	if lm := rq.table.Limits().MaxBodyBytes; lm > 0 {
 		most = min(most, lm)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,16 +49,21 @@
 // Gateway serves callers. It is safe for use by any goroutine.
 type Gateway struct {
 	Deps
-	limits   Limits
+	limits   atomic.Pointer[Limits]
 	machine  *life.Machine
 	inFlight atomic.Int64
 }
 
 // New returns a gateway.
 func New(dp Deps, lm Limits) *Gateway {
-	return &Gateway{Deps: dp, limits: lm, machine: life.New()}
+	gw := &Gateway{Deps: dp, machine: life.New()}
+	gw.SetLimits(lm)
+	return gw
 }
 
+// SetLimits changes the bounds for requests from now on.
+func (gw *Gateway) SetLimits(lm Limits) { gw.limits.Store(&lm) }
+
 // InFlight returns how many requests are being served.
 func (gw *Gateway) InFlight() int64 { return gw.inFlight.Load() }
 
--- a/internal/gossip/link.go
+++ b/internal/gossip/link.go
@@ -51,6 +51,21 @@
 	card
 	id             uint64
 	pulse, version uint64
+	// states says that the peer was sent states of this member, and not its card alone.
+	states bool
+}
+
+// forProcess returns td as it is for r's process: a peer may have passed over what it was sent about another process of
+// the name, or about an earlier generation, or before r was lost.
+func (td told) forProcess(r *record, states bool) told {
+	if td.Incarnation != r.Incarnation || td.Generation != r.Generation || !r.live {
+		td = told{id: td.id}
+	}
+	if states && !td.states {
+		td.version = 0
+	}
+	td.states = states
+	return td
 }
 
 func (ms *Mesh) newLink(stream drpc.Stream, transport io.Closer, address string) *link {
@@ -182,19 +197,17 @@
 
 // tell adds to a frame what the peer does not know of a member: its card, and when states is set its pulse and state.
 func (lk *link) tell(fr *frame, r *record, states bool, now time.Time) {
-	if !r.live {
-		return
-	}
 	td, known := lk.told[r.Name]
-	e := entry{ID: td.id}
 	if !known {
 		td.id = uint64(len(lk.told))
-		e.ID = td.id
 	}
-	if td.Incarnation != r.Incarnation {
-		td.pulse, td.version = 0, 0
+	td = td.forProcess(r, states)
+	lk.told[r.Name] = td
+	if !r.live {
+		return
 	}
-	if !known || td.card != r.card {
+	e := entry{ID: td.id}
+	if td.card != r.card {
 		td.card = r.card
 		e.Card = &td.card
 	}
--- a/internal/gossip/mesh_test.go
+++ b/internal/gossip/mesh_test.go
@@ -400,6 +400,29 @@
 	}
 }
 
+func TestPartialMeshLosesOnlyTheDeadMember(t *testing.T) {
+	g := NewWithT(t)
+	o := Options{FullMesh: 3, RemoteLinks: 2, Lost: 3 * time.Second, Interval: 100 * time.Millisecond}
+	var nodes []*node
+	var stop func()
+	for i := range 12 {
+		o.Self = Member{Name: fmt.Sprintf("m%02d", i), AvailabilityZone: string(rune('x' + i%3))}
+		nd := newNode(t, o)
+		stop = nd.start(t)
+		nodes = append(nodes, nd)
+		o.Seeds = []string{nodes[0].address()}
+	}
+	for _, nd := range nodes {
+		g.Eventually(nd.states, patience).Should(Equal(11))
+	}
+	stop()
+	dead := nodes[11].ms.self.Member
+	for _, nd := range nodes[:11] {
+		g.Eventually(nd.lostMembers, patience).Should(Equal([]Member{dead}))
+		g.Expect(nd.names()).To(HaveLen(11))
+	}
+}
+
 func TestFetch(t *testing.T) {
 	serve := func(name string) ([]byte, bool) { return bytes.Repeat([]byte("x"), 1<<20), name == "map" }
 	g := NewWithT(t)
--- a/internal/gossip/record.go
+++ b/internal/gossip/record.go
@@ -86,17 +86,18 @@
 	if r != nil && r.Incarnation == c.Incarnation {
 		return r, nil
 	}
-	if e.Pulse == 0 || e.PulseAge >= ms.opts.Lost {
+	if e.Pulse == 0 {
 		return nil, nil
 	}
-	if r != nil && r.live && !c.follows(r) {
+	if r != nil && !c.follows(r) && (r.live || e.PulseAge >= ms.opts.Lost) {
 		return nil, nil
 	}
 	var events []event
 	if r != nil && r.live {
 		events = []event{{lost: true, member: r.Member}}
 	}
-	r = &record{card: c, unlinked: ms.awake.at(now)}
+	awake := ms.awake.at(now)
+	r = &record{card: c, unlinked: awake, heard: awake - e.PulseAge}
 	ms.records[c.Name] = r
 	return r, events
 }
--- a/internal/gossip/record_test.go
+++ b/internal/gossip/record_test.go
@@ -149,3 +149,34 @@
 	g.Expect(fr.Entries[0].Body).To(BeNil())
 	g.Expect(len(fr.append(nil))).To(BeNumerically("<", 8))
 }
+
+func TestNewGenerationIsToldWithItsState(t *testing.T) {
+	g := NewWithT(t)
+	a, _ := still(t)
+	a.ms.refresh()
+	lk := a.ms.newLink(nil, nil, "")
+	g.Expect(lk.news().Entries).To(HaveLen(1))
+	a.hears(card{Member: Member{Name: "a", Incarnation: "0"}}, entry{Pulse: 7})
+	fr := lk.news()
+	g.Expect(fr.Entries).To(HaveLen(1))
+	g.Expect(fr.Entries[0].Card.Generation).To(BeEquivalentTo(1))
+	g.Expect(string(fr.Entries[0].Body)).To(Equal("state of a"))
+}
+
+func TestMemberThatComesBackIsToldAnew(t *testing.T) {
+	g := NewWithT(t)
+	a, ck := still(t)
+	lk := a.ms.newLink(nil, nopCloser{}, "")
+	a.hears(cardB, entry{Pulse: 1})
+	g.Expect(lk.news().Entries).To(HaveLen(2))
+	a.beats(ck, int(defaultLost/defaultInterval))
+	g.Expect(lk.news().Entries).To(HaveLen(1))
+	a.hears(cardB, entry{Pulse: 2})
+	fr := lk.news()
+	g.Expect(fr.Entries).To(HaveLen(1))
+	g.Expect(fr.Entries[0].Card.Name).To(Equal("b"))
+}
+
+type nopCloser struct{}
+
+func (nopCloser) Close() error { return nil }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -89,5 +89,8 @@
 	return ls.Peers.Addr().String()
 }
 
+// Reload puts new settings in force as far as that can be done while the instance runs.
+func (in *Instance) Reload(s config.Settings) error { return in.kn.Reload(s) }
+
 // Stop ends the instance; attached requests are served to their end.
 func (in *Instance) Stop(ctx context.Context) error { return in.kn.Stop(ctx) }
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"reflect"
 	"slices"
+	"strings"
 	"sync/atomic"
 
 	"github.com/apex/log"
@@ -135,8 +136,13 @@
 	Stopping atomic.Bool
 
 	parts map[reflect.Type]any
+	// reloads are called with new settings, in the order of the duties.
+	reloads []func(config.Settings)
 }
 
+// OnReload adds a function that puts new settings in force while the instance runs. It is called by duties that start.
+func (ev *Env) OnReload(f func(config.Settings)) { ev.reloads = append(ev.reloads, f) }
+
 // Logger returns a logger whose lines start with the fixed prefix of one part.
 func (ev *Env) Logger(part string) log.Interface { return ev.Log.WithField("part", part) }
 
@@ -204,6 +210,21 @@
 	return nil
 }
 
+// Reload puts new settings in force as far as the duties can while they run. Settings that are not good change nothing.
+func (kn *Kernel) Reload(s config.Settings) error {
+	s = Defaults(s)
+	if err := Check(s).OrNil(); err != nil {
+		return err
+	}
+	changed := config.Changed(kn.Env.Settings, s)
+	for _, reload := range kn.Env.reloads {
+		reload(s)
+	}
+	kn.Env.Settings = s
+	kn.Env.Logger("kernel").WithField("changed", strings.Join(changed, ",")).Info("settings reloaded")
+	return nil
+}
+
 // Stop stops the running duties in reverse order and returns the first error.
 func (kn *Kernel) Stop(ctx context.Context) error {
 	kn.Env.Stopping.Store(true)
--- a/internal/placement/bound.go
+++ b/internal/placement/bound.go
@@ -24,7 +24,7 @@
 	return min((val-bo.from)*bo.slope, 1)
 }
 
-// classBounds are the bounds of the classes of writers by longest pause.
+// classBounds are the bounds of the classes of requests.
 var classBounds = newClassBounds()
 
 // newClassBounds returns the bounds of all classes.
--- a/internal/placement/candidate.go
+++ b/internal/placement/candidate.go
@@ -27,6 +27,8 @@
 	// helpBefore and mainBefore are what writers there lose without the prompt, in a pass that reads what waits and in
 	// the worse of that one and later ones.
 	helpBefore, mainBefore float64
+	// readersBefore is what readers there lose without the prompt.
+	readersBefore float64
 	// helpHold and mainHold are what writers there lose while the target holds memory of the prompt as a helper, or as
 	// the main target.
 	helpHold, mainHold float64
@@ -67,8 +69,9 @@
 	ca.step = ch.en.stepAt(ta)
 	ca.readPause = ch.en.readPause(ta, Backlog{}, ca.step)
 	writePause := ch.en.writePass(ta, 0, 0) + ca.usual
-	ca.helpBefore = pauseLoss(&ta.Load, ca.readPause)
-	ca.mainBefore = max(ca.helpBefore, pauseLoss(&ta.Load, writePause))
+	ca.helpBefore = ta.Load.AtRisk.loss(ca.readPause)
+	ca.mainBefore = max(ca.helpBefore, ta.Load.AtRisk.loss(writePause))
+	ca.readersBefore = ta.Load.Waiting.loss(ch.en.readTime(ta, Backlog{}, false, ca.step))
 	return ca
 }
 
@@ -78,13 +81,13 @@
 		more := ca.pace * (ch.en.pass(0, ch.held) - ch.en.pass(0, 0))
 		ca.full = 0
 		ca.ownPass = ch.ownPass(ca, ch.held)
-		ca.helpHold = pauseLoss(&ca.ta.Load, ca.readPause+more)
+		ca.helpHold = ca.ta.Load.AtRisk.loss(ca.readPause + more)
 	} else {
 		ca.full = ch.stake.fullLoss(&ch.en, ca.ta.Load.Memory+ch.pr.need())
 		ca.ownPass = ch.ownPass(ca, ch.pr.Tokens+ch.pr.Answer/2)
 		ca.helpHold = 0
 	}
-	ca.mainHold = pauseLoss(&ca.ta.Load, ca.ownPass+ca.usual)
+	ca.mainHold = ca.ta.Load.AtRisk.loss(ca.ownPass + ca.usual)
 	ca.pausesInTime = 1 - ch.stake.pause.chance(ca.ownPass+ca.usual)
 }
 
@@ -104,8 +107,8 @@
 	ca.first = ca.ready + ca.slotWait
 	ca.pause = ch.en.readPause(ca.ta, ch.part, ca.step)
 	reading := ca.pace * ch.reading
-	writers := pauseLoss(&ca.ta.Load, ca.pause)
-	others := delayLoss(&ca.ta.Load, reading, split) + ch.arrivalsLoss(ca.pause, reading)
+	writers := ca.ta.Load.AtRisk.loss(ca.pause)
+	others := ch.readersLoss(ca, split) + ch.arrivalsLoss(ca.pause, reading)
 	ch.judgeMain(ca, writers, others)
 	if split {
 		ch.judgeHelp(ca, writers, others)
@@ -115,9 +118,22 @@
 	}
 }
 
+// readersLoss returns what those are expected to lose whose own prompts are read at a target with or behind a part.
+func (ch *chooser) readersLoss(ca *candidate, split bool) float64 {
+	lo := &ca.ta.Load
+	if lo.Readers == 0 {
+		return 0
+	}
+	after := lo.Waiting.loss(ch.en.readTime(ca.ta, ch.part, false, ca.step))
+	if split {
+		return after - ca.readersBefore
+	}
+	return wholeDelay * (after - ca.readersBefore)
+}
+
 // arrivalsLoss returns what those are expected to lose that begin to write at a target while a part is read there.
 func (ch *chooser) arrivalsLoss(pause, reading float64) float64 {
-	return pauseLoss(&ch.arrivals, pause) * reading / float64(time.Second)
+	return ch.arrivals.AtRisk.loss(pause) * reading / float64(time.Second)
 }
 
 // judgeMain sets what the target costs as the main one. Reading the part costs the writers there and the others, which
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -110,7 +110,7 @@
 	ch.holdAll()
 	for _, pa := range counts {
 		if !ch.allows(pa) {
-			break
+			continue
 		}
 		ch.split(pa)
 		pi, ok := ch.pick()
@@ -123,7 +123,10 @@
 
 // allows reports whether a prompt can be split into a number of parts.
 func (ch *chooser) allows(parts int) bool {
-	if parts > len(ch.cs) || ch.reserved && parts > mostReserved {
+	if parts > len(ch.cs) {
+		return false
+	}
+	if ch.reserved && (parts > mostReserved || ch.pr.need() > int64(parts)*ch.en.Memory) {
 		return false
 	}
 	return parts == 1 || ch.pr.Tokens >= int64(parts)*leastPart
@@ -133,7 +136,7 @@
 func (ch *chooser) split(parts int) {
 	ch.parts = parts
 	ch.part = ch.pr.part(parts)
-	ch.reading = ch.en.reading(ch.en.within(ch.part, ch.en.passRoom()))
+	ch.reading = ch.en.reading(ch.part)
 	if ch.reserved {
 		ch.held = ceilDiv(ch.pr.need(), int64(parts))
 		ch.holdAll()
@@ -150,19 +153,32 @@
 	}
 }
 
-// pick selects candidates for the number of parts and judges them together.
+// pick selects candidates for the number of parts and judges them together. When those of least loss lack memory or
+// time, it tries those with the most memory, and then the fastest.
 func (ch *chooser) pick() (pick, bool) {
 	pi := pick{parts: ch.parts, reserved: ch.reserved}
-	if !ch.selectLeast(&pi) {
-		return pi, false
+	if ch.try(&pi) {
+		return pi, true
 	}
-	if ch.reserved && !ch.fill(&pi) {
+	if ch.reserved {
 		ch.preferFree()
-		if !ch.selectLeast(&pi) || !ch.fill(&pi) {
-			return pi, false
+		if ch.try(&pi) {
+			return pi, true
 		}
 	}
-	return pi, ch.total(&pi)
+	ch.preferFast()
+	return pi, ch.try(&pi)
+}
+
+// try fills a pick in from the keys of the candidates. It reports false when they lack memory or time.
+func (ch *chooser) try(pi *pick) bool {
+	if !ch.selectLeast(pi) {
+		return false
+	}
+	if ch.reserved && !ch.fill(pi) {
+		return false
+	}
+	return ch.total(pi)
 }
 
 // total sets the predictions and the loss of a pick, and reports whether it finishes before the deadline.
@@ -182,8 +198,13 @@
 	}
 	risk := partRisk * ch.stake.inTime * float64(pi.parts-1)
 	pi.loss = harm + ch.stake.loss(pi.first, main.pausesInTime) + main.full + risk
+	return pi.first+ch.writing(main) <= float64(ch.pr.Left)
+}
+
+// writing returns the nanoseconds of writing the answer at a candidate.
+func (ch *chooser) writing(ca *candidate) float64 {
 	passes := ceilDiv(ch.pr.Answer, int64(ch.en.Stride))
-	return pi.first+float64(passes)*main.ownPass <= float64(ch.pr.Left)
+	return float64(passes) * ca.ownPass
 }
 
 // holdShares sets what the main candidate of a pick pays for the largest share, which may be more than an even one.
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -69,6 +69,16 @@
 	g.Expect(pl.FirstToken).To(BeNumerically("<", 2500*time.Millisecond))
 }
 
+func TestALongPromptIsSplitMoreAmongShortWriters(t *testing.T) {
+	g := NewWithT(t)
+	twoASecond := shortPrompt().Writing().Plus(shortPrompt().Writing())
+	pl, ok := Choose(typical, longPrompt(133_000), busy(18), Options{Seed: 1, Arrivals: twoASecond})
+	g.Expect(ok).To(BeTrue())
+	g.Expect(len(pl.Helpers)).To(BeNumerically(">=", 11))
+	g.Expect(pl.Pause).To(BeNumerically("<", 250*time.Millisecond))
+	g.Expect(pl.FirstToken).To(BeNumerically("<", time.Second))
+}
+
 func TestArrivalsMakePartsSmaller(t *testing.T) {
 	g := NewWithT(t)
 	pr := longPrompt(133_000)
@@ -193,6 +203,24 @@
 	})
 }
 
+func TestNoPlanMeansThatNoTargetAloneIsInTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		pr := genPrompt().Draw(t, "prompt")
+		pr.Left = time.Duration(rapid.IntRange(1, 10_000).Draw(t, "left in ms")) * time.Millisecond
+		ts := genTargets().Draw(t, "targets")
+		if _, ok := Choose(typical, pr, ts, Options{}); ok || pr.need() > typical.Memory {
+			return
+		}
+		passes := ceilDiv(pr.Answer, int64(typical.Stride))
+		for _, ta := range ts {
+			first := float64(typical.FirstToken(pr, ta))
+			writing := float64(passes) * typical.writePass(&ta, 1, pr.Tokens+pr.Answer/2)
+			g.Expect(time.Duration(first + writing)).To(BeNumerically(">=", pr.Left))
+		}
+	})
+}
+
 func TestThePredictionIsThatOfTheChosenTargets(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		g := NewWithT(t)
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -2,31 +2,37 @@
 
 import "time"
 
-// limits are the lower bounds of the classes of writers by longest pause. They hold the pauses that the sheets of the
-// deployments name (250 ms, 600 ms and 1 s) and steps of at most two between and around them.
+// limits are the lower bounds of the classes of requests by longest pause and by objective. They hold those that the
+// sheets of the deployments name (pauses of 250 ms, 600 ms and 1 s, objectives of 300 ms, 1.5 s and 2.5 s) and steps of at
+// most two between and around them.
 var limits = [...]time.Duration{
 	50 * time.Millisecond,
 	100 * time.Millisecond,
 	150 * time.Millisecond,
 	250 * time.Millisecond,
+	300 * time.Millisecond,
 	400 * time.Millisecond,
 	600 * time.Millisecond,
 	1000 * time.Millisecond,
-	2000 * time.Millisecond,
+	1500 * time.Millisecond,
+	2500 * time.Millisecond,
 }
 
-// classes is the number of classes of writers by longest pause.
+// classes is the number of classes.
 const classes = len(limits)
 
-// classOf returns the class whose bound is the largest one that does not exceed the longest pause.
-func classOf(pause time.Duration) int {
+// classOf returns the class whose bound is the largest one that does not exceed a limit, or the first class.
+func classOf(limit time.Duration) int {
 	cl := 0
-	for cl+1 < classes && limits[cl+1] <= pause {
+	for cl+1 < classes && limits[cl+1] <= limit {
 		cl++
 	}
 	return cl
 }
 
+// Classes is what requests lose together, by the class of the limit that they lose it at.
+type Classes [classes]Worth
+
 // Load is what is in flight at one target, over all instances. It is additive: the loads of several requests are summed
 // with Plus and taken away again with Minus, without rounding.
 type Load struct {
@@ -42,12 +48,10 @@
 	Context int64
 	// Memory is the number of tokens held or to be held, with expected answers and reserved memory.
 	Memory int64
-	// Waiting is what the readers lose together when all of them are late.
-	Waiting Worth
-	// DelayCost is what the readers lose together for each second of delay.
-	DelayCost Worth
+	// Waiting is what the readers of each class of objective lose together when the first token comes later.
+	Waiting Classes
 	// AtRisk is what the writers of each class of longest pause lose together when a pause is longer.
-	AtRisk [classes]Worth
+	AtRisk Classes
 }
 
 // Plus returns the sum of two loads.
@@ -58,9 +62,8 @@
 	lo.Writers += ot.Writers
 	lo.Context += ot.Context
 	lo.Memory += ot.Memory
-	lo.Waiting += ot.Waiting
-	lo.DelayCost += ot.DelayCost
-	for cl := range lo.AtRisk {
+	for cl := range classes {
+		lo.Waiting[cl] += ot.Waiting[cl]
 		lo.AtRisk[cl] += ot.AtRisk[cl]
 	}
 	return lo
@@ -74,9 +77,8 @@
 	lo.Writers -= ot.Writers
 	lo.Context -= ot.Context
 	lo.Memory -= ot.Memory
-	lo.Waiting -= ot.Waiting
-	lo.DelayCost -= ot.DelayCost
-	for cl := range lo.AtRisk {
+	for cl := range classes {
+		lo.Waiting[cl] -= ot.Waiting[cl]
 		lo.AtRisk[cl] -= ot.AtRisk[cl]
 	}
 	return lo
--- a/internal/placement/loss.go
+++ b/internal/placement/loss.go
@@ -1,7 +1,5 @@
 package placement
 
-import "time"
-
 const (
 	// ramp is the share of a limit by which a prediction may be off either way; pauses and first tokens between are
 	// late with a chance that grows evenly. It is the writer's guess until predictions are measured.
@@ -14,34 +12,25 @@
 	// partRisk is the share of the worth in time that each helper costs, since one that is gone or refuses fails the
 	// prompt. It answers to one in 500 parts, a guess until refusals are counted.
 	partRisk = 0.002
-	// wholeDelay is the share of its reading by which a prompt read in one piece delays the others, since only those
-	// behind it or in its pass wait for it.
+	// wholeDelay is the share of the readers that wait for a prompt read in one piece, since only those behind it or in
+	// its pass do. It is a guess: half of them.
 	wholeDelay = 0.5
 )
 
-// pauseLoss returns what the writers at a target are expected to lose at a pause.
-func pauseLoss(lo *Load, pause float64) float64 {
+// loss returns what is expected to be lost at a time that the limits are compared with.
+func (cl *Classes) loss(ns float64) float64 {
 	loss := 0.0
-	for cl := range lo.AtRisk {
-		if pause <= classBounds[cl].from {
+	for no := range cl {
+		if ns <= classBounds[no].from {
 			break
 		}
-		if lo.AtRisk[cl] != 0 {
-			loss += float64(lo.AtRisk[cl]) * classBounds[cl].chance(pause)
+		if cl[no] != 0 {
+			loss += float64(cl[no]) * classBounds[no].chance(ns)
 		}
 	}
 	return loss
 }
 
-// delayLoss returns what the readers at a target are expected to lose to a part whose reading takes a time there.
-func delayLoss(lo *Load, reading float64, split bool) float64 {
-	if !split {
-		reading *= wholeDelay
-	}
-	loss := float64(lo.DelayCost) * reading / float64(time.Second)
-	return min(loss, float64(lo.Waiting))
-}
-
 // stake is what a prompt has to lose.
 type stake struct {
 	// inTime and atRisk are the worth of an answer in time, and what of it is lost when the answer is late.
--- a/internal/placement/prompt.go
+++ b/internal/placement/prompt.go
@@ -24,12 +24,8 @@
 
 // Reading returns the load at the main target until the first token, when the prompt is read in a number of parts.
 func (pr Prompt) Reading(parts int) Load {
-	lo := Load{
-		Readers:   1,
-		Memory:    pr.need(),
-		Waiting:   pr.atRisk(),
-		DelayCost: pr.delayCost(),
-	}
+	lo := Load{Readers: 1, Memory: pr.need()}
+	lo.Waiting[classOf(pr.Objective-pr.Used)] = pr.atRisk()
 	if parts > 1 {
 		lo.Parts = pr.part(parts)
 		return lo
@@ -60,11 +56,6 @@
 	return pr.InTime - pr.Late
 }
 
-// delayCost returns what a second of delay costs when all delays up to the objective are equally likely to matter.
-func (pr *Prompt) delayCost() Worth {
-	return Worth(float64(pr.atRisk()) / pr.Objective.Seconds())
-}
-
 // part returns what each of a number of even parts reads; each has an equal share of the pairs of the whole prompt.
 func (pr *Prompt) part(parts int) Backlog {
 	pa := int64(parts)
--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -21,17 +21,3 @@
 	}
 	return need == 0
 }
-
-// preferFree orders the candidates by free memory alone.
-func (ch *chooser) preferFree() {
-	for ix := range ch.cs {
-		ca := &ch.cs[ix]
-		if ca.free == 0 {
-			continue
-		}
-		ca.mainKey = -float64(ca.free)
-		if ca.helps {
-			ca.helpKey = -float64(ca.free)
-		}
-	}
-}
--- /dev/null
+++ b/internal/standin/fault/server.go
@@ -0,0 +1,284 @@
+// Package fault is the common part of the stand-in targets: a server on raw connections that speaks the targets'
+// protocol, misbehaves when told to, and records what it ran.
+package fault
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/silvermount/silvermount/internal/ident"
+)
+
+const (
+	// defaultSlots, defaultQueue and defaultConnections are small enough for a test to fill.
+	defaultSlots       = 16
+	defaultQueue       = 32
+	defaultConnections = 264
+	// defaultHealthPath is the one of the protocol's examples.
+	defaultHealthPath = "/healthz"
+)
+
+// Settings are what all targets have in common.
+type Settings struct {
+	// Slots bounds the requests that run at a time, and Queue those that wait. A slot is free again shortly after the
+	// last byte of an answer was sent.
+	Slots, Queue int
+	// MaxConnections bounds the open connections; those beyond it are reset.
+	MaxConnections int
+	HealthPath     string
+	// Idle is the time after which a resting connection is closed; zero keeps it open. Answers name its whole seconds.
+	Idle time.Duration
+	// CutAfter is the number of whole events that a Cut lets through.
+	CutAfter int
+}
+
+// DefaultSettings returns the settings of an ordinary target.
+func DefaultSettings() Settings {
+	return Settings{
+		Slots: defaultSlots, Queue: defaultQueue, MaxConnections: defaultConnections,
+		HealthPath: defaultHealthPath, CutAfter: 1,
+	}
+}
+
+// Work is what a concrete target does with a request.
+type Work struct {
+	// Side answers requests that take no slot, such as reports; its keys are a method, a space and a path.
+	Side map[string]func(body []byte) Answer
+	// Check returns the tokens of memory that a request needs, or a refusal. Nil refuses nothing.
+	Check func(rq *http.Request) (int, *Answer)
+	// Run does the request and returns its answer. It calls begin once the request starts to run; an answer without
+	// that is a refusal. ctx ends with the request, and early when the caller goes or the deadline passes.
+	Run func(ctx context.Context, rq *http.Request, begin func()) Answer
+}
+
+// Server is the stand-in target. Its methods may be called at any time.
+type Server struct {
+	settings Settings
+	work     Work
+	gate     *Gate
+	plan     plan
+	sides    map[string]*plan
+	listener net.Listener
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+
+	mu       sync.Mutex
+	instance string
+	draining bool
+	unwell   bool
+	conns    map[*conn]struct{}
+	opened   int
+	turned   int
+	refused  int
+	health   int
+	runs     []*Run
+}
+
+// Start listens on a free port of the loopback address.
+func Start(se Settings, gt *Gate, wk Work) (*Server, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for a stand-in target")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	sv := &Server{
+		settings: se, work: wk, gate: gt, listener: ln, ctx: ctx, cancel: cancel,
+		instance: ident.New("i"), conns: map[*conn]struct{}{}, sides: map[string]*plan{},
+	}
+	sv.wg.Go(sv.accept)
+	return sv, nil
+}
+
+// Address returns the host and port.
+func (sv *Server) Address() string { return sv.listener.Addr().String() }
+
+// URL returns the base of all paths, without a slash at its end.
+func (sv *Server) URL() string { return "http://" + sv.Address() }
+
+// Close ends all connections and waits until every run has ended.
+func (sv *Server) Close() {
+	sv.cancel()
+	_ = sv.listener.Close() // it is closed at most once more
+	sv.resetAll()
+	sv.wg.Wait()
+}
+
+// Next gives the next n requests a fault; it comes after those set before.
+func (sv *Server) Next(kd Kind, n int) { sv.plan.add(kd, n) }
+
+// NextAside gives the next n requests of a method and path that take no slot a fault; key is the one of Work.Side.
+// The request is done in all cases.
+func (sv *Server) NextAside(key string, kd Kind, n int) { sv.sidePlan(key).add(kd, n) }
+
+func (sv *Server) sidePlan(key string) *plan {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	if sv.sides[key] == nil {
+		sv.sides[key] = &plan{}
+	}
+	return sv.sides[key]
+}
+
+// ClearFaults takes back the faults that no request has met yet.
+func (sv *Server) ClearFaults() { sv.plan.clear() }
+
+// Retire ends the incarnation in the middle of its work, and starts another at the same address.
+func (sv *Server) Retire() {
+	sv.mu.Lock()
+	sv.instance = ident.New("i")
+	sv.draining = false
+	sv.mu.Unlock()
+	sv.resetAll()
+}
+
+// Drain makes the target say that it is leaving; it goes on serving.
+func (sv *Server) Drain() { sv.mu.Lock(); defer sv.mu.Unlock(); sv.draining = true }
+
+// SetHealthy sets what the health check says.
+func (sv *Server) SetHealthy(ok bool) { sv.mu.Lock(); defer sv.mu.Unlock(); sv.unwell = !ok }
+
+// Instance returns the id of the present incarnation.
+func (sv *Server) Instance() string { sv.mu.Lock(); defer sv.mu.Unlock(); return sv.instance }
+
+// Draining reports whether the target is leaving.
+func (sv *Server) Draining() bool { sv.mu.Lock(); defer sv.mu.Unlock(); return sv.draining }
+
+// Connections returns how many connections were opened since the start.
+func (sv *Server) Connections() int { sv.mu.Lock(); defer sv.mu.Unlock(); return sv.opened }
+
+// TurnedAway returns how many connections were reset for being too many.
+func (sv *Server) TurnedAway() int { sv.mu.Lock(); defer sv.mu.Unlock(); return sv.turned }
+
+// Refused returns how many requests were not run.
+func (sv *Server) Refused() int { sv.mu.Lock(); defer sv.mu.Unlock(); return sv.refused }
+
+// Waiting returns how many requests wait for a slot.
+func (sv *Server) Waiting() int { return sv.gate.Waiting() }
+
+// HealthChecks returns how many health checks came.
+func (sv *Server) HealthChecks() int { sv.mu.Lock(); defer sv.mu.Unlock(); return sv.health }
+
+// Runs returns the requests run so far, in the order in which they began.
+func (sv *Server) Runs() []Run {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	all := make([]Run, 0, len(sv.runs))
+	for _, rn := range sv.runs {
+		all = append(all, *rn)
+	}
+	return all
+}
+
+// Cancelled returns the runs whose caller closed the connection before their end.
+func (sv *Server) Cancelled() []Run {
+	return slices.DeleteFunc(sv.Runs(), func(rn Run) bool { return rn.State != Cancelled })
+}
+
+func (sv *Server) accept() {
+	for {
+		nc, err := sv.listener.Accept()
+		if err != nil {
+			return // the listener was closed
+		}
+		cn := newConn(sv, nc)
+		if !sv.enrol(cn) {
+			cn.reset()
+			continue
+		}
+		sv.wg.Go(cn.loop)
+	}
+}
+
+// enrol reports false when there are too many connections.
+func (sv *Server) enrol(cn *conn) bool {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	if len(sv.conns) >= sv.settings.MaxConnections || sv.ctx.Err() != nil {
+		sv.turned++
+		return false
+	}
+	sv.opened++
+	sv.conns[cn] = struct{}{}
+	return true
+}
+
+func (sv *Server) forget(cn *conn) { sv.mu.Lock(); defer sv.mu.Unlock(); delete(sv.conns, cn) }
+
+func (sv *Server) resetAll() {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	for cn := range sv.conns {
+		cn.reset()
+	}
+}
+
+// begin records a run and signs for it.
+func (sv *Server) begin(rq *http.Request, kd Kind) *Run {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	rn := newRun(rq, kd)
+	rn.Instance = sv.instance
+	rn.Signature = fmt.Sprintf("%s.%d", sv.instance, len(sv.runs))
+	sv.runs = append(sv.runs, rn)
+	return rn
+}
+
+func (sv *Server) setBody(rn *Run, body []byte) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	rn.BodyHash = Hash(body)
+	rn.BodySize = len(body)
+}
+
+func (sv *Server) end(rn *Run, st State) { sv.mu.Lock(); defer sv.mu.Unlock(); rn.State = st }
+
+func (sv *Server) refuse(an Answer) Answer {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.refused++
+	if an.Header.Get(HeaderAtServer) == "" {
+		return an.With(HeaderAtServer, sv.Address())
+	}
+	return an
+}
+
+// screen returns the refusal of a request that names another instance, or no attempt.
+func (sv *Server) screen(rq *http.Request) (int, *Answer) {
+	own := sv.Instance()
+	if id := rq.Header.Get(HeaderExpect); id != "" && id != own {
+		an := Whole(http.StatusMisdirectedRequest, nil).With(HeaderInstance, own)
+		return 0, &an
+	}
+	if rq.Header.Get(HeaderAttempt) == "" {
+		an := Refusal(http.StatusBadRequest)
+		return 0, &an
+	}
+	if sv.work.Check == nil {
+		return 0, nil
+	}
+	return sv.work.Check(rq)
+}
+
+func (sv *Server) checkHealth(ctx context.Context) Answer {
+	sv.mu.Lock()
+	sv.health++
+	well := !sv.draining && !sv.unwell
+	sv.mu.Unlock()
+	if !sv.gate.Enter(ctx, defaultPriority, 0) {
+		return Refusal(http.StatusServiceUnavailable)
+	}
+	defer sv.gate.Leave(0)
+	status := http.StatusOK
+	if !well {
+		status = http.StatusServiceUnavailable
+	}
+	return Whole(status, nil).With(HeaderInstance, sv.Instance())
+}
--- /dev/null
+++ b/internal/standin/modelsim/helper.go
@@ -0,0 +1,168 @@
+package modelsim
+
+import (
+	"context"
+	"net"
+	"strings"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxHelpers is the bound of the protocol.
+const maxHelpers = 16
+
+// Helper names an engine that reads a part of a prompt.
+type Helper struct {
+	Address string
+	// Ticket is empty when the helper keeps no memory for the request.
+	Ticket string
+}
+
+// parseHelpers reports false when the header is malformed.
+func parseHelpers(header string) ([]Helper, bool) {
+	if header == "" {
+		return nil, true
+	}
+	var all []Helper
+	for part := range strings.SplitSeq(header, ",") {
+		address, ticket, _ := strings.Cut(strings.TrimSpace(part), "/")
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			return nil, false
+		}
+		all = append(all, Helper{Address: address, Ticket: ticket})
+	}
+	return all, len(all) <= maxHelpers
+}
+
+// Peers are engines that can help each other. A nil Peers holds none.
+type Peers struct {
+	mu sync.Mutex
+	// engines are by address.
+	engines map[string]*Engine
+}
+
+// NewPeers returns an empty set.
+func NewPeers() *Peers { return &Peers{engines: map[string]*Engine{}} }
+
+func (ps *Peers) add(en *Engine) {
+	if ps == nil {
+		return
+	}
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	ps.engines[en.Address()] = en
+}
+
+func (ps *Peers) remove(en *Engine) {
+	if ps == nil {
+		return
+	}
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	delete(ps.engines, en.Address())
+}
+
+func (ps *Peers) find(address string) *Engine {
+	if ps == nil {
+		return nil
+	}
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	return ps.engines[address]
+}
+
+// use is one request that an engine helps with.
+type use struct {
+	// ticket is nil when the request keeps no memory at the engine.
+	ticket *ticket
+	cut    func()
+}
+
+func (en *Engine) find(address string) *Engine {
+	if address == en.Address() {
+		return en
+	}
+	return en.settings.Peers.find(address)
+}
+
+// lent returns the memory in the tickets of the helpers, in tokens, or the address of one that cannot help.
+func (en *Engine) lent(helpers []Helper) (tokens int, lacking string) {
+	for _, hp := range helpers {
+		other := en.find(hp.Address)
+		if other == nil || !other.canHelp(hp, en) {
+			return 0, hp.Address
+		}
+		tokens += other.ticketTokens(hp.Ticket)
+	}
+	return tokens, ""
+}
+
+// canHelp reports whether the engine would take part in a request of another one.
+func (en *Engine) canHelp(hp Helper, first *Engine) bool {
+	if en != first && en.Draining() {
+		return false
+	}
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	if en != first && len(en.helped) >= en.settings.Slots {
+		return false
+	}
+	return hp.Ticket == "" || en.tickets[hp.Ticket].held()
+}
+
+// lostError is the cause of the end of a request whose helper or ticket was lost.
+type lostError struct{ address string }
+
+// Error names the helper.
+func (le lostError) Error() string { return "the engine at " + le.address + " was lost" }
+
+// useHelpers takes the helpers into use until ctx ends. The context returned ends as well when one of them is lost.
+func (en *Engine) useHelpers(ctx context.Context, helpers []Helper) context.Context {
+	used, cut := context.WithCancelCause(ctx)
+	context.AfterFunc(ctx, func() { cut(nil) })
+	for _, hp := range helpers {
+		lost := func() { cut(lostError{address: hp.Address}) }
+		other := en.find(hp.Address)
+		if other == nil || !other.canHelp(hp, en) {
+			lost()
+			return used
+		}
+		other.help(used, hp, lost)
+	}
+	return used
+}
+
+// lostHelper returns the address of the helper whose loss ended the request, if one did.
+func lostHelper(ctx context.Context) string {
+	var le lostError
+	if errors.As(context.Cause(ctx), &le) {
+		return le.address
+	}
+	return ""
+}
+
+func (en *Engine) help(ctx context.Context, hp Helper, cut func()) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	us := &use{ticket: en.tickets[hp.Ticket], cut: cut}
+	if us.ticket != nil && en.inUse(us.ticket) {
+		en.doubleUses++
+	}
+	en.helped[us] = struct{}{}
+	context.AfterFunc(ctx, func() {
+		en.mu.Lock()
+		defer en.mu.Unlock()
+		delete(en.helped, us)
+	})
+}
+
+// inUse is called with the lock held.
+func (en *Engine) inUse(tk *ticket) bool {
+	for us := range en.helped {
+		if us.ticket == tk {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/standin/modelsim/modelsim.go
@@ -0,0 +1,143 @@
+// Package modelsim is a stand-in for a model engine of the users: it streams events, holds limited memory, sets memory
+// aside in tickets, reads prompts together with other engines, and misbehaves when told to.
+package modelsim
+
+import (
+	"sync"
+	"time"
+
+	"github.com/silvermount/silvermount/internal/standin/fault"
+)
+
+const (
+	// defaultMemory is that of the engines in the users' examples, in tokens.
+	defaultMemory = 232_000
+	// defaultHoldMax is the bound in the users' examples.
+	defaultHoldMax = 20 * time.Second
+	// defaultEvent keeps tests quick.
+	defaultEvent = time.Millisecond
+	// defaultTokens makes an answer of the protocol's example eight events long.
+	defaultTokens = 10
+	defaultModel  = "m"
+	firstVersion  = 1
+)
+
+// The requests that take no slot, as keys of NextAside.
+const (
+	ReportKey = "GET /report"
+	OrderKey  = "POST /order"
+)
+
+// Settings are the sizes and speeds of an engine.
+type Settings struct {
+	fault.Settings
+	// Memory is in tokens.
+	Memory int
+	// HoldMax is the longest time for which memory is set aside.
+	HoldMax time.Duration
+	// ReadToken is the time of a prompt token, and Event that of an event.
+	ReadToken, Event time.Duration
+	// EventTokens is the number of tokens in one event.
+	EventTokens int
+	Model       string
+	// Peers holds the engines that can help; an engine without Peers can use its own tickets only.
+	Peers *Peers
+}
+
+// Option changes the settings.
+type Option func(*Settings)
+
+// WithSlots bounds the requests that run and those that wait.
+func WithSlots(slots, queue int) Option {
+	return func(se *Settings) { se.Slots, se.Queue = slots, queue }
+}
+
+// WithMemory sets the memory, in tokens.
+func WithMemory(tokens int) Option { return func(se *Settings) { se.Memory = tokens } }
+
+// WithTimes sets the time of a prompt token and of an event.
+func WithTimes(readToken, event time.Duration) Option {
+	return func(se *Settings) { se.ReadToken, se.Event = readToken, event }
+}
+
+// WithPeers lets engines help each other.
+func WithPeers(ps *Peers) Option { return func(se *Settings) { se.Peers = ps } }
+
+// Engine is the stand-in.
+type Engine struct {
+	*fault.Server
+	settings Settings
+	gate     *fault.Gate
+
+	mu      sync.Mutex
+	version int
+	// pace multiplies all times.
+	pace    float64
+	tickets map[string]*ticket
+	// helped holds the requests of this and other engines that this one helps with, and how to cut each.
+	helped map[*use]struct{}
+	// doubleUses counts the requests that used a ticket while another did.
+	doubleUses int
+	orders     []Order
+	reports    int
+}
+
+// Start starts an engine on a free port of the loopback address.
+func Start(opts ...Option) (*Engine, error) {
+	se := Settings{
+		Settings: fault.DefaultSettings(), Memory: defaultMemory, HoldMax: defaultHoldMax, Event: defaultEvent,
+		EventTokens: defaultTokens, Model: defaultModel,
+	}
+	for _, opt := range opts {
+		opt(&se)
+	}
+	en := &Engine{
+		settings: se, gate: fault.NewGate(se.Slots, se.Queue, se.Memory), version: firstVersion, pace: 1,
+		tickets: map[string]*ticket{}, helped: map[*use]struct{}{},
+	}
+	side := map[string]func([]byte) fault.Answer{ReportKey: en.report, OrderKey: en.order}
+	sv, err := fault.Start(se.Settings, en.gate, fault.Work{Side: side, Check: en.check, Run: en.run})
+	if err != nil {
+		return nil, err
+	}
+	en.Server = sv
+	se.Peers.add(en)
+	return en, nil
+}
+
+// Close ends the engine for good, in the middle of its work.
+func (en *Engine) Close() {
+	en.settings.Peers.remove(en)
+	en.dropTickets()
+	en.Server.Close()
+}
+
+// Retire ends the incarnation in the middle of its work, and starts another at the same address with no tickets.
+func (en *Engine) Retire() {
+	en.dropTickets()
+	en.Server.Retire()
+}
+
+// SetVersion sets the version of the weights; streams under way say so.
+func (en *Engine) SetVersion(n int) { en.mu.Lock(); defer en.mu.Unlock(); en.version = n }
+
+// SetPace makes all times that many times as long.
+func (en *Engine) SetPace(x float64) { en.mu.Lock(); defer en.mu.Unlock(); en.pace = x }
+
+// Version returns the version of the weights.
+func (en *Engine) Version() int { en.mu.Lock(); defer en.mu.Unlock(); return en.version }
+
+// Reports returns how many reports were asked for.
+func (en *Engine) Reports() int { en.mu.Lock(); defer en.mu.Unlock(); return en.reports }
+
+// DoubleUses returns how many requests used a ticket while another one did.
+func (en *Engine) DoubleUses() int { en.mu.Lock(); defer en.mu.Unlock(); return en.doubleUses }
+
+// MemoryUsed returns the memory in use and set aside, in tokens.
+func (en *Engine) MemoryUsed() int { return en.gate.Used() }
+
+func (en *Engine) paced(d time.Duration) time.Duration {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return time.Duration(float64(d) * en.pace)
+}
--- /dev/null
+++ b/internal/standin/modelsim/order.go
@@ -0,0 +1,238 @@
+package modelsim
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/silvermount/silvermount/internal/standin/fault"
+)
+
+// maxTickets is the bound of the protocol.
+const maxTickets = 64
+
+// Order is one order as it came, and the status of its answer.
+type Order struct {
+	Op         string `json:"op"`
+	ID         string `json:"id"`
+	TokenCount int    `json:"token_count"`
+	// HoldMs is in milliseconds, as sent.
+	HoldMs int  `json:"hold_ms"`
+	Wait   bool `json:"wait"`
+	Status int  `json:"-"`
+}
+
+func (or Order) hold() time.Duration { return time.Duration(or.HoldMs) * time.Millisecond }
+
+// ticket is memory set aside.
+type ticket struct {
+	id     string
+	tokens int
+	// granted is closed once the memory is set aside.
+	granted <-chan struct{}
+	// arrived is the time of the newest order for it, from which its hold time runs.
+	arrived time.Time
+	expiry  *time.Timer
+}
+
+// held reports whether the memory is set aside; a nil ticket has none.
+func (tk *ticket) held() bool {
+	if tk == nil {
+		return false
+	}
+	select {
+	case <-tk.granted:
+		return true
+	default:
+		return false
+	}
+}
+
+// Orders returns the orders so far.
+func (en *Engine) Orders() []Order {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return slices.Clone(en.orders)
+}
+
+func (en *Engine) order(body []byte) fault.Answer {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	var or Order
+	or.Status = http.StatusBadRequest
+	if json.Unmarshal(body, &or) == nil {
+		or.Status = en.carryOut(or)
+	}
+	en.orders = append(en.orders, or)
+	if or.Status == http.StatusBadRequest {
+		return fault.Whole(or.Status, nil)
+	}
+	return encode(or.Status, struct {
+		Free int `json:"free"`
+	}{en.gate.Free()})
+}
+
+// carryOut is called with the lock held, and returns the status of the answer.
+func (en *Engine) carryOut(or Order) int {
+	switch or.Op {
+	case "reserve":
+		return en.reserve(or)
+	case "release":
+		if tk := en.tickets[or.ID]; tk != nil {
+			en.drop(tk)
+		}
+		return http.StatusOK
+	default:
+		return http.StatusBadRequest
+	}
+}
+
+func (en *Engine) reserve(or Order) int {
+	if or.ID == "" || or.TokenCount <= 0 || or.TokenCount > en.settings.Memory {
+		return http.StatusBadRequest
+	}
+	if or.hold() <= 0 || or.hold() > en.settings.HoldMax {
+		return http.StatusBadRequest
+	}
+	tk := en.tickets[or.ID]
+	if tk == nil && len(en.tickets) >= maxTickets {
+		return http.StatusConflict
+	}
+	if tk == nil {
+		granted := en.gate.Reserve(or.TokenCount, or.Wait)
+		if granted == nil {
+			return http.StatusConflict
+		}
+		tk = &ticket{id: or.ID, tokens: or.TokenCount, granted: granted}
+		en.tickets[or.ID] = tk
+	}
+	en.renew(tk, or.hold())
+	if !tk.held() {
+		return http.StatusAccepted
+	}
+	return http.StatusOK
+}
+
+// renew starts the hold time anew.
+func (en *Engine) renew(tk *ticket, hold time.Duration) {
+	if tk.expiry != nil {
+		tk.expiry.Stop()
+	}
+	tk.arrived = time.Now()
+	arrived := tk.arrived
+	tk.expiry = time.AfterFunc(hold, func() {
+		en.mu.Lock()
+		defer en.mu.Unlock()
+		if en.tickets[tk.id] == tk && tk.arrived.Equal(arrived) {
+			en.drop(tk)
+		}
+	})
+}
+
+// drop frees the memory of a ticket and cuts the requests that use it.
+func (en *Engine) drop(tk *ticket) {
+	tk.expiry.Stop()
+	delete(en.tickets, tk.id)
+	en.gate.Release(tk.tokens, tk.granted)
+	for us := range en.helped {
+		if us.ticket == tk {
+			us.cut()
+		}
+	}
+}
+
+// dropTickets frees all tickets and cuts all requests that depend on this engine.
+func (en *Engine) dropTickets() {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	for _, tk := range en.tickets {
+		en.drop(tk)
+	}
+	for us := range en.helped {
+		us.cut()
+	}
+}
+
+func (en *Engine) ticketTokens(id string) int {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	if tk := en.tickets[id]; tk != nil {
+		return tk.tokens
+	}
+	return 0
+}
+
+// Ticket is the state of a ticket in a report.
+type Ticket struct {
+	ID         string `json:"id"`
+	TokenCount int    `json:"token_count"`
+	State      string `json:"state"`
+	AgeMs      int64  `json:"age_ms"`
+}
+
+// Tickets returns the tickets in the order of their ids.
+func (en *Engine) Tickets() []Ticket {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	all := make([]Ticket, 0, len(en.tickets))
+	for _, tk := range en.tickets {
+		all = append(all, Ticket{
+			ID: tk.id, TokenCount: tk.tokens, State: en.stateOf(tk), AgeMs: time.Since(tk.arrived).Milliseconds(),
+		})
+	}
+	slices.SortFunc(all, func(a, b Ticket) int { return strings.Compare(a.ID, b.ID) })
+	return all
+}
+
+func (en *Engine) stateOf(tk *ticket) string {
+	switch {
+	case !tk.held():
+		return "waiting"
+	case en.inUse(tk):
+		return "used"
+	default:
+		return "held"
+	}
+}
+
+type modelReport struct {
+	Name     string   `json:"name"`
+	Version  int      `json:"version"`
+	Adapters []string `json:"adapters"`
+}
+
+type report struct {
+	Stage    string        `json:"stage"`
+	Models   []modelReport `json:"models"`
+	Busy     bool          `json:"busy"`
+	Sequence int           `json:"sequence"`
+	Waiting  int           `json:"waiting"`
+	Running  int           `json:"running"`
+	KVUsed   int           `json:"kv_used"`
+	KVTotal  int           `json:"kv_total"`
+	Handles  int           `json:"handles"`
+	Pace     float64       `json:"pace"`
+	Tickets  []Ticket      `json:"tickets"`
+}
+
+func (en *Engine) report([]byte) fault.Answer {
+	tickets := en.Tickets()
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.reports++
+	return encode(http.StatusOK, report{
+		Stage: "both", Models: []modelReport{{Name: en.settings.Model, Version: en.version, Adapters: []string{}}},
+		Waiting: en.gate.Waiting(), Running: en.gate.Running(), KVUsed: en.gate.Used(), KVTotal: en.settings.Memory,
+		Pace: en.pace, Tickets: tickets,
+	})
+}
+
+func encode(status int, v any) fault.Answer {
+	body, err := json.Marshal(v)
+	if err != nil {
+		return fault.Whole(http.StatusInternalServerError, []byte(err.Error()))
+	}
+	return fault.Whole(status, body).With("Content-Type", "application/json")
+}
--- /dev/null
+++ b/internal/standin/objectsim/call.go
@@ -0,0 +1,242 @@
+package objectsim
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Type is the sort of a call.
+type Type string
+
+// The types of calls.
+const (
+	List   Type = "list"
+	Get    Type = "get"
+	Watch  Type = "watch"
+	Create Type = "create"
+	Put    Type = "put"
+	Status Type = "status"
+	Delete Type = "delete"
+)
+
+// Call is what calls are counted by.
+type Call struct {
+	Kind string
+	Type Type
+	// Stale is set for a read that may be old.
+	Stale bool
+}
+
+const (
+	objectsPath = "/objects/"
+	// maxWait is the protocol's bound on the time of a watch.
+	maxWait = 30 * time.Second
+)
+
+// request is a call with its arguments.
+type request struct {
+	call Call
+	key  key
+	// after is the name after which a list continues.
+	after string
+	// revision is the condition of a write, or where a watch begins.
+	revision int64
+	wait     time.Duration
+	object   Object
+}
+
+func (ty Type) writes() bool { return ty == Create || ty == Put || ty == Status || ty == Delete }
+
+func (rc request) writes() bool { return rc.call.Type.writes() }
+
+// parse reports false when the call is none of the protocol's.
+func parse(r *http.Request, body []byte) (request, bool) {
+	path, ok := strings.CutPrefix(r.URL.Path, objectsPath)
+	if !ok {
+		return request{}, false
+	}
+	parts := strings.Split(strings.TrimSuffix(path, "/"), "/")
+	rc := request{key: key{kind: parts[0]}}
+	if len(parts) > 1 {
+		rc.key.name = parts[1]
+	}
+	query := r.URL.Query()
+	rc.call = Call{Kind: parts[0], Type: typeOf(r.Method, parts, query), Stale: query.Get("stale") == "1"}
+	if rc.call.Type == "" || rc.key.kind == "" {
+		return request{}, false
+	}
+	return rc, rc.readQuery(query) && rc.readBody(body)
+}
+
+// typeOf returns an empty type for what is no call.
+func typeOf(method string, parts []string, query url.Values) Type {
+	switch {
+	case method == http.MethodGet && len(parts) == 1 && query.Has("watch"):
+		return Watch
+	case method == http.MethodGet && len(parts) == 1:
+		return List
+	case method == http.MethodGet && len(parts) == 2:
+		return Get
+	case method == http.MethodPost && len(parts) <= 2:
+		return Create
+	case method == http.MethodPut && len(parts) == 2:
+		return Put
+	case method == http.MethodPut && len(parts) == 3 && parts[2] == "status":
+		return Status
+	case method == http.MethodDelete && len(parts) == 2:
+		return Delete
+	default:
+		return ""
+	}
+}
+
+func (rc *request) readQuery(query url.Values) bool {
+	rc.after = query.Get("after_revision")
+	revision, ok := number(query, "revision")
+	if !ok {
+		return false
+	}
+	rc.revision = revision
+	if rc.call.Type != Watch {
+		return true
+	}
+	from, okFrom := number(query, "watch")
+	ms, okWait := number(query, "wait_ms")
+	rc.revision = from
+	rc.wait = time.Duration(ms) * time.Millisecond
+	return okFrom && okWait && rc.wait <= maxWait
+}
+
+// number returns zero for an argument that is absent, and false for one that is no whole number from zero.
+func number(query url.Values, name string) (int64, bool) {
+	if !query.Has(name) {
+		return 0, true
+	}
+	n, err := strconv.ParseInt(query.Get(name), 10, 64)
+	return n, err == nil && n >= 0
+}
+
+func (rc *request) readBody(body []byte) bool {
+	if !rc.writes() || rc.call.Type == Delete {
+		return true
+	}
+	if json.Unmarshal(body, &rc.object) != nil {
+		return false
+	}
+	spec, errSpec := canonical(rc.object.Spec)
+	status, errStatus := canonical(rc.object.Status)
+	rc.object.Spec, rc.object.Status = spec, status
+	if rc.call.Type == Create && rc.key.name == "" {
+		rc.key.name = rc.object.Metadata.Name
+	}
+	if rc.call.Type != Create && rc.revision == 0 {
+		rc.revision = rc.object.Metadata.Revision
+	}
+	return errSpec == nil && errStatus == nil && rc.key.name != ""
+}
+
+// reply is the answer to a call; a nil body is sent as none.
+type reply struct {
+	status int
+	body   any
+}
+
+func (rp reply) write(w http.ResponseWriter) {
+	if rp.body == nil {
+		w.WriteHeader(rp.status)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(rp.status)
+	_ = json.NewEncoder(w).Encode(rp.body) // a caller that has gone is no concern of the store
+}
+
+// do does any call but a watch.
+func (dr *Door) do(rc request) reply {
+	switch rc.call.Type {
+	case List:
+		return reply{http.StatusOK, dr.store.list(rc.key.kind, rc.after, dr.page, rc.call.Stale)}
+	case Get:
+		ob, ok := dr.store.get(rc.key, rc.call.Stale)
+		if !ok {
+			return reply{http.StatusNotFound, nil}
+		}
+		return reply{http.StatusOK, ob}
+	default:
+		vd := dr.write(rc)
+		if vd.object == nil {
+			return reply{vd.status, nil}
+		}
+		return reply{vd.status, vd.object}
+	}
+}
+
+func (dr *Door) write(rc request) verdict {
+	switch rc.call.Type {
+	case Create:
+		rc.object.Status = json.RawMessage("null")
+		return dr.store.create(rc.key, rc.object)
+	case Delete:
+		return dr.store.remove(rc.key, rc.revision)
+	case Status:
+		return dr.store.alter(rc.key, rc.revision, func(ob Object) Object {
+			ob.Status = rc.object.Status
+			return ob
+		})
+	default:
+		return dr.store.alter(rc.key, rc.revision, func(ob Object) Object {
+			ob.Spec = rc.object.Spec
+			ob.Metadata.Finalizers = rc.object.Metadata.Finalizers
+			return ob
+		})
+	}
+}
+
+// watch answers as soon as there is an event, the wait is over or history is gone; a cut closes the connection.
+func (dr *Door) watch(w http.ResponseWriter, r *http.Request, rc request) {
+	cut, stop := dr.enrol(r.Context())
+	defer stop()
+	over := time.NewTimer(rc.wait)
+	defer over.Stop()
+	for {
+		bt, changed, ok := dr.store.since(rc.key.kind, rc.revision)
+		if !ok {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(bt.Events) > 0 {
+			reply{http.StatusOK, bt}.write(w)
+			return
+		}
+		select {
+		case <-changed:
+		case <-over.C:
+			reply{http.StatusOK, bt}.write(w)
+			return
+		case <-cut.Done():
+			reset(w)
+			return
+		}
+	}
+}
+
+// enrol returns a context that ends when the watch is cut or its caller goes.
+func (dr *Door) enrol(ctx context.Context) (cut context.Context, stop func()) {
+	cut, cancel := context.WithCancel(ctx)
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	dr.watched++
+	id := dr.watched
+	dr.watches[id] = cancel
+	return cut, func() {
+		cancel()
+		dr.mu.Lock()
+		defer dr.mu.Unlock()
+		delete(dr.watches, id)
+	}
+}
--- /dev/null
+++ b/internal/standin/objectsim/door.go
@@ -0,0 +1,233 @@
+package objectsim
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Mode is how a door turns callers away.
+type Mode string
+
+// The modes.
+const (
+	// Up serves callers.
+	Up Mode = ""
+	// Silent takes calls and answers nothing, until the caller or the door closes the connection.
+	Silent Mode = "silent"
+	// Busy answers 503; nothing was done.
+	Busy Mode = "busy"
+	// Many answers 429; nothing was done.
+	Many Mode = "many"
+	// Reset resets the connection of each call; nothing was done.
+	Reset Mode = "reset"
+)
+
+// headerTimeout ends connections that send no call; no test waits for it.
+const headerTimeout = time.Minute
+
+// faults are what a door does to the calls to come.
+type faults struct {
+	mode Mode
+	slow time.Duration
+	// lost counts the writing calls to come that are done without an answer.
+	lost int
+	// late counts the writing calls to come that lose their connection and are done after lateBy.
+	late   int
+	lateBy time.Duration
+}
+
+// Door is one address of the store. Its faults may be set at any time.
+type Door struct {
+	store  *store
+	page   int
+	ln     net.Listener
+	server *http.Server
+	ctx    context.Context
+	cancel context.CancelFunc
+	// wg counts the writes that are done late.
+	wg sync.WaitGroup
+
+	mu      sync.Mutex
+	faults  faults
+	calls   map[Call]int
+	watches map[int]context.CancelFunc
+	watched int
+}
+
+func openDoor(st *store, page int) (*Door, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for the stand-in store")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	dr := &Door{
+		store: st, page: page, ln: ln, ctx: ctx, cancel: cancel,
+		calls: map[Call]int{}, watches: map[int]context.CancelFunc{},
+	}
+	dr.server = &http.Server{
+		Handler: http.HandlerFunc(dr.serve), ReadHeaderTimeout: headerTimeout,
+		BaseContext: func(net.Listener) context.Context { return ctx },
+	}
+	go func() { _ = dr.server.Serve(ln) }() // it returns when the door is closed
+	return dr, nil
+}
+
+// Address returns the host and port.
+func (dr *Door) Address() string { return dr.ln.Addr().String() }
+
+// URL returns the base of all paths, without a slash at its end.
+func (dr *Door) URL() string { return "http://" + dr.Address() }
+
+// Close ends all calls.
+func (dr *Door) Close() {
+	dr.cancel()
+	_ = dr.server.Close() // closing a listener on loopback leaves nothing behind
+	dr.wg.Wait()
+}
+
+// Down turns away the calls to come; Up ends it.
+func (dr *Door) Down(md Mode) { dr.change(func(fs *faults) { fs.mode = md }) }
+
+// Slow makes each call take that much longer.
+func (dr *Door) Slow(d time.Duration) { dr.change(func(fs *faults) { fs.slow = d }) }
+
+// LoseAnswers makes the next n writing calls be done and their connections cut without an answer.
+func (dr *Door) LoseAnswers(n int) { dr.change(func(fs *faults) { fs.lost = n }) }
+
+// DelayWrites cuts the connections of the next n writing calls, and does the calls after d if their condition holds
+// then.
+func (dr *Door) DelayWrites(n int, d time.Duration) {
+	dr.change(func(fs *faults) { fs.late, fs.lateBy = n, d })
+}
+
+func (dr *Door) change(edit func(*faults)) {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	edit(&dr.faults)
+}
+
+// CutWatches closes the connections of all waiting watches.
+func (dr *Door) CutWatches() {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	for _, cut := range dr.watches {
+		cut()
+	}
+}
+
+// Watches returns how many watches wait.
+func (dr *Door) Watches() int { dr.mu.Lock(); defer dr.mu.Unlock(); return len(dr.watches) }
+
+// Calls returns how many calls of each sort came, with those turned away.
+func (dr *Door) Calls() map[Call]int {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	all := make(map[Call]int, len(dr.calls))
+	for cl, n := range dr.calls {
+		all[cl] = n
+	}
+	return all
+}
+
+// serve counts a call, lets the faults act on it, and does it.
+func (dr *Door) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return // a call that did not arrive whole is not done
+	}
+	rc, ok := parse(r, body)
+	if !ok {
+		http.Error(w, "no such call", http.StatusBadRequest)
+		return
+	}
+	fs := dr.note(rc.call)
+	if !pause(r.Context(), fs.slow) {
+		return
+	}
+	switch {
+	case fs.mode != Up:
+		turnAway(w, r, fs.mode)
+	case rc.call.Type == Watch:
+		dr.watch(w, r, rc)
+	case fs.late > 0 && rc.writes():
+		dr.doLate(rc, fs.lateBy)
+		reset(w)
+	case fs.lost > 0 && rc.writes():
+		dr.do(rc)
+		reset(w)
+	default:
+		dr.do(rc).write(w)
+	}
+}
+
+// note counts a call and returns the faults that act on it.
+func (dr *Door) note(cl Call) faults {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	dr.calls[cl]++
+	fs := dr.faults
+	if fs.mode != Up || !cl.Type.writes() {
+		return fs
+	}
+	if fs.late > 0 {
+		dr.faults.late--
+	} else if fs.lost > 0 {
+		dr.faults.lost--
+	}
+	return fs
+}
+
+func (dr *Door) doLate(rc request, d time.Duration) {
+	dr.wg.Go(func() {
+		if pause(dr.ctx, d) {
+			dr.do(rc)
+		}
+	})
+}
+
+func turnAway(w http.ResponseWriter, r *http.Request, md Mode) {
+	switch md {
+	case Silent:
+		<-r.Context().Done()
+		reset(w)
+	case Busy:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case Many:
+		w.WriteHeader(http.StatusTooManyRequests)
+	default:
+		reset(w)
+	}
+}
+
+// reset drops the connection and all bytes still under way.
+func reset(w http.ResponseWriter) {
+	nc, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler) // the server then closes the connection
+	}
+	if tc, ok := nc.(*net.TCPConn); ok {
+		_ = tc.SetLinger(0) // without it the close is an orderly one, which is as good
+	}
+	_ = nc.Close() // the caller may have closed it already
+}
+
+// pause reports false when ctx ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	tm := time.NewTimer(d)
+	defer tm.Stop()
+	select {
+	case <-tm.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/standin/objectsim/object.go
@@ -0,0 +1,55 @@
+package objectsim
+
+import (
+	"bytes"
+	"encoding/json"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Metadata is what the store keeps about an object.
+type Metadata struct {
+	Name string `json:"name"`
+	// Revision is that of the last change, and Made that of the first. In a call, zero sets no condition.
+	Revision   int64    `json:"revision"`
+	Made       int64    `json:"made"`
+	Finalizers []string `json:"finalizers"`
+	// Deleting is set once the object waits for its finalizers to go.
+	Deleting bool `json:"deleting"`
+}
+
+// Object is one object; it is immutable once stored.
+type Object struct {
+	Metadata Metadata        `json:"metadata"`
+	Spec     json.RawMessage `json:"spec"`
+	Status   json.RawMessage `json:"status"`
+}
+
+// Event is one change of an object.
+type Event struct {
+	// Gone is set when the object was removed; Object is then its last state.
+	Gone   bool   `json:"gone"`
+	Object Object `json:"object"`
+}
+
+func (ob Object) same(other Object) bool {
+	return bytes.Equal(ob.Spec, other.Spec) && bytes.Equal(ob.Status, other.Status) &&
+		slices.Equal(ob.Metadata.Finalizers, other.Metadata.Finalizers) &&
+		ob.Metadata.Deleting == other.Metadata.Deleting
+}
+
+// canonical returns JSON with ordered keys and no space, so that equal values have equal bytes.
+func canonical(raw []byte) (json.RawMessage, error) {
+	if len(bytes.TrimSpace(raw)) == 0 {
+		return json.RawMessage("null"), nil
+	}
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	dec.UseNumber()
+	var v any
+	if err := dec.Decode(&v); err != nil {
+		return nil, errors.Wrap(err, "read a value")
+	}
+	out, err := json.Marshal(v)
+	return out, errors.Wrap(err, "write a value")
+}
--- /dev/null
+++ b/internal/standin/plainsim/plainsim.go
@@ -0,0 +1,101 @@
+// Package plainsim is a stand-in for a plain service of the users: it answers each request with one body of known
+// length, and misbehaves when told to.
+package plainsim
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/silvermount/silvermount/internal/standin/fault"
+)
+
+const (
+	// defaultWork keeps tests quick.
+	defaultWork = time.Millisecond
+	// defaultBytes is the mean length of a plain answer in the users' examples.
+	defaultBytes = 800
+)
+
+// Settings are the sizes of a service.
+type Settings struct {
+	fault.Settings
+	// Work is how long a request runs.
+	Work time.Duration
+	// Bytes is the length of an answer's body.
+	Bytes int
+	// ErrorEvery makes each run of that ordinal answer 500; zero makes none do so.
+	ErrorEvery int
+}
+
+// Option changes the settings.
+type Option func(*Settings)
+
+// WithSlots bounds the requests that run and those that wait.
+func WithSlots(slots, queue int) Option {
+	return func(se *Settings) { se.Slots, se.Queue = slots, queue }
+}
+
+// WithWork sets how long a request runs.
+func WithWork(d time.Duration) Option { return func(se *Settings) { se.Work = d } }
+
+// WithErrorEvery makes every nth run answer 500.
+func WithErrorEvery(n int) Option { return func(se *Settings) { se.ErrorEvery = n } }
+
+// Service is the stand-in.
+type Service struct {
+	*fault.Server
+	settings Settings
+
+	mu sync.Mutex
+	// work is the present work time; count is the number of runs begun.
+	work  time.Duration
+	count int
+}
+
+// Start starts a service on a free port of the loopback address.
+func Start(opts ...Option) (*Service, error) {
+	se := Settings{Settings: fault.DefaultSettings(), Work: defaultWork, Bytes: defaultBytes}
+	for _, opt := range opts {
+		opt(&se)
+	}
+	ps := &Service{settings: se, work: se.Work}
+	gt := fault.NewGate(se.Slots, se.Queue, 0)
+	sv, err := fault.Start(se.Settings, gt, fault.Work{Run: ps.run})
+	if err != nil {
+		return nil, err
+	}
+	ps.Server = sv
+	return ps, nil
+}
+
+// SetWork sets how long the requests to come run.
+func (ps *Service) SetWork(d time.Duration) { ps.mu.Lock(); defer ps.mu.Unlock(); ps.work = d }
+
+// Body returns the body that a request for a method and URI is answered with.
+func (ps *Service) Body(method, uri string) string {
+	text := method + " " + uri + "\n"
+	return strings.Repeat(text, ps.settings.Bytes/len(text)+1)[:ps.settings.Bytes]
+}
+
+func (ps *Service) run(ctx context.Context, rq *http.Request, begin func()) fault.Answer {
+	begin()
+	work, failed := ps.note()
+	select {
+	case <-time.After(work):
+	case <-ctx.Done():
+	}
+	if failed {
+		return fault.Whole(http.StatusInternalServerError, []byte("failed"))
+	}
+	return fault.Whole(http.StatusOK, []byte(ps.Body(rq.Method, rq.RequestURI)))
+}
+
+func (ps *Service) note() (work time.Duration, failed bool) {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	ps.count++
+	return ps.work, ps.settings.ErrorEvery > 0 && ps.count%ps.settings.ErrorEvery == 0
+}
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -9,9 +9,14 @@
 )
 
 const (
-	// goneGrace is how long a target whose entry lapsed while the store was in trouble still takes work: the store
-	// shows live targets again about two seconds after it is back.
-	goneGrace = 2200 * time.Millisecond
+	// goneGrace is how long a target whose entry lapsed while the store was in trouble still takes work. It stays
+	// under the two seconds after which a target that left must get no new work.
+	goneGrace = 1700 * time.Millisecond
+	// massGrace is the same when most targets of a service lapsed at once, which is the store's doing: it shows live
+	// targets again about two seconds after it is back.
+	massGrace = 2500 * time.Millisecond
+	// massShare is the share of a service's targets from which a lapse is a mass lapse.
+	massShare = 0.5
 	// forgetAfter is how long a target that is gone is remembered, well past any list that still names it.
 	forgetAfter = 60 * time.Second
 	// ejectAfter is the number of failures in a row that takes a target out.
@@ -46,8 +51,8 @@
 	leaving bool
 	// goneAt is when the entry was missed; zero while it is listed.
 	goneAt time.Time
-	// lapsed is set when the entry went while the store was in trouble.
-	lapsed bool
+	// lapsed is set when the entry went while the store was in trouble, mass when most others went with it.
+	lapsed, mass bool
 	// outUntil is when an ejected target may be tried again.
 	outUntil time.Time
 	// failures counts those in a row; ejections those since the last success.
@@ -106,10 +111,33 @@
 			changes = append(changes, dr.miss(en)...)
 		}
 	}
+	dr.markMass(changes)
 	dr.forget()
 	return changes
 }
 
+// markMass marks the targets of services most of which went with one list.
+func (dr *Directory) markMass(changes []Change) {
+	went := map[string]int{}
+	for _, ch := range changes {
+		if ch.What == "gone" {
+			went[ch.Target.Service]++
+		}
+	}
+	there := map[string]int{}
+	for _, en := range dr.entries {
+		if en.goneAt.IsZero() {
+			there[en.Service]++
+		}
+	}
+	for _, ch := range changes {
+		n := went[ch.Target.Service]
+		if ch.What == "gone" && float64(n) > massShare*float64(n+there[ch.Target.Service]) {
+			dr.entries[ch.Target.ID].mass = true
+		}
+	}
+}
+
 // Put takes one listed target.
 func (dr *Directory) Put(tg Target, evidence time.Time) []Change {
 	dr.mu.Lock()
@@ -148,7 +176,7 @@
 	_, told := dr.leaving[tg.ID]
 	en.Target = tg
 	en.goneAt = time.Time{}
-	en.lapsed = false
+	en.lapsed, en.mass = false, false
 	en.leaving = en.leaving || tg.Leaving || told
 	switch {
 	case en.leaving && !wasLeaving:
@@ -289,7 +317,11 @@
 	if en.goneAt.IsZero() {
 		return true
 	}
-	return en.lapsed && now.Sub(en.goneAt) < goneGrace
+	grace := goneGrace
+	if en.mass {
+		grace = massGrace
+	}
+	return en.lapsed && now.Sub(en.goneAt) < grace
 }
 
 // Len returns how many targets are listed.
--- /dev/null
+++ b/internal/targets/targets_test.go
@@ -0,0 +1,132 @@
+package targets_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/silvermount/silvermount/internal/targets"
+)
+
+// clock is moved by hand.
+type clock struct{ at time.Time }
+
+func (cl *clock) now() time.Time       { return cl.at }
+func (cl *clock) pass(d time.Duration) { cl.at = cl.at.Add(d) }
+func newClock() *clock                 { return &clock{at: time.Unix(1000, 0)} }
+func target(id string) targets.Target {
+	return targets.Target{ID: id, Service: "s", Address: "10.0.0.1:80"}
+}
+
+func leaving(id string) targets.Target    { return targets.Target{ID: id, Service: "s", Leaving: true} }
+func list(ids ...string) []targets.Target { return all(target, ids) }
+
+func all(make func(string) targets.Target, ids []string) []targets.Target {
+	var tgs []targets.Target
+	for _, id := range ids {
+		tgs = append(tgs, make(id))
+	}
+	return tgs
+}
+
+func ids(tgs []targets.Target) []string {
+	var out []string
+	for _, tg := range tgs {
+		out = append(out, tg.ID)
+	}
+	return out
+}
+
+func TestTakesWork(t *testing.T) {
+	tests := map[string]struct {
+		happen func(cl *clock, dr *targets.Directory)
+		want   []string
+	}{
+		"listed targets take work": {func(*clock, *targets.Directory) {}, []string{"a", "b", "c"}},
+		"a leaving target takes none": {func(cl *clock, dr *targets.Directory) {
+			dr.Put(leaving("a"), cl.now())
+		}, []string{"b", "c"}},
+		"leaving is never taken back": {func(cl *clock, dr *targets.Directory) {
+			dr.Put(leaving("a"), cl.now())
+			dr.Replace(list("a", "b", "c"), cl.now())
+		}, []string{"b", "c"}},
+		"leaving told by a peer binds": {func(_ *clock, dr *targets.Directory) {
+			dr.MarkLeaving("b")
+		}, []string{"a", "c"}},
+		"leaving told before the target is listed binds": {func(cl *clock, dr *targets.Directory) {
+			dr.MarkLeaving("d")
+			dr.Put(target("d"), cl.now())
+		}, []string{"a", "b", "c"}},
+		"a target that is gone takes none": {func(cl *clock, dr *targets.Directory) {
+			dr.Remove("a", cl.now())
+		}, []string{"b", "c"}},
+		"a target that lapsed in the store's trouble still takes work": {func(cl *clock, dr *targets.Directory) {
+			dr.Trouble()
+			dr.Remove("a", cl.now())
+			cl.pass(time.Second)
+		}, []string{"a", "b", "c"}},
+		"but for less than two seconds": {func(cl *clock, dr *targets.Directory) {
+			dr.Trouble()
+			dr.Remove("a", cl.now())
+			cl.pass(1900 * time.Millisecond)
+		}, []string{"b", "c"}},
+		"a mass lapse is given until the entries are back": {func(cl *clock, dr *targets.Directory) {
+			dr.Trouble()
+			dr.Replace(nil, cl.now())
+			cl.pass(2200 * time.Millisecond)
+		}, []string{"a", "b", "c"}},
+		"then they are gone": {func(cl *clock, dr *targets.Directory) {
+			dr.Trouble()
+			dr.Replace(nil, cl.now())
+			cl.pass(2600 * time.Millisecond)
+		}, nil},
+		"an entry that is back takes work": {func(cl *clock, dr *targets.Directory) {
+			dr.Remove("a", cl.now())
+			dr.Put(target("a"), cl.now())
+		}, []string{"a", "b", "c"}},
+		"a failing target is left out": {func(_ *clock, dr *targets.Directory) {
+			for range 3 {
+				dr.Failure("a")
+			}
+		}, []string{"b", "c"}},
+		"most targets are never left out for failing": {func(_ *clock, dr *targets.Directory) {
+			for range 3 {
+				dr.Failure("a")
+				dr.Failure("b")
+			}
+		}, []string{"a", "b", "c"}},
+		"a target left out is tried again": {func(cl *clock, dr *targets.Directory) {
+			for range 3 {
+				dr.Failure("a")
+			}
+			cl.pass(1100 * time.Millisecond)
+		}, []string{"a", "b", "c"}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			cl := newClock()
+			dr := targets.New(cl.now)
+			dr.Replace(list("a", "b", "c"), cl.now())
+			tc.happen(cl, dr)
+			g.Expect(ids(dr.Usable("s"))).To(Equal(tc.want))
+			for _, id := range tc.want {
+				g.Expect(dr.TakesWork(id)).To(BeTrue())
+			}
+		})
+	}
+}
+
+func TestChangesAreToldOnce(t *testing.T) {
+	g := NewWithT(t)
+	cl := newClock()
+	dr := targets.New(cl.now)
+	g.Expect(dr.Replace(list("a"), cl.now())).To(HaveLen(1))
+	g.Expect(dr.Replace(list("a"), cl.now())).To(BeEmpty())
+	g.Expect(dr.Remove("a", cl.now())).To(HaveLen(1))
+	g.Expect(dr.Remove("a", cl.now())).To(BeEmpty())
+	g.Expect(dr.MarkLeaving("a")).To(BeTrue())
+	g.Expect(dr.MarkLeaving("a")).To(BeFalse())
+	g.Expect(dr.Leaving()).To(Equal([]string{"a"}))
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -47,7 +47,9 @@
 }
 
 // Error names the address.
-func (de *DialError) Error() string { return "no connection to " + de.Address + ": " + de.Cause.Error() }
+func (de *DialError) Error() string {
+	return "no connection to " + de.Address + ": " + de.Cause.Error()
+}
 
 // Unwrap returns the cause.
 func (de *DialError) Unwrap() error { return de.Cause }
