--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -228,7 +228,7 @@
 		return false
 	case sk.started && !rq.route.Resumable:
 		return false
-	case gw.stillThere(rq) >= rq.route.MaxAttempts:
+	case gw.stillThere(rq.tried) >= rq.route.MaxAttempts:
 		return false
 	}
 	return gw.Retries.Take()
@@ -236,9 +236,9 @@
 
 // stillThere counts the targets that were sent the request and still take work: one that has ended does not use up an
 // attempt.
-func (gw *Gateway) stillThere(rq *request) int {
+func (gw *Gateway) stillThere(tried []string) int {
 	n := 0
-	for _, id := range rq.tried {
+	for _, id := range tried {
 		if gw.Targets.TakesWork(id) {
 			n++
 		}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"io"
+	"slices"
 	"strconv"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/silvermount/silvermount/internal/dispatch"
 	"github.com/silvermount/silvermount/internal/failure"
 	"github.com/silvermount/silvermount/internal/life"
+	"github.com/silvermount/silvermount/internal/routes"
 	"github.com/silvermount/silvermount/internal/upstream"
 )
 
@@ -81,7 +83,9 @@
 func (gw *Gateway) stream(ctx context.Context, rq *request, sk *sink, sl *dispatch.Slot, an *upstream.Answer) error {
 	br := bufio.NewReader(an.Body)
 	stall := max(stallFloor, stallPauses*rq.route.LongestPause)
-	wd := newWatchdog(an, stall)
+	// A copy: the timer may look at it while the next attempt begins.
+	tried := slices.Clone(rq.tried)
+	wd := newWatchdog(an, stall, func() bool { return gw.movable(rq.route, tried) })
 	defer wd.stop()
 	fresh := true
 	for {
@@ -112,6 +116,11 @@
 	}
 }
 
+// movable reports whether a stream could be taken up at another target now.
+func (gw *Gateway) movable(rt routes.Route, tried []string) bool {
+	return rt.Resumable && gw.stillThere(tried) < rt.MaxAttempts && gw.Retries.Left()
+}
+
 func (gw *Gateway) passEvent(rq *request, sk *sink, an *upstream.Answer, ev event, flush bool) error {
 	if !sk.started {
 		copyHeader(sk.w.Header(), an.Header)
@@ -143,19 +152,27 @@
 	return nil
 }
 
-// watchdog closes an answer that stays silent for too long.
+// watchdog closes an answer that stays silent for too long, but only while the stream can go on elsewhere: silence
+// alone is no reason to end an answer before its time.
 type watchdog struct {
 	timer *time.Timer
 	limit time.Duration
 	fired chan struct{}
 }
 
-func newWatchdog(an *upstream.Answer, limit time.Duration) *watchdog {
+func newWatchdog(an *upstream.Answer, limit time.Duration, movable func() bool) *watchdog {
 	wd := &watchdog{limit: limit, fired: make(chan struct{})}
+	armed := make(chan struct{})
 	wd.timer = time.AfterFunc(firstEventMost, func() {
+		<-armed
+		if !movable() {
+			wd.timer.Reset(limit)
+			return
+		}
 		close(wd.fired)
 		an.Break()
 	})
+	close(armed)
 	return wd
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -81,6 +81,9 @@
 	return errors.Wrap(serr, "set user timeout")
 }
 
+// abandon closes the connection. An error changes nothing: it is not used again.
+func (cn *conn) abandon() { _ = cn.Close() }
+
 // quiet reports whether an idle connection is still open and has nothing to read: bytes that came unasked belong to
 // no request.
 func (cn *conn) quiet() bool {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -77,7 +77,7 @@
 	if err != nil {
 		return nil, &SendError{Sent: false, Cause: err}
 	}
-	stop := context.AfterFunc(ctx, func() { cn.Close() })
+	stop := context.AfterFunc(ctx, cn.abandon)
 	if ctx.Err() != nil {
 		stop()
 		pl.drop(ca.Address, cn)
@@ -86,7 +86,8 @@
 	an := &Answer{pool: pl, address: ca.Address, cn: cn, stop: stop, written: make(chan struct{}), wroteAll: new(bool)}
 	req := ca.request()
 	go an.write(req)
-	an.Response, err = readAnswer(cn, req, ca.Mine)
+	// Close ends the body with the connection.
+	an.Response, err = readAnswer(cn, req, ca.Mine) //nolint:bodyclose // it stays open for the caller
 	if err != nil {
 		an.Close()
 		return nil, &SendError{Sent: true, Cause: err}
@@ -136,13 +137,13 @@
 func (an *Answer) Whole() { an.whole = true }
 
 // Break closes the connection under a reader, whose read then fails. Close must still be called.
-func (an *Answer) Break() { an.cn.Close() }
+func (an *Answer) Break() { an.cn.abandon() }
 
 // Close ends the exchange. The connection rests if request and answer are whole, else it is closed.
 func (an *Answer) Close() {
 	cancelled := !an.stop()
 	if an.Response != nil && an.whole && !cancelled && !an.Response.Close && an.sent() {
-		an.cn.keep = keepTime(an.Response.Header)
+		an.cn.keep = keepTime(an.Header)
 		an.pool.rest(an.address, an.cn)
 		return
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -101,7 +101,7 @@
 }
 
 func (pl *Pool) drop(address string, cn *conn) {
-	cn.Close()
+	cn.abandon()
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
 	pl.open[address]--
