--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -83,6 +83,9 @@
 // Release must be called on the slot.
 func (ds *Dispatcher) Acquire(ctx context.Context, as Ask) (*Slot, error) {
 	patience := as.Arrived.Add(time.Duration(waitShare * float64(as.Objective)))
+	if as.Resumed {
+		patience = as.Deadline
+	}
 	for {
 		woken := ds.book.woken()
 		sl, ok, err := ds.try(ctx, as)
@@ -156,7 +159,7 @@
 			best, bestCost = i, cost
 		}
 	}
-	sl := &Slot{ds: ds, Target: tgs[best], Candidates: len(tgs), Priority: -1}
+	sl := &Slot{ds: ds, Target: tgs[best], Candidates: len(tgs), At: ds.opts.Now(), Priority: -1}
 	sl.book(tgs[best].ID, placement.Load{Writers: 1})
 	return sl
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -48,7 +48,9 @@
 	if as.MostAnswer > 0 {
 		expected = min(expected, as.MostAnswer)
 	}
-	return max(1, expected)
+	// An event holds the tokens of one pass.
+	expected -= as.Events * as.Service.Engine.Stride
+	return max(as.Service.Engine.Stride, expected)
 }
 
 // place chooses the targets of a prompt and books it there.
@@ -86,12 +88,18 @@
 		byID[tg.ID] = tg
 	}
 	seed := xxhash.Sum64String(ds.opts.Instance + as.Request)
-	pl, ok := placement.Choose(*as.Service.Engine, pr, cands, placement.Options{Seed: seed})
+	op := placement.Options{Seed: seed, Arrivals: arrivals(as.Service.Engine, cands)}
+	pl, ok := placement.Choose(*as.Service.Engine, pr, cands, op)
+	if !ok && as.Resumed {
+		// The caller reads already: a late end is better than none.
+		pr.Left = anyTime
+		pl, ok = placement.Choose(*as.Service.Engine, pr, cands, op)
+	}
 	if !ok {
 		return nil, false
 	}
 	sl := &Slot{
-		ds: ds, Target: byID[pl.Main], Candidates: len(tgs), Priority: priority(as), prompt: pr, plan: pl,
+		ds: ds, Target: byID[pl.Main], Candidates: len(tgs), At: ds.opts.Now(), Priority: priority(as), prompt: pr, plan: pl,
 		FirstPredicted: pl.FirstToken, PausePredicted: pl.Pause,
 	}
 	parts := 1 + len(pl.Helpers)
@@ -110,6 +118,55 @@
 	return sl, true
 }
 
+// anyTime stands for a deadline that does not matter.
+const anyTime = time.Hour
+
+// writerPass is a usual pass of an engine with writers, some of them beside reading; the users' engines take 45 ms
+// without and up to 250 ms with it.
+const writerPass = 90 * time.Millisecond
+
+// arrivals returns what begins to write at a usual target in a second: by Little's law what writes now, over the time
+// for which an answer is written.
+func arrivals(en *placement.Engine, cands []placement.Target) placement.Load {
+	var sum placement.Load
+	for i := range cands {
+		for cl, worth := range cands[i].Load.AtRisk {
+			sum.AtRisk[cl] += worth
+		}
+	}
+	passes := max(1, float64(en.UsualAnswer)/float64(max(1, en.Stride)))
+	life := passes * writerPass.Seconds()
+	for cl := range sum.AtRisk {
+		sum.AtRisk[cl] = placement.Worth(float64(sum.AtRisk[cl]) / life / float64(len(cands)))
+	}
+	return sum
+}
+
+const (
+	// waitGain is the share of an answer's worth that waiting for others' reading to end must save.
+	waitGain = 0.04
+	// waitUpTo is the share of the objective by which the first token must still be expected after a wait.
+	waitUpTo = 0.75
+)
+
+// better reports whether a long prompt had better wait until what is being read now is read: the parts of two long
+// prompts in one pass make the pauses of all writers there too long, one after the other they do not.
+func (ds *Dispatcher) better(as Ask, pr placement.Prompt, pl placement.Plan, cands []placement.Target, op placement.Options) bool {
+	if as.Resumed || as.PromptTokens <= shortTokens {
+		return false
+	}
+	clear := make([]placement.Target, len(cands))
+	for i := range cands {
+		clear[i] = cands[i]
+		clear[i].Load.Whole, clear[i].Load.Parts = placement.Backlog{}, placement.Backlog{}
+	}
+	later, ok := placement.Choose(*as.Service.Engine, pr, clear, op)
+	if !ok || float64(pr.Used+later.FirstToken) > waitUpTo*float64(pr.Objective) {
+		return false
+	}
+	return float64(pl.Loss-later.Loss) > waitGain*float64(pr.InTime)
+}
+
 // reserve sets aside the memory of a plan. The main target's own reservation comes first among the helpers.
 func (ds *Dispatcher) reserve(ctx context.Context, sl *Slot, tgs []targets.Target) error {
 	address := map[string]string{}
--- a/internal/dispatch/slot.go
+++ b/internal/dispatch/slot.go
@@ -19,6 +19,9 @@
 	// FirstPredicted and PausePredicted are what the choice expects; zero for plain services.
 	FirstPredicted, PausePredicted time.Duration
 
+	// At is when the target was chosen.
+	At time.Time
+
 	ds          *Dispatcher
 	prompt      placement.Prompt
 	plan        placement.Plan
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -50,8 +50,12 @@
 	avoid []string
 	// lastEvent is the last event passed on; negative before the first.
 	lastEvent int64
-	// written counts the answer tokens passed on, as far as known.
+	// events counts the events passed on.
 	events int
+	// first is the time from arrival to the first event or answer, pause the longest between two events; zero before.
+	first, pause time.Duration
+	// eventAt is when the last event was passed on.
+	eventAt time.Time
 }
 
 func refused(code failure.Code, comeBack time.Duration, format string, args ...any) *failure.Error {
--- a/internal/gateway/lines.go
+++ b/internal/gateway/lines.go
@@ -63,6 +63,10 @@
 	fs["status"] = sk.status
 	fs["outcome"] = "served"
 	fs["events"] = rq.events
+	fs["prompt_tokens"] = rq.PromptTokens
+	fs["first"] = rq.first.Round(time.Millisecond).String()
+	fs["longest_pause"] = rq.pause.Round(time.Millisecond).String()
+	fs["in_time"] = rq.inTime()
 	gw.Log.WithFields(fs).Info("request served")
 	gw.count("served", "")
 	gw.observe("silvermount_request_seconds", gw.Now().Sub(rq.arrived))
@@ -95,6 +99,14 @@
 	gw.Metrics.GetOrCreateHistogram(name).Update(d.Seconds())
 }
 
-func (gw *Gateway) observeFirst(rq *request) {
+// inTime reports whether a stream was passed on within the route's objective and longest pause.
+func (rq *request) inTime() bool {
+	return rq.first <= rq.route.Objective && (rq.route.LongestPause == 0 || rq.pause <= rq.route.LongestPause)
+}
+
+// observeFirst notes the time to the first event and how far the prediction was off.
+func (gw *Gateway) observeFirst(rq *request, sl *dispatch.Slot) {
+	took := gw.Now().Sub(sl.At)
 	gw.observe("silvermount_first_event_seconds", gw.Now().Sub(rq.arrived))
+	gw.observe("silvermount_first_event_prediction_error_seconds", (took - sl.FirstPredicted).Abs())
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -99,7 +99,7 @@
 		if fresh {
 			fresh = false
 			sl.FirstToken()
-			gw.observeFirst(rq)
+			gw.observeFirst(rq, sl)
 			if err := gw.fire(ctx, rq, life.FirstToken); err != nil {
 				return err
 			}
@@ -136,9 +136,20 @@
 	}
 	rq.lastEvent = max(rq.lastEvent, ev.id)
 	rq.events++
+	rq.timed(gw.Now())
 	return nil
 }
 
+// timed notes that an event was passed on.
+func (rq *request) timed(now time.Time) {
+	if rq.eventAt.IsZero() {
+		rq.first = now.Sub(rq.arrived)
+	} else {
+		rq.pause = max(rq.pause, now.Sub(rq.eventAt))
+	}
+	rq.eventAt = now
+}
+
 func (gw *Gateway) streamEnded(ctx context.Context, rq *request, sk *sink, sl *dispatch.Slot, an *upstream.Answer) error {
 	if ctx.Err() != nil {
 		return gw.timeUp(ctx, rq)
--- /dev/null
+++ b/internal/peerstate/decode.go
@@ -0,0 +1,142 @@
+package peerstate
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/silvermount/silvermount/internal/placement"
+)
+
+// Decode reads a peer's state. It fails with a VersionError, a MalformedError, a TooManyError or a
+// placement.EncodingError, and allocates no more than what it has read so far calls for.
+func Decode(b []byte) (State, error) {
+	st, err := decode(b)
+	if err != nil {
+		return State{}, errors.Wrap(err, "decode state")
+	}
+	return st, nil
+}
+
+func decode(b []byte) (State, error) {
+	if len(b) == 0 {
+		return State{}, &MalformedError{Reason: "no bytes"}
+	}
+	if b[0] != version {
+		return State{}, &VersionError{Version: b[0]}
+	}
+	rd := reader{rest: b[1:]}
+	st := State{Configuration: int64(rd.uvarint())}
+	st.ProofAge = rd.age()
+	rd.targets(&st)
+	if rd.err == nil && len(rd.rest) > 0 {
+		rd.fail("bytes after the end")
+	}
+	return st, rd.err
+}
+
+// reader reads a state from its start. After a failure it reads zeros.
+type reader struct {
+	rest []byte
+	// err is the first failure.
+	err error
+}
+
+func (rd *reader) fail(reason string) {
+	if rd.err == nil {
+		rd.err = &MalformedError{Reason: reason}
+	}
+}
+
+func (rd *reader) uvarint() uint64 {
+	if rd.err != nil {
+		return 0
+	}
+	val, n := binary.Uvarint(rd.rest)
+	if n <= 0 {
+		rd.fail("a number that is cut off or too large")
+		return 0
+	}
+	rd.rest = rd.rest[n:]
+	return val
+}
+
+func (rd *reader) age() time.Duration {
+	ms := rd.uvarint()
+	if ms > uint64(maxProofAge.Milliseconds()) {
+		rd.fail("an age that is too large")
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// targets reads the targets in the order that Encode writes them in, so that none comes twice.
+func (rd *reader) targets(st *State) {
+	count := rd.uvarint()
+	if rd.err == nil && count > maxTargets {
+		rd.err = &TooManyError{Targets: count}
+	}
+	last := ""
+	for no := uint64(0); no < count && rd.err == nil; no++ {
+		ta := rd.target()
+		if no > 0 && ta.incarnation <= last {
+			rd.fail("targets out of order")
+		}
+		last = ta.incarnation
+		ta.addTo(st)
+	}
+}
+
+// addTo adds a target to a state that is being read.
+func (ta target) addTo(st *State) {
+	if ta.leaving {
+		st.Leaving = append(st.Leaving, ta.incarnation)
+	}
+	if ta.load == (placement.Load{}) {
+		return
+	}
+	if st.Loads == nil {
+		st.Loads = map[string]placement.Load{}
+	}
+	st.Loads[ta.incarnation] = ta.load
+}
+
+func (rd *reader) target() target {
+	head := rd.uvarint()
+	id := rd.take(head >> headBits)
+	ta := target{incarnation: unpack(id, head), leaving: head&flagLeaving != 0}
+	if head&flagLoad != 0 {
+		ta.load = rd.load()
+	}
+	if !ta.leaving && ta.load == (placement.Load{}) {
+		rd.fail("a target of which nothing is told")
+	}
+	return ta
+}
+
+// take returns the next bytes; it is part of what is read, not a copy.
+func (rd *reader) take(count uint64) []byte {
+	if count > uint64(len(rd.rest)) {
+		rd.fail("an incarnation that is cut off")
+	}
+	if rd.err != nil {
+		return nil
+	}
+	b := rd.rest[:count]
+	rd.rest = rd.rest[count:]
+	return b
+}
+
+func (rd *reader) load() placement.Load {
+	if rd.err != nil {
+		return placement.Load{}
+	}
+	lo, rest, err := placement.ReadLoad(rd.rest)
+	if err != nil {
+		rd.err = errors.Wrap(err, "read load")
+		return placement.Load{}
+	}
+	rd.rest = rest
+	return lo
+}
--- /dev/null
+++ b/internal/peerstate/encode.go
@@ -0,0 +1,103 @@
+package peerstate
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/silvermount/silvermount/internal/placement"
+	"github.com/silvermount/silvermount/internal/set"
+)
+
+const (
+	// version is the first byte of a state. It changes with the form, that of Load.Append included. The first byte of
+	// the earlier JSON form, an opening brace, is never used as a version.
+	version = 1
+	// maxTargets bounds the targets that one state tells of, and so what decoding allocates, to a few megabytes. It is
+	// some 900 times a usual fleet.
+	maxTargets = 1 << 14
+	// maxProofAge is the longest age that is told. It is far beyond every use of a proof, and can be taken from a time
+	// with any other age and not overflow, unlike the age of the zero time.
+	maxProofAge = 365 * 24 * time.Hour
+)
+
+// The head of each target is the number of bytes of its written incarnation, shifted by headBits, and these flags.
+const (
+	// flagPacked says that the incarnation is written as pack does.
+	flagPacked = 1 << iota
+	// flagLeaving says that the target is leaving.
+	flagLeaving
+	// flagLoad says that a load follows the incarnation.
+	flagLoad
+)
+
+// headBits is the number of flags; with three of them the head of a usual incarnation is one byte.
+const headBits = 3
+
+// target is what a state says of one target.
+type target struct {
+	incarnation string
+	leaving     bool
+	load        placement.Load
+}
+
+// Encode returns the bytes that peers get. Equal states have equal bytes.
+func (st State) Encode() ([]byte, error) {
+	ts := st.targets()
+	if len(ts) > maxTargets {
+		return nil, errors.Wrap(&TooManyError{Targets: uint64(len(ts))}, "encode state")
+	}
+	b := []byte{version}
+	b = binary.AppendUvarint(b, uint64(st.Configuration))
+	b = binary.AppendUvarint(b, millis(st.ProofAge))
+	b = binary.AppendUvarint(b, uint64(len(ts)))
+	for _, ta := range ts {
+		b = ta.append(b)
+	}
+	return b, nil
+}
+
+// targets returns the targets that the state tells of, by incarnation. A load that is not empty stays so when it is
+// rounded.
+func (st State) targets() []target {
+	leaving := set.Of(st.Leaving...)
+	ids := slices.Clone(st.Leaving)
+	for id, lo := range st.Loads {
+		if lo != (placement.Load{}) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	ids = slices.Compact(ids)
+	ts := make([]target, 0, len(ids))
+	for _, id := range ids {
+		ts = append(ts, target{incarnation: id, leaving: leaving.Has(id), load: st.Loads[id]})
+	}
+	return ts
+}
+
+// append appends the target.
+func (ta target) append(b []byte) []byte {
+	id, flags := pack(ta.incarnation)
+	if ta.leaving {
+		flags |= flagLeaving
+	}
+	loaded := ta.load != (placement.Load{})
+	if loaded {
+		flags |= flagLoad
+	}
+	b = binary.AppendUvarint(b, uint64(len(id))<<headBits|flags)
+	b = append(b, id...)
+	if loaded {
+		b = ta.load.Append(b)
+	}
+	return b
+}
+
+// millis returns an age in milliseconds, rounded up.
+func millis(age time.Duration) uint64 {
+	age = max(0, min(age, maxProofAge))
+	return uint64((age + time.Millisecond - 1) / time.Millisecond)
+}
--- /dev/null
+++ b/internal/peerstate/peerstate_test.go
@@ -0,0 +1,257 @@
+package peerstate
+
+import (
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/silvermount/silvermount/internal/placement"
+)
+
+// genID draws incarnations of the usual form and any others.
+func genID() *rapid.Generator[string] {
+	return rapid.OneOf(
+		rapid.StringMatching(`i-[0-9a-f]{8}`),
+		rapid.StringMatching(`i-[0-9a-f]{10}`),
+		rapid.StringMatching(`i-[0-9a-fA-F]{0,5}`),
+		rapid.String(),
+	)
+}
+
+func genLoad() *rapid.Generator[placement.Load] {
+	num := rapid.OneOf(rapid.Just(int64(0)), rapid.Int64Range(0, 5000), rapid.Int64())
+	return rapid.Custom(func(t *rapid.T) placement.Load {
+		draw := func(label string) int64 { return num.Draw(t, label) }
+		lo := placement.Load{
+			Whole:   placement.Backlog{Tokens: draw("tokens"), Pairs: draw("pairs")},
+			Parts:   placement.Backlog{Tokens: draw("part tokens"), Pairs: draw("part pairs")},
+			Readers: int(draw("readers")), Writers: int(draw("writers")),
+			Context: draw("context"), Memory: draw("memory"),
+		}
+		for cl := range lo.AtRisk {
+			lo.AtRisk[cl] = placement.Worth(draw("at risk"))
+			lo.Waiting[cl] = placement.Worth(draw("waiting"))
+		}
+		return lo
+	})
+}
+
+func genState() *rapid.Generator[State] {
+	return rapid.Custom(func(t *rapid.T) State {
+		return State{
+			Configuration: rapid.Int64().Draw(t, "configuration"),
+			ProofAge:      time.Duration(rapid.Int64().Draw(t, "proof age")),
+			Leaving:       rapid.SliceOfN(genID(), 0, 6).Draw(t, "leaving"),
+			Loads:         rapid.MapOfN(genID(), genLoad(), 0, 6).Draw(t, "loads"),
+		}
+	})
+}
+
+// told returns the state as peers get it.
+func told(st State) State {
+	age := max(0, min(st.ProofAge, maxProofAge))
+	if rest := age % time.Millisecond; rest > 0 {
+		age += time.Millisecond - rest
+	}
+	to := State{Configuration: st.Configuration, ProofAge: age}
+	to.Leaving = slices.Compact(slices.Sorted(slices.Values(st.Leaving)))
+	for id, lo := range st.Loads {
+		if lo == (placement.Load{}) {
+			continue
+		}
+		if to.Loads == nil {
+			to.Loads = map[string]placement.Load{}
+		}
+		to.Loads[id] = lo.Rounded()
+	}
+	return to
+}
+
+func TestStateIsReadAsTold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		st := genState().Draw(t, "state")
+		b, err := st.Encode()
+		g.Expect(err).NotTo(HaveOccurred())
+		read, err := Decode(b)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(read).To(Equal(told(st)))
+		again, err := read.Encode()
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(again).To(Equal(b))
+	})
+}
+
+func TestEveryCutOffStateIsRefused(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		b, err := genState().Draw(t, "state").Encode()
+		g.Expect(err).NotTo(HaveOccurred())
+		for size := range b {
+			_, err := Decode(b[:size])
+			g.Expect(refused(err)).To(BeTrue(), "%d of %d bytes: %v", size, len(b), err)
+		}
+		_, err = Decode(append(b, 0))
+		g.Expect(refused(err)).To(BeTrue())
+	})
+}
+
+// refused reports whether an error is one of those that Decode tells of.
+func refused(err error) bool {
+	var ve *VersionError
+	var me *MalformedError
+	var te *TooManyError
+	var ee *placement.EncodingError
+	return errors.As(err, &ve) || errors.As(err, &me) || errors.As(err, &te) || errors.As(err, &ee)
+}
+
+// TestWrittenFormIsKept fails when the form changes: the version has to change with it.
+func TestWrittenFormIsKept(t *testing.T) {
+	writer := placement.Load{Writers: 3}
+	cases := map[string]struct {
+		state State
+		want  string
+	}{
+		"empty":         {State{}, "01000000"},
+		"configuration": {State{Configuration: 300, ProofAge: time.Millisecond + 1}, "01ac020200"},
+		"empty load":    {State{Loads: map[string]placement.Load{"i-01": {}}}, "01000000"},
+		"leaving":       {State{Leaving: []string{"i-7f3a91c2"}}, "010000" + "01" + "237f3a91c2"},
+		"longer":        {State{Leaving: []string{"i-2f8030e4a8"}}, "010000" + "01" + "2b2f8030e4a8"},
+		"not packed":    {State{Leaving: []string{"i-A", "t"}}, "010000" + "02" + "1a692d41" + "0a74"},
+		"loaded":        {State{Loads: map[string]placement.Load{"i-01": writer}}, "010000" + "01" + "0d01" + "0103"},
+		"loaded and leaving": {
+			State{Loads: map[string]placement.Load{"i-01": writer}, Leaving: []string{"i-01"}},
+			"010000" + "01" + "0f01" + "0103",
+		},
+	}
+	for name, ca := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			b, err := ca.state.Encode()
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(hex.EncodeToString(b)).To(Equal(ca.want))
+		})
+	}
+}
+
+func TestHostileBytesAreRefused(t *testing.T) {
+	huge := hex.EncodeToString(binary.AppendUvarint(nil, 1<<62))
+	cases := map[string]struct {
+		in   string
+		want any
+	}{
+		"no bytes":             {"", new(*MalformedError)},
+		"json":                 {hex.EncodeToString([]byte(`{"c":1}`)), new(*VersionError)},
+		"next version":         {"02000000", new(*VersionError)},
+		"no configuration":     {"01", new(*MalformedError)},
+		"long number":          {"01ffffffffffffffffffffff", new(*MalformedError)},
+		"age too large":        {"0100" + huge + "00", new(*MalformedError)},
+		"too many targets":     {"010000" + "818001", new(*TooManyError)},
+		"far too many targets": {"010000" + huge, new(*TooManyError)},
+		"long incarnation":     {"010000" + "01" + huge, new(*MalformedError)},
+		"target missing":       {"010000" + "02" + "1a692d41", new(*MalformedError)},
+		"target twice":         {"010000" + "02" + "0b01" + "0b01", new(*MalformedError)},
+		"twice in two forms":   {"010000" + "02" + "0b01" + "22692d3031", new(*MalformedError)},
+		"out of order":         {"010000" + "02" + "0b02" + "0b01", new(*MalformedError)},
+		"nothing told":         {"010000" + "01" + "0901", new(*MalformedError)},
+		"empty load":           {"010000" + "01" + "0d01" + "00", new(*MalformedError)},
+		"malformed load":       {"010000" + "01" + "0d01" + "ffffffff7f", new(*placement.EncodingError)},
+		"bytes after the end":  {"01000000" + "00", new(*MalformedError)},
+	}
+	for name, ca := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			b, err := hex.DecodeString(ca.in)
+			g.Expect(err).NotTo(HaveOccurred())
+			st, err := Decode(b)
+			g.Expect(errors.As(err, ca.want)).To(BeTrue(), "%v", err)
+			g.Expect(err.Error()).To(HavePrefix("decode state: "))
+			g.Expect(st).To(Equal(State{}))
+		})
+	}
+}
+
+func TestTooManyTargetsAreNotTold(t *testing.T) {
+	g := NewWithT(t)
+	var st State
+	for no := range maxTargets + 1 {
+		st.Leaving = append(st.Leaving, fmt.Sprintf("i-%08x", no))
+	}
+	_, err := st.Encode()
+	var many *TooManyError
+	g.Expect(errors.As(err, &many)).To(BeTrue())
+	g.Expect(many.Targets).To(BeEquivalentTo(maxTargets + 1))
+	st.Leaving = st.Leaving[1:]
+	b, err := st.Encode()
+	g.Expect(err).NotTo(HaveOccurred())
+	read, err := Decode(b)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(read).To(Equal(st))
+}
+
+// TestDecodeAllocatesLittle takes the input that makes decoding allocate the most: as many small loads as it may hold.
+func TestDecodeAllocatesLittle(t *testing.T) {
+	// mostAllocated is more than twice the bytes of maxTargets loads and their incarnations in a map.
+	const mostAllocated = 16 << 20
+	g := NewWithT(t)
+	st := State{Loads: map[string]placement.Load{}}
+	for no := range maxTargets {
+		st.Loads[fmt.Sprintf("i-%04x", no)] = placement.Load{Writers: 1}
+	}
+	b, err := st.Encode()
+	g.Expect(err).NotTo(HaveOccurred())
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	read, err := Decode(b)
+	runtime.ReadMemStats(&after)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(read.Loads).To(HaveLen(maxTargets))
+	allocated := after.TotalAlloc - before.TotalAlloc
+	t.Logf("%d bytes read, %d allocated", len(b), allocated)
+	g.Expect(allocated).To(BeNumerically("<", uint64(mostAllocated)))
+}
+
+func TestLongestAgeCanBeTakenFromATime(t *testing.T) {
+	g := NewWithT(t)
+	b, err := State{Configuration: 1, ProofAge: time.Since(time.Time{})}.Encode()
+	g.Expect(err).NotTo(HaveOccurred())
+	st, err := Decode(b)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(st.ProofAge).To(Equal(maxProofAge))
+	now := time.Now()
+	g.Expect(now.Add(-time.Hour - st.ProofAge)).To(BeTemporally("<", now))
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, st := range []State{{}, {Configuration: 7, ProofAge: time.Second}, usualState(1), usualState(2)} {
+		b, err := st.Encode()
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+		f.Add(b[:len(b)/2])
+	}
+	f.Add([]byte(`{"c":1}`))
+	f.Add([]byte{version, 0, 0, 0xff, 0xff, 0xff, 0xff, 0x0f})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		g := NewWithT(t)
+		st, err := Decode(b)
+		if err != nil {
+			g.Expect(refused(err)).To(BeTrue(), "%v", err)
+			return
+		}
+		again, err := st.Encode()
+		g.Expect(err).NotTo(HaveOccurred())
+		read, err := Decode(again)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(read).To(Equal(st))
+	})
+}
--- /dev/null
+++ b/internal/placement/encode_test.go
@@ -0,0 +1,139 @@
+package placement
+
+import (
+	"encoding/hex"
+	"math"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+// genAnyLoad draws every number that the fields hold, also those that no sum of requests has.
+func genAnyLoad() *rapid.Generator[Load] {
+	return rapid.Custom(func(t *rapid.T) Load {
+		num := rapid.OneOf(rapid.Just(int64(0)), rapid.Int64Range(0, 5000), rapid.Int64())
+		draw := func(label string) int64 { return num.Draw(t, label) }
+		lo := Load{
+			Whole:   Backlog{Tokens: draw("tokens"), Pairs: draw("pairs")},
+			Parts:   Backlog{Tokens: draw("part tokens"), Pairs: draw("part pairs")},
+			Readers: int(draw("readers")), Writers: int(draw("writers")),
+			Context: draw("context"), Memory: draw("memory"),
+		}
+		for cl := range classes {
+			lo.Waiting[cl] = Worth(draw("waiting"))
+			lo.AtRisk[cl] = Worth(draw("at risk"))
+		}
+		return lo
+	})
+}
+
+func TestLoadIsReadAsWritten(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		lo := rapid.OneOf(genLoad(), genAnyLoad()).Draw(t, "load")
+		after := rapid.SliceOfN(rapid.Byte(), 0, 4).Draw(t, "after")
+		read, rest, err := ReadLoad(append(lo.Append(nil), after...))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(read).To(Equal(lo.Rounded()))
+		g.Expect(rest).To(HaveLen(len(after)))
+		g.Expect(read.Rounded()).To(Equal(read))
+	})
+}
+
+func TestArithmeticIsExactOnReadLoads(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		aa := genLoad().Draw(t, "a").Rounded()
+		bb := genLoad().Draw(t, "b").Rounded()
+		g.Expect(aa.Plus(bb).Rounded()).To(Equal(aa.Plus(bb)))
+		g.Expect(aa.Plus(bb).Minus(bb)).To(Equal(aa))
+	})
+}
+
+func TestRoundedChangesWorthsOnly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		lo := genLoad().Draw(t, "load")
+		ro := lo.Rounded()
+		for cl := range classes {
+			g.Expect(ro.AtRisk[cl] - lo.AtRisk[cl]).To(And(BeNumerically(">=", 0), BeNumerically("<", thousandth)))
+			g.Expect(ro.Waiting[cl] - lo.Waiting[cl]).To(And(BeNumerically(">=", 0), BeNumerically("<", thousandth)))
+		}
+		ro.AtRisk, ro.Waiting = lo.AtRisk, lo.Waiting
+		g.Expect(ro).To(Equal(lo))
+	})
+}
+
+func TestThousandths(t *testing.T) {
+	cases := map[string]struct {
+		worth Worth
+		want  int64
+	}{
+		"none":           {0, 0},
+		"exact":          {WorthOf(1.5), 1500},
+		"rounded up":     {1, 1},
+		"below zero":     {-1, -1},
+		"exact negative": {-2000, -2},
+		"largest":        {math.MaxInt64, mostThousandths},
+		"smallest":       {math.MinInt64, -mostThousandths},
+	}
+	for name, ca := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			g.Expect(thousandths(ca.worth)).To(Equal(ca.want))
+		})
+	}
+}
+
+// TestWrittenFormIsKept fails when the form changes, as by a further class: the version of what holds loads has to
+// change with it.
+func TestWrittenFormIsKept(t *testing.T) {
+	lo := Load{Readers: 1, Writers: 2, Context: 300, Memory: 400, Whole: Backlog{Tokens: 5, Pairs: 6}}
+	lo.Parts = Backlog{Tokens: 7, Pairs: 8}
+	lo.AtRisk[0], lo.AtRisk[classes-1] = WorthOf(0.001), WorthOf(0.002)
+	lo.Waiting[0], lo.Waiting[classes-1] = WorthOf(0.003), WorthOf(0.004)
+	cases := map[string]struct {
+		load Load
+		want string
+	}{
+		"empty":    {Load{}, "00"},
+		"one":      {Load{Writers: 3}, "0103"},
+		"many":     {lo, "ff83984002ac02900301050607080102" + "0304"},
+		"negative": {Load{Writers: 1, Context: -1}, "83808080010201"},
+	}
+	for name, ca := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			g.Expect(hex.EncodeToString(ca.load.Append(nil))).To(Equal(ca.want))
+		})
+	}
+}
+
+func TestMalformedLoadsAreRefused(t *testing.T) {
+	cases := map[string]string{
+		"empty":              "",
+		"bitmap cut off":     "ff",
+		"unknown fields":     "8080808002",
+		"bitmap too long":    "ffffffffffffffffffffff",
+		"field missing":      "0301",
+		"field cut off":      "0180",
+		"field too long":     "01ffffffffffffffffffff01",
+		"field too large":    "01ffffffffffffffffff01",
+		"worth too large":    "8002ffffffffffffffff7f",
+		"negative worth too": "8082808001ffffffffffffffffff01",
+	}
+	for name, in := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			b, err := hex.DecodeString(in)
+			g.Expect(err).NotTo(HaveOccurred())
+			lo, _, err := ReadLoad(b)
+			var malformed *EncodingError
+			g.Expect(errors.As(err, &malformed)).To(BeTrue())
+			g.Expect(malformed.Error()).To(ContainSubstring(malformed.Reason))
+			g.Expect(lo).To(Equal(Load{}))
+		})
+	}
+}
