--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -98,19 +98,41 @@
 		if ds.opts.Now().After(patience) {
 			return nil, failure.New(failure.Overloaded, failure.NotRun, "no target has room").WithRetryAfter(comeBack)
 		}
-		timer := time.NewTimer(waitStep)
-		select {
-		case <-woken:
-		case <-timer.C:
-		case <-ctx.Done():
-		}
-		timer.Stop()
+		ds.pause(ctx, as, woken)
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
 	}
 }
 
+// pause waits until it is time to look for room again. Long prompts of several instances wait for the same room: they
+// look at different moments, the pressed ones more often, so that the first is known to the others before they look.
+func (ds *Dispatcher) pause(ctx context.Context, as Ask, woken <-chan struct{}) {
+	step := waitStep
+	if as.PromptTokens > shortTokens {
+		woken = nil
+		left := as.Objective - ds.opts.Now().Sub(as.Arrived)
+		step = time.Duration((minSpread + fraction(as.Request, ds.opts.Now().String())) * float64(min(spreadMost, max(waitStep, left/spreadShare))))
+	}
+	timer := time.NewTimer(step)
+	defer timer.Stop()
+	select {
+	case <-woken:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+const (
+	// spreadMost is the longest time over which the next looks of long prompts are spread: ten times what it takes
+	// until peers know of a choice.
+	spreadMost = 60 * time.Millisecond
+	// spreadShare is how many looks fit into the time that is left.
+	spreadShare = 20
+	// minSpread keeps two looks apart.
+	minSpread = 0.1
+)
+
 // try makes one choice. It reports false when there is no room now.
 func (ds *Dispatcher) try(ctx context.Context, as Ask) (*Slot, bool, error) {
 	tgs := ds.usable(as)
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -95,7 +95,7 @@
 		pr.Left = anyTime
 		pl, ok = placement.Choose(*as.Service.Engine, pr, cands, op)
 	}
-	if !ok {
+	if !ok || better(as, pr, pl, cands, op) {
 		return nil, false
 	}
 	sl := &Slot{
@@ -151,7 +151,7 @@
 
 // better reports whether a long prompt had better wait until what is being read now is read: the parts of two long
 // prompts in one pass make the pauses of all writers there too long, one after the other they do not.
-func (ds *Dispatcher) better(as Ask, pr placement.Prompt, pl placement.Plan, cands []placement.Target, op placement.Options) bool {
+func better(as Ask, pr placement.Prompt, pl placement.Plan, cands []placement.Target, op placement.Options) bool {
 	if as.Resumed || as.PromptTokens <= shortTokens {
 		return false
 	}
--- a/internal/duty/members/members.go
+++ b/internal/duty/members/members.go
@@ -31,6 +31,9 @@
 	configurationDocument = "configuration"
 	// fetchTimeout bounds that question: many round trips, and well under the time a change has to be in force.
 	fetchTimeout = 600 * time.Millisecond
+	// coalesce is the least time between two sends of the state: two long prompts must not choose the same targets
+	// before they know of each other.
+	coalesce = 2 * time.Millisecond
 	// fetchesWaiting bounds the peers remembered as having a newer configuration; more are told again by their next
 	// heartbeat.
 	fetchesWaiting = 4
@@ -102,7 +105,7 @@
 			Name: env.Settings.Instance, Incarnation: env.Incarnation, Address: gw.Peers,
 			AvailabilityZone: env.Settings.AvailabilityZone,
 		},
-		Seeds: gw.Seeds, Body: du.body, Receive: du.receive, OnLost: du.lost, Serve: du.serve, Log: du.lg,
+		Seeds: gw.Seeds, Coalesce: coalesce, Body: du.body, Receive: du.receive, OnLost: du.lost, Serve: du.serve, Log: du.lg,
 	}
 }
 
--- a/internal/gateway/lines.go
+++ b/internal/gateway/lines.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -34,7 +35,7 @@
 	fs := gw.fields(rq)
 	fs["service"] = rq.service
 	fs["target"] = sl.Target.ID
-	fs["helpers"] = len(sl.Helpers)
+	fs["helpers"] = helperNames(sl)
 	fs["prompt_tokens"] = rq.PromptTokens
 	fs["candidates"] = sl.Candidates
 	fs["predicted_first"] = sl.FirstPredicted.Round(time.Millisecond).String()
@@ -44,6 +45,15 @@
 	gw.Log.WithFields(fs).Info("request sent")
 }
 
+// helperNames lists the helping targets, separated by commas.
+func helperNames(sl *dispatch.Slot) string {
+	names := make([]string, len(sl.Helpers))
+	for i, hp := range sl.Helpers {
+		names[i] = hp.ID
+	}
+	return strings.Join(names, ",")
+}
+
 func (gw *Gateway) logAttemptFailed(rq *request, tg targets.Target, err error, sent bool) {
 	fs := gw.fields(rq)
 	fs["target"] = tg.ID
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -22,8 +22,8 @@
 	// eventMost bounds one event.
 	eventMost = 1 << 20
 	// stallFloor is the least silence inside a stream after which it is taken up elsewhere: a target that depends on a
-	// lost one stands still for about as long before it says so, and callers give up after two seconds.
-	stallFloor = 1200 * time.Millisecond
+	// lost one stands still for 1.5 s before it says so, and callers give up after two seconds.
+	stallFloor = 1700 * time.Millisecond
 	// stallPauses is the same in longest pauses of the route.
 	stallPauses = 3
 )
