fix: leave out targets and availability zones that take no connections

Change: taking no connection is kept apart from failing; it has no floor, doubles to 2.4 s, and two such targets of an availability zone with no answer from it take the whole zone out for 0.8 s. Ruled out: the floor for failing targets itself (it stays for those).

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -16,7 +16,7 @@
 
 // dialTries bounds the targets that are tried in a row because they take no connection: nothing is sent there, so no
 // retry is spent.
-const dialTries = 4
+const dialTries = 6
 
 // run takes an admitted request through its attempts.
 func (gw *Gateway) run(ctx context.Context, rq *request, sk *sink) error {
@@ -142,6 +142,7 @@
 	if err != nil {
 		return nil, gw.sendFailed(ctx, rq, sl, err)
 	}
+	gw.Targets.Reached(sl.Target.ID)
 	gw.observe("silvermount_target_answer_seconds", gw.Now().Sub(began))
 	return an, nil
 }
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -24,8 +24,13 @@
 	// ejectFor is how long a target is first left out; it doubles with each further ejection up to ejectMost.
 	ejectFor  = time.Second
 	ejectMost = 8 * time.Second
-	// unreachableFor is how long a target that took no connection is left out: about a restart's detection time.
-	unreachableFor = time.Second
+	// unreachableFor is how long a target that took no connection is first left out: about a restart's detection time.
+	// It doubles up to unreachableMost, so that a cut of some seconds is found to have healed soon after.
+	unreachableFor  = 800 * time.Millisecond
+	unreachableMost = 2400 * time.Millisecond
+	// zoneSuspects is how many targets of an availability zone must be unreachable, and none reached since, for the
+	// whole availability zone to be left out. One alone is a dead target, two at once are seldom chance.
+	zoneSuspects = 2
 	// ejectShare bounds the share of a service's targets that are left out for failing.
 	ejectShare = 0.5
 )
@@ -57,6 +62,10 @@
 	outUntil time.Time
 	// failures counts those in a row; ejections those since the last success.
 	failures, ejections int
+	// cutUntil is when a target that took no connection may be tried again.
+	cutUntil time.Time
+	// refusals counts connections not taken since the last one that was.
+	refusals int
 }
 
 // Directory is the set of known targets. It is safe for use by any goroutine.
@@ -71,11 +80,13 @@
 	troubleAt time.Time
 	// heard is the time of the newest evidence.
 	heard time.Time
+	// reachedAt is when a target of an availability zone last took a connection or answered.
+	reachedAt map[string]time.Time
 }
 
 // New returns an empty directory.
 func New(now func() time.Time) *Directory {
-	return &Directory{now: now, entries: map[string]*entry{}, leaving: map[string]time.Time{}}
+	return &Directory{now: now, entries: map[string]*entry{}, leaving: map[string]time.Time{}, reachedAt: map[string]time.Time{}}
 }
 
 // Change is what a call changed about one target.
@@ -248,9 +259,25 @@
 	if en, ok := dr.entries[id]; ok {
 		en.failures, en.ejections = 0, 0
 		en.outUntil = time.Time{}
+		dr.reached(en)
 	}
 }
 
+// Reached notes that a target answered, whatever it said.
+func (dr *Directory) Reached(id string) {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	if en, ok := dr.entries[id]; ok {
+		dr.reached(en)
+	}
+}
+
+func (dr *Directory) reached(en *entry) {
+	en.refusals = 0
+	en.cutUntil = time.Time{}
+	dr.reachedAt[en.AvailabilityZone] = dr.now()
+}
+
 // Failure notes a failed attempt and reports whether it took the target out.
 func (dr *Directory) Failure(id string) bool {
 	dr.mu.Lock()
@@ -269,34 +296,72 @@
 	return true
 }
 
-// Unreachable notes that a target took no connection.
+// Unreachable notes that a target took no connection. When a second one of its availability zone does not either, the
+// whole availability zone is taken as cut off.
 func (dr *Directory) Unreachable(id string) {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
-	if en, ok := dr.entries[id]; ok {
-		en.outUntil = dr.now().Add(unreachableFor)
+	en, ok := dr.entries[id]
+	if !ok {
+		return
+	}
+	now := dr.now()
+	en.cutUntil = now.Add(min(unreachableMost, unreachableFor<<min(en.refusals, maxDoublings)))
+	en.refusals++
+	if dr.zoneCut(en.AvailabilityZone, now) {
+		dr.leaveOutZone(en.AvailabilityZone, now)
 	}
 }
 
-// Usable returns the targets of a service that may get work now, sorted by incarnation. Failing targets are left out
-// unless too few are left.
+// maxDoublings keeps the doubling of pauses within bounds.
+const maxDoublings = 3
+
+// zoneCut reports whether several targets of an availability zone are unreachable and none was reached since.
+func (dr *Directory) zoneCut(zone string, now time.Time) bool {
+	suspects := 0
+	for _, en := range dr.entries {
+		if en.AvailabilityZone == zone && en.refusals > 0 && now.Before(en.cutUntil) {
+			suspects++
+		}
+	}
+	return suspects >= zoneSuspects && now.Sub(dr.reachedAt[zone]) > zoneQuiet
+}
+
+// zoneQuiet is the time without any answer from an availability zone after which it may be cut off: answers come many
+// times a second from one that is not.
+const zoneQuiet = 200 * time.Millisecond
+
+func (dr *Directory) leaveOutZone(zone string, now time.Time) {
+	for _, en := range dr.entries {
+		if en.AvailabilityZone == zone && now.After(en.cutUntil) {
+			en.cutUntil = now.Add(unreachableFor)
+		}
+	}
+}
+
+// Usable returns the targets of a service that may get work now, sorted by incarnation. Those that take no connection
+// are left out while others do; failing ones are left out unless too few are left.
 func (dr *Directory) Usable(service string) []Target {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
 	now := dr.now()
-	var good, out []Target
+	var good, failing, cut []Target
 	for _, en := range dr.entries {
-		if en.Service != service || !en.takesWork(now) {
-			continue
-		}
-		if now.Before(en.outUntil) {
-			out = append(out, en.Target)
-			continue
+		switch {
+		case en.Service != service || !en.takesWork(now):
+		case now.Before(en.cutUntil):
+			cut = append(cut, en.Target)
+		case now.Before(en.outUntil):
+			failing = append(failing, en.Target)
+		default:
+			good = append(good, en.Target)
 		}
-		good = append(good, en.Target)
 	}
-	if float64(len(out)) > ejectShare*float64(len(good)+len(out)) {
-		good = append(good, out...)
+	if float64(len(failing)) > ejectShare*float64(len(good)+len(failing)) {
+		good = append(good, failing...)
+	}
+	if len(good) == 0 {
+		good = append(failing, cut...)
 	}
 	slices.SortFunc(good, func(a, b Target) int { return strings.Compare(a.ID, b.ID) })
 	return good
--- a/internal/targets/targets_test.go
+++ b/internal/targets/targets_test.go
@@ -102,6 +102,29 @@
 			}
 			cl.pass(1100 * time.Millisecond)
 		}, []string{"a", "b", "c"}},
+		"a target that takes no connection is left out": {func(_ *clock, dr *targets.Directory) {
+			dr.Unreachable("a")
+		}, []string{"b", "c"}},
+		"most targets may be left out for it": {func(_ *clock, dr *targets.Directory) {
+			dr.Reached("c")
+			dr.Unreachable("a")
+			dr.Unreachable("b")
+		}, []string{"c"}},
+		"all are tried when none takes connections": {func(_ *clock, dr *targets.Directory) {
+			for _, id := range []string{"a", "b", "c"} {
+				dr.Unreachable(id)
+			}
+		}, []string{"a", "b", "c"}},
+		"it is tried again soon": {func(cl *clock, dr *targets.Directory) {
+			dr.Unreachable("a")
+			cl.pass(time.Second)
+		}, []string{"a", "b", "c"}},
+		"and later when it still takes none": {func(cl *clock, dr *targets.Directory) {
+			dr.Unreachable("a")
+			cl.pass(time.Second)
+			dr.Unreachable("a")
+			cl.pass(time.Second)
+		}, []string{"b", "c"}},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -130,3 +153,44 @@
 	g.Expect(dr.MarkLeaving("a")).To(BeFalse())
 	g.Expect(dr.Leaving()).To(Equal([]string{"a"}))
 }
+
+func TestAvailabilityZoneThatIsCutOff(t *testing.T) {
+	near := func(id string) targets.Target {
+		return targets.Target{ID: id, Service: "s", AvailabilityZone: "near"}
+	}
+	far := func(id string) targets.Target {
+		return targets.Target{ID: id, Service: "s", AvailabilityZone: "far"}
+	}
+	tests := map[string]struct {
+		happen func(cl *clock, dr *targets.Directory)
+		want   []string
+	}{
+		"two unreachable targets take their availability zone out": {func(_ *clock, dr *targets.Directory) {
+			dr.Unreachable("f1")
+			dr.Unreachable("f2")
+		}, []string{"n1", "n2"}},
+		"one does not": {func(_ *clock, dr *targets.Directory) {
+			dr.Unreachable("f1")
+		}, []string{"f2", "f3", "n1", "n2"}},
+		"nor do two beside one that answers": {func(_ *clock, dr *targets.Directory) {
+			dr.Reached("f3")
+			dr.Unreachable("f1")
+			dr.Unreachable("f2")
+		}, []string{"f3", "n1", "n2"}},
+		"it is tried again soon": {func(cl *clock, dr *targets.Directory) {
+			dr.Unreachable("f1")
+			dr.Unreachable("f2")
+			cl.pass(time.Second)
+		}, []string{"f1", "f2", "f3", "n1", "n2"}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			cl := newClock()
+			dr := targets.New(cl.now)
+			dr.Replace(append(all(near, []string{"n1", "n2"}), all(far, []string{"f1", "f2", "f3"})...), cl.now())
+			tc.happen(cl, dr)
+			g.Expect(ids(dr.Usable("s"))).To(Equal(tc.want))
+		})
+	}
+}
