--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"sync"
+	"time"
 
 	"github.com/silvermount/silvermount/internal/placement"
 )
@@ -14,12 +15,14 @@
 	own map[string]placement.Load
 	// peers holds the newest loads that each peer told.
 	peers map[string]map[string]placement.Load
+	// fullUntil is when a target that had no memory may be taken at its predicted load again, by incarnation.
+	fullUntil map[string]time.Time
 	// freed is closed and replaced when room may have become free.
 	freed chan struct{}
 }
 
 func newBook() *book {
-	return &book{own: map[string]placement.Load{}, peers: map[string]map[string]placement.Load{}, freed: make(chan struct{})}
+	return &book{own: map[string]placement.Load{}, peers: map[string]map[string]placement.Load{}, fullUntil: map[string]time.Time{}, freed: make(chan struct{})}
 }
 
 // add adds to this instance's load at a target. The lock is held.
@@ -63,6 +66,23 @@
 	bk.wake()
 }
 
+// full notes that a target had no memory.
+func (bk *book) full(id string, until time.Time) {
+	bk.mu.Lock()
+	bk.fullUntil[id] = until
+	bk.mu.Unlock()
+}
+
+// isFull reports whether a target lately had no memory. The lock is held.
+func (bk *book) isFull(id string, now time.Time) bool {
+	until, told := bk.fullUntil[id]
+	if told && now.After(until) {
+		delete(bk.fullUntil, id)
+		return false
+	}
+	return told
+}
+
 // woken returns a channel that is closed when room may have become free.
 func (bk *book) woken() <-chan struct{} {
 	bk.mu.Lock()
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,478 @@
+package dispatch_test
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+
+	"github.com/silvermount/silvermount/internal/dispatch"
+	"github.com/silvermount/silvermount/internal/failure"
+	"github.com/silvermount/silvermount/internal/placement"
+	"github.com/silvermount/silvermount/internal/reservation"
+	"github.com/silvermount/silvermount/internal/routes"
+	"github.com/silvermount/silvermount/internal/targets"
+)
+
+const (
+	memory    = 10_000
+	slots     = 4
+	zone      = "z1"
+	objective = 2 * time.Second
+	deadline  = 30 * time.Second
+)
+
+// orders counts what targets were asked for.
+type orders struct {
+	mu                 sync.Mutex
+	reserved, released map[string]int
+	// refuse says which addresses have no room.
+	refuse map[string]bool
+	// asked counts all orders for memory.
+	asked int
+}
+
+// travel is how long an order and its answer take.
+const travel = time.Millisecond
+
+func (od *orders) reserve(_ context.Context, address, _ string, _ int64, _ time.Duration) error {
+	time.Sleep(travel)
+	od.mu.Lock()
+	defer od.mu.Unlock()
+	od.asked++
+	if od.refuse[address] {
+		return &reservation.RefusedError{Address: address}
+	}
+	od.reserved[address]++
+	return nil
+}
+
+func (od *orders) release(_ context.Context, address, _ string) error {
+	od.mu.Lock()
+	defer od.mu.Unlock()
+	od.released[address]++
+	return nil
+}
+
+// sums returns how many targets were asked for memory, and how many to take it back.
+func (od *orders) sums() (reserved, released int) {
+	od.mu.Lock()
+	defer od.mu.Unlock()
+	return len(od.reserved), len(od.released)
+}
+
+// bench is a dispatcher with targets.
+type bench struct {
+	*WithT
+	*dispatch.Dispatcher
+	t         *testing.T
+	directory *targets.Directory
+	orders    *orders
+}
+
+// settle is longer than what a release does in the background.
+const settle = time.Minute
+
+func newBench(t *testing.T, count int) *bench {
+	be := &bench{
+		WithT: NewWithT(t), t: t, directory: targets.New(time.Now),
+		orders: &orders{reserved: map[string]int{}, released: map[string]int{}, refuse: map[string]bool{}},
+	}
+	var ids atomic.Int64
+	kp := &reservation.Keeper{
+		Timeout: 400 * time.Millisecond, Hold: 3 * time.Second,
+		Reserve: be.orders.reserve, Release: be.orders.release,
+		NewID: func() string { return strconv.FormatInt(ids.Add(1), 10) },
+		Log:   &log.Logger{Handler: discard.New(), Level: log.DebugLevel},
+	}
+	be.Dispatcher = dispatch.New(be.directory, kp, dispatch.Options{Instance: "i", AvailabilityZone: zone, Now: time.Now})
+	for no := range count {
+		be.put(no, zone, false)
+	}
+	return be
+}
+
+func id(no int) string { return "t" + strconv.Itoa(no) }
+
+func (be *bench) put(no int, at string, leaving bool) {
+	be.directory.Put(targets.Target{
+		ID: id(no), Service: "s", Address: "10.0.0." + strconv.Itoa(no) + ":80", AvailabilityZone: at, Slots: slots, Leaving: leaving,
+	}, time.Now())
+}
+
+func bubble(t *testing.T, count int, run func(be *bench)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { run(newBench(t, count)) })
+}
+
+var asks atomic.Int64
+
+func plain() dispatch.Ask {
+	no := asks.Add(1)
+	now := time.Now()
+	return dispatch.Ask{
+		Request: strconv.FormatInt(no, 10), Service: routes.Service{Name: "s"}, Objective: objective,
+		Arrived: now, Deadline: now.Add(deadline),
+	}
+}
+
+// prompt asks for room for that many tokens at a model engine.
+func prompt(tokens int) dispatch.Ask {
+	as := plain()
+	as.PromptTokens, as.MostAnswer, as.LongestPause = tokens, 100, time.Second
+	as.Service.Engine = &placement.Engine{
+		Slots: slots, Stride: 4, Chunk: 2048, Memory: memory, Step: time.Millisecond, PerWriter: 50 * time.Microsecond,
+		PerThousandContext: 5 * time.Microsecond, PerThousandRead: time.Millisecond, UsualPrompt: 1000, UsualAnswer: 100,
+	}
+	return as
+}
+
+func (be *bench) take(as dispatch.Ask) *dispatch.Slot {
+	sl, err := be.Acquire(context.Background(), as)
+	be.Expect(err).NotTo(HaveOccurred())
+	be.t.Cleanup(func() {
+		sl.Release()
+		time.Sleep(settle)
+	})
+	return sl
+}
+
+// send asks for a target in the background.
+func (be *bench) send(as dispatch.Ask) <-chan *dispatch.Slot {
+	got := make(chan *dispatch.Slot, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	be.t.Cleanup(func() {
+		cancel()
+		synctest.Wait()
+		select {
+		case sl := <-got:
+			sl.Release()
+		default:
+			// The test has taken it, or nothing came.
+		}
+		time.Sleep(settle)
+	})
+	go func() {
+		sl, err := be.Acquire(ctx, as)
+		if err != nil {
+			return // the test sees that nothing came
+		}
+		got <- sl
+	}()
+	return got
+}
+
+// refused returns the failure of a request that gets no target.
+func (be *bench) refused(as dispatch.Ask) *failure.Error {
+	_, err := be.Acquire(context.Background(), as)
+	var fe *failure.Error
+	be.Expect(errors.As(err, &fe)).To(BeTrue())
+	return fe
+}
+
+func TestLeastBusyPlainTarget(t *testing.T) {
+	bubble(t, 3, func(be *bench) {
+		var sls []*dispatch.Slot
+		for range 3 * 4 {
+			sls = append(sls, be.take(plain()))
+		}
+		for no := range 3 {
+			be.Expect(be.Own()[id(no)].Writers).To(Equal(4))
+		}
+		for _, sl := range sls {
+			sl.Release()
+		}
+		be.Expect(be.Own()).To(BeEmpty())
+	})
+}
+
+func TestWhichPlainTarget(t *testing.T) {
+	cases := map[string]struct {
+		prepare func(be *bench)
+		avoid   []string
+		want    string
+	}{
+		"the near one": {func(be *bench) { be.put(1, "z2", false) }, nil, id(0)},
+		"the far one when the near one is busy": {func(be *bench) {
+			be.put(1, "z2", false)
+			be.take(plain())
+		}, nil, id(1)},
+		"the one that a peer does not use": {func(be *bench) {
+			be.Heard("peer", map[string]placement.Load{id(0): {Writers: 3}})
+		}, nil, id(1)},
+		"loads of several peers count": {func(be *bench) {
+			be.Heard("p1", map[string]placement.Load{id(0): {Writers: 2}, id(1): {Writers: 3}})
+			be.Heard("p2", map[string]placement.Load{id(0): {Writers: 2}})
+		}, nil, id(1)},
+		"a lost peer's load does not": {func(be *bench) {
+			be.Heard("p1", map[string]placement.Load{id(0): {Writers: 9}})
+			be.Heard("p2", map[string]placement.Load{id(1): {Writers: 1}})
+			be.Heard("p1", nil)
+		}, nil, id(0)},
+		"not the leaving one":    {func(be *bench) { be.put(0, zone, true) }, nil, id(1)},
+		"not the one to avoid":   {func(*bench) {}, []string{id(0)}, id(1)},
+		"not the one told gone":  {func(be *bench) { be.directory.MarkLeaving(id(1)) }, nil, id(0)},
+		"not the one unreached":  {func(be *bench) { be.directory.Unreachable(id(0)) }, nil, id(1)},
+		"not the one that fails": {func(be *bench) { failing(be, id(1)) }, nil, id(0)},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, 2, func(be *bench) {
+				tc.prepare(be)
+				as := plain()
+				as.Avoid = tc.avoid
+				be.Expect(be.take(as).Target.ID).To(Equal(tc.want))
+			})
+		})
+	}
+}
+
+func failing(be *bench, which string) {
+	for range 3 {
+		be.directory.Failure(which)
+	}
+}
+
+func TestNoTargetIsRefusedAtOnce(t *testing.T) {
+	cases := map[string]struct {
+		count int
+		avoid []string
+	}{
+		"none listed":  {0, nil},
+		"all to avoid": {1, []string{id(0)}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, tc.count, func(be *bench) {
+				as := plain()
+				as.Avoid = tc.avoid
+				began := time.Now()
+				fe := be.refused(as)
+				be.Expect(fe.Code).To(Equal(failure.NoTarget))
+				be.Expect(fe.Outcome).To(Equal(failure.NotRun))
+				be.Expect(fe.RetryAfter).To(BeNumerically(">", 0))
+				be.Expect(time.Since(began)).To(BeZero())
+			})
+		})
+	}
+}
+
+// largest needs more than half of the memory of three targets.
+const largest = 15_000
+
+// TestTwoRequestsDoNotSeeTheSameRoom sends prompts at once to as many idle targets.
+func TestTwoRequestsDoNotSeeTheSameRoom(t *testing.T) {
+	const count = 3
+	bubble(t, count, func(be *bench) {
+		var all []<-chan *dispatch.Slot
+		for range count {
+			all = append(all, be.send(prompt(8000)))
+		}
+		synctest.Wait()
+		var sls []*dispatch.Slot
+		for _, got := range all {
+			be.Expect(got).To(HaveLen(1))
+			sls = append(sls, <-got)
+		}
+		for no := range count {
+			be.Expect(be.Own()[id(no)].Readers).To(Equal(1))
+			be.Expect(be.Own()[id(no)].Memory).To(BeNumerically("<=", memory))
+		}
+		for _, sl := range sls {
+			sl.Release()
+		}
+		be.Expect(be.Own()).To(BeEmpty())
+	})
+}
+
+// TestTwoLargePromptsDoNotSeeTheSameMemory lets the second one wait until the first gives its memory back.
+func TestTwoLargePromptsDoNotSeeTheSameMemory(t *testing.T) {
+	bubble(t, 3, func(be *bench) {
+		first := be.take(prompt(largest))
+		second := be.send(prompt(largest))
+		time.Sleep(objective / 2)
+		synctest.Wait()
+		be.Expect(second).To(BeEmpty(), "both got the same memory")
+		first.Release()
+		// Far less than the pause between two looks of a request that nothing wakes.
+		time.Sleep(2 * travel)
+		synctest.Wait()
+		be.Expect(second).To(HaveLen(1), "the release did not wake the request that waits")
+		(<-second).Release()
+		time.Sleep(settle)
+		be.Expect(be.Own()).To(BeEmpty())
+	})
+}
+
+func TestLargePromptsNeverExceedTheMemory(t *testing.T) {
+	bubble(t, 3, func(be *bench) {
+		var wg sync.WaitGroup
+		for no := range 20 {
+			wg.Go(func() {
+				sl, err := be.Acquire(context.Background(), prompt(11_000+200*no))
+				if err != nil {
+					return // some are refused; what counts is that none is placed without memory
+				}
+				defer sl.Release()
+				for at := range 3 {
+					if held := be.Own()[id(at)].Memory; held > memory {
+						be.t.Errorf("%d tokens are booked at %s", held, id(at))
+					}
+				}
+				time.Sleep(50 * time.Millisecond)
+				sl.FirstToken()
+				time.Sleep(50 * time.Millisecond)
+			})
+		}
+		wg.Wait()
+		time.Sleep(settle)
+		be.Expect(be.Own()).To(BeEmpty())
+	})
+}
+
+func TestPeersLoadsCountForPrompts(t *testing.T) {
+	bubble(t, 2, func(be *bench) {
+		be.Heard("peer", map[string]placement.Load{id(0): {Memory: 9000, Writers: 1, Context: 9000}})
+		for range 5 {
+			sl := be.take(prompt(4000))
+			be.Expect(sl.Target.ID).To(Equal(id(1)))
+			sl.Release()
+		}
+		be.Heard("peer", map[string]placement.Load{id(1): {Memory: 9000, Writers: 1, Context: 9000}})
+		be.Expect(be.take(prompt(4000)).Target.ID).To(Equal(id(0)))
+	})
+}
+
+func TestPeerWakesARequestThatWaits(t *testing.T) {
+	bubble(t, 3, func(be *bench) {
+		be.Heard("peer", map[string]placement.Load{id(0): {Memory: memory}, id(1): {Memory: memory}})
+		got := be.send(prompt(largest))
+		time.Sleep(objective / 2)
+		synctest.Wait()
+		be.Expect(got).To(BeEmpty())
+		be.Heard("peer", map[string]placement.Load{})
+		time.Sleep(2 * travel)
+		synctest.Wait()
+		be.Expect(got).To(HaveLen(1))
+		(<-got).Release()
+		time.Sleep(settle)
+	})
+}
+
+func TestRequestWithoutRoomIsRefusedInTime(t *testing.T) {
+	bubble(t, 3, func(be *bench) {
+		be.take(prompt(largest))
+		began := time.Now()
+		fe := be.refused(prompt(largest))
+		be.Expect(fe.Code).To(Equal(failure.Overloaded))
+		be.Expect(fe.Outcome).To(Equal(failure.NotRun))
+		be.Expect(fe.RetryAfter).To(BeNumerically(">", 0))
+		be.Expect(time.Since(began)).To(BeNumerically("<=", objective))
+		be.Expect(time.Since(began)).To(BeNumerically(">", 0))
+	})
+}
+
+func TestWaitEndsWithItsContext(t *testing.T) {
+	bubble(t, 3, func(be *bench) {
+		be.take(prompt(largest))
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		began := time.Now()
+		_, err := be.Acquire(ctx, prompt(largest))
+		be.Expect(err).To(MatchError(context.DeadlineExceeded))
+		be.Expect(time.Since(began)).To(Equal(100 * time.Millisecond))
+	})
+}
+
+func TestLargePromptTakesMemoryAtSeveral(t *testing.T) {
+	bubble(t, 3, func(be *bench) {
+		sl := be.take(prompt(largest))
+		be.Expect(len(sl.Helpers)).To(BeNumerically(">=", 2))
+		be.Expect(sl.Helpers[0].ID).To(Equal(sl.Target.ID))
+		held := int64(0)
+		for no := range 3 {
+			be.Expect(be.Own()[id(no)].Memory).To(BeNumerically("<=", memory))
+			held += be.Own()[id(no)].Memory
+		}
+		be.Expect(held).To(BeNumerically(">=", 15_000))
+		sl.FirstToken()
+		sl.Release()
+		time.Sleep(time.Second)
+		reserved, released := be.orders.sums()
+		be.Expect(reserved).To(Equal(len(sl.Helpers)))
+		be.Expect(released).To(Equal(reserved))
+		be.Expect(be.Own()).To(BeEmpty())
+	})
+}
+
+// TestLargePromptGoesAroundATargetThatRefuses leaves enough room at the others.
+func TestLargePromptGoesAroundATargetThatRefuses(t *testing.T) {
+	for no := range 3 {
+		t.Run(id(no), func(t *testing.T) {
+			bubble(t, 3, func(be *bench) {
+				be.orders.refuse["10.0.0."+strconv.Itoa(no)+":80"] = true
+				sl := be.take(prompt(largest))
+				for _, hp := range sl.Helpers {
+					be.Expect(hp.ID).NotTo(Equal(id(no)))
+				}
+				sl.Release()
+				time.Sleep(settle)
+			})
+		})
+	}
+}
+
+func TestRefusedLargePromptLeavesNothingBehind(t *testing.T) {
+	bubble(t, 3, func(be *bench) {
+		for no := range 3 {
+			be.orders.refuse["10.0.0."+strconv.Itoa(no)+":80"] = no > 0
+		}
+		fe := be.refused(prompt(largest))
+		be.Expect(fe.Outcome).To(Equal(failure.NotRun))
+		be.Expect(fe.RetryAfter).To(BeNumerically(">", 0))
+		time.Sleep(settle)
+		be.Expect(be.Own()).To(BeEmpty())
+		be.orders.mu.Lock()
+		defer be.orders.mu.Unlock()
+		be.Expect(be.orders.released).To(Equal(be.orders.reserved))
+	})
+}
+
+// TestRefusedMemoryIsNotAskedForWithoutAPause counts the orders of one request that waits, at three targets of which two
+// have no memory. Each order costs the targets work.
+func TestRefusedMemoryIsNotAskedForWithoutAPause(t *testing.T) {
+	const step = 20 * time.Millisecond
+	bubble(t, 3, func(be *bench) {
+		for no := range 3 {
+			be.orders.refuse["10.0.0."+strconv.Itoa(no)+":80"] = no > 0
+		}
+		be.refused(prompt(largest))
+		time.Sleep(settle)
+		be.orders.mu.Lock()
+		defer be.orders.mu.Unlock()
+		be.Expect(be.orders.asked).To(BeNumerically("<=", 3*int(objective/step)))
+	})
+}
+
+func TestReleaseTwiceChangesNothing(t *testing.T) {
+	bubble(t, 1, func(be *bench) {
+		other := be.take(prompt(1000))
+		sl := be.take(prompt(1000))
+		sl.FirstToken()
+		sl.FirstToken()
+		sl.Release()
+		before := be.Own()
+		sl.Release()
+		be.Expect(be.Own()).To(Equal(before))
+		other.Release()
+		be.Expect(be.Own()).To(BeEmpty())
+	})
+}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -67,6 +67,7 @@
 		sl.Release()
 		var re *reservation.RefusedError
 		if errors.As(err, &re) {
+			ds.noteFull(re.Address, tgs)
 			return nil, false, nil
 		}
 		return nil, false, failure.New(failure.NoMemory, failure.NotRun, "memory could not be set aside").
@@ -79,12 +80,16 @@
 func (ds *Dispatcher) choose(as Ask, pr placement.Prompt, tgs []targets.Target) (*Slot, bool) {
 	ds.book.mu.Lock()
 	defer ds.book.mu.Unlock()
+	now := ds.opts.Now()
 	cands := make([]placement.Target, len(tgs))
 	byID := make(map[string]targets.Target, len(tgs))
 	for i, tg := range tgs {
 		cands[i] = placement.Target{
 			Name: tg.ID, Near: tg.AvailabilityZone == ds.opts.AvailabilityZone, Load: ds.book.total(tg.ID), Pace: 1, Helper: true,
 		}
+		if ds.book.isFull(tg.ID, now) {
+			cands[i].Load.Memory = max(cands[i].Load.Memory, as.Service.Engine.Memory)
+		}
 		byID[tg.ID] = tg
 	}
 	seed := xxhash.Sum64String(ds.opts.Instance + as.Request)
@@ -167,6 +172,18 @@
 	return float64(pl.Loss-later.Loss) > waitGain*float64(pr.InTime)
 }
 
+// fullFor is how long a target that refused to set memory aside counts as full: about an answer's time, in which some
+// of its requests end.
+const fullFor = 500 * time.Millisecond
+
+func (ds *Dispatcher) noteFull(address string, tgs []targets.Target) {
+	for _, tg := range tgs {
+		if tg.Address == address {
+			ds.book.full(tg.ID, ds.opts.Now().Add(fullFor))
+		}
+	}
+}
+
 // reserve sets aside the memory of a plan. The main target's own reservation comes first among the helpers.
 func (ds *Dispatcher) reserve(ctx context.Context, sl *Slot, tgs []targets.Target) error {
 	address := map[string]string{}
--- a/internal/duty/facts/facts.go
+++ b/internal/duty/facts/facts.go
@@ -101,6 +101,8 @@
 	}
 	ct, err := rd.ad.Configuration(it.Value)
 	if err != nil {
+		// What is in force is no longer the newest: it must not be confirmed.
+		rd.version = 0
 		rd.lg.WithError(err).WithField("version", it.Version).Error("configuration cannot be read; the present one stays in force")
 		return
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -51,14 +51,20 @@
 // Run follows until ctx ends.
 func (fo *Follower) Run(ctx context.Context) {
 	pause := retryLeast
+	gone := false
 	for ctx.Err() == nil {
 		since, err := fo.list(ctx)
 		for err == nil {
-			pause = retryLeast
 			since, err = fo.watch(ctx, since)
+			if err == nil {
+				pause = retryLeast
+				gone = false
+			}
 		}
 		var hg *objectstore.HistoryGoneError
-		if errors.As(err, &hg) {
+		// History that is gone again right after a list is trouble like any other.
+		if errors.As(err, &hg) && !gone {
+			gone = true
 			fo.Log.WithField("kind", fo.Kind).WithField("version", since).Info("history gone, listing again")
 			continue
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,13 +78,11 @@
 	gw.inFlight.Add(1)
 	defer gw.inFlight.Add(-1)
 	began := gw.Now()
-	if gw.Stopping() {
-		w.Header().Set("Connection", "close")
-	}
-	sk := &sink{w: w, rc: http.NewResponseController(w)}
+	sk := &sink{w: w, rc: http.NewResponseController(w), stopping: gw.Stopping}
 	rq, err := gw.admit(r, sk, began)
+	// A body that was not read to its end has taken memory too.
+	defer func() { rq.free() }()
 	if err == nil {
-		defer rq.free()
 		err = gw.run(r.Context(), rq, sk)
 	}
 	gw.finish(rq, sk, err)
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -38,6 +38,12 @@
 	if verdict == Answered && rq.route.Streaming && an.StatusCode == http.StatusOK {
 		return gw.stream(ctx, rq, sk, sl, an)
 	}
+	if sk.started {
+		// The caller has the beginning of a stream: nothing but its next events may follow.
+		err := &TargetFailureError{Status: an.StatusCode}
+		gw.failed(rq, sl.Target, err)
+		return failure.New(failure.TargetLost, failure.Unknown, "the stream does not go on there").WithCause(err)
+	}
 	return gw.plain(ctx, rq, sk, sl, an, verdict)
 }
 
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -44,6 +44,8 @@
 type sink struct {
 	w  http.ResponseWriter
 	rc *http.ResponseController
+	// stopping reports whether a stop was asked for.
+	stopping func() bool
 	// started is set once a status line was written.
 	started bool
 	// status is what was written; zero before.
@@ -53,6 +55,9 @@
 func (sk *sink) start(status int) {
 	sk.started = true
 	sk.status = status
+	if sk.stopping() {
+		sk.w.Header().Set("Connection", "close")
+	}
 	sk.w.WriteHeader(status)
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -7,6 +7,7 @@
 	"io"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,6 +16,7 @@
 	"github.com/silvermount/silvermount/internal/failure"
 	"github.com/silvermount/silvermount/internal/life"
 	"github.com/silvermount/silvermount/internal/routes"
+	"github.com/silvermount/silvermount/internal/targets"
 	"github.com/silvermount/silvermount/internal/upstream"
 )
 
@@ -85,7 +87,7 @@
 	stall := max(stallFloor, stallPauses*rq.route.LongestPause)
 	// A copy: the timer may look at it while the next attempt begins.
 	tried := slices.Clone(rq.tried)
-	wd := newWatchdog(an, stall, func() bool { return gw.movable(rq.route, tried) })
+	wd := newWatchdog(an, stall, func() bool { return gw.movable(rq.route, rq.service, tried) })
 	defer wd.stop()
 	fresh := true
 	for {
@@ -110,25 +112,28 @@
 			// The event was passed on before the stream moved here.
 			continue
 		}
-		if err := gw.passEvent(rq, sk, an, ev, br.Buffered() == 0); err != nil {
+		if err := gw.passEvent(rq, sk, an, ev); err != nil {
 			return err
 		}
 	}
 }
 
 // movable reports whether a stream could be taken up at another target now.
-func (gw *Gateway) movable(rt routes.Route, tried []string) bool {
-	return rt.Resumable && gw.stillThere(tried) < rt.MaxAttempts && gw.Retries.Left()
+func (gw *Gateway) movable(rt routes.Route, service string, tried []string) bool {
+	if !rt.Resumable || gw.stillThere(tried) >= rt.MaxAttempts || !gw.Retries.Left() {
+		return false
+	}
+	return slices.ContainsFunc(gw.Targets.Usable(service), func(tg targets.Target) bool { return !slices.Contains(tried, tg.ID) })
 }
 
-func (gw *Gateway) passEvent(rq *request, sk *sink, an *upstream.Answer, ev event, flush bool) error {
+func (gw *Gateway) passEvent(rq *request, sk *sink, an *upstream.Answer, ev event) error {
 	if !sk.started {
 		copyHeader(sk.w.Header(), an.Header)
 		sk.w.Header().Del("Content-Length")
 		sk.start(an.StatusCode)
 	}
 	err := sk.write(ev.raw)
-	if err == nil && flush {
+	if err == nil {
 		err = sk.flush()
 	}
 	if err != nil {
@@ -166,24 +171,23 @@
 // watchdog closes an answer that stays silent for too long, but only while the stream can go on elsewhere: silence
 // alone is no reason to end an answer before its time.
 type watchdog struct {
+	an      *upstream.Answer
+	limit   time.Duration
+	movable func() bool
+
+	mu    sync.Mutex
 	timer *time.Timer
-	limit time.Duration
-	fired chan struct{}
+	// ended is set when the stream is over: its connection may then serve another request.
+	ended bool
+	// fired is set when silence ended the stream.
+	fired bool
 }
 
 func newWatchdog(an *upstream.Answer, limit time.Duration, movable func() bool) *watchdog {
-	wd := &watchdog{limit: limit, fired: make(chan struct{})}
-	armed := make(chan struct{})
-	wd.timer = time.AfterFunc(firstEventMost, func() {
-		<-armed
-		if !movable() {
-			wd.timer.Reset(limit)
-			return
-		}
-		close(wd.fired)
-		an.Break()
-	})
-	close(armed)
+	wd := &watchdog{an: an, limit: limit, movable: movable}
+	wd.mu.Lock()
+	defer wd.mu.Unlock()
+	wd.timer = time.AfterFunc(firstEventMost, wd.fire)
 	return wd
 }
 
@@ -191,16 +195,35 @@
 // token.
 const firstEventMost = 3 * time.Second
 
+func (wd *watchdog) fire() {
+	wd.mu.Lock()
+	defer wd.mu.Unlock()
+	if wd.ended {
+		return
+	}
+	if !wd.movable() {
+		wd.timer.Reset(wd.limit)
+		return
+	}
+	wd.fired = true
+	wd.an.Break()
+}
+
 func (wd *watchdog) reset(d time.Duration) { wd.timer.Reset(d) }
 
-func (wd *watchdog) stop() { wd.timer.Stop() }
+func (wd *watchdog) stop() {
+	wd.mu.Lock()
+	defer wd.mu.Unlock()
+	wd.ended = true
+	wd.timer.Stop()
+}
 
 // cause returns the silence as the cause of a broken stream, if it was.
 func (wd *watchdog) cause(err error) error {
-	select {
-	case <-wd.fired:
+	wd.mu.Lock()
+	defer wd.mu.Unlock()
+	if wd.fired {
 		return &SilentTargetError{After: wd.limit}
-	default:
-		return err
 	}
+	return err
 }
--- a/internal/reservation/reservation.go
+++ b/internal/reservation/reservation.go
@@ -13,13 +13,8 @@
 )
 
 const (
-	// hold is how long memory stays set aside after the last renewal: short enough that memory of a killed instance is
-	// free again before the users count it as lost (four seconds on their sheets).
-	hold = 3 * time.Second
-	// renewEvery leaves two further tries within a hold.
-	renewEvery = time.Second
-	// askTimeout bounds one question to a target: many round trips inside a region.
-	askTimeout = 400 * time.Millisecond
+	// renewals is how often memory is renewed within a hold: two tries may fail.
+	renewals = 3
 )
 
 // releaseAgain are the pauses after which an order is given back once more when an answer was lost: a lost order may
@@ -48,7 +43,11 @@
 	Release func(ctx context.Context, address, id string) error
 	// NewID returns an id that is used once.
 	NewID func() string
-	Log   log.Interface
+	// Timeout bounds one order.
+	Timeout time.Duration
+	// Hold is how long memory stays set aside after the last renewal.
+	Hold time.Duration
+	Log     log.Interface
 }
 
 // Reservation is memory set aside for one request.
@@ -58,6 +57,9 @@
 	places []Place
 	stop   context.CancelFunc
 	done   sync.WaitGroup
+	// unsure holds the last renewal's error at each place, as a lost renewal may still be carried out. It is written by
+	// the renewals only, and read once they have ended.
+	unsure []error
 }
 
 // ID names the reservation at each of its targets.
@@ -65,7 +67,7 @@
 
 // Take sets memory aside at all places, or at none.
 func (kp *Keeper) Take(ctx context.Context, places []Place) (*Reservation, error) {
-	rv := &Reservation{kp: kp, id: kp.NewID(), places: places}
+	rv := &Reservation{kp: kp, id: kp.NewID(), places: places, unsure: make([]error, len(places))}
 	errs := make([]error, len(places))
 	var wg sync.WaitGroup
 	for i, pc := range places {
@@ -93,14 +95,14 @@
 }
 
 func (kp *Keeper) ask(ctx context.Context, pc Place, id string) error {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	ctx, cancel := context.WithTimeout(ctx, kp.Timeout)
 	defer cancel()
-	return errors.Wrap(kp.Reserve(ctx, pc.Address, id, pc.Tokens, hold), "set memory aside")
+	return errors.Wrap(kp.Reserve(ctx, pc.Address, id, pc.Tokens, kp.Hold), "set memory aside")
 }
 
 // keep renews until it is stopped.
 func (rv *Reservation) keep(ctx context.Context) {
-	tick := time.NewTicker(renewEvery)
+	tick := time.NewTicker(rv.kp.Hold / renewals)
 	defer tick.Stop()
 	for {
 		select {
@@ -108,12 +110,26 @@
 		case <-ctx.Done():
 			return
 		}
-		for _, pc := range rv.places {
-			if err := rv.kp.ask(ctx, pc, rv.id); err != nil && ctx.Err() == nil {
+		// Not cut off by a release: an order that is given up may still be carried out.
+		rv.renew(context.WithoutCancel(ctx))
+	}
+}
+
+// renew asks at all places at once: one that is silent must not let the others lapse.
+func (rv *Reservation) renew(ctx context.Context) {
+	var wg sync.WaitGroup
+	for i, pc := range rv.places {
+		wg.Go(func() {
+			err := rv.kp.ask(ctx, pc, rv.id)
+			if err != nil {
+				rv.unsure[i] = err
+			}
+			if err != nil && ctx.Err() == nil {
 				rv.kp.Log.WithField("address", pc.Address).WithField("reservation", rv.id).WithError(err).Warn("memory not renewed")
 			}
-		}
+		})
 	}
+	wg.Wait()
 }
 
 // Release ends the renewals and gives the memory back in the background.
@@ -122,7 +138,7 @@
 	go func() {
 		// A renewal under way could set the memory aside once more.
 		rv.done.Wait()
-		rv.giveBack(make([]error, len(rv.places)))
+		rv.giveBack(rv.unsure)
 	}()
 }
 
@@ -152,7 +168,7 @@
 }
 
 func (kp *Keeper) releaseOnce(pc Place, id string) error {
-	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), kp.Timeout)
 	defer cancel()
 	return errors.Wrap(kp.Release(ctx, pc.Address, id), "give memory back")
 }
--- /dev/null
+++ b/internal/reservation/reservation_test.go
@@ -0,0 +1,369 @@
+package reservation_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+
+	"github.com/silvermount/silvermount/internal/reservation"
+)
+
+const (
+	// holdMost is the users' bound on the time for which memory is set aside beyond the last use of it.
+	holdMost = 4 * time.Second
+	// lateMost is how much later a lost order may still be carried out.
+	lateMost = 12 * time.Second
+	// travel is how long an order and its answer take.
+	travel = 5 * time.Millisecond
+)
+
+// LostError says that an order had no answer.
+type LostError struct{}
+
+// Error says so.
+func (*LostError) Error() string { return "no answer" }
+
+// order is one order that came to a target.
+type order struct {
+	op, address, id string
+	tokens          int64
+	at              time.Time
+}
+
+// fakeTargets carries out orders.
+type fakeTargets struct {
+	mu     sync.Mutex
+	orders []order
+	// held holds until when memory is set aside, by address.
+	held map[string]time.Time
+	// reserve and release say how an order ends; nil is well.
+	reserve, release func(address string) error
+	ids              int
+	// taken is released at the end of a test, at least once more.
+	taken []*reservation.Reservation
+}
+
+func newFakeTargets() *fakeTargets { return &fakeTargets{held: map[string]time.Time{}} }
+
+func (ft *fakeTargets) keeper() *reservation.Keeper {
+	return &reservation.Keeper{
+		Timeout: 400 * time.Millisecond, Hold: 3 * time.Second,
+		Reserve: ft.onReserve, Release: ft.onRelease, NewID: ft.newID,
+		Log: &log.Logger{Handler: discard.New(), Level: log.DebugLevel},
+	}
+}
+
+func (ft *fakeTargets) newID() string {
+	ft.mu.Lock()
+	defer ft.mu.Unlock()
+	ft.ids++
+	return fmt.Sprintf("mem-%d", ft.ids)
+}
+
+func (ft *fakeTargets) onReserve(ctx context.Context, address, id string, tokens int64, hold time.Duration) error {
+	time.Sleep(travel)
+	ft.mu.Lock()
+	defer ft.mu.Unlock()
+	ft.orders = append(ft.orders, order{"reserve", address, id, tokens, time.Now()})
+	if ft.reserve != nil {
+		if err := ft.reserve(address); err != nil {
+			return err
+		}
+	}
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	ft.held[address] = time.Now().Add(hold)
+	return nil
+}
+
+func (ft *fakeTargets) onRelease(_ context.Context, address, id string) error {
+	time.Sleep(travel)
+	ft.mu.Lock()
+	defer ft.mu.Unlock()
+	ft.orders = append(ft.orders, order{op: "release", address: address, id: id, at: time.Now()})
+	if ft.release != nil {
+		if err := ft.release(address); err != nil {
+			return err
+		}
+	}
+	delete(ft.held, address)
+	return nil
+}
+
+func (ft *fakeTargets) set(edit func()) { ft.mu.Lock(); defer ft.mu.Unlock(); edit() }
+
+// count returns the orders of a sort at an address.
+func (ft *fakeTargets) count(op, address string) int {
+	ft.mu.Lock()
+	defer ft.mu.Unlock()
+	n := 0
+	for _, od := range ft.orders {
+		if od.op == op && od.address == address {
+			n++
+		}
+	}
+	return n
+}
+
+// lastAt returns when the newest order of a sort came to an address.
+func (ft *fakeTargets) lastAt(op, address string) time.Time {
+	ft.mu.Lock()
+	defer ft.mu.Unlock()
+	last := time.Time{}
+	for _, od := range ft.orders {
+		if od.op == op && od.address == address {
+			last = od.at
+		}
+	}
+	return last
+}
+
+// holding returns how many targets hold memory now.
+func (ft *fakeTargets) holding() int {
+	ft.mu.Lock()
+	defer ft.mu.Unlock()
+	n := 0
+	for _, until := range ft.held {
+		if time.Now().Before(until) {
+			n++
+		}
+	}
+	return n
+}
+
+var places = []reservation.Place{{Address: "a", Tokens: 100}, {Address: "b", Tokens: 200}, {Address: "c", Tokens: 300}}
+
+func bubble(t *testing.T, run func(g *WithT, ft *fakeTargets)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ft := newFakeTargets()
+		t.Cleanup(func() {
+			for _, rv := range ft.taken {
+				rv.Release()
+			}
+			time.Sleep(time.Minute)
+		})
+		run(NewWithT(t), ft)
+	})
+}
+
+func pass(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+func TestTakeKeepRelease(t *testing.T) {
+	bubble(t, func(g *WithT, ft *fakeTargets) {
+		rv, err := ft.keeper().Take(context.Background(), places)
+		g.Expect(err).NotTo(HaveOccurred())
+		ft.taken = append(ft.taken, rv)
+		g.Expect(rv.ID()).To(Equal("mem-1"))
+		for _, od := range ft.orders {
+			g.Expect(od.id).To(Equal(rv.ID()))
+		}
+		for range 60 {
+			g.Expect(ft.holding()).To(Equal(len(places)))
+			pass(time.Second)
+		}
+		rv.Release()
+		pass(100 * time.Millisecond)
+		g.Expect(ft.holding()).To(BeZero())
+		renewed := ft.count("reserve", "a")
+		pass(time.Minute)
+		g.Expect(ft.count("reserve", "a")).To(Equal(renewed))
+		for _, pc := range places {
+			g.Expect(ft.count("release", pc.Address)).To(Equal(1))
+		}
+	})
+}
+
+// TestTakeOutlivesItsContext ends the context of the request that took the memory.
+func TestTakeOutlivesItsContext(t *testing.T) {
+	bubble(t, func(g *WithT, ft *fakeTargets) {
+		ctx, cancel := context.WithCancel(context.Background())
+		rv, err := ft.keeper().Take(ctx, places)
+		g.Expect(err).NotTo(HaveOccurred())
+		ft.taken = append(ft.taken, rv)
+		cancel()
+		pass(10 * time.Second)
+		g.Expect(ft.holding()).To(Equal(len(places)))
+		rv.Release()
+		pass(100 * time.Millisecond)
+		g.Expect(ft.holding()).To(BeZero())
+	})
+}
+
+func TestAllOrNothing(t *testing.T) {
+	refuse := func(address string) error { return &reservation.RefusedError{Address: address} }
+	lose := func(string) error { return &LostError{} }
+	cases := map[string]struct {
+		fail func(address string) error
+		// lost is set when the order at b has no answer, and may be carried out later.
+		lost bool
+	}{
+		"refused at one": {refuse, false},
+		"lost at one":    {lose, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(g *WithT, ft *fakeTargets) {
+				ft.reserve = func(address string) error {
+					if address == "b" {
+						return tc.fail(address)
+					}
+					return nil
+				}
+				began := time.Now()
+				_, err := ft.keeper().Take(context.Background(), places)
+				g.Expect(err).To(HaveOccurred())
+				var re *reservation.RefusedError
+				g.Expect(errors.As(err, &re)).To(Equal(!tc.lost))
+				pass(time.Minute)
+				g.Expect(ft.holding()).To(BeZero())
+				g.Expect(ft.count("release", "a")).To(Equal(1))
+				g.Expect(ft.count("release", "c")).To(Equal(1))
+				if !tc.lost {
+					g.Expect(ft.count("release", "b")).To(BeZero())
+					return
+				}
+				g.Expect(ft.count("release", "b")).To(BeNumerically(">", 2))
+				g.Expect(ft.lastAt("release", "b").Sub(began)).To(BeNumerically(">=", lateMost))
+			})
+		})
+	}
+}
+
+func TestSilentTargetDoesNotHoldATakeUp(t *testing.T) {
+	bubble(t, func(g *WithT, ft *fakeTargets) {
+		kp := ft.keeper()
+		kp.Reserve = func(ctx context.Context, address, id string, tokens int64, hold time.Duration) error {
+			if address == "b" {
+				<-ctx.Done()
+				return ctx.Err()
+			}
+			return ft.onReserve(ctx, address, id, tokens, hold)
+		}
+		began := time.Now()
+		_, err := kp.Take(context.Background(), places)
+		g.Expect(err).To(HaveOccurred())
+		g.Expect(time.Since(began)).To(BeNumerically("<", time.Second))
+		pass(time.Minute)
+		g.Expect(ft.holding()).To(BeZero())
+	})
+}
+
+func TestReleaseIsRepeatedAfterALostAnswer(t *testing.T) {
+	bubble(t, func(g *WithT, ft *fakeTargets) {
+		rv, err := ft.keeper().Take(context.Background(), places)
+		g.Expect(err).NotTo(HaveOccurred())
+		ft.taken = append(ft.taken, rv)
+		lost := 2
+		ft.release = func(address string) error {
+			if address == "b" && lost > 0 {
+				lost--
+				return &LostError{}
+			}
+			return nil
+		}
+		rv.Release()
+		pass(time.Minute)
+		g.Expect(ft.holding()).To(BeZero())
+		g.Expect(ft.count("release", "a")).To(Equal(1))
+		g.Expect(ft.count("release", "b")).To(BeNumerically(">=", 3))
+	})
+}
+
+func TestMemoryOfADeadKeeperLapses(t *testing.T) {
+	bubble(t, func(g *WithT, ft *fakeTargets) {
+		rv, err := ft.keeper().Take(context.Background(), places)
+		g.Expect(err).NotTo(HaveOccurred())
+		ft.taken = append(ft.taken, rv)
+		ft.set(func() { ft.reserve = func(string) error { return &LostError{} } })
+		pass(holdMost)
+		g.Expect(ft.holding()).To(BeZero())
+		rv.Release()
+		pass(time.Minute)
+	})
+}
+
+// TestOneSilentTargetDoesNotLetTheOthersLapse keeps memory at many targets of which some do not answer any more.
+func TestOneSilentTargetDoesNotLetTheOthersLapse(t *testing.T) {
+	const targets, silent = 16, 6
+	bubble(t, func(g *WithT, ft *fakeTargets) {
+		var many []reservation.Place
+		for no := range targets {
+			many = append(many, reservation.Place{Address: fmt.Sprintf("t%02d", no), Tokens: 100})
+		}
+		var mu sync.Mutex
+		quiet := false
+		kp := ft.keeper()
+		kp.Reserve = func(ctx context.Context, address, id string, tokens int64, hold time.Duration) error {
+			mu.Lock()
+			stuck := quiet && address < fmt.Sprintf("t%02d", silent)
+			mu.Unlock()
+			if stuck {
+				<-ctx.Done()
+				return ctx.Err()
+			}
+			return ft.onReserve(ctx, address, id, tokens, hold)
+		}
+		rv, err := kp.Take(context.Background(), many)
+		g.Expect(err).NotTo(HaveOccurred())
+		ft.taken = append(ft.taken, rv)
+		mu.Lock()
+		quiet = true
+		mu.Unlock()
+		for range 40 {
+			pass(250 * time.Millisecond)
+			g.Expect(ft.holding()).To(BeNumerically(">=", targets-silent))
+		}
+		rv.Release()
+		pass(time.Minute)
+	})
+}
+
+// TestReleaseAfterALostRenewal releases while the last renewal at one target has no answer: it may still be carried
+// out, after the release.
+func TestReleaseAfterALostRenewal(t *testing.T) {
+	bubble(t, func(g *WithT, ft *fakeTargets) {
+		kp := ft.keeper()
+		var mu sync.Mutex
+		late := false
+		kp.Reserve = func(ctx context.Context, address, id string, tokens int64, hold time.Duration) error {
+			mu.Lock()
+			lost := late && address == "b"
+			mu.Unlock()
+			if !lost {
+				return ft.onReserve(ctx, address, id, tokens, hold)
+			}
+			go func() {
+				time.Sleep(3 * time.Second)
+				_ = ft.onReserve(context.Background(), address, id, tokens, hold) // nobody hears of its end
+			}()
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		rv, err := kp.Take(context.Background(), places)
+		g.Expect(err).NotTo(HaveOccurred())
+		ft.taken = append(ft.taken, rv)
+		mu.Lock()
+		late = true
+		mu.Unlock()
+		pass(1100 * time.Millisecond)
+		released := time.Now()
+		rv.Release()
+		pass(time.Minute)
+		g.Expect(ft.holding()).To(BeZero())
+		g.Expect(ft.lastAt("release", "b").Sub(released)).To(BeNumerically(">=", 3*time.Second),
+			"memory that a late renewal sets aside once more is not given back")
+	})
+}
--- /dev/null
+++ b/internal/routes/routes_test.go
@@ -0,0 +1,180 @@
+package routes_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/silvermount/silvermount/internal/routes"
+)
+
+func route(name, host, prefix string) routes.Route {
+	return routes.Route{Name: name, Host: host, PathPrefix: prefix, Shares: []routes.Share{{Service: "s", Weight: 1}}}
+}
+
+func table(version int64, rts ...routes.Route) *routes.Table {
+	return routes.New(routes.Content{Version: version, Routes: rts})
+}
+
+func TestRouteIsTheLongestPrefixOfTheHost(t *testing.T) {
+	tb := table(1,
+		route("root", "a", "/"), route("deep", "a", "/x/y/"), route("x", "a", "/x/"), route("other", "b", "/x/"),
+	)
+	cases := map[string]struct{ host, path, want string }{
+		"the only prefix":           {"a", "/z", "root"},
+		"longer prefix":             {"a", "/x/1", "x"},
+		"longest prefix":            {"a", "/x/y/1", "deep"},
+		"a prefix itself":           {"a", "/x/y/", "deep"},
+		"without the slash":         {"a", "/x/y", "x"},
+		"a name that begins alike":  {"a", "/xx/", "root"},
+		"another host":              {"b", "/x/y/1", "other"},
+		"another host without root": {"b", "/z", ""},
+		"host with port":            {"b:8080", "/x/1", "other"},
+		"unknown host":              {"c", "/x/1", ""},
+		"no host":                   {"", "/x/1", ""},
+		"escaped slash":             {"a", "/x%2Fy/1", "root"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			rt, ok := tb.Route(tc.host, tc.path)
+			g.Expect(ok).To(Equal(tc.want != ""))
+			g.Expect(rt.Name).To(Equal(tc.want))
+		})
+	}
+}
+
+func TestPickFollowsTheWeights(t *testing.T) {
+	shares := []routes.Share{{Service: "a", Weight: 1}, {Service: "none", Weight: 0}, {Service: "b", Weight: 3}}
+	cases := map[string]struct {
+		shares []routes.Share
+		point  float64
+		want   string
+	}{
+		"at the beginning":           {shares, 0, "a"},
+		"before the border":          {shares, 0.2499, "a"},
+		"at the border":              {shares, 0.25, "b"},
+		"at the end":                 {shares, 0.999999, "b"},
+		"one service":                {shares[:1], 0.7, "a"},
+		"first has no weight":        {[]routes.Share{{Service: "none"}, {Service: "b", Weight: 1}}, 0, "b"},
+		"last has no weight, at end": {[]routes.Share{{Service: "b", Weight: 1}, {Service: "none"}}, 0.999999, "b"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			NewWithT(t).Expect(routes.Route{Shares: tc.shares}.Pick(tc.point)).To(Equal(tc.want))
+		})
+	}
+}
+
+// TestPickNeverTakesAServiceWithoutWeight draws shares and points.
+func TestPickNeverTakesAServiceWithoutWeight(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		g := NewWithT(rt)
+		weights := rapid.SliceOfN(rapid.IntRange(0, 5), 1, 6).Draw(rt, "weights")
+		sum := 0
+		rte := routes.Route{}
+		for no, w := range weights {
+			sum += w
+			rte.Shares = append(rte.Shares, routes.Share{Service: string(rune('a' + no)), Weight: w})
+		}
+		if sum == 0 {
+			rte.Shares[0].Weight = 1
+			weights[0] = 1
+		}
+		got := rte.Pick(rapid.Float64Range(0, 0.9999999).Draw(rt, "point"))
+		g.Expect(weights[got[0]-'a']).To(BeNumerically(">", 0))
+	})
+}
+
+func TestKeys(t *testing.T) {
+	open := table(1)
+	closed := routes.New(routes.Content{Version: 1, Keys: map[string]routes.Organisation{"k": {Name: "red"}}})
+	cases := map[string]struct {
+		table *routes.Table
+		route routes.Route
+		need  bool
+	}{
+		"no organisations":                {open, routes.Route{}, false},
+		"organisations":                   {closed, routes.Route{}, true},
+		"organisations, on public routes": {closed, routes.Route{Public: true}, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			NewWithT(t).Expect(tc.table.NeedsKey(tc.route)).To(Equal(tc.need))
+		})
+	}
+	g := NewWithT(t)
+	og, ok := closed.Organisation("k")
+	g.Expect(ok).To(BeTrue())
+	g.Expect(og.Name).To(Equal("red"))
+	_, ok = closed.Organisation("")
+	g.Expect(ok).To(BeFalse())
+}
+
+func TestWhatMayRunOnceOnly(t *testing.T) {
+	cases := map[string]struct {
+		route     routes.Route
+		exclusive bool
+	}{
+		"repeatable":                 {routes.Route{Repeatable: true}, false},
+		"not repeatable":             {routes.Route{}, true},
+		"stream":                     {routes.Route{Streaming: true}, true},
+		"stream that can go on":      {routes.Route{Streaming: true, Resumable: true}, false},
+		"repeatable says nothing of": {routes.Route{Streaming: true, Repeatable: true}, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			NewWithT(t).Expect(tc.route.Exclusive()).To(Equal(tc.exclusive))
+		})
+	}
+}
+
+func TestHolderNeverGoesBack(t *testing.T) {
+	g := NewWithT(t)
+	hd := &routes.Holder{}
+	t0 := time.Unix(1000, 0)
+	tb, provenAt := hd.Current()
+	g.Expect(tb).To(BeNil())
+	g.Expect(provenAt.IsZero()).To(BeTrue())
+	g.Expect(hd.Confirm(1, t0)).To(BeFalse())
+
+	g.Expect(hd.Offer(table(3), []byte("three"), t0)).To(BeTrue())
+	g.Expect(hd.Offer(table(3), []byte("again"), t0)).To(BeFalse())
+	g.Expect(hd.Offer(table(2), []byte("two"), t0.Add(time.Hour))).To(BeFalse())
+	tb, provenAt = hd.Current()
+	g.Expect(tb.Version()).To(BeEquivalentTo(3))
+	g.Expect(provenAt).To(Equal(t0), "an older version proves nothing")
+	version, document := hd.Document()
+	g.Expect(version).To(BeEquivalentTo(3))
+	g.Expect(string(document)).To(Equal("three"))
+}
+
+func TestProofOnlyGrows(t *testing.T) {
+	t0 := time.Unix(1000, 0)
+	cases := map[string]struct {
+		act  func(hd *routes.Holder) bool
+		good bool
+		want time.Time
+	}{
+		"confirmed later":             {func(hd *routes.Holder) bool { return hd.Confirm(3, t0.Add(time.Second)) }, true, t0.Add(time.Second)},
+		"confirmed earlier":           {func(hd *routes.Holder) bool { return hd.Confirm(3, t0.Add(-time.Second)) }, true, t0},
+		"an older one confirmed":      {func(hd *routes.Holder) bool { return hd.Confirm(2, t0.Add(time.Second)) }, true, t0},
+		"a newer one confirmed":       {func(hd *routes.Holder) bool { return hd.Confirm(4, t0.Add(time.Second)) }, false, t0},
+		"offered again, later":        {func(hd *routes.Holder) bool { return !hd.Offer(table(3), nil, t0.Add(time.Second)) }, true, t0.Add(time.Second)},
+		"offered again, earlier":      {func(hd *routes.Holder) bool { return !hd.Offer(table(3), nil, t0.Add(-time.Second)) }, true, t0},
+		"a newer one, without proof":  {func(hd *routes.Holder) bool { return hd.Offer(table(4), nil, time.Time{}) }, true, t0},
+		"a newer one, with old proof": {func(hd *routes.Holder) bool { return hd.Offer(table(4), nil, t0.Add(-time.Second)) }, true, t0},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			hd := &routes.Holder{}
+			hd.Offer(table(3), nil, t0)
+			g.Expect(tc.act(hd)).To(Equal(tc.good))
+			_, provenAt := hd.Current()
+			g.Expect(provenAt).To(Equal(tc.want))
+		})
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -17,9 +17,6 @@
 )
 
 const (
-	// dialTimeout is many round trips inside a region (at most a few milliseconds) and well under a short request's
-	// objective, so that another target can still be tried.
-	dialTimeout = 250 * time.Millisecond
 	// unackedTimeout ends a connection whose peer acknowledges nothing: two retransmissions and a margin.
 	unackedTimeout = 3 * time.Second
 	// keepAliveIdle and keepAliveInterval find silent peers of requests that wait for an answer.
@@ -54,9 +51,9 @@
 // Unwrap returns the cause.
 func (de *DialError) Unwrap() error { return de.Cause }
 
-func dial(ctx context.Context, address string) (*conn, error) {
+func dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
 	dl := net.Dialer{
-		Timeout: dialTimeout,
+		Timeout: timeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -96,9 +97,8 @@
 }
 
 func (ca Call) request() *http.Request {
-	// An opaque URL keeps the request line as the caller wrote it.
 	req := &http.Request{
-		Method: ca.Method, URL: &url.URL{Opaque: ca.Target}, Host: ca.Host, Header: ca.Header,
+		Method: ca.Method, URL: requestLine(ca.Target), Host: ca.Host, Header: ca.Header,
 		ProtoMajor: 1, ProtoMinor: 1,
 	}
 	if len(ca.Body) > 0 {
@@ -108,6 +108,21 @@
 	return req
 }
 
+// requestLine returns a URL that is written as the caller wrote it.
+func requestLine(target string) *url.URL {
+	if !strings.HasPrefix(target, "//") {
+		return &url.URL{Opaque: target}
+	}
+	// An opaque URL with two slashes would be written with a scheme.
+	path, query, asked := strings.Cut(target, "?")
+	plain, err := url.PathUnescape(path)
+	if err != nil {
+		// The path is sent as it is.
+		plain = path
+	}
+	return &url.URL{Path: plain, RawPath: path, RawQuery: query, ForceQuery: asked}
+}
+
 // write sends the request beside the reading of the answer: a target may answer before it has read a long body.
 func (an *Answer) write(req *http.Request) {
 	defer close(an.written)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -24,6 +24,8 @@
 type Pool struct {
 	now    func() time.Time
 	dialed *metrics.Counter
+	// dialTimeout bounds the opening of a connection.
+	dialTimeout time.Duration
 
 	mu sync.Mutex
 	// idle holds the connections at rest by address, the last used at the end.
@@ -33,9 +35,9 @@
 }
 
 // NewPool returns an empty pool that counts new connections in a metric.
-func NewPool(now func() time.Time, ms *metrics.Set) *Pool {
+func NewPool(now func() time.Time, ms *metrics.Set, dialTimeout time.Duration) *Pool {
 	return &Pool{
-		now: now, idle: map[string][]*conn{}, open: map[string]int{},
+		now: now, dialTimeout: dialTimeout, idle: map[string][]*conn{}, open: map[string]int{},
 		dialed: ms.GetOrCreateCounter("silvermount_target_connections_opened_total"),
 	}
 }
@@ -52,7 +54,7 @@
 		}
 		pl.drop(address, cn)
 	}
-	cn, err = dial(ctx, address)
+	cn, err = dial(ctx, address, pl.dialTimeout)
 	if err != nil {
 		return nil, false, err
 	}
--- /dev/null
+++ b/internal/upstream/pool_test.go
@@ -0,0 +1,369 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+
+	"github.com/silvermount/silvermount/internal/upstream"
+)
+
+// dialTimeout leaves room for a busy machine.
+const dialTimeout = 10 * time.Second
+
+// generous is far longer than anything here takes.
+const generous = 10 * time.Second
+
+// headerID names the request that an answer belongs to.
+const headerID = "Request-Id"
+
+// clock is a steady clock that a test moves.
+type clock struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+func (ck *clock) Now() time.Time { ck.mu.Lock(); defer ck.mu.Unlock(); return ck.now }
+
+func (ck *clock) forward(d time.Duration) { ck.mu.Lock(); defer ck.mu.Unlock(); ck.now = ck.now.Add(d) }
+
+// target answers requests on raw connections.
+type target struct {
+	listener net.Listener
+	// answer writes what follows a request, and reports whether the connection goes on.
+	answer func(nc net.Conn, rq *http.Request, body string) bool
+
+	mu     sync.Mutex
+	opened int
+	seen   []string
+	conns  []net.Conn
+}
+
+func startTarget(t *testing.T, answer func(nc net.Conn, rq *http.Request, body string) bool) *target {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tg := &target{listener: l, answer: answer}
+	t.Cleanup(func() { l.Close() })
+	go tg.accept()
+	return tg
+}
+
+func (tg *target) accept() {
+	for {
+		nc, err := tg.listener.Accept()
+		if err != nil {
+			return // the listener was closed
+		}
+		tg.mu.Lock()
+		tg.opened++
+		tg.conns = append(tg.conns, nc)
+		tg.mu.Unlock()
+		go tg.serve(nc)
+	}
+}
+
+func (tg *target) serve(nc net.Conn) {
+	defer nc.Close()
+	br := bufio.NewReader(nc)
+	for {
+		rq, err := http.ReadRequest(br)
+		if err != nil {
+			return // the caller has gone
+		}
+		body, err := io.ReadAll(rq.Body)
+		if err != nil {
+			return // as above
+		}
+		tg.mu.Lock()
+		tg.seen = append(tg.seen, rq.RequestURI)
+		tg.mu.Unlock()
+		if !tg.answer(nc, rq, string(body)) {
+			return
+		}
+	}
+}
+
+func (tg *target) address() string { return tg.listener.Addr().String() }
+
+func (tg *target) openedConns() int { tg.mu.Lock(); defer tg.mu.Unlock(); return tg.opened }
+
+func (tg *target) requests() []string { tg.mu.Lock(); defer tg.mu.Unlock(); return tg.seen }
+
+// last returns the newest connection.
+func (tg *target) last() net.Conn {
+	tg.mu.Lock()
+	defer tg.mu.Unlock()
+	return tg.conns[len(tg.conns)-1]
+}
+
+// echo answers with the request's own path, under its id.
+func echo(nc net.Conn, rq *http.Request, _ string) bool {
+	return reply(nc, rq.Header.Get(headerID), rq.RequestURI)
+}
+
+func reply(nc net.Conn, id, body string, lines ...string) bool {
+	head := strings.Join(append(lines, headerID+": "+id, "Content-Length: "+strconv.Itoa(len(body))), "\r\n")
+	fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\n%s\r\n\r\n%s", head, body)
+	return true
+}
+
+// with adds lines to each answer.
+func with(lines ...string) func(net.Conn, *http.Request, string) bool {
+	return func(nc net.Conn, rq *http.Request, _ string) bool {
+		return reply(nc, rq.Header.Get(headerID), rq.RequestURI, lines...)
+	}
+}
+
+type bench struct {
+	*WithT
+	clock *clock
+	pool  *upstream.Pool
+}
+
+func newBench(t *testing.T) *bench {
+	ck := &clock{now: time.Unix(1000, 0)}
+	return &bench{WithT: NewWithT(t), clock: ck, pool: upstream.NewPool(ck.Now, metrics.NewSet(), dialTimeout)}
+}
+
+func call(address, path string) upstream.Call {
+	return upstream.Call{
+		Address: address, Method: http.MethodPost, Target: path, Host: "h", Header: http.Header{headerID: []string{path}},
+		Mine: func(resp *http.Response) bool { return resp.Header.Get(headerID) == path },
+	}
+}
+
+// do sends a call and reads its answer whole.
+func (be *bench) do(ca upstream.Call) string {
+	an, err := be.pool.Do(context.Background(), ca)
+	be.Expect(err).NotTo(HaveOccurred())
+	defer an.Close()
+	b, err := io.ReadAll(an.Body)
+	be.Expect(err).NotTo(HaveOccurred())
+	an.Whole()
+	return string(b)
+}
+
+func TestConnectionIsUsedAgain(t *testing.T) {
+	const most = 4 * time.Second
+	cases := map[string]struct {
+		answer    func(net.Conn, *http.Request, string) bool
+		rest      time.Duration
+		exclusive bool
+		again     bool
+	}{
+		"at once":                                 {echo, 0, false, true},
+		"after a while":                           {echo, most - time.Millisecond, false, true},
+		"rested too long":                         {echo, most, false, false},
+		"exclusive, at once":                      {echo, 0, true, true},
+		"exclusive, shortly":                      {echo, 900 * time.Millisecond, true, true},
+		"exclusive, rested for a second":          {echo, time.Second, true, false},
+		"the target keeps it longer":              {with("Keep-Alive: timeout=9"), 8 * time.Second, false, true},
+		"the target keeps it longer, but no more": {with("Keep-Alive: max=5, timeout=9"), 9 * time.Second, false, false},
+		"the target keeps it for a second":        {with("Keep-Alive: timeout=1"), 900 * time.Millisecond, false, false},
+		"exclusive, the target keeps it":          {with("Keep-Alive: timeout=9"), 2 * time.Second, true, false},
+		"the target closes it":                    {with("Connection: close"), 0, false, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			be := newBench(t)
+			tg := startTarget(t, tc.answer)
+			ca := call(tg.address(), "/1")
+			ca.Exclusive = tc.exclusive
+			be.Expect(be.do(ca)).To(Equal("/1"))
+			be.clock.forward(tc.rest)
+			ca = call(tg.address(), "/2")
+			ca.Exclusive = tc.exclusive
+			be.Expect(be.do(ca)).To(Equal("/2"))
+			want := 2
+			if tc.again {
+				want = 1
+			}
+			be.Expect(tg.openedConns()).To(Equal(want))
+			be.Expect(tg.requests()).To(Equal([]string{"/1", "/2"}))
+		})
+	}
+}
+
+func TestIdleConnectionThatIsNotQuietIsNotUsedAgain(t *testing.T) {
+	cases := map[string]func(nc net.Conn){
+		"closed":        func(nc net.Conn) { nc.Close() },
+		"bytes unasked": func(nc net.Conn) { reply(nc, "/2", "surplus") },
+		"one byte":      func(nc net.Conn) { fmt.Fprint(nc, "\n") },
+		"reset": func(nc net.Conn) {
+			_ = nc.(*net.TCPConn).SetLinger(0) // without it the close is an orderly one, which is as good here
+			nc.Close()
+		},
+	}
+	for name, spoil := range cases {
+		t.Run(name, func(t *testing.T) {
+			be := newBench(t)
+			tg := startTarget(t, echo)
+			be.Expect(be.do(call(tg.address(), "/1"))).To(Equal("/1"))
+			spoil(tg.last())
+			be.settle(tg, name)
+			be.Expect(be.do(call(tg.address(), "/2"))).To(Equal("/2"))
+			be.Expect(tg.openedConns()).To(Equal(2))
+			be.Expect(tg.requests()).To(Equal([]string{"/1", "/2"}))
+		})
+	}
+}
+
+// settle lets what was sent on an idle connection arrive: an exchange over another connection of the loopback device
+// is behind it.
+func (be *bench) settle(tg *target, name string) {
+	nc, err := net.Dial("tcp", tg.address())
+	be.Expect(err).NotTo(HaveOccurred())
+	defer nc.Close()
+	tg.mu.Lock()
+	tg.opened--
+	tg.mu.Unlock()
+	fmt.Fprintf(nc, "GET /settle HTTP/1.1\r\nHost: h\r\n%s: %s\r\n\r\n", headerID, name)
+	_, err = http.ReadResponse(bufio.NewReader(nc), nil)
+	be.Expect(err).NotTo(HaveOccurred())
+	tg.mu.Lock()
+	tg.seen = tg.seen[:len(tg.seen)-1]
+	tg.mu.Unlock()
+}
+
+func TestNoMoreIdleConnectionsThanAllowed(t *testing.T) {
+	const most, calls = 8, 12
+	be := newBench(t)
+	tg := startTarget(t, echo)
+	var ans []*upstream.Answer
+	for no := range calls {
+		an, err := be.pool.Do(t.Context(), call(tg.address(), "/"+strconv.Itoa(no)))
+		be.Expect(err).NotTo(HaveOccurred())
+		ans = append(ans, an)
+	}
+	be.Expect(be.pool.Open(tg.address())).To(Equal(calls))
+	for _, an := range ans {
+		_, err := io.Copy(io.Discard, an.Body)
+		be.Expect(err).NotTo(HaveOccurred())
+		an.Whole()
+		an.Close()
+	}
+	be.Expect(be.pool.Open(tg.address())).To(Equal(most))
+	be.pool.Sweep()
+	be.Expect(be.pool.Open(tg.address())).To(Equal(most))
+	be.clock.forward(4 * time.Second)
+	be.pool.Sweep()
+	be.Expect(be.pool.Open(tg.address())).To(BeZero())
+}
+
+func TestAnswersOfOthersAreSkipped(t *testing.T) {
+	var mu sync.Mutex
+	var early []string
+	be := newBench(t)
+	tg := startTarget(t, func(nc net.Conn, rq *http.Request, _ string) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, id := range early {
+			reply(nc, id, "of another")
+		}
+		return echo(nc, rq, "")
+	})
+	be.Expect(be.do(call(tg.address(), "/1"))).To(Equal("/1"))
+	mu.Lock()
+	early = []string{"/0", "/1"}
+	mu.Unlock()
+	be.Expect(be.do(call(tg.address(), "/2"))).To(Equal("/2"))
+	mu.Lock()
+	early = []string{"/0", "/1", "/0"}
+	mu.Unlock()
+	_, err := be.pool.Do(t.Context(), call(tg.address(), "/3"))
+	var sa *upstream.StrayAnswerError
+	be.Expect(errors.As(err, &sa)).To(BeTrue())
+	var se *upstream.SendError
+	be.Expect(errors.As(err, &se)).To(BeTrue())
+	be.Expect(se.Sent).To(BeTrue())
+	be.Expect(be.pool.Open(tg.address())).To(BeZero())
+}
+
+func TestWhatIsKnownAfterAFailure(t *testing.T) {
+	cases := map[string]struct {
+		call func(tg *target) upstream.Call
+		sent bool
+	}{
+		"no connection": {func(tg *target) upstream.Call {
+			tg.listener.Close()
+			return call(tg.address(), "/1")
+		}, false},
+		"closed without an answer": {func(tg *target) upstream.Call { return call(tg.address(), "/1") }, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			be := newBench(t)
+			tg := startTarget(t, func(net.Conn, *http.Request, string) bool { return false })
+			_, err := be.pool.Do(t.Context(), tc.call(tg))
+			var se *upstream.SendError
+			be.Expect(errors.As(err, &se)).To(BeTrue())
+			be.Expect(se.Sent).To(Equal(tc.sent))
+			be.Expect(be.pool.Open(tg.address())).To(BeZero())
+		})
+	}
+}
+
+func TestRequestGoesOutOnceOnly(t *testing.T) {
+	be := newBench(t)
+	tg := startTarget(t, func(nc net.Conn, rq *http.Request, body string) bool {
+		return rq.RequestURI == "/1" && echo(nc, rq, body)
+	})
+	be.Expect(be.do(call(tg.address(), "/1"))).To(Equal("/1"))
+	_, err := be.pool.Do(t.Context(), call(tg.address(), "/2"))
+	be.Expect(err).To(HaveOccurred())
+	be.Expect(tg.requests()).To(Equal([]string{"/1", "/2"}))
+	be.Expect(tg.openedConns()).To(Equal(1))
+}
+
+func TestCancelClosesTheConnection(t *testing.T) {
+	be := newBench(t)
+	gone := make(chan struct{})
+	tg := startTarget(t, func(nc net.Conn, _ *http.Request, _ string) bool {
+		_, _ = io.Copy(io.Discard, nc) // it ends with the connection, however that ends
+		close(gone)
+		return false
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		be.Eventually(tg.requests).WithTimeout(generous).Should(HaveLen(1))
+		cancel()
+	}()
+	_, err := be.pool.Do(ctx, call(tg.address(), "/1"))
+	be.Expect(err).To(HaveOccurred())
+	be.Eventually(gone).WithTimeout(generous).Should(BeClosed())
+	be.Expect(be.pool.Open(tg.address())).To(BeZero())
+}
+
+func TestAnswerThatIsNotWholeClosesTheConnection(t *testing.T) {
+	be := newBench(t)
+	tg := startTarget(t, echo)
+	an, err := be.pool.Do(t.Context(), call(tg.address(), "/1"))
+	be.Expect(err).NotTo(HaveOccurred())
+	an.Close()
+	be.Expect(be.pool.Open(tg.address())).To(BeZero())
+}
+
+func TestRequestLineStaysAsItCame(t *testing.T) {
+	for _, path := range []string{"/a%2Fb?x=1&y=%20", "/", "/a//b", "//a/b", "/a;b?c=d?e", "/%7Euser"} {
+		t.Run(path, func(t *testing.T) {
+			be := newBench(t)
+			tg := startTarget(t, echo)
+			be.Expect(be.do(call(tg.address(), path))).To(Equal(path))
+		})
+	}
+}
