feat: limits shared by the number of live instances, priorities, log lines left out as a metric; pages of the gateway role

Cause: the retry floor was divided by a constant 8, so 90 instances together could go eleven times over it; idle connections of all instances could exceed what a target takes; the organisation's rank was decoded and not used; a target's refusal was forgotten at once; explain looked for the configuration in a part that does not write it.

--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
 	"github.com/silvermount/silvermount/internal/config"
@@ -33,7 +34,8 @@
 	if err != nil {
 		return err
 	}
-	sk := eventlog.New(ec.out)
+	ms := metrics.NewSet()
+	sk := eventlog.New(ec.out, eventlog.WithMetrics(ms))
 	defer func() {
 		ctx, cancel := context.WithTimeout(context.Background(), logDrain)
 		defer cancel()
@@ -41,7 +43,7 @@
 		_ = sk.Close(ctx)
 	}()
 	lg := &log.Logger{Handler: sk, Level: log.MustParseLevel(ec.LogLevel)}
-	in, err := instance.Start(ctx, s, lg)
+	in, err := instance.Start(ctx, s, lg, instance.WithMetrics(ms))
 	if err != nil {
 		return err
 	}
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -60,6 +60,14 @@
 	last  time.Time
 }
 
+// SetFloor changes how many retries are saved up at the most, and how many are allowed each second without traffic.
+func (rt *Retries) SetFloor(burst, trickle float64) {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	rt.burst, rt.trickle = burst, trickle
+	rt.saved = min(rt.saved, burst)
+}
+
 // RetryOption changes a Retries under construction.
 type RetryOption func(*Retries)
 
--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -22,16 +22,16 @@
 // Gateway holds the settings of an instance that serves the protocol of an adapter.
 type Gateway struct {
 	// Adapter names the registered adapter.
-	Adapter string `json:"adapter"`
+	Adapter string `json:"adapter" jsonschema:"required"`
 	// Callers, Readiness, Peers and Metrics are the IP addresses and ports of the listeners.
-	Callers   string `json:"callers"`
-	Readiness string `json:"readiness"`
-	Peers     string `json:"peers"`
-	Metrics   string `json:"metrics"`
+	Callers   string `json:"callers" jsonschema:"required"`
+	Readiness string `json:"readiness" jsonschema:"required"`
+	Peers     string `json:"peers" jsonschema:"required"`
+	Metrics   string `json:"metrics" jsonschema:"required"`
 	// Seeds are addresses of peers to try at the start; they may be stale.
 	Seeds []string `json:"seeds,omitempty"`
 	// Store is the IP address and port of the platform's object store.
-	Store string `json:"store"`
+	Store string `json:"store" jsonschema:"required"`
 	// RevocationBound is the time after which a key that was taken away must not work, whatever is cut off; zero for
 	// none.
 	RevocationBound Duration `json:"revocation_bound,omitempty"`
@@ -42,6 +42,12 @@
 	RetryShare  float64  `json:"retry_share"`
 	RetryFloor  int      `json:"retry_floor"`
 	RetryWindow Duration `json:"retry_window"`
+	// DialTimeout bounds the opening of a connection to a target; another target is tried after it.
+	DialTimeout Duration `json:"dial_timeout"`
+	// OrderTimeout bounds one order to a target that sets memory aside or gives it back.
+	OrderTimeout Duration `json:"order_timeout"`
+	// MemoryHold is how long memory set aside at a target stays so after the last renewal.
+	MemoryHold Duration `json:"memory_hold"`
 	// MaxBodyBytes bounds one body, BodyBudgetBytes all bodies held at once.
 	MaxBodyBytes    int64 `json:"max_body_bytes"`
 	BodyBudgetBytes int64 `json:"body_budget_bytes"`
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -28,6 +28,8 @@
 	// Objective and LongestPause are the route's; zero when it has none.
 	Objective, LongestPause time.Duration
 	Arrived, Deadline       time.Time
+	// Priority is the organisation's or the route's rank, zero first.
+	Priority int
 	// Resumed is set when the answer goes on after some event.
 	Resumed bool
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -220,10 +220,20 @@
 	longTokens   = 200_000
 )
 
+// rankMost is the least urgent rank.
+const rankMost = 9
+
+// priority is the rank at the engine: that of the caller's organisation or route, and within about the same rank short
+// prompts before long ones.
 func priority(as Ask) int {
-	switch {
-	case as.Resumed:
+	if as.Resumed {
 		return rankResumed
+	}
+	return min(rankMost, max(0, as.Priority)+lengthRank(as))
+}
+
+func lengthRank(as Ask) int {
+	switch {
 	case as.PromptTokens <= shortTokens:
 		return rankShort
 	case as.PromptTokens <= middleTokens:
--- a/internal/dispatch/slot.go
+++ b/internal/dispatch/slot.go
@@ -76,8 +76,17 @@
 	sl.book(sl.plan.Main, writing)
 }
 
-// Shed notes that the target turned the request away; address names the target at fault, when it is another.
-func (sl *Slot) Shed(string) {}
+// Shed notes that the target turned the request away for lack of room; address names the target at fault when it is a
+// helper.
+func (sl *Slot) Shed(address string) {
+	id := sl.Target.ID
+	for _, hp := range sl.Helpers {
+		if hp.Address == address {
+			id = hp.ID
+		}
+	}
+	sl.ds.book.full(id, sl.ds.opts.Now().Add(fullFor))
+}
 
 // Event notes an event passed on.
 func (sl *Slot) Event() {}
--- a/internal/duty/frontend/frontend.go
+++ b/internal/duty/frontend/frontend.go
@@ -56,7 +56,8 @@
 }
 
 func start(ctx context.Context, env *kernel.Env) (kernel.Stop, error) {
-	gw, err := build(env)
+	rt := retries(env.Settings.Gateway)
+	gw, err := build(env, rt)
 	if err != nil {
 		return nil, err
 	}
@@ -79,13 +80,21 @@
 			return nil, err
 		}
 	}
-	sv.sweep(pl)
+	sh, err := newShares(env, pl, rt)
+	if err != nil {
+		sv.close()
+		return nil, err
+	}
+	sv.sweep(func() {
+		pl.Sweep()
+		sh.update()
+	})
 	grace := st.Grace.Std()
 	return func(ctx context.Context) error { return sv.stop(ctx, grace) }, nil
 }
 
 // build joins the parts of the gateway.
-func build(env *kernel.Env) (*gateway.Gateway, error) {
+func build(env *kernel.Env, rt *budget.Retries) (*gateway.Gateway, error) {
 	ad, err := kernel.Need[adapter.Adapter](env)
 	if err != nil {
 		return nil, err
@@ -112,7 +121,7 @@
 	}
 	st := env.Settings.Gateway
 	gw := gateway.New(gateway.Deps{
-		Protocol: ad.Protocol, Routes: rts, Targets: dr, Dispatcher: ds, Pool: pl, Retries: retries(st),
+		Protocol: ad.Protocol, Routes: rts, Targets: dr, Dispatcher: ds, Pool: pl, Retries: rt,
 		Bodies: budget.NewMemory(st.BodyBudgetBytes), Metrics: ms, Log: env.Logger("gateway"),
 		Random: rand.Float64, Now: time.Now, Stopping: env.Stopping.Load,
 	}, limits(st))
@@ -128,13 +137,9 @@
 	return lm
 }
 
-// floorInstances is the number of instances that share the floor of the retry budget, until it is known how many live.
-const floorInstances = 8
-
 func retries(st *config.Gateway) *budget.Retries {
-	floor := float64(st.RetryFloor) / floorInstances
-	return budget.NewRetries(st.RetryShare, time.Now,
-		budget.WithBurst(floor/2), budget.WithTrickle(floor/2/st.RetryWindow.Std().Seconds()))
+	burst, trickle := retryFloor(st, sharersLeast)
+	return budget.NewRetries(st.RetryShare, time.Now, budget.WithBurst(burst), budget.WithTrickle(trickle))
 }
 
 func (sv *servers) serve(ctx context.Context, address string, h http.Handler) error {
@@ -186,14 +191,14 @@
 	return rt
 }
 
-func (sv *servers) sweep(pl *upstream.Pool) {
+func (sv *servers) sweep(work func()) {
 	tick := time.NewTicker(sweepEvery)
 	done := make(chan struct{})
 	go func() {
 		for {
 			select {
 			case <-tick.C:
-				pl.Sweep()
+				work()
 			case <-done:
 				return
 			}
--- /dev/null
+++ b/internal/duty/frontend/metrics_test.go
@@ -0,0 +1,213 @@
+package frontend
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/gomega"
+)
+
+const (
+	root       = "../../.."
+	modulePath = "github.com/silvermount/silvermount/"
+	page       = root + "/docs/METRICS.md"
+)
+
+// programs are the packages from which everything that a gateway runs is imported.
+var programs = []string{
+	"internal/duty/facts", "internal/duty/forwarding", "internal/duty/frontend", "internal/duty/members", "internal/eventlog",
+	"internal/kernel", "platform",
+}
+
+var (
+	// metricText finds a metric in the text of a string expression; its labels follow in braces.
+	metricText = regexp.MustCompile(`(silvermount_[a-z_]+)(\{[^}]*\}?)?`)
+	labelText  = regexp.MustCompile(`([a-z_]+)=`)
+	// metricRow finds a metric in the first cells of a table: name with labels, type, unit.
+	metricRow = regexp.MustCompile("^\\| `(silvermount_[a-z_]+)(?:\\{([a-z_,]+)\\})?` \\| ([a-z]+) \\| ([^|]+) \\|")
+)
+
+// exported is what the page and the source must agree on.
+type exported struct {
+	// labels are sorted and joined by commas.
+	labels string
+	// kind is "counter", "gauge" or "histogram".
+	kind string
+}
+
+func TestPageListsTheMetricsOfTheSource(t *testing.T) {
+	g := NewWithT(t)
+	source := sourceMetrics(g)
+	g.Expect(source).To(HaveKey("silvermount_requests_total"), "the search finds the source")
+	g.Expect(pageMetrics(g)).To(Equal(source))
+}
+
+func TestSearchOfTheSource(t *testing.T) {
+	cases := map[string]struct {
+		text string
+		want map[string]exported
+	}{
+		"counter":             {`var _ = f("silvermount_a_total")`, map[string]exported{"silvermount_a_total": {kind: "counter"}}},
+		"histogram":           {`var _ = f("silvermount_a_seconds")`, map[string]exported{"silvermount_a_seconds": {kind: "histogram"}}},
+		"gauge":               {`const c = "silvermount_a_bytes"`, map[string]exported{"silvermount_a_bytes": {kind: "gauge"}}},
+		"labels of a literal": {"var _ = f(`silvermount_a_total{b=\"c\"}`)", map[string]exported{"silvermount_a_total": {labels: "b", kind: "counter"}}},
+		"labels put together": {
+			"var _ = f(`silvermount_a_total{c=\"` + x + `\",b=\"` + y + `\"}`)",
+			map[string]exported{"silvermount_a_total": {labels: "b,c", kind: "counter"}},
+		},
+		"other text": {`var _ = f("silvermount")`, map[string]exported{}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			file, err := parser.ParseFile(token.NewFileSet(), "a.go", "package a\n"+tc.text, 0)
+			g.Expect(err).NotTo(HaveOccurred())
+			found := map[string]exported{}
+			fileMetrics(file, found)
+			g.Expect(found).To(Equal(tc.want))
+		})
+	}
+}
+
+func TestFiguresHoldTheSetAndTheProcess(t *testing.T) {
+	g := NewWithT(t)
+	ms := metrics.NewSet()
+	ms.GetOrCreateCounter("silvermount_store_calls_total").Inc()
+	w := httptest.NewRecorder()
+	figures(ms).ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	g.Expect(w.Code).To(Equal(http.StatusOK))
+	g.Expect(w.Body.String()).To(And(
+		ContainSubstring("silvermount_store_calls_total 1\n"), ContainSubstring("process_resident_memory_bytes"),
+		ContainSubstring("go_goroutines"),
+	))
+}
+
+// sourceMetrics returns the metrics that the source of a gateway names.
+func sourceMetrics(g Gomega) map[string]exported {
+	found := map[string]exported{}
+	seen := map[string]bool{}
+	left := slices.Clone(programs)
+	for len(left) > 0 {
+		dir := left[0]
+		left = left[1:]
+		if seen[dir] {
+			continue
+		}
+		seen[dir] = true
+		for _, file := range packageFiles(g, dir) {
+			fileMetrics(file, found)
+			left = append(left, ownImports(g, file)...)
+		}
+	}
+	return found
+}
+
+// packageFiles parses the files of a package without its tests.
+func packageFiles(g Gomega, dir string) []*ast.File {
+	names, err := filepath.Glob(filepath.Join(root, dir, "*.go"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(names).NotTo(BeEmpty(), dir)
+	var files []*ast.File
+	for _, name := range names {
+		if strings.HasSuffix(name, "_test.go") {
+			continue
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), name, nil, 0)
+		g.Expect(err).NotTo(HaveOccurred())
+		files = append(files, file)
+	}
+	return files
+}
+
+// ownImports returns the packages of this module that a file imports.
+func ownImports(g Gomega, file *ast.File) []string {
+	var dirs []string
+	for _, im := range file.Imports {
+		path, err := strconv.Unquote(im.Path.Value)
+		g.Expect(err).NotTo(HaveOccurred())
+		if dir, ok := strings.CutPrefix(path, modulePath); ok {
+			dirs = append(dirs, dir)
+		}
+	}
+	return dirs
+}
+
+// fileMetrics adds the metrics that a file names.
+func fileMetrics(file *ast.File, found map[string]exported) {
+	ast.Inspect(file, func(nd ast.Node) bool {
+		switch nd.(type) {
+		case *ast.BinaryExpr, *ast.BasicLit:
+			textMetrics(literals(nd), found)
+			// The parts of a sum are not looked at again.
+			return false
+		}
+		return true
+	})
+}
+
+// literals joins the strings of an expression.
+func literals(nd ast.Node) string {
+	var sb strings.Builder
+	ast.Inspect(nd, func(part ast.Node) bool {
+		if lit, ok := part.(*ast.BasicLit); ok && lit.Kind == token.STRING {
+			if text, err := strconv.Unquote(lit.Value); err == nil {
+				sb.WriteString(text)
+			}
+		}
+		return true
+	})
+	return sb.String()
+}
+
+func textMetrics(text string, found map[string]exported) {
+	for _, m := range metricText.FindAllStringSubmatch(text, -1) {
+		var labels []string
+		for _, lb := range labelText.FindAllStringSubmatch(m[2], -1) {
+			labels = append(labels, lb[1])
+		}
+		slices.Sort(labels)
+		found[m[1]] = exported{labels: strings.Join(labels, ","), kind: kindOf(m[1])}
+	}
+}
+
+// kindOf is the kind that a name promises: counters end in total, histograms in their unit of time.
+func kindOf(name string) string {
+	switch {
+	case strings.HasSuffix(name, "_total"):
+		return "counter"
+	case strings.HasSuffix(name, "_seconds"):
+		return "histogram"
+	default:
+		return "gauge"
+	}
+}
+
+// pageMetrics returns the metrics that the page lists, each once and with a unit.
+func pageMetrics(g Gomega) map[string]exported {
+	text, err := os.ReadFile(page)
+	g.Expect(err).NotTo(HaveOccurred())
+	listed := map[string]exported{}
+	for line := range strings.Lines(string(text)) {
+		m := metricRow.FindStringSubmatch(line)
+		if m == nil {
+			continue
+		}
+		g.Expect(listed).NotTo(HaveKey(m[1]), "listed twice")
+		g.Expect(strings.TrimSpace(m[4])).NotTo(BeEmpty(), "unit of "+m[1])
+		labels := strings.Split(m[2], ",")
+		slices.Sort(labels)
+		listed[m[1]] = exported{labels: strings.Join(labels, ","), kind: m[3]}
+	}
+	return listed
+}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -109,7 +109,7 @@
 
 // config reports whether a line says which version of the configuration came into force.
 func (ln *line) config() bool {
-	return ln.get("part") == "routes" && ln.get("msg") == "configuration in force"
+	return ln.get("msg") == "configuration in force"
 }
 
 // dependency reports whether a line says that something the instance needs was lost or regained.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -87,10 +87,18 @@
 		Request: rq.RequestID, Service: sv, Avoid: rq.avoid,
 		PromptTokens: rq.PromptTokens, MostAnswer: rq.MostAnswerTokens, AnswerHint: rq.AnswerHint, Events: rq.events,
 		Objective: rq.route.Objective, LongestPause: rq.route.LongestPause,
-		Arrived: rq.arrived, Deadline: rq.deadline, Resumed: rq.lastEvent >= 0,
+		Arrived: rq.arrived, Deadline: rq.deadline, Priority: rq.priority(), Resumed: rq.lastEvent >= 0,
 	}
 }
 
+// priority is the organisation's rank where it has one, else the route's.
+func (rq *request) priority() int {
+	if rq.org.RanksItself {
+		return rq.org.Priority
+	}
+	return rq.route.Priority
+}
+
 func (gw *Gateway) noTarget(ctx context.Context, rq *request, err error) error {
 	if ctx.Err() != nil {
 		return gw.timeUp(ctx, rq)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -269,7 +269,7 @@
 	gone := ms.judge(ms.awake.at(now))
 	ms.mu.Unlock()
 	for _, m := range gone {
-		ms.opts.Log.WithField("instance", m.Name).Info("member lost")
+		ms.opts.Log.WithField("member", m.Name).Info("member lost")
 		ms.opts.OnLost(m)
 	}
 }
--- a/internal/gossip/record.go
+++ b/internal/gossip/record.go
@@ -44,7 +44,7 @@
 func (ms *Mesh) notify(events []event) {
 	for _, ev := range events {
 		if ev.lost {
-			ms.opts.Log.WithField("instance", ev.member.Name).Info("member replaced")
+			ms.opts.Log.WithField("member", ev.member.Name).Info("member replaced")
 			ms.opts.OnLost(ev.member)
 			continue
 		}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
 	"github.com/silvermount/silvermount/internal/config"
@@ -44,6 +45,11 @@
 	return func(env *kernel.Env) { kernel.Provide(env, peers.Blocked(f)) }
 }
 
+// WithMetrics makes a gateway export what is in a set besides its own metrics.
+func WithMetrics(ms *metrics.Set) Option {
+	return func(env *kernel.Env) { kernel.Provide(env, ms) }
+}
+
 // Start starts an instance.
 func Start(ctx context.Context, s config.Settings, lg log.Interface, opts ...Option) (*Instance, error) {
 	kn, err := kernel.New(s, ident.New("inst"), lg)
--- a/internal/reservation/reservation.go
+++ b/internal/reservation/reservation.go
@@ -47,7 +47,7 @@
 	Timeout time.Duration
 	// Hold is how long memory stays set aside after the last renewal.
 	Hold time.Duration
-	Log     log.Interface
+	Log  log.Interface
 }
 
 // Reservation is memory set aside for one request.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -16,7 +17,7 @@
 	restMostExclusive = time.Second
 	// keepMargin is taken off the time that the target says.
 	keepMargin = 700 * time.Millisecond
-	// idleMost bounds the idle connections to one target.
+	// idleMost bounds the idle connections to one target until SetIdle is called.
 	idleMost = 8
 )
 
@@ -26,6 +27,8 @@
 	dialed *metrics.Counter
 	// dialTimeout bounds the opening of a connection.
 	dialTimeout time.Duration
+	// idleMost is at least one.
+	idleMost atomic.Int64
 
 	mu sync.Mutex
 	// idle holds the connections at rest by address, the last used at the end.
@@ -36,12 +39,17 @@
 
 // NewPool returns an empty pool that counts new connections in a metric.
 func NewPool(now func() time.Time, ms *metrics.Set, dialTimeout time.Duration) *Pool {
-	return &Pool{
+	pl := &Pool{
 		now: now, dialTimeout: dialTimeout, idle: map[string][]*conn{}, open: map[string]int{},
 		dialed: ms.GetOrCreateCounter("silvermount_target_connections_opened_total"),
 	}
+	pl.SetIdle(idleMost)
+	return pl
 }
 
+// SetIdle bounds the idle connections to one target; at least one is kept.
+func (pl *Pool) SetIdle(most int) { pl.idleMost.Store(int64(max(1, most))) }
+
 // get returns a connection at rest, or a new one.
 func (pl *Pool) get(ctx context.Context, address string, exclusive bool) (cn *conn, reused bool, err error) {
 	for {
@@ -92,7 +100,7 @@
 func (pl *Pool) rest(address string, cn *conn) {
 	cn.restedAt = pl.now()
 	pl.mu.Lock()
-	full := len(pl.idle[address]) >= idleMost
+	full := int64(len(pl.idle[address])) >= pl.idleMost.Load()
 	if !full {
 		pl.idle[address] = append(pl.idle[address], cn)
 	}
