fix: a connection rests also when the writer of its request has not been scheduled yet; settings name all faults

Cause of the first: whether the request was out was looked at the moment the answer was whole; the writing goroutine had often not run again, so the connection was closed. Settings: all unknown fields, types and durations in one run with a hint; reload keeps the role; what is reloaded is kept apart from the settings of the start.

--- a/cmd/check.go
+++ b/cmd/check.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/silvermount/silvermount/internal/bundle"
 	"github.com/silvermount/silvermount/internal/config"
 	"github.com/silvermount/silvermount/internal/kernel"
 )
@@ -17,18 +20,16 @@
 
 // Execute checks the file and reports all faults.
 func (cc *checkCommand) Execute([]string) error {
-	s, err := config.Load(cc.Args.File)
+	s, faults, err := readSettings(cc.Args.File)
 	if err != nil {
 		return err
 	}
-	s = kernel.Defaults(s)
-	faults := kernel.Check(s)
 	if cc.Bundle != "" {
-		b, err := readBundle(cc.Bundle)
+		more, err := stopFaults(s, faults, cc.Bundle)
 		if err != nil {
 			return err
 		}
-		faults = append(faults, b.FitsStop(s.Stop.Drain.Std())...)
+		faults = append(faults, more...)
 	}
 	if err := faults.OrNil(); err != nil {
 		return err
@@ -36,3 +37,37 @@
 	fmt.Fprintln(cc.out, "settings are good")
 	return nil
 }
+
+// readSettings returns the settings of a file with their defaults, and all their faults: what does not decode, and what
+// the duties find in the rest. The error is for a file that cannot be read.
+func readSettings(path string) (config.Settings, config.Faults, error) {
+	s, err := config.Load(path)
+	var faults config.Faults
+	if err != nil && !errors.As(err, &faults) {
+		return config.Settings{}, nil, err
+	}
+	s = kernel.Defaults(s)
+	return s, faults.With(kernel.Check(s)), nil
+}
+
+// stopFaults returns what keeps an instance with the settings from stopping under a bundle, and the faults of the bundle
+// itself.
+func stopFaults(s config.Settings, found config.Faults, path string) (config.Faults, error) {
+	b, err := readBundle(path)
+	var faults config.Faults
+	if errors.As(err, &faults) {
+		return faults, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return fitsStop(b, s, found), nil
+}
+
+// fitsStop compares with the drain only if that was read.
+func fitsStop(b bundle.Bundle, s config.Settings, found config.Faults) config.Faults {
+	if found.Covers("stop.drain") {
+		return nil
+	}
+	return b.FitsStop(s.Stop.Drain.Std())
+}
--- a/cmd/cmd_test.go
+++ b/cmd/cmd_test.go
@@ -50,7 +50,8 @@
 	}{
 		"version":                   {args: []string{"version"}, want: []string{"silvermount"}},
 		"init":                      {args: []string{"init"}, want: []string{`"policy"`, `"peers"`}},
-		"schema":                    {args: []string{"schema"}, want: []string{`"long_share"`}},
+		"init of a gateway":         {args: []string{"init", "--role", "gateway"}, want: []string{`"gateway"`, `"retry_share"`}},
+		"schema":                    {args: []string{"schema"}, want: []string{`"long_share"`, `"gateway"`, `"revocation_bound"`}},
 		"check":                     {args: []string{"check", good}, want: []string{"settings are good"}},
 		"check, all faults at once": {args: []string{"check", faulty}, code: exitUsage, want: []string{"callers.listen", "routing.policy", "operators.key"}},
 		"check with a bundle":       {args: []string{"check", good, "--bundle", bundleFile}, want: []string{"settings are good"}},
@@ -73,7 +74,7 @@
 	}
 }
 
-// TestOperatorsDay rolls bundles over a running fleet, as docs/OPERATING.md has it.
+// TestOperatorsDay rolls bundles over a running fleet, as docs/OPERATIONS.md has it.
 func TestOperatorsDay(t *testing.T) {
 	g := NewWithT(t)
 	params := enginesim.DefaultParams()
--- a/cmd/init.go
+++ b/cmd/init.go
@@ -12,6 +12,7 @@
 
 type initCommand struct {
 	*options `no-flag:"true"`
+	Role     string `long:"role" default:"entry" choice:"entry" choice:"gateway" description:"role of the instance"`
 }
 
 // starter returns settings that pass the check once secrets are put in.
@@ -25,9 +26,24 @@
 	})
 }
 
+// gatewayStarter returns settings of a gateway that pass the check.
+func gatewayStarter() config.Settings {
+	return kernel.Defaults(config.Settings{
+		Instance: "gateway-1", AvailabilityZone: "a",
+		Gateway: &config.Gateway{
+			Adapter: "platform", Callers: "127.0.0.1:8080", Readiness: "127.0.0.1:8081", Peers: "127.0.0.1:8082",
+			Metrics: "127.0.0.1:8083", Store: "127.0.0.1:7000",
+		},
+	})
+}
+
 // Execute prints the settings.
 func (ic *initCommand) Execute([]string) error {
-	b, err := json.MarshalIndent(starter(), "", "  ")
+	s := starter()
+	if config.Role(ic.Role) == config.RoleGateway {
+		s = gatewayStarter()
+	}
+	b, err := json.MarshalIndent(s, "", "  ")
 	if err != nil {
 		return errors.Wrap(err, "encode settings")
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net/netip"
 	"os"
+	"reflect"
 
 	"github.com/cockroachdb/errors"
 	"github.com/invopop/jsonschema"
@@ -14,30 +15,38 @@
 // Settings is what a process is told when it starts. It does not change while the process runs.
 type Settings struct {
 	// Instance is unique among live instances.
-	Instance string `json:"instance"`
+	Instance string `json:"instance" jsonschema:"required"`
 	// AvailabilityZone is where this instance runs.
-	AvailabilityZone string `json:"availability_zone"`
+	AvailabilityZone string `json:"availability_zone" jsonschema:"required"`
 	// Callers is the listener for callers.
-	Callers Callers `json:"callers"`
+	Callers Callers `json:"callers,omitzero"`
 	// Operators is the listener for operators.
-	Operators Operators `json:"operators"`
+	Operators Operators `json:"operators,omitzero"`
 	// Peers is the listener for other instances.
-	Peers Peers `json:"peers"`
+	Peers Peers `json:"peers,omitzero"`
 	// Platform is where the object API is.
-	Platform Platform `json:"platform"`
+	Platform Platform `json:"platform,omitzero"`
 	// Routing says how targets are chosen.
-	Routing Routing `json:"routing"`
+	Routing Routing `json:"routing,omitzero"`
 	// Stop says how a planned stop runs.
-	Stop Stop `json:"stop"`
+	Stop Stop `json:"stop,omitzero"`
 	// Gateway is set on instances that serve the protocol of an adapter in place of the product's own; the sections
 	// above but the instance's name and availability zone then stay unused.
 	Gateway *Gateway `json:"gateway,omitempty"`
 }
 
+// JSONSchemaExtend adds which sections each role needs to the schema.
+func (Settings) JSONSchemaExtend(sc *jsonschema.Schema) {
+	sc.AnyOf = []*jsonschema.Schema{
+		{Required: []string{"gateway"}},
+		{Required: []string{"callers", "operators", "peers", "platform"}},
+	}
+}
+
 // Callers holds the limits of the callers' listener.
 type Callers struct {
 	// Listen is an IP address and port.
-	Listen string `json:"listen"`
+	Listen string `json:"listen" jsonschema:"required"`
 	// Advertise is the address peers forward to; empty means the bound address.
 	Advertise string `json:"advertise,omitempty"`
 	// MaxBodyBytes bounds one request body.
@@ -51,15 +60,15 @@
 // Operators holds the operators' listener.
 type Operators struct {
 	// Listen is an IP address and port.
-	Listen string `json:"listen"`
+	Listen string `json:"listen" jsonschema:"required"`
 	// Key is the bearer key that operators present.
-	Key string `json:"key"`
+	Key string `json:"key" jsonschema:"required"`
 }
 
 // Peers holds how instances talk to each other.
 type Peers struct {
 	// Listen is an IP address and port.
-	Listen string `json:"listen"`
+	Listen string `json:"listen" jsonschema:"required"`
 	// Seeds are addresses of peers to try while the platform cannot be asked.
 	Seeds []string `json:"seeds,omitempty"`
 	// Secret is shared by all instances; it proves a peer where no certificates are given.
@@ -84,7 +93,7 @@
 // Platform holds where the object API is and this instance's share of its rates.
 type Platform struct {
 	// URL is the base of the object API.
-	URL string `json:"url"`
+	URL string `json:"url" jsonschema:"required"`
 	// WritesPerSecond and ReadsPerSecond bound this instance's calls.
 	WritesPerSecond float64 `json:"writes_per_second"`
 	ReadsPerSecond  float64 `json:"reads_per_second"`
@@ -122,7 +131,7 @@
 	Drain Duration `json:"drain"`
 }
 
-// Load reads settings from a file. Defaults are not filled in.
+// Load reads settings from a file as Parse does. Defaults are not filled in.
 func Load(path string) (Settings, error) {
 	b, err := os.ReadFile(path)
 	if err != nil {
@@ -131,32 +140,36 @@
 	return Parse(b)
 }
 
-// Parse reads settings from JSON. A field that is not known is a fault.
+// Parse reads settings from JSON. A field that is not known is a fault. When the error is Faults, it holds all that does
+// not decode, and the settings hold the rest.
 func Parse(b []byte) (Settings, error) {
+	tree, fs := decodeTree(b)
+	if len(fs) > 0 {
+		return Settings{}, fs
+	}
+	rd := &reader{}
+	sound := rd.read("", tree, reflect.TypeFor[Settings]())
+	if len(rd.faults) > 0 {
+		return rest(sound), rd.faults
+	}
+	return strict(b)
+}
+
+// strict decodes a document in which the reader found no fault. The decoder decides in the end, so that no document
+// passes that it refuses: a tree keeps only the last of two fields with one name.
+func strict(b []byte) (Settings, error) {
 	var s Settings
 	dec := json.NewDecoder(bytes.NewReader(b))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&s); err != nil {
-		return Settings{}, Faults{decodeFault(err)}
+		return Settings{}, Faults{decodeFault(b, err)}
 	}
 	return s, nil
 }
 
-func decodeFault(err error) *Fault {
-	var te *json.UnmarshalTypeError
-	if errors.As(err, &te) {
-		return &Fault{Path: te.Field, Value: te.Value, Want: "a " + te.Type.String()}
-	}
-	var ft *Fault
-	if errors.As(err, &ft) {
-		return &Fault{Path: "(duration)", Value: ft.Value, Want: ft.Want}
-	}
-	return &Fault{Path: "(document)", Value: err.Error(), Want: "settings as `silvermount schema` prints them"}
-}
-
 // Schema returns the JSON schema of the settings.
 func Schema() ([]byte, error) {
-	rf := &jsonschema.Reflector{ExpandedStruct: true}
+	rf := &jsonschema.Reflector{ExpandedStruct: true, RequiredFromJSONSchemaTags: true}
 	b, err := json.MarshalIndent(rf.Reflect(&Settings{}), "", "  ")
 	return b, errors.Wrap(err, "encode schema")
 }
--- a/internal/config/duration.go
+++ b/internal/config/duration.go
@@ -17,11 +17,14 @@
 	return []byte(time.Duration(dn).String()), nil
 }
 
+// wantDuration is what is wanted of a duration.
+const wantDuration = "a duration such as 500ms"
+
 // UnmarshalText reads the string form.
 func (dn *Duration) UnmarshalText(b []byte) error {
 	d, err := time.ParseDuration(string(b))
 	if err != nil {
-		return &Fault{Value: string(b), Want: "a duration such as 500ms"}
+		return &Fault{Value: string(b), Want: wantDuration}
 	}
 	*dn = Duration(d)
 	return nil
--- a/internal/duty/forwarding/forwarding.go
+++ b/internal/duty/forwarding/forwarding.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -42,59 +43,149 @@
 }
 
 const (
+	// defaultGrace is chosen by hand, about three times the balancer's lag of 3.2 s.
 	defaultGrace = 10 * time.Second
-	// defaultMaxBody is a million tokens of four bytes.
+	// minGrace is chosen by hand: the end of the process takes 0.7 s of the grace, and less than 0.3 s would be left for
+	// the answers in flight.
+	minGrace = time.Second
+	// defaultMaxBody, in bytes, is a million tokens of four bytes.
 	defaultMaxBody = 4 << 20
-	// defaultBodyBudget holds a burst of large bodies in a process of a few hundred MB.
-	defaultBodyBudget  = 64 << 20
+	// defaultBodyBudget, in bytes, holds a burst of large bodies in a process of a few hundred MB.
+	defaultBodyBudget = 64 << 20
+	// defaultRetryShare is a share of requests, defaultRetryFloor a number of attempts in each defaultRetryWindow; all
+	// three are chosen by hand.
 	defaultRetryShare  = 0.1
 	defaultRetryFloor  = 20
 	defaultRetryWindow = 10 * time.Second
+	// defaultDialTimeout is many round trips inside a region (at most a few milliseconds) and well under a short
+	// request's objective, so that another target can still be tried.
+	defaultDialTimeout = 250 * time.Millisecond
+	// defaultMemoryHold is short enough that memory of a killed instance is free again before the users count it as lost
+	// (four seconds on their sheets).
+	defaultMemoryHold = 3 * time.Second
+	// defaultOrderTimeout is many round trips inside a region too, and leaves time for another plan.
+	defaultOrderTimeout = 400 * time.Millisecond
 )
 
 func defaults(s *config.Settings) {
 	gw := *s.Gateway
-	if gw.Grace == 0 {
-		gw.Grace = config.Duration(defaultGrace)
-	}
-	if gw.MaxBodyBytes == 0 {
-		gw.MaxBodyBytes = defaultMaxBody
-	}
-	if gw.BodyBudgetBytes == 0 {
-		gw.BodyBudgetBytes = defaultBodyBudget
-	}
-	if gw.RetryWindow == 0 {
-		gw.RetryShare, gw.RetryFloor, gw.RetryWindow = defaultRetryShare, defaultRetryFloor, config.Duration(defaultRetryWindow)
+	setDefault(&gw.Grace, config.Duration(defaultGrace))
+	setDefault(&gw.MaxBodyBytes, defaultMaxBody)
+	setDefault(&gw.BodyBudgetBytes, defaultBodyBudget)
+	// A window alone is left as it is: it may go with no retries at all.
+	if gw.RetryShare == 0 && gw.RetryFloor == 0 && gw.RetryWindow == 0 {
+		gw.RetryShare, gw.RetryFloor = defaultRetryShare, defaultRetryFloor
 	}
+	setDefault(&gw.RetryWindow, config.Duration(defaultRetryWindow))
+	setDefault(&gw.DialTimeout, config.Duration(defaultDialTimeout))
+	setDefault(&gw.MemoryHold, config.Duration(defaultMemoryHold))
+	setDefault(&gw.OrderTimeout, config.Duration(defaultOrderTimeout))
 	s.Gateway = &gw
 }
 
+func setDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
+
 func check(s config.Settings) config.Faults {
 	gw := s.Gateway
+	fs := checkAdapter(gw)
+	fs = append(fs, checkAddresses(gw)...)
+	fs = append(fs, checkTimes(gw)...)
+	fs = append(fs, checkRetries(gw)...)
+	return append(fs, checkBodies(gw)...)
+}
+
+func checkAdapter(gw *config.Gateway) config.Faults {
+	if _, ok := adapter.Find(gw.Adapter); ok {
+		return nil
+	}
+	return config.Faults{{Path: "gateway.adapter", Value: gw.Adapter, Want: "one of " + strings.Join(adapter.Names(), ", ")}}
+}
+
+func checkAddresses(gw *config.Gateway) config.Faults {
 	fs := config.CheckListen("gateway.callers", gw.Callers)
 	fs = append(fs, config.CheckListen("gateway.readiness", gw.Readiness)...)
 	fs = append(fs, config.CheckListen("gateway.peers", gw.Peers)...)
 	fs = append(fs, config.CheckListen("gateway.metrics", gw.Metrics)...)
 	fs = append(fs, config.CheckListen("gateway.store", gw.Store)...)
-	if _, ok := adapter.Find(gw.Adapter); !ok {
-		fs = append(fs, &config.Fault{Path: "gateway.adapter", Value: gw.Adapter, Want: "one of " + strings.Join(adapter.Names(), ", ")})
+	for i, seed := range gw.Seeds {
+		fs = append(fs, config.CheckListen("gateway.seeds["+strconv.Itoa(i)+"]", seed)...)
 	}
-	if gw.Grace <= 0 {
-		fs = append(fs, &config.Fault{Path: "gateway.grace", Value: gw.Grace.Std().String(), Want: "a positive duration"})
+	return fs
+}
+
+func checkTimes(gw *config.Gateway) config.Faults {
+	var fs config.Faults
+	if gw.RevocationBound < 0 {
+		fs = append(fs, &config.Fault{
+			Path: "gateway.revocation_bound", Value: gw.RevocationBound.Std().String(), Want: "a positive duration, or zero for none",
+		})
 	}
-	if gw.RetryShare < 0 || gw.RetryFloor < 0 || gw.RetryWindow <= 0 {
-		fs = append(fs, &config.Fault{Path: "gateway.retry_share", Want: "retry bounds that are not negative, with a positive window"})
+	fs = append(fs, positive("gateway.dial_timeout", gw.DialTimeout)...)
+	fs = append(fs, positive("gateway.order_timeout", gw.OrderTimeout)...)
+	fs = append(fs, positive("gateway.memory_hold", gw.MemoryHold)...)
+	if gw.Grace.Std() < minGrace {
+		fs = append(fs, &config.Fault{
+			Path: "gateway.grace", Value: gw.Grace.Std().String(), Want: "at least " + minGrace.String(),
+		})
+	}
+	return fs
+}
+
+func positive(path string, d config.Duration) config.Faults {
+	if d > 0 {
+		return nil
+	}
+	return config.Faults{{Path: path, Value: d.Std().String(), Want: "a positive duration"}}
+}
+
+func checkRetries(gw *config.Gateway) config.Faults {
+	var fs config.Faults
+	if gw.RetryShare < 0 || gw.RetryShare > 1 {
+		value := strconv.FormatFloat(gw.RetryShare, 'g', -1, 64)
+		fs = append(fs, &config.Fault{Path: "gateway.retry_share", Value: value, Want: "a share from 0 to 1"})
+	}
+	if gw.RetryFloor < 0 {
+		value := strconv.Itoa(gw.RetryFloor)
+		fs = append(fs, &config.Fault{Path: "gateway.retry_floor", Value: value, Want: "a number that is not negative"})
+	}
+	if gw.RetryWindow <= 0 {
+		value := gw.RetryWindow.Std().String()
+		fs = append(fs, &config.Fault{Path: "gateway.retry_window", Value: value, Want: "a positive duration"})
+	}
+	return fs
+}
+
+func checkBodies(gw *config.Gateway) config.Faults {
+	one, all := gw.MaxBodyBytes, gw.BodyBudgetBytes
+	var fs config.Faults
+	if one <= 0 {
+		value := strconv.FormatInt(one, 10)
+		fs = append(fs, &config.Fault{Path: "gateway.max_body_bytes", Value: value, Want: "a positive number"})
+	}
+	if all < max(1, one) {
+		value := strconv.FormatInt(all, 10)
+		fs = append(fs, &config.Fault{Path: "gateway.body_budget_bytes", Value: value, Want: "at least max_body_bytes, and positive"})
 	}
 	return fs
 }
 
 func start(_ context.Context, env *kernel.Env) (kernel.Stop, error) {
 	ad, _ := adapter.Find(env.Settings.Gateway.Adapter)
-	ms := metrics.NewSet()
+	ms, err := kernel.Need[*metrics.Set](env)
+	if err != nil {
+		// Whoever started the instance keeps no metrics of its own.
+		ms = metrics.NewSet()
+	}
 	dr := targets.New(time.Now)
 	ch := &Changed{}
 	kp := &reservation.Keeper{
-		Reserve: ad.Reserve, Release: ad.Release, NewID: func() string { return ident.New("mem") }, Log: env.Logger("memory"),
+		Reserve: ad.Reserve, Release: ad.Release, NewID: func() string { return ident.New("mem") },
+		Timeout: env.Settings.Gateway.OrderTimeout.Std(), Hold: env.Settings.Gateway.MemoryHold.Std(), Log: env.Logger("memory"),
 	}
 	ds := dispatch.New(dr, kp, dispatch.Options{
 		Instance: env.Settings.Instance, AvailabilityZone: env.Settings.AvailabilityZone, Now: time.Now, Changed: ch.Tell,
@@ -105,6 +196,6 @@
 	kernel.Provide(env, dr)
 	kernel.Provide(env, ch)
 	kernel.Provide(env, ds)
-	kernel.Provide(env, upstream.NewPool(time.Now, ms))
+	kernel.Provide(env, upstream.NewPool(time.Now, ms, env.Settings.Gateway.DialTimeout.Std()))
 	return nil, nil
 }
--- /dev/null
+++ b/internal/duty/forwarding/forwarding_test.go
@@ -0,0 +1,159 @@
+package forwarding
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/silvermount/silvermount/internal/adapter"
+	"github.com/silvermount/silvermount/internal/config"
+)
+
+const adapterName = "forwarding-test"
+
+func init() { adapter.Register(adapter.Adapter{Name: adapterName}) }
+
+// good returns settings with everything in them that has no default.
+func good() config.Settings {
+	return config.Settings{Instance: "a1", AvailabilityZone: "a", Gateway: &config.Gateway{
+		Adapter: adapterName, Callers: "127.0.0.1:1", Readiness: "127.0.0.1:2", Peers: "127.0.0.1:3",
+		Metrics: "127.0.0.1:4", Store: "127.0.0.1:5",
+	}}
+}
+
+// bad returns settings in which every field has a fault.
+func bad() config.Gateway {
+	return config.Gateway{
+		Seeds: []string{"x"}, RevocationBound: -1, Grace: -1, RetryShare: -1, RetryFloor: -1, RetryWindow: -1,
+		DialTimeout: -1, OrderTimeout: -1, MemoryHold: -1, MaxBodyBytes: -1, BodyBudgetBytes: -1,
+	}
+}
+
+// TestEveryFieldIsChecked fails when a field is added to the settings and not to the check.
+func TestEveryFieldIsChecked(t *testing.T) {
+	g := NewWithT(t)
+	gw := bad()
+	checked := map[string]bool{}
+	for _, ft := range check(config.Settings{Gateway: &gw}) {
+		path, _, _ := strings.Cut(ft.Path, "[")
+		checked[path] = true
+	}
+	for fd := range reflect.TypeFor[config.Gateway]().Fields() {
+		name, _, _ := strings.Cut(fd.Tag.Get("json"), ",")
+		g.Expect(checked).To(HaveKey("gateway." + name))
+	}
+}
+
+func TestDefaults(t *testing.T) {
+	filled := config.Gateway{
+		Grace: config.Duration(10 * time.Second), MaxBodyBytes: 4 << 20, BodyBudgetBytes: 64 << 20,
+		RetryShare: 0.1, RetryFloor: 20, RetryWindow: config.Duration(10 * time.Second),
+		DialTimeout: config.Duration(250 * time.Millisecond), OrderTimeout: config.Duration(400 * time.Millisecond),
+		MemoryHold: config.Duration(3 * time.Second),
+	}
+	tests := map[string]struct {
+		given config.Gateway
+		want  func(gw *config.Gateway)
+	}{
+		"nothing given": {config.Gateway{}, func(*config.Gateway) {}},
+		"grace given": {
+			config.Gateway{Grace: config.Duration(time.Second)},
+			func(gw *config.Gateway) { gw.Grace = config.Duration(time.Second) },
+		},
+		"share without a window": {
+			config.Gateway{RetryShare: 0.5},
+			func(gw *config.Gateway) { gw.RetryShare, gw.RetryFloor = 0.5, 0 },
+		},
+		"floor without a window": {
+			config.Gateway{RetryFloor: 3},
+			func(gw *config.Gateway) { gw.RetryShare, gw.RetryFloor = 0, 3 },
+		},
+		"no retries": {
+			config.Gateway{RetryWindow: config.Duration(time.Second)},
+			func(gw *config.Gateway) {
+				gw.RetryShare, gw.RetryFloor, gw.RetryWindow = 0, 0, config.Duration(time.Second)
+			},
+		},
+		"times at targets given": {
+			config.Gateway{DialTimeout: 1, OrderTimeout: 2, MemoryHold: 3},
+			func(gw *config.Gateway) { gw.DialTimeout, gw.OrderTimeout, gw.MemoryHold = 1, 2, 3 },
+		},
+		"bodies given": {
+			config.Gateway{MaxBodyBytes: 1, BodyBudgetBytes: 2},
+			func(gw *config.Gateway) { gw.MaxBodyBytes, gw.BodyBudgetBytes = 1, 2 },
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			want, given := filled, tc.given
+			tc.want(&want)
+			s := config.Settings{Gateway: &given}
+			defaults(&s)
+			g.Expect(*s.Gateway).To(Equal(want))
+			g.Expect(given).To(Equal(tc.given), "the settings given are not changed")
+		})
+	}
+}
+
+func TestCheck(t *testing.T) {
+	const ms = config.Duration(time.Millisecond)
+	tests := map[string]struct {
+		edit func(gw *config.Gateway)
+		want []string
+	}{
+		"good":                     {func(*config.Gateway) {}, nil},
+		"adapter":                  {func(gw *config.Gateway) { gw.Adapter = "none" }, []string{"gateway.adapter"}},
+		"callers":                  {func(gw *config.Gateway) { gw.Callers = "localhost" }, []string{"gateway.callers"}},
+		"readiness":                {func(gw *config.Gateway) { gw.Readiness = "" }, []string{"gateway.readiness"}},
+		"peers":                    {func(gw *config.Gateway) { gw.Peers = "127.0.0.1" }, []string{"gateway.peers"}},
+		"metrics":                  {func(gw *config.Gateway) { gw.Metrics = ":9" }, []string{"gateway.metrics"}},
+		"store":                    {func(gw *config.Gateway) { gw.Store = "http://127.0.0.1:5" }, []string{"gateway.store"}},
+		"seeds that are good":      {func(gw *config.Gateway) { gw.Seeds = []string{"10.0.0.1:1", "[::1]:2"} }, nil},
+		"seeds":                    {func(gw *config.Gateway) { gw.Seeds = []string{"", "10.0.0.1:1", "b:1"} }, []string{"gateway.seeds[0]", "gateway.seeds[2]"}},
+		"bound on revocation":      {func(gw *config.Gateway) { gw.RevocationBound = ms }, nil},
+		"bound below zero":         {func(gw *config.Gateway) { gw.RevocationBound = -ms }, []string{"gateway.revocation_bound"}},
+		"shortest grace":           {func(gw *config.Gateway) { gw.Grace = 1000 * ms }, nil},
+		"grace too short":          {func(gw *config.Gateway) { gw.Grace = 999 * ms }, []string{"gateway.grace"}},
+		"grace below zero":         {func(gw *config.Gateway) { gw.Grace = -ms }, []string{"gateway.grace"}},
+		"all retried":              {func(gw *config.Gateway) { gw.RetryShare = 1 }, nil},
+		"none retried":             {func(gw *config.Gateway) { gw.RetryShare, gw.RetryFloor = 0, 0 }, nil},
+		"retry share above one":    {func(gw *config.Gateway) { gw.RetryShare = 1.01 }, []string{"gateway.retry_share"}},
+		"retry share below zero":   {func(gw *config.Gateway) { gw.RetryShare = -0.01 }, []string{"gateway.retry_share"}},
+		"retry floor":              {func(gw *config.Gateway) { gw.RetryFloor = -1 }, []string{"gateway.retry_floor"}},
+		"retry window":             {func(gw *config.Gateway) { gw.RetryWindow = -ms }, []string{"gateway.retry_window"}},
+		"room for one body":        {func(gw *config.Gateway) { gw.BodyBudgetBytes = gw.MaxBodyBytes }, nil},
+		"no room for one body":     {func(gw *config.Gateway) { gw.BodyBudgetBytes = gw.MaxBodyBytes - 1 }, []string{"gateway.body_budget_bytes"}},
+		"body below zero":          {func(gw *config.Gateway) { gw.MaxBodyBytes = -1 }, []string{"gateway.max_body_bytes"}},
+		"budget of bodies below 0": {func(gw *config.Gateway) { gw.BodyBudgetBytes = -1 }, []string{"gateway.body_budget_bytes"}},
+		"time to connect":          {func(gw *config.Gateway) { gw.DialTimeout = -ms }, []string{"gateway.dial_timeout"}},
+		"time of an order":         {func(gw *config.Gateway) { gw.OrderTimeout = -ms }, []string{"gateway.order_timeout"}},
+		"hold of memory":           {func(gw *config.Gateway) { gw.MemoryHold = -ms }, []string{"gateway.memory_hold"}},
+		"all at once": {
+			func(gw *config.Gateway) { *gw = bad() },
+			[]string{
+				"gateway.adapter", "gateway.callers", "gateway.readiness", "gateway.peers", "gateway.metrics", "gateway.store",
+				"gateway.seeds[0]", "gateway.revocation_bound", "gateway.dial_timeout", "gateway.order_timeout",
+				"gateway.memory_hold", "gateway.grace", "gateway.retry_share", "gateway.retry_floor", "gateway.retry_window",
+				"gateway.max_body_bytes", "gateway.body_budget_bytes",
+			},
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := good()
+			defaults(&s)
+			tc.edit(s.Gateway)
+			var paths []string
+			for _, ft := range check(s) {
+				paths = append(paths, ft.Path)
+				g.Expect(ft.Want).NotTo(BeEmpty())
+			}
+			g.Expect(paths).To(Equal(tc.want))
+		})
+	}
+}
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -110,11 +110,15 @@
 		sk.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	sk.start(an.StatusCode)
-	if err := sk.write(body); err != nil {
-		return failure.New(failure.CallerGone, failure.Failed, "the caller went away").WithCause(err)
+	err := sk.write(body)
+	if err == nil {
+		// The end of the exchange with the target must not hold the answer back.
+		err = sk.flush()
 	}
-	_, err := io.Copy(sk.w, rest)
 	if err != nil {
+		return failure.New(failure.CallerGone, failure.Failed, "the caller went away").WithCause(err)
+	}
+	if _, err = io.Copy(sk.w, rest); err != nil {
 		return gw.timeUp(ctx, rq).WithCause(err)
 	}
 	if len(body) == bufferMost {
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -126,7 +126,7 @@
 
 // Env is what the duties of one instance share.
 type Env struct {
-	// Settings are complete and checked.
+	// Settings are complete and checked. They stay those of the start; OnReload tells of newer ones.
 	Settings config.Settings
 	// Incarnation is unique to this run of the instance.
 	Incarnation string
@@ -169,6 +169,8 @@
 	Env *Env
 	// running is in the order of start.
 	running []running
+	// current is what is in force after reloads; Env.Settings stay those of the start.
+	current config.Settings
 }
 
 // New prepares an instance. Settings are filled with defaults and checked.
@@ -183,7 +185,7 @@
 		Log:         lg.WithField("instance", s.Instance),
 		parts:       map[reflect.Type]any{},
 	}
-	return &Kernel{Env: env}, nil
+	return &Kernel{Env: env, current: s}, nil
 }
 
 // Start starts every duty in order. When one fails, those already started are stopped.
@@ -216,15 +218,21 @@
 	if err := Check(s).OrNil(); err != nil {
 		return err
 	}
-	changed := config.Changed(kn.Env.Settings, s)
+	if s.Role() != kn.Env.Settings.Role() {
+		return config.Faults{{Path: "gateway", Value: string(s.Role()) + " role", Want: "the role that the instance started with"}}
+	}
+	changed := config.Changed(kn.current, s)
 	for _, reload := range kn.Env.reloads {
 		reload(s)
 	}
-	kn.Env.Settings = s
+	kn.current = s
 	kn.Env.Logger("kernel").WithField("changed", strings.Join(changed, ",")).Info("settings reloaded")
 	return nil
 }
 
+// Settings returns what is in force, with what was reloaded.
+func (kn *Kernel) Settings() config.Settings { return kn.current }
+
 // Stop stops the running duties in reverse order and returns the first error.
 func (kn *Kernel) Stop(ctx context.Context) error {
 	kn.Env.Stopping.Store(true)
--- /dev/null
+++ b/internal/kernel/kernel_test.go
@@ -0,0 +1,159 @@
+package kernel
+
+import (
+	"context"
+	"testing"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+
+	"github.com/silvermount/silvermount/internal/config"
+)
+
+// only registers the duties for one test in place of all others.
+func only(t *testing.T, duties ...Duty) {
+	t.Helper()
+	before := registered
+	registered = nil
+	t.Cleanup(func() { registered = before })
+	for _, d := range duties {
+		Register(d)
+	}
+}
+
+// limiter returns a duty that puts the bound of one body in force when settings are reloaded. It appends to told.
+func limiter(name string, role config.Role, told *[]string, inForce *[]config.Settings) Duty {
+	return Duty{
+		Name: name, Role: role, Phase: PhaseWork,
+		Defaults: func(s *config.Settings) { s.Routing.Policy = "default of " + name },
+		Check: func(s config.Settings) config.Faults {
+			if s.Callers.MaxBodyBytes < 0 {
+				return config.Faults{{Path: "callers.max_body_bytes", Want: name + " wants more"}}
+			}
+			return nil
+		},
+		Start: func(_ context.Context, env *Env) (Stop, error) {
+			env.OnReload(func(s config.Settings) {
+				*told = append(*told, name)
+				*inForce = append(*inForce, s)
+			})
+			return nil, nil
+		},
+	}
+}
+
+func started(t *testing.T, s config.Settings) (*Kernel, *memory.Handler) {
+	t.Helper()
+	g := NewWithT(t)
+	mh := memory.New()
+	kn, err := New(s, "i-1", &log.Logger{Handler: mh, Level: log.InfoLevel})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(kn.Start(t.Context())).To(Succeed())
+	return kn, mh
+}
+
+func settings(bytes int64) config.Settings {
+	return config.Settings{Instance: "a1", AvailabilityZone: "a", Callers: config.Callers{MaxBodyBytes: bytes}}
+}
+
+func gatewaySettings(bytes int64) config.Settings {
+	s := settings(bytes)
+	s.Gateway = &config.Gateway{}
+	return s
+}
+
+func TestReloadPutsGoodSettingsInForce(t *testing.T) {
+	tests := map[string]struct {
+		before, after config.Settings
+		told          []string
+		changed       string
+	}{
+		"entry":          {settings(1), settings(2), []string{"one", "two"}, "callers.max_body_bytes"},
+		"gateway":        {gatewaySettings(1), gatewaySettings(2), []string{"door"}, "callers.max_body_bytes"},
+		"nothing is new": {settings(1), settings(1), []string{"one", "two"}, ""},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var told []string
+			var inForce []config.Settings
+			only(t, limiter("one", "", &told, &inForce), limiter("two", config.RoleEntry, &told, &inForce),
+				limiter("door", config.RoleGateway, &told, &inForce))
+			kn, mh := started(t, tc.before)
+			g.Expect(told).To(BeEmpty())
+			g.Expect(kn.Reload(tc.after)).To(Succeed())
+			want := Defaults(tc.after)
+			g.Expect(want.Routing.Policy).To(HavePrefix("default of"))
+			g.Expect(told).To(Equal(tc.told))
+			g.Expect(inForce).To(HaveEach(want))
+			g.Expect(kn.Settings()).To(Equal(want))
+			last := mh.Entries[len(mh.Entries)-1]
+			g.Expect(last.Message).To(Equal("settings reloaded"))
+			g.Expect(last.Fields).To(HaveKeyWithValue("changed", tc.changed))
+		})
+	}
+}
+
+func TestReloadOfBadSettingsChangesNothing(t *testing.T) {
+	nameless := settings(2)
+	nameless.Instance = ""
+	tests := map[string]struct {
+		before, after config.Settings
+		want          []string
+	}{
+		"one duty finds a fault": {gatewaySettings(1), gatewaySettings(-1), []string{"door wants more"}},
+		"two duties do":          {settings(1), settings(-1), []string{"one wants more", "two wants more"}},
+		"the kernel does":        {settings(1), nameless, []string{"a name unique among instances"}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var told []string
+			var inForce []config.Settings
+			only(t, limiter("one", "", &told, &inForce), limiter("two", config.RoleEntry, &told, &inForce),
+				limiter("door", config.RoleGateway, &told, &inForce))
+			kn, mh := started(t, tc.before)
+			before, lines := kn.Settings(), len(mh.Entries)
+			err := kn.Reload(tc.after)
+			var fs config.Faults
+			g.Expect(errors.As(err, &fs)).To(BeTrue(), "%v", err)
+			var wants []string
+			for _, ft := range fs {
+				wants = append(wants, ft.Want)
+			}
+			g.Expect(wants).To(Equal(tc.want))
+			g.Expect(told).To(BeEmpty())
+			g.Expect(kn.Settings()).To(Equal(before))
+			g.Expect(mh.Entries).To(HaveLen(lines))
+			// Good settings after bad ones are put in force.
+			after := tc.before
+			after.AvailabilityZone = "b"
+			g.Expect(kn.Reload(after)).To(Succeed())
+			g.Expect(kn.Settings().AvailabilityZone).To(Equal("b"))
+			g.Expect(told).NotTo(BeEmpty())
+		})
+	}
+}
+
+func TestReloadKeepsTheRole(t *testing.T) {
+	tests := map[string]struct{ before, after config.Settings }{
+		"a gateway": {gatewaySettings(1), settings(1)},
+		"an entry":  {settings(1), gatewaySettings(1)},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var told []string
+			var inForce []config.Settings
+			only(t, limiter("one", "", &told, &inForce), limiter("door", config.RoleGateway, &told, &inForce))
+			kn, _ := started(t, tc.before)
+			before := kn.Settings()
+			var fs config.Faults
+			g.Expect(errors.As(kn.Reload(tc.after), &fs)).To(BeTrue())
+			g.Expect(told).To(BeEmpty())
+			g.Expect(kn.Settings()).To(Equal(before))
+		})
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -21,7 +22,7 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Exclusive requests may run only once: they go out on connections that have rested for a short time only.
+	// Exclusive requests may run only once: they go out on new connections.
 	Exclusive bool
 	// Mine reports whether an answer belongs to this call; others are skipped.
 	Mine func(*http.Response) bool
@@ -165,12 +166,18 @@
 	an.pool.drop(an.address, an.cn)
 }
 
-// sent reports whether the whole request is out already.
+// writeWait bounds the wait for the end of a request whose answer is whole already. The writer has usually ended but
+// for being scheduled; a target that answers early may take longer, and then loses the connection.
+const writeWait = 200 * time.Millisecond
+
+// sent reports whether the whole request is out.
 func (an *Answer) sent() bool {
+	timer := time.NewTimer(writeWait)
+	defer timer.Stop()
 	select {
 	case <-an.written:
 		return *an.wroteAll
-	default:
+	case <-timer.C:
 		return false
 	}
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -12,9 +12,6 @@
 const (
 	// restMost is how long an idle connection is used again when the target does not say how long it keeps it.
 	restMost = 4 * time.Second
-	// restMostExclusive is the same for requests that may run only once: a close that crosses such a request leaves
-	// its outcome unknown.
-	restMostExclusive = time.Second
 	// keepMargin is taken off the time that the target says.
 	keepMargin = 700 * time.Millisecond
 	// idleMost bounds the idle connections to one target until SetIdle is called.
@@ -52,12 +49,14 @@
 
 // get returns a connection at rest, or a new one.
 func (pl *Pool) get(ctx context.Context, address string, exclusive bool) (cn *conn, reused bool, err error) {
-	for {
+	// A connection at rest may be gone without a sign: a request that may run only once would end with its outcome
+	// unknown. It gets a new one.
+	for !exclusive {
 		cn = pl.take(address)
 		if cn == nil {
 			break
 		}
-		if pl.usable(cn, exclusive) {
+		if pl.usable(cn) {
 			return cn, true, nil
 		}
 		pl.drop(address, cn)
@@ -85,14 +84,11 @@
 	return cn
 }
 
-func (pl *Pool) usable(cn *conn, exclusive bool) bool {
+func (pl *Pool) usable(cn *conn) bool {
 	most := restMost
 	if cn.keep > 0 {
 		most = cn.keep - keepMargin
 	}
-	if exclusive {
-		most = min(most, restMostExclusive)
-	}
 	return pl.now().Sub(cn.restedAt) < most && cn.quiet()
 }
 
