fix: a silent stream is ended only with its continuation paid for

Ruled out: the route's attempts (one of two was used), the target's refusal (none was sent). Change: the watchdog takes the retry before it ends the stream.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -48,6 +48,8 @@
 	tried []string
 	// avoid holds the incarnations that are not asked again: tried, or not reachable.
 	avoid []string
+	// claimed is set when the next retry was taken from the budget already.
+	claimed bool
 	// lastEvent is the last event passed on; negative before the first.
 	lastEvent int64
 	// events counts the events passed on.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -240,7 +240,9 @@
 	case gw.stillThere(rq.tried) >= rq.route.MaxAttempts:
 		return false
 	}
-	return gw.Retries.Take()
+	claimed := rq.claimed
+	rq.claimed = false
+	return claimed || gw.Retries.Take()
 }
 
 // stillThere counts the targets that were sent the request and still take work: one that has ended does not use up an
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -87,7 +87,7 @@
 	stall := max(stallFloor, stallPauses*rq.route.LongestPause)
 	// A copy: the timer may look at it while the next attempt begins.
 	tried := slices.Clone(rq.tried)
-	wd := newWatchdog(an, stall, func() bool { return gw.movable(rq.route, rq.service, tried) })
+	wd := newWatchdog(an, stall, func() bool { return gw.claimMove(rq.route, rq.service, tried) })
 	defer wd.stop()
 	fresh := true
 	for {
@@ -96,6 +96,7 @@
 			return gw.streamEnded(ctx, rq, sk, sl, an)
 		}
 		if err != nil {
+			rq.claimed = wd.hasFired()
 			return gw.brokenOff(ctx, rq, sl, wd.cause(err))
 		}
 		if fresh {
@@ -118,12 +119,14 @@
 	}
 }
 
-// movable reports whether a stream could be taken up at another target now.
-func (gw *Gateway) movable(rt routes.Route, service string, tried []string) bool {
-	if !rt.Resumable || gw.stillThere(tried) >= rt.MaxAttempts || !gw.Retries.Left() {
+// claimMove reports whether a stream can be taken up at another target now, and takes the retry for it: the streams of
+// one silent target all ask at once, and there may be a retry for some of them only.
+func (gw *Gateway) claimMove(rt routes.Route, service string, tried []string) bool {
+	if !rt.Resumable || gw.stillThere(tried) >= rt.MaxAttempts {
 		return false
 	}
-	return slices.ContainsFunc(gw.Targets.Usable(service), func(tg targets.Target) bool { return !slices.Contains(tried, tg.ID) })
+	untried := func(tg targets.Target) bool { return !slices.Contains(tried, tg.ID) }
+	return slices.ContainsFunc(gw.Targets.Usable(service), untried) && gw.Retries.Take()
 }
 
 func (gw *Gateway) passEvent(rq *request, sk *sink, an *upstream.Answer, ev event) error {
@@ -171,9 +174,10 @@
 // watchdog closes an answer that stays silent for too long, but only while the stream can go on elsewhere: silence
 // alone is no reason to end an answer before its time.
 type watchdog struct {
-	an      *upstream.Answer
-	limit   time.Duration
-	movable func() bool
+	an    *upstream.Answer
+	limit time.Duration
+	// claim reports whether the stream may be ended, as its continuation elsewhere is paid for.
+	claim func() bool
 
 	mu    sync.Mutex
 	timer *time.Timer
@@ -183,8 +187,8 @@
 	fired bool
 }
 
-func newWatchdog(an *upstream.Answer, limit time.Duration, movable func() bool) *watchdog {
-	wd := &watchdog{an: an, limit: limit, movable: movable}
+func newWatchdog(an *upstream.Answer, limit time.Duration, claim func() bool) *watchdog {
+	wd := &watchdog{an: an, limit: limit, claim: claim}
 	wd.mu.Lock()
 	defer wd.mu.Unlock()
 	wd.timer = time.AfterFunc(firstEventMost, wd.fire)
@@ -201,7 +205,7 @@
 	if wd.ended {
 		return
 	}
-	if !wd.movable() {
+	if !wd.claim() {
 		wd.timer.Reset(wd.limit)
 		return
 	}
@@ -218,11 +222,15 @@
 	wd.timer.Stop()
 }
 
-// cause returns the silence as the cause of a broken stream, if it was.
-func (wd *watchdog) cause(err error) error {
+func (wd *watchdog) hasFired() bool {
 	wd.mu.Lock()
 	defer wd.mu.Unlock()
-	if wd.fired {
+	return wd.fired
+}
+
+// cause returns the silence as the cause of a broken stream, if it was.
+func (wd *watchdog) cause(err error) error {
+	if wd.hasFired() {
 		return &SilentTargetError{After: wd.limit}
 	}
 	return err
