--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -81,6 +81,9 @@
 	redialPause = 500 * time.Millisecond
 	// dialGrace is how long the instance with the higher name waits for the other to dial: two attempts and their pause.
 	dialGrace = 1500 * time.Millisecond
+	// refreshBeats is the number of heartbeats after which the state is taken anew though it was not published: what
+	// it says of ages has changed.
+	refreshBeats = 4
 	// idleLosts is the number of silences Options.Lost after which a stream is closed.
 	idleLosts = 3
 )
@@ -117,6 +120,8 @@
 	opts Options
 	// kick has room for one signal: there is something to send.
 	kick chan struct{}
+	// beats counts heartbeats; it is used by Run only.
+	beats int
 	// published says that Options.Body is to be called at the next send.
 	published atomic.Bool
 
@@ -189,7 +194,7 @@
 		case <-kick:
 			// Further signals wait in the channel until the pause is over.
 			kick = nil
-			pause.Reset(ms.opts.Coalesce)
+			pause.Reset(ms.coalesce())
 		case <-pause.C:
 			kick = ms.kick
 		}
@@ -241,6 +246,21 @@
 	ms.signal()
 }
 
+// coalesce is the least time between two sends. The messages of a fleet grow with the square of its members, each of
+// which hears all others: beyond FullMesh the time grows the same way.
+func (ms *Mesh) coalesce() time.Duration {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	live := 1
+	for _, rc := range ms.records {
+		if rc.live {
+			live++
+		}
+	}
+	times := max(1, live*live/(ms.opts.FullMesh*ms.opts.FullMesh))
+	return min(ms.opts.Interval, time.Duration(times)*ms.opts.Coalesce)
+}
+
 // refresh takes this instance's state anew when it was published.
 func (ms *Mesh) refresh() {
 	if !ms.published.Swap(false) {
@@ -259,7 +279,10 @@
 
 // beat begins an interval: it renews this instance's pulse, and drops members that were silent for too long.
 func (ms *Mesh) beat() {
-	ms.published.Store(true)
+	ms.beats++
+	if ms.beats%refreshBeats == 0 {
+		ms.published.Store(true)
+	}
 	now := ms.opts.Now()
 	ms.calls.Lock()
 	defer ms.calls.Unlock()
