feat: in large fleets two instances an availability zone follow the store for the others

Change: beyond 16 instances only the first two of each availability zone by hash watch; the others hear the configuration's proof, leaving targets and the list's version from peers, fetch what is newer from them, and ask the store themselves when what they heard is older than 2.5 s.

--- a/internal/duty/facts/facts.go
+++ b/internal/duty/facts/facts.go
@@ -39,8 +39,21 @@
 	lg  log.Interface
 	// changed is told of news that peers may lack.
 	changed *forwarding.Changed
+	// relays says whether peers follow the store for this instance.
+	relays *forwarding.Relays
 	// version is the newest configuration read; it is used by one goroutine.
 	version int64
+	// news is set while an answer about targets holds changes; it is used by one goroutine.
+	news bool
+}
+
+// restAge is the age of what peers tell from which an instance asks the store itself. With the longest silence of a
+// relay's watch and the way through peers it stays below the few seconds in which changes must be in force.
+const restAge = 2500 * time.Millisecond
+
+// restsAt reports whether peers tell enough.
+func (rd *reader) restsAt(heard time.Time) bool {
+	return time.Since(heard) < restAge && !rd.relays.Follows()
 }
 
 func start(_ context.Context, env *kernel.Env) (kernel.Stop, error) {
@@ -64,9 +77,13 @@
 	if err != nil {
 		return nil, err
 	}
+	rl, err := kernel.Need[*forwarding.Relays](env)
+	if err != nil {
+		return nil, err
+	}
 	calls := ms.GetOrCreateCounter("silvermount_store_calls_total")
 	st := ad.Store(env.Settings.Gateway.Store, calls.Inc)
-	rd := &reader{ad: ad, rts: rts, dr: dr, lg: env.Logger("facts"), changed: ch}
+	rd := &reader{ad: ad, rts: rts, dr: dr, lg: env.Logger("facts"), changed: ch, relays: rl}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { rd.configuration(st, env.Logger("store")).Run(ctx) })
@@ -87,10 +104,14 @@
 			}
 		},
 		Change: rd.readConfiguration,
-		Confirm: func(evidence time.Time) {
+		Confirm: func(evidence time.Time, _ int64) {
 			rd.rts.Confirm(rd.version, evidence)
 			rd.changed.Tell()
 		},
+		Rest: func() bool {
+			_, provenAt := rd.rts.Current()
+			return rd.restsAt(provenAt)
+		},
 		Trouble: func(error) {},
 	}
 }
@@ -125,9 +146,11 @@
 					list = append(list, tg)
 				}
 			}
+			rd.news = true
 			rd.tell(rd.dr.Replace(list, evidence))
 		},
 		Change: func(it objectstore.Object, evidence time.Time) {
+			rd.news = true
 			if len(it.Value) == 0 {
 				rd.tell(rd.dr.Remove(it.Name, evidence))
 				return
@@ -136,8 +159,16 @@
 				rd.tell(rd.dr.Put(tg, evidence))
 			}
 		},
-		Confirm: rd.dr.Confirm,
+		Confirm: func(evidence time.Time, version int64) {
+			rd.dr.Confirm(evidence)
+			if rd.news {
+				rd.dr.Changed(version)
+			}
+			rd.news = false
+			rd.changed.Tell()
+		},
 		Trouble: func(error) { rd.dr.Trouble() },
+		Rest:    func() bool { return rd.restsAt(rd.dr.HeardAt()) },
 	}
 }
 
--- a/internal/duty/forwarding/forwarding.go
+++ b/internal/duty/forwarding/forwarding.go
@@ -27,6 +27,20 @@
 	})
 }
 
+// Relays says whether this instance follows the store for others. It is safe for use by any goroutine.
+type Relays struct {
+	follows atomic.Pointer[func() bool]
+}
+
+// Set sets who decides.
+func (rl *Relays) Set(follows func() bool) { rl.follows.Store(&follows) }
+
+// Follows reports whether this instance has to follow the store itself; before Set it has.
+func (rl *Relays) Follows() bool {
+	follows := rl.follows.Load()
+	return follows == nil || (*follows)()
+}
+
 // Changed is told when what this instance knows or has in flight changes. It is safe for use by any goroutine.
 type Changed struct {
 	publish atomic.Pointer[func()]
@@ -195,6 +209,7 @@
 	kernel.Provide(env, &routes.Holder{})
 	kernel.Provide(env, dr)
 	kernel.Provide(env, ch)
+	kernel.Provide(env, &Relays{})
 	kernel.Provide(env, ds)
 	kernel.Provide(env, upstream.NewPool(time.Now, ms, env.Settings.Gateway.DialTimeout.Std()))
 	return nil, nil
--- a/internal/duty/members/members.go
+++ b/internal/duty/members/members.go
@@ -27,8 +27,9 @@
 }
 
 const (
-	// configurationDocument is what a peer is asked for whose configuration is newer.
+	// configurationDocument and targetsDocument are what a peer is asked for whose configuration or list is newer.
 	configurationDocument = "configuration"
+	targetsDocument       = "targets"
 	// fetchTimeout bounds that question: many round trips, and well under the time a change has to be in force.
 	fetchTimeout = 600 * time.Millisecond
 	// coalesce is the least time between two sends of the state: two long prompts must not choose the same targets
@@ -39,8 +40,10 @@
 	fetchesWaiting = 4
 )
 
-// newer is a peer that told of a newer configuration.
+// newer is a peer that told of something newer.
 type newer struct {
+	// document is what the peer has a newer version of.
+	document string
 	from     gossip.Member
 	version  int64
 	evidence time.Time
@@ -74,6 +77,12 @@
 	}
 	du.ms = gossip.New(du.options(env))
 	ch.Set(du.ms.Publish)
+	rl, err := kernel.Need[*forwarding.Relays](env)
+	if err != nil {
+		return nil, err
+	}
+	self := du.options(env).Self
+	rl.Set(func() bool { return follows(self, du.ms.Live()) })
 	kernel.Provide(env, du.ms)
 	return du.run(l, env), nil
 }
@@ -132,6 +141,9 @@
 // body returns this instance's state.
 func (du *duty) body() []byte {
 	st := peerstate.State{Leaving: du.dr.Leaving(), Loads: du.ds.Own()}
+	version, heard := du.dr.Version()
+	st.Targets = version
+	st.TargetsAge = time.Since(heard)
 	if tb, provenAt := du.rts.Current(); tb != nil {
 		st.Configuration = tb.Version()
 		st.ProofAge = time.Since(provenAt)
@@ -164,17 +176,35 @@
 			du.lg.WithFields(log.Fields{"target": id, "peer": from.Name, "age": age.String(), "source": "peer"}).Info("target leaving")
 		}
 	}
+	now := time.Now()
+	du.receiveTargets(from, st, now.Add(-age-st.TargetsAge))
 	if st.Configuration == 0 {
 		return
 	}
-	evidence := time.Now().Add(-age - st.ProofAge)
+	evidence := now.Add(-age - st.ProofAge)
 	if du.rts.Confirm(st.Configuration, evidence) {
 		return
 	}
+	du.want(newer{document: configurationDocument, from: from, version: st.Configuration, evidence: evidence})
+}
+
+// receiveTargets compares a peer's list of targets with this instance's.
+func (du *duty) receiveTargets(from gossip.Member, st peerstate.State, evidence time.Time) {
+	version, _ := du.dr.Version()
+	switch {
+	case st.Targets == 0 || st.Targets < version:
+	case st.Targets == version:
+		du.dr.Confirm(evidence)
+	default:
+		du.want(newer{document: targetsDocument, from: from, version: st.Targets, evidence: evidence})
+	}
+}
+
+func (du *duty) want(nw newer) {
 	select {
-	case du.fetch <- newer{from: from, version: st.Configuration, evidence: evidence}:
+	case du.fetch <- nw:
 	default:
-		// Others are asked already; the peer's next heartbeat tells again.
+		// Others are asked already; the peer tells again.
 	}
 }
 
@@ -184,11 +214,19 @@
 }
 
 func (du *duty) serve(name string) ([]byte, bool) {
-	if name != configurationDocument {
+	switch name {
+	case configurationDocument:
+		_, doc := du.rts.Document()
+		return doc, doc != nil
+	case targetsDocument:
+		doc, err := du.targetsDocument()
+		if err != nil {
+			du.lg.WithError(err).Error("list of targets not told")
+		}
+		return doc, err == nil
+	default:
 		return nil, false
 	}
-	_, doc := du.rts.Document()
-	return doc, doc != nil
 }
 
 // fetchAll asks peers for newer configurations, one at a time.
@@ -196,6 +234,10 @@
 	for {
 		select {
 		case nw := <-du.fetch:
+			if nw.document == targetsDocument {
+				du.fetchTargets(ctx, nw)
+				continue
+			}
 			du.fetchOne(ctx, nw)
 		case <-ctx.Done():
 			return
--- /dev/null
+++ b/internal/duty/members/targets.go
@@ -0,0 +1,54 @@
+package members
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/silvermount/silvermount/internal/targets"
+)
+
+// targetList is the list of targets that peers get.
+type targetList struct {
+	Version int64
+	Targets []targets.Target
+}
+
+func (du *duty) targetsDocument() ([]byte, error) {
+	var tl targetList
+	tl.Version, tl.Targets = du.dr.Listed()
+	b, err := json.Marshal(tl)
+	return b, errors.Wrap(err, "encode list of targets")
+}
+
+// fetchTargets asks a peer for a newer list of targets.
+func (du *duty) fetchTargets(ctx context.Context, nw newer) {
+	if version, _ := du.dr.Version(); version >= nw.version {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	lg := du.lg.WithField("peer", nw.from.Name).WithField("version", nw.version)
+	doc, err := du.ms.Fetch(ctx, nw.from, targetsDocument)
+	if err != nil {
+		lg.WithError(err).Warn("newer list of targets not fetched")
+		return
+	}
+	var tl targetList
+	if err := json.Unmarshal(doc, &tl); err != nil {
+		lg.WithError(err).Error("peer's list of targets cannot be read")
+		return
+	}
+	if version, _ := du.dr.Version(); tl.Version < nw.version || tl.Version <= version {
+		// Meanwhile the store told more.
+		return
+	}
+	for _, ch := range du.dr.Replace(tl.Targets, nw.evidence) {
+		lg.WithFields(log.Fields{
+			"target": ch.Target.ID, "service": ch.Target.Service, "address": ch.Target.Address, "source": "peer",
+		}).Info("target " + ch.What)
+	}
+	du.dr.Changed(tl.Version)
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -17,6 +17,8 @@
 	// seconds in which a change must be in force.
 	retryLeast = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
+	// restStep is how often a follower that rests looks whether it has to ask itself.
+	restStep = 100 * time.Millisecond
 )
 
 // Store asks the store. Both fields are set.
@@ -38,8 +40,10 @@
 	Replace func(items []objectstore.Object, evidence time.Time)
 	// Change takes one change; a removed object has no value.
 	Change func(item objectstore.Object, evidence time.Time)
-	// Confirm is told that all changes up to the evidence were taken.
-	Confirm func(evidence time.Time)
+	// Confirm is told that all changes up to the evidence were taken, and the store's version then.
+	Confirm func(evidence time.Time, version int64)
+	// Rest reports whether others tell enough, so that the store need not be asked now; nil for never.
+	Rest func() bool
 	// Trouble is told of each failed call.
 	Trouble func(err error)
 	Log     log.Interface
@@ -78,6 +82,7 @@
 }
 
 func (fo *Follower) list(ctx context.Context) (int64, error) {
+	fo.rest(ctx)
 	evidence := time.Now()
 	l, err := fo.Store.List(ctx, fo.Kind)
 	if err != nil {
@@ -85,11 +90,12 @@
 	}
 	fo.regained()
 	fo.Replace(l.Items, evidence)
-	fo.Confirm(evidence)
+	fo.Confirm(evidence, l.Version)
 	return l.Version, nil
 }
 
 func (fo *Follower) watch(ctx context.Context, since int64) (int64, error) {
+	fo.rest(ctx)
 	evidence := time.Now()
 	l, err := fo.Store.Watch(ctx, fo.Kind, since, fo.Wait)
 	if err != nil {
@@ -99,10 +105,17 @@
 	for _, it := range l.Items {
 		fo.Change(it, evidence)
 	}
-	fo.Confirm(evidence)
+	fo.Confirm(evidence, l.Version)
 	return l.Version, nil
 }
 
+// rest waits while others tell enough.
+func (fo *Follower) rest(ctx context.Context) {
+	for fo.Rest != nil && fo.Rest() && ctx.Err() == nil {
+		wait(ctx, restStep)
+	}
+}
+
 func (fo *Follower) failed(err error) {
 	if !fo.lost {
 		fo.Log.WithField("kind", fo.Kind).WithField("cause", err.Error()).Warn("lost the store")
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -140,7 +141,7 @@
 }
 
 // newCopy runs a follower inside a synctest bubble until the test ends.
-func newCopy(t *testing.T, fs *fakeStore) *copyOf {
+func newCopy(t *testing.T, fs *fakeStore, opts ...func(*follow.Follower)) *copyOf {
 	t.Helper()
 	cp := &copyOf{store: fs, log: memory.New(), view: view{items: map[string]string{}}}
 	fo := &follow.Follower{
@@ -149,6 +150,9 @@
 		Trouble: func(error) { cp.mu.Lock(); defer cp.mu.Unlock(); cp.troubles++ },
 		Log:     &log.Logger{Handler: cp.log, Level: log.DebugLevel},
 	}
+	for _, o := range opts {
+		o(fo)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -183,7 +187,7 @@
 	cp.items[it.Name] = string(it.Value)
 }
 
-func (cp *copyOf) confirm(evidence time.Time) {
+func (cp *copyOf) confirm(evidence time.Time, _ int64) {
 	cp.mu.Lock()
 	defer cp.mu.Unlock()
 	cp.check(evidence)
@@ -322,3 +326,19 @@
 		g.Expect(len(fs.lists)).To(BeNumerically("<", 200), "lists follow each other without a pause")
 	})
 }
+
+// TestFollowerThatRestsAsksNothing lets others tell for a while.
+func TestFollowerThatRestsAsksNothing(t *testing.T) {
+	bubble(t, func(t *testing.T, g *WithT) {
+		fs := newFakeStore()
+		fs.put("a", `1`)
+		var resting atomic.Bool
+		resting.Store(true)
+		cp := newCopy(t, fs, func(fo *follow.Follower) { fo.Rest = resting.Load })
+		pass(time.Minute)
+		g.Expect(cp.now().replaced).To(BeZero())
+		resting.Store(false)
+		pass(time.Second)
+		g.Expect(cp.now().items).To(Equal(map[string]string{"a": `1`}))
+	})
+}
--- a/internal/peerstate/decode.go
+++ b/internal/peerstate/decode.go
@@ -29,6 +29,8 @@
 	rd := reader{rest: b[1:]}
 	st := State{Configuration: int64(rd.uvarint())}
 	st.ProofAge = rd.age()
+	st.Targets = int64(rd.uvarint())
+	st.TargetsAge = rd.age()
 	rd.targets(&st)
 	if rd.err == nil && len(rd.rest) > 0 {
 		rd.fail("bytes after the end")
--- a/internal/peerstate/encode.go
+++ b/internal/peerstate/encode.go
@@ -14,7 +14,7 @@
 const (
 	// version is the first byte of a state. It changes with the form, that of Load.Append included. The first byte of
 	// the earlier JSON form, an opening brace, is never used as a version.
-	version = 1
+	version = 2
 	// maxTargets bounds the targets that one state tells of, and so what decoding allocates, to a few megabytes. It is
 	// some 900 times a usual fleet.
 	maxTargets = 1 << 14
@@ -52,6 +52,8 @@
 	b := []byte{version}
 	b = binary.AppendUvarint(b, uint64(st.Configuration))
 	b = binary.AppendUvarint(b, millis(st.ProofAge))
+	b = binary.AppendUvarint(b, uint64(st.Targets))
+	b = binary.AppendUvarint(b, millis(st.TargetsAge))
 	b = binary.AppendUvarint(b, uint64(len(ts)))
 	for _, ta := range ts {
 		b = ta.append(b)
--- a/internal/peerstate/peerstate.go
+++ b/internal/peerstate/peerstate.go
@@ -16,6 +16,10 @@
 	ProofAge time.Duration
 	// Leaving are incarnations of targets that take no new work. Peers get them sorted and each once.
 	Leaving []string
+	// Targets is the store's version when the list of targets last changed; zero for none.
+	Targets int64
+	// TargetsAge is the age of the newest evidence of that list; peers get it as ProofAge.
+	TargetsAge time.Duration
 	// Loads is what the instance has in flight, by incarnation of the target; empty loads are left out. Peers get them
 	// as Load.Rounded returns them.
 	Loads map[string]placement.Load
--- a/internal/peerstate/peerstate_test.go
+++ b/internal/peerstate/peerstate_test.go
@@ -49,6 +49,8 @@
 		return State{
 			Configuration: rapid.Int64().Draw(t, "configuration"),
 			ProofAge:      time.Duration(rapid.Int64().Draw(t, "proof age")),
+			Targets:       rapid.Int64().Draw(t, "targets"),
+			TargetsAge:    time.Duration(rapid.Int64Range(0, int64(time.Hour)).Draw(t, "targets age")).Truncate(time.Millisecond),
 			Leaving:       rapid.SliceOfN(genID(), 0, 6).Draw(t, "leaving"),
 			Loads:         rapid.MapOfN(genID(), genLoad(), 0, 6).Draw(t, "loads"),
 		}
@@ -61,7 +63,7 @@
 	if rest := age % time.Millisecond; rest > 0 {
 		age += time.Millisecond - rest
 	}
-	to := State{Configuration: st.Configuration, ProofAge: age}
+	to := State{Configuration: st.Configuration, ProofAge: age, Targets: st.Targets, TargetsAge: st.TargetsAge}
 	to.Leaving = slices.Compact(slices.Sorted(slices.Values(st.Leaving)))
 	for id, lo := range st.Loads {
 		if lo == (placement.Load{}) {
@@ -120,16 +122,17 @@
 		state State
 		want  string
 	}{
-		"empty":         {State{}, "01000000"},
-		"configuration": {State{Configuration: 300, ProofAge: time.Millisecond + 1}, "01ac020200"},
-		"empty load":    {State{Loads: map[string]placement.Load{"i-01": {}}}, "01000000"},
-		"leaving":       {State{Leaving: []string{"i-7f3a91c2"}}, "010000" + "01" + "237f3a91c2"},
-		"longer":        {State{Leaving: []string{"i-2f8030e4a8"}}, "010000" + "01" + "2b2f8030e4a8"},
-		"not packed":    {State{Leaving: []string{"i-A", "t"}}, "010000" + "02" + "1a692d41" + "0a74"},
-		"loaded":        {State{Loads: map[string]placement.Load{"i-01": writer}}, "010000" + "01" + "0d01" + "0103"},
+		"empty":         {State{}, "020000000000"},
+		"configuration": {State{Configuration: 300, ProofAge: time.Millisecond + 1}, "02ac0202000000"},
+		"targets":       {State{Targets: 5, TargetsAge: 3 * time.Millisecond}, "020000" + "0503" + "00"},
+		"empty load":    {State{Loads: map[string]placement.Load{"i-01": {}}}, "020000000000"},
+		"leaving":       {State{Leaving: []string{"i-7f3a91c2"}}, "0200000000" + "01" + "237f3a91c2"},
+		"longer":        {State{Leaving: []string{"i-2f8030e4a8"}}, "0200000000" + "01" + "2b2f8030e4a8"},
+		"not packed":    {State{Leaving: []string{"i-A", "t"}}, "0200000000" + "02" + "1a692d41" + "0a74"},
+		"loaded":        {State{Loads: map[string]placement.Load{"i-01": writer}}, "0200000000" + "01" + "0d01" + "0103"},
 		"loaded and leaving": {
 			State{Loads: map[string]placement.Load{"i-01": writer}, Leaving: []string{"i-01"}},
-			"010000" + "01" + "0f01" + "0103",
+			"0200000000" + "01" + "0f01" + "0103",
 		},
 	}
 	for name, ca := range cases {
@@ -150,21 +153,23 @@
 	}{
 		"no bytes":             {"", new(*MalformedError)},
 		"json":                 {hex.EncodeToString([]byte(`{"c":1}`)), new(*VersionError)},
-		"next version":         {"02000000", new(*VersionError)},
-		"no configuration":     {"01", new(*MalformedError)},
-		"long number":          {"01ffffffffffffffffffffff", new(*MalformedError)},
-		"age too large":        {"0100" + huge + "00", new(*MalformedError)},
-		"too many targets":     {"010000" + "818001", new(*TooManyError)},
-		"far too many targets": {"010000" + huge, new(*TooManyError)},
-		"long incarnation":     {"010000" + "01" + huge, new(*MalformedError)},
-		"target missing":       {"010000" + "02" + "1a692d41", new(*MalformedError)},
-		"target twice":         {"010000" + "02" + "0b01" + "0b01", new(*MalformedError)},
-		"twice in two forms":   {"010000" + "02" + "0b01" + "22692d3031", new(*MalformedError)},
-		"out of order":         {"010000" + "02" + "0b02" + "0b01", new(*MalformedError)},
-		"nothing told":         {"010000" + "01" + "0901", new(*MalformedError)},
-		"empty load":           {"010000" + "01" + "0d01" + "00", new(*MalformedError)},
-		"malformed load":       {"010000" + "01" + "0d01" + "ffffffff7f", new(*placement.EncodingError)},
-		"bytes after the end":  {"01000000" + "00", new(*MalformedError)},
+		"next version":         {"030000000000", new(*VersionError)},
+		"earlier version":      {"01000000", new(*VersionError)},
+		"targets' age":         {"02000000" + huge + "00", new(*MalformedError)},
+		"no configuration":     {"02", new(*MalformedError)},
+		"long number":          {"02ffffffffffffffffffffff", new(*MalformedError)},
+		"age too large":        {"0200" + huge + "00", new(*MalformedError)},
+		"too many targets":     {"0200000000" + "818001", new(*TooManyError)},
+		"far too many targets": {"0200000000" + huge, new(*TooManyError)},
+		"long incarnation":     {"0200000000" + "01" + huge, new(*MalformedError)},
+		"target missing":       {"0200000000" + "02" + "1a692d41", new(*MalformedError)},
+		"target twice":         {"0200000000" + "02" + "0b01" + "0b01", new(*MalformedError)},
+		"twice in two forms":   {"0200000000" + "02" + "0b01" + "22692d3031", new(*MalformedError)},
+		"out of order":         {"0200000000" + "02" + "0b02" + "0b01", new(*MalformedError)},
+		"nothing told":         {"0200000000" + "01" + "0901", new(*MalformedError)},
+		"empty load":           {"0200000000" + "01" + "0d01" + "00", new(*MalformedError)},
+		"malformed load":       {"0200000000" + "01" + "0d01" + "ffffffff7f", new(*placement.EncodingError)},
+		"bytes after the end":  {"020000000000" + "00", new(*MalformedError)},
 	}
 	for name, ca := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -78,8 +78,10 @@
 	leaving map[string]time.Time
 	// troubleAt is when the store was last seen in trouble.
 	troubleAt time.Time
-	// heard is the time of the newest evidence.
+	// heard is the time of the newest evidence; it only grows.
 	heard time.Time
+	// version is the store's when the list last changed, as far as known; it only grows.
+	version int64
 	// reachedAt is when a target of an availability zone last took a connection or answered.
 	reachedAt map[string]time.Time
 }
@@ -110,7 +112,7 @@
 func (dr *Directory) Replace(list []Target, evidence time.Time) []Change {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
-	dr.heard = evidence
+	dr.confirm(evidence)
 	var changes []Change
 	listed := map[string]bool{}
 	for _, tg := range list {
@@ -153,7 +155,7 @@
 func (dr *Directory) Put(tg Target, evidence time.Time) []Change {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
-	dr.heard = evidence
+	dr.confirm(evidence)
 	return dr.put(tg)
 }
 
@@ -161,7 +163,7 @@
 func (dr *Directory) Remove(id string, evidence time.Time) []Change {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
-	dr.heard = evidence
+	dr.confirm(evidence)
 	dr.forget()
 	if en, ok := dr.entries[id]; ok {
 		return dr.miss(en)
@@ -172,10 +174,45 @@
 // Confirm notes that the list was unchanged at a time.
 func (dr *Directory) Confirm(evidence time.Time) {
 	dr.mu.Lock()
-	dr.heard = evidence
+	dr.confirm(evidence)
 	dr.mu.Unlock()
 }
 
+func (dr *Directory) confirm(evidence time.Time) {
+	if evidence.After(dr.heard) {
+		dr.heard = evidence
+	}
+}
+
+// Changed notes the store's version after a change of the list.
+func (dr *Directory) Changed(version int64) {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	dr.version = max(dr.version, version)
+}
+
+// Version returns the store's version when the list last changed, and the time of the newest evidence.
+func (dr *Directory) Version() (version int64, heard time.Time) {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	return dr.version, dr.heard
+}
+
+// Listed returns all listed targets, sorted by incarnation, and the version of the list.
+func (dr *Directory) Listed() (version int64, list []Target) {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	for _, en := range dr.entries {
+		if en.goneAt.IsZero() {
+			tg := en.Target
+			tg.Leaving = en.leaving
+			list = append(list, tg)
+		}
+	}
+	slices.SortFunc(list, func(a, b Target) int { return strings.Compare(a.ID, b.ID) })
+	return dr.version, list
+}
+
 func (dr *Directory) put(tg Target) []Change {
 	en, known := dr.entries[tg.ID]
 	if !known {
