--- a/internal/duty/facts/facts.go
+++ b/internal/duty/facts/facts.go
@@ -28,7 +28,7 @@
 	// taken away, and that proof may be as old as a few seconds only.
 	configurationWait = 1500 * time.Millisecond
 	// targetsWait bounds a silent watch of the targets; a watch that was cut in silence is found after it.
-	targetsWait = 2 * time.Second
+	targetsWait = 1500 * time.Millisecond
 )
 
 // reader takes what the store says.
@@ -47,9 +47,9 @@
 	news bool
 }
 
-// restAge is the age of what peers tell from which an instance asks the store itself. With the longest silence of a
-// relay's watch and the way through peers it stays below the few seconds in which changes must be in force.
-const restAge = 2500 * time.Millisecond
+// restAge is the age of what peers tell from which an instance asks the store itself. A relay's evidence is up to two
+// silent watches old; an answer that comes a second later still keeps the proof of keys below the users' five seconds.
+const restAge = 3300 * time.Millisecond
 
 // restsAt reports whether peers tell enough.
 func (rd *reader) restsAt(heard time.Time) bool {
