fix: silent targets before the head of an answer; a failure of the only target is passed on

Change: the silence before an answer is bounded for all repeatable requests, and ends an attempt only with its retry taken; a failure is tried elsewhere only where there is an elsewhere.

--- a/internal/duty/facts/facts.go
+++ b/internal/duty/facts/facts.go
@@ -109,8 +109,8 @@
 			rd.changed.Tell()
 		},
 		Rest: func() bool {
-			_, provenAt := rd.rts.Current()
-			return rd.restsAt(provenAt)
+			tb, provenAt := rd.rts.Current()
+			return tb != nil && rd.relays.Newest() <= tb.Version() && rd.restsAt(provenAt)
 		},
 		Trouble: func(error) {},
 	}
--- a/internal/duty/forwarding/forwarding.go
+++ b/internal/duty/forwarding/forwarding.go
@@ -30,8 +30,23 @@
 // Relays says whether this instance follows the store for others. It is safe for use by any goroutine.
 type Relays struct {
 	follows atomic.Pointer[func() bool]
+	// newest is the newest configuration that a peer told of.
+	newest atomic.Int64
 }
 
+// Heard notes a configuration that a peer told of.
+func (rl *Relays) Heard(version int64) {
+	for {
+		have := rl.newest.Load()
+		if have >= version || rl.newest.CompareAndSwap(have, version) {
+			return
+		}
+	}
+}
+
+// Newest returns the newest configuration that a peer told of.
+func (rl *Relays) Newest() int64 { return rl.newest.Load() }
+
 // Set sets who decides.
 func (rl *Relays) Set(follows func() bool) { rl.follows.Store(&follows) }
 
--- a/internal/duty/members/members.go
+++ b/internal/duty/members/members.go
@@ -57,6 +57,7 @@
 	ds    *dispatch.Dispatcher
 	lg    log.Interface
 	ms    *gossip.Mesh
+	rl    *forwarding.Relays
 	fetch chan newer
 }
 
@@ -81,6 +82,7 @@
 	if err != nil {
 		return nil, err
 	}
+	du.rl = rl
 	self := du.options(env).Self
 	rl.Set(func() bool { return follows(self, du.ms.Live()) })
 	kernel.Provide(env, du.ms)
@@ -185,9 +187,24 @@
 	if du.rts.Confirm(st.Configuration, evidence) {
 		return
 	}
-	du.want(newer{document: configurationDocument, from: from, version: st.Configuration, evidence: evidence})
+	du.wantConfiguration(newer{document: configurationDocument, from: from, version: st.Configuration, evidence: evidence})
 }
 
+// wantConfiguration gets a newer configuration. In a large fleet all hear of it from the few that follow the store, whose
+// links would not carry it to all at once: there the store is asked first, and the peer when that does not help.
+func (du *duty) wantConfiguration(nw newer) {
+	du.rl.Heard(nw.version)
+	if du.rl.Follows() {
+		du.want(nw)
+		return
+	}
+	time.AfterFunc(storeFirst, func() { du.want(nw) })
+}
+
+// storeFirst is the time that the store has to answer first: its answer takes milliseconds when it is well, and as much
+// is left of the two seconds in which a configuration must be in force.
+const storeFirst = 700 * time.Millisecond
+
 // receiveTargets compares a peer's list of targets with this instance's.
 func (du *duty) receiveTargets(from gossip.Member, st peerstate.State, evidence time.Time) {
 	version, _ := du.dr.Version()
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -155,16 +157,30 @@
 	return an, nil
 }
 
-// exchange sends the call, and gives it up early where another target may still answer.
+// exchange sends the call, and gives a silent target up where another one may still answer.
 func (gw *Gateway) exchange(ctx context.Context, rq *request, sl *dispatch.Slot, ca upstream.Call) (*upstream.Answer, error) {
 	most := gw.silenceMost(rq, sl)
 	if most <= 0 {
 		return gw.Pool.Do(ctx, ca)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	timer := time.AfterFunc(most, func() { cancel(&SilentTargetError{After: most}) })
+	tried := append(slices.Clone(rq.tried), sl.Target.ID)
+	var claimed atomic.Bool
+	var timer *time.Timer
+	armed := make(chan struct{})
+	timer = time.AfterFunc(most, func() {
+		<-armed
+		if !gw.claimMove(rq.route, rq.service, tried) {
+			timer.Reset(most)
+			return
+		}
+		claimed.Store(true)
+		cancel(&SilentTargetError{After: most})
+	})
+	close(armed)
 	defer timer.Stop()
 	an, err := gw.Pool.Do(ctx, ca)
+	rq.claimed = claimed.Load()
 	if err != nil {
 		return nil, errors.Wrap(withCause(ctx, err), "wait for answer")
 	}
@@ -185,16 +201,25 @@
 // Error says how long it was silent.
 func (se *SilentTargetError) Error() string { return "no answer within " + se.After.String() }
 
-// silenceShare is how many objectives a repeatable plain request waits for one target: by then the answer is late and
-// another target can still give it.
-const silenceShare = 2
+const (
+	// silenceShare is how many objectives a repeatable request waits for one target: by then the answer is late and
+	// another target can still give it.
+	silenceShare = 2
+	// silencePredictions is how many times the predicted wait a stream's head may take.
+	silencePredictions = 3
+)
 
 // silenceMost is how long a target may be silent before its answer; zero for no bound.
-func (gw *Gateway) silenceMost(rq *request, _ *dispatch.Slot) time.Duration {
-	if rq.route.Exclusive() || rq.route.Streaming || len(rq.tried) > 0 || rq.route.MaxAttempts < 2 {
+func (gw *Gateway) silenceMost(rq *request, sl *dispatch.Slot) time.Duration {
+	most := silenceShare * rq.route.Objective
+	switch {
+	case rq.route.Exclusive() || len(rq.tried) > 0 || rq.route.MaxAttempts < 2:
 		return 0
+	case rq.route.Streaming:
+		return max(stallFloor, most, silencePredictions*sl.FirstPredicted)
+	default:
+		return most
 	}
-	return silenceShare * rq.route.Objective
 }
 
 // sendFailed tells what is known after an attempt without an answer.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -119,14 +119,16 @@
 	}
 }
 
-// claimMove reports whether a stream can be taken up at another target now, and takes the retry for it: the streams of
+// claimMove reports whether a request can go on at another target now, and takes the retry for it: the streams of
 // one silent target all ask at once, and there may be a retry for some of them only.
 func (gw *Gateway) claimMove(rt routes.Route, service string, tried []string) bool {
-	if !rt.Resumable || gw.stillThere(tried) >= rt.MaxAttempts {
-		return false
-	}
+	return !rt.Exclusive() && gw.another(rt, service, tried) && gw.Retries.Take()
+}
+
+// another reports whether the route allows a further target and one is there.
+func (gw *Gateway) another(rt routes.Route, service string, tried []string) bool {
 	untried := func(tg targets.Target) bool { return !slices.Contains(tried, tg.ID) }
-	return slices.ContainsFunc(gw.Targets.Usable(service), untried) && gw.Retries.Take()
+	return gw.stillThere(tried) < rt.MaxAttempts && slices.ContainsFunc(gw.Targets.Usable(service), untried)
 }
 
 func (gw *Gateway) passEvent(rq *request, sk *sink, an *upstream.Answer, ev event) error {
