perf: answers that are late have nothing at stake any more

Cause: writers that had a long pause already, readers sure to miss their objective and resumed streams were still priced as if they could be in time, so long parts were spread over targets whose answers were all in time to spare targets whose answers were late.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -100,13 +100,16 @@
 	}
 	sl := &Slot{
 		ds: ds, Target: byID[pl.Main], Candidates: len(tgs), At: ds.opts.Now(), Priority: priority(as), prompt: pr, plan: pl,
-		FirstPredicted: pl.FirstToken, PausePredicted: pl.Pause,
+		FirstPredicted: pl.FirstToken, PausePredicted: pl.Pause, arrived: as.Arrived, late: as.Resumed,
 	}
 	parts := 1 + len(pl.Helpers)
 	reading := pr.Reading(parts)
 	if len(pl.Reserve) > 0 {
 		reading = reading.WithMemory(0)
 	}
+	if late(as, pr, pl) {
+		reading = reading.WithoutStake()
+	}
 	sl.book(pl.Main, reading)
 	for _, id := range pl.Helpers {
 		sl.Helpers = append(sl.Helpers, Helper{ID: id, Address: byID[id].Address})
@@ -118,6 +121,15 @@
 	return sl, true
 }
 
+// late reports whether an answer is late already or is sure to be. Others need not spare it: nothing more of it is lost.
+func late(as Ask, pr placement.Prompt, pl placement.Plan) bool {
+	return as.Resumed || float64(pr.Used+pl.FirstToken) > lateFrom*float64(pr.Objective)
+}
+
+// lateFrom is the share of the objective from which a predicted first token is late for sure: predictions are off by a
+// fifth.
+const lateFrom = 1.2
+
 // anyTime stands for a deadline that does not matter.
 const anyTime = time.Hour
 
--- a/internal/dispatch/slot.go
+++ b/internal/dispatch/slot.go
@@ -29,6 +29,10 @@
 	// booked is what the book holds for this slot until its next step, held what it holds until the end.
 	booked, held []booking
 	writing      bool
+	// arrived is when the request came, and eventAt when its last event passed; zero before the first.
+	arrived, eventAt time.Time
+	// late is set once the answer is late for good: no delay can cost it more.
+	late bool
 }
 
 // booking is one slot's share of the load at one target.
@@ -62,11 +66,16 @@
 		return
 	}
 	sl.writing = true
+	sl.eventAt = sl.ds.opts.Now()
+	sl.late = sl.late || sl.eventAt.Sub(sl.arrived) > sl.prompt.Objective
 	sl.ds.book.mu.Lock()
 	defer sl.ds.book.mu.Unlock()
 	sl.unbook(sl.booked)
 	sl.booked = nil
 	writing := sl.prompt.Writing()
+	if sl.late {
+		writing = writing.WithoutStake()
+	}
 	if len(sl.plan.Reserve) > 0 {
 		writing = writing.WithMemory(0).WithContext(sl.plan.Reserve[0].Tokens)
 		for _, sh := range sl.plan.Reserve[1:] {
@@ -79,8 +88,33 @@
 // Shed notes that the target turned the request away; address names the target at fault, when it is another.
 func (sl *Slot) Shed(string) {}
 
-// Event notes an event passed on.
-func (sl *Slot) Event() {}
+// Event notes an event passed on. A pause that was too long makes the answer late: its target need not be spared for
+// it any more.
+func (sl *Slot) Event() {
+	if !sl.writing || sl.late {
+		return
+	}
+	now := sl.ds.opts.Now()
+	pause := now.Sub(sl.eventAt)
+	sl.eventAt = now
+	if pause > sl.prompt.LongestPause {
+		sl.lapse()
+	}
+}
+
+// lapse books the writer again without what it had at stake.
+func (sl *Slot) lapse() {
+	sl.late = true
+	sl.ds.book.mu.Lock()
+	defer sl.ds.book.mu.Unlock()
+	for i := range sl.booked {
+		bk := &sl.booked[i]
+		sl.ds.book.remove(bk.id, bk.load)
+		bk.load = bk.load.WithoutStake()
+		sl.ds.book.add(bk.id, bk.load)
+	}
+	sl.ds.changed()
+}
 
 // Release ends the slot.
 func (sl *Slot) Release() {
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -96,6 +96,13 @@
 	return lo
 }
 
+// WithoutStake returns the load with nothing to lose, as for a request that is late already.
+func (lo Load) WithoutStake() Load {
+	lo.Waiting = Classes{}
+	lo.AtRisk = Classes{}
+	return lo
+}
+
 // unread returns all reading that has not been done.
 func (lo *Load) unread() Backlog {
 	return lo.Whole.Plus(lo.Parts)
