perf: long prompts that are late in any case wait for a quieter moment

Cause: a long prompt that misses its objective keeps the same quarter of its worth whenever it is served, but was read at once, in the middle of a burst, and made short answers late that were in time. Not measured: how many more long prompts are refused or given up.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -75,6 +75,8 @@
 	waitStep = 20 * time.Millisecond
 	// waitShare is the share of the objective for which a request waits for room before it is refused.
 	waitShare = 0.8
+	// longWaitShare is the same for longer prompts, which may wait until others are read.
+	longWaitShare = 3
 	// comeBack is when a caller should come back after a refusal for lack of room: a few passes of an engine.
 	comeBack = 300 * time.Millisecond
 )
@@ -83,6 +85,9 @@
 // Release must be called on the slot.
 func (ds *Dispatcher) Acquire(ctx context.Context, as Ask) (*Slot, error) {
 	patience := as.Arrived.Add(time.Duration(waitShare * float64(as.Objective)))
+	if as.PromptTokens > shortTokens {
+		patience = as.Arrived.Add(time.Duration(longWaitShare * float64(as.Objective)))
+	}
 	if as.Resumed {
 		patience = as.Deadline
 	}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -95,7 +95,7 @@
 		pr.Left = anyTime
 		pl, ok = placement.Choose(*as.Service.Engine, pr, cands, op)
 	}
-	if !ok || better(as, pr, pl, cands, op) {
+	if !ok || better(as, pr, pl, cands, op) || defers(as, pr, pl) {
 		return nil, false
 	}
 	sl := &Slot{
@@ -179,6 +179,26 @@
 	return float64(pl.Loss-later.Loss) > waitGain*float64(pr.InTime)
 }
 
+const (
+	// deferHarm is the share of its worth in time that a late prompt may cost others at once.
+	deferHarm = 0.05
+	// deferUpTo is how many objectives a late prompt waits at most. Callers give a stream up after four.
+	deferUpTo = 2.5
+)
+
+// defers reports whether a prompt that is late in any case had better wait: what is left of its worth does not fall with
+// time, and the others at its targets are in time now.
+func defers(as Ask, pr placement.Prompt, pl placement.Plan) bool {
+	if as.Resumed || as.PromptTokens <= shortTokens || !late(as, pr, pl) {
+		return false
+	}
+	left := pr.Left - pl.FirstToken
+	if left < pr.Objective || float64(pr.Used) > deferUpTo*float64(pr.Objective) {
+		return false
+	}
+	return float64(pl.Harm) > deferHarm*float64(pr.InTime)
+}
+
 // reserve sets aside the memory of a plan. The main target's own reservation comes first among the helpers.
 func (ds *Dispatcher) reserve(ctx context.Context, sl *Slot, tgs []targets.Target) error {
 	address := map[string]string{}
--- a/internal/dispatch/slot_test.go
+++ b/internal/dispatch/slot_test.go
@@ -21,31 +21,38 @@
 	ZoneDelay: 500 * time.Microsecond, UsualPrompt: 16_000, UsualAnswer: 1300,
 }
 
-// bench is a dispatcher over targets whose clock the test sets.
+// bench is a dispatcher over targets.
 type bench struct {
-	now time.Time
-	ds  *dispatch.Dispatcher
+	clock func() time.Time
+	// passed is added to the clock.
+	passed time.Duration
+	ds     *dispatch.Dispatcher
 }
 
+// newBench returns a bench whose clock stands still unless the test lets time pass.
 func newBench(ids ...string) *bench {
-	be := &bench{now: time.Unix(1000, 0)}
-	clock := func() time.Time { return be.now }
-	dr := targets.New(clock)
+	return newBenchAt(func() time.Time { return time.Unix(1000, 0) }, ids...)
+}
+
+func newBenchAt(clock func() time.Time, ids ...string) *bench {
+	be := &bench{clock: clock}
+	dr := targets.New(be.now)
 	for _, id := range ids {
-		dr.Put(targets.Target{ID: id, Service: "s", Slots: engine.Slots, AvailabilityZone: "a"}, be.now)
+		dr.Put(targets.Target{ID: id, Service: "s", Slots: engine.Slots, AvailabilityZone: "a"}, be.now())
 	}
-	be.ds = dispatch.New(dr, nil, dispatch.Options{Instance: "i", AvailabilityZone: "a", Now: clock})
+	be.ds = dispatch.New(dr, nil, dispatch.Options{Instance: "i", AvailabilityZone: "a", Now: be.now})
 	return be
 }
 
-func (be *bench) pass(d time.Duration) { be.now = be.now.Add(d) }
+func (be *bench) now() time.Time       { return be.clock().Add(be.passed) }
+func (be *bench) pass(d time.Duration) { be.passed += d }
 
 // short asks for a prompt of the kind with the shortest objective.
 func (be *bench) short() dispatch.Ask {
 	return dispatch.Ask{
 		Request: "r", Service: routes.Service{Name: "s", Engine: &engine}, PromptTokens: 5000, AnswerHint: 1300,
 		Objective: 300 * time.Millisecond, LongestPause: 250 * time.Millisecond,
-		Arrived: be.now, Deadline: be.now.Add(10 * time.Second),
+		Arrived: be.now(), Deadline: be.now().Add(10 * time.Second),
 	}
 }
 
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -78,6 +78,8 @@
 	first    float64
 	pause    float64
 	loss     float64
+	// harm is the part of loss that others lose.
+	harm float64
 }
 
 // choose returns the best pick. Memory is reserved only for a prompt that no target has room for.
@@ -197,6 +199,7 @@
 		harm += he.helpHarm
 	}
 	risk := partRisk * ch.stake.inTime * float64(pi.parts-1)
+	pi.harm = harm
 	pi.loss = harm + ch.stake.loss(pi.first, main.pausesInTime) + main.full + risk
 	return pi.first+ch.writing(main) <= float64(ch.pr.Left)
 }
@@ -221,6 +224,7 @@
 		FirstToken: time.Duration(pi.first),
 		Pause:      time.Duration(pi.pause),
 		Loss:       Worth(pi.loss),
+		Harm:       Worth(pi.harm),
 	}
 	if pi.parts > 1 {
 		pl.Helpers = make([]string, 0, pi.parts-1)
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -27,6 +27,8 @@
 	Pause time.Duration
 	// Loss is the worth that the plan is expected to lose, for the prompt and the others at its targets.
 	Loss Worth
+	// Harm is the part of Loss that the others at its targets lose.
+	Harm Worth
 }
 
 // Options tune Choose.
