perf: short prompts share targets, so that others are free for long parts

Cause: short prompts spread evenly over all targets, so every long part met short writers wherever it went. A writer costs its neighbours hardly any time; it now prefers a target where others have a stake that keeps long parts away, while slots are left there.

--- a/internal/placement/candidate.go
+++ b/internal/placement/candidate.go
@@ -32,6 +32,8 @@
 	// helpHold and mainHold are what writers there lose while the target holds memory of the prompt as a helper, or as
 	// the main target.
 	helpHold, mainHold float64
+	// exposed is what the prompt is expected to lose there to long parts of prompts to come.
+	exposed float64
 	// slotWait is how long the prompt waits for a slot there, in nanoseconds.
 	slotWait float64
 	// ownPass and pausesInTime are a pass there while the prompt writes, in nanoseconds, and how likely its pauses are
@@ -65,6 +67,7 @@
 		tie:      tieShare * ch.stake.inTime * fraction(seed, ta.Name),
 		slotWait: ch.en.slotWait(ta),
 	}
+	ca.exposed = ch.stake.exposure(ch.en.Slots, ta.Load.sheltered(ch.pr.LongestPause, ch.en.Slots))
 	ca.usual = ca.pace * ch.usual
 	ca.step = ch.en.stepAt(ta)
 	ca.readPause = ch.en.readPause(ta, Backlog{}, ca.step)
@@ -140,7 +143,7 @@
 // are readers and arrivals.
 func (ch *chooser) judgeMain(ca *candidate, writers, others float64) {
 	ca.mainHarm = max(writers, ca.mainHold) - ca.mainBefore + others
-	ca.mainKey = ca.mainHarm + ch.stake.loss(ca.first, ca.pausesInTime) + ca.full + ca.tie
+	ca.mainKey = ca.mainHarm + ch.stake.loss(ca.first, ca.pausesInTime) + ca.full + ca.exposed + ca.tie
 }
 
 // judgeHelp sets what the target costs as a helper, likewise.
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -200,7 +200,7 @@
 	}
 	risk := partRisk * ch.stake.inTime * float64(pi.parts-1)
 	pi.harm = harm
-	pi.loss = harm + ch.stake.loss(pi.first, main.pausesInTime) + main.full + risk
+	pi.loss = harm + ch.stake.loss(pi.first, main.pausesInTime) + main.full + main.exposed + risk
 	return pi.first+ch.writing(main) <= float64(ch.pr.Left)
 }
 
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -278,3 +278,36 @@
 		})
 	}
 }
+
+func TestShortPromptsShareTargets(t *testing.T) {
+	writers := func(count int) Load {
+		lo := Load{}
+		for range count {
+			lo = lo.Plus(shortPrompt().Writing())
+		}
+		return lo
+	}
+	late := func(count int) Load { return writers(count).WithoutStake() }
+	cases := map[string]struct {
+		loads []Load
+		want  int
+	}{
+		"the fuller one while slots are left": {[]Load{writers(2), writers(8), {}}, 1},
+		"not one that is full":                {[]Load{writers(2), writers(15), {}}, 0},
+		"late writers are no shelter":         {[]Load{writers(2), late(8), {}}, 0},
+	}
+	for name, ca := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			ts := idle(len(ca.loads))
+			for ix := range ts {
+				ts[ix].Load = ca.loads[ix]
+			}
+			for seed := range uint64(20) {
+				pl, ok := Choose(typical, shortPrompt(), ts, Options{Seed: seed})
+				g.Expect(ok).To(BeTrue())
+				g.Expect(pl.Main).To(Equal(ts[ca.want].Name))
+			}
+		})
+	}
+}
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -96,6 +96,19 @@
 	return lo
 }
 
+// sheltered returns what the others here lose together to pauses that a limit does not allow either. It is 0 when the
+// slots are taken, as a full target is no shelter.
+func (lo *Load) sheltered(limit time.Duration, slots int) Worth {
+	if lo.Readers+lo.Writers+spareSlots >= slots {
+		return 0
+	}
+	sum := Worth(0)
+	for cl := range classOf(limit) + 1 {
+		sum += lo.Waiting[cl] + lo.AtRisk[cl]
+	}
+	return sum
+}
+
 // WithoutStake returns the load with nothing to lose, as for a request that is late already.
 func (lo Load) WithoutStake() Load {
 	lo.Waiting = Classes{}
--- a/internal/placement/loss.go
+++ b/internal/placement/loss.go
@@ -12,6 +12,13 @@
 	// partRisk is the share of the worth in time that each helper costs, since one that is gone or refuses fails the
 	// prompt. It answers to one in 500 parts, a guess until refusals are counted.
 	partRisk = 0.002
+	// exposedShare is the share of its stake that a prompt loses to long parts to come at a target with nothing at
+	// stake, which those choose first: about one short answer in ten is made late so.
+	exposedShare = 0.1
+	// shelterSlots is the share of the slots whose writers' stake keeps long parts away. It leaves slots for a burst.
+	shelterSlots = 0.8
+	// spareSlots is how many slots are left free for prompts that other instances send at the same moment.
+	spareSlots = 1
 	// wholeDelay is the share of the readers that wait for a prompt read in one piece, since only those behind it or in
 	// its pass do. It is a guess: half of them.
 	wholeDelay = 0.5
@@ -67,6 +74,16 @@
 	return st.atRisk*(1-inTime) + st.early*first
 }
 
+// exposure returns what the prompt is expected to lose to long parts to come, where others have a stake of their own
+// that keeps these away.
+func (st *stake) exposure(slots int, sheltered Worth) float64 {
+	if st.atRisk == 0 {
+		return 0
+	}
+	full := shelterSlots * float64(slots) * st.atRisk
+	return exposedShare * st.atRisk * max(1-float64(sheltered)/full, 0)
+}
+
 // fullLoss returns what is expected to be lost to full memory, where the newest request is preempted.
 func (st *stake) fullLoss(en *Engine, used int64) float64 {
 	return st.inTime * boundOf(float64(en.Memory), memoryRamp).chance(float64(used))
