--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -18,8 +18,9 @@
 	stackTargets = 64
 )
 
-// counts are the numbers of parts that are tried.
-var counts = [...]int{1, 2, 3, 4, 6, 8, 12, 16, mostParts}
+// counts are the numbers of parts that are tried. They lie close together, as a part more or less often decides whether
+// a prompt is in time with the targets that are free.
+var counts = [...]int{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 12, 14, 16, mostParts}
 
 // Choose returns the plan of least expected loss for a prompt. It returns false when no placement is expected to finish
 // before the deadline, or when the prompt is larger than an engine and not enough memory is free.
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -311,3 +311,25 @@
 		})
 	}
 }
+
+func TestAllTargetsThatAreFreeAreUsed(t *testing.T) {
+	cases := map[string]int{"five": 5, "seven": 7, "ten": 10, "fourteen": 14}
+	for name, free := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			ts := idle(18)
+			for ix := range ts[free:] {
+				lo := &ts[free+ix].Load
+				for range 12 {
+					*lo = lo.Plus(shortPrompt().Writing())
+				}
+			}
+			// The prompt is in time for sure only when all free targets read it.
+			pr := longPrompt(200_000)
+			pr.Objective = typical.FirstToken(pr, ts[0], ts[1:free]...) * 100 / 79
+			pl, ok := Choose(typical, pr, ts, Options{})
+			g.Expect(ok).To(BeTrue())
+			g.Expect(1 + len(pl.Helpers)).To(Equal(free))
+		})
+	}
+}
