--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -75,7 +75,8 @@
 	waitStep = 20 * time.Millisecond
 	// waitShare is the share of the objective for which a request waits for room before it is refused.
 	waitShare = 0.8
-	// longWaitShare is the same for longer prompts, which may wait until others are read.
+	// longWaitShare is the same for longer prompts, which may wait until others are read. It is above deferUpTo, so that
+	// none is refused for having waited.
 	longWaitShare = 3
 	// comeBack is when a caller should come back after a refusal for lack of room: a few passes of an engine.
 	comeBack = 300 * time.Millisecond
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -180,9 +180,11 @@
 }
 
 const (
-	// deferHarm is the share of its worth in time that a late prompt may cost others at once.
+	// deferHarm is the share of its worth in time that a late prompt may cost others at once. It is a guess: about one
+	// short answer for a long prompt.
 	deferHarm = 0.05
-	// deferUpTo is how many objectives a late prompt waits at most. Callers give a stream up after four.
+	// deferUpTo is how many objectives a late prompt waits at most. Callers give a stream up after four, and a large
+	// prompt is read for over one. 3.4 up to the first token, together with a price of slots, lost in a trial.
 	deferUpTo = 2.5
 )
 
