--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -100,18 +100,21 @@
 		pr.Left = anyTime
 		pl, ok = placement.Choose(*as.Service.Engine, pr, cands, op)
 	}
-	if !ok || better(as, pr, pl, cands, op) {
+	if !ok || better(as, pr, pl, cands, op) || defers(as, pr, pl) {
 		return nil, false
 	}
 	sl := &Slot{
 		ds: ds, Target: byID[pl.Main], Candidates: len(tgs), At: ds.opts.Now(), Priority: priority(as), prompt: pr, plan: pl,
-		FirstPredicted: pl.FirstToken, PausePredicted: pl.Pause,
+		FirstPredicted: pl.FirstToken, PausePredicted: pl.Pause, arrived: as.Arrived, late: as.Resumed,
 	}
 	parts := 1 + len(pl.Helpers)
 	reading := pr.Reading(parts)
 	if len(pl.Reserve) > 0 {
 		reading = reading.WithMemory(0)
 	}
+	if late(as, pr, pl) {
+		reading = reading.WithoutStake()
+	}
 	sl.book(pl.Main, reading)
 	for _, id := range pl.Helpers {
 		sl.Helpers = append(sl.Helpers, Helper{ID: id, Address: byID[id].Address})
@@ -123,6 +126,15 @@
 	return sl, true
 }
 
+// late reports whether an answer is late already or is sure to be. Others need not spare it: nothing more of it is lost.
+func late(as Ask, pr placement.Prompt, pl placement.Plan) bool {
+	return as.Resumed || float64(pr.Used+pl.FirstToken) > lateFrom*float64(pr.Objective)
+}
+
+// lateFrom is the share of the objective from which a predicted first token is late for sure: predictions are off by a
+// fifth.
+const lateFrom = 1.2
+
 // anyTime stands for a deadline that does not matter.
 const anyTime = time.Hour
 
@@ -184,6 +196,28 @@
 	}
 }
 
+const (
+	// deferHarm is the share of its worth in time that a late prompt may cost others at once. It is a guess: about one
+	// short answer for a long prompt.
+	deferHarm = 0.05
+	// deferUpTo is how many objectives a late prompt waits at most. Callers give a stream up after four, and a large
+	// prompt is read for over one. 3.4 up to the first token, together with a price of slots, lost in a trial.
+	deferUpTo = 2.5
+)
+
+// defers reports whether a prompt that is late in any case had better wait: what is left of its worth does not fall with
+// time, and the others at its targets are in time now.
+func defers(as Ask, pr placement.Prompt, pl placement.Plan) bool {
+	if as.Resumed || as.PromptTokens <= shortTokens || !late(as, pr, pl) {
+		return false
+	}
+	left := pr.Left - pl.FirstToken
+	if left < pr.Objective || float64(pr.Used) > deferUpTo*float64(pr.Objective) {
+		return false
+	}
+	return float64(pl.Harm) > deferHarm*float64(pr.InTime)
+}
+
 // reserve sets aside the memory of a plan. The main target's own reservation comes first among the helpers.
 func (ds *Dispatcher) reserve(ctx context.Context, sl *Slot, tgs []targets.Target) error {
 	address := map[string]string{}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -18,8 +18,9 @@
 	stackTargets = 64
 )
 
-// counts are the numbers of parts that are tried.
-var counts = [...]int{1, 2, 3, 4, 6, 8, 12, 16, mostParts}
+// counts are the numbers of parts that are tried. They lie close together, as a part more or less often decides whether
+// a prompt is in time with the targets that are free.
+var counts = [...]int{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 12, 14, 16, mostParts}
 
 // Choose returns the plan of least expected loss for a prompt. It returns false when no placement is expected to finish
 // before the deadline, or when the prompt is larger than an engine and not enough memory is free.
@@ -78,6 +79,8 @@
 	first    float64
 	pause    float64
 	loss     float64
+	// harm is the part of loss that others lose.
+	harm float64
 }
 
 // choose returns the best pick. Memory is reserved only for a prompt that no target has room for.
@@ -197,7 +200,8 @@
 		harm += he.helpHarm
 	}
 	risk := partRisk * ch.stake.inTime * float64(pi.parts-1)
-	pi.loss = harm + ch.stake.loss(pi.first, main.pausesInTime) + main.full + risk
+	pi.harm = harm
+	pi.loss = harm + ch.stake.loss(pi.first, main.pausesInTime) + main.full + main.exposed + risk
 	return pi.first+ch.writing(main) <= float64(ch.pr.Left)
 }
 
@@ -221,6 +225,7 @@
 		FirstToken: time.Duration(pi.first),
 		Pause:      time.Duration(pi.pause),
 		Loss:       Worth(pi.loss),
+		Harm:       Worth(pi.harm),
 	}
 	if pi.parts > 1 {
 		pl.Helpers = make([]string, 0, pi.parts-1)
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -278,3 +278,58 @@
 		})
 	}
 }
+
+func TestShortPromptsShareTargets(t *testing.T) {
+	writers := func(count int) Load {
+		lo := Load{}
+		for range count {
+			lo = lo.Plus(shortPrompt().Writing())
+		}
+		return lo
+	}
+	late := func(count int) Load { return writers(count).WithoutStake() }
+	cases := map[string]struct {
+		loads []Load
+		want  int
+	}{
+		"the fuller one while slots are left": {[]Load{writers(2), writers(8), {}}, 1},
+		"not one that is full":                {[]Load{writers(2), writers(15), {}}, 0},
+		"late writers are no shelter":         {[]Load{writers(2), late(8), {}}, 0},
+	}
+	for name, ca := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			ts := idle(len(ca.loads))
+			for ix := range ts {
+				ts[ix].Load = ca.loads[ix]
+			}
+			for seed := range uint64(20) {
+				pl, ok := Choose(typical, shortPrompt(), ts, Options{Seed: seed})
+				g.Expect(ok).To(BeTrue())
+				g.Expect(pl.Main).To(Equal(ts[ca.want].Name))
+			}
+		})
+	}
+}
+
+func TestAllTargetsThatAreFreeAreUsed(t *testing.T) {
+	cases := map[string]int{"five": 5, "seven": 7, "ten": 10, "fourteen": 14}
+	for name, free := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			ts := idle(18)
+			for ix := range ts[free:] {
+				lo := &ts[free+ix].Load
+				for range 12 {
+					*lo = lo.Plus(shortPrompt().Writing())
+				}
+			}
+			// The prompt is in time for sure only when all free targets read it.
+			pr := longPrompt(200_000)
+			pr.Objective = typical.FirstToken(pr, ts[0], ts[1:free]...) * 100 / 79
+			pl, ok := Choose(typical, pr, ts, Options{})
+			g.Expect(ok).To(BeTrue())
+			g.Expect(1 + len(pl.Helpers)).To(Equal(free))
+		})
+	}
+}
