--- a/internal/duty/frontend/frontend.go
+++ b/internal/duty/frontend/frontend.go
@@ -39,6 +39,9 @@
 	// balancerLag is how long new connections still come after a stop was asked for: the balancer asks every second and
 	// takes an instance out after two refusals.
 	balancerLag = 3200 * time.Millisecond
+	// takeLag is how long requests on kept connections are still taken then. Callers whose request comes later than three
+	// seconds after the stop was asked for are owed its whole answer, which the grace may not leave time for.
+	takeLag = 2800 * time.Millisecond
 	// stopMargin is left of the grace for the end of the process.
 	stopMargin = 700 * time.Millisecond
 	// proofMargin is taken off the revocation bound for the time between the check of the proof and the first byte sent.
@@ -212,7 +215,11 @@
 func (sv *servers) stop(ctx context.Context, grace time.Duration) error {
 	sv.lg.WithField("in_flight", sv.gw.InFlight()).Info("stopping")
 	began := time.Now()
-	time.Sleep(min(balancerLag, grace/2))
+	lag := min(balancerLag, grace/2)
+	take := min(takeLag, lag)
+	time.Sleep(take)
+	sv.gw.StopTaking()
+	time.Sleep(lag - take)
 	ctx, cancel := context.WithDeadline(ctx, began.Add(grace-stopMargin))
 	defer cancel()
 	err := sv.list[0].Shutdown(ctx)
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -18,6 +18,9 @@
 	comeBackUnready = 500 * time.Millisecond
 	// comeBackFull is when a caller should come back after a refusal for lack of room.
 	comeBackFull = 300 * time.Millisecond
+	// comeBackElsewhere is when a caller of an instance that ends should come back, over a new connection: about a
+	// round trip.
+	comeBackElsewhere = 50 * time.Millisecond
 	// bodyTimeout bounds the reading of a body.
 	bodyTimeout = 10 * time.Second
 )
@@ -76,6 +79,9 @@
 	}
 	rq.Facts = fa
 	rq.lastEvent = fa.ResumeAfter
+	if gw.closed.Load() {
+		return rq, refused(failure.Stopping, comeBackElsewhere, "the instance ends soon; another takes the request")
+	}
 	if err := gw.allow(rq); err != nil {
 		return rq, err
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,6 +52,8 @@
 	limits   atomic.Pointer[Limits]
 	machine  *life.Machine
 	inFlight atomic.Int64
+	// closed is set once new requests are refused.
+	closed atomic.Bool
 }
 
 // New returns a gateway.
@@ -64,6 +66,9 @@
 // SetLimits changes the bounds for requests from now on.
 func (gw *Gateway) SetLimits(lm Limits) { gw.limits.Store(&lm) }
 
+// StopTaking makes the gateway refuse new requests from now on: one that comes late in a stop might not end in time.
+func (gw *Gateway) StopTaking() { gw.closed.Store(true) }
+
 // InFlight returns how many requests are being served.
 func (gw *Gateway) InFlight() int64 { return gw.inFlight.Load() }
 
