--- a/internal/duty/facts/facts.go
+++ b/internal/duty/facts/facts.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
 	"github.com/silvermount/silvermount/internal/adapter"
@@ -57,33 +56,15 @@
 }
 
 func start(_ context.Context, env *kernel.Env) (kernel.Stop, error) {
-	ad, err := kernel.Need[adapter.Adapter](env)
+	pt, err := kernel.Need[*forwarding.Parts](env)
 	if err != nil {
 		return nil, err
 	}
-	rts, err := kernel.Need[*routes.Holder](env)
-	if err != nil {
-		return nil, err
-	}
-	dr, err := kernel.Need[*targets.Directory](env)
-	if err != nil {
-		return nil, err
-	}
-	ms, err := kernel.Need[*metrics.Set](env)
-	if err != nil {
-		return nil, err
-	}
-	ch, err := kernel.Need[*forwarding.Changed](env)
-	if err != nil {
-		return nil, err
-	}
-	rl, err := kernel.Need[*forwarding.Relays](env)
-	if err != nil {
-		return nil, err
+	calls := pt.Metrics.GetOrCreateCounter("silvermount_store_calls_total")
+	st := pt.Adapter.Store(env.Settings.Gateway.Store, calls.Inc)
+	rd := &reader{
+		ad: pt.Adapter, rts: pt.Routes, dr: pt.Targets, lg: env.Logger("facts"), changed: pt.Changed, relays: pt.Relays,
 	}
-	calls := ms.GetOrCreateCounter("silvermount_store_calls_total")
-	st := ad.Store(env.Settings.Gateway.Store, calls.Inc)
-	rd := &reader{ad: ad, rts: rts, dr: dr, lg: env.Logger("facts"), changed: ch, relays: rl}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { rd.configuration(st, env.Logger("store")).Run(ctx) })
--- a/internal/duty/forwarding/forwarding.go
+++ b/internal/duty/forwarding/forwarding.go
@@ -27,6 +27,18 @@
 	})
 }
 
+// Parts are what the duties of a gateway share. All fields are set.
+type Parts struct {
+	Adapter    adapter.Adapter
+	Routes     *routes.Holder
+	Targets    *targets.Directory
+	Dispatcher *dispatch.Dispatcher
+	Pool       *upstream.Pool
+	Metrics    *metrics.Set
+	Changed    *Changed
+	Relays     *Relays
+}
+
 // Relays says whether this instance follows the store for others. It is safe for use by any goroutine.
 type Relays struct {
 	follows atomic.Pointer[func() bool]
@@ -219,13 +231,9 @@
 	ds := dispatch.New(dr, kp, dispatch.Options{
 		Instance: env.Settings.Instance, AvailabilityZone: env.Settings.AvailabilityZone, Now: time.Now, Changed: ch.Tell,
 	})
-	kernel.Provide(env, ad)
-	kernel.Provide(env, ms)
-	kernel.Provide(env, &routes.Holder{})
-	kernel.Provide(env, dr)
-	kernel.Provide(env, ch)
-	kernel.Provide(env, &Relays{})
-	kernel.Provide(env, ds)
-	kernel.Provide(env, upstream.NewPool(time.Now, ms, env.Settings.Gateway.DialTimeout.Std()))
+	kernel.Provide(env, &Parts{
+		Adapter: ad, Routes: &routes.Holder{}, Targets: dr, Dispatcher: ds, Metrics: ms, Changed: ch, Relays: &Relays{},
+		Pool: upstream.NewPool(time.Now, ms, env.Settings.Gateway.DialTimeout.Std()),
+	})
 	return nil, nil
 }
--- a/internal/duty/frontend/frontend.go
+++ b/internal/duty/frontend/frontend.go
@@ -14,15 +14,12 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-chi/chi/v5"
 
-	"github.com/silvermount/silvermount/internal/adapter"
 	"github.com/silvermount/silvermount/internal/budget"
 	"github.com/silvermount/silvermount/internal/config"
-	"github.com/silvermount/silvermount/internal/dispatch"
+	"github.com/silvermount/silvermount/internal/duty/forwarding"
 	"github.com/silvermount/silvermount/internal/gateway"
+	"github.com/silvermount/silvermount/internal/gossip"
 	"github.com/silvermount/silvermount/internal/kernel"
-	"github.com/silvermount/silvermount/internal/routes"
-	"github.com/silvermount/silvermount/internal/targets"
-	"github.com/silvermount/silvermount/internal/upstream"
 )
 
 func init() {
@@ -53,43 +50,36 @@
 // servers are the listeners of a gateway.
 type servers struct {
 	gw    *gateway.Gateway
+	mesh  *gossip.Mesh
 	lg    log.Interface
 	list  []*http.Server
 	stops []func()
 }
 
 func start(ctx context.Context, env *kernel.Env) (kernel.Stop, error) {
-	rt := retries(env.Settings.Gateway)
-	gw, err := build(env, rt)
-	if err != nil {
-		return nil, err
-	}
-	ms, err := kernel.Need[*metrics.Set](env)
+	pt, err := kernel.Need[*forwarding.Parts](env)
 	if err != nil {
 		return nil, err
 	}
-	pl, err := kernel.Need[*upstream.Pool](env)
+	mesh, err := kernel.Need[*gossip.Mesh](env)
 	if err != nil {
 		return nil, err
 	}
-	sv := &servers{gw: gw, lg: env.Logger("frontend")}
+	rt := retries(env.Settings.Gateway)
+	sv := &servers{gw: build(env, pt, rt), mesh: mesh, lg: env.Logger("frontend")}
 	st := env.Settings.Gateway
 	for _, l := range []struct {
 		address string
 		handler http.Handler
-	}{{st.Callers, gw}, {st.Readiness, readiness(gw)}, {st.Metrics, figures(ms)}} {
+	}{{st.Callers, sv.gw}, {st.Readiness, readiness(sv.gw)}, {st.Metrics, figures(pt.Metrics)}} {
 		if err := sv.serve(ctx, l.address, l.handler); err != nil {
 			sv.close()
 			return nil, err
 		}
 	}
-	sh, err := newShares(env, pl, rt)
-	if err != nil {
-		sv.close()
-		return nil, err
-	}
+	sh := newShares(env, pt, mesh, rt)
 	sv.sweep(func() {
-		pl.Sweep()
+		pt.Pool.Sweep()
 		sh.update()
 	})
 	grace := st.Grace.Std()
@@ -97,39 +87,15 @@
 }
 
 // build joins the parts of the gateway.
-func build(env *kernel.Env, rt *budget.Retries) (*gateway.Gateway, error) {
-	ad, err := kernel.Need[adapter.Adapter](env)
-	if err != nil {
-		return nil, err
-	}
-	rts, err := kernel.Need[*routes.Holder](env)
-	if err != nil {
-		return nil, err
-	}
-	dr, err := kernel.Need[*targets.Directory](env)
-	if err != nil {
-		return nil, err
-	}
-	ds, err := kernel.Need[*dispatch.Dispatcher](env)
-	if err != nil {
-		return nil, err
-	}
-	pl, err := kernel.Need[*upstream.Pool](env)
-	if err != nil {
-		return nil, err
-	}
-	ms, err := kernel.Need[*metrics.Set](env)
-	if err != nil {
-		return nil, err
-	}
+func build(env *kernel.Env, pt *forwarding.Parts, rt *budget.Retries) *gateway.Gateway {
 	st := env.Settings.Gateway
 	gw := gateway.New(gateway.Deps{
-		Protocol: ad.Protocol, Routes: rts, Targets: dr, Dispatcher: ds, Pool: pl, Retries: rt,
-		Bodies: budget.NewMemory(st.BodyBudgetBytes), Metrics: ms, Log: env.Logger("gateway"),
+		Protocol: pt.Adapter.Protocol, Routes: pt.Routes, Targets: pt.Targets, Dispatcher: pt.Dispatcher, Pool: pt.Pool,
+		Retries: rt, Bodies: budget.NewMemory(st.BodyBudgetBytes), Metrics: pt.Metrics, Log: env.Logger("gateway"),
 		Random: rand.Float64, Now: time.Now, Stopping: env.Stopping.Load,
 	}, limits(st))
 	env.OnReload(func(s config.Settings) { gw.SetLimits(limits(s.Gateway)) })
-	return gw, nil
+	return gw
 }
 
 func limits(st *config.Gateway) gateway.Limits {
@@ -215,6 +181,7 @@
 func (sv *servers) stop(ctx context.Context, grace time.Duration) error {
 	sv.lg.WithField("in_flight", sv.gw.InFlight()).Info("stopping")
 	began := time.Now()
+	sv.mesh.SetStopping()
 	lag := min(balancerLag, grace/2)
 	take := min(takeLag, lag)
 	time.Sleep(take)
--- a/internal/duty/frontend/shares.go
+++ b/internal/duty/frontend/shares.go
@@ -6,6 +6,7 @@
 
 	"github.com/silvermount/silvermount/internal/budget"
 	"github.com/silvermount/silvermount/internal/config"
+	"github.com/silvermount/silvermount/internal/duty/forwarding"
 	"github.com/silvermount/silvermount/internal/gossip"
 	"github.com/silvermount/silvermount/internal/kernel"
 	"github.com/silvermount/silvermount/internal/routes"
@@ -36,19 +37,11 @@
 	mostAt time.Time
 }
 
-func newShares(env *kernel.Env, pl *upstream.Pool, rt *budget.Retries) (*shares, error) {
-	ms, err := kernel.Need[*gossip.Mesh](env)
-	if err != nil {
-		return nil, err
-	}
-	rts, err := kernel.Need[*routes.Holder](env)
-	if err != nil {
-		return nil, err
-	}
-	sh := &shares{mesh: ms, rts: rts, pool: pl, rt: rt, most: sharersLeast, mostAt: time.Now()}
+func newShares(env *kernel.Env, pt *forwarding.Parts, mesh *gossip.Mesh, rt *budget.Retries) *shares {
+	sh := &shares{mesh: mesh, rts: pt.Routes, pool: pt.Pool, rt: rt, most: sharersLeast, mostAt: time.Now()}
 	sh.st.Store(env.Settings.Gateway)
 	env.OnReload(func(s config.Settings) { sh.st.Store(s.Gateway) })
-	return sh, nil
+	return sh
 }
 
 // update follows the number of instances and the configuration.
--- a/internal/duty/members/members.go
+++ b/internal/duty/members/members.go
@@ -62,53 +62,27 @@
 }
 
 func start(ctx context.Context, env *kernel.Env) (kernel.Stop, error) {
-	du, err := build(env)
+	pt, err := kernel.Need[*forwarding.Parts](env)
 	if err != nil {
 		return nil, err
 	}
-	ch, err := kernel.Need[*forwarding.Changed](env)
-	if err != nil {
-		return nil, err
+	du := &duty{
+		ad: pt.Adapter, rts: pt.Routes, dr: pt.Targets, ds: pt.Dispatcher, rl: pt.Relays, lg: env.Logger("peers"),
+		fetch: make(chan newer, fetchesWaiting),
 	}
-	gw := env.Settings.Gateway
 	var lc net.ListenConfig
-	l, err := lc.Listen(ctx, "tcp", gw.Peers)
+	l, err := lc.Listen(ctx, "tcp", env.Settings.Gateway.Peers)
 	if err != nil {
 		return nil, errors.Wrap(err, "bind listener")
 	}
-	du.ms = gossip.New(du.options(env))
-	ch.Set(du.ms.Publish)
-	rl, err := kernel.Need[*forwarding.Relays](env)
-	if err != nil {
-		return nil, err
-	}
-	du.rl = rl
-	self := du.options(env).Self
-	rl.Set(func() bool { return follows(self, du.ms.Live()) })
+	op := du.options(env)
+	du.ms = gossip.New(op)
+	pt.Changed.Set(du.ms.Publish)
+	pt.Relays.Set(func() bool { return follows(op.Self, du.ms.Live()) })
 	kernel.Provide(env, du.ms)
 	return du.run(l, env), nil
 }
 
-func build(env *kernel.Env) (*duty, error) {
-	ad, err := kernel.Need[adapter.Adapter](env)
-	if err != nil {
-		return nil, err
-	}
-	rts, err := kernel.Need[*routes.Holder](env)
-	if err != nil {
-		return nil, err
-	}
-	dr, err := kernel.Need[*targets.Directory](env)
-	if err != nil {
-		return nil, err
-	}
-	ds, err := kernel.Need[*dispatch.Dispatcher](env)
-	if err != nil {
-		return nil, err
-	}
-	return &duty{ad: ad, rts: rts, dr: dr, ds: ds, lg: env.Logger("peers"), fetch: make(chan newer, fetchesWaiting)}, nil
-}
-
 func (du *duty) options(env *kernel.Env) gossip.Options {
 	gw := env.Settings.Gateway
 	return gossip.Options{
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -122,6 +122,9 @@
 
 // timeUp is the failure of a request whose time is over or whose caller has gone.
 func (gw *Gateway) timeUp(ctx context.Context, rq *request) *failure.Error {
+	if gw.Now().Before(rq.deadline) && gw.closed.Load() {
+		return failure.New(failure.Stopping, gw.outcome(rq), "the instance ended or the caller went away meanwhile")
+	}
 	if gw.Now().Before(rq.deadline) && ctx.Err() != nil {
 		return failure.New(failure.CallerGone, gw.outcome(rq), "the caller went away")
 	}
