fix: a target that reads much may be silent for as long as that takes

Change: the silence must be longer than 1.2 times the pass that the loads known now predict. Test: TestLongestSilenceFollowsWhatIsRead. Ruled out: a higher fixed bound, since callers leave after two seconds.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -104,7 +104,7 @@
 		return nil, false
 	}
 	sl := &Slot{
-		ds: ds, Target: byID[pl.Main], Candidates: len(tgs), At: ds.opts.Now(), Priority: priority(as), prompt: pr, plan: pl,
+		ds: ds, engine: as.Service.Engine, Target: byID[pl.Main], Candidates: len(tgs), At: ds.opts.Now(), Priority: priority(as), prompt: pr, plan: pl,
 		FirstPredicted: pl.FirstToken, PausePredicted: pl.Pause, arrived: as.Arrived, late: as.Resumed,
 	}
 	parts := 1 + len(pl.Helpers)
--- a/internal/dispatch/slot.go
+++ b/internal/dispatch/slot.go
@@ -22,7 +22,9 @@
 	// At is when the target was chosen.
 	At time.Time
 
-	ds          *Dispatcher
+	ds *Dispatcher
+	// engine is nil for plain services.
+	engine      *placement.Engine
 	prompt      placement.Prompt
 	plan        placement.Plan
 	reservation *reservation.Reservation
@@ -85,6 +87,21 @@
 	sl.book(sl.plan.Main, writing)
 }
 
+// passMargin is how much longer than predicted a pass may take before the target seems lost: predictions are off by about
+// a tenth, and the loads they rest on are some milliseconds old.
+const passMargin = 1.2
+
+// LongestSilence is how long the target may be silent with all that is read there now; zero for plain services.
+func (sl *Slot) LongestSilence() time.Duration {
+	if sl.engine == nil {
+		return 0
+	}
+	sl.ds.book.mu.Lock()
+	load := sl.ds.book.total(sl.Target.ID)
+	sl.ds.book.mu.Unlock()
+	return time.Duration(passMargin * float64(sl.engine.PassTime(placement.Target{Load: load})))
+}
+
 // Shed notes that the target turned the request away for lack of room; address names the target at fault when it is a
 // helper.
 func (sl *Slot) Shed(address string) {
--- a/internal/dispatch/slot_test.go
+++ b/internal/dispatch/slot_test.go
@@ -136,3 +136,19 @@
 	waiting, atRisk := be.sums()
 	g.Expect(waiting + atRisk).To(BeZero())
 }
+
+// TestLongestSilenceFollowsWhatIsRead lets a target be silent for as long as it reads what others brought.
+func TestLongestSilenceFollowsWhatIsRead(t *testing.T) {
+	g := NewWithT(t)
+	be := newClocked("t1")
+	sl, err := be.ds.Acquire(context.Background(), be.short())
+	g.Expect(err).NotTo(HaveOccurred())
+	sl.FirstToken()
+	quiet := sl.LongestSilence()
+	g.Expect(quiet).To(BeNumerically("<", 250*time.Millisecond))
+	reading := placement.Load{Parts: placement.Backlog{Tokens: 80_000, Pairs: 8_000_000_000}}
+	be.ds.Heard("peer", map[string]placement.Load{"t1": reading})
+	g.Expect(sl.LongestSilence()).To(BeNumerically(">", quiet+time.Second))
+	be.ds.Heard("peer", nil)
+	g.Expect(sl.LongestSilence()).To(Equal(quiet))
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -87,7 +87,9 @@
 	stall := max(stallFloor, stallPauses*rq.route.LongestPause)
 	// A copy: the timer may look at it while the next attempt begins.
 	tried := slices.Clone(rq.tried)
-	wd := newWatchdog(an, stall, func() bool { return gw.claimMove(rq.route, rq.service, tried) })
+	wd := newWatchdog(an, stall, func(silence time.Duration) bool {
+		return silence > sl.LongestSilence() && gw.claimMove(rq.route, rq.service, tried)
+	})
 	defer wd.stop()
 	fresh := true
 	for {
@@ -179,7 +181,9 @@
 	an    *upstream.Answer
 	limit time.Duration
 	// claim reports whether the stream may be ended, as its continuation elsewhere is paid for.
-	claim func() bool
+	claim func(silence time.Duration) bool
+	// heard is when the last event came.
+	heard time.Time
 
 	mu    sync.Mutex
 	timer *time.Timer
@@ -189,8 +193,8 @@
 	fired bool
 }
 
-func newWatchdog(an *upstream.Answer, limit time.Duration, claim func() bool) *watchdog {
-	wd := &watchdog{an: an, limit: limit, claim: claim}
+func newWatchdog(an *upstream.Answer, limit time.Duration, claim func(silence time.Duration) bool) *watchdog {
+	wd := &watchdog{an: an, limit: limit, claim: claim, heard: time.Now()}
 	wd.mu.Lock()
 	defer wd.mu.Unlock()
 	wd.timer = time.AfterFunc(firstEventMost, wd.fire)
@@ -207,15 +211,23 @@
 	if wd.ended {
 		return
 	}
-	if !wd.claim() {
-		wd.timer.Reset(wd.limit)
+	if !wd.claim(time.Since(wd.heard)) {
+		wd.timer.Reset(askAgain)
 		return
 	}
 	wd.fired = true
 	wd.an.Break()
 }
 
-func (wd *watchdog) reset(d time.Duration) { wd.timer.Reset(d) }
+// askAgain is how soon a silent stream that could not move is looked at again: a few passes of an engine.
+const askAgain = 250 * time.Millisecond
+
+func (wd *watchdog) reset(d time.Duration) {
+	wd.mu.Lock()
+	defer wd.mu.Unlock()
+	wd.heard = time.Now()
+	wd.timer.Reset(d)
+}
 
 func (wd *watchdog) stop() {
 	wd.mu.Lock()
