refactor: the product's own engine protocol has header names of its own

Two of its headers were called as headers of the users' platform are; outside platform/ and the stand-ins no name of the platform's protocol is left.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -15,9 +15,9 @@
 
 // The headers that travel with an attempt.
 const (
-	HeaderAttempt  = "X-Attempt-Id"
+	HeaderAttempt  = "Silvermount-Attempt"
 	HeaderHolder   = "X-Holder"
-	HeaderDeadline = "X-Deadline-Ms"
+	HeaderDeadline = "Silvermount-Deadline-Ms"
 	HeaderPriority = "X-Priority"
 	HeaderBorrowed = "X-Borrowed-Tokens"
 	// HeaderNotStarted is set by an engine that refuses an attempt before starting it.
