--- /dev/null
+++ b/internal/explain/beside.go
@@ -0,0 +1,129 @@
+package explain
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// visit is the time that the request spent at the targets of one attempt.
+type visit struct {
+	// begin says where the request was sent; end is its next line, nil when there is none.
+	begin, end *line
+	// targets are the target and those that helped it.
+	targets []string
+}
+
+// visits returns the attempts that the request's own lines tell of.
+func visits(own []*line) []visit {
+	var vs []visit
+	for i, ln := range own {
+		if !ln.sends() {
+			continue
+		}
+		vi := visit{begin: ln, targets: ln.targets()}
+		if i+1 < len(own) {
+			vi.end = own[i+1]
+		}
+		vs = append(vs, vi)
+	}
+	return vs
+}
+
+// covers reports whether a time is within the visit or shortly before. A visit whose end is not known explains nothing
+// after its begin.
+func (vi visit) covers(at time.Time) bool {
+	until := vi.begin.at
+	if vi.end != nil {
+		until = vi.end.at
+	}
+	return !at.Before(vi.begin.at.Add(-besideWindow)) && !at.After(until)
+}
+
+// meets reports whether a line is about one of the targets.
+func (vi visit) meets(ln *line) bool {
+	return slices.ContainsFunc(ln.targets(), func(id string) bool { return slices.Contains(vi.targets, id) })
+}
+
+// targets returns the target that a line names and those that help it.
+func (ln *line) targets() []string {
+	var ids []string
+	for _, id := range append([]string{ln.get("target")}, strings.Split(ln.get("helpers"), ",")...) {
+		if id != "" && !slices.Contains(ids, id) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// sends reports whether a line tells that a request is sent to a target.
+func (ln *line) sends() bool {
+	return ln.get("target") != "" && ln.get("request") != "" && ln.get("cause") == ""
+}
+
+// tokens returns the prompt that a line names; zero when it names none.
+func (ln *line) tokens() int {
+	n, err := strconv.Atoi(ln.get("prompt_tokens"))
+	if err != nil {
+		// A line without a prompt is of a plain service, or was cut off.
+		return 0
+	}
+	return n
+}
+
+// distance is the time between a line and the begin of the visit.
+func (vi visit) distance(ln *line) time.Duration { return ln.at.Sub(vi.begin.at).Abs() }
+
+// beside tells what else the targets of an attempt had to do: how many other requests were sent there or failed there,
+// the largest prompts and the nearest failures of them, and what instances came to hold of the targets meanwhile.
+func (cl *collector) beside(vi visit) {
+	var sent, failed, beliefs []*line
+	for _, ln := range cl.lines {
+		switch {
+		case !vi.covers(ln.at) || !vi.meets(ln) || cl.why[ln] == whyRequest:
+		case ln.sends():
+			sent = append(sent, ln)
+		case ln.get("request") != "":
+			failed = append(failed, ln)
+		case ln.instance != vi.begin.instance || ln.at.After(vi.begin.at):
+			beliefs = append(beliefs, ln)
+		}
+	}
+	cl.tally(vi, sent, failed)
+	byTime := func(a, b *line) int { return cmp.Compare(vi.distance(a), vi.distance(b)) }
+	slices.SortStableFunc(sent, func(a, b *line) int { return cmp.Or(cmp.Compare(b.tokens(), a.tokens()), byTime(a, b)) })
+	slices.SortStableFunc(failed, byTime)
+	slices.SortStableFunc(beliefs, byTime)
+	for _, lns := range [][]*line{sent, failed, beliefs} {
+		for _, ln := range lns[:min(len(lns), maxBeside)] {
+			cl.mark(ln, whyBeside)
+		}
+	}
+}
+
+// tally adds a line with the counts of other requests before the line that ends an attempt.
+func (cl *collector) tally(vi visit, sent, failed []*line) {
+	if len(sent)+len(failed) == 0 {
+		return
+	}
+	tokens := 0
+	for _, ln := range sent {
+		tokens += ln.tokens()
+	}
+	before := vi.end
+	if before == nil {
+		before = vi.begin
+	}
+	ln := &line{instance: vi.begin.instance, at: before.at, fields: []field{
+		plainField("msg", "other requests at the same targets"),
+		plainField("targets", strings.Join(vi.targets, ",")),
+		plainField("sent", strconv.Itoa(len(sent))),
+		plainField("prompt_tokens", strconv.Itoa(tokens)),
+		plainField("failed", strconv.Itoa(len(failed))),
+	}}
+	cl.made[before] = append(cl.made[before], entry{line: ln, why: whyBeside})
+}
+
+func plainField(key, value string) field { return field{key: key, raw: value, value: value} }
--- a/internal/explain/collect.go
+++ b/internal/explain/collect.go
@@ -8,6 +8,7 @@
 	whyBelief     = "belief"
 	whyConfig     = "config"
 	whyDependency = "dependency"
+	whyBeside     = "beside"
 	whyMissing    = "missing"
 )
 
@@ -17,25 +18,31 @@
 	lines []*line
 	// why has the lines that belong to the account.
 	why map[*line]string
-	// missing are made-up lines that stand for lines not found, each before the line that needed it.
-	missing map[*line][]*line
+	// made are lines that no instance wrote, each before the line that needed it.
+	made map[*line][]entry
 }
 
 func newCollector(lines []*line) *collector {
-	return &collector{lines: lines, why: map[*line]string{}, missing: map[*line][]*line{}}
+	return &collector{lines: lines, why: map[*line]string{}, made: map[*line][]entry{}}
 }
 
 // collect marks the lines of the request and those that explain them.
 func (cl *collector) collect(about func(*line) bool) {
+	var own []*line
 	for i, ln := range cl.lines {
 		if !about(ln) {
 			continue
 		}
+		own = append(own, ln)
 		cl.why[ln] = whyRequest
 		earlier := cl.lines[:i]
 		cl.dependencies(ln, earlier)
 		cl.beliefs(ln, earlier)
-		cl.config(ln, earlier)
+		cl.config(ln, earlier, "config")
+		cl.config(ln, earlier, "key_gone")
+	}
+	for _, vs := range visits(own) {
+		cl.beside(vs)
 	}
 }
 
@@ -89,9 +96,9 @@
 	return a == "" || b == "" || a == b
 }
 
-// config marks where the version that a line names came into force.
-func (cl *collector) config(of *line, earlier []*line) {
-	version := of.get("config")
+// config marks where the version that a field of a line names came into force.
+func (cl *collector) config(of *line, earlier []*line, key string) {
+	version := of.get(key)
 	if version == "" {
 		return
 	}
@@ -106,15 +113,15 @@
 
 // miss says that a line was not found, once for each thing that is missing at an instance.
 func (cl *collector) miss(of *line, msg string, what field) {
-	for _, lns := range cl.missing {
-		for _, ln := range lns {
+	for _, made := range cl.made {
+		for _, ln := range made {
 			if ln.instance == of.instance && ln.get("msg") == msg && ln.get(what.key) == what.value {
 				return
 			}
 		}
 	}
 	ln := &line{instance: of.instance, at: of.at, fields: []field{{key: "msg", raw: msg, value: msg}, what}}
-	cl.missing[of] = append(cl.missing[of], ln)
+	cl.made[of] = append(cl.made[of], entry{line: ln, why: whyMissing})
 }
 
 // entries returns the marked lines in order of time.
@@ -125,9 +132,7 @@
 		if why == "" {
 			continue
 		}
-		for _, ms := range cl.missing[ln] {
-			es = append(es, entry{line: ms, why: whyMissing})
-		}
+		es = append(es, cl.made[ln]...)
 		es = append(es, entry{line: ln, why: why})
 	}
 	return es
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -17,6 +17,11 @@
 	dependencyWindow = 10 * time.Second
 	// maxBeliefs bounds the belief lines given for one attempt; chosen by hand, the states a target passes through.
 	maxBeliefs = 3
+	// besideWindow is how long before an attempt another request may have come to the same target and still explain
+	// what happened there: a little more than the longest pass over a prompt that played days showed (1.9 s).
+	besideWindow = 2 * time.Second
+	// maxBeside bounds the lines of each kind given for what else was at the targets of an attempt; chosen by hand.
+	maxBeside = 4
 )
 
 // UnknownRequestError says that no line names the request.
@@ -96,7 +101,7 @@
 		ln.at = rd.last[ln.instance]
 	}
 	rd.last[ln.instance] = ln.at
-	if rd.about(&ln) || ln.belief() || ln.config() || ln.dependency() {
+	if rd.about(&ln) || ln.get("target") != "" || ln.config() || ln.dependency() {
 		rd.lines = append(rd.lines, &ln)
 	}
 }
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -60,7 +60,7 @@
 
 // TestContext checks which lines an account takes beside the request's own. Line a is always expected.
 func TestContext(t *testing.T) {
-	const attempt = `time=2026-12-01T12:00:20Z instance=i1 msg=a request=r target=t incarnation=2 config=5`
+	const attempt = `time=2026-12-01T12:00:20Z instance=i1 msg=a request=r target=t incarnation=2 config=5 key_gone=3`
 	tests := map[string]struct {
 		line string
 		want bool
@@ -82,6 +82,7 @@
 		"lost store elsewhere":        {line: `time=2026-12-01T12:00:10Z instance=i2 part=store msg="lost store"`},
 		"lost store later":            {line: `time=2026-12-01T12:00:21Z instance=i1 part=store msg="lost store"`},
 		"store, other message":        {line: `time=2026-12-01T12:00:10Z instance=i1 part=store msg="slow store"`},
+		"key gone":                    {line: `time=2026-12-01T12:00:01Z instance=i1 part=facts msg="configuration in force" version=3`, want: true},
 		"other part":                  {line: `time=2026-12-01T12:00:10Z instance=i1 part=gateway msg="lost caller"`},
 	}
 	for name, tc := range tests {
--- a/internal/explain/print.go
+++ b/internal/explain/print.go
@@ -62,7 +62,11 @@
 	}
 	for _, fd := range en.fields {
 		switch fd.key {
-		case "time", "level", "part", "msg", "instance", "request":
+		case "time", "level", "part", "msg", "instance":
+		case "request":
+			if en.why == whyBeside {
+				words = append(words, "request="+fd.raw)
+			}
 		default:
 			words = append(words, fd.key+"="+fd.raw)
 		}
