feat(eventlog): one line for each lost, regained and refused thing, with its inputs

Cause: 401s told nothing of the key; 'started' nothing of the process; 'lines left out' and 'settings not reloaded' named no instance; a regained peer, a target that takes no connection, a chosen target that was passed over, and the reason for no further attempt had no line; memory lines named no request; the errors of closing listeners and standard output were dropped.

Ruled out: the key itself or a longer digest in the log; logging the failed write of an answer as a failure of the request, since its line is out already.

A quarter of the waiting lines is for warnings and failures only, so that what went well cannot fill the room while standard output is slow.

--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -35,16 +36,19 @@
 		return err
 	}
 	ms := metrics.NewSet()
-	sk := eventlog.New(ec.out, eventlog.WithMetrics(ms))
+	sk := eventlog.New(ec.out, eventlog.WithMetrics(ms), eventlog.WithInstance(s.Instance))
 	defer func() {
 		ctx, cancel := context.WithTimeout(context.Background(), logDrain)
 		defer cancel()
-		// Nothing is left to log to when standard output does not take the last lines.
-		_ = sk.Close(ctx)
+		if err := sk.Close(ctx); err != nil {
+			// Standard output does not take the last lines.
+			fmt.Fprintln(ec.err, "log:", err)
+		}
 	}()
 	lg := &log.Logger{Handler: sk, Level: log.MustParseLevel(ec.LogLevel)}
 	in, err := instance.Start(ctx, s, lg, instance.WithMetrics(ms))
 	if err != nil {
+		lg.WithField("part", "kernel").WithField("instance", s.Instance).WithError(err).Error("not started")
 		return err
 	}
 	for {
@@ -52,7 +56,7 @@
 		case <-ctx.Done():
 			return in.Stop(context.Background())
 		case <-hangups:
-			ec.reload(in, lg)
+			ec.reload(in, lg.WithField("instance", s.Instance))
 		}
 	}
 }
--- a/cmd/entry_test.go
+++ b/cmd/entry_test.go
@@ -62,6 +62,7 @@
 	put(s)
 	g.Eventually(out.text, generous).Should(ContainSubstring("settings not reloaded; the present ones stay in force"))
 	g.Expect(out.text()).To(ContainSubstring("gateway.max_body_bytes"))
+	g.Expect(out.text()).To(MatchRegexp(`settings not reloaded.* instance=` + s.Instance + `\s`))
 	g.Expect(out.text()).NotTo(ContainSubstring("settings reloaded"))
 	gw.MaxBodyBytes = 1 << 20
 	put(s)
--- a/internal/duty/facts/facts.go
+++ b/internal/duty/facts/facts.go
@@ -128,16 +128,16 @@
 				}
 			}
 			rd.news = true
-			rd.tell(rd.dr.Replace(list, evidence))
+			rd.tell(rd.dr.Replace(list, evidence), evidence)
 		},
 		Change: func(it objectstore.Object, evidence time.Time) {
 			rd.news = true
 			if len(it.Value) == 0 {
-				rd.tell(rd.dr.Remove(it.Name, evidence))
+				rd.tell(rd.dr.Remove(it.Name, evidence), evidence)
 				return
 			}
 			if tg, ok := rd.target(it); ok {
-				rd.tell(rd.dr.Put(tg, evidence))
+				rd.tell(rd.dr.Put(tg, evidence), evidence)
 			}
 		},
 		Confirm: func(evidence time.Time, version int64) {
@@ -162,10 +162,11 @@
 	return tg, true
 }
 
-func (rd *reader) tell(changes []targets.Change) {
+func (rd *reader) tell(changes []targets.Change, evidence time.Time) {
 	for _, ch := range changes {
 		rd.lg.WithFields(log.Fields{
 			"target": ch.Target.ID, "service": ch.Target.Service, "address": ch.Target.Address, "source": "store",
+			"age": time.Since(evidence).Round(time.Millisecond).String(),
 		}).Info("target " + ch.What)
 	}
 	if len(changes) > 0 {
--- a/internal/duty/frontend/frontend.go
+++ b/internal/duty/frontend/frontend.go
@@ -202,6 +202,9 @@
 		stop()
 	}
 	for _, hs := range sv.list {
-		_ = hs.Close() // its listener may have been closed by Shutdown
+		// A listener that Shutdown has closed is no failure.
+		if err := hs.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+			sv.lg.WithError(err).Warn("listener not closed")
+		}
 	}
 }
--- a/internal/duty/members/members.go
+++ b/internal/duty/members/members.go
@@ -200,7 +200,6 @@
 }
 
 func (du *duty) lost(mb gossip.Member) {
-	du.lg.WithFields(log.Fields{"peer": mb.Name, "incarnation": mb.Incarnation}).Warn("lost a peer")
 	du.ds.Heard(mb.Name, nil)
 }
 
@@ -254,6 +253,7 @@
 		return
 	}
 	if ct.Version < nw.version {
+		lg.WithField("got", ct.Version).Warn("newer configuration not fetched")
 		return
 	}
 	evidence := nw.evidence
@@ -262,6 +262,10 @@
 		evidence = time.Time{}
 	}
 	if du.rts.Offer(routes.New(ct), doc, evidence) {
-		lg.WithFields(log.Fields{"version": ct.Version, "routes": len(ct.Routes), "source": "peer"}).Info("configuration in force")
+		fs := log.Fields{"version": ct.Version, "routes": len(ct.Routes), "services": len(ct.Services), "source": "peer"}
+		if !evidence.IsZero() {
+			fs["age"] = time.Since(evidence).Round(time.Millisecond).String()
+		}
+		lg.WithFields(fs).Info("configuration in force")
 	}
 }
--- a/internal/duty/members/targets.go
+++ b/internal/duty/members/targets.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
@@ -48,6 +49,7 @@
 	for _, ch := range du.dr.Replace(tl.Targets, nw.evidence) {
 		lg.WithFields(log.Fields{
 			"target": ch.Target.ID, "service": ch.Target.Service, "address": ch.Target.Address, "source": "peer",
+			"age": time.Since(nw.evidence).Round(time.Millisecond).String(),
 		}).Info("target " + ch.What)
 	}
 	du.dr.Changed(tl.Version)
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -22,6 +22,9 @@
 	defaultUrgentLimit = 500
 	// defaultCapacity is how many lines wait for the writer; chosen by hand, about 1 MB of lines of 250 bytes.
 	defaultCapacity = 4096
+	// urgentRoom is the part of the waiting lines that only urgent ones may take, one in so many: what went well must not
+	// fill the room while the writer is slow. Chosen by hand.
+	urgentRoom = 4
 	// leftOutCounter counts the lines that were not written.
 	leftOutCounter = "silvermount_log_lines_left_out_total"
 )
@@ -37,6 +40,10 @@
 	waiting *ring.Ring[*line]
 	// quotas decides which lines are written.
 	quotas *quotas
+	// commonMost is how many lines may wait before only urgent ones are added.
+	commonMost int
+	// instance is named in the lines that the sink writes itself; it may be empty.
+	instance string
 	// out is used by the writing goroutine only.
 	out *batch
 
@@ -55,6 +62,7 @@
 	set                    *metrics.Set
 	kindLimit, urgentLimit int
 	capacity               int
+	instance               string
 }
 
 // Option changes how a Sink is made.
@@ -75,6 +83,9 @@
 // WithCapacity sets how many lines may wait for the writer.
 func WithCapacity(lines int) Option { return func(op *options) { op.capacity = lines } }
 
+// WithInstance sets the instance that the lines of the sink itself name.
+func WithInstance(name string) Option { return func(op *options) { op.instance = name } }
+
 // New returns a running Sink that writes to w.
 func New(w io.Writer, opts ...Option) *Sink {
 	op := options{now: time.Now, kindLimit: defaultKindLimit, urgentLimit: defaultUrgentLimit, capacity: defaultCapacity}
@@ -89,6 +100,10 @@
 		leftOut: op.set.GetOrCreateCounter(leftOutCounter),
 		waiting: ring.New[*line](op.capacity),
 		quotas:  newQuotas(op.kindLimit, op.urgentLimit),
+
+		commonMost: op.capacity - op.capacity/urgentRoom,
+		instance:   op.instance,
+
 		out:     &batch{w: w},
 		closing: make(chan struct{}),
 		done:    make(chan struct{}),
@@ -101,13 +116,14 @@
 // returns nil, as apex/log would print an error elsewhere.
 func (sk *Sink) HandleLog(e *log.Entry) error {
 	now := sk.now()
-	if !sk.quotas.admit(now, e.Message, urgent(e)) {
+	pressing := urgent(e)
+	if !sk.quotas.admit(now, e.Message, pressing) {
 		sk.leftOut.Inc()
 		return nil
 	}
 	ln := newLine()
 	ln.format(now, e)
-	if !sk.offer(ln) {
+	if !sk.offer(ln, pressing) {
 		ln.free()
 		sk.quotas.leaveOut(e.Message, 1)
 		sk.leftOut.Inc()
@@ -115,11 +131,14 @@
 	return nil
 }
 
-// offer adds a line unless the ring is full or the sink is closed.
-func (sk *Sink) offer(ln *line) bool {
+// offer adds a line unless the ring has no room for its kind or the sink is closed.
+func (sk *Sink) offer(ln *line, pressing bool) bool {
 	sk.gate.RLock()
 	defer sk.gate.RUnlock()
-	return !sk.closed && sk.waiting.Offer(ln)
+	if sk.closed || !pressing && sk.waiting.Len() >= sk.commonMost {
+		return false
+	}
+	return sk.waiting.Offer(ln)
 }
 
 // Close refuses further lines and waits until the waiting ones are written or ctx ends. It returns a
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -320,3 +320,20 @@
 		})
 	}
 }
+
+// TestFailureFindsRoomBehindWhatWentWell holds the writer until no common line finds room: a failure still does.
+func TestFailureFindsRoomBehindWhatWentWell(t *testing.T) {
+	g := NewWithT(t)
+	wr := &writer{held: make(chan struct{})}
+	sk := New(wr, WithClock(atNoon), WithKindLimit(1000), WithCapacity(16), WithInstance("i1"))
+	for range 500 {
+		logger(sk).WithField("outcome", "served").Info("a line")
+	}
+	for range 16 / urgentRoom {
+		logger(sk).WithField("outcome", "failed").Warn("a failure")
+	}
+	close(wr.held)
+	g.Expect(sk.Close(t.Context())).To(Succeed())
+	g.Expect(wr.only("a failure")).To(HaveLen(16 / urgentRoom))
+	g.Expect(wr.only("lines left out")).To(ConsistOf(And(ContainSubstring("instance=i1"), ContainSubstring(`kind="a line"`))))
+}
--- a/internal/eventlog/write.go
+++ b/internal/eventlog/write.go
@@ -121,12 +121,12 @@
 func (sk *Sink) tell() {
 	now := sk.now()
 	for _, lo := range sk.quotas.take() {
+		fs := log.Fields{partKey: "eventlog", "kind": lo.kind, "count": lo.count}
+		if sk.instance != "" {
+			fs["instance"] = sk.instance
+		}
 		ln := newLine()
-		ln.format(now, &log.Entry{
-			Level:   log.WarnLevel,
-			Message: "lines left out",
-			Fields:  log.Fields{partKey: "eventlog", "kind": lo.kind, "count": lo.count},
-		})
+		ln.format(now, &log.Entry{Level: log.WarnLevel, Message: "lines left out", Fields: fs})
 		sk.add(ln)
 	}
 	sk.flush()
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -53,6 +53,8 @@
 	avoid []string
 	// claimed is set when the next retry was taken from the budget already.
 	claimed bool
+	// noRetry is why the last failed attempt was not followed by another; empty before.
+	noRetry string
 	// lastEvent is the last event passed on; negative before the first.
 	lastEvent int64
 	// events counts the events passed on.
--- a/internal/gateway/lines.go
+++ b/internal/gateway/lines.go
@@ -9,6 +9,7 @@
 
 	"github.com/silvermount/silvermount/internal/dispatch"
 	"github.com/silvermount/silvermount/internal/failure"
+	"github.com/silvermount/silvermount/internal/routes"
 	"github.com/silvermount/silvermount/internal/targets"
 )
 
@@ -97,10 +98,53 @@
 	if fe.Outcome == failure.NotRun {
 		message = "request refused"
 	}
+	if rq.noRetry != "" {
+		fs["no_retry"] = rq.noRetry
+	}
+	if fe.Code == failure.Unauthorized {
+		gw.keyFields(fs, rq.Key)
+	}
 	gw.Log.WithFields(fs).Warn(message)
 	gw.count(string(fe.Outcome), string(fe.Code))
 }
 
+// keyFields says of a key that is not in force what is known of it, without telling it.
+func (gw *Gateway) keyFields(fs log.Fields, key string) {
+	if key == "" {
+		fs["key"] = "none"
+		return
+	}
+	dg := routes.DigestOf(key)
+	fs["key"] = dg.String()
+	version, known := gw.Routes.GoneSince(dg)
+	fs["key_known"] = known
+	if known {
+		fs["key_gone"] = version
+	}
+}
+
+// logPassedOver says that a chosen target was sent nothing after all.
+func (gw *Gateway) logPassedOver(rq *request, tg targets.Target, cause string) {
+	fs := gw.fields(rq)
+	fs["target"] = tg.ID
+	fs["cause"] = cause
+	gw.Log.WithFields(fs).Info("target passed over")
+}
+
+// logLeftOut says that a target takes no connection, and whether its whole availability zone is left out with it.
+func (gw *Gateway) logLeftOut(tg targets.Target) {
+	ct := gw.Targets.Cut(tg.ID)
+	gw.Log.WithFields(log.Fields{
+		"target": tg.ID, "service": tg.Service, "zone": tg.AvailabilityZone, "refusals": ct.Refusals,
+		"out_for": ct.For.Round(time.Millisecond).String(), "zone_out": ct.Zone,
+	}).Warn("target left out for taking no connection")
+}
+
+// logNotPassedOn says that a failure did not reach its caller, who may be gone.
+func (gw *Gateway) logNotPassedOn(rq *request, err error) {
+	gw.Log.WithFields(log.Fields{"request": rq.RequestID, "cause": err.Error()}).Info("answer not passed on")
+}
+
 func (gw *Gateway) count(outcome, reason string) {
 	gw.Metrics.GetOrCreateCounter(`silvermount_requests_total{outcome="` + outcome + `",reason="` + reason + `"}`).Inc()
 }
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -27,6 +27,7 @@
 	case Misdirected:
 		gw.Targets.MarkLeaving(sl.Target.ID)
 		gw.logBelief(sl.Target, "gone", "another incarnation has the address")
+		gw.logPassedOver(rq, sl.Target, "another incarnation has the address")
 		return failure.New(failure.TargetUnreachable, gw.outcome(rq), "another target has the address").WithRetryAfter(comeBackFull)
 	case Unproven:
 		rq.mayHaveRun = true
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -12,6 +12,7 @@
 	"github.com/silvermount/silvermount/internal/dispatch"
 	"github.com/silvermount/silvermount/internal/failure"
 	"github.com/silvermount/silvermount/internal/life"
+	"github.com/silvermount/silvermount/internal/reservation"
 	"github.com/silvermount/silvermount/internal/targets"
 	"github.com/silvermount/silvermount/internal/upstream"
 )
@@ -60,13 +61,14 @@
 			return err
 		}
 	}
-	sl, err := gw.Dispatcher.Acquire(ctx, gw.ask(rq))
+	sl, err := gw.Dispatcher.Acquire(reservation.ForRequest(ctx, rq.RequestID), gw.ask(rq))
 	if err != nil {
 		return gw.noTarget(ctx, rq, err)
 	}
 	defer sl.Release()
 	if !gw.Targets.TakesWork(sl.Target.ID) {
 		rq.avoid = append(rq.avoid, sl.Target.ID)
+		gw.logPassedOver(rq, sl.Target, "it began to leave")
 		return failure.New(failure.TargetUnreachable, gw.outcome(rq), "the target began to leave")
 	}
 	if rq.life.State == life.Waiting {
@@ -234,6 +236,7 @@
 		}
 		gw.Targets.Unreachable(sl.Target.ID)
 		gw.logAttemptFailed(rq, sl.Target, err, false)
+		gw.logLeftOut(sl.Target)
 		return failure.New(failure.TargetUnreachable, gw.outcome(rq), "the target took no connection").
 			WithCause(err).WithRetryAfter(comeBackFull)
 	}
@@ -262,15 +265,21 @@
 	case fe.Code != failure.TargetLost && fe.Code != failure.TargetRefused && fe.Code != failure.TargetShed:
 		return false
 	case rq.route.Exclusive() && rq.mayHaveRun:
-		return false
+		return rq.stays("runs_once")
 	case sk.started && !rq.route.Resumable:
-		return false
+		return rq.stays("answer_begun")
 	case gw.stillThere(rq.tried) >= rq.route.MaxAttempts:
-		return false
+		return rq.stays("attempts")
 	}
 	claimed := rq.claimed
 	rq.claimed = false
-	return claimed || gw.Retries.Take()
+	return claimed || gw.Retries.Take() || rq.stays("budget")
+}
+
+// stays notes for the last log line why a failed attempt is not followed by another; it is always false.
+func (rq *request) stays(why string) bool {
+	rq.noRetry = why
+	return false
 }
 
 // stillThere counts the targets that were sent the request and still take work: one that has ended does not use up an
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -81,7 +81,9 @@
 		// Half an answer must not look whole: the connection is broken off.
 		panic(http.ErrAbortHandler)
 	}
-	sk.fail(fe)
+	if err := sk.fail(fe); err != nil {
+		gw.logNotPassedOn(rq, err)
+	}
 }
 
 func (gw *Gateway) endLife(rq *request, sk *sink, fe *failure.Error) {
@@ -95,7 +97,7 @@
 }
 
 // fail answers a failure in place of an answer.
-func (sk *sink) fail(fe *failure.Error) {
+func (sk *sink) fail(fe *failure.Error) error {
 	if fe.Code == failure.CallerGone {
 		// Nobody reads an answer; the connection is closed so that it looks like none.
 		panic(http.ErrAbortHandler)
@@ -107,8 +109,7 @@
 	sk.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	sk.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	sk.start(finalStatus(fe))
-	// The caller may be gone; nothing more can be done for it.
-	_ = sk.write([]byte(body))
+	return sk.write([]byte(body))
 }
 
 // finalStatus is the status of a failure. The statuses that promise that a request has not run and will not are
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -292,7 +292,7 @@
 	gone := ms.judge(ms.awake.at(now))
 	ms.mu.Unlock()
 	for _, m := range gone {
-		ms.opts.Log.WithField("member", m.Name).Info("member lost")
+		ms.logLost(m, "silent", "silence", ms.opts.Lost.String())
 		ms.opts.OnLost(m)
 	}
 }
--- /dev/null
+++ b/internal/gossip/lines.go
@@ -0,0 +1,26 @@
+package gossip
+
+import (
+	"time"
+
+	"github.com/apex/log"
+)
+
+// logLost says that a member is no longer live, and why; the last pair is the input that decided it.
+func (ms *Mesh) logLost(m Member, cause, key, value string) {
+	ms.opts.Log.WithFields(log.Fields{
+		"peer": m.Name, "incarnation": m.Incarnation, "zone": m.AvailabilityZone, "cause": cause, key: value,
+	}).Warn("lost a peer")
+}
+
+// logFound says that a member is live, for the first time or again.
+func (ms *Mesh) logFound(ev event) {
+	message := "found a peer"
+	if ev.again {
+		message = "regained a peer"
+	}
+	ms.opts.Log.WithFields(log.Fields{
+		"peer": ev.member.Name, "incarnation": ev.member.Incarnation, "zone": ev.member.AvailabilityZone,
+		"age": ev.age.Round(time.Millisecond).String(),
+	}).Info(message)
+}
--- a/internal/gossip/record.go
+++ b/internal/gossip/record.go
@@ -16,6 +16,8 @@
 	heard time.Duration
 	// unlinked is when the member was first known, or its last link ended, by the awake clock.
 	unlinked time.Duration
+	// known says that this process, or an earlier one of its name, was live here before.
+	known bool
 	// version is the pulse at which body was made; 0 when there is none.
 	version uint64
 	body    []byte
@@ -35,16 +37,25 @@
 // event is a callback to be made.
 type event struct {
 	lost   bool
+	found  bool
 	member Member
 	body   []byte
 	age    time.Duration
+	// by is the incarnation that replaces a lost member.
+	by string
+	// again says that a found member, or an earlier process of its name, was live here before.
+	again bool
 }
 
 // notify makes callbacks; the caller holds ms.calls.
 func (ms *Mesh) notify(events []event) {
 	for _, ev := range events {
+		if ev.found {
+			ms.logFound(ev)
+			continue
+		}
 		if ev.lost {
-			ms.opts.Log.WithField("member", ev.member.Name).Info("member replaced")
+			ms.logLost(ev.member, "replaced", "by", ev.by)
 			ms.opts.OnLost(ev.member)
 			continue
 		}
@@ -62,7 +73,12 @@
 	if r == nil {
 		return events
 	}
-	if !ms.takePulse(r, c, e, now) && e.Version <= r.version {
+	back := ms.takePulse(r, c, e, now)
+	if back {
+		events = append(events, event{found: true, member: r.Member, again: r.known, age: e.PulseAge})
+		r.known = true
+	}
+	if !back && e.Version <= r.version {
 		return events
 	}
 	return append(events, ms.takeBody(r, e, now)...)
@@ -94,10 +110,10 @@
 	}
 	var events []event
 	if r != nil && r.live {
-		events = []event{{lost: true, member: r.Member}}
+		events = []event{{lost: true, member: r.Member, by: c.Incarnation}}
 	}
 	awake := ms.awake.at(now)
-	r = &record{card: c, unlinked: awake, heard: awake - e.PulseAge}
+	r = &record{card: c, unlinked: awake, heard: awake - e.PulseAge, known: r != nil}
 	ms.records[c.Name] = r
 	return r, events
 }
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -4,7 +4,11 @@
 import (
 	"cmp"
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
 	"fmt"
+	"os"
 	"reflect"
 	"slices"
 	"strings"
@@ -201,17 +205,38 @@
 			continue
 		}
 		if err != nil {
-			_ = kn.Stop(ctx)
+			if serr := kn.Stop(ctx); serr != nil {
+				kn.Env.Logger("kernel").WithError(serr).Warn("duty not stopped")
+			}
 			return &StartError{Duty: d.Name, Cause: err}
 		}
 		if stop != nil {
 			kn.running = append(kn.running, running{name: d.Name, stop: stop})
 		}
 	}
-	kn.Env.Logger("kernel").Info("started")
+	kn.logStarted()
 	return nil
 }
 
+// logStarted tells which process this is and from what it was started: peers name the incarnation, and equal digests are
+// equal settings.
+func (kn *Kernel) logStarted() {
+	fs := log.Fields{
+		"incarnation": kn.Env.Incarnation, "pid": os.Getpid(), "role": string(kn.Env.Settings.Role()),
+		"availability_zone": kn.Env.Settings.AvailabilityZone,
+	}
+	if b, err := json.Marshal(kn.Env.Settings); err == nil {
+		sum := sha256.Sum256(b)
+		fs["settings"] = hex.EncodeToString(sum[:settingsDigest])
+	} else {
+		fs["settings"] = err.Error()
+	}
+	kn.Env.Logger("kernel").WithFields(fs).Info("started")
+}
+
+// settingsDigest is how many bytes of the digest of the settings are logged; enough to tell the files of a fleet apart.
+const settingsDigest = 6
+
 // Reload puts new settings in force as far as the duties can while they run. Settings that are not good change nothing.
 func (kn *Kernel) Reload(s config.Settings) error {
 	s = Defaults(s)
@@ -243,6 +268,10 @@
 		}
 	}
 	kn.running = nil
-	kn.Env.Logger("kernel").Info("stopped")
+	lg := kn.Env.Logger("kernel").WithField("incarnation", kn.Env.Incarnation)
+	if first != nil {
+		lg = lg.WithField("cause", first.Error())
+	}
+	lg.Info("stopped")
 	return first
 }
--- a/internal/kernel/kernel_test.go
+++ b/internal/kernel/kernel_test.go
@@ -157,3 +157,21 @@
 		})
 	}
 }
+
+// TestStartedSaysWhichProcessAndWhatFrom compares the lines of three starts.
+func TestStartedSaysWhichProcessAndWhatFrom(t *testing.T) {
+	g := NewWithT(t)
+	only(t)
+	line := func(s config.Settings) log.Fields {
+		_, mh := started(t, s)
+		last := mh.Entries[len(mh.Entries)-1]
+		g.Expect(last.Message).To(Equal("started"))
+		return last.Fields
+	}
+	first, same, other := line(settings(1)), line(settings(1)), line(settings(2))
+	g.Expect(first).To(HaveKeyWithValue("incarnation", "i-1"))
+	g.Expect(first).To(HaveKeyWithValue("availability_zone", "a"))
+	g.Expect(first["pid"]).To(BeNumerically(">", 0))
+	g.Expect(first["settings"]).To(Equal(same["settings"]))
+	g.Expect(first["settings"]).NotTo(Equal(other["settings"]))
+}
--- a/internal/reservation/reservation.go
+++ b/internal/reservation/reservation.go
@@ -52,8 +52,10 @@
 
 // Reservation is memory set aside for one request.
 type Reservation struct {
-	kp     *Keeper
-	id     string
+	kp *Keeper
+	id string
+	// lg names the request.
+	lg     log.Interface
 	places []Place
 	stop   context.CancelFunc
 	done   sync.WaitGroup
@@ -68,6 +70,7 @@
 // Take sets memory aside at all places, or at none.
 func (kp *Keeper) Take(ctx context.Context, places []Place) (*Reservation, error) {
 	rv := &Reservation{kp: kp, id: kp.NewID(), places: places, unsure: make([]error, len(places))}
+	rv.lg = kp.Log.WithField("reservation", rv.id).WithField("request", requestOf(ctx))
 	errs := make([]error, len(places))
 	var wg sync.WaitGroup
 	for i, pc := range places {
@@ -82,7 +85,7 @@
 		if first == nil {
 			first = err
 		}
-		kp.Log.WithField("address", places[i].Address).WithField("reservation", rv.id).
+		rv.lg.WithField("address", places[i].Address).
 			WithField("tokens", strconv.FormatInt(places[i].Tokens, 10)).WithField("cause", err.Error()).Info("memory not set aside")
 	}
 	if first != nil {
@@ -125,7 +128,7 @@
 				rv.unsure[i] = err
 			}
 			if err != nil && ctx.Err() == nil {
-				rv.kp.Log.WithField("address", pc.Address).WithField("reservation", rv.id).WithError(err).Warn("memory not renewed")
+				rv.lg.WithField("address", pc.Address).WithField("cause", err.Error()).Warn("memory not renewed")
 			}
 		})
 	}
@@ -149,21 +152,21 @@
 		if errors.As(asked[i], &re) {
 			continue
 		}
-		go rv.kp.release(pc, rv.id, asked[i] != nil)
+		go rv.release(pc, asked[i] != nil)
 	}
 }
 
-func (kp *Keeper) release(pc Place, id string, unsure bool) {
-	err := kp.releaseOnce(pc, id)
+func (rv *Reservation) release(pc Place, unsure bool) {
+	err := rv.kp.releaseOnce(pc, rv.id)
 	for _, pause := range releaseAgain {
 		if err == nil && !unsure {
 			return
 		}
 		time.Sleep(pause)
-		err = kp.releaseOnce(pc, id)
+		err = rv.kp.releaseOnce(pc, rv.id)
 	}
 	if err != nil {
-		kp.Log.WithField("address", pc.Address).WithField("reservation", id).WithError(err).Warn("memory not given back; it lapses")
+		rv.lg.WithField("address", pc.Address).WithField("cause", err.Error()).Warn("memory not given back; it lapses")
 	}
 }
 
--- a/internal/reservation/reservation_test.go
+++ b/internal/reservation/reservation_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/apex/log/handlers/memory"
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
@@ -367,3 +368,29 @@
 			"memory that a late renewal sets aside once more is not given back")
 	})
 }
+
+// TestLinesNameTheRequest refuses the memory of a request and one without a name.
+func TestLinesNameTheRequest(t *testing.T) {
+	cases := map[string]struct {
+		ctx  context.Context
+		want string
+	}{
+		"a request":  {reservation.ForRequest(context.Background(), "r-1"), "r-1"},
+		"no request": {context.Background(), ""},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(g *WithT, ft *fakeTargets) {
+				mh := memory.New()
+				kp := ft.keeper()
+				kp.Log = &log.Logger{Handler: mh, Level: log.InfoLevel}
+				ft.reserve = func(string) error { return &reservation.RefusedError{} }
+				_, err := kp.Take(tc.ctx, places)
+				g.Expect(err).To(HaveOccurred())
+				g.Expect(mh.Entries).To(HaveLen(len(places)))
+				g.Expect(mh.Entries[0].Fields).To(HaveKeyWithValue("request", tc.want))
+				pass(time.Minute)
+			})
+		})
+	}
+}
--- a/internal/routes/holder.go
+++ b/internal/routes/holder.go
@@ -15,6 +15,37 @@
 	document []byte
 	// provenAt is on the steady clock, taken before the store was asked; it only grows.
 	provenAt time.Time
+	// gone maps the digest of a key that was in force here to the first version that lacked it, at most maxGone of them.
+	gone map[Digest]int64
+}
+
+// maxGone bounds the keys remembered after they went; chosen by hand, 40 bytes each.
+const maxGone = 4096
+
+// GoneSince returns the first version without a key that was in force at this instance before. It reports false for a
+// key that was never in force here, or that is.
+func (hd *Holder) GoneSince(dg Digest) (version int64, known bool) {
+	hd.mu.Lock()
+	defer hd.mu.Unlock()
+	version, known = hd.gone[dg]
+	return version, known
+}
+
+// remember notes the keys that a new table lacks; the caller holds mu.
+func (hd *Holder) remember(before, after *Table) {
+	if hd.gone == nil {
+		hd.gone = map[Digest]int64{}
+	}
+	for key := range before.byKey {
+		if _, ok := after.byKey[key]; !ok && len(hd.gone) < maxGone {
+			hd.gone[DigestOf(key)] = after.version
+		}
+	}
+	for key := range after.byKey {
+		if _, ok := before.byKey[key]; !ok {
+			delete(hd.gone, DigestOf(key))
+		}
+	}
 }
 
 // Offer puts a table in force if it is newer than the present one, and reports whether it did. Evidence is the time
@@ -23,6 +54,9 @@
 	hd.mu.Lock()
 	defer hd.mu.Unlock()
 	newer := hd.table == nil || tb.version > hd.table.version
+	if newer && hd.table != nil {
+		hd.remember(hd.table, tb)
+	}
 	if newer {
 		hd.table = tb
 		hd.document = document
--- a/internal/routes/routes_test.go
+++ b/internal/routes/routes_test.go
@@ -178,3 +178,43 @@
 		})
 	}
 }
+
+// TestKeysThatWent follows one key through versions of the configuration.
+func TestKeysThatWent(t *testing.T) {
+	with := func(version int64, keys ...string) *routes.Table {
+		ct := routes.Content{Version: version, Keys: map[string]routes.Organisation{}}
+		for _, key := range keys {
+			ct.Keys[key] = routes.Organisation{}
+		}
+		return routes.New(ct)
+	}
+	cases := map[string]struct {
+		tables []*routes.Table
+		want   int64
+	}{
+		"never there":        {[]*routes.Table{with(1, "other"), with(2, "other")}, 0},
+		"in force":           {[]*routes.Table{with(1), with(2, "key")}, 0},
+		"gone":               {[]*routes.Table{with(1, "key"), with(4), with(6)}, 4},
+		"gone and back":      {[]*routes.Table{with(1, "key"), with(2), with(3, "key")}, 0},
+		"gone again":         {[]*routes.Table{with(1, "key"), with(2), with(3, "key"), with(4)}, 4},
+		"an older one comes": {[]*routes.Table{with(2, "key"), with(1)}, 0},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			hd := &routes.Holder{}
+			for _, tb := range tc.tables {
+				hd.Offer(tb, nil, time.Now())
+			}
+			version, known := hd.GoneSince(routes.DigestOf("key"))
+			g.Expect(known).To(Equal(tc.want != 0))
+			g.Expect(version).To(Equal(tc.want))
+		})
+	}
+}
+
+func TestDigestShowsLittleOfAKey(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(routes.DigestOf("key").String()).To(HaveLen(8))
+	g.Expect(routes.DigestOf("key")).NotTo(Equal(routes.DigestOf("kex")))
+}
--- /dev/null
+++ b/internal/targets/cut.go
@@ -0,0 +1,25 @@
+package targets
+
+import "time"
+
+// Cut is what is believed of a target that took no connection.
+type Cut struct {
+	// Refusals counts connections not taken since the last one that was.
+	Refusals int
+	// For is how long the target is still left out.
+	For time.Duration
+	// Zone is set when its whole availability zone is left out.
+	Zone bool
+}
+
+// Cut returns what is believed of a target's connections; nothing of one that is not known.
+func (dr *Directory) Cut(id string) Cut {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	en, ok := dr.entries[id]
+	if !ok {
+		return Cut{}
+	}
+	now := dr.now()
+	return Cut{Refusals: en.refusals, For: max(0, en.cutUntil.Sub(now)), Zone: dr.zoneCut(en.AvailabilityZone, now)}
+}
--- a/internal/targets/targets_test.go
+++ b/internal/targets/targets_test.go
@@ -194,3 +194,30 @@
 		})
 	}
 }
+
+// TestCutIsTold checks what is told of a target that took no connection.
+func TestCutIsTold(t *testing.T) {
+	tests := map[string]struct {
+		unreachable []string
+		want        targets.Cut
+	}{
+		"never":                {nil, targets.Cut{}},
+		"once":                 {[]string{"a"}, targets.Cut{Refusals: 1, For: 800 * time.Millisecond}},
+		"twice":                {[]string{"a", "a"}, targets.Cut{Refusals: 2, For: 1600 * time.Millisecond}},
+		"another one as well":  {[]string{"b", "a"}, targets.Cut{Refusals: 1, For: 800 * time.Millisecond, Zone: true}},
+		"one that is not here": {[]string{"d"}, targets.Cut{}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			cl := newClock()
+			dr := targets.New(cl.now)
+			dr.Replace(list("a", "b", "c"), cl.now())
+			for _, id := range tc.unreachable {
+				dr.Unreachable(id)
+			}
+			g.Expect(dr.Cut("a")).To(Equal(tc.want))
+			g.Expect(dr.Cut("d")).To(Equal(targets.Cut{}))
+		})
+	}
+}
