--- a/internal/explain/beside.go
+++ b/internal/explain/beside.go
@@ -73,8 +73,13 @@
 	return n
 }
 
-// distance is the time between a line and the begin of the visit.
-func (vi visit) distance(ln *line) time.Duration { return ln.at.Sub(vi.begin.at).Abs() }
+// distance is the time between a line and the end of the visit.
+func (vi visit) distance(ln *line) time.Duration {
+	if vi.end == nil {
+		return vi.begin.at.Sub(ln.at)
+	}
+	return vi.end.at.Sub(ln.at)
+}
 
 // beside tells what else the targets of an attempt had to do: how many other requests were sent there or failed there,
 // the largest prompts and the nearest failures of them, and what instances came to hold of the targets meanwhile.
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -23,6 +23,10 @@
 		"refused though targets were free": {file: "refused", id: "req-7"},
 		"a stream broken off":              {file: "broken", id: "req-8"},
 		"may not be repeated":              {file: "unrepeatable", id: "req-9"},
+		// Lines of played days, trimmed to the account and a sample of the others of the same seconds.
+		"a day: engines were free": {file: "day-refused", id: "8715079fbc637bf1"},
+		"a day: zone cut off":      {file: "day-broken", id: "13a5882fce4b6aef"},
+		"a day: runs once":         {file: "day-unrepeatable", id: "af213770d36a37c5"},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/gateway/lines_test.go
+++ b/internal/gateway/lines_test.go
@@ -108,3 +108,21 @@
 	close(out.released)
 	g.Expect(sk.Close(t.Context())).To(Succeed())
 }
+
+func TestShedErrorNamesTheHelper(t *testing.T) {
+	tests := map[string]struct {
+		err  gateway.ShedError
+		want string
+	}{
+		"no helper": {gateway.ShedError{Status: 503}, "the target turned the request away with status 503"},
+		"a helper": {
+			gateway.ShedError{Status: 503, AtFault: "10.0.0.1:80"},
+			"the target turned the request away with status 503 for its helper 10.0.0.1:80",
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			NewWithT(t).Expect(tc.err.Error()).To(Equal(tc.want))
+		})
+	}
+}
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -61,17 +61,26 @@
 	if _, err := io.CopyN(io.Discard, an.Body, bufferMost); errors.Is(err, io.EOF) {
 		an.Whole()
 	}
-	sl.Shed(gw.Protocol.AtFault(an.Response))
-	gw.logAttemptFailed(rq, sl.Target, &ShedError{Status: an.StatusCode}, true)
+	atFault := gw.Protocol.AtFault(an.Response)
+	sl.Shed(atFault)
+	gw.logAttemptFailed(rq, sl.Target, &ShedError{Status: an.StatusCode, AtFault: atFault}, true)
 	return failure.New(failure.TargetShed, gw.outcome(rq), "the target has no room").WithRetryAfter(comeBackFull)
 }
 
 // ShedError says that a target turned a request away without running it.
-type ShedError struct{ Status int }
+type ShedError struct {
+	Status int
+	// AtFault is the address of the helper that the target names as the cause; empty when it names none.
+	AtFault string
+}
 
-// Error gives the status.
+// Error gives the status and the cause.
 func (se *ShedError) Error() string {
-	return "the target turned the request away with status " + strconv.Itoa(se.Status)
+	text := "the target turned the request away with status " + strconv.Itoa(se.Status)
+	if se.AtFault != "" {
+		text += " for its helper " + se.AtFault
+	}
+	return text
 }
 
 // bufferMost is how much of an answer is held back until it is whole; larger ones are passed on as they come.
