--- a/cmd/explain_test.go
+++ b/cmd/explain_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"bytes"
+	"os"
+	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -37,3 +40,27 @@
 		})
 	}
 }
+
+// documented finds a command in the pages and the lines that the page shows of its account.
+var documented = regexp.MustCompile("(?s)```sh\nsilvermount explain (\\w+) < (\\S+)\n```\n\n```\n(.*?)\n```")
+
+// TestDocumentedAccounts runs the commands of the operations page and looks for the lines it shows.
+func TestDocumentedAccounts(t *testing.T) {
+	g := NewWithT(t)
+	page, err := os.ReadFile(filepath.Join("..", "docs", "OPERATIONS.md"))
+	g.Expect(err).NotTo(HaveOccurred())
+	found := documented.FindAllStringSubmatch(string(page), -1)
+	g.Expect(found).To(HaveLen(3))
+	for _, m := range found {
+		logs, err := os.ReadFile(filepath.Join("..", m[2]))
+		g.Expect(err).NotTo(HaveOccurred())
+		var out bytes.Buffer
+		ec := &explainCommand{options: &options{out: &out}, in: bytes.NewReader(logs)}
+		ec.Args.ID = m[1]
+		g.Expect(ec.Execute(nil)).To(Succeed())
+		for _, shown := range strings.Split(m[3], "\n") {
+			words := strings.Fields(shown)
+			g.Expect(out.String()).To(MatchRegexp(words[0] + ` +` + words[1] + ` +` + words[2] + ` `))
+		}
+	}
+}
