feat(gateway): lines for attempts given up, proof that turned old, and who follows the store

Cause: going through each decision of gateway, dispatch, targets, routes, gossip and the duties showed some without a line: an attempt that the time or the caller's leaving ended, the moment from which keys are refused, whether an instance rests on others for the store; and errors dropped: deadlines of callers' connections, the entry not taken back, the option of a peer's connection. A served request whose first line was left out in a busy second had no target.

Ruled out: counting an attempt given up as failed, as the target may be well.

Change: lines for these; 'request served' names its last target and the number of attempts. explain passes over served requests at the same target.

--- a/internal/duty/announce/announce.go
+++ b/internal/duty/announce/announce.go
@@ -56,7 +56,9 @@
 		if err := stop(ctx); err != nil {
 			return err
 		}
-		rg.remove(ctx)
+		if err := rg.remove(ctx); err != nil {
+			lg.WithError(err).Warn("entry not taken back; the next start replaces it")
+		}
 		return nil
 	}, nil
 }
@@ -87,9 +89,10 @@
 	return rg.store.Update(ctx, objectstore.KindInstances, rg.self.Name, rg.version, rg.self)
 }
 
-// remove takes the object back; when that fails the next start replaces it.
-func (rg *registrar) remove(ctx context.Context) {
-	if rg.version > 0 {
-		_ = rg.store.Delete(ctx, objectstore.KindInstances, rg.self.Name, rg.version)
+// remove takes the object back, if there is one.
+func (rg *registrar) remove(ctx context.Context) error {
+	if rg.version == 0 {
+		return nil
 	}
+	return errors.Wrap(rg.store.Delete(ctx, objectstore.KindInstances, rg.self.Name, rg.version), "delete entry")
 }
--- a/internal/duty/members/members.go
+++ b/internal/duty/members/members.go
@@ -78,7 +78,8 @@
 	op := du.options(env)
 	du.ms = gossip.New(op)
 	pt.Changed.Set(du.ms.Publish)
-	pt.Relays.Set(func() bool { return follows(op.Self, du.ms.Live()) })
+	fl := &follower{self: op.Self, lg: du.lg}
+	pt.Relays.Set(func() bool { return fl.follows(du.ms.Live()) })
 	kernel.Provide(env, du.ms)
 	return du.run(l, env), nil
 }
--- a/internal/duty/members/relays.go
+++ b/internal/duty/members/relays.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"slices"
+	"sync/atomic"
 
+	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/silvermount/silvermount/internal/gossip"
@@ -34,3 +36,25 @@
 	slices.SortFunc(near, func(a, b gossip.Member) int { return cmp.Compare(rank(a), rank(b)) })
 	return slices.ContainsFunc(near[:min(len(near), relaysPerZone)], func(mb gossip.Member) bool { return mb.Name == self.Name })
 }
+
+// follower tells when this instance begins and ends to follow the store for others.
+type follower struct {
+	self gossip.Member
+	lg   log.Interface
+	// rests is set while others follow the store for this instance.
+	rests atomic.Bool
+}
+
+// follows decides from the live members.
+func (fl *follower) follows(live []gossip.Member) bool {
+	does := follows(fl.self, live)
+	if fl.rests.Swap(!does) == !does {
+		return does
+	}
+	message := "others follow the store for this instance"
+	if does {
+		message = "this instance follows the store for others"
+	}
+	fl.lg.WithField("live", len(live)).Info(message)
+	return does
+}
--- a/internal/duty/members/relays_test.go
+++ b/internal/duty/members/relays_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"testing"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	. "github.com/onsi/gomega"
 
 	"github.com/silvermount/silvermount/internal/gossip"
@@ -63,3 +65,21 @@
 	g.Expect(follows(live[first], live)).To(BeFalse())
 	g.Expect(followers(live)).To(Equal(map[string]int{"a": 2}))
 }
+
+// TestFollowingIsToldWhenItChanges lets a fleet grow and shrink around one instance that is not among the followers.
+func TestFollowingIsToldWhenItChanges(t *testing.T) {
+	g := NewWithT(t)
+	large := fleet(20, "a")
+	rests := slices.IndexFunc(large, func(mb gossip.Member) bool { return !follows(mb, large) })
+	mh := memory.New()
+	fl := &follower{self: large[rests], lg: &log.Logger{Handler: mh, Level: log.InfoLevel}}
+	small := []gossip.Member{large[rests]}
+	for _, live := range [][]gossip.Member{small, small, large, large, small} {
+		fl.follows(live)
+	}
+	var told []string
+	for _, e := range mh.Entries {
+		told = append(told, e.Message)
+	}
+	g.Expect(told).To(Equal([]string{"others follow the store for this instance", "this instance follows the store for others"}))
+}
--- a/internal/explain/beside.go
+++ b/internal/explain/beside.go
@@ -60,7 +60,7 @@
 
 // sends reports whether a line tells that a request is sent to a target.
 func (ln *line) sends() bool {
-	return ln.get("target") != "" && ln.get("request") != "" && ln.get("cause") == ""
+	return ln.get("target") != "" && ln.get("request") != "" && ln.get("cause") == "" && ln.get("outcome") == ""
 }
 
 // tokens returns the prompt that a line names; zero when it names none.
@@ -90,8 +90,10 @@
 		case !vi.covers(ln.at) || !vi.meets(ln) || cl.why[ln] == whyRequest:
 		case ln.sends():
 			sent = append(sent, ln)
-		case ln.get("request") != "":
+		case ln.get("cause") != "" && ln.get("request") != "":
 			failed = append(failed, ln)
+		case ln.get("request") != "":
+			// A request that was served tells nothing against its target.
 		case ln.instance != vi.begin.instance || ln.at.After(vi.begin.at):
 			beliefs = append(beliefs, ln)
 		}
--- a/internal/explain/beside_test.go
+++ b/internal/explain/beside_test.go
@@ -23,6 +23,7 @@
 		"after the end":            {line: `time=2026-12-01T12:00:12.1Z instance=i2 msg=b request=s target=t`},
 		"elsewhere":                {line: `time=2026-12-01T12:00:11Z instance=i2 msg=b request=s target=u helpers=u,th`},
 		"failed there":             {line: `time=2026-12-01T12:00:11Z instance=i2 msg=b request=s target=t cause=reset`, want: true},
+		"served there":             {line: `time=2026-12-01T12:00:11Z instance=i2 msg=b request=s target=t outcome=served`},
 		"belief of another":        {line: `time=2026-12-01T12:00:11Z instance=i2 msg=b target=t`, want: true},
 		"belief meanwhile":         {line: `time=2026-12-01T12:00:11Z instance=i1 msg=b target=h`, want: true},
 		"earlier belief of helper": {line: `time=2026-12-01T12:00:09Z instance=i1 msg=b target=h`},
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -91,13 +91,12 @@
 	if fa.Wait > 0 && began.Add(fa.Wait).Before(rq.deadline) {
 		rq.deadline = began.Add(fa.Wait)
 	}
-	// Both deadlines fail only where the writer is not a connection, as in tests.
-	_ = sk.rc.SetWriteDeadline(rq.deadline.Add(answerGrace))
-	_ = sk.rc.SetReadDeadline(began.Add(min(bodyTimeout, time.Until(rq.deadline))))
+	gw.logDeadline(rq, sk.rc.SetWriteDeadline(rq.deadline.Add(answerGrace)))
+	gw.logDeadline(rq, sk.rc.SetReadDeadline(began.Add(min(bodyTimeout, time.Until(rq.deadline)))))
 	if err := gw.readBody(r, rq); err != nil {
 		return rq, err
 	}
-	_ = sk.rc.SetReadDeadline(time.Time{})
+	gw.logDeadline(rq, sk.rc.SetReadDeadline(time.Time{}))
 	return rq, nil
 }
 
@@ -123,7 +122,10 @@
 	}
 	rq.org = og
 	most := gw.limits.Load().ProofAge
-	if age := gw.Now().Sub(provenAt); most > 0 && age > most {
+	age := gw.Now().Sub(provenAt)
+	tooOld := most > 0 && age > most
+	gw.logProof(tooOld, tb.Version(), age)
+	if tooOld {
 		return refused(failure.ProofTooOld, comeBackUnready, "the configuration was last confirmed %s ago", age.Round(time.Millisecond))
 	}
 	return nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,6 +52,8 @@
 	limits   atomic.Pointer[Limits]
 	machine  *life.Machine
 	inFlight atomic.Int64
+	// proofOld is set while requests with a key are refused for the age of the proof.
+	proofOld atomic.Bool
 	// closed is set once new requests are refused.
 	closed atomic.Bool
 }
--- a/internal/gateway/lines.go
+++ b/internal/gateway/lines.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"net/http"
 	"strings"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
 
 	"github.com/silvermount/silvermount/internal/dispatch"
 	"github.com/silvermount/silvermount/internal/failure"
@@ -78,6 +80,11 @@
 	fs["first"] = rq.first.Round(time.Millisecond).String()
 	fs["longest_pause"] = rq.pause.Round(time.Millisecond).String()
 	fs["in_time"] = rq.inTime()
+	fs["attempts"] = len(rq.tried)
+	if len(rq.tried) > 0 {
+		// The line that the request was sent may be left out in a busy second.
+		fs["target"] = rq.tried[len(rq.tried)-1]
+	}
 	gw.Log.WithFields(fs).Info("request served")
 	gw.count("served", "")
 	gw.observe("silvermount_request_seconds", gw.Now().Sub(rq.arrived))
@@ -140,6 +147,42 @@
 	}).Warn("target left out for taking no connection")
 }
 
+// logGivenUp says that an attempt ended because its time was over or its caller had left.
+func (gw *Gateway) logGivenUp(rq *request, tg targets.Target, fe *failure.Error) {
+	fs := gw.fields(rq)
+	fs["target"] = tg.ID
+	fs["cause"] = string(fe.Code)
+	fs["events"] = rq.events
+	lg := gw.Log.WithFields(fs)
+	if fe.Code == failure.DeadlineExceeded {
+		lg.Warn("attempt given up")
+		return
+	}
+	lg.Info("attempt given up")
+}
+
+// logProof says when requests with a key begin to be refused for the age of the proof, and when they are taken again.
+func (gw *Gateway) logProof(tooOld bool, version int64, age time.Duration) {
+	if gw.proofOld.Swap(tooOld) == tooOld {
+		return
+	}
+	lg := gw.Log.WithFields(log.Fields{"version": version, "proof_age": age.Round(time.Millisecond).String()})
+	if tooOld {
+		lg.Warn("proof of the configuration too old, keys are refused")
+		return
+	}
+	lg.Info("proof of the configuration renewed, keys are taken")
+}
+
+// logDeadline says that a caller's connection took no deadline: it has ended already. A writer that is no connection, as
+// in tests, has none.
+func (gw *Gateway) logDeadline(rq *request, err error) {
+	if err == nil || errors.Is(err, http.ErrNotSupported) {
+		return
+	}
+	gw.Log.WithFields(log.Fields{"request": rq.RequestID, "cause": err.Error()}).Info("connection takes no deadline")
+}
+
 // logNotPassedOn says that a failure did not reach its caller, who may be gone.
 func (gw *Gateway) logNotPassedOn(rq *request, err error) {
 	gw.Log.WithFields(log.Fields{"request": rq.RequestID, "cause": err.Error()}).Info("answer not passed on")
--- a/internal/gateway/lines_test.go
+++ b/internal/gateway/lines_test.go
@@ -126,3 +126,24 @@
 		})
 	}
 }
+
+// TestProofIsToldOnceWhenItTurnsOld sends two requests with a proof that is too old.
+func TestProofIsToldOnceWhenItTurnsOld(t *testing.T) {
+	g := NewWithT(t)
+	hd, mh := &routes.Holder{}, memory.New()
+	at := time.Unix(1000, 0)
+	hd.Offer(keys(4, "kept"), nil, at)
+	gw := newGateway(hd, mh)
+	gw.Now = func() time.Time { return at }
+	gw.SetLimits(gateway.Limits{ProofAge: time.Second})
+	at = at.Add(2 * time.Second)
+	g.Expect(get(gw, "1", "kept")).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(get(gw, "2", "kept")).To(Equal(http.StatusServiceUnavailable))
+	var told []string
+	for _, e := range mh.Entries {
+		if e.Fields["request"] == nil {
+			told = append(told, e.Message)
+		}
+	}
+	g.Expect(told).To(Equal([]string{"proof of the configuration too old, keys are refused"}))
+}
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -151,7 +151,9 @@
 
 func (gw *Gateway) brokenOff(ctx context.Context, rq *request, sl *dispatch.Slot, err error) error {
 	if ctx.Err() != nil {
-		return gw.timeUp(ctx, rq).WithCause(err)
+		fe := gw.timeUp(ctx, rq).WithCause(err)
+		gw.logGivenUp(rq, sl.Target, fe)
+		return fe
 	}
 	gw.failed(rq, sl.Target, err)
 	return failure.New(failure.TargetLost, failure.Unknown, "the target broke off").WithCause(err)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -243,7 +243,9 @@
 	rq.tried = append(rq.tried, sl.Target.ID)
 	rq.mayHaveRun = true
 	if ctx.Err() != nil {
-		return gw.timeUp(ctx, rq)
+		fe := gw.timeUp(ctx, rq)
+		gw.logGivenUp(rq, sl.Target, fe)
+		return fe
 	}
 	gw.failed(rq, sl.Target, err)
 	return failure.New(failure.TargetLost, failure.Unknown, "the target broke off before it answered").WithCause(err)
--- a/internal/gossip/conn.go
+++ b/internal/gossip/conn.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 	"storj.io/drpc/drpcconn"
@@ -36,7 +37,10 @@
 }
 
 // boundedListener accepts bounded connections.
-type boundedListener struct{ net.Listener }
+type boundedListener struct {
+	net.Listener
+	lg log.Interface
+}
 
 // Accept returns a bounded connection.
 func (bl boundedListener) Accept() (net.Conn, error) {
@@ -47,8 +51,11 @@
 	if sc, ok := nc.(syscall.Conn); ok {
 		rc, err := sc.SyscallConn()
 		if err == nil {
-			// Without the option the write timeout alone bounds a silent peer.
-			_ = setUserTimeout("", "", rc)
+			err = setUserTimeout("", "", rc)
+		}
+		if err != nil {
+			// The write timeout alone bounds a silent peer then.
+			bl.lg.WithError(err).Debug("gossip connection takes no option")
 		}
 	}
 	return boundedConn{Conn: nc}, nil
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -171,7 +171,7 @@
 		Manager: managerOptions(),
 		Log:     func(err error) { ms.opts.Log.WithError(err).Debug("gossip connection ended") },
 	})
-	return errors.Wrap(sv.Serve(ctx, boundedListener{Listener: lis}), "serve gossip")
+	return errors.Wrap(sv.Serve(ctx, boundedListener{Listener: lis, lg: ms.opts.Log}), "serve gossip")
 }
 
 // Run sends heartbeats, keeps links and judges silence until ctx ends.
