--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -23,6 +23,10 @@
 		"refused though targets were free": {file: "refused", id: "req-7"},
 		"a stream broken off":              {file: "broken", id: "req-8"},
 		"may not be repeated":              {file: "unrepeatable", id: "req-9"},
+		// Lines of played days, trimmed to the account and a sample of the others of the same seconds.
+		"a day: engines were free": {file: "day-refused", id: "8715079fbc637bf1"},
+		"a day: zone cut off":      {file: "day-broken", id: "13a5882fce4b6aef"},
+		"a day: runs once":         {file: "day-unrepeatable", id: "af213770d36a37c5"},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -60,7 +64,7 @@
 
 // TestContext checks which lines an account takes beside the request's own. Line a is always expected.
 func TestContext(t *testing.T) {
-	const attempt = `time=2026-12-01T12:00:20Z instance=i1 msg=a request=r target=t incarnation=2 config=5`
+	const attempt = `time=2026-12-01T12:00:20Z instance=i1 msg=a request=r target=t incarnation=2 config=5 key_gone=3`
 	tests := map[string]struct {
 		line string
 		want bool
@@ -82,6 +86,7 @@
 		"lost store elsewhere":        {line: `time=2026-12-01T12:00:10Z instance=i2 part=store msg="lost store"`},
 		"lost store later":            {line: `time=2026-12-01T12:00:21Z instance=i1 part=store msg="lost store"`},
 		"store, other message":        {line: `time=2026-12-01T12:00:10Z instance=i1 part=store msg="slow store"`},
+		"key gone":                    {line: `time=2026-12-01T12:00:01Z instance=i1 part=facts msg="configuration in force" version=3`, want: true},
 		"other part":                  {line: `time=2026-12-01T12:00:10Z instance=i1 part=gateway msg="lost caller"`},
 	}
 	for name, tc := range tests {
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -27,6 +27,7 @@
 	case Misdirected:
 		gw.Targets.MarkLeaving(sl.Target.ID)
 		gw.logBelief(sl.Target, "gone", "another incarnation has the address")
+		gw.logPassedOver(rq, sl.Target, "another incarnation has the address")
 		return failure.New(failure.TargetUnreachable, gw.outcome(rq), "another target has the address").WithRetryAfter(comeBackFull)
 	case Unproven:
 		rq.mayHaveRun = true
@@ -60,17 +61,26 @@
 	if _, err := io.CopyN(io.Discard, an.Body, bufferMost); errors.Is(err, io.EOF) {
 		an.Whole()
 	}
-	sl.Shed(gw.Protocol.AtFault(an.Response))
-	gw.logAttemptFailed(rq, sl.Target, &ShedError{Status: an.StatusCode}, true)
+	atFault := gw.Protocol.AtFault(an.Response)
+	sl.Shed(atFault)
+	gw.logAttemptFailed(rq, sl.Target, &ShedError{Status: an.StatusCode, AtFault: atFault}, true)
 	return failure.New(failure.TargetShed, gw.outcome(rq), "the target has no room").WithRetryAfter(comeBackFull)
 }
 
 // ShedError says that a target turned a request away without running it.
-type ShedError struct{ Status int }
+type ShedError struct {
+	Status int
+	// AtFault is the address of the helper that the target names as the cause; empty when it names none.
+	AtFault string
+}
 
-// Error gives the status.
+// Error gives the status and the cause.
 func (se *ShedError) Error() string {
-	return "the target turned the request away with status " + strconv.Itoa(se.Status)
+	text := "the target turned the request away with status " + strconv.Itoa(se.Status)
+	if se.AtFault != "" {
+		text += " for its helper " + se.AtFault
+	}
+	return text
 }
 
 // bufferMost is how much of an answer is held back until it is whole; larger ones are passed on as they come.
@@ -141,7 +151,9 @@
 
 func (gw *Gateway) brokenOff(ctx context.Context, rq *request, sl *dispatch.Slot, err error) error {
 	if ctx.Err() != nil {
-		return gw.timeUp(ctx, rq).WithCause(err)
+		fe := gw.timeUp(ctx, rq).WithCause(err)
+		gw.logGivenUp(rq, sl.Target, fe)
+		return fe
 	}
 	gw.failed(rq, sl.Target, err)
 	return failure.New(failure.TargetLost, failure.Unknown, "the target broke off").WithCause(err)
