fix: figures with fractions neither stop the start nor keep a configuration out of force

Cause: the platform derives some figures from the traffic. Ruled out: rounding in the settings template, which has no arithmetic.

--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -38,9 +38,9 @@
 	// Grace is the time between the request to stop and the end of the process by force.
 	Grace Duration `json:"grace"`
 	// RetryShare bounds attempts beyond the first, over all instances, as a share of requests; RetryFloor is what is
-	// allowed above that in each RetryWindow.
+	// allowed above that in each RetryWindow. It may be a fraction, since platforms derive it from the traffic.
 	RetryShare  float64  `json:"retry_share"`
-	RetryFloor  int      `json:"retry_floor"`
+	RetryFloor  float64  `json:"retry_floor"`
 	RetryWindow Duration `json:"retry_window"`
 	// DialTimeout bounds the opening of a connection to a target; another target is tried after it.
 	DialTimeout Duration `json:"dial_timeout"`
--- a/internal/duty/forwarding/forwarding.go
+++ b/internal/duty/forwarding/forwarding.go
@@ -191,7 +191,7 @@
 		fs = append(fs, &config.Fault{Path: "gateway.retry_share", Value: value, Want: "a share from 0 to 1"})
 	}
 	if gw.RetryFloor < 0 {
-		value := strconv.Itoa(gw.RetryFloor)
+		value := strconv.FormatFloat(gw.RetryFloor, 'g', -1, 64)
 		fs = append(fs, &config.Fault{Path: "gateway.retry_floor", Value: value, Want: "a number that is not negative"})
 	}
 	if gw.RetryWindow <= 0 {
--- a/internal/duty/frontend/shares.go
+++ b/internal/duty/frontend/shares.go
@@ -76,6 +76,6 @@
 // retryFloor is one instance's part of the retries that are allowed without traffic: what it may save up, and what it
 // gets back each second. Together they stay below the part in every window.
 func retryFloor(st *config.Gateway, instances int) (burst, perSecond float64) {
-	part := floorUse * float64(st.RetryFloor) / float64(instances)
+	part := floorUse * st.RetryFloor / float64(instances)
 	return part / 2, part / 2 / st.RetryWindow.Std().Seconds()
 }
