perf: short prompts are refused at once while all slots are taken

An answer takes a slot for as long whether it is late or not, so in the end all were late, and callers who gave up came again. Change: a short prompt whose first token would be late for sure while nine slots of ten are taken is refused, not run, with a time to come back within an answer's time. A stream that goes on is never refused. Test: TestOverload; without the change the prompt is placed.

--- /dev/null
+++ b/internal/dispatch/overload.go
@@ -0,0 +1,42 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/silvermount/silvermount/internal/failure"
+	"github.com/silvermount/silvermount/internal/placement"
+)
+
+const (
+	// overloadedFrom is the share of all slots from which a service counts as overloaded. Loads are some milliseconds
+	// old and slots are never all taken at once.
+	overloadedFrom = 0.9
+	// comeBackLeast and comeBackMost are the shares of the time for a usual answer after which a short prompt that was
+	// refused may come back: by then that share of the slots have come free, and those refused at the same moment do not
+	// come back together.
+	comeBackLeast = 0.4
+	comeBackMost  = 0.9
+)
+
+// sheds reports whether a short prompt is refused at once: all slots are taken, and its first token would be late for
+// sure. Let in, it would make the next one late as well, and in the end all of them: every answer takes a slot for as
+// long, in time or not.
+func sheds(as Ask, pr placement.Prompt, pl placement.Plan, cands []placement.Target) bool {
+	return !as.Resumed && as.PromptTokens <= shortTokens && late(as, pr, pl) && slotsTaken(as.Service.Engine, cands)
+}
+
+// slotsTaken reports whether the targets have about as many requests as slots.
+func slotsTaken(en *placement.Engine, cands []placement.Target) bool {
+	inFlight := 0
+	for i := range cands {
+		inFlight += cands[i].Load.Readers + cands[i].Load.Writers
+	}
+	return float64(inFlight) > overloadedFrom*float64(en.Slots*len(cands))
+}
+
+// refusal tells the caller of a short prompt that was not placed when to come back.
+func (ds *Dispatcher) refusal(as Ask) error {
+	share := comeBackLeast + (comeBackMost-comeBackLeast)*fraction(as.Request, ds.opts.Instance, "come back")
+	after := time.Duration(share * float64(answerTime(as.Service.Engine)))
+	return failure.New(failure.Overloaded, failure.NotRun, "all slots are taken").WithRetryAfter(after)
+}
--- /dev/null
+++ b/internal/dispatch/overload_test.go
@@ -0,0 +1,55 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/silvermount/silvermount/internal/failure"
+	"github.com/silvermount/silvermount/internal/placement"
+)
+
+// crowd is three targets with that many writers each.
+func crowd(writers int) map[string]placement.Load {
+	loads := map[string]placement.Load{}
+	for no := range 3 {
+		loads[id(no)] = placement.Load{Writers: writers, Context: int64(writers) * 500, Memory: int64(writers) * 600}
+	}
+	return loads
+}
+
+// TestOverload asks for room for one more prompt at three targets with a number of writers each.
+func TestOverload(t *testing.T) {
+	tests := map[string]struct {
+		writers, tokens int
+		resumed         bool
+		refused         bool
+	}{
+		"slots are free":                  {writers: 1, tokens: 500},
+		"slots are taken":                 {writers: 3 * slots, tokens: 500, refused: true},
+		"slots are taken, stream goes on": {writers: 3 * slots, tokens: 500, resumed: true},
+		"half of the slots are taken":     {writers: slots / 2, tokens: 500},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, 3, func(be *bench) {
+				be.Heard("peer", crowd(tt.writers))
+				as := prompt(tt.tokens)
+				as.Service.Engine.Memory = 100_000
+				as.Objective, as.Resumed = 300*time.Millisecond, tt.resumed
+				if !tt.refused {
+					be.take(as)
+					return
+				}
+				start := time.Now()
+				fe := be.refused(as)
+				be.Expect(time.Since(start)).To(BeZero())
+				be.Expect(fe.Code).To(Equal(failure.Overloaded))
+				be.Expect(fe.Outcome).To(Equal(failure.NotRun))
+				be.Expect(fe.RetryAfter).To(BeNumerically(">", 500*time.Millisecond))
+				be.Expect(fe.RetryAfter).To(BeNumerically("<", 3*time.Second))
+			})
+		})
+	}
+}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -56,9 +56,9 @@
 // place chooses the targets of a prompt and books it there.
 func (ds *Dispatcher) place(ctx context.Context, as Ask, tgs []targets.Target) (*Slot, bool, error) {
 	pr := ds.prompt(as)
-	sl, ok := ds.choose(as, pr, tgs)
-	if !ok {
-		return nil, false, nil
+	sl, err := ds.choose(as, pr, tgs)
+	if err != nil || sl == nil {
+		return nil, false, err
 	}
 	if len(sl.plan.Reserve) == 0 {
 		return sl, true, nil
@@ -76,34 +76,50 @@
 	return sl, true, nil
 }
 
-// choose books the plan of least expected loss under the book's lock, so that two requests do not see the same room.
-func (ds *Dispatcher) choose(as Ask, pr placement.Prompt, tgs []targets.Target) (*Slot, bool) {
+// choose books the plan of least expected loss under the book's lock, so that two requests do not see the same room. It
+// returns nil when the prompt has to wait, and an error when it is refused.
+func (ds *Dispatcher) choose(as Ask, pr placement.Prompt, tgs []targets.Target) (*Slot, error) {
 	lag := ds.lagNow()
 	ds.book.mu.Lock()
 	defer ds.book.mu.Unlock()
+	cands := ds.candidates(as.Service.Engine, tgs)
+	seed := xxhash.Sum64String(ds.opts.Instance + as.Request)
+	op := placement.Options{Seed: seed, Arrivals: arrivals(as.Service.Engine, cands)}
+	pl, ok := ds.chooseFrom(as, pr, cands, op, lag)
+	if !ok && as.Resumed {
+		// The caller reads already: a late end is better than none.
+		pr.Left = anyTime
+		pl, ok = placement.Choose(*as.Service.Engine, pr, cands, op)
+	}
+	if ok && sheds(as, pr, pl, cands) {
+		return nil, ds.refusal(as)
+	}
+	if !ok || better(as, pr, pl, cands, op) || defers(as, pr, pl) {
+		return nil, nil
+	}
+	return ds.bookPlan(as, pr, pl, tgs), nil
+}
+
+// candidates returns targets with their loads as the placement takes them. The book's lock is held.
+func (ds *Dispatcher) candidates(en *placement.Engine, tgs []targets.Target) []placement.Target {
 	now := ds.opts.Now()
 	cands := make([]placement.Target, len(tgs))
-	byID := make(map[string]targets.Target, len(tgs))
 	for i, tg := range tgs {
 		cands[i] = placement.Target{
 			Name: tg.ID, Near: tg.AvailabilityZone == ds.opts.AvailabilityZone, Load: ds.book.total(tg.ID), Pace: 1, Helper: true,
 		}
 		if ds.book.isFull(tg.ID, now) {
-			cands[i].Load.Memory = max(cands[i].Load.Memory, as.Service.Engine.Memory)
+			cands[i].Load.Memory = max(cands[i].Load.Memory, en.Memory)
 		}
-		byID[tg.ID] = tg
 	}
-	seed := xxhash.Sum64String(ds.opts.Instance + as.Request)
-	op := placement.Options{Seed: seed, Arrivals: arrivals(as.Service.Engine, cands)}
-	cands = ds.sample(as, cands, lag)
-	pl, ok := placement.Choose(*as.Service.Engine, pr, cands, op)
-	if !ok && as.Resumed {
-		// The caller reads already: a late end is better than none.
-		pr.Left = anyTime
-		pl, ok = placement.Choose(*as.Service.Engine, pr, cands, op)
-	}
-	if !ok || better(as, pr, pl, cands, op) || defers(as, pr, pl) {
-		return nil, false
+	return cands
+}
+
+// bookPlan books a plan at its targets. The book's lock is held.
+func (ds *Dispatcher) bookPlan(as Ask, pr placement.Prompt, pl placement.Plan, tgs []targets.Target) *Slot {
+	byID := make(map[string]targets.Target, len(tgs))
+	for _, tg := range tgs {
+		byID[tg.ID] = tg
 	}
 	sl := &Slot{
 		ds: ds, engine: as.Service.Engine, Target: byID[pl.Main], Candidates: len(tgs), At: ds.opts.Now(), Priority: priority(as), prompt: pr, plan: pl,
@@ -125,7 +141,7 @@
 	for _, sh := range pl.Reserve {
 		sl.bookHeld(sh.Target, placement.Load{Memory: sh.Tokens})
 	}
-	return sl, true
+	return sl
 }
 
 // late reports whether an answer is late already or is sure to be. Others need not spare it: nothing more of it is lost.
--- a/internal/dispatch/unseen.go
+++ b/internal/dispatch/unseen.go
@@ -23,6 +23,16 @@
 	return (*lag)()
 }
 
+// chooseFrom returns the best plan of a sample of the targets, and of all when that one would be late.
+func (ds *Dispatcher) chooseFrom(as Ask, pr placement.Prompt, cands []placement.Target, op placement.Options, lag time.Duration) (placement.Plan, bool) {
+	drawn := ds.sample(as, cands, lag)
+	pl, ok := placement.Choose(*as.Service.Engine, pr, drawn, op)
+	if len(drawn) == len(cands) || ok && !late(as, pr, pl) {
+		return pl, ok
+	}
+	return placement.Choose(*as.Service.Engine, pr, cands, op)
+}
+
 // sample returns the targets that a short prompt chooses from. All instances see the same target as the best one, and
 // in a large fleet many prompts are placed before the others hear of the first: sent to one target they would fill it
 // well beyond its slots. So each prompt chooses from targets drawn by itself, the fewer the more prompts are placed
