refactor: one decision on retries, one sum of outcomes for both roles

Each role still says what counts as an attempt and whether a begun answer goes on. The entry role forbade three kinds of failure, the gateway allowed three; by reading, an attempt of the entry role ends only in kinds on which both lists agree.

--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/http"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Outcome says what is known about whether a request was run.
@@ -103,6 +105,15 @@
 	return &Error{Code: code, Outcome: outcome, Message: fmt.Sprintf(format, args...)}
 }
 
+// Of returns the failure in an error. An error without one is a fault inside this instance: it proves nothing.
+func Of(err error) *Error {
+	var fe *Error
+	if errors.As(err, &fe) {
+		return fe
+	}
+	return New(TargetLost, Unknown, "internal failure").WithCause(err)
+}
+
 // WithCause returns a copy that wraps err.
 func (fe *Error) WithCause(err error) *Error {
 	c := *fe
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -9,6 +9,7 @@
 
 	"github.com/silvermount/silvermount/internal/failure"
 	"github.com/silvermount/silvermount/internal/life"
+	"github.com/silvermount/silvermount/internal/outcome"
 	"github.com/silvermount/silvermount/internal/routes"
 )
 
@@ -45,8 +46,8 @@
 	// free gives the body's memory back; never nil.
 	free func()
 	life life.Record
-	// mayHaveRun is set once a target was sent the request and did not say that it left it alone.
-	mayHaveRun bool
+	// known is unknown once a target was sent the request and did not say that it left it alone.
+	known outcome.Known
 	// tried holds the incarnations that were sent the request.
 	tried []string
 	// avoid holds the incarnations that are not asked again: tried, or not reachable.
--- a/internal/gateway/lines.go
+++ b/internal/gateway/lines.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"strings"
 	"time"
 
@@ -12,9 +11,6 @@
 	"github.com/silvermount/silvermount/internal/targets"
 )
 
-// contextFree is for the end of a request's life, which does not depend on its caller.
-var contextFree = context.Background()
-
 func (gw *Gateway) fields(rq *request) log.Fields {
 	fs := log.Fields{
 		"request": rq.RequestID, "route": rq.route.Name, "elapsed": since(rq.arrived, gw.Now()).String(),
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -29,12 +29,12 @@
 		gw.logBelief(sl.Target, "gone", "another incarnation has the address")
 		return failure.New(failure.TargetUnreachable, gw.outcome(rq), "another target has the address").WithRetryAfter(comeBackFull)
 	case Unproven:
-		rq.mayHaveRun = true
+		rq.known.Add(failure.Unknown)
 		err := &UnprovenAnswerError{Status: an.StatusCode}
 		gw.failed(rq, sl.Target, err)
 		return failure.New(failure.TargetLost, failure.Unknown, "the answer cannot be passed on").WithCause(err)
 	}
-	rq.mayHaveRun = true
+	rq.known.Add(failure.Unknown)
 	if verdict == Answered && rq.route.Streaming && an.StatusCode == http.StatusOK {
 		return gw.stream(ctx, rq, sk, sl, an)
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -12,6 +12,7 @@
 	"github.com/silvermount/silvermount/internal/dispatch"
 	"github.com/silvermount/silvermount/internal/failure"
 	"github.com/silvermount/silvermount/internal/life"
+	"github.com/silvermount/silvermount/internal/retry"
 	"github.com/silvermount/silvermount/internal/targets"
 	"github.com/silvermount/silvermount/internal/upstream"
 )
@@ -35,7 +36,7 @@
 		if err == nil {
 			return gw.fire(ctx, rq, life.Finish)
 		}
-		last = asFailure(err)
+		last = failure.Of(err)
 		if unsent(last) && dials < dialTries && ctx.Err() == nil {
 			dials++
 			continue
@@ -114,10 +115,7 @@
 
 // outcome is what is known so far about whether the request ran.
 func (gw *Gateway) outcome(rq *request) failure.Outcome {
-	if rq.mayHaveRun {
-		return failure.Unknown
-	}
-	return failure.NotRun
+	return rq.known.Outcome()
 }
 
 // timeUp is the failure of a request whose time is over or whose caller has gone.
@@ -238,7 +236,7 @@
 			WithCause(err).WithRetryAfter(comeBackFull)
 	}
 	rq.tried = append(rq.tried, sl.Target.ID)
-	rq.mayHaveRun = true
+	rq.known.Add(failure.Unknown)
 	if ctx.Err() != nil {
 		return gw.timeUp(ctx, rq)
 	}
@@ -256,21 +254,13 @@
 
 // mayRetry decides whether a failed attempt is followed by another, and spends from the retry budget.
 func (gw *Gateway) mayRetry(ctx context.Context, rq *request, sk *sink, fe *failure.Error) bool {
-	switch {
-	case ctx.Err() != nil:
-		return false
-	case fe.Code != failure.TargetLost && fe.Code != failure.TargetRefused && fe.Code != failure.TargetShed:
-		return false
-	case rq.route.Exclusive() && rq.mayHaveRun:
-		return false
-	case sk.started && !rq.route.Resumable:
-		return false
-	case gw.stillThere(rq.tried) >= rq.route.MaxAttempts:
-		return false
-	}
 	claimed := rq.claimed
 	rq.claimed = false
-	return claimed || gw.Retries.Take()
+	return retry.Case{
+		Code: fe.Code, Over: ctx.Err() != nil, Once: rq.route.Exclusive(), MayHaveRun: rq.known.MayHaveRun(),
+		Attempts: gw.stillThere(rq.tried), Most: rq.route.MaxAttempts, Begun: sk.started,
+		Continues: func() bool { return rq.route.Resumable }, Paid: claimed,
+	}.Again(gw.Retries)
 }
 
 // stillThere counts the targets that were sent the request and still take work: one that has ended does not use up an
@@ -289,11 +279,3 @@
 	// The life goes on to its end also for a caller that has gone.
 	return gw.machine.Fire(context.WithoutCancel(ctx), &rq.life, tr)
 }
-
-func asFailure(err error) *failure.Error {
-	var fe *failure.Error
-	if errors.As(err, &fe) {
-		return fe
-	}
-	return failure.New(failure.TargetLost, failure.Unknown, "internal failure").WithCause(err)
-}
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -10,7 +10,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/silvermount/silvermount/internal/failure"
-	"github.com/silvermount/silvermount/internal/life"
 )
 
 // hopHeaders concern one connection only.
@@ -74,7 +73,7 @@
 		gw.logServed(rq, sk)
 		return
 	}
-	fe := asFailure(err)
+	fe := failure.Of(err)
 	gw.endLife(rq, sk, fe)
 	gw.logFailed(rq, sk, fe)
 	if sk.started {
@@ -85,11 +84,7 @@
 }
 
 func (gw *Gateway) endLife(rq *request, sk *sink, fe *failure.Error) {
-	tr := life.Fail
-	if rq.life.State == life.Received || (fe.Outcome == failure.NotRun && !sk.started) {
-		tr = life.Refuse
-	}
-	if err := gw.machine.Fire(contextFree, &rq.life, tr); err != nil {
+	if err := gw.machine.End(&rq.life, fe.Outcome == failure.NotRun && !sk.started); err != nil {
 		gw.Log.WithError(err).WithField("request", rq.RequestID).Error("life of the request broken")
 	}
 }
--- a/internal/life/life.go
+++ b/internal/life/life.go
@@ -105,6 +105,15 @@
 	sm.Configure(Failed)
 }
 
+// End closes the life of a request that got no whole answer. notRun says that nothing of it was run or answered. It does
+// not depend on the caller, who may have gone.
+func (mc *Machine) End(rec *Record, notRun bool) error {
+	if notRun || rec.State == Received {
+		return mc.Fire(context.Background(), rec, Refuse)
+	}
+	return mc.Fire(context.Background(), rec, Fail)
+}
+
 // Fire moves a request on.
 func (mc *Machine) Fire(ctx context.Context, rec *Record, tr Trigger) error {
 	from := rec.State
--- a/internal/life/life_test.go
+++ b/internal/life/life_test.go
@@ -63,3 +63,32 @@
 		}
 	}
 }
+
+func TestEnd(t *testing.T) {
+	tests := map[string]struct {
+		triggers []Trigger
+		notRun   bool
+		want     State
+	}{
+		"before admission":            {want: Refused},
+		"found no target":             {triggers: []Trigger{Admit}, notRun: true, want: Refused},
+		"no target after an attempt":  {triggers: []Trigger{Admit, Dispatch, Retry}, want: Failed},
+		"every target left it alone":  {triggers: []Trigger{Admit, Dispatch}, notRun: true, want: Refused},
+		"broke off before the answer": {triggers: []Trigger{Admit, Dispatch}, want: Failed},
+		"broke off in the answer":     {triggers: []Trigger{Admit, Dispatch, FirstToken}, want: Failed},
+	}
+	mc := New()
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var rec Record
+			for _, tr := range tc.triggers {
+				g.Expect(mc.Fire(t.Context(), &rec, tr)).To(Succeed())
+			}
+			g.Expect(mc.End(&rec, tc.notRun)).To(Succeed())
+			g.Expect(rec.State).To(Equal(tc.want))
+			var te *TransitionError
+			g.Expect(errors.As(mc.End(&rec, tc.notRun), &te)).To(BeTrue(), "a life ends once")
+		})
+	}
+}
--- /dev/null
+++ b/internal/retry/retry_test.go
@@ -0,0 +1,65 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/silvermount/silvermount/internal/budget"
+	"github.com/silvermount/silvermount/internal/failure"
+	"github.com/silvermount/silvermount/internal/retry"
+)
+
+func TestAgain(t *testing.T) {
+	always := func() bool { return true }
+	never := func() bool { return false }
+	tests := map[string]struct {
+		cs    retry.Case
+		saved float64
+		want  bool
+		// wantTaken is set when the retry comes out of the budget.
+		wantTaken bool
+	}{
+		"lost target":              {retry.Case{Code: failure.TargetLost, Attempts: 1, Most: 2}, 1, true, true},
+		"target that refused":      {retry.Case{Code: failure.TargetRefused, Attempts: 1, Most: 2}, 1, true, true},
+		"target without room":      {retry.Case{Code: failure.TargetShed, Attempts: 1, Most: 2}, 1, true, true},
+		"nothing was sent":         {retry.Case{Code: failure.TargetUnreachable, Most: 2}, 1, false, false},
+		"fault of the request":     {retry.Case{Code: failure.BadRequest, Attempts: 1, Most: 2}, 1, false, false},
+		"body too large there":     {retry.Case{Code: failure.TooLarge, Attempts: 1, Most: 2}, 1, false, false},
+		"caller gone":              {retry.Case{Code: failure.CallerGone, Attempts: 1, Most: 2}, 1, false, false},
+		"no time":                  {retry.Case{Code: failure.TargetLost, Over: true, Attempts: 1, Most: 2}, 1, false, false},
+		"no attempt left":          {retry.Case{Code: failure.TargetLost, Attempts: 2, Most: 2}, 1, false, false},
+		"once and not run":         {retry.Case{Code: failure.TargetLost, Once: true, Attempts: 1, Most: 2}, 1, true, true},
+		"once and may have run":    {retry.Case{Code: failure.TargetLost, Once: true, MayHaveRun: true, Attempts: 1, Most: 2}, 1, false, false},
+		"repeatable and run":       {retry.Case{Code: failure.TargetLost, MayHaveRun: true, Attempts: 1, Most: 2}, 1, true, true},
+		"begun and goes on":        {retry.Case{Code: failure.TargetLost, Begun: true, Continues: always, Attempts: 1, Most: 2}, 1, true, true},
+		"begun and does not":       {retry.Case{Code: failure.TargetLost, Begun: true, Continues: never, Attempts: 1, Most: 2}, 1, false, false},
+		"budget empty":             {retry.Case{Code: failure.TargetLost, Attempts: 1, Most: 2}, 0, false, false},
+		"paid":                     {retry.Case{Code: failure.TargetLost, Paid: true, Attempts: 1, Most: 2}, 0, true, false},
+		"paid takes no second":     {retry.Case{Code: failure.TargetLost, Paid: true, Attempts: 1, Most: 2}, 1, true, false},
+		"paid but no time":         {retry.Case{Code: failure.TargetLost, Paid: true, Over: true, Attempts: 1, Most: 2}, 1, false, false},
+		"paid but no attempt left": {retry.Case{Code: failure.TargetLost, Paid: true, Attempts: 2, Most: 2}, 1, false, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			now := func() time.Time { return time.Unix(0, 0) }
+			rt := budget.NewRetries(0, now, budget.WithBurst(tc.saved), budget.WithTrickle(0))
+			g.Expect(tc.cs.Again(rt)).To(Equal(tc.want))
+			g.Expect(rt.Left()).To(Equal(tc.saved >= 1 && !tc.wantTaken))
+		})
+	}
+}
+
+// TestContinuationIsPreparedLast prepares nothing for a request that ends anyway.
+func TestContinuationIsPreparedLast(t *testing.T) {
+	g := NewWithT(t)
+	asked := false
+	cs := retry.Case{
+		Code: failure.TargetLost, Once: true, MayHaveRun: true, Attempts: 1, Most: 2, Begun: true,
+		Continues: func() bool { asked = true; return true },
+	}
+	g.Expect(cs.Again(budget.NewRetries(0, time.Now))).To(BeFalse())
+	g.Expect(asked).To(BeFalse())
+}
--- a/internal/serve/answer.go
+++ b/internal/serve/answer.go
@@ -70,7 +70,7 @@
 
 // fail ends an answer with an error: as a response when nothing was sent, else as an event without a [DONE].
 func (sk *sink) fail(err error) {
-	fe := asFailure(err)
+	fe := failure.Of(err)
 	b, merr := json.Marshal(errorBody{Error: errorDetail{
 		Message: fe.Message, Type: errorType(fe.Status()), Code: fe.Code, Outcome: fe.Outcome,
 	}})
@@ -112,11 +112,3 @@
 	}
 	return "server_error"
 }
-
-func asFailure(err error) *failure.Error {
-	var fe *failure.Error
-	if errors.As(err, &fe) {
-		return fe
-	}
-	return failure.New(failure.TargetLost, failure.Unknown, "internal failure").WithCause(err)
-}
--- a/internal/serve/inference.go
+++ b/internal/serve/inference.go
@@ -10,6 +10,8 @@
 	"github.com/silvermount/silvermount/internal/failure"
 	"github.com/silvermount/silvermount/internal/fleet"
 	"github.com/silvermount/silvermount/internal/life"
+	"github.com/silvermount/silvermount/internal/outcome"
+	"github.com/silvermount/silvermount/internal/retry"
 	"github.com/silvermount/silvermount/internal/router"
 )
 
@@ -101,7 +103,7 @@
 		switch {
 		case err == nil:
 			cl.Finish(ctx, *ans)
-		case asFailure(err).Outcome == failure.NotRun:
+		case failure.Of(err).Outcome == failure.NotRun:
 			cl.Release(ctx)
 		default:
 			cl.Lose(ctx)
@@ -140,16 +142,16 @@
 	}
 	sv.Retries.First()
 	var tried []string
-	var last *failure.Error
+	var known outcome.Known
 	for {
 		pl, err := sv.Router.Acquire(ctx, ask(tried))
-		if err != nil && len(tried) > 0 && asFailure(err).Code == failure.NoTarget {
+		if err != nil && len(tried) > 0 && failure.Of(err).Code == failure.NoTarget {
 			// All were tried: any may be tried again.
 			tried = nil
 			pl, err = sv.Router.Acquire(ctx, ask(tried))
 		}
 		if err != nil {
-			return sv.end(ctx, rq, sk, worse(last, asFailure(err)))
+			return sv.end(rq, sk, known.Of(failure.Of(err)))
 		}
 		if err := sv.machine.Fire(ctx, &rq.life, life.Dispatch); err != nil {
 			pl.Done()
@@ -160,9 +162,10 @@
 		if err == nil {
 			return sv.machine.Fire(ctx, &rq.life, life.Finish)
 		}
-		last = worse(last, asFailure(err))
-		if !sv.mayRetry(ctx, rq, sk, err) {
-			return sv.end(ctx, rq, sk, last)
+		fe := failure.Of(err)
+		known.Add(fe.Outcome)
+		if !sv.mayRetry(ctx, rq, sk, fe, known) {
+			return sv.end(rq, sk, known.Of(fe))
 		}
 		tried = append(tried, pl.Target.Name)
 		if err := sv.machine.Fire(ctx, &rq.life, life.Retry); err != nil {
@@ -171,41 +174,22 @@
 	}
 }
 
-// worse returns the later failure, unless an earlier attempt may have run and the later one did not.
-func worse(earlier, later *failure.Error) *failure.Error {
-	if earlier == nil || later.Outcome != failure.NotRun || earlier.Outcome == failure.NotRun {
-		return later
-	}
-	return later.WithOutcome(earlier.Outcome)
-}
-
 // mayRetry decides whether a failed attempt is followed by another.
-func (sv *Server) mayRetry(ctx context.Context, rq *request, sk *sink, err error) bool {
-	fe := asFailure(err)
-	switch {
-	case ctx.Err() != nil || rq.life.Attempts >= sv.limits.MaxAttempts:
-		return false
-	case fe.Code == failure.TooLarge || fe.Code == failure.CallerGone || fe.Code == failure.BadRequest:
-		return false
-	case rq.never && fe.Outcome != failure.NotRun:
-		return false
-	case sk.started && (!rq.class.ContinueElsewhere || !sv.rebuild(rq, sk)):
-		return false
-	}
-	return sv.Retries.Take()
+func (sv *Server) mayRetry(ctx context.Context, rq *request, sk *sink, fe *failure.Error, known outcome.Known) bool {
+	return retry.Case{
+		Code: fe.Code, Over: ctx.Err() != nil, Once: rq.never, MayHaveRun: known.MayHaveRun(),
+		Attempts: rq.life.Attempts, Most: sv.limits.MaxAttempts, Begun: sk.started,
+		Continues: func() bool { return rq.class.ContinueElsewhere && sv.rebuild(rq, sk) },
+	}.Again(sv.Retries)
 }
 
 // end closes the life of a request that gets no whole answer, and says what is known.
-func (sv *Server) end(ctx context.Context, rq *request, sk *sink, fe *failure.Error) error {
-	trigger := life.Fail
-	if fe.Outcome == failure.NotRun && !sk.started {
-		trigger = life.Refuse
-	}
-	// The life is ended also for a caller that has gone.
-	if ferr := sv.machine.Fire(context.WithoutCancel(ctx), &rq.life, trigger); ferr != nil {
-		return ferr
+func (sv *Server) end(rq *request, sk *sink, fe *failure.Error) error {
+	notRun := fe.Outcome == failure.NotRun
+	if err := sv.machine.End(&rq.life, notRun && !sk.started); err != nil {
+		return err
 	}
-	if sk.started && fe.Outcome == failure.NotRun {
+	if notRun && sk.started {
 		return fe.WithOutcome(failure.Failed)
 	}
 	return fe
