refactor: bodies and deadlines are bounded in one place for both roles

Cause: reading a body under the shared budget, the deadline and the bounds it puts on the connection stood twice, with the same 250 ms for the final error.

Change: internal/body (Reader), internal/deadline (Deadline). The kind of failure of a torn body stays a parameter, since callers of the two roles are told different things. One change in the entry role: a body of unknown length takes memory in steps of 64 KiB, as the gateway did, in place of the largest body at once.

--- /dev/null
+++ b/internal/body/body.go
@@ -0,0 +1,88 @@
+// Package body reads the bodies of callers' requests.
+package body
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/silvermount/silvermount/internal/budget"
+	"github.com/silvermount/silvermount/internal/failure"
+)
+
+// chunkStep is how much of a body of unknown length is accounted for at a time, in bytes: the authors' choice, about the
+// length of a prompt of 16,000 tokens.
+const chunkStep = 64 << 10
+
+// Reader reads bodies within a bound and within the memory that all requests share.
+type Reader struct {
+	Memory *budget.Memory
+	// Most bounds one body, in bytes.
+	Most int64
+	// ComeBack is when a caller should come back for whom there is no memory.
+	ComeBack time.Duration
+	// Broken is the kind of failure of a body that does not come whole.
+	Broken failure.Code
+}
+
+// Read reads a body. free gives its memory back, also after a failure, and is never nil.
+func (rd Reader) Read(r *http.Request) (b []byte, free func(), err error) {
+	size := r.ContentLength
+	if size > rd.Most {
+		return nil, func() {}, rd.tooLarge()
+	}
+	if size >= 0 {
+		return rd.sized(r.Body, size)
+	}
+	return rd.chunked(r.Body)
+}
+
+func (rd Reader) sized(from io.Reader, size int64) (b []byte, free func(), err error) {
+	if size == 0 {
+		return nil, func() {}, nil
+	}
+	if !rd.Memory.Take(size) {
+		return nil, func() {}, rd.noMemory()
+	}
+	free = func() { rd.Memory.Give(size) }
+	b = make([]byte, size)
+	if _, err := io.ReadFull(from, b); err != nil {
+		return nil, free, rd.broken(err)
+	}
+	return b, free, nil
+}
+
+func (rd Reader) chunked(from io.Reader) (b []byte, free func(), err error) {
+	var taken int64
+	free = func() { rd.Memory.Give(taken) }
+	for {
+		if !rd.Memory.Take(chunkStep) {
+			return nil, free, rd.noMemory()
+		}
+		taken += chunkStep
+		part, err := io.ReadAll(io.LimitReader(from, chunkStep))
+		b = append(b, part...)
+		switch {
+		case err != nil:
+			return nil, free, rd.broken(err)
+		case int64(len(b)) > rd.Most:
+			return nil, free, rd.tooLarge()
+		case len(part) < chunkStep:
+			return b, free, nil
+		}
+	}
+}
+
+func (rd Reader) tooLarge() error {
+	return failure.New(failure.TooLarge, failure.NotRun, "the body is larger than %d bytes", rd.Most)
+}
+
+func (rd Reader) noMemory() error {
+	return failure.New(failure.NoMemory, failure.NotRun, "no memory for the body").WithRetryAfter(rd.ComeBack)
+}
+
+func (rd Reader) broken(err error) error {
+	return failure.New(rd.Broken, failure.NotRun, "the body could not be read").WithCause(errors.Wrap(err, "read body"))
+}
--- /dev/null
+++ b/internal/deadline/deadline.go
@@ -0,0 +1,49 @@
+// Package deadline bounds the exchange with a caller by the time when its answer is due.
+package deadline
+
+import (
+	"context"
+	"net/http"
+	"time"
+)
+
+// answerGrace is the time after a deadline within which the final error may still be written: the authors' choice, well
+// over a round trip to a caller.
+const answerGrace = 250 * time.Millisecond
+
+// Deadline is when a caller's answer is due.
+type Deadline struct {
+	// At is when the answer must be whole.
+	At time.Time
+}
+
+// Of returns the deadline of a request that arrived at a time and may take so long at the most. A caller may ask for less;
+// zero asks for nothing.
+func Of(arrived time.Time, most, asked time.Duration) Deadline {
+	if asked > 0 {
+		most = min(most, asked)
+	}
+	return Deadline{At: arrived.Add(most)}
+}
+
+// Context returns a context that ends with the deadline. cancel frees it.
+func (dl Deadline) Context(ctx context.Context) (bound context.Context, cancel context.CancelFunc) {
+	return context.WithDeadline(ctx, dl.At)
+}
+
+// Bind bounds the reading of the body and the writing of the answer. bodyBy bounds the body further.
+func (dl Deadline) Bind(rc *http.ResponseController, bodyBy time.Time) {
+	if dl.At.Before(bodyBy) {
+		bodyBy = dl.At
+	}
+	// Both fail only where the writer is not a connection, as in tests.
+	_ = rc.SetReadDeadline(bodyBy)
+	_ = rc.SetWriteDeadline(dl.At.Add(answerGrace))
+}
+
+// BodyRead ends the bound for the body, which is read to its end: left in place it would look like a caller that goes
+// away. After a body that did not come it stays, else the server would wait for the rest before it ends the connection.
+func (dl Deadline) BodyRead(rc *http.ResponseController) {
+	// It fails only where the writer is not a connection, as in tests.
+	_ = rc.SetReadDeadline(time.Time{})
+}
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -1,12 +1,11 @@
 package gateway
 
 import (
-	"io"
 	"net/http"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
+	"github.com/silvermount/silvermount/internal/body"
+	"github.com/silvermount/silvermount/internal/deadline"
 	"github.com/silvermount/silvermount/internal/failure"
 	"github.com/silvermount/silvermount/internal/life"
 	"github.com/silvermount/silvermount/internal/outcome"
@@ -41,8 +40,8 @@
 	org     routes.Organisation
 	keyed   bool
 	arrived time.Time
-	// deadline is the earlier of the caller's and the route's.
-	deadline time.Time
+	// due is the earlier of the caller's deadline and the route's.
+	due deadline.Deadline
 	// free gives the body's memory back; never nil.
 	free func()
 	life life.Record
@@ -86,17 +85,12 @@
 	if err := gw.allow(rq); err != nil {
 		return rq, err
 	}
-	rq.deadline = began.Add(rq.route.Timeout)
-	if fa.Wait > 0 && began.Add(fa.Wait).Before(rq.deadline) {
-		rq.deadline = began.Add(fa.Wait)
-	}
-	// Both deadlines fail only where the writer is not a connection, as in tests.
-	_ = sk.rc.SetWriteDeadline(rq.deadline.Add(answerGrace))
-	_ = sk.rc.SetReadDeadline(began.Add(min(bodyTimeout, time.Until(rq.deadline))))
+	rq.due = deadline.Of(began, rq.route.Timeout, fa.Wait)
+	rq.due.Bind(sk.rc, began.Add(bodyTimeout))
 	if err := gw.readBody(r, rq); err != nil {
 		return rq, err
 	}
-	_ = sk.rc.SetReadDeadline(time.Time{})
+	rq.due.BodyRead(sk.rc)
 	return rq, nil
 }
 
@@ -128,75 +122,14 @@
 	return nil
 }
 
-// answerGrace is the time after the deadline within which the final error may still be written.
-const answerGrace = 250 * time.Millisecond
-
 // readBody reads a body under the shared budget.
 func (gw *Gateway) readBody(r *http.Request, rq *request) error {
 	most := gw.limits.Load().MaxBodyBytes
 	if lm := rq.table.Limits().MaxBodyBytes; lm > 0 {
 		most = min(most, lm)
 	}
-	size := r.ContentLength
-	if size > most {
-		return failure.New(failure.TooLarge, failure.NotRun, "the body is larger than %d bytes", most)
-	}
-	if size == 0 {
-		return nil
-	}
-	if size > 0 {
-		return gw.readSized(r.Body, rq, size)
-	}
-	return gw.readChunked(r.Body, rq, most)
-}
-
-func (gw *Gateway) readSized(body io.Reader, rq *request, size int64) error {
-	if !gw.take(rq, size) {
-		return refused(failure.NoMemory, comeBackFull, "no memory for the body")
-	}
-	rq.body = make([]byte, size)
-	_, err := io.ReadFull(body, rq.body)
-	return bodyFailure(err)
-}
-
-// chunkStep is how much of a body of unknown length is accounted for at a time.
-const chunkStep = 64 << 10
-
-func (gw *Gateway) readChunked(body io.Reader, rq *request, most int64) error {
-	for {
-		if !gw.take(rq, chunkStep) {
-			return refused(failure.NoMemory, comeBackFull, "no memory for the body")
-		}
-		b, err := io.ReadAll(io.LimitReader(body, chunkStep))
-		rq.body = append(rq.body, b...)
-		if err != nil {
-			return bodyFailure(err)
-		}
-		if int64(len(rq.body)) > most {
-			return failure.New(failure.TooLarge, failure.NotRun, "the body is larger than %d bytes", most)
-		}
-		if len(b) < chunkStep {
-			return nil
-		}
-	}
-}
-
-// take accounts for n more bytes of a body.
-func (gw *Gateway) take(rq *request, n int64) bool {
-	if !gw.Bodies.Take(n) {
-		return false
-	}
-	before := rq.free
-	rq.free = func() {
-		gw.Bodies.Give(n)
-		before()
-	}
-	return true
-}
-
-func bodyFailure(err error) error {
-	if err == nil {
-		return nil
-	}
-	return failure.New(failure.CallerGone, failure.NotRun, "the body could not be read").WithCause(errors.Wrap(err, "read body"))
+	rd := body.Reader{Memory: gw.Bodies, Most: most, ComeBack: comeBackFull, Broken: failure.CallerGone}
+	var err error
+	rq.body, rq.free, err = rd.Read(r)
+	return err
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -23,7 +23,7 @@
 
 // run takes an admitted request through its attempts.
 func (gw *Gateway) run(ctx context.Context, rq *request, sk *sink) error {
-	ctx, cancel := context.WithDeadline(ctx, rq.deadline)
+	ctx, cancel := rq.due.Context(ctx)
 	defer cancel()
 	if err := gw.fire(ctx, rq, life.Admit); err != nil {
 		return err
@@ -90,7 +90,7 @@
 		Request: rq.RequestID, Service: sv, Avoid: rq.avoid,
 		PromptTokens: rq.PromptTokens, MostAnswer: rq.MostAnswerTokens, AnswerHint: rq.AnswerHint, Events: rq.events,
 		Objective: rq.route.Objective, LongestPause: rq.route.LongestPause,
-		Arrived: rq.arrived, Deadline: rq.deadline, Priority: rq.priority(), Resumed: rq.lastEvent >= 0,
+		Arrived: rq.arrived, Deadline: rq.due.At, Priority: rq.priority(), Resumed: rq.lastEvent >= 0,
 	}
 }
 
@@ -120,10 +120,10 @@
 
 // timeUp is the failure of a request whose time is over or whose caller has gone.
 func (gw *Gateway) timeUp(ctx context.Context, rq *request) *failure.Error {
-	if gw.Now().Before(rq.deadline) && gw.closed.Load() {
+	if gw.Now().Before(rq.due.At) && gw.closed.Load() {
 		return failure.New(failure.Stopping, gw.outcome(rq), "the instance ended or the caller went away meanwhile")
 	}
-	if gw.Now().Before(rq.deadline) && ctx.Err() != nil {
+	if gw.Now().Before(rq.due.At) && ctx.Err() != nil {
 		return failure.New(failure.CallerGone, gw.outcome(rq), "the caller went away")
 	}
 	return failure.New(failure.DeadlineExceeded, gw.outcome(rq), "the time is over")
@@ -132,7 +132,7 @@
 // send sends a request to the target that was found.
 func (gw *Gateway) send(ctx context.Context, rq *request, sl *dispatch.Slot) (*upstream.Answer, error) {
 	h := rq.header.Clone()
-	left := rq.deadline.Sub(gw.Now())
+	left := rq.due.At.Sub(gw.Now())
 	at := Attempt{
 		TargetID: sl.Target.ID, Organisation: rq.org.Name, Left: left, Priority: sl.Priority,
 		ResumeAfter: rq.lastEvent,
--- a/internal/serve/inference.go
+++ b/internal/serve/inference.go
@@ -52,9 +52,7 @@
 	body, free, err := sv.readBody(r)
 	defer free()
 	if err == nil {
-		// The read deadline was for the body; left in place it would look like a caller that goes away. After a body that
-		// did not come it stays, else the server would wait for the rest before it ends the connection.
-		_ = sk.rc.SetReadDeadline(time.Time{})
+		rq.due.BodyRead(sk.rc)
 		rq.body = body
 		err = sv.once(ctx, r, rq, sk, run)
 	}
@@ -129,7 +127,7 @@
 		return router.Ask{
 			Request:  rq.policyRequest(sv.limits.LongTokens),
 			Wanted:   fleet.Wanted{Model: rq.fields.Model, Except: tried, Peers: sv.Router.Policy().Peers},
-			Priority: rq.class.Priority, Yields: rq.class.Yields, Deadline: rq.deadline,
+			Priority: rq.class.Priority, Yields: rq.class.Yields, Deadline: rq.due.At,
 		}
 	}
 	return sv.attempts(ctx, rq, sk, ask, func(pl *router.Place) error { return sv.attempt(ctx, rq, sk, pl) })
--- a/internal/serve/job.go
+++ b/internal/serve/job.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/silvermount/silvermount/internal/claim"
+	"github.com/silvermount/silvermount/internal/deadline"
 	"github.com/silvermount/silvermount/internal/failure"
 	"github.com/silvermount/silvermount/internal/ident"
 )
@@ -92,7 +93,7 @@
 		return nil, failure.New(failure.Forbidden, failure.NotRun, "no organisation %q", j.Organisation)
 	}
 	return &request{
-		id: ident.New("req"), path: j.Path, org: org, class: class, inForce: inf, arrived: time.Now(), deadline: j.Deadline,
+		id: ident.New("req"), path: j.Path, org: org, class: class, inForce: inf, arrived: time.Now(), due: deadline.Deadline{At: j.Deadline},
 		never: j.Never, body: j.Body,
 	}, nil
 }
@@ -111,11 +112,11 @@
 	if err != nil {
 		return Caller{}, err
 	}
-	return Caller{Organisation: rq.org.Name, Class: rq.class.Name, Limit: rq.deadline.Sub(rq.arrived), Never: rq.never}, nil
+	return Caller{Organisation: rq.org.Name, Class: rq.class.Name, Limit: rq.due.At.Sub(rq.arrived), Never: rq.never}, nil
 }
 
 // ReadBody reads a body under the shared budget. free is never nil.
-func (sv *Server) ReadBody(r *http.Request) (body []byte, free func(), err error) {
+func (sv *Server) ReadBody(r *http.Request) (b []byte, free func(), err error) {
 	return sv.readBody(r)
 }
 
--- a/internal/serve/request.go
+++ b/internal/serve/request.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strings"
 	"time"
 
+	"github.com/silvermount/silvermount/internal/body"
 	"github.com/silvermount/silvermount/internal/bundle"
+	"github.com/silvermount/silvermount/internal/deadline"
 	"github.com/silvermount/silvermount/internal/engine"
 	"github.com/silvermount/silvermount/internal/failure"
 	"github.com/silvermount/silvermount/internal/ident"
@@ -22,13 +23,13 @@
 
 // request is one caller's request on its way.
 type request struct {
-	id       string
-	path     string
-	org      bundle.Organisation
-	class    bundle.Class
-	inForce  *rollout.InForce
-	arrived  time.Time
-	deadline time.Time
+	id      string
+	path    string
+	org     bundle.Organisation
+	class   bundle.Class
+	inForce *rollout.InForce
+	arrived time.Time
+	due     deadline.Deadline
 	// never is set when nothing of the request may be sent to a second target.
 	never bool
 	body  []byte
@@ -47,7 +48,7 @@
 	MaxCompletionTokens int    `json:"max_completion_tokens"`
 }
 
-func (rq *request) left() time.Duration { return time.Until(rq.deadline) }
+func (rq *request) left() time.Duration { return time.Until(rq.due.At) }
 
 func (rq *request) output() int {
 	switch {
@@ -80,27 +81,27 @@
 	if !ok {
 		return nil, failure.New(failure.BadRequest, failure.NotRun, "no class %q", r.Header.Get(HeaderClass))
 	}
-	limit, err := timeout(r.Header.Get(HeaderTimeout), class.Deadline.Std())
+	asked, err := timeout(r.Header.Get(HeaderTimeout))
 	if err != nil {
 		return nil, err
 	}
 	now := time.Now()
 	return &request{
 		id: ident.New("req"), path: r.URL.Path, org: org, class: class, inForce: inf, arrived: now,
-		deadline: now.Add(limit), never: r.Header.Get(HeaderRepeat) == repeatNever,
+		due: deadline.Of(now, class.Deadline.Std(), asked), never: r.Header.Get(HeaderRepeat) == repeatNever,
 	}, nil
 }
 
-// timeout returns the caller's time limit, at most the class's.
-func timeout(asked string, most time.Duration) (time.Duration, error) {
+// timeout returns the time limit that a caller asks for; zero when it asks for none.
+func timeout(asked string) (time.Duration, error) {
 	if asked == "" {
-		return most, nil
+		return 0, nil
 	}
 	d, err := time.ParseDuration(asked)
 	if err != nil || d <= 0 {
 		return 0, failure.New(failure.BadRequest, failure.NotRun, "%s must be a duration such as 2s, not %q", HeaderTimeout, asked)
 	}
-	return min(d, most), nil
+	return d, nil
 }
 
 // begin bounds a request by its deadline and its organisation's limit. end is called exactly once.
@@ -109,20 +110,14 @@
 		return nil, nil, failure.New(failure.LimitReached, failure.NotRun, "%s has %d requests in flight",
 			rq.org.Name, rq.org.MaxConcurrent).WithRetryAfter(time.Second)
 	}
-	rc := http.NewResponseController(w)
-	// Both fail only where the writer is not a connection, as in tests.
-	_ = rc.SetReadDeadline(rq.deadline)
-	_ = rc.SetWriteDeadline(rq.deadline.Add(answerGrace))
-	ctx, cancel := context.WithDeadline(r.Context(), rq.deadline)
+	rq.due.Bind(http.NewResponseController(w), rq.due.At)
+	ctx, cancel := rq.due.Context(r.Context())
 	return ctx, func() {
 		cancel()
 		sv.leave(rq.org)
 	}, nil
 }
 
-// answerGrace is the time after the deadline within which the final error may still be written.
-const answerGrace = 250 * time.Millisecond
-
 func (sv *Server) enter(o bundle.Organisation) bool {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
@@ -145,35 +140,9 @@
 }
 
 // readBody reads a body under the shared budget. free is never nil.
-func (sv *Server) readBody(r *http.Request) (body []byte, free func(), err error) {
-	size := r.ContentLength
-	if size < 0 {
-		size = sv.limits.MaxBodyBytes
-	}
-	if size > sv.limits.MaxBodyBytes {
-		return nil, func() {}, failure.New(failure.TooLarge, failure.NotRun, "the body is larger than %d bytes", sv.limits.MaxBodyBytes)
-	}
-	if !sv.Bodies.Take(size) {
-		return nil, func() {}, failure.New(failure.NoMemory, failure.NotRun, "no memory for the body").WithRetryAfter(time.Second)
-	}
-	free = func() { sv.Bodies.Give(size) }
-	body, err = readAll(r.Body, size, r.ContentLength >= 0)
-	if err != nil {
-		return nil, free, failure.New(failure.BadRequest, failure.NotRun, "the body could not be read").WithCause(err)
-	}
-	if int64(len(body)) > sv.limits.MaxBodyBytes {
-		return nil, free, failure.New(failure.TooLarge, failure.NotRun, "the body is larger than %d bytes", sv.limits.MaxBodyBytes)
-	}
-	return body, free, nil
-}
-
-func readAll(r io.Reader, size int64, exact bool) ([]byte, error) {
-	if !exact {
-		return io.ReadAll(io.LimitReader(r, size+1))
-	}
-	b := make([]byte, size)
-	_, err := io.ReadFull(r, b)
-	return b, err
+func (sv *Server) readBody(r *http.Request) (b []byte, free func(), err error) {
+	rd := body.Reader{Memory: sv.Bodies, Most: sv.limits.MaxBodyBytes, ComeBack: time.Second, Broken: failure.BadRequest}
+	return rd.Read(r)
 }
 
 // parse reads the fields of an inference request and checks them against the bundle.
--- a/internal/serve/services.go
+++ b/internal/serve/services.go
@@ -43,7 +43,7 @@
 		return router.Ask{
 			Request:  policy.Request{Tokens: 1},
 			Wanted:   fleet.Wanted{Service: name, Except: tried, Peers: sv.Router.Policy().Peers},
-			Priority: rq.class.Priority, Deadline: rq.deadline,
+			Priority: rq.class.Priority, Deadline: rq.due.At,
 		}
 	}
 	return sv.attempts(ctx, rq, sk, ask, func(pl *router.Place) error { return sv.callService(ctx, r, rq, sk, pl, path) })
