refactor: documents for operators and stand-ins, signals and figures of commands once each

Change: internal/jsonreply, untilAskedToStop and writeFigures in cmd. Left: `load` writes its results without indents; serve's documents go through its recording sink; the start of duties is alike in shape only.

Measured: tests of cmd and of the stand-ins green.

--- a/cmd/demo.go
+++ b/cmd/demo.go
@@ -1,10 +1,7 @@
 package cmd
 
 import (
-	"context"
 	"fmt"
-	"os/signal"
-	"syscall"
 
 	"github.com/apex/log"
 
@@ -19,7 +16,7 @@
 
 // Execute runs the demo.
 func (dc *demoCommand) Execute([]string) error {
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, cancel := untilAskedToStop()
 	defer cancel()
 	lg := dc.logger()
 	lg.Level = max(lg.Level, log.ErrorLevel)
--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -28,7 +28,7 @@
 	// Registered before anything else: a hang-up during the start must not end the process.
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, cancel := untilAskedToStop()
 	defer cancel()
 	s, err := config.Load(ec.Settings)
 	if err != nil {
--- a/cmd/experiment.go
+++ b/cmd/experiment.go
@@ -1,14 +1,7 @@
 package cmd
 
 import (
-	"context"
-	"encoding/json"
-	"os"
-	"os/signal"
-	"syscall"
-
 	"github.com/apex/log"
-	"github.com/cockroachdb/errors"
 
 	"github.com/silvermount/silvermount/internal/experiment"
 	"github.com/silvermount/silvermount/internal/policy"
@@ -30,7 +23,7 @@
 
 // Execute runs the experiment and prints the table.
 func (ec *experimentCommand) Execute([]string) error {
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, cancel := untilAskedToStop()
 	defer cancel()
 	lg := ec.logger()
 	lg.Level = max(lg.Level, log.FatalLevel)
@@ -56,14 +49,8 @@
 }
 
 func (ec *experimentCommand) write(cells []experiment.Cell) error {
-	if ec.JSON != "" {
-		b, err := json.MarshalIndent(cells, "", " ")
-		if err != nil {
-			return errors.Wrap(err, "encode figures")
-		}
-		if err := os.WriteFile(ec.JSON, b, 0o644); err != nil {
-			return errors.Wrap(err, "write figures")
-		}
+	if err := writeFigures(ec.JSON, cells); err != nil {
+		return err
 	}
 	rows := experiment.Medians(cells)
 	if ec.Plot != "" {
--- a/cmd/load.go
+++ b/cmd/load.go
@@ -1,12 +1,9 @@
 package cmd
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -33,7 +30,7 @@
 
 // Execute sends the load and prints the table.
 func (lc *loadCommand) Execute([]string) error {
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, cancel := untilAskedToStop()
 	defer cancel()
 	arrivals, err := lc.arrivals()
 	if err != nil {
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -2,8 +2,11 @@
 package cmd
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"os/signal"
+	"syscall"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/logfmt"
@@ -31,6 +34,11 @@
 	return &log.Logger{Handler: logfmt.New(op.err), Level: log.MustParseLevel(op.LogLevel)}
 }
 
+// untilAskedToStop returns a context that ends when the process is asked to stop.
+func untilAskedToStop() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+}
+
 // command is one entry of the list of commands.
 type command struct {
 	name, short string
--- a/cmd/slopes.go
+++ b/cmd/slopes.go
@@ -1,14 +1,7 @@
 package cmd
 
 import (
-	"context"
-	"encoding/json"
-	"os"
-	"os/signal"
-	"syscall"
-
 	"github.com/apex/log"
-	"github.com/cockroachdb/errors"
 
 	"github.com/silvermount/silvermount/internal/slopes"
 )
@@ -21,17 +14,13 @@
 
 // Execute measures the slopes.
 func (sc *slopesCommand) Execute([]string) error {
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, cancel := untilAskedToStop()
 	defer cancel()
 	lg := sc.logger()
 	lg.Level = max(lg.Level, log.FatalLevel)
 	rp, err := slopes.Run(ctx, slopes.Options{Instances: sc.Instances, Progress: sc.out, Log: lg})
-	if err != nil || sc.JSON == "" {
-		return err
-	}
-	b, err := json.MarshalIndent(rp, "", " ")
 	if err != nil {
-		return errors.Wrap(err, "encode figures")
+		return err
 	}
-	return errors.Wrap(os.WriteFile(sc.JSON, b, 0o644), "write figures")
+	return writeFigures(sc.JSON, rp)
 }
--- a/cmd/standin.go
+++ b/cmd/standin.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -53,7 +51,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, cancel := untilAskedToStop()
 	defer cancel()
 	srv := &http.Server{Addr: sc.Listen, Handler: h, ReadHeaderTimeout: 10 * time.Second}
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() }) // the stand-in keeps nothing
--- a/internal/duty/operators/operators.go
+++ b/internal/duty/operators/operators.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"crypto/subtle"
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"strings"
@@ -19,6 +18,7 @@
 	"github.com/silvermount/silvermount/internal/config"
 	"github.com/silvermount/silvermount/internal/duty/listen"
 	"github.com/silvermount/silvermount/internal/fleet"
+	"github.com/silvermount/silvermount/internal/jsonreply"
 	"github.com/silvermount/silvermount/internal/kernel"
 	"github.com/silvermount/silvermount/internal/objectstore"
 	"github.com/silvermount/silvermount/internal/peer"
@@ -139,9 +139,9 @@
 	rt := chi.NewRouter()
 	rt.Use(ap.keyed)
 	rt.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) { ap.metrics.WritePrometheus(w) })
-	rt.Get("/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, ap.status()) })
-	rt.Get("/burn", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, ap.burn.Windows()) })
-	rt.Get("/bundle", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, ap.bundles.Current()) })
+	rt.Get("/status", func(w http.ResponseWriter, _ *http.Request) { jsonreply.Write(w, ap.status()) })
+	rt.Get("/burn", func(w http.ResponseWriter, _ *http.Request) { jsonreply.Write(w, ap.burn.Windows()) })
+	rt.Get("/bundle", func(w http.ResponseWriter, _ *http.Request) { jsonreply.Write(w, ap.bundles.Current()) })
 	rt.Post("/prepare/{version}", ap.prepare)
 	rt.Post("/targets/{target}/leave", func(w http.ResponseWriter, r *http.Request) {
 		ap.fleet.MarkLeaving(chi.URLParam(r, "target"))
@@ -172,7 +172,7 @@
 	if err != nil {
 		answer.Fault = err.Error()
 	}
-	writeJSON(w, answer)
+	jsonreply.Write(w, answer)
 }
 
 func (ap *api) keyed(next http.Handler) http.Handler {
@@ -207,8 +207,3 @@
 	}
 	return st
 }
-
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v) // an operator that has gone needs no answer
-}
--- a/internal/standin/enginesim/http.go
+++ b/internal/standin/enginesim/http.go
@@ -12,6 +12,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/silvermount/silvermount/internal/engine"
+	"github.com/silvermount/silvermount/internal/jsonreply"
 	"github.com/silvermount/silvermount/internal/standin/answer"
 )
 
@@ -70,7 +71,7 @@
 	rt.Use(en.aliveOnly)
 	rt.Post("/v1/completions", en.complete(false))
 	rt.Post("/v1/chat/completions", en.complete(true))
-	rt.Get("/control/report", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, en.report()) })
+	rt.Get("/control/report", func(w http.ResponseWriter, _ *http.Request) { jsonreply.Write(w, en.report()) })
 	rt.Get("/control/held", en.held)
 	rt.Post("/control/cancel/{id}", func(_ http.ResponseWriter, r *http.Request) { en.cancel(chi.URLParam(r, "id")) })
 	rt.Get("/control/resume/{id}", en.resume)
@@ -195,7 +196,7 @@
 		ch = choice{Message: &message{Role: "assistant", Content: sb.String()}, FinishReason: &reason}
 	}
 	w.Header().Set(engine.HeaderAttempt, en.echo(sq))
-	writeJSON(w, completion{
+	jsonreply.Write(w, completion{
 		ID: sq.id, Object: "completion", Model: sq.model, Choices: []choice{ch},
 		Usage: &usage{PromptTokens: sq.prompt, CompletionTokens: n},
 	})
@@ -268,7 +269,7 @@
 		}
 	}
 	en.mu.Unlock()
-	writeJSON(w, all)
+	jsonreply.Write(w, all)
 }
 
 func (en *Engine) reserve(w http.ResponseWriter, r *http.Request) {
@@ -300,10 +301,5 @@
 			events = append(events, e)
 		}
 	}
-	writeJSON(w, events)
-}
-
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v) // a caller that has gone is no concern of the engine
+	jsonreply.Write(w, events)
 }
--- a/internal/standin/platformsim/platformsim.go
+++ b/internal/standin/platformsim/platformsim.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"github.com/silvermount/silvermount/internal/jsonreply"
 	"github.com/silvermount/silvermount/internal/objectstore"
 )
 
@@ -101,7 +102,7 @@
 		st.mu.Lock()
 		l := st.listing(chi.URLParam(r, "kind"))
 		st.mu.Unlock()
-		writeJSON(w, l)
+		jsonreply.Write(w, l)
 	})
 	rt.Get("/objects/{kind}/{name}", st.get)
 	rt.Put("/objects/{kind}/{name}", st.write)
@@ -137,7 +138,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	writeJSON(w, o)
+	jsonreply.Write(w, o)
 }
 
 func (st *Store) write(w http.ResponseWriter, r *http.Request) {
@@ -162,7 +163,7 @@
 		st.loseAnswers--
 		panic(http.ErrAbortHandler)
 	}
-	writeJSON(w, o)
+	jsonreply.Write(w, o)
 }
 
 func (st *Store) watch(w http.ResponseWriter, r *http.Request) {
@@ -181,13 +182,13 @@
 			return
 		}
 		if len(l.Items) > 0 {
-			writeJSON(w, l)
+			jsonreply.Write(w, l)
 			return
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			writeJSON(w, l)
+			jsonreply.Write(w, l)
 			return
 		case <-r.Context().Done():
 			return
@@ -239,8 +240,3 @@
 	}
 	return l
 }
-
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v) // a caller that has gone is no concern of the store
-}
