refactor: both roles write answers through one writer

Cause: status, writing, flushing and the failure of a caller that went away stood in both sinks, the failure five times.

Change: internal/reply (Writer). Each sink keeps what is its own: the entry role its record and events, the gateway the closing of connections while it stops.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -86,11 +86,11 @@
 		return rq, err
 	}
 	rq.due = deadline.Of(began, rq.route.Timeout, fa.Wait)
-	rq.due.Bind(sk.rc, began.Add(bodyTimeout))
+	rq.due.Bind(sk.Control(), began.Add(bodyTimeout))
 	if err := gw.readBody(r, rq); err != nil {
 		return rq, err
 	}
-	rq.due.BodyRead(sk.rc)
+	rq.due.BodyRead(sk.Control())
 	return rq, nil
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/silvermount/silvermount/internal/budget"
 	"github.com/silvermount/silvermount/internal/dispatch"
 	"github.com/silvermount/silvermount/internal/life"
+	"github.com/silvermount/silvermount/internal/reply"
 	"github.com/silvermount/silvermount/internal/routes"
 	"github.com/silvermount/silvermount/internal/targets"
 	"github.com/silvermount/silvermount/internal/upstream"
@@ -83,7 +84,7 @@
 	gw.inFlight.Add(1)
 	defer gw.inFlight.Add(-1)
 	began := gw.Now()
-	sk := &sink{w: w, rc: http.NewResponseController(w), stopping: gw.Stopping}
+	sk := &sink{Writer: reply.New(w), w: w, stopping: gw.Stopping}
 	rq, err := gw.admit(r, sk, began)
 	// A body that was not read to its end has taken memory too.
 	defer func() { rq.free() }()
--- a/internal/gateway/lines.go
+++ b/internal/gateway/lines.go
@@ -66,7 +66,7 @@
 
 func (gw *Gateway) logServed(rq *request, sk *sink) {
 	fs := gw.fields(rq)
-	fs["status"] = sk.status
+	fs["status"] = sk.Status()
 	fs["outcome"] = "served"
 	fs["events"] = rq.events
 	fs["prompt_tokens"] = rq.PromptTokens
@@ -83,7 +83,7 @@
 	fs["reason"] = string(fe.Code)
 	fs["outcome"] = string(fe.Outcome)
 	fs["events"] = rq.events
-	if sk.started {
+	if sk.Started() {
 		fs["outcome"] = "broken_off"
 	}
 	if fe.Cause != nil {
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -38,7 +38,7 @@
 	if verdict == Answered && rq.route.Streaming && an.StatusCode == http.StatusOK {
 		return gw.stream(ctx, rq, sk, sl, an)
 	}
-	if sk.started {
+	if sk.Started() {
 		// The caller has the beginning of a stream: nothing but its next events may follow.
 		err := &TargetFailureError{Status: an.StatusCode}
 		gw.failed(rq, sl.Target, err)
@@ -110,15 +110,11 @@
 		sk.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	sk.start(an.StatusCode)
-	err := sk.write(body)
-	if err == nil {
-		// The end of the exchange with the target must not hold the answer back.
-		err = sk.flush()
-	}
-	if err != nil {
-		return failure.New(failure.CallerGone, failure.Failed, "the caller went away").WithCause(err)
+	// The end of the exchange with the target must not hold the answer back.
+	if err := sk.Pass(body, true); err != nil {
+		return err
 	}
-	if _, err = io.Copy(sk.w, rest); err != nil {
+	if _, err := io.Copy(sk.w, rest); err != nil {
 		return gw.timeUp(ctx, rq).WithCause(err)
 	}
 	if len(body) == bufferMost {
@@ -135,7 +131,7 @@
 
 // retryFailed reports whether a failure that a target answered is to be tried elsewhere in place of being passed on.
 func (gw *Gateway) retryFailed(ctx context.Context, rq *request, sk *sink) bool {
-	return ctx.Err() == nil && !rq.route.Exclusive() && !sk.started &&
+	return ctx.Err() == nil && !rq.route.Exclusive() && !sk.Started() &&
 		gw.another(rq.route, rq.service, rq.tried) && gw.Retries.Left()
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -258,7 +258,7 @@
 	rq.claimed = false
 	return retry.Case{
 		Code: fe.Code, Over: ctx.Err() != nil, Once: rq.route.Exclusive(), MayHaveRun: rq.known.MayHaveRun(),
-		Attempts: gw.stillThere(rq.tried), Most: rq.route.MaxAttempts, Begun: sk.started,
+		Attempts: gw.stillThere(rq.tried), Most: rq.route.MaxAttempts, Begun: sk.Started(),
 		Continues: func() bool { return rq.route.Resumable }, Paid: claimed,
 	}.Again(gw.Retries)
 }
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -7,9 +7,8 @@
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/silvermount/silvermount/internal/failure"
+	"github.com/silvermount/silvermount/internal/reply"
 )
 
 // hopHeaders concern one connection only.
@@ -39,34 +38,21 @@
 	return false
 }
 
-// sink passes an answer on to the caller and remembers whether it has begun.
+// sink passes an answer on to the caller.
 type sink struct {
-	w  http.ResponseWriter
-	rc *http.ResponseController
+	*reply.Writer
+	w http.ResponseWriter
 	// stopping reports whether a stop was asked for.
 	stopping func() bool
-	// started is set once a status line was written.
-	started bool
-	// status is what was written; zero before.
-	status int
 }
 
 func (sk *sink) start(status int) {
-	sk.started = true
-	sk.status = status
 	if sk.stopping() {
 		sk.w.Header().Set("Connection", "close")
 	}
-	sk.w.WriteHeader(status)
-}
-
-func (sk *sink) write(b []byte) error {
-	_, err := sk.w.Write(b)
-	return errors.Wrap(err, "write to caller")
+	sk.Start(status)
 }
 
-func (sk *sink) flush() error { return errors.Wrap(sk.rc.Flush(), "flush to caller") }
-
 // finish ends a request: it answers a failure, closes the request's life and writes its last log line.
 func (gw *Gateway) finish(rq *request, sk *sink, err error) {
 	if err == nil {
@@ -76,7 +62,7 @@
 	fe := failure.Of(err)
 	gw.endLife(rq, sk, fe)
 	gw.logFailed(rq, sk, fe)
-	if sk.started {
+	if sk.Started() {
 		// Half an answer must not look whole: the connection is broken off.
 		panic(http.ErrAbortHandler)
 	}
@@ -84,7 +70,7 @@
 }
 
 func (gw *Gateway) endLife(rq *request, sk *sink, fe *failure.Error) {
-	if err := gw.machine.End(&rq.life, fe.Outcome == failure.NotRun && !sk.started); err != nil {
+	if err := gw.machine.End(&rq.life, fe.Outcome == failure.NotRun && !sk.Started()); err != nil {
 		gw.Log.WithError(err).WithField("request", rq.RequestID).Error("life of the request broken")
 	}
 }
@@ -103,7 +89,7 @@
 	sk.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	sk.start(finalStatus(fe))
 	// The caller may be gone; nothing more can be done for it.
-	_ = sk.write([]byte(body))
+	_ = sk.Pass([]byte(body), false)
 }
 
 // finalStatus is the status of a failure. The statuses that promise that a request has not run and will not are
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -13,7 +13,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/silvermount/silvermount/internal/dispatch"
-	"github.com/silvermount/silvermount/internal/failure"
 	"github.com/silvermount/silvermount/internal/life"
 	"github.com/silvermount/silvermount/internal/routes"
 	"github.com/silvermount/silvermount/internal/targets"
@@ -134,17 +133,13 @@
 }
 
 func (gw *Gateway) passEvent(rq *request, sk *sink, an *upstream.Answer, ev event) error {
-	if !sk.started {
+	if !sk.Started() {
 		copyHeader(sk.w.Header(), an.Header)
 		sk.w.Header().Del("Content-Length")
 		sk.start(an.StatusCode)
 	}
-	err := sk.write(ev.raw)
-	if err == nil {
-		err = sk.flush()
-	}
-	if err != nil {
-		return failure.New(failure.CallerGone, failure.Failed, "the caller went away").WithCause(err)
+	if err := sk.Pass(ev.raw, true); err != nil {
+		return err
 	}
 	rq.lastEvent = max(rq.lastEvent, ev.id)
 	rq.events++
@@ -168,7 +163,7 @@
 	}
 	an.Whole()
 	gw.Targets.Success(sl.Target.ID)
-	if !sk.started {
+	if !sk.Started() {
 		copyHeader(sk.w.Header(), an.Header)
 		sk.start(an.StatusCode)
 	}
--- /dev/null
+++ b/internal/reply/reply_test.go
@@ -0,0 +1,83 @@
+package reply_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+
+	"github.com/silvermount/silvermount/internal/failure"
+	"github.com/silvermount/silvermount/internal/reply"
+)
+
+var errBroken = errors.New("connection broken")
+
+// connection breaks where it is told to.
+type connection struct {
+	*httptest.ResponseRecorder
+	write, flush error
+}
+
+// Write fails or records.
+func (cn *connection) Write(b []byte) (int, error) {
+	if cn.write != nil {
+		return 0, cn.write
+	}
+	return cn.ResponseRecorder.Write(b)
+}
+
+// FlushError fails or records.
+func (cn *connection) FlushError() error {
+	if cn.flush == nil {
+		cn.Flush()
+	}
+	return cn.flush
+}
+
+func TestPass(t *testing.T) {
+	tests := map[string]struct {
+		write, flush error
+		asksFlush    bool
+		wantErr      bool
+		wantFlushed  bool
+	}{
+		"held back":               {},
+		"sent at once":            {asksFlush: true, wantFlushed: true},
+		"caller gone":             {write: errBroken, asksFlush: true, wantErr: true},
+		"caller gone meanwhile":   {flush: errBroken, asksFlush: true, wantErr: true},
+		"not noticed without one": {flush: errBroken},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			cn := &connection{ResponseRecorder: httptest.NewRecorder(), write: tc.write, flush: tc.flush}
+			wr := reply.New(cn)
+			wr.Start(http.StatusOK)
+			err := wr.Pass([]byte("part"), tc.asksFlush)
+			g.Expect(cn.Flushed).To(Equal(tc.wantFlushed))
+			if !tc.wantErr {
+				g.Expect(err).NotTo(HaveOccurred())
+				return
+			}
+			g.Expect(failure.Of(err).Code).To(Equal(failure.CallerGone))
+			g.Expect(failure.Of(err).Outcome).To(Equal(failure.Failed))
+			g.Expect(errors.Is(err, errBroken)).To(BeTrue())
+		})
+	}
+}
+
+func TestStartKeepsTheFirstStatus(t *testing.T) {
+	g := NewWithT(t)
+	rec := httptest.NewRecorder()
+	wr := reply.New(rec)
+	g.Expect(wr.Started()).To(BeFalse())
+	wr.Header().Set("Content-Type", "text/plain")
+	wr.Start(http.StatusAccepted)
+	wr.Start(http.StatusBadGateway)
+	g.Expect(wr.Started()).To(BeTrue())
+	g.Expect(wr.Status()).To(Equal(http.StatusAccepted))
+	g.Expect(rec.Code).To(Equal(http.StatusAccepted))
+	g.Expect(rec.Header().Get("Content-Type")).To(Equal("text/plain"))
+}
--- a/internal/serve/account.go
+++ b/internal/serve/account.go
@@ -68,5 +68,5 @@
 	}
 	sk.start(http.StatusOK, "application/json")
 	// The caller may be gone; nothing more can be done for it.
-	_ = sk.write(b)
+	_ = sk.pass(b, false)
 }
--- a/internal/serve/answer.go
+++ b/internal/serve/answer.go
@@ -8,10 +8,9 @@
 	"strconv"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/silvermount/silvermount/internal/claim"
 	"github.com/silvermount/silvermount/internal/failure"
+	"github.com/silvermount/silvermount/internal/reply"
 )
 
 const contentTypeEvents = "text/event-stream"
@@ -30,10 +29,7 @@
 
 // sink passes an answer on to the caller and remembers what was sent.
 type sink struct {
-	w  http.ResponseWriter
-	rc *http.ResponseController
-	// started is set once a status line was written.
-	started bool
+	*reply.Writer
 	// events counts the stream events passed on of the present attempt.
 	events int
 	// payloads are the events' data, for going on elsewhere.
@@ -43,31 +39,28 @@
 }
 
 func newSink(w http.ResponseWriter) *sink {
-	return &sink{w: w, rc: http.NewResponseController(w)}
+	return &sink{Writer: reply.New(w)}
 }
 
 func (sk *sink) start(status int, contentType string) {
-	if sk.started {
+	if sk.Started() {
 		return
 	}
-	sk.started = true
 	if sk.record != nil {
 		sk.record.Status, sk.record.ContentType = status, contentType
 	}
-	sk.w.Header().Set("Content-Type", contentType)
-	sk.w.WriteHeader(status)
+	sk.Header().Set("Content-Type", contentType)
+	sk.Start(status)
 }
 
-func (sk *sink) write(b []byte) error {
+// pass writes a part of the answer, and sends it at once with flush.
+func (sk *sink) pass(b []byte, flush bool) error {
 	if sk.record != nil {
 		sk.record.Body = append(sk.record.Body, b...)
 	}
-	_, err := sk.w.Write(b)
-	return errors.Wrap(err, "write to caller")
+	return sk.Pass(b, flush)
 }
 
-func (sk *sink) flush() error { return errors.Wrap(sk.rc.Flush(), "flush to caller") }
-
 // fail ends an answer with an error: as a response when nothing was sent, else as an event without a [DONE].
 func (sk *sink) fail(err error) {
 	fe := failure.Of(err)
@@ -77,18 +70,17 @@
 	if merr != nil {
 		return
 	}
-	if sk.started {
+	if sk.Started() {
 		// The caller may be gone; nothing more can be done for it.
-		_, _ = fmt.Fprintf(sk.w, "event: error\ndata: %s\n\n", b)
-		_ = sk.rc.Flush()
+		_ = sk.Pass(fmt.Appendf(nil, "event: error\ndata: %s\n\n", b), true)
 		return
 	}
 	if fe.RetryAfter > 0 {
-		sk.w.Header().Set("Retry-After", retryAfter(fe.RetryAfter))
+		sk.Header().Set("Retry-After", retryAfter(fe.RetryAfter))
 	}
-	sk.w.Header().Set("Content-Type", "application/json")
-	sk.w.WriteHeader(fe.Status())
-	_, _ = sk.w.Write(b)
+	sk.Header().Set("Content-Type", "application/json")
+	sk.Start(fe.Status())
+	_ = sk.Pass(b, false)
 }
 
 // replay sends a recorded answer.
@@ -99,7 +91,7 @@
 	}
 	sk.start(ans.Status, ans.ContentType)
 	// The caller may be gone; nothing more can be done for it.
-	_ = sk.write(ans.Body)
+	_ = sk.pass(ans.Body, false)
 }
 
 func retryAfter(d time.Duration) string {
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -124,10 +124,7 @@
 	}
 	first()
 	sk.start(resp.StatusCode, resp.Header.Get("Content-Type"))
-	if err := sk.write(b); err != nil {
-		return failure.New(failure.CallerGone, failure.Failed, "the caller went away").WithCause(err)
-	}
-	return nil
+	return sk.pass(b, false)
 }
 
 func brokenOff(ctx context.Context, err error) error {
@@ -174,7 +171,7 @@
 		}
 		sk.start(http.StatusOK, contentTypeEvents)
 		if err := sk.event(data, br.Buffered() == 0); err != nil {
-			return failure.New(failure.CallerGone, failure.Failed, "the caller went away").WithCause(err)
+			return err
 		}
 		if done {
 			return nil
@@ -188,13 +185,7 @@
 	b = append(b, dataPrefix...)
 	b = append(b, data...)
 	b = append(b, '\n', '\n')
-	if err := sk.write(b); err != nil {
-		return err
-	}
-	if !flush {
-		return nil
-	}
-	return sk.flush()
+	return sk.pass(b, flush)
 }
 
 // mayResume reports whether a broken stream can be taken up at the same engine.
--- a/internal/serve/inference.go
+++ b/internal/serve/inference.go
@@ -52,7 +52,7 @@
 	body, free, err := sv.readBody(r)
 	defer free()
 	if err == nil {
-		rq.due.BodyRead(sk.rc)
+		rq.due.BodyRead(sk.Control())
 		rq.body = body
 		err = sv.once(ctx, r, rq, sk, run)
 	}
@@ -176,7 +176,7 @@
 func (sv *Server) mayRetry(ctx context.Context, rq *request, sk *sink, fe *failure.Error, known outcome.Known) bool {
 	return retry.Case{
 		Code: fe.Code, Over: ctx.Err() != nil, Once: rq.never, MayHaveRun: known.MayHaveRun(),
-		Attempts: rq.life.Attempts, Most: sv.limits.MaxAttempts, Begun: sk.started,
+		Attempts: rq.life.Attempts, Most: sv.limits.MaxAttempts, Begun: sk.Started(),
 		Continues: func() bool { return rq.class.ContinueElsewhere && sv.rebuild(rq, sk) },
 	}.Again(sv.Retries)
 }
@@ -184,10 +184,10 @@
 // end closes the life of a request that gets no whole answer, and says what is known.
 func (sv *Server) end(rq *request, sk *sink, fe *failure.Error) error {
 	notRun := fe.Outcome == failure.NotRun
-	if err := sv.machine.End(&rq.life, notRun && !sk.started); err != nil {
+	if err := sv.machine.End(&rq.life, notRun && !sk.Started()); err != nil {
 		return err
 	}
-	if notRun && sk.started {
+	if notRun && sk.Started() {
 		return fe.WithOutcome(failure.Failed)
 	}
 	return fe
--- a/internal/serve/tickets.go
+++ b/internal/serve/tickets.go
@@ -101,7 +101,7 @@
 func copyAnswer(sk *sink, resp *http.Response) error {
 	for _, h := range []string{"Retry-After", HeaderRequestID} {
 		if v := resp.Header.Get(h); v != "" {
-			sk.w.Header().Set(h, v)
+			sk.Header().Set(h, v)
 		}
 	}
 	buf := make([]byte, copyBuffer)
@@ -110,8 +110,10 @@
 		if n > 0 || err == io.EOF {
 			sk.start(resp.StatusCode, resp.Header.Get("Content-Type"))
 		}
-		if werr := sk.pass(buf[:n]); werr != nil {
-			return failure.New(failure.CallerGone, failure.Failed, "the caller went away").WithCause(werr)
+		if n > 0 {
+			if werr := sk.pass(buf[:n], true); werr != nil {
+				return werr
+			}
 		}
 		if err == io.EOF {
 			return nil
@@ -121,13 +123,3 @@
 		}
 	}
 }
-
-func (sk *sink) pass(b []byte) error {
-	if len(b) == 0 {
-		return nil
-	}
-	if err := sk.write(b); err != nil {
-		return err
-	}
-	return sk.flush()
-}
