refactor: one stop of a callers' listener for both roles

Cause: lag of the balancer, shutdown and its bound stood in the duties callers and frontend.

Change: internal/drain (Plan). The entry role refuses nothing and has no Refuse. It no longer turns kept connections off itself: http.Server.Shutdown, called at once after, does the same. The waits of the gateway now end with the context of the stop too, which in production has no end.

--- /dev/null
+++ b/internal/drain/drain_test.go
@@ -0,0 +1,92 @@
+package drain_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/silvermount/silvermount/internal/drain"
+)
+
+// generous is far longer than anything here takes.
+const generous = time.Minute
+
+// server serves on a free port. Each request is noted in came and waits for the end of release.
+type server struct {
+	hs            *http.Server
+	url           string
+	came, release chan struct{}
+}
+
+func serve(t *testing.T) *server {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	sv := &server{url: "http://" + l.Addr().String(), came: make(chan struct{}, 1), release: make(chan struct{})}
+	sv.hs = &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		sv.came <- struct{}{}
+		<-sv.release
+	})}
+	ended := make(chan struct{})
+	go func() { defer close(ended); _ = sv.hs.Serve(l) }() // it always ends with an error
+	t.Cleanup(func() { sv.hs.Close(); <-ended })
+	return sv
+}
+
+// ask sends a request and returns its end.
+func (sv *server) ask(t *testing.T) <-chan error {
+	t.Helper()
+	done := make(chan error, 1)
+	go func() {
+		resp, err := http.Get(sv.url)
+		if err == nil {
+			resp.Body.Close()
+		}
+		done <- err
+	}()
+	return done
+}
+
+func TestRunWaitsForTheLastAnswer(t *testing.T) {
+	g := NewWithT(t)
+	sv := serve(t)
+	answered := sv.ask(t)
+	<-sv.came
+	ended := make(chan error, 1)
+	refused := make(chan struct{})
+	go func() {
+		ended <- drain.Plan{Taking: time.Millisecond, Lag: 2 * time.Millisecond, Refuse: func() { close(refused) }, Most: generous}.
+			Run(context.Background(), sv.hs)
+	}()
+	<-refused
+	g.Expect(ended).NotTo(Receive())
+	close(sv.release)
+	g.Expect(<-answered).NotTo(HaveOccurred())
+	g.Expect(<-ended).NotTo(HaveOccurred())
+}
+
+func TestRunGivesUpAtTheEnd(t *testing.T) {
+	tests := map[string]drain.Plan{
+		"without refusing":   {Lag: time.Millisecond, Most: 20 * time.Millisecond},
+		"refusing":           {Lag: time.Millisecond, Taking: time.Millisecond, Refuse: func() {}, Most: 20 * time.Millisecond},
+		"lag over the bound": {Lag: generous, Most: 20 * time.Millisecond},
+	}
+	for name, pl := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			sv := serve(t)
+			answered := sv.ask(t)
+			<-sv.came
+			g.Expect(pl.Run(context.Background(), sv.hs)).To(MatchError(context.DeadlineExceeded))
+			g.Expect(answered).NotTo(Receive(), "the caller decides what becomes of it")
+			close(sv.release)
+			g.Expect(<-answered).NotTo(HaveOccurred())
+		})
+	}
+}
--- a/internal/duty/callers/callers.go
+++ b/internal/duty/callers/callers.go
@@ -15,6 +15,7 @@
 	"github.com/silvermount/silvermount/internal/cancel"
 	"github.com/silvermount/silvermount/internal/claim"
 	"github.com/silvermount/silvermount/internal/config"
+	"github.com/silvermount/silvermount/internal/drain"
 	"github.com/silvermount/silvermount/internal/duty/listen"
 	"github.com/silvermount/silvermount/internal/duty/reports"
 	"github.com/silvermount/silvermount/internal/engine"
@@ -109,21 +110,15 @@
 			env.Logger("callers").WithError(err).Error("listener ended")
 		}
 	}()
-	return func(ctx context.Context) error { return drain(ctx, env, srv) }, nil
+	return func(ctx context.Context) error { return stop(ctx, env, srv) }, nil
 }
 
-// drain goes on accepting for the balancer's lag, then waits for attached requests.
-func drain(ctx context.Context, env *kernel.Env, srv *http.Server) error {
-	st := env.Settings.Stop
+// stop goes on accepting for the balancer's lag, then waits for attached requests.
+func stop(ctx context.Context, env *kernel.Env, srv *http.Server) error {
 	env.Logger("callers").Info("draining")
-	select {
-	case <-time.After(st.BalancerLag.Std()):
-	case <-ctx.Done():
-	}
-	srv.SetKeepAlivesEnabled(false)
-	ctx, cancel := context.WithTimeout(ctx, st.Drain.Std())
-	defer cancel()
-	return errors.Wrap(srv.Shutdown(ctx), "drain callers")
+	st := env.Settings.Stop
+	lag := st.BalancerLag.Std()
+	return drain.Plan{Lag: lag, Most: lag + st.Drain.Std()}.Run(ctx, srv)
 }
 
 // gather collects what the callers' side works with.
--- a/internal/duty/frontend/frontend.go
+++ b/internal/duty/frontend/frontend.go
@@ -16,6 +16,7 @@
 
 	"github.com/silvermount/silvermount/internal/budget"
 	"github.com/silvermount/silvermount/internal/config"
+	"github.com/silvermount/silvermount/internal/drain"
 	"github.com/silvermount/silvermount/internal/duty/forwarding"
 	"github.com/silvermount/silvermount/internal/gateway"
 	"github.com/silvermount/silvermount/internal/gossip"
@@ -180,21 +181,15 @@
 // grace is over.
 func (sv *servers) stop(ctx context.Context, grace time.Duration) error {
 	sv.lg.WithField("in_flight", sv.gw.InFlight()).Info("stopping")
-	began := time.Now()
 	sv.mesh.SetStopping()
 	lag := min(balancerLag, grace/2)
-	take := min(takeLag, lag)
-	time.Sleep(take)
-	sv.gw.StopTaking()
-	time.Sleep(lag - take)
-	ctx, cancel := context.WithDeadline(ctx, began.Add(grace-stopMargin))
-	defer cancel()
-	err := sv.list[0].Shutdown(ctx)
+	plan := drain.Plan{Lag: lag, Taking: min(takeLag, lag), Refuse: sv.gw.StopTaking, Most: grace - stopMargin}
+	err := plan.Run(ctx, sv.list[0])
 	if err != nil {
 		sv.lg.WithField("in_flight", sv.gw.InFlight()).Warn("grace is over before the last answer")
 	}
 	sv.close()
-	return errors.Wrap(err, "finish requests")
+	return err
 }
 
 func (sv *servers) close() {
