--- a/internal/gateway/lines.go
+++ b/internal/gateway/lines.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"net/http"
 	"strings"
 	"time"
@@ -15,9 +14,6 @@
 	"github.com/silvermount/silvermount/internal/targets"
 )
 
-// contextFree is for the end of a request's life, which does not depend on its caller.
-var contextFree = context.Background()
-
 func (gw *Gateway) fields(rq *request) log.Fields {
 	fs := log.Fields{
 		"request": rq.RequestID, "route": rq.route.Name, "elapsed": since(rq.arrived, gw.Now()).String(),
@@ -73,7 +69,7 @@
 
 func (gw *Gateway) logServed(rq *request, sk *sink) {
 	fs := gw.fields(rq)
-	fs["status"] = sk.status
+	fs["status"] = sk.Status()
 	fs["outcome"] = "served"
 	fs["events"] = rq.events
 	fs["prompt_tokens"] = rq.PromptTokens
@@ -95,7 +91,7 @@
 	fs["reason"] = string(fe.Code)
 	fs["outcome"] = string(fe.Outcome)
 	fs["events"] = rq.events
-	if sk.started {
+	if sk.Started() {
 		fs["outcome"] = "broken_off"
 	}
 	if fe.Cause != nil {
@@ -106,7 +102,7 @@
 		message = "request refused"
 	}
 	if rq.noRetry != "" {
-		fs["no_retry"] = rq.noRetry
+		fs["no_retry"] = string(rq.noRetry)
 	}
 	if fe.Code == failure.Unauthorized {
 		gw.keyFields(fs, rq.Key)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -13,6 +13,7 @@
 	"github.com/silvermount/silvermount/internal/failure"
 	"github.com/silvermount/silvermount/internal/life"
 	"github.com/silvermount/silvermount/internal/reservation"
+	"github.com/silvermount/silvermount/internal/retry"
 	"github.com/silvermount/silvermount/internal/targets"
 	"github.com/silvermount/silvermount/internal/upstream"
 )
@@ -23,7 +24,7 @@
 
 // run takes an admitted request through its attempts.
 func (gw *Gateway) run(ctx context.Context, rq *request, sk *sink) error {
-	ctx, cancel := context.WithDeadline(ctx, rq.deadline)
+	ctx, cancel := rq.due.Context(ctx)
 	defer cancel()
 	if err := gw.fire(ctx, rq, life.Admit); err != nil {
 		return err
@@ -36,7 +37,7 @@
 		if err == nil {
 			return gw.fire(ctx, rq, life.Finish)
 		}
-		last = asFailure(err)
+		last = failure.Of(err)
 		if unsent(last) && dials < dialTries && ctx.Err() == nil {
 			dials++
 			continue
@@ -91,7 +92,7 @@
 		Request: rq.RequestID, Service: sv, Avoid: rq.avoid,
 		PromptTokens: rq.PromptTokens, MostAnswer: rq.MostAnswerTokens, AnswerHint: rq.AnswerHint, Events: rq.events,
 		Objective: rq.route.Objective, LongestPause: rq.route.LongestPause,
-		Arrived: rq.arrived, Deadline: rq.deadline, Priority: rq.priority(), Resumed: rq.lastEvent >= 0,
+		Arrived: rq.arrived, Deadline: rq.due.At, Priority: rq.priority(), Resumed: rq.lastEvent >= 0,
 	}
 }
 
@@ -116,18 +117,15 @@
 
 // outcome is what is known so far about whether the request ran.
 func (gw *Gateway) outcome(rq *request) failure.Outcome {
-	if rq.mayHaveRun {
-		return failure.Unknown
-	}
-	return failure.NotRun
+	return rq.known.Outcome()
 }
 
 // timeUp is the failure of a request whose time is over or whose caller has gone.
 func (gw *Gateway) timeUp(ctx context.Context, rq *request) *failure.Error {
-	if gw.Now().Before(rq.deadline) && gw.closed.Load() {
+	if gw.Now().Before(rq.due.At) && gw.closed.Load() {
 		return failure.New(failure.Stopping, gw.outcome(rq), "the instance ended or the caller went away meanwhile")
 	}
-	if gw.Now().Before(rq.deadline) && ctx.Err() != nil {
+	if gw.Now().Before(rq.due.At) && ctx.Err() != nil {
 		return failure.New(failure.CallerGone, gw.outcome(rq), "the caller went away")
 	}
 	return failure.New(failure.DeadlineExceeded, gw.outcome(rq), "the time is over")
@@ -136,7 +134,7 @@
 // send sends a request to the target that was found.
 func (gw *Gateway) send(ctx context.Context, rq *request, sl *dispatch.Slot) (*upstream.Answer, error) {
 	h := rq.header.Clone()
-	left := rq.deadline.Sub(gw.Now())
+	left := rq.due.At.Sub(gw.Now())
 	at := Attempt{
 		TargetID: sl.Target.ID, Organisation: rq.org.Name, Left: left, Priority: sl.Priority,
 		ResumeAfter: rq.lastEvent,
@@ -241,7 +239,7 @@
 			WithCause(err).WithRetryAfter(comeBackFull)
 	}
 	rq.tried = append(rq.tried, sl.Target.ID)
-	rq.mayHaveRun = true
+	rq.known.Add(failure.Unknown)
 	if ctx.Err() != nil {
 		fe := gw.timeUp(ctx, rq)
 		gw.logGivenUp(rq, sl.Target, fe)
@@ -261,27 +259,15 @@
 
 // mayRetry decides whether a failed attempt is followed by another, and spends from the retry budget.
 func (gw *Gateway) mayRetry(ctx context.Context, rq *request, sk *sink, fe *failure.Error) bool {
-	switch {
-	case ctx.Err() != nil:
-		return false
-	case fe.Code != failure.TargetLost && fe.Code != failure.TargetRefused && fe.Code != failure.TargetShed:
-		return false
-	case rq.route.Exclusive() && rq.mayHaveRun:
-		return rq.stays("runs_once")
-	case sk.started && !rq.route.Resumable:
-		return rq.stays("answer_begun")
-	case gw.stillThere(rq.tried) >= rq.route.MaxAttempts:
-		return rq.stays("attempts")
-	}
 	claimed := rq.claimed
 	rq.claimed = false
-	return claimed || gw.Retries.Take() || rq.stays("budget")
-}
-
-// stays notes for the last log line why a failed attempt is not followed by another; it is always false.
-func (rq *request) stays(why string) bool {
+	again, why := retry.Case{
+		Code: fe.Code, Over: ctx.Err() != nil, Once: rq.route.Exclusive(), MayHaveRun: rq.known.MayHaveRun(),
+		Attempts: gw.stillThere(rq.tried), Most: rq.route.MaxAttempts, Begun: sk.Started(),
+		Continues: func() bool { return rq.route.Resumable }, Paid: claimed,
+	}.Decide(gw.Retries)
 	rq.noRetry = why
-	return false
+	return again
 }
 
 // stillThere counts the targets that were sent the request and still take work: one that has ended does not use up an
@@ -300,11 +286,3 @@
 	// The life goes on to its end also for a caller that has gone.
 	return gw.machine.Fire(context.WithoutCancel(ctx), &rq.life, tr)
 }
-
-func asFailure(err error) *failure.Error {
-	var fe *failure.Error
-	if errors.As(err, &fe) {
-		return fe
-	}
-	return failure.New(failure.TargetLost, failure.Unknown, "internal failure").WithCause(err)
-}
