perf: while slots are taken a short prompt is let in up to 0.85 of its objective

Change: while nine slots of ten are taken, the first token must be predicted within 0.85 of the objective.

--- a/internal/dispatch/overload.go
+++ b/internal/dispatch/overload.go
@@ -11,6 +11,10 @@
 	// overloadedFrom is the share of all slots from which a service counts as overloaded. Loads are some milliseconds
 	// old and slots are never all taken at once.
 	overloadedFrom = 0.9
+	// crowdedFrom is the share of the objective up to which a first token must be predicted while slots are taken. What
+	// others place at the same moment is not known yet, and one prompt more in a queue costs half the objective: with
+	// the objective itself, half of the first tokens were late that were predicted in time.
+	crowdedFrom = 0.85
 	// comeBackLeast and comeBackMost are the shares of the time for a usual answer after which a short prompt that was
 	// refused may come back: by then that share of the slots have come free, and those refused at the same moment do not
 	// come back together.
@@ -18,11 +22,15 @@
 	comeBackMost  = 0.9
 )
 
-// sheds reports whether a short prompt is refused at once: all slots are taken, and its first token would be late for
-// sure. Let in, it would make the next one late as well, and in the end all of them: every answer takes a slot for as
+// sheds reports whether a short prompt is refused at once: all slots are taken, and its first token would hardly be in
+// time. Let in, it would make the next one late as well, and in the end all of them: every answer takes a slot for as
 // long, in time or not.
 func sheds(as Ask, pr placement.Prompt, pl placement.Plan, cands []placement.Target) bool {
-	return !as.Resumed && as.PromptTokens <= shortTokens && late(as, pr, pl) && slotsTaken(as.Service.Engine, cands)
+	if as.Resumed || as.PromptTokens > shortTokens {
+		return false
+	}
+	inTime := float64(pr.Used+pl.FirstToken) <= crowdedFrom*float64(pr.Objective)
+	return !inTime && slotsTaken(as.Service.Engine, cands)
 }
 
 // slotsTaken reports whether the targets have about as many requests as slots.
