fix: entries that lapsed while the store was away have until two seconds after its return, and a peer's word is taken

Cause: a missing entry counted as lapsed for 5 s after any failed call to the store, and its target then got work for 1.7 s from the moment it was missed, or for 2.5 s when most of a service went at once. The platform says that such entries are back within about two seconds of the store's return and that one missing after that is gone.

Ruled out: a grace from the last failed call (an instance may first ask 1.2 s after the store is back); extending a grace when the store goes away again (a target that has gone would be kept through each flap); dropping every entry that a peer's list misses (a peer just back from the same outage would end the grace of all).

Change: the outage ends with the question that was answered again, and every grace ends 2 s after it, however many entries went. A list from a peer says how long missing entries may be the store's doing; without that they are gone at once. Lapsed targets that take no connection, or whose availability zone has not answered since the store went away, get work only when there is no other.

--- a/internal/duty/facts/facts.go
+++ b/internal/duty/facts/facts.go
@@ -128,6 +128,8 @@
 				}
 			}
 			rd.news = true
+			// The follower lists again after each failed call.
+			rd.dr.Back(evidence)
 			rd.tell(rd.dr.Replace(list, evidence))
 		},
 		Change: func(it objectstore.Object, evidence time.Time) {
--- a/internal/duty/members/targets.go
+++ b/internal/duty/members/targets.go
@@ -14,11 +14,14 @@
 type targetList struct {
 	Version int64
 	Targets []targets.Target
+	// Lapsed are missing from the list and still take work.
+	Lapsed targets.Lapsed
 }
 
 func (du *duty) targetsDocument() ([]byte, error) {
 	var tl targetList
 	tl.Version, tl.Targets = du.dr.Listed()
+	tl.Lapsed = du.dr.Lapsed()
 	b, err := json.Marshal(tl)
 	return b, errors.Wrap(err, "encode list of targets")
 }
@@ -45,7 +48,7 @@
 		// Meanwhile the store told more.
 		return
 	}
-	for _, ch := range du.dr.Replace(tl.Targets, nw.evidence) {
+	for _, ch := range du.dr.ReplaceTold(tl.Targets, tl.Lapsed, nw.evidence) {
 		lg.WithFields(log.Fields{
 			"target": ch.Target.ID, "service": ch.Target.Service, "address": ch.Target.Address, "source": "peer",
 		}).Info("target " + ch.What)
--- /dev/null
+++ b/internal/targets/lapse.go
@@ -0,0 +1,114 @@
+package targets
+
+import "time"
+
+// lapseGrace is how long after the store's return a lapsed entry may be missing: the platform says that entries are back
+// within about two seconds, and that one still missing then is gone.
+const lapseGrace = 2 * time.Second
+
+// outage is what an instance's own calls say of the store being away.
+type outage struct {
+	// since is when the first call of the newest outage failed, returned when the store was asked that answered again.
+	since, returned time.Time
+	away            bool
+}
+
+// began notes a call that failed.
+func (ou *outage) began(at time.Time) {
+	if !ou.away {
+		ou.since = at
+	}
+	ou.away = true
+}
+
+// ended notes an answer to a question asked at a time.
+func (ou *outage) ended(at time.Time) {
+	if ou.away {
+		ou.returned = at
+	}
+	ou.away = false
+}
+
+// returnEnds is until when an entry may be missing because of the outage; zero without one.
+func (ou *outage) returnEnds() time.Time {
+	if ou.returned.IsZero() {
+		return time.Time{}
+	}
+	return ou.returned.Add(lapseGrace)
+}
+
+// Lapsed is what an instance tells its peers beside its list.
+type Lapsed struct {
+	// Targets take work although their entries are missing.
+	Targets []Target
+	// Left is how much longer a missing entry may be the doing of the store; zero when the store is well.
+	Left time.Duration
+}
+
+// Trouble notes that the store could not be asked.
+func (dr *Directory) Trouble() {
+	dr.mu.Lock()
+	dr.store.began(dr.now())
+	dr.mu.Unlock()
+}
+
+// Back notes that the store answers a question that was asked at a time. It is called before the answer is taken.
+func (dr *Directory) Back(evidence time.Time) {
+	dr.mu.Lock()
+	dr.store.ended(evidence)
+	dr.mu.Unlock()
+}
+
+// Lapsed returns what peers have to know beside the list.
+func (dr *Directory) Lapsed() Lapsed {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	now := dr.now()
+	la := Lapsed{Left: max(0, dr.store.returnEnds().Sub(now), dr.toldUntil.Sub(now))}
+	for _, en := range dr.entries {
+		if !en.goneAt.IsZero() && en.takesWork(now) {
+			la.Targets = append(la.Targets, en.Target)
+		}
+	}
+	return la
+}
+
+// ReplaceTold takes a whole list from a peer. What it newly misses is gone at once unless the peer has seen the store
+// return lately: an instance that cannot ask the store itself does not make a lapse of it.
+func (dr *Directory) ReplaceTold(list []Target, la Lapsed, evidence time.Time) []Change {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	for _, tg := range la.Targets {
+		dr.know(tg)
+	}
+	changes := dr.replace(list, evidence)
+	var until time.Time
+	if la.Left > 0 {
+		until = dr.now().Add(min(la.Left, lapseGrace))
+		dr.toldUntil = until
+	}
+	for _, ch := range changes {
+		if ch.What == "gone" {
+			dr.entries[ch.Target.ID].workUntil = until
+		}
+	}
+	return changes
+}
+
+// know adds a target that this instance has not heard of.
+func (dr *Directory) know(tg Target) {
+	if _, known := dr.entries[tg.ID]; known {
+		return
+	}
+	_, told := dr.leaving[tg.ID]
+	dr.entries[tg.ID] = &entry{Target: tg, leaving: tg.Leaving || told}
+}
+
+// unheard reports whether a target is not listed and nothing shows that it lives: it took no connection, or nothing of
+// its availability zone has answered since the store went away.
+func (dr *Directory) unheard(en *entry, now time.Time) bool {
+	if en.goneAt.IsZero() {
+		return false
+	}
+	return now.Before(en.cutUntil) || !dr.reachedAt[en.AvailabilityZone].After(dr.store.since)
+}
--- /dev/null
+++ b/internal/targets/lapse_test.go
@@ -0,0 +1,168 @@
+package targets_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/silvermount/silvermount/internal/targets"
+)
+
+// inZone makes targets of an availability zone.
+func inZone(zone string) func(string) targets.Target {
+	return func(id string) targets.Target {
+		return targets.Target{ID: id, Service: "s", Address: "10.0.0.1:80", AvailabilityZone: zone}
+	}
+}
+
+// twoZones lists two targets near and two far.
+func twoZones(near, far []string) []targets.Target {
+	return append(all(inZone("near"), near), all(inZone("far"), far)...)
+}
+
+func TestEntriesThatLapseWhileTheStoreIsAway(t *testing.T) {
+	n1n2, f1f2 := []string{"n1", "n2"}, []string{"f1", "f2"}
+	tests := map[string]struct {
+		happen func(cl *clock, dr *targets.Directory)
+		want   []string
+	}{
+		"keep their targets for two seconds of the return": {func(cl *clock, dr *targets.Directory) {
+			dr.Back(cl.now())
+			dr.Replace(nil, cl.now())
+			cl.pass(1900 * time.Millisecond)
+		}, []string{"f1", "f2", "n1", "n2"}},
+		"and no longer, however many they are": {func(cl *clock, dr *targets.Directory) {
+			dr.Back(cl.now())
+			dr.Replace(nil, cl.now())
+			cl.pass(2 * time.Second)
+		}, nil},
+		"the time runs from the question that was answered": {func(cl *clock, dr *targets.Directory) {
+			asked := cl.now()
+			cl.pass(time.Second)
+			dr.Back(asked)
+			dr.Replace(nil, asked)
+			cl.pass(time.Second)
+		}, nil},
+		"one that goes later has no more time": {func(cl *clock, dr *targets.Directory) {
+			dr.Back(cl.now())
+			dr.Replace(twoZones(n1n2, f1f2), cl.now())
+			cl.pass(1500 * time.Millisecond)
+			dr.Remove("n1", cl.now())
+			cl.pass(500 * time.Millisecond)
+		}, []string{"f1", "f2", "n2"}},
+		"one that goes after that is gone at once": {func(cl *clock, dr *targets.Directory) {
+			dr.Back(cl.now())
+			dr.Replace(twoZones(n1n2, f1f2), cl.now())
+			cl.pass(2 * time.Second)
+			dr.Remove("n1", cl.now())
+		}, []string{"f1", "f2", "n2"}},
+		"one that takes no connection gets nothing": {func(cl *clock, dr *targets.Directory) {
+			dr.Back(cl.now())
+			dr.Replace(nil, cl.now())
+			dr.Unreachable("n1")
+		}, []string{"f1", "f2", "n2"}},
+		"one whose availability zone was not heard since gets nothing": {func(cl *clock, dr *targets.Directory) {
+			cl.pass(time.Second)
+			dr.Back(cl.now())
+			dr.Replace(twoZones(n1n2, nil), cl.now())
+			dr.Trouble()
+			cl.pass(time.Second)
+			dr.Reached("n1")
+			dr.Back(cl.now())
+			dr.Replace(twoZones([]string{"n1"}, nil), cl.now())
+		}, []string{"n1", "n2"}},
+		"but when there is no other": {func(cl *clock, dr *targets.Directory) {
+			dr.Back(cl.now())
+			dr.Replace(nil, cl.now())
+			for _, id := range []string{"f1", "f2", "n1", "n2"} {
+				dr.Unreachable(id)
+			}
+		}, []string{"f1", "f2", "n1", "n2"}},
+		"one that is leaving gets nothing": {func(cl *clock, dr *targets.Directory) {
+			dr.MarkLeaving("n1")
+			dr.Back(cl.now())
+			dr.Replace(nil, cl.now())
+		}, []string{"f1", "f2", "n2"}},
+		"one that a peer with a sound store misses is gone": {func(cl *clock, dr *targets.Directory) {
+			dr.ReplaceTold(twoZones(n1n2, []string{"f1"}), targets.Lapsed{}, cl.now())
+		}, []string{"f1", "n1", "n2"}},
+		"also when the own store is just back": {func(cl *clock, dr *targets.Directory) {
+			dr.Back(cl.now())
+			dr.ReplaceTold(twoZones(n1n2, []string{"f1"}), targets.Lapsed{}, cl.now())
+		}, []string{"f1", "n1", "n2"}},
+		"one that a peer misses whose store is just back has the time that the peer has": {func(cl *clock, dr *targets.Directory) {
+			dr.ReplaceTold(twoZones(n1n2, []string{"f1"}), targets.Lapsed{Left: time.Second}, cl.now())
+			cl.pass(900 * time.Millisecond)
+		}, []string{"f1", "f2", "n1", "n2"}},
+		"and no more": {func(cl *clock, dr *targets.Directory) {
+			dr.ReplaceTold(twoZones(n1n2, []string{"f1"}), targets.Lapsed{Left: time.Second}, cl.now())
+			cl.pass(time.Second)
+		}, []string{"f1", "n1", "n2"}},
+		"one that was gone before is not made a lapse by a peer": {func(cl *clock, dr *targets.Directory) {
+			dr.ReplaceTold(twoZones(n1n2, []string{"f1"}), targets.Lapsed{}, cl.now())
+			told := targets.Lapsed{Targets: all(inZone("far"), []string{"f2"}), Left: time.Second}
+			dr.ReplaceTold(twoZones(n1n2, []string{"f1"}), told, cl.now())
+		}, []string{"f1", "n1", "n2"}},
+		"one that is first heard of from a peer takes work": {func(cl *clock, dr *targets.Directory) {
+			told := targets.Lapsed{Targets: all(inZone("far"), []string{"f3"}), Left: time.Second}
+			dr.ReplaceTold(twoZones(n1n2, f1f2), told, cl.now())
+		}, []string{"f1", "f2", "f3", "n1", "n2"}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			cl := newClock()
+			dr := targets.New(cl.now)
+			dr.Replace(twoZones(n1n2, f1f2), cl.now())
+			dr.Trouble()
+			cl.pass(time.Second)
+			dr.Reached("n1")
+			dr.Reached("f1")
+			tc.happen(cl, dr)
+			g.Expect(ids(dr.Usable("s"))).To(Equal(tc.want))
+		})
+	}
+}
+
+func TestLapsesAreToldToPeers(t *testing.T) {
+	tests := map[string]struct {
+		happen func(cl *clock, dr *targets.Directory)
+		left   time.Duration
+		want   []string
+	}{
+		"nothing while the store is well": {func(cl *clock, dr *targets.Directory) {
+			dr.Remove("a", cl.now())
+		}, 0, nil},
+		"after a return": {func(cl *clock, dr *targets.Directory) {
+			dr.Trouble()
+			dr.Back(cl.now())
+			dr.Replace(nil, cl.now())
+			cl.pass(time.Second)
+		}, time.Second, []string{"a"}},
+		"nothing later": {func(cl *clock, dr *targets.Directory) {
+			dr.Trouble()
+			dr.Back(cl.now())
+			dr.Replace(nil, cl.now())
+			cl.pass(3 * time.Second)
+		}, 0, nil},
+		"what a peer told": {func(cl *clock, dr *targets.Directory) {
+			dr.ReplaceTold(nil, targets.Lapsed{Left: time.Second}, cl.now())
+		}, time.Second, []string{"a"}},
+		"never more than a return gives": {func(cl *clock, dr *targets.Directory) {
+			dr.ReplaceTold(nil, targets.Lapsed{Left: time.Minute}, cl.now())
+		}, 2 * time.Second, []string{"a"}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			cl := newClock()
+			dr := targets.New(cl.now)
+			dr.Replace(list("a"), cl.now())
+			tc.happen(cl, dr)
+			la := dr.Lapsed()
+			g.Expect(la.Left).To(Equal(tc.left))
+			g.Expect(ids(la.Targets)).To(Equal(tc.want))
+		})
+	}
+}
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -9,14 +9,6 @@
 )
 
 const (
-	// goneGrace is how long a target whose entry lapsed while the store was in trouble still takes work. It stays
-	// under the two seconds after which a target that left must get no new work.
-	goneGrace = 1700 * time.Millisecond
-	// massGrace is the same when most targets of a service lapsed at once, which is the store's doing: it shows live
-	// targets again about two seconds after it is back.
-	massGrace = 2500 * time.Millisecond
-	// massShare is the share of a service's targets from which a lapse is a mass lapse.
-	massShare = 0.5
 	// forgetAfter is how long a target that is gone is remembered, well past any list that still names it.
 	forgetAfter = 60 * time.Second
 	// ejectAfter is the number of failures in a row that takes a target out.
@@ -56,8 +48,8 @@
 	leaving bool
 	// goneAt is when the entry was missed; zero while it is listed.
 	goneAt time.Time
-	// lapsed is set when the entry went while the store was in trouble, mass when most others went with it.
-	lapsed, mass bool
+	// workUntil is how long a target whose entry lapsed while the store was away still takes work; zero for others.
+	workUntil time.Time
 	// outUntil is when an ejected target may be tried again.
 	outUntil time.Time
 	// failures counts those in a row; ejections those since the last success.
@@ -76,8 +68,10 @@
 	entries map[string]*entry
 	// leaving holds incarnations that were told to be leaving before they were listed.
 	leaving map[string]time.Time
-	// troubleAt is when the store was last seen in trouble.
-	troubleAt time.Time
+	// store is what the own calls say of the store.
+	store outage
+	// toldUntil is how long missing entries may be the doing of the store as a peer told.
+	toldUntil time.Time
 	// heard is the time of the newest evidence; it only grows.
 	heard time.Time
 	// version is the store's when the list last changed, as far as known; it only grows.
@@ -98,20 +92,14 @@
 	What string
 }
 
-// storeTroubleWindow is how long after trouble of the store a missing entry is taken as lapsed, not as gone.
-const storeTroubleWindow = 5 * time.Second
-
-// Trouble notes that the store could not be asked.
-func (dr *Directory) Trouble() {
-	dr.mu.Lock()
-	dr.troubleAt = dr.now()
-	dr.mu.Unlock()
-}
-
 // Replace takes a whole list. Evidence is when the store was asked.
 func (dr *Directory) Replace(list []Target, evidence time.Time) []Change {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
+	return dr.replace(list, evidence)
+}
+
+func (dr *Directory) replace(list []Target, evidence time.Time) []Change {
 	dr.confirm(evidence)
 	var changes []Change
 	listed := map[string]bool{}
@@ -124,33 +112,10 @@
 			changes = append(changes, dr.miss(en)...)
 		}
 	}
-	dr.markMass(changes)
 	dr.forget()
 	return changes
 }
 
-// markMass marks the targets of services most of which went with one list.
-func (dr *Directory) markMass(changes []Change) {
-	went := map[string]int{}
-	for _, ch := range changes {
-		if ch.What == "gone" {
-			went[ch.Target.Service]++
-		}
-	}
-	there := map[string]int{}
-	for _, en := range dr.entries {
-		if en.goneAt.IsZero() {
-			there[en.Service]++
-		}
-	}
-	for _, ch := range changes {
-		n := went[ch.Target.Service]
-		if ch.What == "gone" && float64(n) > massShare*float64(n+there[ch.Target.Service]) {
-			dr.entries[ch.Target.ID].mass = true
-		}
-	}
-}
-
 // Put takes one listed target.
 func (dr *Directory) Put(tg Target, evidence time.Time) []Change {
 	dr.mu.Lock()
@@ -224,7 +189,7 @@
 	_, told := dr.leaving[tg.ID]
 	en.Target = tg
 	en.goneAt = time.Time{}
-	en.lapsed, en.mass = false, false
+	en.workUntil = time.Time{}
 	en.leaving = en.leaving || tg.Leaving || told
 	switch {
 	case en.leaving && !wasLeaving:
@@ -242,9 +207,8 @@
 	if !en.goneAt.IsZero() {
 		return nil
 	}
-	now := dr.now()
-	en.goneAt = now
-	en.lapsed = !dr.troubleAt.IsZero() && now.Sub(dr.troubleAt) < storeTroubleWindow
+	en.goneAt = dr.now()
+	en.workUntil = dr.store.returnEnds()
 	return []Change{{Target: en.Target, What: "gone"}}
 }
 
@@ -290,15 +254,18 @@
 }
 
 // Usable returns the targets of a service that may get work now, sorted by incarnation. Those that take no connection
-// are left out while others do; failing ones are left out unless too few are left.
+// are left out while others do; failing ones are left out unless too few are left. Lapsed ones that nothing was heard of
+// come last of all.
 func (dr *Directory) Usable(service string) []Target {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
 	now := dr.now()
-	var good, failing, cut []Target
+	var good, failing, cut, last []Target
 	for _, en := range dr.entries {
 		switch {
 		case en.Service != service || !en.takesWork(now):
+		case dr.unheard(en, now):
+			last = append(last, en.Target)
 		case now.Before(en.cutUntil):
 			cut = append(cut, en.Target)
 		case now.Before(en.outUntil):
@@ -313,6 +280,9 @@
 	if len(good) == 0 {
 		good = append(failing, cut...)
 	}
+	if len(good) == 0 {
+		good = last
+	}
 	slices.SortFunc(good, func(a, b Target) int { return strings.Compare(a.ID, b.ID) })
 	return good
 }
@@ -332,11 +302,7 @@
 	if en.goneAt.IsZero() {
 		return true
 	}
-	grace := goneGrace
-	if en.mass {
-		grace = massGrace
-	}
-	return en.lapsed && now.Sub(en.goneAt) < grace
+	return now.Before(en.workUntil)
 }
 
 // Len returns how many targets are listed.
