feat: an availability zone is left out for silence and lost instances too, and comes back by a probe

Ruled out: counting silence without regard to answers of the neighbours (a long prompt silences several engines of a zone for up to 2 s: nothing counts while the zone answered within the last second); leaving the probe to placement (in a test it often chose another target, and the zone stayed out for 5 s).

Two targets or instances that fail with nothing heard between leave it out for 0.8 s, doubling to at most 2.4 s with each failed probe. When the pause is over, one short request that may be repeated and has lost no attempt goes there; any answer or event brings the whole zone back. What was under way when it was cut off counts for nothing. When nothing else is left, all are used.

Conclusion: mended in part; what still goes into the zone goes there before two have failed, or as a probe.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -32,6 +32,8 @@
 	Priority int
 	// Resumed is set when the answer goes on after some event.
 	Resumed bool
+	// Caution is how sure the request must be of its target.
+	Caution targets.Caution
 }
 
 // Helper is a target that reads a part of the prompt.
@@ -101,8 +103,11 @@
 			return nil, err
 		}
 		if ok {
+			ds.targets.Chosen(sl.Target.ID)
 			return sl, nil
 		}
+		// A probe goes out at once or not at all.
+		as.Caution = max(as.Caution, targets.Proven)
 		if ds.opts.Now().After(patience) {
 			return nil, failure.New(failure.Overloaded, failure.NotRun, "no target has room").WithRetryAfter(comeBack)
 		}
@@ -153,9 +158,17 @@
 	return ds.place(ctx, as, tgs)
 }
 
-// usable returns the service's targets without those to avoid, unless no other is left.
+// usable returns the service's targets without those to avoid.
 func (ds *Dispatcher) usable(as Ask) []targets.Target {
-	all := ds.targets.Usable(as.Service.Name)
+	left := ds.allowed(as, as.caution())
+	if len(left) == 0 {
+		left = ds.allowed(as, targets.Proven)
+	}
+	return left
+}
+
+func (ds *Dispatcher) allowed(as Ask, ca targets.Caution) []targets.Target {
+	all := ds.targets.Usable(as.Service.Name, ca)
 	left := make([]targets.Target, 0, len(all))
 	for _, tg := range all {
 		if !contains(as.Avoid, tg.ID) {
@@ -165,6 +178,14 @@
 	return left
 }
 
+// caution is the request's own, but for longer prompts: one that takes several targets is no probe.
+func (as Ask) caution() targets.Caution {
+	if as.PromptTokens > shortTokens {
+		return max(as.Caution, targets.Proven)
+	}
+	return as.Caution
+}
+
 func contains(ids []string, id string) bool {
 	for _, have := range ids {
 		if have == id {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -476,3 +476,55 @@
 		be.Expect(be.Own()).To(BeEmpty())
 	})
 }
+
+// TestOneProbeForAnAvailabilityZone cuts an availability zone off and lets the pause pass.
+func TestOneProbeForAnAvailabilityZone(t *testing.T) {
+	long := func() dispatch.Ask { return prompt(20_000) }
+	proven := func() dispatch.Ask {
+		as := prompt(1000)
+		as.Caution = targets.Proven
+		return as
+	}
+	short := func() dispatch.Ask { return prompt(1000) }
+	avoiding := func() dispatch.Ask {
+		as := prompt(1000)
+		as.Avoid = []string{id(0), id(1)}
+		return as
+	}
+	cases := map[string]struct {
+		// others is how many targets there are elsewhere.
+		others int
+		asks   []func() dispatch.Ask
+		// there is how many of them get a target of that availability zone.
+		there int
+	}{
+		"a short prompt is the probe, and no other beside it":         {1, []func() dispatch.Ask{short, short, short}, 1},
+		"a plain request is one":                                      {1, []func() dispatch.Ask{plain, plain}, 1},
+		"a long prompt is none":                                       {4, []func() dispatch.Ask{long}, 0},
+		"nor a request that must be sure":                             {1, []func() dispatch.Ask{proven, proven}, 0},
+		"a probe that must not go there goes elsewhere":               {1, []func() dispatch.Ask{avoiding}, 0},
+		"those that are no probes do not keep another from being one": {2, []func() dispatch.Ask{proven, proven, short}, 1},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, 0, func(be *bench) {
+				be.put(0, "far", false)
+				be.put(1, "far", false)
+				for no := range tc.others {
+					be.put(2+no, "farther", false)
+				}
+				for no := range 2 {
+					be.directory.Unreachable(id(no))
+				}
+				time.Sleep(time.Second)
+				there := 0
+				for _, ask := range tc.asks {
+					if be.take(ask()).Target.AvailabilityZone == "far" {
+						there++
+					}
+				}
+				be.Expect(there).To(Equal(tc.there))
+			})
+		})
+	}
+}
--- a/internal/duty/members/members.go
+++ b/internal/duty/members/members.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -202,6 +203,14 @@
 func (du *duty) lost(mb gossip.Member) {
 	du.lg.WithFields(log.Fields{"peer": mb.Name, "incarnation": mb.Incarnation}).Warn("lost a peer")
 	du.ds.Heard(mb.Name, nil)
+	if silentZone(mb, du.ms.Live()) {
+		du.dr.PeerLost(mb.AvailabilityZone, mb.Name)
+	}
+}
+
+// silentZone reports whether all instances of a lost one's availability zone are lost.
+func silentZone(lost gossip.Member, live []gossip.Member) bool {
+	return !slices.ContainsFunc(live, func(mb gossip.Member) bool { return mb.AvailabilityZone == lost.AvailabilityZone })
 }
 
 func (du *duty) serve(name string) ([]byte, bool) {
--- a/internal/duty/members/relays_test.go
+++ b/internal/duty/members/relays_test.go
@@ -63,3 +63,19 @@
 	g.Expect(follows(live[first], live)).To(BeFalse())
 	g.Expect(followers(live)).To(Equal(map[string]int{"a": 2}))
 }
+
+func TestSilentZone(t *testing.T) {
+	tests := map[string]struct {
+		live []gossip.Member
+		want bool
+	}{
+		"all of it are lost":    {fleet(2, "b", "c"), true},
+		"one of it still lives": {fleet(1, "a", "b"), false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			lost := gossip.Member{Name: "a-9", AvailabilityZone: "a"}
+			NewWithT(t).Expect(silentZone(lost, tc.live)).To(Equal(tc.want))
+		})
+	}
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -90,9 +90,19 @@
 		PromptTokens: rq.PromptTokens, MostAnswer: rq.MostAnswerTokens, AnswerHint: rq.AnswerHint, Events: rq.events,
 		Objective: rq.route.Objective, LongestPause: rq.route.LongestPause,
 		Arrived: rq.arrived, Deadline: rq.deadline, Priority: rq.priority(), Resumed: rq.lastEvent >= 0,
+		Caution: rq.caution(),
 	}
 }
 
+// caution is how sure the request must be of its target: one that may run only once, or lost an attempt already, is no
+// probe.
+func (rq *request) caution() targets.Caution {
+	if rq.route.Exclusive() || len(rq.tried) > 0 {
+		return targets.Proven
+	}
+	return targets.Any
+}
+
 // priority is the organisation's rank where it has one, else the route's.
 func (rq *request) priority() int {
 	if rq.org.RanksItself {
@@ -153,6 +163,9 @@
 	began := gw.Now()
 	an, err := gw.exchange(ctx, rq, sl, ca)
 	if err != nil {
+		if ctx.Err() != nil && gw.Now().Sub(began) >= stallFloor {
+			gw.Targets.Silent(sl.Target.ID)
+		}
 		return nil, gw.sendFailed(ctx, rq, sl, err)
 	}
 	gw.Targets.Reached(sl.Target.ID)
@@ -173,6 +186,7 @@
 	armed := make(chan struct{})
 	timer = time.AfterFunc(most, func() {
 		<-armed
+		gw.Targets.Silent(sl.Target.ID)
 		if !gw.claimMove(rq.route, rq.service, tried) {
 			timer.Reset(most)
 			return
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -88,7 +88,11 @@
 	// A copy: the timer may look at it while the next attempt begins.
 	tried := slices.Clone(rq.tried)
 	wd := newWatchdog(an, stall, func(silence time.Duration) bool {
-		return silence > sl.LongestSilence() && gw.claimMove(rq.route, rq.service, tried)
+		if silence <= sl.LongestSilence() {
+			return false
+		}
+		gw.Targets.Silent(sl.Target.ID)
+		return gw.claimMove(rq.route, rq.service, tried)
 	})
 	defer wd.stop()
 	fresh := true
@@ -110,6 +114,7 @@
 			}
 		}
 		wd.reset(stall)
+		gw.Targets.Reached(sl.Target.ID)
 		sl.Event()
 		if ev.id >= 0 && ev.id <= rq.lastEvent {
 			// The event was passed on before the stream moved here.
@@ -130,7 +135,7 @@
 // another reports whether the route allows a further target and one is there.
 func (gw *Gateway) another(rt routes.Route, service string, tried []string) bool {
 	untried := func(tg targets.Target) bool { return !slices.Contains(tried, tg.ID) }
-	return gw.stillThere(tried) < rt.MaxAttempts && slices.ContainsFunc(gw.Targets.Usable(service), untried)
+	return gw.stillThere(tried) < rt.MaxAttempts && slices.ContainsFunc(gw.Targets.Usable(service, targets.Proven), untried)
 }
 
 func (gw *Gateway) passEvent(rq *request, sk *sink, an *upstream.Answer, ev event) error {
--- a/internal/targets/health.go
+++ b/internal/targets/health.go
@@ -25,7 +25,19 @@
 func (dr *Directory) reached(en *entry) {
 	en.refusals = 0
 	en.cutUntil = time.Time{}
-	dr.reachedAt[en.AvailabilityZone] = dr.now()
+	if dr.zone(en.AvailabilityZone).answered(dr.now()) {
+		dr.reopen(en.AvailabilityZone)
+	}
+}
+
+// reopen forgets what was held against the targets of an availability zone that answers again.
+func (dr *Directory) reopen(zone string) {
+	for _, en := range dr.entries {
+		if en.AvailabilityZone == zone {
+			en.refusals = 0
+			en.cutUntil = time.Time{}
+		}
+	}
 }
 
 // Failure notes a failed attempt and reports whether it took the target out.
@@ -46,8 +58,7 @@
 	return true
 }
 
-// Unreachable notes that a target took no connection. When a second one of its availability zone does not either, the
-// whole availability zone is taken as cut off.
+// Unreachable notes that a target took no connection, which also counts against its availability zone.
 func (dr *Directory) Unreachable(id string) {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
@@ -56,35 +67,46 @@
 		return
 	}
 	now := dr.now()
-	en.cutUntil = now.Add(min(unreachableMost, unreachableFor<<min(en.refusals, maxDoublings)))
-	en.refusals++
-	if dr.zoneCut(en.AvailabilityZone, now) {
-		dr.leaveOutZone(en.AvailabilityZone, now)
-	}
+	en.cutUntil = now.Add(min(unreachableMost, unreachableFor<<en.refusals))
+	en.refusals = min(en.refusals+1, maxDoublings)
+	dr.zone(en.AvailabilityZone).failed(id, zoneQuiet, now)
 }
 
 // maxDoublings keeps the doubling of pauses within bounds.
 const maxDoublings = 3
 
-// zoneCut reports whether several targets of an availability zone are unreachable and none was reached since.
-func (dr *Directory) zoneCut(zone string, now time.Time) bool {
-	suspects := 0
-	for _, en := range dr.entries {
-		if en.AvailabilityZone == zone && en.refusals > 0 && now.Before(en.cutUntil) {
-			suspects++
-		}
+// Silent notes that a target said nothing for longer than it ever should, which counts against its availability zone
+// only: the attempt goes on until it fails.
+func (dr *Directory) Silent(id string) {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	if en, ok := dr.entries[id]; ok {
+		dr.zone(en.AvailabilityZone).failed(id, zoneSilence, dr.now())
 	}
-	return suspects >= zoneSuspects && now.Sub(dr.reachedAt[zone]) > zoneQuiet
 }
 
-// zoneQuiet is the time without any answer from an availability zone after which it may be cut off: answers come many
-// times a second from one that is not.
-const zoneQuiet = 200 * time.Millisecond
+// PeerLost notes that an instance fell silent with which all other instances of its availability zone are lost too.
+func (dr *Directory) PeerLost(zone, instance string) {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	dr.zone(zone).failed(instance, zoneSilence, dr.now())
+}
 
-func (dr *Directory) leaveOutZone(zone string, now time.Time) {
-	for _, en := range dr.entries {
-		if en.AvailabilityZone == zone && now.After(en.cutUntil) {
-			en.cutUntil = now.Add(unreachableFor)
-		}
+// Chosen notes that a request goes to a target. In an availability zone that may be back it is the probe: no other
+// request is sent there until it ends.
+func (dr *Directory) Chosen(id string) {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	if en, ok := dr.entries[id]; ok {
+		dr.zone(en.AvailabilityZone).probed(dr.now())
+	}
+}
+
+func (dr *Directory) zone(name string) *zone {
+	zn, ok := dr.zones[name]
+	if !ok {
+		zn = &zone{signs: map[string]time.Time{}}
+		dr.zones[name] = zn
 	}
+	return zn
 }
--- a/internal/targets/lapse.go
+++ b/internal/targets/lapse.go
@@ -110,5 +110,5 @@
 	if en.goneAt.IsZero() {
 		return false
 	}
-	return now.Before(en.cutUntil) || !dr.reachedAt[en.AvailabilityZone].After(dr.store.since)
+	return now.Before(en.cutUntil) || !dr.zone(en.AvailabilityZone).reachedAt.After(dr.store.since)
 }
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -20,9 +20,6 @@
 	// It doubles up to unreachableMost, so that a cut of some seconds is found to have healed soon after.
 	unreachableFor  = 800 * time.Millisecond
 	unreachableMost = 2400 * time.Millisecond
-	// zoneSuspects is how many targets of an availability zone must be unreachable, and none reached since, for the
-	// whole availability zone to be left out. One alone is a dead target, two at once are seldom chance.
-	zoneSuspects = 2
 	// ejectShare bounds the share of a service's targets that are left out for failing.
 	ejectShare = 0.5
 )
@@ -56,7 +53,7 @@
 	failures, ejections int
 	// cutUntil is when a target that took no connection may be tried again.
 	cutUntil time.Time
-	// refusals counts connections not taken since the last one that was.
+	// refusals counts connections not taken since the last one that was, as far as they lengthen the pause.
 	refusals int
 }
 
@@ -76,13 +73,13 @@
 	heard time.Time
 	// version is the store's when the list last changed, as far as known; it only grows.
 	version int64
-	// reachedAt is when a target of an availability zone last took a connection or answered.
-	reachedAt map[string]time.Time
+	// zones holds what is believed of each availability zone.
+	zones map[string]*zone
 }
 
 // New returns an empty directory.
 func New(now func() time.Time) *Directory {
-	return &Directory{now: now, entries: map[string]*entry{}, leaving: map[string]time.Time{}, reachedAt: map[string]time.Time{}}
+	return &Directory{now: now, entries: map[string]*entry{}, leaving: map[string]time.Time{}, zones: map[string]*zone{}}
 }
 
 // Change is what a call changed about one target.
@@ -253,14 +250,24 @@
 	return ids
 }
 
-// Usable returns the targets of a service that may get work now, sorted by incarnation. Those that take no connection
-// are left out while others do; failing ones are left out unless too few are left. Lapsed ones that nothing was heard of
-// come last of all.
-func (dr *Directory) Usable(service string) []Target {
+// Caution is how sure a request must be of its target.
+type Caution int
+
+const (
+	// Any may be the probe of an availability zone that may be back.
+	Any Caution = iota
+	// Proven leaves out availability zones that have not answered since they were cut off.
+	Proven
+)
+
+// Usable returns the targets of a service that may get work now, sorted by incarnation. Those that take no connection,
+// alone or with their availability zone, are left out while others do; failing ones are left out unless too few are
+// left. Lapsed ones that nothing was heard of come last of all. When a probe is due, only its targets are returned.
+func (dr *Directory) Usable(service string, ca Caution) []Target {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
 	now := dr.now()
-	var good, failing, cut, last []Target
+	var due, good, failing, cut, last []Target
 	for _, en := range dr.entries {
 		switch {
 		case en.Service != service || !en.takesWork(now):
@@ -268,6 +275,10 @@
 			last = append(last, en.Target)
 		case now.Before(en.cutUntil):
 			cut = append(cut, en.Target)
+		case ca == Any && dr.zone(en.AvailabilityZone).probeDue(now):
+			due = append(due, en.Target)
+		case dr.zone(en.AvailabilityZone).doubted(now):
+			cut = append(cut, en.Target)
 		case now.Before(en.outUntil):
 			failing = append(failing, en.Target)
 		default:
@@ -283,6 +294,9 @@
 	if len(good) == 0 {
 		good = last
 	}
+	if len(due) > 0 {
+		good = due
+	}
 	slices.SortFunc(good, func(a, b Target) int { return strings.Compare(a.ID, b.ID) })
 	return good
 }
