fix: a resting connection that a target dropped without a sign does not count against the target

Cause: an engine may drop an idle connection earlier than it said, and what is sent there next is reset. That counted as a failure of the target like any other: three in a row left a sound target out, and the next request took another connection that had rested as long.

Change: SendError.Forgotten is set when a connection that had rested ends before a byte came back. The outcome stays unknown: a repeatable request spends a retry, one that may run once never goes there. The target is not blamed, and its connections rest half as long for 10 s. One that is really broken resets new connections too, which counts.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -256,7 +256,12 @@
 	if ctx.Err() != nil {
 		return gw.timeUp(ctx, rq)
 	}
-	gw.failed(rq, sl.Target, err)
+	if se != nil && se.Forgotten {
+		// That tells nothing of the target's health; a target that has ended takes no new connection.
+		gw.logAttemptFailed(rq, sl.Target, err, true)
+	} else {
+		gw.failed(rq, sl.Target, err)
+	}
 	return failure.New(failure.TargetLost, failure.Unknown, "the target broke off before it answered").WithCause(err)
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -33,6 +33,10 @@
 	br *bufio.Reader
 	// restedAt is when the last answer ended; zero for a new connection.
 	restedAt time.Time
+	// rested is how long it had rested when it was taken; zero for a new connection.
+	rested time.Duration
+	// got counts the bytes that came; it is used by the reader of the answer.
+	got int64
 	// keep is how long the target keeps an idle connection, as far as it says.
 	keep time.Duration
 }
@@ -63,7 +67,16 @@
 	if err != nil {
 		return nil, &DialError{Address: address, Cause: err}
 	}
-	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBuffer)}, nil
+	cn := &conn{Conn: nc}
+	cn.br = bufio.NewReaderSize(cn, readBuffer)
+	return cn, nil
+}
+
+// Read counts what comes.
+func (cn *conn) Read(b []byte) (int, error) {
+	n, err := cn.Conn.Read(b)
+	cn.got += int64(n)
+	return n, err
 }
 
 // boundUnacked makes the kernel give up a connection whose peer acknowledges nothing.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,7 +23,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Exclusive requests may run only once: they go out on new connections.
+	// Exclusive requests may run only once: they go out on new connections, since a target may drop a resting one
+	// without a sign and earlier than it said.
 	Exclusive bool
 	// Mine reports whether an answer belongs to this call; others are skipped.
 	Mine func(*http.Response) bool
@@ -31,8 +33,11 @@
 // SendError says that an exchange broke off.
 type SendError struct {
 	// Sent is false when certainly nothing of the request reached the target.
-	Sent  bool
-	Cause error
+	Sent bool
+	// Forgotten is set when a connection that had rested ended before anything came back: the target may have dropped it
+	// without a sign. The request may have run all the same.
+	Forgotten bool
+	Cause     error
 }
 
 // Error tells whether anything was sent.
@@ -75,7 +80,7 @@
 // Do sends a call and returns the head of its answer. Cancelling ctx closes the connection, which ends the work at the
 // target.
 func (pl *Pool) Do(ctx context.Context, ca Call) (*Answer, error) {
-	cn, _, err := pl.get(ctx, ca.Address, ca.Exclusive)
+	cn, reused, err := pl.get(ctx, ca.Address, ca.Exclusive)
 	if err != nil {
 		return nil, &SendError{Sent: false, Cause: err}
 	}
@@ -87,16 +92,26 @@
 	}
 	an := &Answer{pool: pl, address: ca.Address, cn: cn, stop: stop, written: make(chan struct{}), wroteAll: new(bool)}
 	req := ca.request()
+	before := cn.got
 	go an.write(req)
 	// Close ends the body with the connection.
 	an.Response, err = readAnswer(cn, req, ca.Mine) //nolint:bodyclose // it stays open for the caller
 	if err != nil {
+		forgotten := reused && cn.got == before && ended(err) && ctx.Err() == nil
+		if forgotten {
+			pl.forgot(ca.Address, cn.rested)
+		}
 		an.Close()
-		return nil, &SendError{Sent: true, Cause: err}
+		return nil, &SendError{Sent: true, Forgotten: forgotten, Cause: err}
 	}
 	return an, nil
 }
 
+// ended reports whether a read failed because the target ended the connection.
+func ended(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+}
+
 func (ca Call) request() *http.Request {
 	req := &http.Request{
 		Method: ca.Method, URL: requestLine(ca.Target), Host: ca.Host, Header: ca.Header,
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,8 +18,17 @@
 	keepMargin = 700 * time.Millisecond
 	// idleMost bounds the idle connections to one target until SetIdle is called.
 	idleMost = 8
+	// shortFor is how long a target's connections rest less after it dropped one without a sign: longer than the pauses
+	// between such resets under load, and short beside the price of a new connection for each request.
+	shortFor = 10 * time.Second
 )
 
+// shortRest is how long connections to one target may rest after it dropped one.
+type shortRest struct {
+	most  time.Duration
+	until time.Time
+}
+
 // Pool keeps connections to targets. It is safe for use by any goroutine.
 type Pool struct {
 	now    func() time.Time
@@ -32,12 +43,15 @@
 	idle map[string][]*conn
 	// open counts all connections by address; entries at zero are removed.
 	open map[string]int
+	// short holds the targets that dropped a connection lately, by address.
+	short map[string]shortRest
 }
 
 // NewPool returns an empty pool that counts new connections in a metric.
 func NewPool(now func() time.Time, ms *metrics.Set, dialTimeout time.Duration) *Pool {
 	pl := &Pool{
 		now: now, dialTimeout: dialTimeout, idle: map[string][]*conn{}, open: map[string]int{},
+		short:  map[string]shortRest{},
 		dialed: ms.GetOrCreateCounter("silvermount_target_connections_opened_total"),
 	}
 	pl.SetIdle(idleMost)
@@ -56,7 +70,7 @@
 		if cn == nil {
 			break
 		}
-		if pl.usable(cn) {
+		if pl.usable(address, cn) {
 			return cn, true, nil
 		}
 		pl.drop(address, cn)
@@ -84,12 +98,31 @@
 	return cn
 }
 
-func (pl *Pool) usable(cn *conn) bool {
+func (pl *Pool) usable(address string, cn *conn) bool {
 	most := restMost
 	if cn.keep > 0 {
 		most = cn.keep - keepMargin
 	}
-	return pl.now().Sub(cn.restedAt) < most && cn.quiet()
+	cn.rested = pl.now().Sub(cn.restedAt)
+	return cn.rested < min(most, pl.shortMost(address)) && cn.quiet()
+}
+
+// shortMost is how long a connection may rest by what the target dropped lately.
+func (pl *Pool) shortMost(address string) time.Duration {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	sr, ok := pl.short[address]
+	if !ok || !pl.now().Before(sr.until) {
+		return math.MaxInt64
+	}
+	return sr.most
+}
+
+// forgot notes that a target dropped a connection which had rested for some time. It may have dropped it earlier.
+func (pl *Pool) forgot(address string, rested time.Duration) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	pl.short[address] = shortRest{most: rested / 2, until: pl.now().Add(shortFor)}
 }
 
 // rest takes a connection back whose last answer was whole.
@@ -128,6 +161,7 @@
 	now := pl.now()
 	old := map[string][]*conn{}
 	pl.mu.Lock()
+	maps.DeleteFunc(pl.short, func(_ string, sr shortRest) bool { return !now.Before(sr.until) })
 	for address, list := range pl.idle {
 		var kept []*conn
 		for _, cn := range list {
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -367,3 +367,99 @@
 		})
 	}
 }
+
+// forgetful answers the first request of each connection and ends it at the next, before or inside the answer.
+func forgetful(begun string) func(net.Conn, *http.Request, string) bool {
+	var mu sync.Mutex
+	served := map[net.Conn]bool{}
+	return func(nc net.Conn, rq *http.Request, body string) bool {
+		mu.Lock()
+		again := served[nc]
+		served[nc] = true
+		mu.Unlock()
+		if !again {
+			return echo(nc, rq, body)
+		}
+		fmt.Fprint(nc, begun)
+		return false
+	}
+}
+
+// resetting makes the end of a connection a reset.
+func resetting(answer func(net.Conn, *http.Request, string) bool) func(net.Conn, *http.Request, string) bool {
+	return func(nc net.Conn, rq *http.Request, body string) bool {
+		goes := answer(nc, rq, body)
+		if tc, ok := nc.(*net.TCPConn); ok && !goes {
+			_ = tc.SetLinger(0) // without it the end is an orderly one, which is as good here
+		}
+		return goes
+	}
+}
+
+func TestConnectionThatTheTargetForgot(t *testing.T) {
+	cases := map[string]struct {
+		answer    func(net.Conn, *http.Request, string) bool
+		reused    bool
+		forgotten bool
+	}{
+		"one that had rested":                   {forgetful(""), true, true},
+		"one that had rested, with a reset":     {resetting(forgetful("")), true, true},
+		"a new one":                             {func(net.Conn, *http.Request, string) bool { return false }, false, false},
+		"one that had rested, inside an answer": {forgetful("HTTP/1.1 200 OK\r\n"), true, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			be := newBench(t)
+			tg := startTarget(t, tc.answer)
+			if tc.reused {
+				be.Expect(be.do(call(tg.address(), "/1"))).To(Equal("/1"))
+			}
+			_, err := be.pool.Do(t.Context(), call(tg.address(), "/2"))
+			var se *upstream.SendError
+			be.Expect(errors.As(err, &se)).To(BeTrue())
+			be.Expect(se.Sent).To(BeTrue(), "it may have run")
+			be.Expect(se.Forgotten).To(Equal(tc.forgotten))
+			be.Expect(tg.requests()).To(ContainElement("/2"))
+		})
+	}
+}
+
+func TestConnectionsRestLessAfterOneWasForgotten(t *testing.T) {
+	cases := map[string]struct {
+		// since is the time from the drop to the next call, rest that from there to the last one.
+		since, rest time.Duration
+		again       bool
+	}{
+		"half as long":            {0, 490 * time.Millisecond, true},
+		"no longer":               {0, 500 * time.Millisecond, false},
+		"as before after a while": {10 * time.Second, 3 * time.Second, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			be := newBench(t)
+			var mu sync.Mutex
+			forget := false
+			tg := startTarget(t, func(nc net.Conn, rq *http.Request, body string) bool {
+				mu.Lock()
+				defer mu.Unlock()
+				return !forget && echo(nc, rq, body)
+			})
+			set := func(v bool) { mu.Lock(); defer mu.Unlock(); forget = v }
+			be.Expect(be.do(call(tg.address(), "/1"))).To(Equal("/1"))
+			be.clock.forward(time.Second)
+			set(true)
+			_, err := be.pool.Do(t.Context(), call(tg.address(), "/2"))
+			be.Expect(err).To(HaveOccurred())
+			set(false)
+			be.clock.forward(tc.since)
+			be.Expect(be.do(call(tg.address(), "/3"))).To(Equal("/3"))
+			be.clock.forward(tc.rest)
+			be.Expect(be.do(call(tg.address(), "/4"))).To(Equal("/4"))
+			want := 3
+			if tc.again {
+				want = 2
+			}
+			be.Expect(tg.openedConns()).To(Equal(want))
+		})
+	}
+}
