feat: a line in the log when an availability zone is left out

Change: Unreachable, Silent and PeerLost report whether the zone is left out for it; gateway and peers write `availability zone left out` with zone and cause. That it is back shows in the next request sent there.

No test names the line; what the calls return decides nothing.

--- a/internal/duty/members/members.go
+++ b/internal/duty/members/members.go
@@ -203,8 +203,8 @@
 func (du *duty) lost(mb gossip.Member) {
 	du.lg.WithFields(log.Fields{"peer": mb.Name, "incarnation": mb.Incarnation}).Warn("lost a peer")
 	du.ds.Heard(mb.Name, nil)
-	if silentZone(mb, du.ms.Live()) {
-		du.dr.PeerLost(mb.AvailabilityZone, mb.Name)
+	if silentZone(mb, du.ms.Live()) && du.dr.PeerLost(mb.AvailabilityZone, mb.Name) {
+		du.lg.WithFields(log.Fields{"zone": mb.AvailabilityZone, "cause": "instances lost"}).Warn("availability zone left out")
 	}
 }
 
--- a/internal/gateway/lines.go
+++ b/internal/gateway/lines.go
@@ -120,3 +120,8 @@
 	gw.observe("silvermount_first_event_seconds", gw.Now().Sub(rq.arrived))
 	gw.observe("silvermount_first_event_prediction_error_seconds", (took - sl.FirstPredicted).Abs())
 }
+
+// logZoneOut tells that the availability zone of a target is left out until a probe is answered there.
+func (gw *Gateway) logZoneOut(tg targets.Target, cause string) {
+	gw.Log.WithFields(log.Fields{"zone": tg.AvailabilityZone, "target": tg.ID, "cause": cause}).Warn("availability zone left out")
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -164,7 +164,7 @@
 	an, err := gw.exchange(ctx, rq, sl, ca)
 	if err != nil {
 		if ctx.Err() != nil && gw.Now().Sub(began) >= stallFloor {
-			gw.Targets.Silent(sl.Target.ID)
+			gw.silent(sl.Target)
 		}
 		return nil, gw.sendFailed(ctx, rq, sl, err)
 	}
@@ -186,7 +186,7 @@
 	armed := make(chan struct{})
 	timer = time.AfterFunc(most, func() {
 		<-armed
-		gw.Targets.Silent(sl.Target.ID)
+		gw.silent(sl.Target)
 		if !gw.claimMove(rq.route, rq.service, tried) {
 			timer.Reset(most)
 			return
@@ -239,6 +239,13 @@
 	}
 }
 
+// silent notes that a target said nothing for longer than it should.
+func (gw *Gateway) silent(tg targets.Target) {
+	if gw.Targets.Silent(tg.ID) {
+		gw.logZoneOut(tg, "silence")
+	}
+}
+
 // sendFailed tells what is known after an attempt without an answer.
 func (gw *Gateway) sendFailed(ctx context.Context, rq *request, sl *dispatch.Slot, err error) error {
 	var se *upstream.SendError
@@ -246,7 +253,9 @@
 		if ctx.Err() != nil {
 			return gw.timeUp(ctx, rq)
 		}
-		gw.Targets.Unreachable(sl.Target.ID)
+		if gw.Targets.Unreachable(sl.Target.ID) {
+			gw.logZoneOut(sl.Target, "connections not taken")
+		}
 		gw.logAttemptFailed(rq, sl.Target, err, false)
 		return failure.New(failure.TargetUnreachable, gw.outcome(rq), "the target took no connection").
 			WithCause(err).WithRetryAfter(comeBackFull)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -91,7 +91,7 @@
 		if silence <= sl.LongestSilence() {
 			return false
 		}
-		gw.Targets.Silent(sl.Target.ID)
+		gw.silent(sl.Target)
 		return gw.claimMove(rq.route, rq.service, tried)
 	})
 	defer wd.stop()
--- a/internal/targets/health.go
+++ b/internal/targets/health.go
@@ -58,38 +58,39 @@
 	return true
 }
 
-// Unreachable notes that a target took no connection, which also counts against its availability zone.
-func (dr *Directory) Unreachable(id string) {
+// Unreachable notes that a target took no connection, which also counts against its availability zone. It reports whether
+// that is left out for it.
+func (dr *Directory) Unreachable(id string) bool {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
 	en, ok := dr.entries[id]
 	if !ok {
-		return
+		return false
 	}
 	now := dr.now()
 	en.cutUntil = now.Add(min(unreachableMost, unreachableFor<<en.refusals))
 	en.refusals = min(en.refusals+1, maxDoublings)
-	dr.zone(en.AvailabilityZone).failed(id, zoneQuiet, now)
+	return dr.zone(en.AvailabilityZone).failed(id, zoneQuiet, now)
 }
 
 // maxDoublings keeps the doubling of pauses within bounds.
 const maxDoublings = 3
 
 // Silent notes that a target said nothing for longer than it ever should, which counts against its availability zone
-// only: the attempt goes on until it fails.
-func (dr *Directory) Silent(id string) {
+// only: the attempt goes on until it fails. It reports whether that is left out for it.
+func (dr *Directory) Silent(id string) bool {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
-	if en, ok := dr.entries[id]; ok {
-		dr.zone(en.AvailabilityZone).failed(id, zoneSilence, dr.now())
-	}
+	en, ok := dr.entries[id]
+	return ok && dr.zone(en.AvailabilityZone).failed(id, zoneSilence, dr.now())
 }
 
-// PeerLost notes that an instance fell silent with which all other instances of its availability zone are lost too.
-func (dr *Directory) PeerLost(zone, instance string) {
+// PeerLost notes that an instance fell silent with which all other instances of its availability zone are lost too. It
+// reports whether that is left out for it.
+func (dr *Directory) PeerLost(zone, instance string) bool {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
-	dr.zone(zone).failed(instance, zoneSilence, dr.now())
+	return dr.zone(zone).failed(instance, zoneSilence, dr.now())
 }
 
 // Chosen notes that a request goes to a target. In an availability zone that may be back it is the probe: no other
--- a/internal/targets/zone.go
+++ b/internal/targets/zone.go
@@ -43,8 +43,9 @@
 	return doubted
 }
 
-// failed notes that a target or instance did not answer. It counts when nothing else has answered for longer than quiet.
-func (zn *zone) failed(from string, quiet time.Duration, now time.Time) {
+// failed notes that a target or instance did not answer, and reports whether the availability zone is left out for it.
+// It counts when nothing else has answered for longer than quiet.
+func (zn *zone) failed(from string, quiet time.Duration, now time.Time) bool {
 	for id, at := range zn.signs {
 		if now.Sub(at) > signFor {
 			delete(zn.signs, id)
@@ -57,7 +58,9 @@
 		// What was under way when it was cut off tells nothing new.
 	case zn.doubted(now) || len(zn.signs) >= zoneSuspects:
 		zn.leaveOut(now)
+		return true
 	}
+	return false
 }
 
 func (zn *zone) leaveOut(now time.Time) {
