fix: a target that fails in part is left out, with a pause that grows, and requests that may run once shun it

Cause: only three failures in a row left a target out, and one good answer ended all that was held against it: one that fails four in ten was hardly ever left out and its pause did not grow. What was under way when it was left out left it out again and again, up to 8 s at once. Failures that the caller got (all of those of requests that may run only once) and targets that hang until the caller leaves counted for nothing.

Change: the share of failures among about the last ten outcomes decides; three in a row still leave a target out. It comes back after 1, 2, 4, 8 s, or early after four good answers of what was under way; 20 s without a failure forget all. Requests that may run once shun targets with two failures and no good answer since, for 5 s. At least half of a service stays in either case.

--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -92,6 +92,8 @@
 	}
 	if v == Answered {
 		gw.Targets.Success(sl.Target.ID)
+	} else {
+		gw.held(sl.Target)
 	}
 	sl.FirstToken()
 	if err := gw.fire(ctx, rq, life.FirstToken); err != nil {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -94,13 +94,17 @@
 	}
 }
 
-// caution is how sure the request must be of its target: one that may run only once, or lost an attempt already, is no
-// probe.
+// caution is how sure the request must be of its target: one that may run only once shuns all that failed lately, and
+// one that lost an attempt already is no probe.
 func (rq *request) caution() targets.Caution {
-	if rq.route.Exclusive() || len(rq.tried) > 0 {
+	switch {
+	case rq.route.Exclusive():
+		return targets.Sure
+	case len(rq.tried) > 0:
 		return targets.Proven
+	default:
+		return targets.Any
 	}
-	return targets.Any
 }
 
 // priority is the organisation's rank where it has one, else the route's.
@@ -163,8 +167,8 @@
 	began := gw.Now()
 	an, err := gw.exchange(ctx, rq, sl, ca)
 	if err != nil {
-		if ctx.Err() != nil && gw.Now().Sub(began) >= stallFloor {
-			gw.silent(sl.Target)
+		if ctx.Err() != nil {
+			gw.unanswered(rq, sl, gw.Now().Sub(began))
 		}
 		return nil, gw.sendFailed(ctx, rq, sl, err)
 	}
@@ -239,6 +243,15 @@
 	}
 }
 
+// unanswered notes that nothing came until the end of a request's time, or until its caller went away.
+func (gw *Gateway) unanswered(rq *request, sl *dispatch.Slot, waited time.Duration) {
+	if waited < max(stallFloor, silenceShare*rq.route.Objective, silencePredictions*sl.FirstPredicted) {
+		return
+	}
+	gw.silent(sl.Target)
+	gw.held(sl.Target)
+}
+
 // silent notes that a target said nothing for longer than it should.
 func (gw *Gateway) silent(tg targets.Target) {
 	if gw.Targets.Silent(tg.ID) {
@@ -277,6 +290,11 @@
 // failed notes a failed attempt at a target.
 func (gw *Gateway) failed(rq *request, tg targets.Target, err error) {
 	gw.logAttemptFailed(rq, tg, err, true)
+	gw.held(tg)
+}
+
+// held holds a failure against a target.
+func (gw *Gateway) held(tg targets.Target) {
 	if gw.Targets.Failure(tg.ID) {
 		gw.Log.WithField("target", tg.ID).WithField("service", tg.Service).Warn("target left out for failing")
 	}
--- a/internal/targets/health.go
+++ b/internal/targets/health.go
@@ -2,13 +2,38 @@
 
 import "time"
 
+const (
+	// outcomeWeight is what one outcome counts in the share of failures: about the last ten count.
+	outcomeWeight = 0.2
+	// ejectFrom is the share of failures that takes a target out: three in a row, or soon when four in ten fail. A target
+	// that fails one in ten stays: its requests can be asked for elsewhere.
+	ejectFrom = 0.48
+	// wellBelow is the share below which a target comes back early: four good answers in a row of what was under way.
+	wellBelow = 0.15
+	// ejectTrial is the share with which it comes back: two failures take it out again.
+	ejectTrial = 0.32
+	// ejectFor is how long a target is first left out; it doubles with each further ejection up to ejectMost.
+	ejectFor  = time.Second
+	ejectMost = 8 * time.Second
+	// calmFor is the time without failures after which earlier ejections are forgotten: longer than a target is left out.
+	calmFor = 20 * time.Second
+	// suspectFrom is the share of failures from which a target is suspect: two in a row, until a good answer. Single
+	// failures occur on calm days too.
+	suspectFrom = 0.3
+	// suspectFor is how long it stays so when it gets no requests: most troubles of the platform last about as long.
+	suspectFor = 5 * time.Second
+)
+
 // Success notes a good answer.
 func (dr *Directory) Success(id string) {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
 	if en, ok := dr.entries[id]; ok {
-		en.failures, en.ejections = 0, 0
-		en.outUntil = time.Time{}
+		en.failing *= 1 - outcomeWeight
+		if en.failing < wellBelow {
+			// What was under way when it was left out went well.
+			en.outUntil = time.Time{}
+		}
 		dr.reached(en)
 	}
 }
@@ -40,7 +65,8 @@
 	}
 }
 
-// Failure notes a failed attempt and reports whether it took the target out.
+// Failure notes a failed attempt and reports whether it took the target out. A target may fail for some callers only,
+// so that peers are not told.
 func (dr *Directory) Failure(id string) bool {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
@@ -48,16 +74,30 @@
 	if !ok {
 		return false
 	}
-	en.failures++
-	if en.failures < ejectAfter {
+	now := dr.now()
+	if now.Sub(en.failedAt) > calmFor {
+		en.failing, en.ejections = 0, 0
+	}
+	en.failedAt = now
+	if now.Before(en.outUntil) {
+		// What was under way when it was left out tells nothing new.
+		return false
+	}
+	en.failing += (1 - en.failing) * outcomeWeight
+	if en.failing < ejectFrom {
 		return false
 	}
-	en.failures = 0
-	en.outUntil = dr.now().Add(min(ejectMost, ejectFor<<en.ejections))
-	en.ejections = min(en.ejections+1, 3)
+	en.failing = ejectTrial
+	en.outUntil = now.Add(min(ejectMost, ejectFor<<en.ejections))
+	en.ejections = min(en.ejections+1, maxDoublings)
 	return true
 }
 
+// suspect reports whether a target failed lately and has not made up for it by good answers.
+func (en *entry) suspect(now time.Time) bool {
+	return en.failing >= suspectFrom && now.Sub(en.failedAt) < suspectFor
+}
+
 // Unreachable notes that a target took no connection, which also counts against its availability zone. It reports whether
 // that is left out for it.
 func (dr *Directory) Unreachable(id string) bool {
--- /dev/null
+++ b/internal/targets/health_test.go
@@ -0,0 +1,111 @@
+package targets_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/silvermount/silvermount/internal/targets"
+)
+
+// outcomes notes good answers (a dot) and failures (any other sign) of a target.
+func outcomes(dr *targets.Directory, id, signs string) {
+	for _, sign := range signs {
+		if sign == '.' {
+			dr.Success(id)
+			continue
+		}
+		dr.Failure(id)
+	}
+}
+
+func TestTargetThatFails(t *testing.T) {
+	all := []string{"a", "b", "c", "d"}
+	rest := []string{"b", "c", "d"}
+	tests := map[string]struct {
+		happen func(cl *clock, dr *targets.Directory)
+		// proven and sure are what requests of either caution may take.
+		proven, sure []string
+	}{
+		"two failures make it suspect": {func(_ *clock, dr *targets.Directory) {
+			outcomes(dr, "a", "....xx")
+		}, all, rest},
+		"one does not": {func(_ *clock, dr *targets.Directory) {
+			outcomes(dr, "a", "....x")
+		}, all, all},
+		"a good answer clears it": {func(_ *clock, dr *targets.Directory) {
+			outcomes(dr, "a", "xx.")
+		}, all, all},
+		"time clears it": {func(cl *clock, dr *targets.Directory) {
+			outcomes(dr, "a", "xx")
+			cl.pass(5 * time.Second)
+		}, all, all},
+		"half of all targets may be suspect": {func(_ *clock, dr *targets.Directory) {
+			outcomes(dr, "a", "xx")
+			outcomes(dr, "b", "xx")
+		}, all, []string{"c", "d"}},
+		"more are taken as they are": {func(_ *clock, dr *targets.Directory) {
+			outcomes(dr, "a", "xx")
+			outcomes(dr, "b", "xx")
+			outcomes(dr, "c", "xx")
+		}, all, all},
+		"three failures in a row leave it out": {func(_ *clock, dr *targets.Directory) {
+			outcomes(dr, "a", "xxx")
+		}, rest, rest},
+		"two of three do too": {func(_ *clock, dr *targets.Directory) {
+			outcomes(dr, "a", "xx.xx")
+		}, rest, rest},
+		"one in ten does not": {func(_ *clock, dr *targets.Directory) {
+			outcomes(dr, "a", strings.Repeat("x.........", 50))
+		}, all, all},
+		"failing again after the pause lengthens it, good answers between or not": {func(cl *clock, dr *targets.Directory) {
+			outcomes(dr, "a", "xxx")
+			cl.pass(time.Second)
+			outcomes(dr, "a", ".xx")
+			cl.pass(1900 * time.Millisecond)
+		}, rest, rest},
+		"and it is tried again after that": {func(cl *clock, dr *targets.Directory) {
+			outcomes(dr, "a", "xxx")
+			cl.pass(time.Second)
+			outcomes(dr, "a", ".xx")
+			cl.pass(2 * time.Second)
+		}, all, rest},
+		"a good answer that was under way does not bring it back": {func(_ *clock, dr *targets.Directory) {
+			outcomes(dr, "a", "xxx.")
+		}, rest, rest},
+		"several in a row do": {func(_ *clock, dr *targets.Directory) {
+			outcomes(dr, "a", "xxx....")
+		}, all, all},
+		"what was under way does not lengthen it": {func(cl *clock, dr *targets.Directory) {
+			outcomes(dr, "a", "xxxxxxxxxxxx")
+			cl.pass(time.Second)
+		}, all, rest},
+		"the pause is bounded": {func(cl *clock, dr *targets.Directory) {
+			for range 10 {
+				outcomes(dr, "a", "xxx")
+				cl.pass(8 * time.Second)
+			}
+		}, all, all},
+		"earlier pauses are forgotten": {func(cl *clock, dr *targets.Directory) {
+			outcomes(dr, "a", "xxx")
+			cl.pass(time.Second)
+			outcomes(dr, "a", "xxx")
+			cl.pass(25 * time.Second)
+			outcomes(dr, "a", "xxx")
+			cl.pass(time.Second)
+		}, all, rest},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			cl := newClock()
+			dr := targets.New(cl.now)
+			dr.Replace(list(all...), cl.now())
+			tc.happen(cl, dr)
+			g.Expect(ids(dr.Usable("s", targets.Proven))).To(Equal(tc.proven))
+			g.Expect(ids(dr.Usable("s", targets.Sure))).To(Equal(tc.sure))
+		})
+	}
+}
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -11,11 +11,6 @@
 const (
 	// forgetAfter is how long a target that is gone is remembered, well past any list that still names it.
 	forgetAfter = 60 * time.Second
-	// ejectAfter is the number of failures in a row that takes a target out.
-	ejectAfter = 3
-	// ejectFor is how long a target is first left out; it doubles with each further ejection up to ejectMost.
-	ejectFor  = time.Second
-	ejectMost = 8 * time.Second
 	// unreachableFor is how long a target that took no connection is first left out: about a restart's detection time.
 	// It doubles up to unreachableMost, so that a cut of some seconds is found to have healed soon after.
 	unreachableFor  = 800 * time.Millisecond
@@ -49,8 +44,11 @@
 	workUntil time.Time
 	// outUntil is when an ejected target may be tried again.
 	outUntil time.Time
-	// failures counts those in a row; ejections those since the last success.
-	failures, ejections int
+	// failing is the share of failures among the last outcomes, failedAt the time of the newest.
+	failing  float64
+	failedAt time.Time
+	// ejections counts how often it was left out, as far as it lengthens the pause.
+	ejections int
 	// cutUntil is when a target that took no connection may be tried again.
 	cutUntil time.Time
 	// refusals counts connections not taken since the last one that was, as far as they lengthen the pause.
@@ -258,6 +256,8 @@
 	Any Caution = iota
 	// Proven leaves out availability zones that have not answered since they were cut off.
 	Proven
+	// Sure leaves out also targets that failed lately, unless those are most: for requests that may run only once.
+	Sure
 )
 
 // Usable returns the targets of a service that may get work now, sorted by incarnation. Those that take no connection,
@@ -267,7 +267,7 @@
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
 	now := dr.now()
-	var due, good, failing, cut, last []Target
+	var due, good, suspect, failing, cut, last []Target
 	for _, en := range dr.entries {
 		switch {
 		case en.Service != service || !en.takesWork(now):
@@ -281,13 +281,14 @@
 			cut = append(cut, en.Target)
 		case now.Before(en.outUntil):
 			failing = append(failing, en.Target)
+		case ca == Sure && en.suspect(now):
+			suspect = append(suspect, en.Target)
 		default:
 			good = append(good, en.Target)
 		}
 	}
-	if float64(len(failing)) > ejectShare*float64(len(good)+len(failing)) {
-		good = append(good, failing...)
-	}
+	good = withMany(good, suspect)
+	good = withMany(good, failing)
 	if len(good) == 0 {
 		good = append(failing, cut...)
 	}
@@ -301,6 +302,14 @@
 	return good
 }
 
+// withMany adds what was left out when it is most: the rest could not bear its requests.
+func withMany(good, out []Target) []Target {
+	if float64(len(out)) > ejectShare*float64(len(good)+len(out)) {
+		return append(good, out...)
+	}
+	return good
+}
+
 // TakesWork reports whether a target may be sent a request at this moment.
 func (dr *Directory) TakesWork(id string) bool {
 	dr.mu.Lock()
