--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -93,6 +93,20 @@
 		PromptTokens: rq.PromptTokens, MostAnswer: rq.MostAnswerTokens, AnswerHint: rq.AnswerHint, Events: rq.events,
 		Objective: rq.route.Objective, LongestPause: rq.route.LongestPause,
 		Arrived: rq.arrived, Deadline: rq.due.At, Priority: rq.priority(), Resumed: rq.lastEvent >= 0,
+		Caution: rq.caution(),
+	}
+}
+
+// caution is how sure the request must be of its target: one that may run only once shuns all that failed lately, and
+// one that lost an attempt already is no probe.
+func (rq *request) caution() targets.Caution {
+	switch {
+	case rq.route.Exclusive():
+		return targets.Sure
+	case len(rq.tried) > 0:
+		return targets.Proven
+	default:
+		return targets.Any
 	}
 }
 
@@ -153,6 +167,9 @@
 	began := gw.Now()
 	an, err := gw.exchange(ctx, rq, sl, ca)
 	if err != nil {
+		if ctx.Err() != nil {
+			gw.unanswered(rq, sl, gw.Now().Sub(began))
+		}
 		return nil, gw.sendFailed(ctx, rq, sl, err)
 	}
 	gw.Targets.Reached(sl.Target.ID)
@@ -173,6 +190,7 @@
 	armed := make(chan struct{})
 	timer = time.AfterFunc(most, func() {
 		<-armed
+		gw.silent(sl.Target)
 		if !gw.claimMove(rq.route, rq.service, tried) {
 			timer.Reset(most)
 			return
@@ -225,6 +243,22 @@
 	}
 }
 
+// unanswered notes that nothing came until the end of a request's time, or until its caller went away.
+func (gw *Gateway) unanswered(rq *request, sl *dispatch.Slot, waited time.Duration) {
+	if waited < max(stallFloor, silenceShare*rq.route.Objective, silencePredictions*sl.FirstPredicted) {
+		return
+	}
+	gw.silent(sl.Target)
+	gw.held(sl.Target)
+}
+
+// silent notes that a target said nothing for longer than it should.
+func (gw *Gateway) silent(tg targets.Target) {
+	if gw.Targets.Silent(tg.ID) {
+		gw.logZoneOut(tg, "silence")
+	}
+}
+
 // sendFailed tells what is known after an attempt without an answer.
 func (gw *Gateway) sendFailed(ctx context.Context, rq *request, sl *dispatch.Slot, err error) error {
 	var se *upstream.SendError
@@ -232,7 +266,9 @@
 		if ctx.Err() != nil {
 			return gw.timeUp(ctx, rq)
 		}
-		gw.Targets.Unreachable(sl.Target.ID)
+		if gw.Targets.Unreachable(sl.Target.ID) {
+			gw.logZoneOut(sl.Target, "connections not taken")
+		}
 		gw.logAttemptFailed(rq, sl.Target, err, false)
 		gw.logLeftOut(sl.Target)
 		return failure.New(failure.TargetUnreachable, gw.outcome(rq), "the target took no connection").
@@ -245,13 +281,23 @@
 		gw.logGivenUp(rq, sl.Target, fe)
 		return fe
 	}
-	gw.failed(rq, sl.Target, err)
+	if se != nil && se.Forgotten {
+		// That tells nothing of the target's health; a target that has ended takes no new connection.
+		gw.logAttemptFailed(rq, sl.Target, err, true)
+	} else {
+		gw.failed(rq, sl.Target, err)
+	}
 	return failure.New(failure.TargetLost, failure.Unknown, "the target broke off before it answered").WithCause(err)
 }
 
 // failed notes a failed attempt at a target.
 func (gw *Gateway) failed(rq *request, tg targets.Target, err error) {
 	gw.logAttemptFailed(rq, tg, err, true)
+	gw.held(tg)
+}
+
+// held holds a failure against a target.
+func (gw *Gateway) held(tg targets.Target) {
 	if gw.Targets.Failure(tg.ID) {
 		gw.Log.WithField("target", tg.ID).WithField("service", tg.Service).Warn("target left out for failing")
 	}
--- a/internal/targets/cut.go
+++ b/internal/targets/cut.go
@@ -21,5 +21,5 @@
 		return Cut{}
 	}
 	now := dr.now()
-	return Cut{Refusals: en.refusals, For: max(0, en.cutUntil.Sub(now)), Zone: dr.zoneCut(en.AvailabilityZone, now)}
+	return Cut{Refusals: en.refusals, For: max(0, en.cutUntil.Sub(now)), Zone: dr.zone(en.AvailabilityZone).doubted(now)}
 }
--- a/internal/targets/health.go
+++ b/internal/targets/health.go
@@ -2,13 +2,38 @@
 
 import "time"
 
+const (
+	// outcomeWeight is what one outcome counts in the share of failures: about the last ten count.
+	outcomeWeight = 0.2
+	// ejectFrom is the share of failures that takes a target out: three in a row, or soon when four in ten fail. A target
+	// that fails one in ten stays: its requests can be asked for elsewhere.
+	ejectFrom = 0.48
+	// wellBelow is the share below which a target comes back early: four good answers in a row of what was under way.
+	wellBelow = 0.15
+	// ejectTrial is the share with which it comes back: two failures take it out again.
+	ejectTrial = 0.32
+	// ejectFor is how long a target is first left out; it doubles with each further ejection up to ejectMost.
+	ejectFor  = time.Second
+	ejectMost = 8 * time.Second
+	// calmFor is the time without failures after which earlier ejections are forgotten: longer than a target is left out.
+	calmFor = 20 * time.Second
+	// suspectFrom is the share of failures from which a target is suspect: two in a row, until a good answer. Single
+	// failures occur on calm days too.
+	suspectFrom = 0.3
+	// suspectFor is how long it stays so when it gets no requests: most troubles of the platform last about as long.
+	suspectFor = 5 * time.Second
+)
+
 // Success notes a good answer.
 func (dr *Directory) Success(id string) {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
 	if en, ok := dr.entries[id]; ok {
-		en.failures, en.ejections = 0, 0
-		en.outUntil = time.Time{}
+		en.failing *= 1 - outcomeWeight
+		if en.failing < wellBelow {
+			// What was under way when it was left out went well.
+			en.outUntil = time.Time{}
+		}
 		dr.reached(en)
 	}
 }
@@ -25,10 +50,23 @@
 func (dr *Directory) reached(en *entry) {
 	en.refusals = 0
 	en.cutUntil = time.Time{}
-	dr.reachedAt[en.AvailabilityZone] = dr.now()
+	if dr.zone(en.AvailabilityZone).answered(dr.now()) {
+		dr.reopen(en.AvailabilityZone)
+	}
 }
 
-// Failure notes a failed attempt and reports whether it took the target out.
+// reopen forgets what was held against the targets of an availability zone that answers again.
+func (dr *Directory) reopen(zone string) {
+	for _, en := range dr.entries {
+		if en.AvailabilityZone == zone {
+			en.refusals = 0
+			en.cutUntil = time.Time{}
+		}
+	}
+}
+
+// Failure notes a failed attempt and reports whether it took the target out. A target may fail for some callers only,
+// so that peers are not told.
 func (dr *Directory) Failure(id string) bool {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
@@ -36,55 +74,80 @@
 	if !ok {
 		return false
 	}
-	en.failures++
-	if en.failures < ejectAfter {
+	now := dr.now()
+	if now.Sub(en.failedAt) > calmFor {
+		en.failing, en.ejections = 0, 0
+	}
+	en.failedAt = now
+	if now.Before(en.outUntil) {
+		// What was under way when it was left out tells nothing new.
+		return false
+	}
+	en.failing += (1 - en.failing) * outcomeWeight
+	if en.failing < ejectFrom {
 		return false
 	}
-	en.failures = 0
-	en.outUntil = dr.now().Add(min(ejectMost, ejectFor<<en.ejections))
-	en.ejections = min(en.ejections+1, 3)
+	en.failing = ejectTrial
+	en.outUntil = now.Add(min(ejectMost, ejectFor<<en.ejections))
+	en.ejections = min(en.ejections+1, maxDoublings)
 	return true
 }
 
-// Unreachable notes that a target took no connection. When a second one of its availability zone does not either, the
-// whole availability zone is taken as cut off.
-func (dr *Directory) Unreachable(id string) {
+// suspect reports whether a target failed lately and has not made up for it by good answers.
+func (en *entry) suspect(now time.Time) bool {
+	return en.failing >= suspectFrom && now.Sub(en.failedAt) < suspectFor
+}
+
+// Unreachable notes that a target took no connection, which also counts against its availability zone. It reports whether
+// that is left out for it.
+func (dr *Directory) Unreachable(id string) bool {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
 	en, ok := dr.entries[id]
 	if !ok {
-		return
+		return false
 	}
 	now := dr.now()
-	en.cutUntil = now.Add(min(unreachableMost, unreachableFor<<min(en.refusals, maxDoublings)))
-	en.refusals++
-	if dr.zoneCut(en.AvailabilityZone, now) {
-		dr.leaveOutZone(en.AvailabilityZone, now)
-	}
+	en.cutUntil = now.Add(min(unreachableMost, unreachableFor<<en.refusals))
+	en.refusals = min(en.refusals+1, maxDoublings)
+	return dr.zone(en.AvailabilityZone).failed(id, zoneQuiet, now)
 }
 
 // maxDoublings keeps the doubling of pauses within bounds.
 const maxDoublings = 3
 
-// zoneCut reports whether several targets of an availability zone are unreachable and none was reached since.
-func (dr *Directory) zoneCut(zone string, now time.Time) bool {
-	suspects := 0
-	for _, en := range dr.entries {
-		if en.AvailabilityZone == zone && en.refusals > 0 && now.Before(en.cutUntil) {
-			suspects++
-		}
-	}
-	return suspects >= zoneSuspects && now.Sub(dr.reachedAt[zone]) > zoneQuiet
+// Silent notes that a target said nothing for longer than it ever should, which counts against its availability zone
+// only: the attempt goes on until it fails. It reports whether that is left out for it.
+func (dr *Directory) Silent(id string) bool {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	en, ok := dr.entries[id]
+	return ok && dr.zone(en.AvailabilityZone).failed(id, zoneSilence, dr.now())
 }
 
-// zoneQuiet is the time without any answer from an availability zone after which it may be cut off: answers come many
-// times a second from one that is not.
-const zoneQuiet = 200 * time.Millisecond
+// PeerLost notes that an instance fell silent with which all other instances of its availability zone are lost too. It
+// reports whether that is left out for it.
+func (dr *Directory) PeerLost(zone, instance string) bool {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	return dr.zone(zone).failed(instance, zoneSilence, dr.now())
+}
 
-func (dr *Directory) leaveOutZone(zone string, now time.Time) {
-	for _, en := range dr.entries {
-		if en.AvailabilityZone == zone && now.After(en.cutUntil) {
-			en.cutUntil = now.Add(unreachableFor)
-		}
+// Chosen notes that a request goes to a target. In an availability zone that may be back it is the probe: no other
+// request is sent there until it ends.
+func (dr *Directory) Chosen(id string) {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	if en, ok := dr.entries[id]; ok {
+		dr.zone(en.AvailabilityZone).probed(dr.now())
+	}
+}
+
+func (dr *Directory) zone(name string) *zone {
+	zn, ok := dr.zones[name]
+	if !ok {
+		zn = &zone{signs: map[string]time.Time{}}
+		dr.zones[name] = zn
 	}
+	return zn
 }
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -9,28 +9,12 @@
 )
 
 const (
-	// goneGrace is how long a target whose entry lapsed while the store was in trouble still takes work. It stays
-	// under the two seconds after which a target that left must get no new work.
-	goneGrace = 1700 * time.Millisecond
-	// massGrace is the same when most targets of a service lapsed at once, which is the store's doing: it shows live
-	// targets again about two seconds after it is back.
-	massGrace = 2500 * time.Millisecond
-	// massShare is the share of a service's targets from which a lapse is a mass lapse.
-	massShare = 0.5
 	// forgetAfter is how long a target that is gone is remembered, well past any list that still names it.
 	forgetAfter = 60 * time.Second
-	// ejectAfter is the number of failures in a row that takes a target out.
-	ejectAfter = 3
-	// ejectFor is how long a target is first left out; it doubles with each further ejection up to ejectMost.
-	ejectFor  = time.Second
-	ejectMost = 8 * time.Second
 	// unreachableFor is how long a target that took no connection is first left out: about a restart's detection time.
 	// It doubles up to unreachableMost, so that a cut of some seconds is found to have healed soon after.
 	unreachableFor  = 800 * time.Millisecond
 	unreachableMost = 2400 * time.Millisecond
-	// zoneSuspects is how many targets of an availability zone must be unreachable, and none reached since, for the
-	// whole availability zone to be left out. One alone is a dead target, two at once are seldom chance.
-	zoneSuspects = 2
 	// ejectShare bounds the share of a service's targets that are left out for failing.
 	ejectShare = 0.5
 )
@@ -56,15 +40,18 @@
 	leaving bool
 	// goneAt is when the entry was missed; zero while it is listed.
 	goneAt time.Time
-	// lapsed is set when the entry went while the store was in trouble, mass when most others went with it.
-	lapsed, mass bool
+	// workUntil is how long a target whose entry lapsed while the store was away still takes work; zero for others.
+	workUntil time.Time
 	// outUntil is when an ejected target may be tried again.
 	outUntil time.Time
-	// failures counts those in a row; ejections those since the last success.
-	failures, ejections int
+	// failing is the share of failures among the last outcomes, failedAt the time of the newest.
+	failing  float64
+	failedAt time.Time
+	// ejections counts how often it was left out, as far as it lengthens the pause.
+	ejections int
 	// cutUntil is when a target that took no connection may be tried again.
 	cutUntil time.Time
-	// refusals counts connections not taken since the last one that was.
+	// refusals counts connections not taken since the last one that was, as far as they lengthen the pause.
 	refusals int
 }
 
@@ -76,19 +63,21 @@
 	entries map[string]*entry
 	// leaving holds incarnations that were told to be leaving before they were listed.
 	leaving map[string]time.Time
-	// troubleAt is when the store was last seen in trouble.
-	troubleAt time.Time
+	// store is what the own calls say of the store.
+	store outage
+	// toldUntil is how long missing entries may be the doing of the store as a peer told.
+	toldUntil time.Time
 	// heard is the time of the newest evidence; it only grows.
 	heard time.Time
 	// version is the store's when the list last changed, as far as known; it only grows.
 	version int64
-	// reachedAt is when a target of an availability zone last took a connection or answered.
-	reachedAt map[string]time.Time
+	// zones holds what is believed of each availability zone.
+	zones map[string]*zone
 }
 
 // New returns an empty directory.
 func New(now func() time.Time) *Directory {
-	return &Directory{now: now, entries: map[string]*entry{}, leaving: map[string]time.Time{}, reachedAt: map[string]time.Time{}}
+	return &Directory{now: now, entries: map[string]*entry{}, leaving: map[string]time.Time{}, zones: map[string]*zone{}}
 }
 
 // Change is what a call changed about one target.
@@ -98,20 +87,14 @@
 	What string
 }
 
-// storeTroubleWindow is how long after trouble of the store a missing entry is taken as lapsed, not as gone.
-const storeTroubleWindow = 5 * time.Second
-
-// Trouble notes that the store could not be asked.
-func (dr *Directory) Trouble() {
-	dr.mu.Lock()
-	dr.troubleAt = dr.now()
-	dr.mu.Unlock()
-}
-
 // Replace takes a whole list. Evidence is when the store was asked.
 func (dr *Directory) Replace(list []Target, evidence time.Time) []Change {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
+	return dr.replace(list, evidence)
+}
+
+func (dr *Directory) replace(list []Target, evidence time.Time) []Change {
 	dr.confirm(evidence)
 	var changes []Change
 	listed := map[string]bool{}
@@ -124,33 +107,10 @@
 			changes = append(changes, dr.miss(en)...)
 		}
 	}
-	dr.markMass(changes)
 	dr.forget()
 	return changes
 }
 
-// markMass marks the targets of services most of which went with one list.
-func (dr *Directory) markMass(changes []Change) {
-	went := map[string]int{}
-	for _, ch := range changes {
-		if ch.What == "gone" {
-			went[ch.Target.Service]++
-		}
-	}
-	there := map[string]int{}
-	for _, en := range dr.entries {
-		if en.goneAt.IsZero() {
-			there[en.Service]++
-		}
-	}
-	for _, ch := range changes {
-		n := went[ch.Target.Service]
-		if ch.What == "gone" && float64(n) > massShare*float64(n+there[ch.Target.Service]) {
-			dr.entries[ch.Target.ID].mass = true
-		}
-	}
-}
-
 // Put takes one listed target.
 func (dr *Directory) Put(tg Target, evidence time.Time) []Change {
 	dr.mu.Lock()
@@ -224,7 +184,7 @@
 	_, told := dr.leaving[tg.ID]
 	en.Target = tg
 	en.goneAt = time.Time{}
-	en.lapsed, en.mass = false, false
+	en.workUntil = time.Time{}
 	en.leaving = en.leaving || tg.Leaving || told
 	switch {
 	case en.leaving && !wasLeaving:
@@ -242,9 +202,8 @@
 	if !en.goneAt.IsZero() {
 		return nil
 	}
-	now := dr.now()
-	en.goneAt = now
-	en.lapsed = !dr.troubleAt.IsZero() && now.Sub(dr.troubleAt) < storeTroubleWindow
+	en.goneAt = dr.now()
+	en.workUntil = dr.store.returnEnds()
 	return []Change{{Target: en.Target, What: "gone"}}
 }
 
@@ -289,34 +248,68 @@
 	return ids
 }
 
-// Usable returns the targets of a service that may get work now, sorted by incarnation. Those that take no connection
-// are left out while others do; failing ones are left out unless too few are left.
-func (dr *Directory) Usable(service string) []Target {
+// Caution is how sure a request must be of its target.
+type Caution int
+
+const (
+	// Any may be the probe of an availability zone that may be back.
+	Any Caution = iota
+	// Proven leaves out availability zones that have not answered since they were cut off.
+	Proven
+	// Sure leaves out also targets that failed lately, unless those are most: for requests that may run only once.
+	Sure
+)
+
+// Usable returns the targets of a service that may get work now, sorted by incarnation. Those that take no connection,
+// alone or with their availability zone, are left out while others do; failing ones are left out unless too few are
+// left. Lapsed ones that nothing was heard of come last of all. When a probe is due, only its targets are returned.
+func (dr *Directory) Usable(service string, ca Caution) []Target {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
 	now := dr.now()
-	var good, failing, cut []Target
+	var due, good, suspect, failing, cut, last []Target
 	for _, en := range dr.entries {
 		switch {
 		case en.Service != service || !en.takesWork(now):
+		case dr.unheard(en, now):
+			last = append(last, en.Target)
 		case now.Before(en.cutUntil):
 			cut = append(cut, en.Target)
+		case ca == Any && dr.zone(en.AvailabilityZone).probeDue(now):
+			due = append(due, en.Target)
+		case dr.zone(en.AvailabilityZone).doubted(now):
+			cut = append(cut, en.Target)
 		case now.Before(en.outUntil):
 			failing = append(failing, en.Target)
+		case ca == Sure && en.suspect(now):
+			suspect = append(suspect, en.Target)
 		default:
 			good = append(good, en.Target)
 		}
 	}
-	if float64(len(failing)) > ejectShare*float64(len(good)+len(failing)) {
-		good = append(good, failing...)
-	}
+	good = withMany(good, suspect)
+	good = withMany(good, failing)
 	if len(good) == 0 {
 		good = append(failing, cut...)
 	}
+	if len(good) == 0 {
+		good = last
+	}
+	if len(due) > 0 {
+		good = due
+	}
 	slices.SortFunc(good, func(a, b Target) int { return strings.Compare(a.ID, b.ID) })
 	return good
 }
 
+// withMany adds what was left out when it is most: the rest could not bear its requests.
+func withMany(good, out []Target) []Target {
+	if float64(len(out)) > ejectShare*float64(len(good)+len(out)) {
+		return append(good, out...)
+	}
+	return good
+}
+
 // TakesWork reports whether a target may be sent a request at this moment.
 func (dr *Directory) TakesWork(id string) bool {
 	dr.mu.Lock()
@@ -332,11 +325,7 @@
 	if en.goneAt.IsZero() {
 		return true
 	}
-	grace := goneGrace
-	if en.mass {
-		grace = massGrace
-	}
-	return en.lapsed && now.Sub(en.goneAt) < grace
+	return now.Before(en.workUntil)
 }
 
 // Len returns how many targets are listed.
