perf(facts): a large fleet asks the store less often

Change: a pace for each part. Relays leave the store alone for a drawn time of up to 0.6 s after changes, listeners for 0.5 to 1 s; listeners try again after 2 to 4 s, or when a peer tells of a newer configuration; relays that are turned away try more seldom while others have proof; relays watch the targets for 4 s, which changes end at once; an instance that starts waits for its peers after its first lists. A listener whose proof is old asks with a watch of 50 ms instead of 1.5 s, at an age drawn between 3.3 and 3.9 s, so that one answer renews the proof of all. This was a fault: with all relays cut off proofs became 4.64 s old, and keys are refused from 4.4 s on (TestRelaysThatAreCutOff failed before).

Tests on a fake clock with 40 instances: start, quiet, storm, dying, cut off and turned away relays, store down, configuration changed meanwhile.

--- a/internal/duty/facts/facts.go
+++ b/internal/duty/facts/facts.go
@@ -40,21 +40,14 @@
 	changed *forwarding.Changed
 	// relays says whether peers follow the store for this instance.
 	relays *forwarding.Relays
+	// seeds is set when there may be peers.
+	seeds bool
 	// version is the newest configuration read; it is used by one goroutine.
 	version int64
 	// news is set while an answer about targets holds changes; it is used by one goroutine.
 	news bool
 }
 
-// restAge is the age of what peers tell from which an instance asks the store itself. A relay's evidence is up to two
-// silent watches old; an answer that comes a second later still keeps the proof of keys below the users' five seconds.
-const restAge = 3300 * time.Millisecond
-
-// restsAt reports whether peers tell enough.
-func (rd *reader) restsAt(heard time.Time) bool {
-	return time.Since(heard) < restAge && !rd.relays.Follows()
-}
-
 func start(_ context.Context, env *kernel.Env) (kernel.Stop, error) {
 	pt, err := kernel.Need[*forwarding.Parts](env)
 	if err != nil {
@@ -64,6 +57,7 @@
 	st := pt.Adapter.Store(env.Settings.Gateway.Store, calls.Inc)
 	rd := &reader{
 		ad: pt.Adapter, rts: pt.Routes, dr: pt.Targets, lg: env.Logger("facts"), changed: pt.Changed, relays: pt.Relays,
+		seeds: len(env.Settings.Gateway.Seeds) > 0,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
@@ -77,8 +71,10 @@
 }
 
 func (rd *reader) configuration(st follow.Store, lg log.Interface) *follow.Follower {
+	pc := newPace(rd.relays.Part, rd.seeds)
 	return &follow.Follower{
-		Store: st, Kind: rd.ad.ConfigurationKind, Wait: configurationWait, Log: lg,
+		Store: st, Kind: rd.ad.ConfigurationKind, Log: lg, Pause: pc.pause,
+		Wait: func() time.Duration { return pc.wait(configurationWait, configurationWait) },
 		Replace: func(items []objectstore.Object, evidence time.Time) {
 			for _, it := range items {
 				rd.readConfiguration(it, evidence)
@@ -91,9 +87,19 @@
 		},
 		Rest: func() bool {
 			tb, provenAt := rd.rts.Current()
-			return tb != nil && rd.relays.Newest() <= tb.Version() && rd.restsAt(provenAt)
+			return tb != nil && rd.relays.Newest() <= tb.Version() && pc.rests(provenAt, restLeast)
+		},
+		Retry: func() (least, most time.Duration) {
+			_, provenAt := rd.rts.Current()
+			return pc.retry(provenAt, restLeast)
+		},
+		Newest: rd.relays.Newest,
+		Trouble: func(error) {
+			if !rd.relays.Follows() {
+				// A listener seldom asks for targets, and what troubles one kind troubles both.
+				rd.dr.Trouble()
+			}
 		},
-		Trouble: func(error) {},
 	}
 }
 
@@ -118,8 +124,10 @@
 }
 
 func (rd *reader) targets(st follow.Store, lg log.Interface) *follow.Follower {
+	pc := newPace(rd.relays.Part, rd.seeds)
 	return &follow.Follower{
-		Store: st, Kind: rd.ad.TargetKind, Wait: targetsWait, Log: lg,
+		Store: st, Kind: rd.ad.TargetKind, Log: lg, Pause: pc.pause,
+		Wait: func() time.Duration { return pc.wait(relayTargetsWait, targetsWait) },
 		Replace: func(items []objectstore.Object, evidence time.Time) {
 			list := make([]targets.Target, 0, len(items))
 			for _, it := range items {
@@ -149,7 +157,8 @@
 			rd.changed.Tell()
 		},
 		Trouble: func(error) { rd.dr.Trouble() },
-		Rest:    func() bool { return rd.restsAt(rd.dr.HeardAt()) },
+		Rest:    func() bool { return pc.rests(rd.dr.HeardAt(), targetsRestLeast) },
+		Retry:   func() (least, most time.Duration) { return pc.retry(rd.dr.HeardAt(), targetsRestLeast) },
 	}
 }
 
--- /dev/null
+++ b/internal/duty/facts/fleet_test.go
@@ -0,0 +1,426 @@
+package facts
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	. "github.com/onsi/gomega"
+
+	"github.com/silvermount/silvermount/internal/adapter"
+	"github.com/silvermount/silvermount/internal/duty/forwarding"
+	"github.com/silvermount/silvermount/internal/follow"
+	"github.com/silvermount/silvermount/internal/objectstore"
+	"github.com/silvermount/silvermount/internal/routes"
+	"github.com/silvermount/silvermount/internal/targets"
+)
+
+const (
+	// instances and relays are the size of the fleet: two relays in each of two availability zones.
+	instances = 40
+	relays    = 4
+	// travel is a call to the store, tell the time between two tellings of peers.
+	travel = 10 * time.Millisecond
+	tell   = 50 * time.Millisecond
+	// noticed is how long peers take for live who is not.
+	noticed = 2 * time.Second
+	// fetched is when an instance has fetched from a peer what it did not get from the store.
+	fetched = 1500 * time.Millisecond
+	// proofBound is the age of a proof from which keys are refused.
+	proofBound                     = 4400 * time.Millisecond
+	kindConfiguration, kindTargets = "configurations", "targets"
+)
+
+// shared is a store that all instances ask. It holds one configuration, whose value is its version, and targets.
+type shared struct {
+	mu      sync.Mutex
+	version map[string]int64
+	down    bool
+	calls   map[string]int
+}
+
+func (sh *shared) set(edit func()) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	edit()
+}
+
+// taken returns the calls of an instance since they were last taken.
+func (sh *shared) taken(name string) int {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	n := sh.calls[name]
+	sh.calls[name] = 0
+	return n
+}
+
+func (sh *shared) list(kind string) objectstore.Listing {
+	v := sh.version[kind]
+	name := "main"
+	if kind == kindTargets {
+		name = "target-" + strconv.FormatInt(v, 10)
+	}
+	return objectstore.Listing{
+		Version: v, Items: []objectstore.Object{{Name: name, Version: v, Value: json.RawMessage(strconv.FormatInt(v, 10))}},
+	}
+}
+
+// machine is one instance.
+type machine struct {
+	name   string
+	store  *shared
+	rd     *reader
+	dead   atomic.Bool
+	diedAt time.Time
+	// cut machines hear of nobody, not even the store; refused ones are turned away by the store.
+	cut, refused atomic.Bool
+	// lacks is since when it knows of a newer configuration than it has.
+	lacks time.Time
+}
+
+func (ma *machine) ask(sh *shared, kind string) (objectstore.Listing, error) {
+	time.Sleep(travel)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if sh.down || ma.refused.Load() {
+		return objectstore.Listing{}, &objectstore.UnavailableError{Cause: &objectstore.StatusError{Status: 503}}
+	}
+	return sh.list(kind), nil
+}
+
+func (ma *machine) called() {
+	ma.store.set(func() { ma.store.calls[ma.name]++ })
+}
+
+func (ma *machine) list(ctx context.Context, kind string) (objectstore.Listing, error) {
+	ma.called()
+	if ma.cut.Load() {
+		time.Sleep(storeSilence)
+		return objectstore.Listing{}, &objectstore.UnavailableError{Cause: context.DeadlineExceeded}
+	}
+	if ctx.Err() != nil {
+		return objectstore.Listing{}, ctx.Err()
+	}
+	return ma.ask(ma.store, kind)
+}
+
+// storeSilence is how long a call waits for an answer that does not come.
+const storeSilence = 1200 * time.Millisecond
+
+func (ma *machine) watch(ctx context.Context, kind string, since int64, wait time.Duration) (objectstore.Listing, error) {
+	ma.called()
+	for over := time.Now().Add(wait); ; {
+		l, err := ma.ask(ma.store, kind)
+		if ma.cut.Load() {
+			time.Sleep(time.Until(over) + storeSilence)
+			return objectstore.Listing{}, &objectstore.UnavailableError{Cause: context.DeadlineExceeded}
+		}
+		if ctx.Err() != nil {
+			return objectstore.Listing{}, ctx.Err()
+		}
+		if err != nil || l.Version > since {
+			return l, err
+		}
+		if !time.Now().Before(over) {
+			return objectstore.Listing{Version: l.Version}, nil
+		}
+	}
+}
+
+// fleet is a large fleet whose peers tell each other all that they know.
+type fleet struct {
+	store    *shared
+	machines []*machine
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	fl := &fleet{store: &shared{version: map[string]int64{kindConfiguration: 1, kindTargets: 1}, calls: map[string]int{}}}
+	for i := range instances {
+		fl.machines = append(fl.machines, fl.machine(i))
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	lg := &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
+	for _, ma := range fl.machines {
+		st := follow.Store{List: ma.list, Watch: ma.watch}
+		wg.Go(func() { ma.rd.configuration(st, lg).Run(ctx) })
+		wg.Go(func() { ma.rd.targets(st, lg).Run(ctx) })
+	}
+	wg.Go(func() {
+		for ctx.Err() == nil {
+			time.Sleep(tell)
+			fl.tell()
+		}
+	})
+	t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+	})
+	return fl
+}
+
+func (fl *fleet) machine(i int) *machine {
+	ma := &machine{name: fmt.Sprintf("instance-%d", i), store: fl.store}
+	rl := &forwarding.Relays{}
+	began := time.Now()
+	rl.Set(func() forwarding.Part {
+		if time.Since(began) < tell {
+			return forwarding.PartAlone
+		}
+		return fl.part(i)
+	})
+	ma.rd = &reader{
+		ad: adapter.Adapter{
+			ConfigurationKind: kindConfiguration, ConfigurationName: "main", TargetKind: kindTargets,
+			Configuration: func(value []byte) (routes.Content, error) {
+				v, err := strconv.ParseInt(string(value), 10, 64)
+				return routes.Content{Version: v}, err
+			},
+			Target: func(ob objectstore.Object) (targets.Target, error) { return targets.Target{ID: ob.Name}, nil },
+		},
+		rts: &routes.Holder{}, dr: targets.New(time.Now), changed: &forwarding.Changed{}, relays: rl, seeds: true,
+		lg: &log.Logger{Handler: discard.New(), Level: log.ErrorLevel},
+	}
+	return ma
+}
+
+// part takes the first live machines for relays; a cut machine sees nobody.
+func (fl *fleet) part(i int) forwarding.Part {
+	if fl.machines[i].cut.Load() {
+		return forwarding.PartAlone
+	}
+	before := 0
+	for _, ma := range fl.machines[:i] {
+		if !ma.dead.Load() || time.Since(ma.diedAt) < noticed {
+			before++
+		}
+	}
+	if before < relays {
+		return forwarding.PartRelay
+	}
+	return forwarding.PartListener
+}
+
+// tell lets every machine hear what the others know.
+func (fl *fleet) tell() {
+	for _, to := range fl.machines {
+		for _, from := range fl.machines {
+			if from != to && from.there() && to.there() {
+				hearConfiguration(to, from)
+				hearTargets(to, from)
+			}
+		}
+	}
+}
+
+func (ma *machine) there() bool { return !ma.dead.Load() && !ma.cut.Load() }
+
+func hearConfiguration(to, from *machine) {
+	tb, provenAt := from.rd.rts.Current()
+	if tb == nil || to.rd.rts.Confirm(tb.Version(), provenAt) {
+		return
+	}
+	if to.rd.relays.Newest() < tb.Version() {
+		to.lacks = time.Now()
+	}
+	to.rd.relays.Heard(tb.Version())
+	if time.Since(to.lacks) >= fetched {
+		to.rd.rts.Offer(tb, []byte("{}"), provenAt)
+	}
+}
+
+func hearTargets(to, from *machine) {
+	version, heard := from.rd.dr.Version()
+	mine, _ := to.rd.dr.Version()
+	switch {
+	case version > mine:
+		_, list := from.rd.dr.Listed()
+		to.rd.dr.Replace(list, heard)
+		to.rd.dr.Changed(version)
+	case version == mine && version > 0:
+		to.rd.dr.Confirm(heard)
+	}
+}
+
+// kill ends machines.
+func (fl *fleet) kill(dead ...*machine) {
+	for _, ma := range dead {
+		ma.diedAt = time.Now()
+		ma.dead.Store(true)
+		// Its calls lead nowhere and are not counted below.
+		ma.refused.Store(true)
+	}
+}
+
+// calls returns the calls of all machines since they were last taken.
+func (fl *fleet) calls() int {
+	n := 0
+	for _, ma := range fl.machines {
+		n += fl.store.taken(ma.name)
+	}
+	return n
+}
+
+// listenerCalls returns the calls of those that are no relays at first.
+func (fl *fleet) listenerCalls() int {
+	n := 0
+	for _, ma := range fl.machines[relays:] {
+		n += fl.store.taken(ma.name)
+	}
+	return n
+}
+
+// oldest returns the greatest age of a proof of the configuration among live machines that are not cut.
+func (fl *fleet) oldest() time.Duration {
+	var age time.Duration
+	for _, ma := range fl.machines {
+		if ma.there() {
+			_, provenAt := ma.rd.rts.Current()
+			age = max(age, time.Since(provenAt))
+		}
+	}
+	return age
+}
+
+// watchOldest returns the greatest age of a proof that is seen while a time goes by.
+func (fl *fleet) watchOldest(d time.Duration) time.Duration {
+	var age time.Duration
+	for over := time.Now().Add(d); time.Now().Before(over); {
+		time.Sleep(tell)
+		age = max(age, fl.oldest())
+	}
+	return age
+}
+
+// inForce reports whether all live machines that are not cut have a version.
+func (fl *fleet) inForce(version int64) bool {
+	for _, ma := range fl.machines {
+		if tb, _ := ma.rd.rts.Current(); ma.there() && (tb == nil || tb.Version() != version) {
+			return false
+		}
+	}
+	return true
+}
+
+func (fl *fleet) change(kind string) {
+	fl.store.set(func() { fl.store.version[kind]++ })
+}
+
+// inFleet runs a test with a fleet that has settled, on a fake clock.
+func inFleet(t *testing.T, run func(g *WithT, fl *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t)
+		time.Sleep(20 * time.Second)
+		fl.calls()
+		run(NewWithT(t), fl)
+	})
+}
+
+func TestStartOfAFleetCostsFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		fl := newFleet(t)
+		time.Sleep(3 * time.Second)
+		g.Expect(fl.inForce(1)).To(BeTrue())
+		g.Expect(fl.listenerCalls()).To(Equal(2*(instances-relays)), "one list of each kind")
+	})
+}
+
+func TestQuietFleet(t *testing.T) {
+	inFleet(t, func(g *WithT, fl *fleet) {
+		g.Expect(fl.watchOldest(time.Minute)).To(BeNumerically("<", 3*time.Second+2*tell))
+		g.Expect(fl.listenerCalls()).To(BeZero())
+		// A silent watch of the configuration each 1.5 s and of the targets each 4 s.
+		g.Expect(fl.calls()).To(BeNumerically("~", relays*(60/1.5+60/4), 5))
+	})
+}
+
+func TestConfigurationsOneAfterAnother(t *testing.T) {
+	inFleet(t, func(g *WithT, fl *fleet) {
+		const versions = 60
+		for range versions {
+			fl.change(kindConfiguration)
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(1500 * time.Millisecond)
+		g.Expect(fl.inForce(versions + 1)).To(BeTrue())
+		g.Expect(fl.calls()).To(BeNumerically("<", 15*instances), "calls do not follow each version")
+	})
+}
+
+func TestTargetsOneAfterAnother(t *testing.T) {
+	inFleet(t, func(g *WithT, fl *fleet) {
+		for range 60 {
+			fl.change(kindTargets)
+			time.Sleep(100 * time.Millisecond)
+		}
+		g.Expect(fl.listenerCalls()).To(BeZero())
+		g.Expect(fl.calls()).To(BeNumerically("<", relays*35))
+		time.Sleep(time.Second)
+		for _, ma := range fl.machines {
+			version, _ := ma.rd.dr.Version()
+			g.Expect(version).To(Equal(int64(61)), ma.name)
+		}
+	})
+}
+
+func TestRelaysThatDieAtOnce(t *testing.T) {
+	inFleet(t, func(g *WithT, fl *fleet) {
+		fl.kill(fl.machines[:relays]...)
+		fl.change(kindConfiguration)
+		g.Expect(fl.watchOldest(10 * time.Second)).To(BeNumerically("<", proofBound))
+		g.Expect(fl.inForce(2)).To(BeTrue())
+		g.Expect(fl.listenerCalls()).To(BeNumerically("<", 6*instances))
+	})
+}
+
+func TestRelaysThatAreCutOff(t *testing.T) {
+	inFleet(t, func(g *WithT, fl *fleet) {
+		for _, ma := range fl.machines[:relays] {
+			ma.cut.Store(true)
+		}
+		g.Expect(fl.watchOldest(10 * time.Second)).To(BeNumerically("<", proofBound))
+	})
+}
+
+func TestRelaysThatTheStoreTurnsAway(t *testing.T) {
+	inFleet(t, func(g *WithT, fl *fleet) {
+		for _, ma := range fl.machines[:relays-1] {
+			ma.refused.Store(true)
+		}
+		g.Expect(fl.watchOldest(30*time.Second)).To(BeNumerically("<", 3500*time.Millisecond), "one relay tells all")
+		g.Expect(fl.calls()).To(BeNumerically("<", 5*30))
+	})
+}
+
+func TestStoreThatIsDown(t *testing.T) {
+	inFleet(t, func(g *WithT, fl *fleet) {
+		fl.store.set(func() { fl.store.down = true })
+		time.Sleep(8 * time.Second)
+		g.Expect(fl.listenerCalls()).To(BeNumerically("<", 6*instances))
+		fl.store.set(func() { fl.store.down = false })
+		time.Sleep(1500 * time.Millisecond)
+		g.Expect(fl.oldest()).To(BeNumerically("<", 1600*time.Millisecond), "all have fresh proof again")
+	})
+}
+
+func TestConfigurationThatChangedWhileTheStoreWasDown(t *testing.T) {
+	inFleet(t, func(g *WithT, fl *fleet) {
+		fl.store.set(func() { fl.store.down = true })
+		time.Sleep(8 * time.Second)
+		fl.change(kindConfiguration)
+		fl.store.set(func() { fl.store.down = false })
+		time.Sleep(2500 * time.Millisecond)
+		g.Expect(fl.inForce(2)).To(BeTrue())
+	})
+}
--- a/internal/duty/forwarding/forwarding.go
+++ b/internal/duty/forwarding/forwarding.go
@@ -39,9 +39,20 @@
 	Relays     *Relays
 }
 
+// Part is what an instance does for the fleet's knowledge of the store.
+type Part int
+
+// An instance that is alone follows the store for itself only. A relay follows it for others too. A listener hears of it
+// from relays and asks the store when they are silent.
+const (
+	PartAlone Part = iota
+	PartRelay
+	PartListener
+)
+
 // Relays says whether this instance follows the store for others. It is safe for use by any goroutine.
 type Relays struct {
-	follows atomic.Pointer[func() bool]
+	part atomic.Pointer[func() Part]
 	// newest is the newest configuration that a peer told of.
 	newest atomic.Int64
 }
@@ -60,14 +71,20 @@
 func (rl *Relays) Newest() int64 { return rl.newest.Load() }
 
 // Set sets who decides.
-func (rl *Relays) Set(follows func() bool) { rl.follows.Store(&follows) }
+func (rl *Relays) Set(part func() Part) { rl.part.Store(&part) }
 
-// Follows reports whether this instance has to follow the store itself; before Set it has.
-func (rl *Relays) Follows() bool {
-	follows := rl.follows.Load()
-	return follows == nil || (*follows)()
+// Part returns this instance's part; before Set it is alone.
+func (rl *Relays) Part() Part {
+	part := rl.part.Load()
+	if part == nil {
+		return PartAlone
+	}
+	return (*part)()
 }
 
+// Follows reports whether this instance has to follow the store itself.
+func (rl *Relays) Follows() bool { return rl.Part() != PartListener }
+
 // Changed is told when what this instance knows or has in flight changes. It is safe for use by any goroutine.
 type Changed struct {
 	publish atomic.Pointer[func()]
--- a/internal/duty/members/members.go
+++ b/internal/duty/members/members.go
@@ -78,7 +78,7 @@
 	op := du.options(env)
 	du.ms = gossip.New(op)
 	pt.Changed.Set(du.ms.Publish)
-	pt.Relays.Set(func() bool { return follows(op.Self, du.ms.Live()) })
+	pt.Relays.Set(func() forwarding.Part { return part(op.Self, du.ms.Live()) })
 	kernel.Provide(env, du.ms)
 	return du.run(l, env), nil
 }
@@ -175,9 +175,9 @@
 	time.AfterFunc(storeFirst, func() { du.want(nw) })
 }
 
-// storeFirst is the time that the store has to answer first: its answer takes milliseconds when it is well, and as much
-// is left of the two seconds in which a configuration must be in force.
-const storeFirst = 700 * time.Millisecond
+// storeFirst is the time that the store has to answer first: the pause of a listener after news and some more. As much is
+// left of the three seconds in which a configuration must be in force.
+const storeFirst = 1100 * time.Millisecond
 
 // receiveTargets compares a peer's list of targets with this instance's.
 func (du *duty) receiveTargets(from gossip.Member, st peerstate.State, evidence time.Time) {
--- a/internal/duty/members/relays.go
+++ b/internal/duty/members/relays.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/silvermount/silvermount/internal/duty/forwarding"
 	"github.com/silvermount/silvermount/internal/gossip"
 )
 
@@ -17,12 +18,12 @@
 	relaysPerZone = 2
 )
 
-// follows reports whether an instance is among those that follow the store for its availability zone: the first by hash
-// among the live ones. Two instances that see different ones as live only mean a follower more or less for a while, since
-// what peers tell grows old and is then asked for.
-func follows(self gossip.Member, live []gossip.Member) bool {
+// part returns what an instance does for the others: relays are the first of each availability zone by hash among the live
+// ones. Two instances that see different ones as live only mean a relay more or less for a while, since what peers tell
+// grows old and is then asked for.
+func part(self gossip.Member, live []gossip.Member) forwarding.Part {
 	if len(live) <= relaysFrom {
-		return true
+		return forwarding.PartAlone
 	}
 	var near []gossip.Member
 	for _, mb := range live {
@@ -32,5 +33,8 @@
 	}
 	rank := func(mb gossip.Member) uint64 { return xxhash.Sum64String(mb.Name) }
 	slices.SortFunc(near, func(a, b gossip.Member) int { return cmp.Compare(rank(a), rank(b)) })
-	return slices.ContainsFunc(near[:min(len(near), relaysPerZone)], func(mb gossip.Member) bool { return mb.Name == self.Name })
+	if slices.ContainsFunc(near[:min(len(near), relaysPerZone)], func(mb gossip.Member) bool { return mb.Name == self.Name }) {
+		return forwarding.PartRelay
+	}
+	return forwarding.PartListener
 }
--- a/internal/duty/members/relays_test.go
+++ b/internal/duty/members/relays_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/silvermount/silvermount/internal/duty/forwarding"
 	"github.com/silvermount/silvermount/internal/gossip"
 )
 
@@ -30,6 +31,10 @@
 	return n
 }
 
+func follows(self gossip.Member, live []gossip.Member) bool {
+	return part(self, live) != forwarding.PartListener
+}
+
 func TestFollowers(t *testing.T) {
 	tests := map[string]struct {
 		live []gossip.Member
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -34,8 +34,8 @@
 type Follower struct {
 	Store Store
 	Kind  string
-	// Wait bounds one watch; while it waits in silence the newest evidence grows old.
-	Wait time.Duration
+	// Wait returns the bound of one watch; while it waits in silence the newest evidence grows old.
+	Wait func() time.Duration
 	// Replace takes a whole list.
 	Replace func(items []objectstore.Object, evidence time.Time)
 	// Change takes one change; a removed object has no value.
@@ -44,6 +44,14 @@
 	Confirm func(evidence time.Time, version int64)
 	// Rest reports whether others tell enough, so that the store need not be asked now; nil for never.
 	Rest func() bool
+	// Pause returns how long the store is left alone after a good answer; news says that the answer was a list or held
+	// changes. What changes meanwhile comes with one answer. nil for no pause.
+	Pause func(news bool) time.Duration
+	// Retry returns the first and the longest pause after failed calls; nil for the defaults.
+	Retry func() (least, most time.Duration)
+	// Newest returns a number that grows when others tell of something newer in the store: the store then answers, and a
+	// pause after a failed call ends early; nil for none.
+	Newest func() int64
 	// Trouble is told of each failed call.
 	Trouble func(err error)
 	Log     log.Interface
@@ -54,14 +62,14 @@
 
 // Run follows until ctx ends.
 func (fo *Follower) Run(ctx context.Context) {
-	pause := retryLeast
+	var pause time.Duration
 	gone := false
 	for ctx.Err() == nil {
 		since, err := fo.list(ctx)
 		for err == nil {
 			since, err = fo.watch(ctx, since)
 			if err == nil {
-				pause = retryLeast
+				pause = 0
 				gone = false
 			}
 		}
@@ -76,11 +84,43 @@
 			return
 		}
 		fo.failed(err)
-		wait(ctx, pause/2+rand.N(pause))
-		pause = min(retryMost, pause*2)
+		pause = fo.longer(pause)
+		fo.waitForStore(ctx, pause)
 	}
 }
 
+// waitForStore waits after a failed call: about the pause, and no more than half of the least when others tell of
+// something newer.
+func (fo *Follower) waitForStore(ctx context.Context, pause time.Duration) {
+	over := time.Now().Add(pause/2 + rand.N(pause))
+	least, _ := fo.retry()
+	known := fo.newest()
+	wait(ctx, min(least/2, time.Until(over)))
+	for fo.newest() == known && time.Now().Before(over) && ctx.Err() == nil {
+		wait(ctx, min(restStep, time.Until(over)))
+	}
+}
+
+func (fo *Follower) newest() int64 {
+	if fo.Newest == nil {
+		return 0
+	}
+	return fo.Newest()
+}
+
+// longer returns the pause after one more failed call in a row; the one before is zero after a good call.
+func (fo *Follower) longer(before time.Duration) time.Duration {
+	least, most := fo.retry()
+	return min(most, max(least, before*2))
+}
+
+func (fo *Follower) retry() (least, most time.Duration) {
+	if fo.Retry == nil {
+		return retryLeast, retryMost
+	}
+	return fo.Retry()
+}
+
 func (fo *Follower) list(ctx context.Context) (int64, error) {
 	fo.rest(ctx)
 	evidence := time.Now()
@@ -91,13 +131,14 @@
 	fo.regained()
 	fo.Replace(l.Items, evidence)
 	fo.Confirm(evidence, l.Version)
+	fo.pause(ctx, true)
 	return l.Version, nil
 }
 
 func (fo *Follower) watch(ctx context.Context, since int64) (int64, error) {
 	fo.rest(ctx)
 	evidence := time.Now()
-	l, err := fo.Store.Watch(ctx, fo.Kind, since, fo.Wait)
+	l, err := fo.Store.Watch(ctx, fo.Kind, since, fo.Wait())
 	if err != nil {
 		return since, errors.Wrap(err, "watch")
 	}
@@ -106,9 +147,16 @@
 		fo.Change(it, evidence)
 	}
 	fo.Confirm(evidence, l.Version)
+	fo.pause(ctx, len(l.Items) > 0)
 	return l.Version, nil
 }
 
+func (fo *Follower) pause(ctx context.Context, news bool) {
+	if fo.Pause != nil {
+		wait(ctx, fo.Pause(news))
+	}
+}
+
 // rest waits while others tell enough.
 func (fo *Follower) rest(ctx context.Context) {
 	for fo.Rest != nil && fo.Rest() && ctx.Err() == nil {
@@ -132,6 +180,9 @@
 }
 
 func wait(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	tm := time.NewTimer(d)
 	defer tm.Stop()
 	select {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -145,7 +145,7 @@
 	t.Helper()
 	cp := &copyOf{store: fs, log: memory.New(), view: view{items: map[string]string{}}}
 	fo := &follow.Follower{
-		Store: follow.Store{List: fs.list, Watch: fs.watch}, Kind: kind, Wait: silence,
+		Store: follow.Store{List: fs.list, Watch: fs.watch}, Kind: kind, Wait: func() time.Duration { return silence },
 		Replace: cp.replace, Change: cp.change, Confirm: cp.confirm,
 		Trouble: func(error) { cp.mu.Lock(); defer cp.mu.Unlock(); cp.troubles++ },
 		Log:     &log.Logger{Handler: cp.log, Level: log.DebugLevel},
@@ -342,3 +342,51 @@
 		g.Expect(cp.now().items).To(Equal(map[string]string{"a": `1`}))
 	})
 }
+
+// TestPauseAfterNews lets changes come one after another; after a pause one answer holds them all.
+func TestPauseAfterNews(t *testing.T) {
+	bubble(t, func(t *testing.T, g *WithT) {
+		fs := newFakeStore()
+		fs.put("a", `0`)
+		cp := newCopy(t, fs, func(fo *follow.Follower) {
+			fo.Pause = func(news bool) time.Duration {
+				if news {
+					return time.Second
+				}
+				return 0
+			}
+		})
+		pass(5 * time.Second)
+		before := len(fs.watches)
+		for range 100 {
+			fs.put("a", `1`)
+			pass(100 * time.Millisecond)
+		}
+		fs.put("a", `2`)
+		pass(time.Second + 2*travel)
+		g.Expect(cp.now().items).To(Equal(map[string]string{"a": `2`}))
+		g.Expect(len(fs.watches) - before).To(BeNumerically("~", 10, 2))
+	})
+}
+
+// TestOthersTellThatTheStoreIsBack ends a long pause.
+func TestOthersTellThatTheStoreIsBack(t *testing.T) {
+	bubble(t, func(t *testing.T, g *WithT) {
+		fs := newFakeStore()
+		fs.put("a", `1`)
+		var newest atomic.Int64
+		cp := newCopy(t, fs, func(fo *follow.Follower) {
+			fo.Retry = func() (least, most time.Duration) { return time.Second, time.Hour }
+			fo.Newest = newest.Load
+		})
+		pass(2 * travel)
+		fs.set(func() { fs.down = &objectstore.UnavailableError{Cause: &objectstore.StatusError{Status: 503}} })
+		pass(10 * time.Minute)
+		g.Expect(cp.now().troubles).To(BeNumerically("<", 14), "pauses become longer")
+		fs.put("a", `2`)
+		fs.set(func() { fs.down = nil })
+		newest.Store(2)
+		pass(time.Second)
+		g.Expect(cp.now().items).To(Equal(map[string]string{"a": `2`}))
+	})
+}
