fix(facts): a listener that is turned away believes its peers

Cause: noted trouble of the store for the list of targets whenever a listener's question about the configuration failed. A store that turns a third of the machines away fails just those who ask for a newer version; targets that went were then taken as lapsed and kept for 1.7 s.

Change: trouble is noted only when the peers have no fresh proof either. TestListenerThatTheStoreTurnsAwayBelievesPeers failed before.

--- a/internal/duty/facts/facts.go
+++ b/internal/duty/facts/facts.go
@@ -95,14 +95,21 @@
 		},
 		Newest: rd.relays.Newest,
 		Trouble: func(error) {
-			if !rd.relays.Follows() {
-				// A listener seldom asks for targets, and what troubles one kind troubles both.
+			// A listener seldom asks for targets, and a store that nobody reaches is in trouble for both kinds.
+			if !rd.relays.Follows() && rd.unproven() {
 				rd.dr.Trouble()
 			}
 		},
 	}
 }
 
+// unproven reports whether peers have no fresh proof either, as far as known: who lacks a newer configuration that they told
+// of has none for that reason.
+func (rd *reader) unproven() bool {
+	tb, provenAt := rd.rts.Current()
+	return tb != nil && rd.relays.Newest() <= tb.Version() && time.Since(provenAt) >= restLeast
+}
+
 func (rd *reader) readConfiguration(it objectstore.Object, evidence time.Time) {
 	if it.Name != rd.ad.ConfigurationName || len(it.Value) == 0 {
 		return
--- a/internal/duty/facts/fleet_test.go
+++ b/internal/duty/facts/fleet_test.go
@@ -127,7 +127,7 @@
 			return objectstore.Listing{}, ctx.Err()
 		}
 		if err != nil || l.Version > since {
-			return l, err
+			return withRemoved(l, kind, since), err
 		}
 		if !time.Now().Before(over) {
 			return objectstore.Listing{Version: l.Version}, nil
@@ -135,6 +135,14 @@
 	}
 }
 
+// withRemoved adds the targets that went since a version, each of which another took the place of.
+func withRemoved(l objectstore.Listing, kind string, since int64) objectstore.Listing {
+	for v := since; kind == kindTargets && v < l.Version; v++ {
+		l.Items = append(l.Items, objectstore.Object{Name: "target-" + strconv.FormatInt(v, 10), Version: v + 1})
+	}
+	return l
+}
+
 // fleet is a large fleet whose peers tell each other all that they know.
 type fleet struct {
 	store    *shared
@@ -424,3 +432,20 @@
 		g.Expect(fl.inForce(2)).To(BeTrue())
 	})
 }
+
+// TestListenerThatTheStoreTurnsAwayBelievesPeers: what peers tell of targets is as sure as before, although the store turns
+// this instance away when it asks for a newer configuration.
+func TestListenerThatTheStoreTurnsAwayBelievesPeers(t *testing.T) {
+	inFleet(t, func(g *WithT, fl *fleet) {
+		away := fl.machines[instances-1]
+		away.refused.Store(true)
+		fl.change(kindConfiguration)
+		time.Sleep(3 * time.Second)
+		g.Expect(fl.inForce(2)).To(BeTrue())
+		g.Expect(away.rd.dr.TakesWork("target-1")).To(BeTrue())
+		fl.change(kindTargets)
+		time.Sleep(time.Second)
+		g.Expect(away.rd.dr.TakesWork("target-2")).To(BeTrue())
+		g.Expect(away.rd.dr.TakesWork("target-1")).To(BeFalse(), "it is gone, not lapsed in trouble of the store")
+	})
+}
