--- a/internal/duty/members/members.go
+++ b/internal/duty/members/members.go
@@ -81,7 +81,7 @@
 	pt.Changed.Set(du.ms.Publish)
 	pt.Dispatcher.SetLag(du.ms.Lag)
 	fl := &follower{self: op.Self, lg: du.lg}
-	pt.Relays.Set(func() bool { return fl.follows(du.ms.Live()) })
+	pt.Relays.Set(func() forwarding.Part { return fl.part(du.ms.Live()) })
 	kernel.Provide(env, du.ms)
 	return du.run(l, env), nil
 }
@@ -178,9 +178,9 @@
 	time.AfterFunc(storeFirst, func() { du.want(nw) })
 }
 
-// storeFirst is the time that the store has to answer first: its answer takes milliseconds when it is well, and as much
-// is left of the two seconds in which a configuration must be in force.
-const storeFirst = 700 * time.Millisecond
+// storeFirst is the time that the store has to answer first: the pause of a listener after news and some more. As much is
+// left of the three seconds in which a configuration must be in force.
+const storeFirst = 1100 * time.Millisecond
 
 // receiveTargets compares a peer's list of targets with this instance's.
 func (du *duty) receiveTargets(from gossip.Member, st peerstate.State, evidence time.Time) {
--- a/internal/duty/members/relays.go
+++ b/internal/duty/members/relays.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/silvermount/silvermount/internal/duty/forwarding"
 	"github.com/silvermount/silvermount/internal/gossip"
 )
 
@@ -15,26 +16,34 @@
 	// relaysFrom is the number of instances beyond which only some follow the store: each call is priced, and the bill
 	// of a small fleet is small.
 	relaysFrom = 16
-	// relaysPerZone is how many follow the store in each availability zone; one may be lost.
-	relaysPerZone = 2
+	// relaysLeast is how many relays there are at least, spread evenly over the availability zones: with three, each of
+	// them one silent watch behind the next at most, a proof is told that is younger than the age from which listeners
+	// ask, also while one of them is lost and not yet replaced.
+	relaysLeast = 3
 )
 
-// follows reports whether an instance is among those that follow the store for its availability zone: the first by hash
-// among the live ones. Two instances that see different ones as live only mean a follower more or less for a while, since
-// what peers tell grows old and is then asked for.
-func follows(self gossip.Member, live []gossip.Member) bool {
+// part returns what an instance does for the others: relays are the first of each availability zone by hash among the live
+// ones. Two instances that see different ones as live only mean a relay more or less for a while, since what peers tell
+// grows old and is then asked for.
+func part(self gossip.Member, live []gossip.Member) forwarding.Part {
 	if len(live) <= relaysFrom {
-		return true
+		return forwarding.PartAlone
 	}
+	zones := map[string]bool{}
 	var near []gossip.Member
 	for _, mb := range live {
+		zones[mb.AvailabilityZone] = true
 		if mb.AvailabilityZone == self.AvailabilityZone && !mb.Stopping {
 			near = append(near, mb)
 		}
 	}
 	rank := func(mb gossip.Member) uint64 { return xxhash.Sum64String(mb.Name) }
 	slices.SortFunc(near, func(a, b gossip.Member) int { return cmp.Compare(rank(a), rank(b)) })
-	return slices.ContainsFunc(near[:min(len(near), relaysPerZone)], func(mb gossip.Member) bool { return mb.Name == self.Name })
+	each := (relaysLeast + len(zones) - 1) / len(zones)
+	if slices.ContainsFunc(near[:min(len(near), each)], func(mb gossip.Member) bool { return mb.Name == self.Name }) {
+		return forwarding.PartRelay
+	}
+	return forwarding.PartListener
 }
 
 // follower tells when this instance begins and ends to follow the store for others.
@@ -45,16 +54,17 @@
 	rests atomic.Bool
 }
 
-// follows decides from the live members.
-func (fl *follower) follows(live []gossip.Member) bool {
-	does := follows(fl.self, live)
-	if fl.rests.Swap(!does) == !does {
-		return does
+// part decides from the live members.
+func (fl *follower) part(live []gossip.Member) forwarding.Part {
+	pa := part(fl.self, live)
+	rests := pa == forwarding.PartListener
+	if fl.rests.Swap(rests) == rests {
+		return pa
 	}
-	message := "others follow the store for this instance"
-	if does {
-		message = "this instance follows the store for others"
+	message := "this instance follows the store for others"
+	if rests {
+		message = "others follow the store for this instance"
 	}
 	fl.lg.WithField("live", len(live)).Info(message)
-	return does
+	return pa
 }
