--- a/internal/duty/facts/fleet_test.go
+++ b/internal/duty/facts/fleet_test.go
@@ -24,9 +24,9 @@
 )
 
 const (
-	// instances and relays are the size of the fleet: one relay in each of three availability zones.
+	// instances and relays are the size of the fleet: two relays in each of two availability zones.
 	instances = 40
-	relays    = 3
+	relays    = 4
 	// travel is a call to the store, tell the time between two tellings of peers.
 	travel = 10 * time.Millisecond
 	tell   = 50 * time.Millisecond
--- a/internal/duty/members/relays.go
+++ b/internal/duty/members/relays.go
@@ -16,10 +16,8 @@
 	// relaysFrom is the number of instances beyond which only some follow the store: each call is priced, and the bill
 	// of a small fleet is small.
 	relaysFrom = 16
-	// relaysLeast is how many relays there are at least, spread evenly over the availability zones: with three, each of
-	// them one silent watch behind the next at most, a proof is told that is younger than the age from which listeners
-	// ask, also while one of them is lost and not yet replaced.
-	relaysLeast = 3
+	// relaysPerZone is how many follow the store in each availability zone; one may be lost.
+	relaysPerZone = 2
 )
 
 // part returns what an instance does for the others: relays are the first of each availability zone by hash among the live
@@ -29,18 +27,15 @@
 	if len(live) <= relaysFrom {
 		return forwarding.PartAlone
 	}
-	zones := map[string]bool{}
 	var near []gossip.Member
 	for _, mb := range live {
-		zones[mb.AvailabilityZone] = true
 		if mb.AvailabilityZone == self.AvailabilityZone && !mb.Stopping {
 			near = append(near, mb)
 		}
 	}
 	rank := func(mb gossip.Member) uint64 { return xxhash.Sum64String(mb.Name) }
 	slices.SortFunc(near, func(a, b gossip.Member) int { return cmp.Compare(rank(a), rank(b)) })
-	each := (relaysLeast + len(zones) - 1) / len(zones)
-	if slices.ContainsFunc(near[:min(len(near), each)], func(mb gossip.Member) bool { return mb.Name == self.Name }) {
+	if slices.ContainsFunc(near[:min(len(near), relaysPerZone)], func(mb gossip.Member) bool { return mb.Name == self.Name }) {
 		return forwarding.PartRelay
 	}
 	return forwarding.PartListener
--- a/internal/duty/members/relays_test.go
+++ b/internal/duty/members/relays_test.go
@@ -42,12 +42,9 @@
 		live []gossip.Member
 		want map[string]int
 	}{
-		"all of a small fleet":         {fleet(4, "a", "b"), map[string]int{"a": 4, "b": 4}},
-		"one of each of four zones":    {fleet(25, "a", "b", "c", "d"), map[string]int{"a": 1, "b": 1, "c": 1, "d": 1}},
-		"one of each of three zones":   {fleet(25, "a", "b", "c"), map[string]int{"a": 1, "b": 1, "c": 1}},
-		"two of each of two zones":     {fleet(25, "a", "b"), map[string]int{"a": 2, "b": 2}},
-		"three of one zone":            {fleet(25, "a"), map[string]int{"a": 3}},
-		"one where there is no second": {append(fleet(20, "a"), fleet(1, "b")...), map[string]int{"a": 2, "b": 1}},
+		"all of a small fleet":          {fleet(4, "a", "b"), map[string]int{"a": 4, "b": 4}},
+		"two of each availability zone": {fleet(25, "a", "b", "c"), map[string]int{"a": 2, "b": 2, "c": 2}},
+		"one where there is no second":  {append(fleet(20, "a"), fleet(1, "b")...), map[string]int{"a": 2, "b": 1}},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -62,7 +59,7 @@
 	live := fleet(20, "a")
 	lost := slices.IndexFunc(live, func(mb gossip.Member) bool { return follows(mb, live) })
 	left := slices.Delete(slices.Clone(live), lost, lost+1)
-	g.Expect(followers(left)).To(Equal(map[string]int{"a": relaysLeast}))
+	g.Expect(followers(left)).To(Equal(map[string]int{"a": 2}))
 }
 
 func TestStoppingInstanceDoesNotFollowForOthers(t *testing.T) {
@@ -71,7 +68,7 @@
 	first := slices.IndexFunc(live, func(mb gossip.Member) bool { return follows(mb, live) })
 	live[first].Stopping = true
 	g.Expect(follows(live[first], live)).To(BeFalse())
-	g.Expect(followers(live)).To(Equal(map[string]int{"a": relaysLeast}))
+	g.Expect(followers(live)).To(Equal(map[string]int{"a": 2}))
 }
 
 // TestFollowingIsToldWhenItChanges lets a fleet grow and shrink around one instance that is not among the followers.
