--- a/internal/standin/fault/run.go
+++ b/internal/standin/fault/run.go
@@ -63,6 +63,8 @@
 	State       State
 	// Signature is what the target signed with, also when a fault sent another.
 	Signature string
+	// Began is when the run was recorded, on the steady clock.
+	Began time.Time
 }
 
 // Hash returns the form in which Run holds the hash of a body.
@@ -76,7 +78,7 @@
 		Attempt: rq.Header.Get(HeaderAttempt), Tenant: rq.Header.Get(HeaderTenant),
 		Method: rq.Method, Host: rq.Host, URI: rq.RequestURI, Header: rq.Header.Clone(),
 		Deadline: deadlineOf(rq), Helpers: rq.Header.Get(HeaderHelpers),
-		LastEventID: rq.Header.Get(HeaderLastEvent), Fault: kd, State: Running,
+		LastEventID: rq.Header.Get(HeaderLastEvent), Fault: kd, State: Running, Began: time.Now(),
 	}
 }
 
--- a/internal/standin/fault/server.go
+++ b/internal/standin/fault/server.go
@@ -3,6 +3,7 @@
 package fault
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -37,6 +38,8 @@
 	Idle time.Duration
 	// CutAfter is the number of whole events that a Cut lets through.
 	CutAfter int
+	// Known is the host and port by which others reach the target through something in between; empty for its own.
+	Known string
 }
 
 // DefaultSettings returns the settings of an ordinary target.
@@ -97,8 +100,11 @@
 	return sv, nil
 }
 
-// Address returns the host and port.
-func (sv *Server) Address() string { return sv.listener.Addr().String() }
+// Address returns the host and port by which others know the target.
+func (sv *Server) Address() string { return cmp.Or(sv.settings.Known, sv.Listener()) }
+
+// Listener returns the host and port that the target itself listens on.
+func (sv *Server) Listener() string { return sv.listener.Addr().String() }
 
 // URL returns the base of all paths, without a slash at its end.
 func (sv *Server) URL() string { return "http://" + sv.Address() }
