fix: of two incarnations at one address only the newer takes work

The memory was set aside there once under one id and used as two tickets. Change: Usable leaves out a target whose address another one has that was listed later.

--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -66,6 +66,8 @@
 	cutUntil time.Time
 	// refusals counts connections not taken since the last one that was.
 	refusals int
+	// arrival orders the entries by when they were first listed.
+	arrival int
 }
 
 // Directory is the set of known targets. It is safe for use by any goroutine.
@@ -74,6 +76,8 @@
 
 	mu      sync.Mutex
 	entries map[string]*entry
+	// arrivals counts the entries there were.
+	arrivals int
 	// leaving holds incarnations that were told to be leaving before they were listed.
 	leaving map[string]time.Time
 	// troubleAt is when the store was last seen in trouble.
@@ -216,7 +220,8 @@
 func (dr *Directory) put(tg Target) []Change {
 	en, known := dr.entries[tg.ID]
 	if !known {
-		en = &entry{}
+		dr.arrivals++
+		en = &entry{arrival: dr.arrivals}
 		dr.entries[tg.ID] = en
 	}
 	back := known && !en.goneAt.IsZero()
@@ -290,7 +295,8 @@
 }
 
 // Usable returns the targets of a service that may get work now, sorted by incarnation. Those that take no connection
-// are left out while others do; failing ones are left out unless too few are left.
+// are left out while others do; failing ones are left out unless too few are left. Of several at one address it returns
+// the one listed last.
 func (dr *Directory) Usable(service string) []Target {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
@@ -313,10 +319,23 @@
 	if len(good) == 0 {
 		good = append(failing, cut...)
 	}
+	good = dr.newest(good)
 	slices.SortFunc(good, func(a, b Target) int { return strings.Compare(a.ID, b.ID) })
 	return good
 }
 
+// newest leaves out each target whose address another one has that was listed later: the address is that of one process,
+// and memory set aside there twice for one request would be the same memory.
+func (dr *Directory) newest(tgs []Target) []Target {
+	last := map[string]int{}
+	for _, tg := range tgs {
+		last[tg.Address] = max(last[tg.Address], dr.entries[tg.ID].arrival)
+	}
+	return slices.DeleteFunc(tgs, func(tg Target) bool {
+		return tg.Address != "" && dr.entries[tg.ID].arrival < last[tg.Address]
+	})
+}
+
 // TakesWork reports whether a target may be sent a request at this moment.
 func (dr *Directory) TakesWork(id string) bool {
 	dr.mu.Lock()
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -18,6 +18,8 @@
 	storeName = "store"
 	// bootPatience bounds the wait for an instance that starts.
 	bootPatience = 30 * time.Second
+	// hiddenOn is how long a change stays hidden beyond the revocation bound.
+	hiddenOn = 2 * time.Second
 	// serveOn is how long a target that left serves beyond the bound.
 	serveOn = time.Second
 	// linkDelay is what a delayed link adds to each piece.
@@ -61,13 +63,30 @@
 	case lives:
 		w.replace(tg, st)
 	case configuration:
+		w.change(pc, st)
+	}
+}
+
+// change takes a key away, in some cases while an instance cannot know it for longer than the bound.
+func (w *world) change(pc *process, st step) {
+	var wg sync.WaitGroup
+	hidden := st
+	hidden.length = revocationBound + hiddenOn
+	switch st.op {
+	case "change behind a cut":
+		hidden.op = "isolate"
+		wg.Go(func() { w.part(pc, hidden) })
+	case "change behind a pause":
+		hidden.op = "pause"
+		wg.Go(func() { w.disturb(pc, hidden) })
+	}
+	time.Sleep(st.length / 4)
+	w.rotateKey()
+	if st.op == "changes" {
+		w.rotateKey()
 		w.rotateKey()
-		if st.op == "changes" {
-			time.Sleep(st.length / 4)
-			w.rotateKey()
-			w.rotateKey()
-		}
 	}
+	wg.Wait()
 }
 
 // disturb acts on a process by signals.
