fix: a hang-up during the start does not end the process; a 503 at the deadline says when to come back

Ruled out: a crash (no panic in the log, the process never wrote 'started'; the hang-up was the only signal). Change: internal/hangup takes the signal from the first packages on (1.5 ms by GODEBUG=inittrace=1); commands other than entry give it back. timeUp carries when to come back. Conclusion: the 503 is mended; of the start, the runtime's own first milliseconds are left, listed as open.

--- a/cmd/root.go
+++ b/cmd/root.go
@@ -11,6 +11,7 @@
 	flags "github.com/jessevdk/go-flags"
 
 	"github.com/silvermount/silvermount/internal/config"
+	"github.com/silvermount/silvermount/internal/hangup"
 )
 
 const (
@@ -49,12 +50,24 @@
 			return fail(errOut, err)
 		}
 	}
+	parser.CommandHandler = execute
 	if _, err := parser.ParseArgs(args); err != nil {
 		return fail(errOut, err)
 	}
 	return exitOK
 }
 
+// execute runs a command. A hang-up ends all but an instance.
+func execute(cm flags.Commander, args []string) error {
+	if cm == nil {
+		return nil
+	}
+	if _, ok := cm.(*entryCommand); !ok {
+		hangup.Release()
+	}
+	return cm.Execute(args)
+}
+
 func fail(w io.Writer, err error) int {
 	fmt.Fprintln(w, err)
 	var fe *flags.Error
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -128,7 +128,7 @@
 	if gw.Now().Before(rq.deadline) && ctx.Err() != nil {
 		return failure.New(failure.CallerGone, gw.outcome(rq), "the caller went away")
 	}
-	return failure.New(failure.DeadlineExceeded, gw.outcome(rq), "the time is over")
+	return failure.New(failure.DeadlineExceeded, gw.outcome(rq), "the time is over").WithRetryAfter(comeBackFull)
 }
 
 // send sends a request to the target that was found.
