--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -32,8 +32,8 @@
 )
 
 const (
-	// shortSeed is the fixed one; it has every family of faults.
-	shortSeed = 7
+	// shortSeed is the fixed one: of the first 400 it alone has every family in so short a schedule.
+	shortSeed = 40
 	// shortFaults keeps the short run under 20 s; longFaults is the usual length of a seed that is run by hand.
 	shortFaults = 4 * time.Second
 	longFaults  = 12 * time.Second
@@ -235,8 +235,10 @@
 
 // plannedWork stops an instance, takes a target and a key away and tells all to read their settings again, in calm.
 func (w *world) plannedWork() {
-	time.Sleep(contact)
+	// Requests that were sent in calm and are under way at the stop count as well.
+	time.Sleep(contact / 2)
 	calm := span{from: time.Now()}
+	time.Sleep(contact / 2)
 	var wg sync.WaitGroup
 	tg, pc := w.targets[0], w.fleet[0]
 	wg.Go(func() { w.replace(tg, step{op: "drain"}) })
