--- a/soak/regress_test.go
+++ b/soak/regress_test.go
@@ -206,4 +206,7 @@
 		{11475 * ms, 102 * ms, targetFaults, "misbehave", 11190, 7225},
 		{11905 * ms, 100 * ms, storage, "all busy", 25443, 15850},
 	}},
+	// Not traced: 80 instances at load 113; orders to targets, which live in the soak's process, had no answer in time.
+	// The schedule is drawn again; it needs 2.5 GB of memory.
+	"everything serves again, 601": {seed: 601, instances: 80, faults: 15 * time.Second},
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -40,18 +40,27 @@
 	// recoverBound is the time after the last fault in which every instance serves every kind of request.
 	recoverBound = 15 * time.Second
 	auditEvery   = 2 * time.Second
+	leastCallers = 8
+	leastPlains  = 3
+	leastModels  = 4
+	// instancesPerPlain and instancesPerModel add targets in larger fleets, so that these are not short of room.
+	instancesPerPlain, instancesPerModel = 8, 4
 )
 
 // sizes are those of one play.
 type sizes struct {
-	seed                               uint64
-	instances, plains, models, callers int
-	faults                             time.Duration
+	seed               uint64
+	instances, callers int
+	faults             time.Duration
 	// steps is the schedule; nil draws it from the seed.
 	steps []step
 	logs  string
 }
 
+func (sz sizes) plains() int { return leastPlains + sz.instances/instancesPerPlain }
+
+func (sz sizes) models() int { return leastModels + sz.instances/instancesPerModel }
+
 // result is one line of the table.
 type result struct {
 	seed            uint64
@@ -88,7 +97,7 @@
 			t.Parallel()
 			turns <- struct{}{}
 			defer func() { <-turns }()
-			rs := soak(t, sizes{seed: seed, instances: *instanceCount, plains: 3, models: 4, callers: *callerCount, faults: length})
+			rs := soak(t, sizes{seed: seed, instances: *instanceCount, callers: *callerCount, faults: length})
 			mu.Lock()
 			defer mu.Unlock()
 			results = append(results, rs)
@@ -105,7 +114,7 @@
 	for name, rg := range broken {
 		t.Run(name, func(t *testing.T) {
 			rs := soak(t, sizes{
-				seed: rg.seed, instances: rg.instances, plains: 3, models: 4, callers: 8, faults: rg.faults, steps: rg.steps,
+				seed: rg.seed, instances: rg.instances, callers: max(leastCallers, rg.instances/2), faults: rg.faults, steps: rg.steps,
 			})
 			t.Log("\n" + table([]result{rs}))
 		})
@@ -210,6 +219,9 @@
 		})
 	}
 	wg.Wait()
+	if took := time.Since(began); took > recoverBound {
+		w.t.Logf("recovery took %s; the machine stood still for %s", took, w.stalls.within(began, time.Now()))
+	}
 }
 
 func (w *world) recoversAt(no int, pc *process, kd kind, began time.Time) {
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -119,12 +119,12 @@
 
 func (w *world) startTargets(sz sizes) {
 	peers := modelsim.NewPeers()
-	for no := range sz.plains + sz.models {
+	for no := range sz.plains() + sz.models() {
 		px := startProxy(w.t, "127.0.0.1:0", "")
 		tg := &target{name: fmt.Sprintf("target-%d", no), zone: zones[no%len(zones)], proxy: px, ended: map[string]bool{}}
 		known := func(se *fault.Settings) { se.Known = px.address() }
 		var err error
-		if no < sz.plains {
+		if no < sz.plains() {
 			tg.service = "plain"
 			tg.plain, err = plainsim.Start(plainsim.WithWork(plainTime), func(se *plainsim.Settings) { known(&se.Settings) })
 		} else {
