--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -47,6 +47,15 @@
 	instancesPerPlain, instancesPerModel = 8, 4
 )
 
+// TestMain removes the program that was built.
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if built.path != "" {
+		os.RemoveAll(filepath.Dir(built.path))
+	}
+	os.Exit(code)
+}
+
 // sizes are those of one play.
 type sizes struct {
 	seed               uint64
