--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -34,8 +34,8 @@
 type orders struct {
 	mu                 sync.Mutex
 	reserved, released map[string]int
-	// refuse says which addresses have no room.
-	refuse map[string]bool
+	// refuse says which addresses have no room, silent which give no answer.
+	refuse, silent map[string]bool
 	// asked counts all orders for memory.
 	asked int
 }
@@ -51,6 +51,9 @@
 	if od.refuse[address] {
 		return &reservation.RefusedError{Address: address}
 	}
+	if od.silent[address] {
+		return context.DeadlineExceeded
+	}
 	od.reserved[address]++
 	return nil
 }
@@ -84,7 +87,7 @@
 func newBench(t *testing.T, count int) *bench {
 	be := &bench{
 		WithT: NewWithT(t), t: t, directory: targets.New(time.Now),
-		orders: &orders{reserved: map[string]int{}, released: map[string]int{}, refuse: map[string]bool{}},
+		orders: &orders{reserved: map[string]int{}, released: map[string]int{}, refuse: map[string]bool{}, silent: map[string]bool{}},
 	}
 	var ids atomic.Int64
 	kp := &reservation.Keeper{
@@ -430,6 +433,42 @@
 	}
 }
 
+func TestLargePromptGoesAroundATargetThatDoesNotAnswer(t *testing.T) {
+	bubble(t, 3, func(be *bench) {
+		be.orders.silent["10.0.0.1:80"] = true
+		sl := be.take(prompt(largest))
+		be.Expect(sl.Helpers).NotTo(BeEmpty())
+		for _, hp := range sl.Helpers {
+			be.Expect(hp.ID).NotTo(Equal(id(1)))
+		}
+		sl.Release()
+		time.Sleep(settle)
+	})
+}
+
+// TestHelperThatIsGoneIsNotChosenAgain has a target turn a prompt away for one of its helpers.
+func TestHelperThatIsGoneIsNotChosenAgain(t *testing.T) {
+	bubble(t, 6, func(be *bench) {
+		as := func() dispatch.Ask {
+			as := prompt(9000)
+			as.Service.Engine.PerThousandRead = 300 * time.Millisecond
+			return as
+		}
+		sl := be.take(as())
+		be.Expect(sl.Helpers).NotTo(BeEmpty())
+		gone := sl.Helpers[0]
+		sl.Shed(gone.Address)
+		sl.Release()
+		for range 4 {
+			next := be.take(as())
+			for _, hp := range next.Helpers {
+				be.Expect(hp.ID).NotTo(Equal(gone.ID))
+			}
+			next.Release()
+		}
+	})
+}
+
 func TestRefusedLargePromptLeavesNothingBehind(t *testing.T) {
 	bubble(t, 3, func(be *bench) {
 		for no := range 3 {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -65,9 +65,7 @@
 	}
 	if err := ds.reserve(ctx, sl, tgs); err != nil {
 		sl.Release()
-		var re *reservation.RefusedError
-		if errors.As(err, &re) {
-			ds.noteFull(re.Address, tgs)
+		if ds.avoid(err, tgs) {
 			return nil, false, nil
 		}
 		return nil, false, failure.New(failure.NoMemory, failure.NotRun, "memory could not be set aside").
@@ -109,6 +107,7 @@
 			Name: tg.ID, Near: tg.AvailabilityZone == ds.opts.AvailabilityZone, Load: ds.book.total(tg.ID), Pace: 1, Helper: true,
 		}
 		if ds.book.isFull(tg.ID, now) {
+			cands[i].Helper = false
 			cands[i].Load.Memory = max(cands[i].Load.Memory, en.Memory)
 		}
 	}
@@ -207,14 +206,35 @@
 	return float64(pl.Loss-later.Loss) > waitGain*float64(pr.InTime)
 }
 
-// fullFor is how long a target that refused to set memory aside counts as full: about an answer's time, in which some
-// of its requests end.
-const fullFor = 500 * time.Millisecond
+const (
+	// fullFor is how long a target that refused to set memory aside counts as full: about an answer's time, in which
+	// some of its requests end.
+	fullFor = 500 * time.Millisecond
+	// absentFor is the same for a target that another one named as an absent helper, and for one that gave no answer to
+	// an order: about the time in which peers and the store tell that it is gone.
+	absentFor = 2 * time.Second
+)
+
+// avoid leaves the target out for a while that refused or did not answer an order for memory. It reports whether there is
+// one.
+func (ds *Dispatcher) avoid(err error, tgs []targets.Target) bool {
+	var re *reservation.RefusedError
+	var ue *reservation.UnansweredError
+	switch {
+	case errors.As(err, &re):
+		ds.noteFull(re.Address, tgs, fullFor)
+	case errors.As(err, &ue):
+		ds.noteFull(ue.Address, tgs, absentFor)
+	default:
+		return false
+	}
+	return true
+}
 
-func (ds *Dispatcher) noteFull(address string, tgs []targets.Target) {
+func (ds *Dispatcher) noteFull(address string, tgs []targets.Target, span time.Duration) {
 	for _, tg := range tgs {
 		if tg.Address == address {
-			ds.book.full(tg.ID, ds.opts.Now().Add(fullFor))
+			ds.book.full(tg.ID, ds.opts.Now().Add(span))
 		}
 	}
 }
--- a/internal/dispatch/slot.go
+++ b/internal/dispatch/slot.go
@@ -103,15 +103,16 @@
 }
 
 // Shed notes that the target turned the request away for lack of room; address names the target at fault when it is a
-// helper.
+// helper, which is then no helper for others either.
 func (sl *Slot) Shed(address string) {
-	id := sl.Target.ID
+	now := sl.ds.opts.Now()
 	for _, hp := range sl.Helpers {
 		if hp.Address == address {
-			id = hp.ID
+			sl.ds.book.full(hp.ID, now.Add(absentFor))
+			return
 		}
 	}
-	sl.ds.book.full(id, sl.ds.opts.Now().Add(fullFor))
+	sl.ds.book.full(sl.Target.ID, now.Add(fullFor))
 }
 
 // Event notes an event passed on. A pause that was too long makes the answer late: its target need not be spared for
--- a/internal/reservation/reservation.go
+++ b/internal/reservation/reservation.go
@@ -35,6 +35,20 @@
 // Error names the target.
 func (re *RefusedError) Error() string { return "no memory free at " + re.Address }
 
+// UnansweredError says that a target may have set memory aside or not: it took no connection, or gave no answer.
+type UnansweredError struct {
+	Address string
+	Cause   error
+}
+
+// Error names the target and the cause.
+func (ue *UnansweredError) Error() string {
+	return "set memory aside at " + ue.Address + ": " + ue.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (ue *UnansweredError) Unwrap() error { return ue.Cause }
+
 // Keeper sets memory aside. It is safe for use by any goroutine.
 type Keeper struct {
 	// Reserve sets memory aside or renews it; a RefusedError says that it surely did not. Seams of the adapter.
@@ -100,7 +114,12 @@
 func (kp *Keeper) ask(ctx context.Context, pc Place, id string) error {
 	ctx, cancel := context.WithTimeout(ctx, kp.Timeout)
 	defer cancel()
-	return errors.Wrap(kp.Reserve(ctx, pc.Address, id, pc.Tokens, kp.Hold), "set memory aside")
+	err := kp.Reserve(ctx, pc.Address, id, pc.Tokens, kp.Hold)
+	var re *RefusedError
+	if err == nil || errors.As(err, &re) {
+		return err
+	}
+	return &UnansweredError{Address: pc.Address, Cause: err}
 }
 
 // keep renews until it is stopped.
