--- /dev/null
+++ b/internal/dispatch/defer.go
@@ -0,0 +1,61 @@
+package dispatch
+
+import (
+	"github.com/silvermount/silvermount/internal/placement"
+)
+
+// late reports whether an answer is late already or is sure to be. Others need not spare it: nothing more of it is lost.
+func late(as Ask, pr placement.Prompt, pl placement.Plan) bool {
+	return as.Resumed || float64(pr.Used+pl.FirstToken) > lateFrom*float64(pr.Objective)
+}
+
+// lateFrom is the share of the objective from which a predicted first token is late for sure: predictions are off by a
+// fifth.
+const lateFrom = 1.2
+
+const (
+	// waitGain is the share of an answer's worth that waiting for others' reading to end must save.
+	waitGain = 0.04
+	// waitUpTo is the share of the objective by which the first token must still be expected after a wait.
+	waitUpTo = 0.75
+)
+
+// betterLater reports whether a long prompt had better wait until what is being read now is read: the parts of two long
+// prompts in one pass make the pauses of all writers there too long, one after the other they do not.
+func betterLater(as Ask, pr placement.Prompt, pl placement.Plan, cands []placement.Target, op placement.Options) bool {
+	if as.Resumed || as.PromptTokens <= shortTokens {
+		return false
+	}
+	clear := make([]placement.Target, len(cands))
+	for i := range cands {
+		clear[i] = cands[i]
+		clear[i].Load.Whole, clear[i].Load.Parts = placement.Backlog{}, placement.Backlog{}
+	}
+	later, ok := placement.Choose(*as.Service.Engine, pr, clear, op)
+	if !ok || float64(pr.Used+later.FirstToken) > waitUpTo*float64(pr.Objective) {
+		return false
+	}
+	return float64(pl.Loss-later.Loss) > waitGain*float64(pr.InTime)
+}
+
+const (
+	// deferHarm is the share of its worth in time that a late prompt may cost others at once. It is a guess: about one
+	// short answer for a long prompt.
+	deferHarm = 0.05
+	// deferUpTo is how many objectives a late prompt waits at most. Callers give a stream up after four, and a large
+	// prompt is read for over one. 3.4 up to the first token, together with a price of slots, lost in a trial.
+	deferUpTo = 2.5
+)
+
+// defers reports whether a prompt that is late in any case had better wait: what is left of its worth does not fall with
+// time, and the others at its targets are in time now.
+func defers(as Ask, pr placement.Prompt, pl placement.Plan) bool {
+	if as.Resumed || as.PromptTokens <= shortTokens || !late(as, pr, pl) {
+		return false
+	}
+	left := pr.Left - pl.FirstToken
+	if left < pr.Objective || float64(pr.Used) > deferUpTo*float64(pr.Objective) {
+		return false
+	}
+	return float64(pl.Harm) > deferHarm*float64(pr.InTime)
+}
--- /dev/null
+++ b/internal/dispatch/memory.go
@@ -0,0 +1,66 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/silvermount/silvermount/internal/reservation"
+	"github.com/silvermount/silvermount/internal/targets"
+)
+
+const (
+	// fullFor is how long a target that refused to set memory aside counts as full: about an answer's time, in which
+	// some of its requests end.
+	fullFor = 500 * time.Millisecond
+	// absentFor is the same for a target that another one named as an absent helper, and for one that gave no answer to
+	// an order: about the time in which peers and the store tell that it is gone.
+	absentFor = 2 * time.Second
+)
+
+// avoid leaves the target out for a while that refused or did not answer an order for memory. It reports whether there is
+// one.
+func (ds *Dispatcher) avoid(err error, tgs []targets.Target) bool {
+	var re *reservation.RefusedError
+	var ue *reservation.UnansweredError
+	switch {
+	case errors.As(err, &re):
+		ds.noteFull(re.Address, tgs, fullFor)
+	case errors.As(err, &ue):
+		ds.noteFull(ue.Address, tgs, absentFor)
+	default:
+		return false
+	}
+	return true
+}
+
+func (ds *Dispatcher) noteFull(address string, tgs []targets.Target, span time.Duration) {
+	for _, tg := range tgs {
+		if tg.Address == address {
+			ds.book.full(tg.ID, ds.opts.Now().Add(span))
+		}
+	}
+}
+
+// reserve sets aside the memory of a plan. The main target's own reservation comes first among the helpers.
+func (ds *Dispatcher) reserve(ctx context.Context, sl *Slot, tgs []targets.Target) error {
+	address := map[string]string{}
+	for _, tg := range tgs {
+		address[tg.ID] = tg.Address
+	}
+	places := make([]reservation.Place, 0, len(sl.plan.Reserve))
+	for _, sh := range sl.plan.Reserve {
+		places = append(places, reservation.Place{Address: address[sh.Target], Tokens: sh.Tokens})
+	}
+	rv, err := ds.keeper.Take(ctx, places)
+	if err != nil {
+		return err
+	}
+	sl.reservation = rv
+	sl.Helpers = nil
+	for _, sh := range sl.plan.Reserve {
+		sl.Helpers = append(sl.Helpers, Helper{ID: sh.Target, Address: address[sh.Target], Reservation: rv.ID()})
+	}
+	return nil
+}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -5,11 +5,9 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
 
 	"github.com/silvermount/silvermount/internal/failure"
 	"github.com/silvermount/silvermount/internal/placement"
-	"github.com/silvermount/silvermount/internal/reservation"
 	"github.com/silvermount/silvermount/internal/targets"
 )
 
@@ -92,7 +90,7 @@
 	if ok && sheds(as, pr, pl, cands) {
 		return nil, ds.refusal(as)
 	}
-	if !ok || better(as, pr, pl, cands, op) || defers(as, pr, pl) {
+	if !ok || betterLater(as, pr, pl, cands, op) || defers(as, pr, pl) {
 		return nil, nil
 	}
 	return ds.bookPlan(as, pr, pl, tgs), nil
@@ -143,15 +141,6 @@
 	return sl
 }
 
-// late reports whether an answer is late already or is sure to be. Others need not spare it: nothing more of it is lost.
-func late(as Ask, pr placement.Prompt, pl placement.Plan) bool {
-	return as.Resumed || float64(pr.Used+pl.FirstToken) > lateFrom*float64(pr.Objective)
-}
-
-// lateFrom is the share of the objective from which a predicted first token is late for sure: predictions are off by a
-// fifth.
-const lateFrom = 1.2
-
 // anyTime stands for a deadline that does not matter.
 const anyTime = time.Hour
 
@@ -180,144 +169,3 @@
 	passes := max(1, float64(en.UsualAnswer)/float64(max(1, en.Stride)))
 	return time.Duration(passes * float64(writerPass))
 }
-
-const (
-	// waitGain is the share of an answer's worth that waiting for others' reading to end must save.
-	waitGain = 0.04
-	// waitUpTo is the share of the objective by which the first token must still be expected after a wait.
-	waitUpTo = 0.75
-)
-
-// better reports whether a long prompt had better wait until what is being read now is read: the parts of two long
-// prompts in one pass make the pauses of all writers there too long, one after the other they do not.
-func better(as Ask, pr placement.Prompt, pl placement.Plan, cands []placement.Target, op placement.Options) bool {
-	if as.Resumed || as.PromptTokens <= shortTokens {
-		return false
-	}
-	clear := make([]placement.Target, len(cands))
-	for i := range cands {
-		clear[i] = cands[i]
-		clear[i].Load.Whole, clear[i].Load.Parts = placement.Backlog{}, placement.Backlog{}
-	}
-	later, ok := placement.Choose(*as.Service.Engine, pr, clear, op)
-	if !ok || float64(pr.Used+later.FirstToken) > waitUpTo*float64(pr.Objective) {
-		return false
-	}
-	return float64(pl.Loss-later.Loss) > waitGain*float64(pr.InTime)
-}
-
-const (
-	// fullFor is how long a target that refused to set memory aside counts as full: about an answer's time, in which
-	// some of its requests end.
-	fullFor = 500 * time.Millisecond
-	// absentFor is the same for a target that another one named as an absent helper, and for one that gave no answer to
-	// an order: about the time in which peers and the store tell that it is gone.
-	absentFor = 2 * time.Second
-)
-
-// avoid leaves the target out for a while that refused or did not answer an order for memory. It reports whether there is
-// one.
-func (ds *Dispatcher) avoid(err error, tgs []targets.Target) bool {
-	var re *reservation.RefusedError
-	var ue *reservation.UnansweredError
-	switch {
-	case errors.As(err, &re):
-		ds.noteFull(re.Address, tgs, fullFor)
-	case errors.As(err, &ue):
-		ds.noteFull(ue.Address, tgs, absentFor)
-	default:
-		return false
-	}
-	return true
-}
-
-func (ds *Dispatcher) noteFull(address string, tgs []targets.Target, span time.Duration) {
-	for _, tg := range tgs {
-		if tg.Address == address {
-			ds.book.full(tg.ID, ds.opts.Now().Add(span))
-		}
-	}
-}
-
-const (
-	// deferHarm is the share of its worth in time that a late prompt may cost others at once. It is a guess: about one
-	// short answer for a long prompt.
-	deferHarm = 0.05
-	// deferUpTo is how many objectives a late prompt waits at most. Callers give a stream up after four, and a large
-	// prompt is read for over one. 3.4 up to the first token, together with a price of slots, lost in a trial.
-	deferUpTo = 2.5
-)
-
-// defers reports whether a prompt that is late in any case had better wait: what is left of its worth does not fall with
-// time, and the others at its targets are in time now.
-func defers(as Ask, pr placement.Prompt, pl placement.Plan) bool {
-	if as.Resumed || as.PromptTokens <= shortTokens || !late(as, pr, pl) {
-		return false
-	}
-	left := pr.Left - pl.FirstToken
-	if left < pr.Objective || float64(pr.Used) > deferUpTo*float64(pr.Objective) {
-		return false
-	}
-	return float64(pl.Harm) > deferHarm*float64(pr.InTime)
-}
-
-// reserve sets aside the memory of a plan. The main target's own reservation comes first among the helpers.
-func (ds *Dispatcher) reserve(ctx context.Context, sl *Slot, tgs []targets.Target) error {
-	address := map[string]string{}
-	for _, tg := range tgs {
-		address[tg.ID] = tg.Address
-	}
-	places := make([]reservation.Place, 0, len(sl.plan.Reserve))
-	for _, sh := range sl.plan.Reserve {
-		places = append(places, reservation.Place{Address: address[sh.Target], Tokens: sh.Tokens})
-	}
-	rv, err := ds.keeper.Take(ctx, places)
-	if err != nil {
-		return err
-	}
-	sl.reservation = rv
-	sl.Helpers = nil
-	for _, sh := range sl.plan.Reserve {
-		sl.Helpers = append(sl.Helpers, Helper{ID: sh.Target, Address: address[sh.Target], Reservation: rv.ID()})
-	}
-	return nil
-}
-
-// The ranks of prompts at an engine, most urgent first. Short prompts have the shortest objectives; a stream that goes
-// on elsewhere has a caller who already reads.
-const (
-	rankResumed = 0
-	rankShort   = 1
-	rankMiddle  = 3
-	rankLong    = 5
-	rankGiant   = 6
-
-	shortTokens  = 16_000
-	middleTokens = 80_000
-	longTokens   = 200_000
-)
-
-// rankMost is the least urgent rank.
-const rankMost = 9
-
-// priority is the rank at the engine: that of the caller's organisation or route, and within about the same rank short
-// prompts before long ones.
-func priority(as Ask) int {
-	if as.Resumed {
-		return rankResumed
-	}
-	return min(rankMost, max(0, as.Priority)+lengthRank(as))
-}
-
-func lengthRank(as Ask) int {
-	switch {
-	case as.PromptTokens <= shortTokens:
-		return rankShort
-	case as.PromptTokens <= middleTokens:
-		return rankMiddle
-	case as.PromptTokens <= longTokens:
-		return rankLong
-	default:
-		return rankGiant
-	}
-}
