--- a/internal/dispatch/memory.go
+++ b/internal/dispatch/memory.go
@@ -19,19 +19,23 @@
 	absentFor = 2 * time.Second
 )
 
-// avoid leaves the target out for a while that refused or did not answer an order for memory. It reports whether there is
-// one.
+// avoid leaves the targets out for a while that refused or did not answer an order for memory: all of them, since each
+// further plan that names one of them sets memory aside elsewhere for nobody. It reports whether there are any.
 func (ds *Dispatcher) avoid(err error, tgs []targets.Target) bool {
-	var re *reservation.RefusedError
-	var ue *reservation.UnansweredError
-	switch {
-	case errors.As(err, &re):
-		ds.noteFull(re.Address, tgs, fullFor)
-	case errors.As(err, &ue):
-		ds.noteFull(ue.Address, tgs, absentFor)
-	default:
+	var te *reservation.TakeError
+	if !errors.As(err, &te) {
 		return false
 	}
+	for _, cause := range te.Causes {
+		var re *reservation.RefusedError
+		var ue *reservation.UnansweredError
+		switch {
+		case errors.As(cause, &re):
+			ds.noteFull(re.Address, tgs, fullFor)
+		case errors.As(cause, &ue):
+			ds.noteFull(ue.Address, tgs, absentFor)
+		}
+	}
 	return true
 }
 
--- a/internal/dispatch/memory_test.go
+++ b/internal/dispatch/memory_test.go
@@ -167,3 +167,23 @@
 		be.Expect(be.orders.asked).To(BeNumerically("<=", 3*int(objective/step)))
 	})
 }
+
+// TestAllTargetsThatRefusedAreLeftOut has three of eight targets without room: one plan that meets them all is enough to
+// know.
+func TestAllTargetsThatRefusedAreLeftOut(t *testing.T) {
+	bubble(t, 8, func(be *bench) {
+		for no := range 3 {
+			be.orders.refuse["10.0.0."+strconv.Itoa(no)+":80"] = true
+		}
+		as := prompt(7 * memory / 2)
+		as.Service.Engine.PerThousandRead, as.Objective = 100*time.Millisecond, 600*time.Millisecond
+		sl := be.take(as)
+		be.Expect(sl.Helpers).NotTo(BeEmpty())
+		be.orders.mu.Lock()
+		asked := be.orders.asked
+		be.orders.mu.Unlock()
+		be.Expect(asked).To(BeNumerically("<=", 2*8))
+		sl.Release()
+		time.Sleep(settle)
+	})
+}
--- a/internal/reservation/reservation.go
+++ b/internal/reservation/reservation.go
@@ -49,6 +49,20 @@
 // Unwrap returns the cause.
 func (ue *UnansweredError) Unwrap() error { return ue.Cause }
 
+// TakeError says that memory was not set aside at some of the places.
+type TakeError struct {
+	// Causes are the failures, one for each place without memory, in the order of the places; it is not empty.
+	Causes []error
+}
+
+// Error gives the first failure and their number.
+func (te *TakeError) Error() string {
+	return te.Causes[0].Error() + ", places without memory: " + strconv.Itoa(len(te.Causes))
+}
+
+// Unwrap returns the failures.
+func (te *TakeError) Unwrap() []error { return te.Causes }
+
 // Keeper sets memory aside. It is safe for use by any goroutine.
 type Keeper struct {
 	// Reserve sets memory aside or renews it; a RefusedError says that it surely did not. Seams of the adapter.
@@ -91,20 +105,18 @@
 		wg.Go(func() { errs[i] = kp.ask(ctx, pc, rv.id) })
 	}
 	wg.Wait()
-	var first error
+	var causes []error
 	for i, err := range errs {
 		if err == nil {
 			continue
 		}
-		if first == nil {
-			first = err
-		}
+		causes = append(causes, err)
 		rv.lg.WithField("address", places[i].Address).
 			WithField("tokens", strconv.FormatInt(places[i].Tokens, 10)).WithField("cause", err.Error()).Info("memory not set aside")
 	}
-	if first != nil {
+	if len(causes) > 0 {
 		rv.giveBack(errs)
-		return nil, first
+		return nil, &TakeError{Causes: causes}
 	}
 	ctx, rv.stop = context.WithCancel(context.WithoutCancel(ctx))
 	rv.done.Go(func() { rv.keep(ctx) })
