fix: what a peer said before this process was frozen is not taken as fresh

An instance was paused for 7 s while a key was taken away. On waking it first read what a peer had sent before: configuration 3, proved 0.3 s ago. The age was counted from the moment of reading, so the proof seemed fresh, and a request with the key ran 1.4 s after the bound. Own watches are dated by the question and were right. Change: the mesh knows how long the process did not run; for a second after a freeze of 100 ms or more, what is read counts as older by the time lost. Who takes a state gets the time when it was made in place of an age, so that a freeze between reading and use does not make it younger. Test: TestWhatCameDuringAFreezeIsOld, three of four cases fail without the change.

--- a/internal/duty/members/members.go
+++ b/internal/duty/members/members.go
@@ -136,7 +136,7 @@
 }
 
 // receive takes a peer's state.
-func (du *duty) receive(from gossip.Member, body []byte, age time.Duration) {
+func (du *duty) receive(from gossip.Member, body []byte, made time.Time) {
 	if len(body) == 0 {
 		return
 	}
@@ -152,15 +152,14 @@
 	du.ds.Heard(from.Name, loads)
 	for _, id := range st.Leaving {
 		if du.dr.MarkLeaving(id) {
-			du.lg.WithFields(log.Fields{"target": id, "peer": from.Name, "age": age.String(), "source": "peer"}).Info("target leaving")
+			du.lg.WithFields(log.Fields{"target": id, "peer": from.Name, "age": time.Since(made).String(), "source": "peer"}).Info("target leaving")
 		}
 	}
-	now := time.Now()
-	du.receiveTargets(from, st, now.Add(-age-st.TargetsAge))
+	du.receiveTargets(from, st, made.Add(-st.TargetsAge))
 	if st.Configuration == 0 {
 		return
 	}
-	evidence := now.Add(-age - st.ProofAge)
+	evidence := made.Add(-st.ProofAge)
 	if du.rts.Confirm(st.Configuration, evidence) {
 		return
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -51,9 +51,9 @@
 	FullMesh, RemoteLinks int
 	// Body returns this instance's state now. The slice must not be changed afterwards.
 	Body func() []byte
-	// Receive takes the newest state of a member, and the time since its sender made it as far as known. It is called
+	// Receive takes the newest state of a member, and when its sender made it by this instance's clock, or earlier. It is called
 	// again with the last state when a lost member comes back.
-	Receive func(from Member, body []byte, age time.Duration)
+	Receive func(from Member, body []byte, made time.Time)
 	// OnLost is called once when a member is lost, and when another incarnation replaces it.
 	OnLost func(Member)
 	// Serve returns a document that a peer asked for. It may be called by several goroutines at once.
@@ -98,7 +98,7 @@
 		o.Body = func() []byte { return nil }
 	}
 	if o.Receive == nil {
-		o.Receive = func(Member, []byte, time.Duration) {}
+		o.Receive = func(Member, []byte, time.Time) {}
 	}
 	if o.OnLost == nil {
 		o.OnLost = func(Member) {}
@@ -141,6 +141,7 @@
 	opened uint64
 	dials  map[string]*dialState
 	awake  awakeClock
+	stalls stalls
 }
 
 // New returns a mesh; Serve and Run do its work.
@@ -156,6 +157,7 @@
 		links:   map[*link]struct{}{},
 		dials:   map[string]*dialState{},
 		awake:   awakeClock{step: o.Interval, last: now},
+		stalls:  stalls{began: now},
 	}
 	ms.published.Store(true)
 	return ms
@@ -300,6 +302,7 @@
 	ms.calls.Lock()
 	defer ms.calls.Unlock()
 	ms.mu.Lock()
+	ms.stalls.noticed(ms.awake.at(now), now)
 	ms.awake = ms.awake.advanced(now)
 	ms.self.pulse++
 	gone := ms.judge(ms.awake.at(now))
--- a/internal/gossip/mesh_test.go
+++ b/internal/gossip/mesh_test.go
@@ -109,7 +109,7 @@
 	nd.ms.Publish()
 }
 
-func (nd *node) receive(from Member, body []byte, _ time.Duration) {
+func (nd *node) receive(from Member, body []byte, _ time.Time) {
 	nd.mu.Lock()
 	defer nd.mu.Unlock()
 	nd.received[from.Name] = string(body)
--- a/internal/gossip/record.go
+++ b/internal/gossip/record.go
@@ -40,7 +40,10 @@
 	found  bool
 	member Member
 	body   []byte
-	age    time.Duration
+	// made is when the member made body, or earlier.
+	made time.Time
+	// age is that of the pulse by which a member was found.
+	age time.Duration
 	// by is the incarnation that replaces a lost member.
 	by string
 	// again says that a found member, or an earlier process of its name, was live here before.
@@ -59,7 +62,7 @@
 			ms.opts.OnLost(ev.member)
 			continue
 		}
-		ms.opts.Receive(ev.member, ev.body, ev.age)
+		ms.opts.Receive(ev.member, ev.body, ev.made)
 	}
 }
 
@@ -145,7 +148,8 @@
 // takeBody takes a newer state, and returns the newest there is of a live member.
 func (ms *Mesh) takeBody(r *record, e entry, now time.Time) []event {
 	if e.Version > r.version {
-		r.version, r.body, r.made = e.Version, e.Body, now.Add(-e.BodyAge)
+		late := ms.stalls.noticed(ms.awake.at(now), now)
+		r.version, r.body, r.made = e.Version, e.Body, now.Add(-e.BodyAge-late)
 		if slices.Contains(ms.plan.origins, r.Name) {
 			ms.signal()
 		}
@@ -153,5 +157,5 @@
 	if r.version == 0 || !r.live {
 		return nil
 	}
-	return []event{{member: r.Member, body: r.body, age: now.Sub(r.made)}}
+	return []event{{member: r.Member, body: r.body, made: r.made}}
 }
--- a/internal/gossip/record_test.go
+++ b/internal/gossip/record_test.go
@@ -73,13 +73,49 @@
 	g := NewWithT(t)
 	a, ck := still(t)
 	var ages []time.Duration
-	a.ms.opts.Receive = func(_ Member, _ []byte, age time.Duration) { ages = append(ages, age) }
+	a.ms.opts.Receive = func(_ Member, _ []byte, made time.Time) { ages = append(ages, ck.now.Sub(made)) }
 	a.hears(cardB, entry{Pulse: 1, Version: 1, BodyAge: 30 * time.Millisecond})
 	a.beats(ck, int(defaultLost/defaultInterval))
 	a.hears(cardB, entry{Pulse: 2})
 	g.Expect(ages).To(Equal([]time.Duration{30 * time.Millisecond, 30*time.Millisecond + defaultLost}))
 }
 
+// TestWhatCameDuringAFreezeIsOld reads a state right after this process was frozen for seven seconds, in which it may
+// have lain in a buffer, and others later.
+func TestWhatCameDuringAFreezeIsOld(t *testing.T) {
+	const told, frozen = 30 * time.Millisecond, 7 * time.Second
+	tests := map[string]struct {
+		// beaten is set when the process notices the freeze before it reads.
+		beaten bool
+		// beats pass between the freeze and the state.
+		beats int
+		want  time.Duration
+	}{
+		"read at once":                 {want: told + frozen - defaultInterval},
+		"read after a beat of its own": {beaten: true, want: told + frozen - defaultInterval},
+		"read half a second later":     {beaten: true, beats: 2, want: told + frozen - defaultInterval},
+		"read when all is read":        {beaten: true, beats: 8, want: told},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			a, ck := still(t)
+			var age time.Duration
+			a.ms.opts.Receive = func(_ Member, _ []byte, made time.Time) { age = ck.now.Sub(made) }
+			a.beats(ck, 10)
+			a.hears(cardB, entry{Pulse: 1, Version: 1, BodyAge: told})
+			g.Expect(age).To(Equal(told))
+			ck.now = ck.now.Add(frozen)
+			if tt.beaten {
+				a.ms.beat()
+			}
+			a.beats(ck, tt.beats)
+			a.hears(cardB, entry{Pulse: 2, Version: 2, BodyAge: told})
+			g.Expect(age).To(Equal(tt.want))
+		})
+	}
+}
+
 func TestHear(t *testing.T) {
 	newer := card{Member: Member{Name: "b", Incarnation: "2"}}
 	ruled := card{Member: Member{Name: "b", Incarnation: "0"}, Generation: 1}
