feat(placement): what a caller does not wait for counts as lost

Cause: callers leave a stream after a silence (two seconds for short answers) and ask again.

Change: the patience of a route's callers (the adapter knows their rule) is a class of its own: the late worth is lost beyond it, of writers, of readers and of the prompt itself. Classes reach 12 s in steps of at most two, as objectives of 3 s and 4 s counted as 2.5 s. The form of a peer's state changes with the classes, so does its version.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -28,7 +28,9 @@
 	Events int
 	// Objective and LongestPause are the route's; zero when it has none.
 	Objective, LongestPause time.Duration
-	Arrived, Deadline       time.Time
+	// Patience is how long the caller waits without an event; zero is no bound.
+	Patience          time.Duration
+	Arrived, Deadline time.Time
 	// Priority is the organisation's or the route's rank, zero first.
 	Priority int
 	// Resumed is set when the answer goes on after some event.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -32,7 +32,7 @@
 	}
 	return placement.Prompt{
 		Tokens: int64(as.PromptTokens), Answer: int64(expectedAnswer(as)),
-		Objective: max(as.Objective, time.Millisecond), Used: now.Sub(as.Arrived), LongestPause: pause,
+		Objective: max(as.Objective, time.Millisecond), Used: now.Sub(as.Arrived), LongestPause: pause, Patience: as.Patience,
 		InTime: placement.WorthOf(worth), Late: placement.WorthOf(worth * worthLate), Left: as.Deadline.Sub(now),
 	}
 }
@@ -124,12 +124,12 @@
 	}
 	parts := 1 + len(pl.Helpers)
 	reading := pr.Reading(parts)
+	if late(as, pr, pl) {
+		reading = pr.Overdue().Reading(parts)
+	}
 	if len(pl.Reserve) > 0 {
 		reading = reading.WithMemory(0)
 	}
-	if late(as, pr, pl) {
-		reading = reading.WithoutStake()
-	}
 	sl.book(pl.Main, reading)
 	for _, id := range pl.Helpers {
 		sl.Helpers = append(sl.Helpers, Helper{ID: id, Address: byID[id].Address})
--- a/internal/dispatch/slot.go
+++ b/internal/dispatch/slot.go
@@ -76,7 +76,7 @@
 	sl.booked = nil
 	writing := sl.prompt.Writing()
 	if sl.late {
-		writing = writing.WithoutStake()
+		writing = sl.prompt.Overdue().Writing()
 	}
 	if len(sl.plan.Reserve) > 0 {
 		writing = writing.WithMemory(0).WithContext(sl.plan.Reserve[0].Tokens)
@@ -129,15 +129,19 @@
 	}
 }
 
-// lapse books the writer again without what it had at stake.
+// lapse books the writer again with its caller's patience alone at stake.
 func (sl *Slot) lapse() {
 	sl.late = true
+	atRisk := sl.prompt.Overdue().Writing().AtRisk
 	sl.ds.book.mu.Lock()
 	defer sl.ds.book.mu.Unlock()
 	for i := range sl.booked {
 		bk := &sl.booked[i]
+		if bk.id != sl.plan.Main {
+			continue
+		}
 		sl.ds.book.remove(bk.id, bk.load)
-		bk.load = bk.load.WithoutStake()
+		bk.load = bk.load.WithRisk(atRisk)
 		sl.ds.book.add(bk.id, bk.load)
 	}
 	sl.ds.changed()
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -91,7 +91,7 @@
 	return dispatch.Ask{
 		Request: rq.RequestID, Service: sv, Avoid: rq.avoid,
 		PromptTokens: rq.PromptTokens, MostAnswer: rq.MostAnswerTokens, AnswerHint: rq.AnswerHint, Events: rq.events,
-		Objective: rq.route.Objective, LongestPause: rq.route.LongestPause,
+		Objective: rq.route.Objective, LongestPause: rq.route.LongestPause, Patience: rq.route.Patience,
 		Arrived: rq.arrived, Deadline: rq.due.At, Priority: rq.priority(), Resumed: rq.lastEvent >= 0,
 		Caution: rq.caution(),
 	}
--- a/internal/peerstate/encode.go
+++ b/internal/peerstate/encode.go
@@ -14,7 +14,7 @@
 const (
 	// version is the first byte of a state. It changes with the form, that of Load.Append included. The first byte of
 	// the earlier JSON form, an opening brace, is never used as a version.
-	version = 2
+	version = 3
 	// maxTargets bounds the targets that one state tells of, and so what decoding allocates, to a few megabytes. It is
 	// some 900 times a usual fleet.
 	maxTargets = 1 << 14
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -287,7 +287,7 @@
 		}
 		return lo
 	}
-	late := func(count int) Load { return writers(count).WithoutStake() }
+	late := func(count int) Load { return writers(count).WithRisk(Classes{}) }
 	cases := map[string]struct {
 		loads []Load
 		want  int
@@ -333,3 +333,51 @@
 		})
 	}
 }
+
+func TestLongPassesSpareWritersWhoseCallersWouldLeave(t *testing.T) {
+	cases := map[string]struct {
+		patience time.Duration
+		spared   bool
+	}{
+		"callers that leave within the pass": {patience: 2 * time.Second, spared: true},
+		"callers that wait longer":           {patience: 20 * time.Second},
+	}
+	for name, ca := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			late := shortPrompt()
+			late.Patience = ca.patience
+			ts := idle(4)
+			for range 8 {
+				ts[0].Load = ts[0].Load.Plus(late.Overdue().Writing())
+			}
+			// Its parts are read in about 2.5 s on four targets and in 3.3 s on three; both are late.
+			pr := longPrompt(330_000)
+			pr.Objective = time.Second
+			ts[0].Load.Memory = 0
+			pl, ok := Choose(typical, pr, ts, Options{})
+			g.Expect(ok).To(BeTrue())
+			used := append([]string{pl.Main}, pl.Helpers...)
+			if ca.spared {
+				g.Expect(used).NotTo(ContainElement(ts[0].Name))
+			} else {
+				g.Expect(used).To(ContainElement(ts[0].Name))
+			}
+		})
+	}
+}
+
+func TestPromptIsLostWhenItsCallerLeavesFirst(t *testing.T) {
+	g := NewWithT(t)
+	pr := shortPrompt()
+	pr.Used = time.Second
+	pr.Patience = 1100 * time.Millisecond
+	ts := idle(1)
+	ts[0].Load.Whole = Backlog{Tokens: 60_000, Pairs: 1_800_000_000}
+	gone, ok := Choose(typical, pr, ts, Options{})
+	g.Expect(ok).To(BeTrue())
+	pr.Patience = 0
+	late, ok := Choose(typical, pr, ts, Options{})
+	g.Expect(ok).To(BeTrue())
+	g.Expect(gone.Loss - late.Loss).To(Equal(pr.Late))
+}
--- a/internal/placement/encode_test.go
+++ b/internal/placement/encode_test.go
@@ -100,8 +100,8 @@
 	}{
 		"empty":    {Load{}, "00"},
 		"one":      {Load{Writers: 3}, "0103"},
-		"many":     {lo, "ff83984002ac02900301050607080102" + "0304"},
-		"negative": {Load{Writers: 1, Context: -1}, "83808080010201"},
+		"many":     {lo, "ff83808c801002ac0290030105060708" + "01020304"},
+		"negative": {Load{Writers: 1, Context: -1}, "8380808080200201"},
 	}
 	for name, ca := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -115,14 +115,14 @@
 	cases := map[string]string{
 		"empty":              "",
 		"bitmap cut off":     "ff",
-		"unknown fields":     "8080808002",
+		"unknown fields":     "80808080808002",
 		"bitmap too long":    "ffffffffffffffffffffff",
 		"field missing":      "0301",
 		"field cut off":      "0180",
 		"field too long":     "01ffffffffffffffffffff01",
 		"field too large":    "01ffffffffffffffffff01",
 		"worth too large":    "8002ffffffffffffffff7f",
-		"negative worth too": "8082808001ffffffffffffffffff01",
+		"negative worth too": "80828080808001ffffffffffffffffff01",
 	}
 	for name, in := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -2,9 +2,8 @@
 
 import "time"
 
-// limits are the lower bounds of the classes of requests by longest pause and by objective. They hold those that the
-// sheets of the deployments name (pauses of 250 ms, 600 ms and 1 s, objectives of 300 ms, 1.5 s and 2.5 s) and steps of at
-// most two between and around them.
+// limits are the lower bounds of the classes of requests by longest pause, by objective and by the patience of callers.
+// Neighbours differ by at most a factor of two, so that a limit is taken for at least half of itself.
 var limits = [...]time.Duration{
 	50 * time.Millisecond,
 	100 * time.Millisecond,
@@ -15,7 +14,13 @@
 	600 * time.Millisecond,
 	1000 * time.Millisecond,
 	1500 * time.Millisecond,
+	2000 * time.Millisecond,
 	2500 * time.Millisecond,
+	3000 * time.Millisecond,
+	4000 * time.Millisecond,
+	6000 * time.Millisecond,
+	8000 * time.Millisecond,
+	12_000 * time.Millisecond,
 }
 
 // classes is the number of classes.
@@ -48,9 +53,10 @@
 	Context int64
 	// Memory is the number of tokens held or to be held, with expected answers and reserved memory.
 	Memory int64
-	// Waiting is what the readers of each class of objective lose together when the first token comes later.
+	// Waiting is what the readers of each class of objective, and of patience, lose together when the first token comes
+	// later.
 	Waiting Classes
-	// AtRisk is what the writers of each class of longest pause lose together when a pause is longer.
+	// AtRisk is what the writers of each class of longest pause, and of patience, lose together when a pause is longer.
 	AtRisk Classes
 }
 
@@ -109,10 +115,9 @@
 	return sum
 }
 
-// WithoutStake returns the load with nothing to lose, as for a request that is late already.
-func (lo Load) WithoutStake() Load {
-	lo.Waiting = Classes{}
-	lo.AtRisk = Classes{}
+// WithRisk returns the load with other worth at risk, as for an answer that has become late.
+func (lo Load) WithRisk(atRisk Classes) Load {
+	lo.AtRisk = atRisk
 	return lo
 }
 
--- a/internal/placement/loss.go
+++ b/internal/placement/loss.go
@@ -46,6 +46,9 @@
 	used float64
 	// objective and pause bound the first token since arrival and the pauses.
 	objective, pause bound
+	// late is the worth of a late answer, which is lost beyond the patience of the caller.
+	late     float64
+	patience bound
 	// early is what a nanosecond up to the first token costs.
 	early float64
 }
@@ -53,12 +56,18 @@
 // stake returns what the prompt has to lose.
 func (pr *Prompt) stake() stake {
 	risk := float64(pr.atRisk())
+	late := float64(pr.Late)
+	if pr.Patience <= 0 {
+		late = 0
+	}
 	return stake{
 		inTime:    float64(pr.InTime),
 		atRisk:    risk,
 		used:      float64(pr.Used),
 		objective: boundOf(float64(pr.Objective), ramp),
 		pause:     boundOf(float64(pr.LongestPause), ramp),
+		late:      late,
+		patience:  boundOf(float64(max(pr.Patience, 1)), ramp),
 		early:     earlyShare * risk / float64(pr.Objective),
 	}
 }
@@ -71,7 +80,8 @@
 // loss returns what is expected to be lost by the first token and the pauses, which are in time with a chance.
 func (st *stake) loss(first, pausesInTime float64) float64 {
 	inTime := (1 - st.objective.chance(first+st.used)) * pausesInTime
-	return st.atRisk*(1-inTime) + st.early*first
+	left := st.late * st.patience.chance(first+st.used)
+	return st.atRisk*(1-inTime) + left + st.early*first
 }
 
 // exposure returns what the prompt is expected to lose to long parts to come, where others have a stake of their own
--- a/internal/placement/prompt.go
+++ b/internal/placement/prompt.go
@@ -18,6 +18,9 @@
 	InTime Worth
 	// Late is the worth of a late answer; it is at most InTime.
 	Late Worth
+	// Patience is the longest time without an event, before the first one too, for which the caller waits; zero is no
+	// bound.
+	Patience time.Duration
 	// Left is the time until the deadline.
 	Left time.Duration
 }
@@ -25,7 +28,7 @@
 // Reading returns the load at the main target until the first token, when the prompt is read in a number of parts.
 func (pr Prompt) Reading(parts int) Load {
 	lo := Load{Readers: 1, Memory: pr.need()}
-	lo.Waiting[classOf(pr.Objective-pr.Used)] = pr.atRisk()
+	lo.Waiting = pr.risk(pr.Objective-pr.Used, pr.Patience-pr.Used)
 	if parts > 1 {
 		lo.Parts = pr.part(parts)
 		return lo
@@ -42,10 +45,27 @@
 // Writing returns the load at the main target from the first token on, when the whole prompt is held there.
 func (pr Prompt) Writing() Load {
 	lo := Load{Writers: 1, Context: pr.Tokens, Memory: pr.need()}
-	lo.AtRisk[classOf(pr.LongestPause)] = pr.atRisk()
+	lo.AtRisk = pr.risk(pr.LongestPause, pr.Patience)
 	return lo
 }
 
+// risk returns what is lost beyond the limit that an answer in time keeps, and beyond the patience of its caller: an
+// answer that its caller has left is worth nothing, and the caller's next attempt is read once more.
+func (pr *Prompt) risk(inTime, patience time.Duration) Classes {
+	var cl Classes
+	cl[classOf(inTime)] = pr.atRisk()
+	if pr.Patience > 0 {
+		cl[classOf(patience)] += pr.Late
+	}
+	return cl
+}
+
+// Overdue returns the prompt of an answer that is late in any case: only the caller's patience is left to lose.
+func (pr Prompt) Overdue() Prompt {
+	pr.InTime = pr.Late
+	return pr
+}
+
 // need returns the memory that the prompt and its answer take.
 func (pr *Prompt) need() int64 {
 	return pr.Tokens + pr.Answer
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -41,6 +41,8 @@
 	Objective time.Duration
 	// LongestPause between two events keeps a stream in time; zero when none is set.
 	LongestPause time.Duration
+	// Patience is the longest time without an event for which callers wait; zero when it is not known.
+	Patience time.Duration
 	// MaxAttempts is at least one.
 	MaxAttempts int
 	// Priority is the rank, zero first.
