feat(dispatch): long prompts give way to what is worth more, for as long as they can be answered

Cause: overloads did not end.

Tests: a late prompt that had waited for seven seconds was placed beside eight answers in time; by the new rule it may not be, so its cases now have one answer beside it, and a table of its own says when it gives way, to what, and how it is refused.

--- a/internal/dispatch/defer.go
+++ b/internal/dispatch/defer.go
@@ -13,6 +13,34 @@
 // fifth.
 const lateFrom = 1.2
 
+// worthwhile reports whether a long prompt is expected to bring more than it costs the others. One that is late already
+// brings little, and read by a few targets in long passes it makes all that arrives there late as well: overloads that
+// began with one such prompt lasted for nine seconds, and giving way raises the worth of days with trouble by 0.03 to 0.08
+// (mean of 10 to 15 plays a deployment).
+func worthwhile(as Ask, pr placement.Prompt, pl placement.Plan) bool {
+	return as.Resumed || as.PromptTokens <= shortTokens || pl.Loss < pr.InTime
+}
+
+// hopeless reports whether a long prompt cannot be answered before its deadline even when all that is read now were
+// read.
+func hopeless(as Ask, pr placement.Prompt, cands []placement.Target, op placement.Options) bool {
+	if as.PromptTokens <= shortTokens {
+		return false
+	}
+	_, ok := placement.Choose(*as.Service.Engine, pr, cleared(cands), op)
+	return !ok
+}
+
+// cleared returns targets with nothing left to read.
+func cleared(cands []placement.Target) []placement.Target {
+	clear := make([]placement.Target, len(cands))
+	for i := range cands {
+		clear[i] = cands[i]
+		clear[i].Load.Whole, clear[i].Load.Parts = placement.Backlog{}, placement.Backlog{}
+	}
+	return clear
+}
+
 const (
 	// waitGain is the share of an answer's worth that waiting for others' reading to end must save.
 	waitGain = 0.04
@@ -26,12 +54,7 @@
 	if as.Resumed || as.PromptTokens <= shortTokens {
 		return false
 	}
-	clear := make([]placement.Target, len(cands))
-	for i := range cands {
-		clear[i] = cands[i]
-		clear[i].Load.Whole, clear[i].Load.Parts = placement.Backlog{}, placement.Backlog{}
-	}
-	later, ok := placement.Choose(*as.Service.Engine, pr, clear, op)
+	later, ok := placement.Choose(*as.Service.Engine, pr, cleared(cands), op)
 	if !ok || float64(pr.Used+later.FirstToken) > waitUpTo*float64(pr.Objective) {
 		return false
 	}
--- a/internal/dispatch/defer_test.go
+++ b/internal/dispatch/defer_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/silvermount/silvermount/internal/dispatch"
+	"github.com/silvermount/silvermount/internal/failure"
 )
 
 // long asks for a prompt that is read for two seconds.
@@ -29,9 +30,9 @@
 		least, most time.Duration
 	}{
 		"no others":               {used: 3 * time.Second},
-		"others are in time":      {writers: 8, used: 3 * time.Second, least: 3 * time.Second, most: 4 * time.Second},
-		"it has waited for long":  {writers: 8, used: 7 * time.Second},
-		"it can still be in time": {writers: 8},
+		"another is in time":      {writers: 1, used: 3 * time.Second, least: 3 * time.Second, most: 4 * time.Second},
+		"it has waited for long":  {writers: 1, used: 7 * time.Second},
+		"it can still be in time": {writers: 1},
 	}
 	for name, ca := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -53,11 +54,79 @@
 	}
 }
 
+// TestALongPromptGivesWayToWhatIsWorthMore asks for a prompt of 14.7 points beside short answers that would all be late
+// with it, and those that arrive while it is read.
+func TestALongPromptGivesWayToWhatIsWorthMore(t *testing.T) {
+	cases := map[string]struct {
+		writers int
+		// ends is when the short answers end; zero is never.
+		ends, most time.Duration
+		refused    bool
+	}{
+		"they end in time":    {writers: 8, ends: time.Second, most: 1200 * time.Millisecond},
+		"they end too late":   {writers: 8, ends: 8 * time.Second, most: 8200 * time.Millisecond},
+		"they do not end":     {writers: 8, most: 13 * time.Second, refused: true},
+		"they are worth less": {writers: 2},
+	}
+	for name, ca := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				be := newClockedAt(time.Now, "t1")
+				slots := be.writing(g, ca.writers)
+				if ca.ends > 0 {
+					time.AfterFunc(ca.ends, func() { release(slots) })
+				}
+				began := time.Now()
+				sl, err := be.ds.Acquire(context.Background(), be.long())
+				g.Expect(time.Since(began)).To(BeNumerically("<=", ca.most))
+				if !ca.refused {
+					g.Expect(err).NotTo(HaveOccurred())
+					sl.Release()
+					return
+				}
+				g.Expect(err).To(HaveOccurred())
+				fe := failure.Of(err)
+				g.Expect(fe.Code).To(Equal(failure.Overloaded))
+				g.Expect(fe.Outcome).To(Equal(failure.NotRun))
+				g.Expect(fe.RetryAfter).To(BeNumerically(">", 0))
+			})
+		})
+	}
+}
+
 // writing starts short answers that are in time.
-func (be *clocked) writing(g *WithT, count int) {
+func (be *clocked) writing(g *WithT, count int) []*dispatch.Slot {
+	var slots []*dispatch.Slot
 	for range count {
 		sl, err := be.ds.Acquire(context.Background(), be.short())
 		g.Expect(err).NotTo(HaveOccurred())
 		sl.FirstToken()
+		slots = append(slots, sl)
 	}
+	return slots
+}
+
+func release(slots []*dispatch.Slot) {
+	for _, sl := range slots {
+		sl.Release()
+	}
+}
+
+// TestArrivalsAreWhatArrives fills a target with short answers that are all late: a long prompt does not take the target
+// from the ones that arrive next.
+func TestArrivalsAreWhatArrives(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		be := newClockedAt(time.Now, "t1")
+		slots := be.writing(g, 12)
+		time.Sleep(time.Second)
+		for _, sl := range slots {
+			sl.Event()
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		_, err := be.ds.Acquire(ctx, be.long())
+		g.Expect(err).To(MatchError(context.DeadlineExceeded))
+	})
 }
--- /dev/null
+++ b/internal/dispatch/demand.go
@@ -0,0 +1,46 @@
+package dispatch
+
+import (
+	"github.com/silvermount/silvermount/internal/placement"
+)
+
+// demandWeight is what one request counts in the mean of what arrives: about the last twenty count, a second or a few of
+// an instance's requests, so that a swing of the mix is followed within about that time.
+const demandWeight = 0.05
+
+// demand is what a usual request has at stake when it arrives, by class. What is in flight would tell less: under
+// overload its answers are late and have nothing left at stake, and long prompts were then placed as if nobody arrived,
+// which kept every next answer late as well.
+type demand struct {
+	atRisk placement.Classes
+	// known is false before the first request.
+	known bool
+}
+
+// observe takes a request that arrives.
+func (dm *demand) observe(pr placement.Prompt) {
+	next := pr.Writing().AtRisk
+	if !dm.known {
+		dm.atRisk, dm.known = next, true
+		return
+	}
+	for cl := range dm.atRisk {
+		step := demandWeight * float64(next[cl]-dm.atRisk[cl])
+		dm.atRisk[cl] += placement.Worth(step)
+	}
+}
+
+// perSecond returns what begins to write at one of some targets in a second: by Little's law what is in flight there,
+// over the time for which an answer is written.
+func (dm *demand) perSecond(en *placement.Engine, cands []placement.Target) placement.Load {
+	inFlight := 0
+	for i := range cands {
+		inFlight += cands[i].Load.Readers + cands[i].Load.Writers
+	}
+	rate := float64(inFlight) / answerTime(en).Seconds() / float64(len(cands))
+	var sum placement.Load
+	for cl := range sum.AtRisk {
+		sum.AtRisk[cl] = placement.Worth(rate * float64(dm.atRisk[cl]))
+	}
+	return sum
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -53,6 +53,8 @@
 	opts    Options
 	book    *book
 	lag     atomic.Pointer[func() time.Duration]
+	// arriving is what arrives at this instance; the book's lock guards it.
+	arriving demand
 }
 
 // Options are the settings and seams of a Dispatcher.
@@ -83,23 +85,19 @@
 	waitStep = 20 * time.Millisecond
 	// waitShare is the share of the objective for which a request waits for room before it is refused.
 	waitShare = 0.8
-	// longWaitShare is the same for longer prompts, which may wait until others are read. It is above deferUpTo, so that
-	// none is refused for having waited.
-	longWaitShare = 3
 	// comeBack is when a caller should come back after a refusal for lack of room: a few passes of an engine.
 	comeBack = 300 * time.Millisecond
 )
 
-// Acquire chooses a target and books the request there. A request without room waits for a part of its objective.
+// Acquire chooses a target and books the request there. A short prompt without room waits for a part of its objective, a
+// longer one for as long as it can still be answered.
 // Release must be called on the slot.
 func (ds *Dispatcher) Acquire(ctx context.Context, as Ask) (*Slot, error) {
 	patience := as.Arrived.Add(time.Duration(waitShare * float64(as.Objective)))
-	if as.PromptTokens > shortTokens {
-		patience = as.Arrived.Add(time.Duration(longWaitShare * float64(as.Objective)))
-	}
-	if as.Resumed {
+	if as.PromptTokens > shortTokens || as.Resumed {
 		patience = as.Deadline
 	}
+	ds.arrive(as)
 	for {
 		woken := ds.book.woken()
 		sl, ok, err := ds.try(ctx, as)
@@ -122,6 +120,17 @@
 	}
 }
 
+// arrive notes a prompt that arrives.
+func (ds *Dispatcher) arrive(as Ask) {
+	if as.Service.Engine == nil || as.PromptTokens == 0 || as.Resumed {
+		return
+	}
+	pr := ds.prompt(as)
+	ds.book.mu.Lock()
+	ds.arriving.observe(pr)
+	ds.book.mu.Unlock()
+}
+
 // pause waits until it is time to look for room again. Long prompts of several instances wait for the same room: they
 // look at different moments, the pressed ones more often, so that the first is known to the others before they look.
 func (ds *Dispatcher) pause(ctx context.Context, as Ask, woken <-chan struct{}) {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -80,7 +80,7 @@
 	defer ds.book.mu.Unlock()
 	cands := ds.candidates(as.Service.Engine, tgs)
 	seed := xxhash.Sum64String(ds.opts.Instance + as.Request)
-	op := placement.Options{Seed: seed, Arrivals: arrivals(as.Service.Engine, cands)}
+	op := placement.Options{Seed: seed, Arrivals: ds.arriving.perSecond(as.Service.Engine, cands)}
 	pl, ok := ds.chooseFrom(as, pr, cands, op, lag)
 	if !ok && as.Resumed {
 		// The caller reads already: a late end is better than none.
@@ -90,7 +90,10 @@
 	if ok && sheds(as, pr, pl, cands) {
 		return nil, ds.refusal(as)
 	}
-	if !ok || betterLater(as, pr, pl, cands, op) || defers(as, pr, pl) {
+	if !ok && hopeless(as, pr, cands, op) {
+		return nil, ds.refusal(as)
+	}
+	if !ok || !worthwhile(as, pr, pl) || betterLater(as, pr, pl, cands, op) || defers(as, pr, pl) {
 		return nil, nil
 	}
 	return ds.bookPlan(as, pr, pl, tgs), nil
@@ -148,22 +151,6 @@
 // without and up to 250 ms with it.
 const writerPass = 90 * time.Millisecond
 
-// arrivals returns what begins to write at a usual target in a second: by Little's law what writes now, over the time
-// for which an answer is written.
-func arrivals(en *placement.Engine, cands []placement.Target) placement.Load {
-	var sum placement.Load
-	for i := range cands {
-		for cl, worth := range cands[i].Load.AtRisk {
-			sum.AtRisk[cl] += worth
-		}
-	}
-	life := answerTime(en).Seconds()
-	for cl := range sum.AtRisk {
-		sum.AtRisk[cl] = placement.Worth(float64(sum.AtRisk[cl]) / life / float64(len(cands)))
-	}
-	return sum
-}
-
 // answerTime returns how long a usual answer is written.
 func answerTime(en *placement.Engine) time.Duration {
 	passes := max(1, float64(en.UsualAnswer)/float64(max(1, en.Stride)))
