feat(dispatch): a long prompt is held no longer than its caller waits

Change: it is refused at once when its first token cannot come while its caller waits, even with nothing else to read. It may come back after a third of its time left. One function now decides about a long prompt; the log of a refused or failed request gives the size of its prompt.

--- a/internal/dispatch/defer.go
+++ b/internal/dispatch/defer.go
@@ -13,22 +13,41 @@
 // fifth.
 const lateFrom = 1.2
 
+// verdict is what becomes of a long prompt now.
+type verdict int
+
+const (
+	// verdictPlace is to run it as planned.
+	verdictPlace verdict = iota
+	// verdictWait is to look again later.
+	verdictWait
+	// verdictRefuse is to refuse it at once.
+	verdictRefuse
+)
+
+// judgeLong decides about a long prompt that nobody reads yet. The plan is the best one now, if any.
+func judgeLong(as Ask, pr placement.Prompt, pl placement.Plan, planned bool, cands []placement.Target, op placement.Options) verdict {
+	later, ok := placement.Choose(*as.Service.Engine, pr, cleared(cands), op)
+	switch {
+	case hopeless(pr, later, ok):
+		return verdictRefuse
+	case !planned || !worthwhile(pr, pl) || betterLater(pr, pl, later) || defers(as, pr, pl):
+		return verdictWait
+	default:
+		return verdictPlace
+	}
+}
+
 // worthwhile reports whether a long prompt is expected to bring more than it costs the others. One that is late already
 // brings little, and read by a few targets in long passes it makes all that arrives there late as well: overloads that
 // began with one such prompt lasted for nine seconds, and giving way raises the worth of days with trouble by 0.03 to 0.08
 // (mean of 10 to 15 plays a deployment).
-func worthwhile(as Ask, pr placement.Prompt, pl placement.Plan) bool {
-	return as.Resumed || as.PromptTokens <= shortTokens || pl.Loss < pr.InTime
-}
+func worthwhile(pr placement.Prompt, pl placement.Plan) bool { return pl.Loss < pr.InTime }
 
-// hopeless reports whether a long prompt cannot be answered before its deadline even when all that is read now were
-// read.
-func hopeless(as Ask, pr placement.Prompt, cands []placement.Target, op placement.Options) bool {
-	if as.PromptTokens <= shortTokens {
-		return false
-	}
-	_, ok := placement.Choose(*as.Service.Engine, pr, cleared(cands), op)
-	return !ok
+// hopeless reports whether a long prompt cannot begin before its caller leaves, or end before its deadline, even when all
+// that is read now were read.
+func hopeless(pr placement.Prompt, later placement.Plan, ok bool) bool {
+	return !ok || pr.Patience > 0 && pr.Used+later.FirstToken > pr.Patience
 }
 
 // cleared returns targets with nothing left to read.
@@ -50,12 +69,8 @@
 
 // betterLater reports whether a long prompt had better wait until what is being read now is read: the parts of two long
 // prompts in one pass make the pauses of all writers there too long, one after the other they do not.
-func betterLater(as Ask, pr placement.Prompt, pl placement.Plan, cands []placement.Target, op placement.Options) bool {
-	if as.Resumed || as.PromptTokens <= shortTokens {
-		return false
-	}
-	later, ok := placement.Choose(*as.Service.Engine, pr, cleared(cands), op)
-	if !ok || float64(pr.Used+later.FirstToken) > waitUpTo*float64(pr.Objective) {
+func betterLater(pr placement.Prompt, pl, later placement.Plan) bool {
+	if float64(pr.Used+later.FirstToken) > waitUpTo*float64(pr.Objective) {
 		return false
 	}
 	return float64(pl.Loss-later.Loss) > waitGain*float64(pr.InTime)
@@ -73,7 +88,7 @@
 // defers reports whether a prompt that is late in any case had better wait: what is left of its worth does not fall with
 // time, and the others at its targets are in time now.
 func defers(as Ask, pr placement.Prompt, pl placement.Plan) bool {
-	if as.Resumed || as.PromptTokens <= shortTokens || !late(as, pr, pl) {
+	if !late(as, pr, pl) {
 		return false
 	}
 	left := pr.Left - pl.FirstToken
--- a/internal/dispatch/defer_test.go
+++ b/internal/dispatch/defer_test.go
@@ -95,6 +95,23 @@
 	}
 }
 
+func TestALongPromptIsHeldNoLongerThanItsCallerWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		be := newClockedAt(time.Now, "t1")
+		be.writing(g, 8)
+		as := be.long()
+		as.Patience = 10 * time.Second
+		began := time.Now()
+		_, err := be.ds.Acquire(context.Background(), as)
+		g.Expect(err).To(HaveOccurred())
+		g.Expect(failure.Of(err).Outcome).To(Equal(failure.NotRun))
+		// It is read in about two seconds.
+		g.Expect(time.Since(began)).To(BeNumerically(">", 7*time.Second))
+		g.Expect(time.Since(began)).To(BeNumerically("<", 9*time.Second))
+	})
+}
+
 // writing starts short answers that are in time.
 func (be *clocked) writing(g *WithT, count int) []*dispatch.Slot {
 	var slots []*dispatch.Slot
--- a/internal/dispatch/overload.go
+++ b/internal/dispatch/overload.go
@@ -42,6 +42,16 @@
 	return float64(inFlight) > overloadedFrom*float64(en.Slots*len(cands))
 }
 
+// longReturn is the share of its caller's time left after which a long prompt that was refused may come back: what keeps
+// it out changes in seconds, and callers heed no longer time.
+const longReturn = 0.33
+
+// longRefusal tells the caller of a long prompt that can no longer be answered when to come back.
+func longRefusal(pr placement.Prompt) error {
+	after := time.Duration(longReturn * float64(max(pr.Left, 0)))
+	return failure.New(failure.Overloaded, failure.NotRun, "the prompt cannot be answered in its caller's time").WithRetryAfter(after)
+}
+
 // refusal tells the caller of a short prompt that was not placed when to come back.
 func (ds *Dispatcher) refusal(as Ask) error {
 	share := comeBackLeast + (comeBackMost-comeBackLeast)*fraction(as.Request, ds.opts.Instance, "come back")
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -90,10 +90,16 @@
 	if ok && sheds(as, pr, pl, cands) {
 		return nil, ds.refusal(as)
 	}
-	if !ok && hopeless(as, pr, cands, op) {
-		return nil, ds.refusal(as)
+	if as.PromptTokens > shortTokens && !as.Resumed {
+		switch judgeLong(as, pr, pl, ok, cands, op) {
+		case verdictRefuse:
+			return nil, longRefusal(pr)
+		case verdictWait:
+			return nil, nil
+		case verdictPlace:
+		}
 	}
-	if !ok || !worthwhile(as, pr, pl) || betterLater(as, pr, pl, cands, op) || defers(as, pr, pl) {
+	if !ok {
 		return nil, nil
 	}
 	return ds.bookPlan(as, pr, pl, tgs), nil
--- a/internal/gateway/lines.go
+++ b/internal/gateway/lines.go
@@ -89,6 +89,7 @@
 func (gw *Gateway) logFailed(rq *request, sk *sink, fe *failure.Error) {
 	fs := gw.fields(rq)
 	fs["reason"] = string(fe.Code)
+	fs["prompt_tokens"] = rq.PromptTokens
 	fs["outcome"] = string(fe.Outcome)
 	fs["events"] = rq.events
 	if sk.Started() {
