--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -37,17 +37,22 @@
 			g.Expect(err).NotTo(HaveOccurred())
 			var got bytes.Buffer
 			g.Expect(ac.Print(&got)).To(Succeed())
-			golden := filepath.Join("testdata", tc.file+".golden")
-			if *update {
-				g.Expect(os.WriteFile(golden, got.Bytes(), 0o644)).To(Succeed())
-			}
-			want, err := os.ReadFile(golden)
-			g.Expect(err).NotTo(HaveOccurred())
-			g.Expect(got.String()).To(Equal(string(want)))
+			golden(g, tc.file, got.Bytes())
 		})
 	}
 }
 
+// golden compares with a golden file, or renews it.
+func golden(g *WithT, name string, got []byte) {
+	file := filepath.Join("testdata", name+".golden")
+	if *update {
+		g.Expect(os.WriteFile(file, got, 0o644)).To(Succeed())
+	}
+	want, err := os.ReadFile(file)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(got)).To(Equal(string(want)))
+}
+
 func TestUnknownRequest(t *testing.T) {
 	g := NewWithT(t)
 	_, err := Find(strings.NewReader("time=2026-12-01T12:00:00Z request=req-10\nx\n"), "req-1")
--- a/internal/gateway/lines.go
+++ b/internal/gateway/lines.go
@@ -76,6 +76,9 @@
 	fs["first"] = rq.first.Round(time.Millisecond).String()
 	fs["longest_pause"] = rq.pause.Round(time.Millisecond).String()
 	fs["in_time"] = rq.inTime()
+	if by := rq.lateBy(); by != "" {
+		fs["late_by"] = by
+	}
 	fs["attempts"] = len(rq.tried)
 	if len(rq.tried) > 0 {
 		// The line that the request was sent may be left out in a busy second.
@@ -194,8 +197,18 @@
 }
 
 // inTime reports whether a stream was passed on within the route's objective and longest pause.
-func (rq *request) inTime() bool {
-	return rq.first <= rq.route.Objective && (rq.route.LongestPause == 0 || rq.pause <= rq.route.LongestPause)
+func (rq *request) inTime() bool { return rq.lateBy() == "" }
+
+// lateBy says what made a stream late first: "first" or "pause"; empty when it is in time.
+func (rq *request) lateBy() string {
+	switch {
+	case rq.first > rq.route.Objective:
+		return "first"
+	case rq.route.LongestPause > 0 && rq.pause > rq.route.LongestPause:
+		return "pause"
+	default:
+		return ""
+	}
 }
 
 // observeFirst notes the time to the first event and how far the prediction was off.
