fix(dispatch): a long prompt that only lacks memory waits for it

Cause: whether a long prompt can still be answered was judged at targets that have read everything but still hold the memory of others. One larger than what was free then was refused at once, though memory comes free within seconds.

Change: it is refused only when it could not be answered at idle targets either.

Found by reading; the test fails without it (the prompt is refused while another one holds the memory).

--- a/internal/dispatch/defer.go
+++ b/internal/dispatch/defer.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"slices"
+
 	"github.com/silvermount/silvermount/internal/placement"
 )
 
@@ -13,28 +15,29 @@
 // fifth.
 const lateFrom = 1.2
 
-// verdict is what becomes of a long prompt now.
-type verdict int
+// decision is what becomes of a long prompt now.
+type decision int
 
 const (
-	// verdictPlace is to run it as planned.
-	verdictPlace verdict = iota
-	// verdictWait is to look again later.
-	verdictWait
-	// verdictRefuse is to refuse it at once.
-	verdictRefuse
+	// decisionPlace is to run it as planned.
+	decisionPlace decision = iota
+	// decisionWait is to look again later.
+	decisionWait
+	// decisionRefuse is to refuse it at once.
+	decisionRefuse
 )
 
-// judgeLong decides about a long prompt that nobody reads yet. The plan is the best one now, if any.
-func judgeLong(as Ask, pr placement.Prompt, pl placement.Plan, planned bool, cands []placement.Target, op placement.Options) verdict {
-	later, ok := placement.Choose(*as.Service.Engine, pr, cleared(cands), op)
+// decideLong decides about a long prompt that nobody reads yet. The plan is the best one now, if any.
+func decideLong(as Ask, pr placement.Prompt, pl placement.Plan, planned bool, cands []placement.Target, op placement.Options) decision {
+	later, feasible := placement.Choose(*as.Service.Engine, pr, read(cands), op)
+	feasible = feasible && begins(pr, later)
 	switch {
-	case hopeless(pr, later, ok):
-		return verdictRefuse
-	case !planned || !worthwhile(pr, pl) || betterLater(pr, pl, later) || defers(as, pr, pl):
-		return verdictWait
+	case !feasible && hopeless(as, pr, cands, op):
+		return decisionRefuse
+	case !feasible || !planned || !worthwhile(pr, pl) || betterLater(pr, pl, later) || defers(as, pr, pl):
+		return decisionWait
 	default:
-		return verdictPlace
+		return decisionPlace
 	}
 }
 
@@ -44,20 +47,34 @@
 // (mean of 10 to 15 plays a deployment).
 func worthwhile(pr placement.Prompt, pl placement.Plan) bool { return pl.Loss < pr.InTime }
 
-// hopeless reports whether a long prompt cannot begin before its caller leaves, or end before its deadline, even when all
-// that is read now were read.
-func hopeless(pr placement.Prompt, later placement.Plan, ok bool) bool {
-	return !ok || pr.Patience > 0 && pr.Used+later.FirstToken > pr.Patience
+// hopeless reports whether a long prompt cannot be answered in its caller's time even at idle targets.
+func hopeless(as Ask, pr placement.Prompt, cands []placement.Target, op placement.Options) bool {
+	best, ok := placement.Choose(*as.Service.Engine, pr, idle(cands), op)
+	return !ok || !begins(pr, best)
+}
+
+// begins reports whether the first token of a plan comes while the caller waits.
+func begins(pr placement.Prompt, pl placement.Plan) bool {
+	return pr.Patience <= 0 || pr.Used+pl.FirstToken <= pr.Patience
+}
+
+// read returns targets with nothing left to read.
+func read(cands []placement.Target) []placement.Target {
+	after := slices.Clone(cands)
+	for i := range after {
+		after[i].Load.Whole, after[i].Load.Parts = placement.Backlog{}, placement.Backlog{}
+	}
+	return after
 }
 
-// cleared returns targets with nothing left to read.
-func cleared(cands []placement.Target) []placement.Target {
-	clear := make([]placement.Target, len(cands))
-	for i := range cands {
-		clear[i] = cands[i]
-		clear[i].Load.Whole, clear[i].Load.Parts = placement.Backlog{}, placement.Backlog{}
+// idle returns targets with nothing in flight: neither slots nor memory are taken.
+func idle(cands []placement.Target) []placement.Target {
+	after := slices.Clone(cands)
+	for i := range after {
+		after[i].Load = placement.Load{}
+		after[i].Helper = true
 	}
-	return clear
+	return after
 }
 
 const (
--- a/internal/dispatch/memory_test.go
+++ b/internal/dispatch/memory_test.go
@@ -36,6 +36,30 @@
 	})
 }
 
+// TestALongPromptWaitsForMemory keeps a prompt that lacks memory only because another one holds it from being refused.
+func TestALongPromptWaitsForMemory(t *testing.T) {
+	bubble(t, 3, func(be *bench) {
+		large := func() dispatch.Ask {
+			as := prompt(50_000)
+			as.Service.Engine.Memory = 30_000
+			return as
+		}
+		first := be.take(large())
+		first.FirstToken()
+		second := be.send(large())
+		time.Sleep(objective / 2)
+		synctest.Wait()
+		be.Expect(second).To(BeEmpty(), "both got the same memory, or one was refused")
+		first.Release()
+		time.Sleep(objective / 2)
+		synctest.Wait()
+		be.Expect(second).To(HaveLen(1))
+		(<-second).Release()
+		time.Sleep(settle)
+		be.Expect(be.Own()).To(BeEmpty())
+	})
+}
+
 func TestLargePromptsNeverExceedTheMemory(t *testing.T) {
 	bubble(t, 3, func(be *bench) {
 		var wg sync.WaitGroup
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -91,12 +91,12 @@
 		return nil, ds.refusal(as)
 	}
 	if as.PromptTokens > shortTokens && !as.Resumed {
-		switch judgeLong(as, pr, pl, ok, cands, op) {
-		case verdictRefuse:
+		switch decideLong(as, pr, pl, ok, cands, op) {
+		case decisionRefuse:
 			return nil, longRefusal(pr)
-		case verdictWait:
+		case decisionWait:
 			return nil, nil
-		case verdictPlace:
+		case decisionPlace:
 		}
 	}
 	if !ok {
