--- a/internal/dispatch/defer.go
+++ b/internal/dispatch/defer.go
@@ -15,32 +15,6 @@
 // fifth.
 const lateFrom = 1.2
 
-// decision is what becomes of a long prompt now.
-type decision int
-
-const (
-	// decisionPlace is to run it as planned.
-	decisionPlace decision = iota
-	// decisionWait is to look again later.
-	decisionWait
-	// decisionRefuse is to refuse it at once.
-	decisionRefuse
-)
-
-// decideLong decides about a long prompt that nobody reads yet. The plan is the best one now, if any.
-func decideLong(as Ask, pr placement.Prompt, pl placement.Plan, planned bool, cands []placement.Target, op placement.Options) decision {
-	later, feasible := placement.Choose(*as.Service.Engine, pr, read(cands), op)
-	feasible = feasible && begins(pr, later)
-	switch {
-	case !feasible && hopeless(as, pr, cands, op):
-		return decisionRefuse
-	case !feasible || !planned || !worthwhile(pr, pl) || betterLater(pr, pl, later) || defers(as, pr, pl):
-		return decisionWait
-	default:
-		return decisionPlace
-	}
-}
-
 // worthwhile reports whether a long prompt is expected to bring more than it costs the others. One that is late already
 // brings little, and read by a few targets in long passes it makes all that arrives there late as well: overloads that
 // began with one such prompt lasted for nine seconds, and giving way raises the worth of days with trouble by 0.03 to 0.08
--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -33,11 +33,7 @@
 // perSecond returns what begins to write at one of some targets in a second: by Little's law what is in flight there,
 // over the time for which an answer is written.
 func (dm *demand) perSecond(en *placement.Engine, cands []placement.Target) placement.Load {
-	inFlight := 0
-	for i := range cands {
-		inFlight += cands[i].Load.Readers + cands[i].Load.Writers
-	}
-	rate := float64(inFlight) / answerTime(en).Seconds() / float64(len(cands))
+	rate := float64(inFlight(cands)) / answerTime(en).Seconds() / float64(len(cands))
 	var sum placement.Load
 	for cl := range sum.AtRisk {
 		sum.AtRisk[cl] = placement.Worth(rate * float64(dm.atRisk[cl]))
--- a/internal/dispatch/overload.go
+++ b/internal/dispatch/overload.go
@@ -26,7 +26,7 @@
 // time. Let in, it would make the next one late as well, and in the end all of them: every answer takes a slot for as
 // long, in time or not.
 func sheds(as Ask, pr placement.Prompt, pl placement.Plan, cands []placement.Target) bool {
-	if as.Resumed || as.PromptTokens > shortTokens {
+	if as.Resumed {
 		return false
 	}
 	inTime := float64(pr.Used+pl.FirstToken) <= crowdedFrom*float64(pr.Objective)
@@ -35,25 +35,28 @@
 
 // slotsTaken reports whether the targets have about as many requests as slots.
 func slotsTaken(en *placement.Engine, cands []placement.Target) bool {
-	inFlight := 0
+	return float64(inFlight(cands)) > overloadedFrom*float64(en.Slots*len(cands))
+}
+
+// inFlight returns how many requests are read or written at some targets.
+func inFlight(cands []placement.Target) int {
+	sum := 0
 	for i := range cands {
-		inFlight += cands[i].Load.Readers + cands[i].Load.Writers
+		sum += cands[i].Load.Readers + cands[i].Load.Writers
 	}
-	return float64(inFlight) > overloadedFrom*float64(en.Slots*len(cands))
+	return sum
 }
 
 // longReturn is the share of its caller's time left after which a long prompt that was refused may come back: what keeps
 // it out changes in seconds, and callers heed no longer time.
 const longReturn = 0.33
 
-// longRefusal tells the caller of a long prompt that can no longer be answered when to come back.
-func longRefusal(pr placement.Prompt) error {
-	after := time.Duration(longReturn * float64(max(pr.Left, 0)))
-	return failure.New(failure.Overloaded, failure.NotRun, "the prompt cannot be answered in its caller's time").WithRetryAfter(after)
-}
-
-// refusal tells the caller of a short prompt that was not placed when to come back.
-func (ds *Dispatcher) refusal(as Ask) error {
+// refusal tells the caller of a prompt that was not placed when to come back.
+func (ds *Dispatcher) refusal(as Ask, pr placement.Prompt) error {
+	if as.PromptTokens > shortTokens {
+		after := time.Duration(longReturn * float64(max(pr.Left, 0)))
+		return failure.New(failure.Overloaded, failure.NotRun, "the prompt cannot be answered in its caller's time").WithRetryAfter(after)
+	}
 	share := comeBackLeast + (comeBackMost-comeBackLeast)*fraction(as.Request, ds.opts.Instance, "come back")
 	after := time.Duration(share * float64(answerTime(as.Service.Engine)))
 	return failure.New(failure.Overloaded, failure.NotRun, "all slots are taken").WithRetryAfter(after)
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -81,30 +81,27 @@
 	cands := ds.candidates(as.Service.Engine, tgs)
 	seed := xxhash.Sum64String(ds.opts.Instance + as.Request)
 	op := placement.Options{Seed: seed, Arrivals: ds.arriving.perSecond(as.Service.Engine, cands)}
-	pl, ok := ds.chooseFrom(as, pr, cands, op, lag)
-	if !ok && as.Resumed {
-		// The caller reads already: a late end is better than none.
-		pr.Left = anyTime
-		pl, ok = placement.Choose(*as.Service.Engine, pr, cands, op)
-	}
-	if ok && sheds(as, pr, pl, cands) {
-		return nil, ds.refusal(as)
-	}
-	if as.PromptTokens > shortTokens && !as.Resumed {
-		switch decideLong(as, pr, pl, ok, cands, op) {
-		case decisionRefuse:
-			return nil, longRefusal(pr)
-		case decisionWait:
-			return nil, nil
-		case decisionPlace:
-		}
-	}
-	if !ok {
+	pl, ok := ds.plan(as, pr, cands, op, lag)
+	switch decide(as, pr, pl, ok, cands, op) {
+	case decisionRefuse:
+		return nil, ds.refusal(as, pr)
+	case decisionWait:
 		return nil, nil
+	case decisionPlace:
 	}
 	return ds.bookPlan(as, pr, pl, tgs), nil
 }
 
+// plan returns the best plan for a prompt, if any. A stream that goes on elsewhere may end late: its caller reads already.
+func (ds *Dispatcher) plan(as Ask, pr placement.Prompt, cands []placement.Target, op placement.Options, lag time.Duration) (placement.Plan, bool) {
+	pl, ok := ds.chooseFrom(as, pr, cands, op, lag)
+	if ok || !as.Resumed {
+		return pl, ok
+	}
+	pr.Left = anyTime
+	return placement.Choose(*as.Service.Engine, pr, cands, op)
+}
+
 // candidates returns targets with their loads as the placement takes them. The book's lock is held.
 func (ds *Dispatcher) candidates(en *placement.Engine, tgs []targets.Target) []placement.Target {
 	now := ds.opts.Now()
--- a/internal/dispatch/unseen.go
+++ b/internal/dispatch/unseen.go
@@ -59,9 +59,5 @@
 // unseenPlacements returns how many prompts are placed in a time by all instances: by Little's law what is in flight,
 // over the time for which an answer is written.
 func unseenPlacements(en *placement.Engine, cands []placement.Target, lag time.Duration) float64 {
-	inFlight := 0
-	for i := range cands {
-		inFlight += cands[i].Load.Readers + cands[i].Load.Writers
-	}
-	return float64(inFlight) / answerTime(en).Seconds() * lag.Seconds()
+	return float64(inFlight(cands)) / answerTime(en).Seconds() * lag.Seconds()
 }
--- /dev/null
+++ b/internal/gateway/silence.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/silvermount/silvermount/internal/dispatch"
+	"github.com/silvermount/silvermount/internal/targets"
+	"github.com/silvermount/silvermount/internal/upstream"
+)
+
+// exchange sends the call, and gives a silent target up where another one may still answer.
+func (gw *Gateway) exchange(ctx context.Context, rq *request, sl *dispatch.Slot, ca upstream.Call) (*upstream.Answer, error) {
+	most := gw.silenceMost(rq, sl)
+	if most <= 0 {
+		return gw.Pool.Do(ctx, ca)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	tried := append(slices.Clone(rq.tried), sl.Target.ID)
+	var claimed atomic.Bool
+	var timer *time.Timer
+	armed := make(chan struct{})
+	timer = time.AfterFunc(most, func() {
+		<-armed
+		gw.silent(sl.Target)
+		if !gw.claimMove(rq.route, rq.service, tried) {
+			timer.Reset(most)
+			return
+		}
+		claimed.Store(true)
+		cancel(&SilentTargetError{After: most})
+	})
+	close(armed)
+	defer timer.Stop()
+	an, err := gw.Pool.Do(ctx, ca)
+	rq.claimed = claimed.Load()
+	if err != nil {
+		return nil, errors.Wrap(withCause(ctx, err), "wait for answer")
+	}
+	return an, nil
+}
+
+func withCause(ctx context.Context, err error) error {
+	var se *SilentTargetError
+	if errors.As(context.Cause(ctx), &se) {
+		return &upstream.SendError{Sent: true, Cause: se}
+	}
+	return err
+}
+
+// SilentTargetError says that a target gave no answer while another could still give one.
+type SilentTargetError struct{ After time.Duration }
+
+// Error says how long it was silent.
+func (se *SilentTargetError) Error() string { return "no answer within " + se.After.String() }
+
+const (
+	// silenceShare is how many objectives a repeatable request waits for one target: by then the answer is late and
+	// another target can still give it.
+	silenceShare = 2
+	// silencePredictions is how many times the predicted wait a stream's head may take.
+	silencePredictions = 3
+)
+
+// silenceMost is how long a target may be silent before its answer; zero for no bound.
+func (gw *Gateway) silenceMost(rq *request, sl *dispatch.Slot) time.Duration {
+	most := silenceShare * rq.route.Objective
+	switch {
+	case rq.route.Exclusive() || len(rq.tried) > 0 || rq.route.MaxAttempts < 2:
+		return 0
+	case rq.route.Streaming:
+		return max(stallFloor, most, silencePredictions*sl.FirstPredicted)
+	default:
+		return most
+	}
+}
+
+// unanswered notes that nothing came until the end of a request's time, or until its caller went away.
+func (gw *Gateway) unanswered(rq *request, sl *dispatch.Slot, waited time.Duration) {
+	if waited < max(stallFloor, silenceShare*rq.route.Objective, silencePredictions*sl.FirstPredicted) {
+		return
+	}
+	gw.silent(sl.Target)
+	gw.held(sl.Target)
+}
+
+// silent notes that a target said nothing for longer than it should.
+func (gw *Gateway) silent(tg targets.Target) {
+	if gw.Targets.Silent(tg.ID) {
+		gw.logZoneOut(tg, "silence")
+	}
+}
