feat(gossip): which instance relays is logged and counted

Cause: with relays in place of a mesh, an operator could not tell which instances pass states on, nor whether their subscribers left them.

--- a/internal/duty/members/members.go
+++ b/internal/duty/members/members.go
@@ -84,6 +84,8 @@
 	op := du.options(env)
 	du.ms = gossip.New(op)
 	pt.Changed.Set(du.ms.Publish)
+	pt.Metrics.NewGauge("silvermount_peer_links", func() float64 { return float64(du.ms.Links()) })
+	pt.Metrics.NewGauge("silvermount_peer_subscribers", func() float64 { return float64(du.ms.Subscribers()) })
 	pt.Dispatcher.SetLag(du.ms.Lag)
 	fl := &follower{self: op.Self, lg: du.lg}
 	pt.Followers.Set(func() forwarding.Part { return fl.of(du.ms) })
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -149,6 +149,8 @@
 	wantedNames []string
 	// suspects are the members whose link ended or failed, and when, by the awake clock.
 	suspects map[string]time.Duration
+	// relays says that this instance was a relay by the last plan.
+	relays bool
 	// sources are the relays that this instance takes states from now, sorted: each tells a part of them.
 	sources []string
 	// subscribers counts the links by which each member takes all states from this instance.
@@ -239,6 +241,20 @@
 	}
 }
 
+// Links returns the number of links to other members.
+func (ms *Mesh) Links() int {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	return len(ms.links)
+}
+
+// Subscribers returns how many members take all states from this one.
+func (ms *Mesh) Subscribers() int {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	return len(ms.subscribers)
+}
+
 // Version returns the version of the list of members and of what is known of their links: while it stays, so does Live.
 func (ms *Mesh) Version() uint64 {
 	ms.mu.Lock()
@@ -409,6 +425,7 @@
 	}
 	ms.wantedNames = ms.wantedByPlan()
 	ms.findSources()
+	ms.logPart()
 }
 
 func (ms *Mesh) liveCount() int {
--- a/internal/gossip/lines.go
+++ b/internal/gossip/lines.go
@@ -24,3 +24,19 @@
 		"age": ev.age.Round(time.Millisecond).String(),
 	}).Info(message)
 }
+
+// logPart says when this instance begins and ends to be a relay. The lock is held; the logger never blocks.
+func (ms *Mesh) logPart() {
+	relays := ms.plan.relay(ms.self.Member)
+	if relays == ms.relays {
+		return
+	}
+	ms.relays = relays
+	message := "this instance relays states no longer"
+	if relays {
+		message = "this instance relays states"
+	}
+	ms.opts.Log.WithFields(log.Fields{
+		"live": ms.liveCount(), "relays": len(ms.plan.relays[ms.self.AvailabilityZone]), "subscribers": len(ms.subscribers),
+	}).Info(message)
+}
