--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -15,110 +15,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
-
-	"github.com/silvermount/silvermount/internal/set"
 )
 
-// Member is one process of the fleet.
-type Member struct {
-	Name string
-	// Incarnation differs between two processes of one name.
-	Incarnation string
-	// Address is the ip:port of the gossip listener.
-	Address          string
-	AvailabilityZone string
-	// Megabits is the instance's share of the network, in Mbit/s; 0 when it is not known. Those with more relay first.
-	Megabits uint64
-	// Stopping says that the process takes no new work.
-	Stopping bool
-}
-
-// Options are what New needs. Callbacks are called one at a time; they must be short and must not call Fetch.
-type Options struct {
-	// Self is this process.
-	Self Member
-	// Seeds are addresses to start from. They may be out of date, and may be this instance's own.
-	Seeds []string
-	// Interval is the time between two heartbeats.
-	Interval time.Duration
-	// Lost is the silence after which a member is not live.
-	Lost time.Duration
-	// Coalesce is the least time between two sends that Publish causes.
-	Coalesce time.Duration
-	// FullMesh is the number of members up to which every two are linked; beyond it most are linked to two relays alone.
-	FullMesh int
-	// Body returns this instance's state now. The slice must not be changed afterwards.
-	Body func() []byte
-	// Receive takes the newest state of a member, and when its sender made it by this instance's clock, or earlier. It is called
-	// again with the last state when a lost member comes back.
-	Receive func(from Member, body []byte, made time.Time)
-	// OnLost is called once when a member is lost, and when another incarnation replaces it.
-	OnLost func(Member)
-	// Serve returns a document that a peer asked for. It may be called by several goroutines at once.
-	Serve func(name string) ([]byte, bool)
-	// Log is the part's logger.
-	Log log.Interface
-	// Now is a steady clock.
-	Now func() time.Time
-}
-
-const (
-	// defaultInterval allows eight heartbeats within the default silence.
-	defaultInterval = 250 * time.Millisecond
-	// defaultLost is the silence of a process that restarts at once, and some more.
-	defaultLost = 2 * time.Second
-	// defaultCoalesce bounds the sends for a busy instance to a hundred a second.
-	defaultCoalesce = 10 * time.Millisecond
-	// defaultFullMesh is where the relays' work becomes less than that of the links saved.
-	defaultFullMesh = 16
-	// coalescePerLink is what each link beyond those of a full mesh adds to the least time between two sends: a relay
-	// then sends at most two thousand frames a second, however many subscribe to it. With four times as much, 295 instances
-	// knew of each other's choices after 120 ms in place of 50 ms, and 36 in 1,000 more short prompts were late or lost
-	// (a play of the first 20 s of a day with trouble); a relay took 0.084 of a core in place of 0.101.
-	coalescePerLink = 500 * time.Microsecond
-	// forgetAfter is the silence after which a member is no longer dialled: longer than a restart.
-	forgetAfter = time.Minute
-	// redialPause bounds the attempts at an address to two a second.
-	redialPause = 500 * time.Millisecond
-	// dialGrace is how long the instance with the higher name waits for the other to dial: two attempts and their pause.
-	dialGrace = 1500 * time.Millisecond
-	// refreshBeats is the number of heartbeats after which the state is taken anew though it was not published: what
-	// it says of ages has changed.
-	refreshBeats = 4
-	// idleLosts is the number of silences Options.Lost after which a stream is closed.
-	idleLosts = 3
-)
-
-func (o Options) withDefaults() Options {
-	o.Interval = cmp.Or(o.Interval, defaultInterval)
-	o.Lost = cmp.Or(o.Lost, defaultLost)
-	o.Coalesce = cmp.Or(o.Coalesce, defaultCoalesce)
-	o.FullMesh = cmp.Or(o.FullMesh, defaultFullMesh)
-	if o.Body == nil {
-		o.Body = func() []byte { return nil }
-	}
-	if o.Receive == nil {
-		o.Receive = func(Member, []byte, time.Time) {}
-	}
-	if o.OnLost == nil {
-		o.OnLost = func(Member) {}
-	}
-	if o.Serve == nil {
-		o.Serve = func(string) ([]byte, bool) { return nil, false }
-	}
-	if o.Log == nil {
-		o.Log = log.Log
-	}
-	if o.Now == nil {
-		o.Now = time.Now
-	}
-	return o
-}
-
 // Mesh is this instance's view of the fleet and its links.
 type Mesh struct {
 	opts Options
@@ -280,15 +181,6 @@
 	return live
 }
 
-// Source reports whether this instance should take from a member what all need: from each other one when it is itself one of
-// those that others take it from, else only from the relays that it subscribes to.
-func (ms *Mesh) Source(m Member) bool {
-	ms.mu.Lock()
-	defer ms.mu.Unlock()
-	ms.replan()
-	return ms.plan.full || ms.plan.relay(ms.self.Member) || slices.Contains(ms.sources, m.Name)
-}
-
 // SetStopping tells all members that this instance is stopping.
 func (ms *Mesh) SetStopping() {
 	ms.mu.Lock()
@@ -300,43 +192,6 @@
 	ms.signal()
 }
 
-// coalesce is the least time between two sends; it grows with the links that each send is for.
-func (ms *Mesh) coalesce() time.Duration {
-	ms.mu.Lock()
-	defer ms.mu.Unlock()
-	return ms.coalesceFor(len(ms.links))
-}
-
-func (ms *Mesh) coalesceFor(links int) time.Duration {
-	beyond := max(0, links-ms.opts.FullMesh)
-	return min(ms.opts.Interval, ms.opts.Coalesce+time.Duration(beyond)*coalescePerLink)
-}
-
-// Lag returns the time after which a new state of this instance is known to the others when all is well: the wait for
-// the next send, and that of two relays where there are any.
-func (ms *Mesh) Lag() time.Duration {
-	ms.mu.Lock()
-	defer ms.mu.Unlock()
-	ms.replan()
-	own := ms.coalesceFor(len(ms.links))
-	if ms.plan.full {
-		return own
-	}
-	return own + 2*ms.coalesceFor(ms.linksOfRelay())
-}
-
-// linksOfRelay returns about how many links a relay of this availability zone has; the lock is held.
-func (ms *Mesh) linksOfRelay() int {
-	near := 1
-	for _, r := range ms.records {
-		if r.live && r.AvailabilityZone == ms.self.AvailabilityZone {
-			near++
-		}
-	}
-	relays := max(1, len(ms.plan.relays[ms.self.AvailabilityZone]))
-	return near*subscriptions/relays + relays + 2*remoteLinks*(len(ms.plan.relays)-1)
-}
-
 // refresh takes this instance's state anew when it was published.
 func (ms *Mesh) refresh() {
 	if !ms.published.Swap(false) {
@@ -407,95 +262,3 @@
 		lk.wakeUp()
 	}
 }
-
-// replanPause is the least time between two plans made for members that came or changed: hundreds that start at once are
-// planned for together, since each plan takes a fifth of a core some milliseconds.
-const replanPause = 100 * time.Millisecond
-
-// replan makes the plan for the live members that are not suspected, when they changed. The lock is held.
-func (ms *Mesh) replan() {
-	now := ms.opts.Now()
-	if ms.planned == ms.topology || !ms.urgent && now.Sub(ms.plannedAt) < replanPause {
-		return
-	}
-	ms.planned, ms.plannedAt, ms.urgent = ms.topology, now, false
-	ms.plan = plan{full: true}
-	if ms.liveCount() > ms.opts.FullMesh {
-		ms.plan = newPlan(ms.usableLocked(), 0)
-	}
-	ms.wantedNames = ms.wantedByPlan()
-	ms.findSources()
-	ms.logPart()
-}
-
-func (ms *Mesh) liveCount() int {
-	live := 1
-	for _, r := range ms.records {
-		if r.live {
-			live++
-		}
-	}
-	return live
-}
-
-// wantedByPlan returns the names of the members, live or lost, that a link is to be kept to. Those of an availability
-// zone of which nobody is usable are planned for as if they were, so that it is not given up while it is cut off. In its
-// own zone an instance goes on with all that it serves.
-func (ms *Mesh) wantedByPlan() []string {
-	self := ms.self.Member
-	serves := ms.plan.full || ms.plan.relay(self)
-	linked := set.Of(slices.Concat(ms.plan.links(self), ms.hopefulPlan().links(self))...)
-	var names []string
-	for name, r := range ms.records {
-		near := r.AvailabilityZone == self.AvailabilityZone
-		if r.live && ms.plan.full || near && serves || linked.Has(name) {
-			names = append(names, name)
-		}
-	}
-	return names
-}
-
-// hopefulPlan is the plan as it would be with all that are known in the availability zones of which nobody is usable.
-func (ms *Mesh) hopefulPlan() plan {
-	members := ms.usableLocked()
-	zones := map[string]bool{}
-	for _, m := range members {
-		zones[m.AvailabilityZone] = true
-	}
-	usable := len(members)
-	for _, r := range ms.records {
-		if !zones[r.AvailabilityZone] {
-			members = append(members, r.Member)
-		}
-	}
-	if len(members) == usable {
-		return ms.plan
-	}
-	return newPlan(members, 0)
-}
-
-// findSources notes from which relays this instance takes states: those it subscribes to and has a link to. The lock is
-// held.
-func (ms *Mesh) findSources() {
-	var sources []string
-	for lk := range ms.links {
-		_, suspected := ms.suspects[lk.peer.Name]
-		if lk.peer.Name != "" && !suspected && ms.plan.subscribes(ms.self.Member, lk.peer) {
-			sources = append(sources, lk.peer.Name)
-		}
-	}
-	slices.Sort(sources)
-	ms.sources = slices.Compact(sources)
-}
-
-// wanted returns the members, live or lost, that a link is to be kept to; the lock is held.
-func (ms *Mesh) wanted() []*record {
-	ms.replan()
-	var wanted []*record
-	for _, name := range ms.wantedNames {
-		if r := ms.records[name]; r != nil {
-			wanted = append(wanted, r)
-		}
-	}
-	return wanted
-}
--- /dev/null
+++ b/internal/gossip/options.go
@@ -0,0 +1,104 @@
+package gossip
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/apex/log"
+)
+
+// Member is one process of the fleet.
+type Member struct {
+	Name string
+	// Incarnation differs between two processes of one name.
+	Incarnation string
+	// Address is the ip:port of the gossip listener.
+	Address          string
+	AvailabilityZone string
+	// Megabits is the instance's share of the network, in Mbit/s; 0 when it is not known. Those with more relay first.
+	Megabits uint64
+	// Stopping says that the process takes no new work.
+	Stopping bool
+}
+
+// Options are what New needs. Callbacks are called one at a time; they must be short and must not call Fetch.
+type Options struct {
+	// Self is this process.
+	Self Member
+	// Seeds are addresses to start from. They may be out of date, and may be this instance's own.
+	Seeds []string
+	// Interval is the time between two heartbeats.
+	Interval time.Duration
+	// Lost is the silence after which a member is not live.
+	Lost time.Duration
+	// Coalesce is the least time between two sends that Publish causes.
+	Coalesce time.Duration
+	// FullMesh is the number of members up to which every two are linked; beyond it most are linked to two relays alone.
+	FullMesh int
+	// Body returns this instance's state now. The slice must not be changed afterwards.
+	Body func() []byte
+	// Receive takes the newest state of a member, and when its sender made it by this instance's clock, or earlier. It is called
+	// again with the last state when a lost member comes back.
+	Receive func(from Member, body []byte, made time.Time)
+	// OnLost is called once when a member is lost, and when another incarnation replaces it.
+	OnLost func(Member)
+	// Serve returns a document that a peer asked for. It may be called by several goroutines at once.
+	Serve func(name string) ([]byte, bool)
+	// Log is the part's logger.
+	Log log.Interface
+	// Now is a steady clock.
+	Now func() time.Time
+}
+
+const (
+	// defaultInterval allows eight heartbeats within the default silence.
+	defaultInterval = 250 * time.Millisecond
+	// defaultLost is the silence of a process that restarts at once, and some more.
+	defaultLost = 2 * time.Second
+	// defaultCoalesce bounds the sends for a busy instance to a hundred a second.
+	defaultCoalesce = 10 * time.Millisecond
+	// defaultFullMesh is where the relays' work becomes less than that of the links saved.
+	defaultFullMesh = 16
+	// coalescePerLink is what each link beyond those of a full mesh adds to the least time between two sends: a relay
+	// then sends at most two thousand frames a second, however many subscribe to it. With four times as much, 295 instances
+	// knew of each other's choices after 120 ms in place of 50 ms, and 36 in 1,000 more short prompts were late or lost
+	// (a play of the first 20 s of a day with trouble); a relay took 0.084 of a core in place of 0.101.
+	coalescePerLink = 500 * time.Microsecond
+	// forgetAfter is the silence after which a member is no longer dialled: longer than a restart.
+	forgetAfter = time.Minute
+	// redialPause bounds the attempts at an address to two a second.
+	redialPause = 500 * time.Millisecond
+	// dialGrace is how long the instance with the higher name waits for the other to dial: two attempts and their pause.
+	dialGrace = 1500 * time.Millisecond
+	// refreshBeats is the number of heartbeats after which the state is taken anew though it was not published: what
+	// it says of ages has changed.
+	refreshBeats = 4
+	// idleLosts is the number of silences Options.Lost after which a stream is closed.
+	idleLosts = 3
+)
+
+func (o Options) withDefaults() Options {
+	o.Interval = cmp.Or(o.Interval, defaultInterval)
+	o.Lost = cmp.Or(o.Lost, defaultLost)
+	o.Coalesce = cmp.Or(o.Coalesce, defaultCoalesce)
+	o.FullMesh = cmp.Or(o.FullMesh, defaultFullMesh)
+	if o.Body == nil {
+		o.Body = func() []byte { return nil }
+	}
+	if o.Receive == nil {
+		o.Receive = func(Member, []byte, time.Time) {}
+	}
+	if o.OnLost == nil {
+		o.OnLost = func(Member) {}
+	}
+	if o.Serve == nil {
+		o.Serve = func(string) ([]byte, bool) { return nil, false }
+	}
+	if o.Log == nil {
+		o.Log = log.Log
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	return o
+}
--- /dev/null
+++ b/internal/gossip/pace.go
@@ -0,0 +1,40 @@
+package gossip
+
+import "time"
+
+// coalesce is the least time between two sends; it grows with the links that each send is for.
+func (ms *Mesh) coalesce() time.Duration {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	return ms.coalesceFor(len(ms.links))
+}
+
+func (ms *Mesh) coalesceFor(links int) time.Duration {
+	beyond := max(0, links-ms.opts.FullMesh)
+	return min(ms.opts.Interval, ms.opts.Coalesce+time.Duration(beyond)*coalescePerLink)
+}
+
+// Lag returns the time after which a new state of this instance is known to the others when all is well: the wait for
+// the next send, and that of two relays where there are any.
+func (ms *Mesh) Lag() time.Duration {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	ms.replan()
+	own := ms.coalesceFor(len(ms.links))
+	if ms.plan.full {
+		return own
+	}
+	return own + 2*ms.coalesceFor(ms.linksOfRelay())
+}
+
+// linksOfRelay returns about how many links a relay of this availability zone has; the lock is held.
+func (ms *Mesh) linksOfRelay() int {
+	near := 1
+	for _, r := range ms.records {
+		if r.live && r.AvailabilityZone == ms.self.AvailabilityZone {
+			near++
+		}
+	}
+	relays := max(1, len(ms.plan.relays[ms.self.AvailabilityZone]))
+	return near*subscriptions/relays + relays + 2*remoteLinks*(len(ms.plan.relays)-1)
+}
