--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -80,7 +80,9 @@
 	defer ds.book.mu.Unlock()
 	cands := ds.candidates(as.Service.Engine, tgs)
 	seed := xxhash.Sum64String(ds.opts.Instance + as.Request)
-	op := placement.Options{Seed: seed, Arrivals: ds.arriving.perSecond(as.Service.Engine, cands)}
+	op := placement.Options{
+		Seed: seed, Arrivals: ds.arriving.perSecond(as.Service.Engine, cands), Reading: placement.ReadingShare(cands),
+	}
 	pl, ok := ds.plan(as, pr, cands, op, lag)
 	switch decide(as, pr, pl, ok, cands, op) {
 	case decisionRefuse:
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -37,6 +37,7 @@
 		arrivals: op.Arrivals,
 		usual:    en.reading(en.usualPart()),
 	}
+	ch.helperPrice = ch.stake.inTime * (partRisk + meetRisk*op.Reading)
 	for ix := range ts {
 		cs = append(cs, ch.candidate(&ts[ix], op.Seed))
 	}
@@ -57,7 +58,9 @@
 	arrivals Load
 	// usual is the nanoseconds of reading a usual prompt at a pace of 1.
 	usual float64
-	cs    []candidate
+	// helperPrice is the worth that each helper costs.
+	helperPrice float64
+	cs          []candidate
 	// reserved is true while plans that set memory aside are judged.
 	reserved bool
 	// parts, part and held are the number of parts, the backlog of each and the memory each sets aside.
@@ -199,7 +202,7 @@
 		pi.pause = max(pi.pause, he.pause)
 		harm += he.helpHarm
 	}
-	risk := partRisk * ch.stake.inTime * float64(pi.parts-1)
+	risk := ch.helperPrice * float64(pi.parts-1)
 	pi.harm = harm
 	pi.loss = harm + ch.stake.loss(pi.first, main.pausesInTime) + main.full + main.exposed + risk
 	return pi.first+ch.writing(main) <= float64(ch.pr.Left)
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -89,6 +89,28 @@
 	g.Expect(many.Part.Tokens).To(BeNumerically("<", few.Part.Tokens))
 }
 
+// TestMoreReadingTargetsMakeFewerParts: where many prompts are read, a part meets others that were placed meanwhile.
+func TestMoreReadingTargetsMakeFewerParts(t *testing.T) {
+	g := NewWithT(t)
+	pr := longPrompt(133_000)
+	quiet, ok := Choose(typical, pr, idle(18), Options{Seed: 1})
+	g.Expect(ok).To(BeTrue())
+	among, ok := Choose(typical, pr, idle(18), Options{Seed: 1, Reading: 1})
+	g.Expect(ok).To(BeTrue())
+	g.Expect(len(among.Helpers)).To(BeNumerically("<", len(quiet.Helpers)))
+}
+
+func TestReadingShare(t *testing.T) {
+	g := NewWithT(t)
+	ts := idle(8)
+	g.Expect(ReadingShare(ts)).To(BeZero())
+	ts[1].Load = ts[1].Load.Plus(shortPrompt().Reading(1))
+	ts[5].Load = ts[5].Load.Plus(longPrompt(133_000).Helping(4))
+	ts[6].Load = ts[6].Load.Plus(shortPrompt().Writing())
+	g.Expect(ReadingShare(ts)).To(Equal(0.25))
+	g.Expect(ReadingShare(nil)).To(BeZero())
+}
+
 func TestATargetThatCannotHelpIsNotAsked(t *testing.T) {
 	cases := map[string]func(*Target){
 		"not available":  func(ta *Target) { ta.Helper = false },
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -38,4 +38,20 @@
 	// Arrivals is what begins to write at a usual target in a second; it is zero when that is not known. A part that
 	// makes the pauses too long for it costs the more, the longer it is read.
 	Arrivals Load
+	// Reading is the share of the targets that read a prompt, from 0 to 1. The more do, the more a helper costs.
+	Reading float64
+}
+
+// ReadingShare returns the share of some targets that read a prompt.
+func ReadingShare(ts []Target) float64 {
+	if len(ts) == 0 {
+		return 0
+	}
+	reading := 0
+	for ix := range ts {
+		if ts[ix].Load.unread().Tokens > 0 {
+			reading++
+		}
+	}
+	return float64(reading) / float64(len(ts))
 }
