--- a/internal/duty/facts/fleet_test.go
+++ b/internal/duty/facts/fleet_test.go
@@ -147,7 +147,7 @@
 
 // fleet is a large fleet whose peers tell each other all that they know.
 type fleet struct {
-	// mu guards machines.
+	// mu guards machines and fetched.
 	mu       sync.Mutex
 	store    *shared
 	machines []*machine
@@ -212,6 +212,8 @@
 
 // part takes the first live machines for followers; a cut machine sees nobody.
 func (fl *fleet) part(i int) forwarding.Part {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
 	if fl.machines[i].cut.Load() {
 		return forwarding.PartAlone
 	}
@@ -430,7 +432,9 @@
 // TestConfigurationThatNoPeerHandsOut: the store is asked by those to whom peers tell of a version and do not give it.
 func TestConfigurationThatNoPeerHandsOut(t *testing.T) {
 	inFleet(t, func(g *WithT, fl *fleet) {
+		fl.mu.Lock()
 		fl.fetched = time.Hour
+		fl.mu.Unlock()
 		fl.change(kindConfiguration)
 		time.Sleep(2200 * time.Millisecond)
 		g.Expect(fl.inForce(2)).To(BeTrue())
