--- a/internal/duty/facts/pace.go
+++ b/internal/duty/facts/pace.go
@@ -28,8 +28,8 @@
 	// newsTime is how long an instance that is told of a newer configuration waits for it to come from a peer before it asks
 	// the store: a second is enough on a slow link, and leaves more than another one to be in force in time.
 	newsTime = time.Second
-	// listenerRetryLeast and listenerRetryMost bound the pause of a listener or a stand-in after a failed call: the followers try more often and
-	// tell it when the store is back.
+	// listenerRetryLeast and listenerRetryMost bound the pause of a listener or a stand-in after a failed call: the
+	// followers try more often and tell it when the store is back.
 	listenerRetryLeast = 2 * time.Second
 	listenerRetryMost  = 4 * time.Second
 	// followerRetryLeast and followerRetryMost bound a follower's pause while the others' word is fresh. The most is a silent
