feat(gateway): the log tells what each request waited for at a stop, and whether its refusal went out

When a stop cut its requests, the log could not tell a prompt that waited inside the instance from one whose refusal was lost on its way: "request refused" was written although the connection was closed already, and the refusal stayed in a buffer unnoticed. A refusal is sent at once now, so a caller that is gone shows as "answer not passed on"; the last line of a request names the state it ended in, and "stopping" and "grace is over" count the requests by what they wait for, as does a new gauge. No decision changes.

--- a/internal/duty/frontend/frontend.go
+++ b/internal/duty/frontend/frontend.go
@@ -180,13 +180,13 @@
 // stop serves on until the balancer sends nothing new, then ends when the last answer has, at the latest before the
 // grace is over.
 func (sv *servers) stop(ctx context.Context, grace time.Duration) error {
-	sv.lg.WithField("in_flight", sv.gw.InFlight()).Info("stopping")
+	sv.lg.WithFields(sv.gw.InFlight().Fields()).Info("stopping")
 	sv.mesh.SetStopping()
 	lag := min(balancerLag, grace/2)
 	plan := drain.Plan{Lag: lag, Taking: min(takeLag, lag), Refuse: sv.gw.StopTaking, Most: grace - stopMargin}
 	err := plan.Run(ctx, sv.list[0])
 	if err != nil {
-		sv.lg.WithField("in_flight", sv.gw.InFlight()).Warn("grace is over before the last answer")
+		sv.lg.WithFields(sv.gw.InFlight().Fields()).Warn("grace is over before the last answer")
 	}
 	sv.close()
 	return err
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -46,6 +46,8 @@
 	// free gives the body's memory back; never nil.
 	free func()
 	life life.Record
+	// endedIn is the last state before the end.
+	endedIn life.State
 	// known is unknown once a target was sent the request and did not say that it left it alone.
 	known outcome.Known
 	// tried holds the incarnations that were sent the request.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,9 +50,9 @@
 // Gateway serves callers. It is safe for use by any goroutine.
 type Gateway struct {
 	Deps
-	limits   atomic.Pointer[Limits]
-	machine  *life.Machine
-	inFlight atomic.Int64
+	limits  atomic.Pointer[Limits]
+	machine *life.Machine
+	states  tally
 	// proofOld is set while requests with a key are refused for the age of the proof.
 	proofOld atomic.Bool
 	// closed is set once new requests are refused.
@@ -63,6 +63,7 @@
 func New(dp Deps, lm Limits) *Gateway {
 	gw := &Gateway{Deps: dp, machine: life.New()}
 	gw.SetLimits(lm)
+	gw.showInFlight()
 	return gw
 }
 
@@ -72,9 +73,6 @@
 // StopTaking makes the gateway refuse new requests from now on: one that comes late in a stop might not end in time.
 func (gw *Gateway) StopTaking() { gw.closed.Store(true) }
 
-// InFlight returns how many requests are being served.
-func (gw *Gateway) InFlight() int64 { return gw.inFlight.Load() }
-
 // Ready reports whether the instance can take new callers.
 func (gw *Gateway) Ready() bool {
 	tb, _ := gw.Routes.Current()
@@ -83,13 +81,15 @@
 
 // ServeHTTP serves one request.
 func (gw *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	gw.inFlight.Add(1)
-	defer gw.inFlight.Add(-1)
 	began := gw.Now()
 	sk := &sink{Writer: reply.New(w), w: w, stopping: gw.Stopping}
+	gw.states.enter(life.Received)
 	rq, err := gw.admit(r, sk, began)
-	// A body that was not read to its end has taken memory too.
-	defer func() { rq.free() }()
+	defer func() {
+		// A body that was not read to its end has taken memory too.
+		rq.free()
+		gw.states.leave(rq.life.State)
+	}()
 	if err == nil {
 		err = gw.run(r.Context(), rq, sk)
 	}
--- a/internal/gateway/lines.go
+++ b/internal/gateway/lines.go
@@ -95,6 +95,7 @@
 	fs["prompt_tokens"] = rq.PromptTokens
 	fs["outcome"] = string(fe.Outcome)
 	fs["events"] = rq.events
+	fs["state"] = rq.endedIn.String()
 	if sk.Started() {
 		fs["outcome"] = "broken_off"
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -242,8 +242,3 @@
 	}
 	return n
 }
-
-func (gw *Gateway) fire(ctx context.Context, rq *request, tr life.Trigger) error {
-	// The life goes on to its end also for a caller that has gone.
-	return gw.machine.Fire(context.WithoutCancel(ctx), &rq.life, tr)
-}
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -60,6 +60,8 @@
 		return
 	}
 	fe := failure.Of(err)
+	// The state that the request ended in tells what it was waiting for.
+	rq.endedIn = rq.life.State
 	gw.endLife(rq, sk, fe)
 	gw.logFailed(rq, sk, fe)
 	if sk.Started() {
@@ -72,7 +74,10 @@
 }
 
 func (gw *Gateway) endLife(rq *request, sk *sink, fe *failure.Error) {
-	if err := gw.machine.End(&rq.life, fe.Outcome == failure.NotRun && !sk.Started()); err != nil {
+	from := rq.life.State
+	err := gw.machine.End(&rq.life, fe.Outcome == failure.NotRun && !sk.Started())
+	gw.states.move(from, rq.life.State)
+	if err != nil {
 		gw.Log.WithError(err).WithField("request", rq.RequestID).Error("life of the request broken")
 	}
 }
@@ -90,7 +95,8 @@
 	sk.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	sk.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	sk.start(finalStatus(fe))
-	return sk.Pass([]byte(body), false)
+	// Sent at once, so that a caller that has gone shows here: else a refusal that nobody got looks like one in the log.
+	return sk.Pass([]byte(body), true)
 }
 
 // finalStatus is the status of a failure. The statuses that promise that a request has not run and will not are
