fix(gateway): the end of an instance bounds the requests that it holds, and answers them

Cause: what a request waits for (a target with room, the answer of a target) was bounded by its caller's deadline and not by the end of the instance. The drain waited for requests that nothing had told to end, and then closed their connections: a prompt that waited inside was left with neither an answer nor a refusal.

Ruled out: a refusal that is lost on its way (each is logged 0.3 ms after the close, with "answer not passed on: use of closed network connection"); something else that closes connections (all closes are at 7.30 s). Requests at a target that has not answered are the same fault in another state.

Change: the drain plan has a moment at which requests are told to end, 0.4 s before connections are closed. Each is then answered: refused with Retry-After where it has surely not run, else 502; only an answer that has begun is broken off. The dispatcher knows the end from SIGTERM on and counts it as a deadline: a prompt whose answer could not be whole by then even at idle targets is refused at once, while its caller has time left. A body that still comes is refused too.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -53,6 +53,8 @@
 	opts    Options
 	book    *book
 	lag     atomic.Pointer[func() time.Duration]
+	// end is when this instance ends; nil until it is asked to stop.
+	end atomic.Pointer[time.Time]
 	// arriving is what arrives at this instance; the book's lock guards it.
 	arriving demand
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -33,7 +33,7 @@
 	return placement.Prompt{
 		Tokens: int64(as.PromptTokens), Answer: int64(expectedAnswer(as)),
 		Objective: max(as.Objective, time.Millisecond), Used: now.Sub(as.Arrived), LongestPause: pause, Patience: as.Patience,
-		InTime: placement.WorthOf(worth), Late: placement.WorthOf(worth * worthLate), Left: as.Deadline.Sub(now),
+		InTime: placement.WorthOf(worth), Late: placement.WorthOf(worth * worthLate), Left: ds.due(as).Sub(now),
 	}
 }
 
@@ -83,6 +83,9 @@
 	op := placement.Options{
 		Seed: seed, Arrivals: ds.arriving.perSecond(as.Service.Engine, cands), Reading: placement.ReadingShare(cands),
 	}
+	if ds.outlives(as, pr, cands, op) {
+		return nil, endRefusal()
+	}
 	pl, ok := ds.plan(as, pr, cands, op, lag)
 	switch decide(as, pr, pl, ok, cands, op) {
 	case decisionRefuse:
@@ -97,7 +100,7 @@
 // plan returns the best plan for a prompt, if any. A stream that goes on elsewhere may end late: its caller reads already.
 func (ds *Dispatcher) plan(as Ask, pr placement.Prompt, cands []placement.Target, op placement.Options, lag time.Duration) (placement.Plan, bool) {
 	pl, ok := ds.chooseFrom(as, pr, cands, op, lag)
-	if ok || !as.Resumed {
+	if ok || !as.Resumed || ds.ends(as) {
 		return pl, ok
 	}
 	pr.Left = anyTime
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -17,23 +17,45 @@
 	Taking time.Duration
 	// Refuse makes the instance turn new requests away; it is called after Taking, and is nil when Taking is zero.
 	Refuse func()
-	// Most is when requests that are still running are given up.
+	// Answers is how long requests that are still running may go on, from Lag to Most. It counts only with End.
+	Answers time.Duration
+	// End makes each request that is still running answer and end. It is called after Answers if there may be one, and is
+	// nil where all requests end by themselves before Most.
+	End func()
+	// Most is when the wait for the last connection is given up. Between Answers and Most the last answers go out.
 	Most time.Duration
 }
 
 // Run serves on for the balancer's lag, then closes the listener and waits for the last answer. The end of ctx cuts both
 // short.
 func (pl Plan) Run(ctx context.Context, srv *http.Server) error {
-	ctx, cancel := context.WithTimeout(ctx, pl.Most)
+	began := time.Now()
+	ctx, cancel := context.WithDeadline(ctx, began.Add(pl.Most))
 	defer cancel()
 	if pl.Refuse != nil {
 		wait(ctx, pl.Taking)
 		pl.Refuse()
 	}
 	wait(ctx, pl.Lag-pl.Taking)
+	if pl.End != nil && pl.idle(ctx, srv, began.Add(pl.Answers)) {
+		return nil
+	}
 	return errors.Wrap(srv.Shutdown(ctx), "finish requests")
 }
 
+// idle waits for the last answer and reports whether it came before a time. If not, the requests are told to end. The server
+// looks for the last connection in steps that grow up to half a second: asked anew, it sees the answers go out within
+// milliseconds.
+func (pl Plan) idle(ctx context.Context, srv *http.Server, until time.Time) bool {
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	if srv.Shutdown(ctx) == nil {
+		return true
+	}
+	pl.End()
+	return false
+}
+
 func wait(ctx context.Context, d time.Duration) {
 	select {
 	case <-time.After(d):
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -90,3 +90,36 @@
 		})
 	}
 }
+
+// TestRunTellsRequestsToEnd has a request that ends only when it is told to, and one that ended before.
+func TestRunTellsRequestsToEnd(t *testing.T) {
+	tests := map[string]struct{ answersItself bool }{
+		"one is still running": {false},
+		"none is left":         {true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			sv := serve(t)
+			answered := sv.ask(t)
+			<-sv.came
+			if tc.answersItself {
+				close(sv.release)
+				g.Expect(<-answered).NotTo(HaveOccurred())
+			}
+			told := false
+			pl := drain.Plan{Lag: time.Millisecond, Answers: 20 * time.Millisecond, Most: generous, End: func() {
+				told = true
+				close(sv.release)
+			}}
+			if tc.answersItself {
+				pl.Answers = generous
+			}
+			g.Expect(pl.Run(context.Background(), sv.hs)).To(Succeed())
+			g.Expect(told).To(Equal(!tc.answersItself))
+			if !tc.answersItself {
+				g.Expect(<-answered).NotTo(HaveOccurred(), "the answer is given before the connection is closed")
+			}
+		})
+	}
+}
--- a/internal/duty/frontend/frontend.go
+++ b/internal/duty/frontend/frontend.go
@@ -40,8 +40,11 @@
 	// takeLag is how long requests on kept connections are still taken then. Callers whose request comes later than three
 	// seconds after the stop was asked for are owed its whole answer, which the grace may not leave time for.
 	takeLag = 2800 * time.Millisecond
-	// stopMargin is left of the grace for the end of the process.
-	stopMargin = 700 * time.Millisecond
+	// answerMargin is left of the grace when the last requests are told to end: the time in which their answers go out and
+	// the process ends, which takes milliseconds, on a machine that is short of processor time.
+	answerMargin = 700 * time.Millisecond
+	// endMargin is left of the grace for the end of the process, when the wait for the last answers is given up.
+	endMargin = 300 * time.Millisecond
 	// proofMargin is taken off the revocation bound for the time between the check of the proof and the first byte sent.
 	proofMargin = 600 * time.Millisecond
 	// sweepEvery is how often idle connections to targets are looked through.
@@ -177,21 +180,33 @@
 	sv.stops = append(sv.stops, func() { tick.Stop(); close(done) })
 }
 
-// stop serves on until the balancer sends nothing new, then ends when the last answer has, at the latest before the
-// grace is over.
+// stop serves on until the balancer sends nothing new, then ends when the last answer has. Requests that are still running
+// shortly before the grace is over are told to end.
 func (sv *servers) stop(ctx context.Context, grace time.Duration) error {
 	sv.lg.WithFields(sv.gw.InFlight().Fields()).Info("stopping")
 	sv.mesh.SetStopping()
+	sv.gw.EndsAt(time.Now().Add(grace - answerMargin))
 	lag := min(balancerLag, grace/2)
-	plan := drain.Plan{Lag: lag, Taking: min(takeLag, lag), Refuse: sv.gw.StopTaking, Most: grace - stopMargin}
+	plan := drain.Plan{
+		Lag: lag, Taking: min(takeLag, lag), Refuse: sv.gw.StopTaking,
+		Answers: grace - answerMargin, End: sv.end, Most: grace - endMargin,
+	}
 	err := plan.Run(ctx, sv.list[0])
 	if err != nil {
-		sv.lg.WithFields(sv.gw.InFlight().Fields()).Warn("grace is over before the last answer")
+		sv.lg.WithFields(sv.gw.InFlight().Fields()).Warn("connections are closed before the last answer")
 	}
 	sv.close()
 	return err
 }
 
+// end tells the requests that are still running to end.
+func (sv *servers) end() {
+	if inf := sv.gw.InFlight(); inf != (gateway.InFlight{}) {
+		sv.lg.WithFields(inf.Fields()).Warn("grace is over before the last answer")
+	}
+	sv.gw.End()
+}
+
 func (sv *servers) close() {
 	for _, stop := range sv.stops {
 		stop()
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"time"
 
 	"github.com/silvermount/silvermount/internal/body"
 	"github.com/silvermount/silvermount/internal/deadline"
+	"github.com/silvermount/silvermount/internal/dispatch"
 	"github.com/silvermount/silvermount/internal/failure"
 	"github.com/silvermount/silvermount/internal/life"
 	"github.com/silvermount/silvermount/internal/outcome"
@@ -19,9 +21,6 @@
 	comeBackUnready = 500 * time.Millisecond
 	// comeBackFull is when a caller should come back after a refusal for lack of room.
 	comeBackFull = 300 * time.Millisecond
-	// comeBackElsewhere is when a caller of an instance that ends should come back, over a new connection: about a
-	// round trip.
-	comeBackElsewhere = 50 * time.Millisecond
 	// bodyTimeout bounds the reading of a body.
 	bodyTimeout = 10 * time.Second
 )
@@ -85,14 +84,14 @@
 	rq.Facts = fa
 	rq.lastEvent = fa.ResumeAfter
 	if gw.closed.Load() {
-		return rq, refused(failure.Stopping, comeBackElsewhere, "the instance ends soon; another takes the request")
+		return rq, refused(failure.Stopping, dispatch.ComeBackElsewhere, "the instance ends soon; another takes the request")
 	}
 	if err := gw.allow(rq); err != nil {
 		return rq, err
 	}
 	rq.due = deadline.Of(began, rq.route.Timeout, fa.Wait)
 	gw.logDeadline(rq, rq.due.Bind(sk.Control(), began.Add(bodyTimeout)))
-	if err := gw.readBody(r, rq); err != nil {
+	if err := gw.readBody(r, sk, rq); err != nil {
 		return rq, err
 	}
 	gw.logDeadline(rq, rq.due.BodyRead(sk.Control()))
@@ -131,13 +130,19 @@
 }
 
 // readBody reads a body under the shared budget.
-func (gw *Gateway) readBody(r *http.Request, rq *request) error {
+func (gw *Gateway) readBody(r *http.Request, sk *sink, rq *request) error {
 	most := gw.limits.Load().MaxBodyBytes
 	if lm := rq.table.Limits().MaxBodyBytes; lm > 0 {
 		most = min(most, lm)
 	}
 	rd := body.Reader{Memory: gw.Bodies, Most: most, ComeBack: comeBackFull, Broken: failure.CallerGone}
+	// A body that is still coming at the end of the instance is waited for no longer.
+	detach := context.AfterFunc(gw.ended, func() { gw.logDeadline(rq, sk.Control().SetReadDeadline(gw.Now())) })
+	defer detach()
 	var err error
 	rq.body, rq.free, err = rd.Read(r)
+	if err != nil && gw.ended.Err() != nil {
+		return gw.cutShort(rq)
+	}
 	return err
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,6 +3,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -57,11 +58,15 @@
 	proofOld atomic.Bool
 	// closed is set once new requests are refused.
 	closed atomic.Bool
+	// ended is done once every request has to end; end makes it so.
+	ended context.Context
+	end   context.CancelFunc
 }
 
 // New returns a gateway.
 func New(dp Deps, lm Limits) *Gateway {
 	gw := &Gateway{Deps: dp, machine: life.New()}
+	gw.ended, gw.end = context.WithCancel(context.Background())
 	gw.SetLimits(lm)
 	gw.showInFlight()
 	return gw
@@ -70,9 +75,6 @@
 // SetLimits changes the bounds for requests from now on.
 func (gw *Gateway) SetLimits(lm Limits) { gw.limits.Store(&lm) }
 
-// StopTaking makes the gateway refuse new requests from now on: one that comes late in a stop might not end in time.
-func (gw *Gateway) StopTaking() { gw.closed.Store(true) }
-
 // Ready reports whether the instance can take new callers.
 func (gw *Gateway) Ready() bool {
 	tb, _ := gw.Routes.Current()
--- a/internal/gateway/lines_test.go
+++ b/internal/gateway/lines_test.go
@@ -18,6 +18,9 @@
 	"github.com/silvermount/silvermount/internal/routes"
 )
 
+// bodyMemory is room for a few small bodies.
+const bodyMemory = 1000
+
 // newGateway returns a gateway whose callers give request and key in headers.
 func newGateway(hd *routes.Holder, h log.Handler) *gateway.Gateway {
 	read := func(r *http.Request) (gateway.Facts, error) {
@@ -25,7 +28,7 @@
 	}
 	return gateway.New(gateway.Deps{
 		Protocol: gateway.Protocol{Read: read},
-		Routes:   hd, Bodies: budget.NewMemory(0), Metrics: metrics.NewSet(),
+		Routes:   hd, Bodies: budget.NewMemory(bodyMemory), Metrics: metrics.NewSet(),
 		Log: &log.Logger{Handler: h}, Now: time.Now, Stopping: func() bool { return false },
 	}, gateway.Limits{})
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -23,6 +23,8 @@
 func (gw *Gateway) run(ctx context.Context, rq *request, sk *sink) error {
 	ctx, cancel := rq.due.Context(ctx)
 	defer cancel()
+	ctx, free := gw.untilEnd(ctx)
+	defer free()
 	if err := gw.fire(ctx, rq, life.Admit); err != nil {
 		return err
 	}
@@ -131,15 +133,17 @@
 	return rq.known.Outcome()
 }
 
-// timeUp is the failure of a request whose time is over or whose caller has gone.
+// timeUp is the failure of a request whose time is over, whose caller has gone, or whose instance has ended.
 func (gw *Gateway) timeUp(ctx context.Context, rq *request) *failure.Error {
-	if gw.Now().Before(rq.due.At) && gw.closed.Load() {
-		return failure.New(failure.Stopping, gw.outcome(rq), "the instance ended or the caller went away meanwhile")
-	}
-	if gw.Now().Before(rq.due.At) && ctx.Err() != nil {
+	var ee *EndedError
+	switch {
+	case errors.As(context.Cause(ctx), &ee):
+		return gw.cutShort(rq)
+	case ctx.Err() != nil && gw.Now().Before(rq.due.At):
 		return failure.New(failure.CallerGone, gw.outcome(rq), "the caller went away")
+	default:
+		return failure.New(failure.DeadlineExceeded, gw.outcome(rq), "the time is over").WithRetryAfter(comeBackFull)
 	}
-	return failure.New(failure.DeadlineExceeded, gw.outcome(rq), "the time is over").WithRetryAfter(comeBackFull)
 }
 
 // send sends a request to the target that was found.
--- /dev/null
+++ b/internal/gateway/stop.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/silvermount/silvermount/internal/dispatch"
+	"github.com/silvermount/silvermount/internal/failure"
+)
+
+// EndedError is the cause of the end of a request that was still being served at the end of its instance.
+type EndedError struct{}
+
+// Error says what happened.
+func (*EndedError) Error() string { return "the instance has ended" }
+
+// EndsAt tells when this instance ends: from now on a request is sent to a target only if its answer can be whole by then.
+func (gw *Gateway) EndsAt(at time.Time) { gw.Dispatcher.SetEnd(at) }
+
+// StopTaking makes the gateway refuse new requests from now on: one that comes late in a stop might not end in time.
+func (gw *Gateway) StopTaking() { gw.closed.Store(true) }
+
+// End ends every request that is still being served, and those that come. Each is answered while its connection is still
+// open, but for answers that have begun: closed without one, a caller would know neither that its request has not run nor
+// when to come back.
+func (gw *Gateway) End() {
+	gw.closed.Store(true)
+	gw.end()
+}
+
+// untilEnd returns a context that also ends with the instance, with an EndedError as its cause. cancel frees it.
+func (gw *Gateway) untilEnd(ctx context.Context) (bound context.Context, cancel func()) {
+	ctx, stop := context.WithCancelCause(ctx)
+	detach := context.AfterFunc(gw.ended, func() { stop(&EndedError{}) })
+	return ctx, func() {
+		detach()
+		stop(nil)
+	}
+}
+
+// cutShort is the failure of a request that the end of the instance ended.
+func (gw *Gateway) cutShort(rq *request) *failure.Error {
+	return failure.New(failure.Stopping, gw.outcome(rq), "the instance has ended; another takes the request").
+		WithRetryAfter(dispatch.ComeBackElsewhere)
+}
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -1,6 +1,9 @@
 package gateway_test
 
 import (
+	"bufio"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -37,3 +40,32 @@
 	g.Expect(rec.Header().Get("Retry-After")).To(Equal("0.05"))
 	g.Expect(rec.Header().Get("Connection")).To(Equal("close"))
 }
+
+// generous bounds each wait; it is long so that a busy machine passes.
+const generous = 30 * time.Second
+
+// TestBodyThatStillComesAtTheEndIsRefused ends the gateway while half of a body has come.
+func TestBodyThatStillComesAtTheEndIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	hd := &routes.Holder{}
+	ct := routes.Content{Version: 1, Routes: []routes.Route{{
+		Name: "r", Host: "example.com", PathPrefix: "/", Timeout: generous, Shares: []routes.Share{{Service: "s", Weight: 1}},
+	}}}
+	hd.Offer(routes.New(ct), nil, time.Now())
+	gw := newGateway(hd, discard.New())
+	gw.SetLimits(gateway.Limits{MaxBodyBytes: 100})
+	sv := httptest.NewServer(gw)
+	defer sv.Close()
+	cn, err := net.Dial("tcp", sv.Listener.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer cn.Close()
+	_, err = io.WriteString(cn, "POST /a/ HTTP/1.1\r\nHost: example.com\r\nContent-Length: 10\r\n\r\nhalf")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(gw.InFlight, generous).Should(Equal(gateway.InFlight{Waiting: 1}))
+	gw.End()
+	resp, err := http.ReadResponse(bufio.NewReader(cn), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	g.Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(resp.Header.Get("Retry-After")).To(Equal("0.05"))
+}
