test(session): a stop that others hold up

Cause: on a planned stop of an entry instance the duties stop one after the other. The operators' listener waits for its last answer without a bound, and the jobs' duty waits up to stop.drain for a job that may not be given back; the callers' side begins to drain only after both.

Ruled out: requests and jobs that wait for room do not hold up the stop, since the first are bounded by their class and the others are given back after 2 s.

Result: fails on the present code in three places, each after 10 s: the callers' listener still accepts beside an operator who does not read and beside a job that cannot be given back, and the stop beside that operator does not end.

--- /dev/null
+++ b/internal/session/stop_test.go
@@ -0,0 +1,104 @@
+package session
+
+import (
+	"context"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/silvermount/silvermount/internal/instance"
+	"github.com/silvermount/silvermount/internal/job"
+	"github.com/silvermount/silvermount/internal/localfleet"
+	"github.com/silvermount/silvermount/internal/serve"
+)
+
+// patience is far longer than any step of a stop that nothing holds up.
+const patience = 10 * time.Second
+
+// stopping begins the stop of an instance and returns its end. release lets go of what may hold it up, so that it ends
+// before the fleet is closed.
+func stopping(t *testing.T, in *instance.Instance, release func()) <-chan error {
+	t.Helper()
+	ended := make(chan error, 1)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		ended <- in.Stop(context.Background())
+	}()
+	t.Cleanup(func() {
+		release()
+		<-done
+	})
+	return ended
+}
+
+// stuckOperator returns a connection to the operators' listener that asks and never reads, until the instance cannot write
+// any more.
+func stuckOperator(t *testing.T, in *instance.Instance) net.Conn {
+	t.Helper()
+	const unread = time.Second
+	g := NewWithT(t)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(in.OperatorsURL(), "http://"))
+	g.Expect(err).NotTo(HaveOccurred())
+	ask := []byte("GET /metrics HTTP/1.1\r\nHost: operators\r\nAuthorization: Bearer " + localfleet.OperatorKey + "\r\n\r\n")
+	for err == nil {
+		g.Expect(conn.SetWriteDeadline(time.Now().Add(unread))).To(Succeed())
+		_, err = conn.Write(ask)
+	}
+	g.Expect(err).To(MatchError(ContainSubstring("timeout")))
+	return conn
+}
+
+// TestStopOfTheCallersSideIsNotHeldUp has another part of the instance wait when it is stopped.
+//
+// Symptom: an instance that was asked to stop goes on taking requests until it is killed, and they get no answer.
+// Sequence: a part that was started after the callers' side, or beside it, takes long to stop; the callers' listener
+// begins to drain after it, when the time that the stop may take is over.
+// Cause: the duties stop one after the other, and those that go first wait for somebody outside without a bound, or as
+// long as the callers' side may take itself.
+func TestStopOfTheCallersSideIsNotHeldUp(t *testing.T) {
+	tests := map[string]func(*testing.T, *localfleet.Fleet) (release func()){
+		"by an operator who does not read": func(t *testing.T, lf *localfleet.Fleet) func() {
+			conn := stuckOperator(t, lf.Instances[0])
+			return func() { conn.Close() }
+		},
+		"by a job that cannot be given back": func(t *testing.T, lf *localfleet.Fleet) func() {
+			en := lf.Engines[0]
+			en.Hang(true)
+			rc := submit(t, lf.URLs()[0], "a valve record", serve.HeaderRepeat, "never")
+			NewWithT(t).Eventually(stateOf(t, lf.URLs()[0], rc.ID), patience).Should(Equal(job.Running))
+			return func() { en.Hang(false) }
+		},
+	}
+	for name, hold := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			lf := start(t, localfleet.Options{Zones: 1, Engines: 1, Instances: 1, Params: fast(200)})
+			address := strings.TrimPrefix(lf.URLs()[0], "http://")
+			stopping(t, lf.Instances[0], hold(t, lf))
+			g.Eventually(func() error {
+				conn, err := net.Dial("tcp", address)
+				if err == nil {
+					conn.Close()
+				}
+				return err
+			}, patience).Should(MatchError(ContainSubstring("refused")))
+		})
+	}
+}
+
+// TestStopEndsBesideAnOperatorWhoDoesNotRead has the last part that waits for somebody outside wait without end.
+//
+// Symptom: an instance that has served its last caller does not end, and is killed before it takes its entry back.
+// Sequence: an operator asks for the metrics and does not read them; the instance is stopped.
+// Cause: the stop of the operators' listener waits for the last answer, and nothing bounds that wait.
+func TestStopEndsBesideAnOperatorWhoDoesNotRead(t *testing.T) {
+	g := NewWithT(t)
+	lf := start(t, localfleet.Options{Zones: 1, Engines: 1, Instances: 1, Params: fast(200)})
+	conn := stuckOperator(t, lf.Instances[0])
+	ended := stopping(t, lf.Instances[0], func() { conn.Close() })
+	g.Eventually(ended, patience).Should(Receive(Not(HaveOccurred())))
+}
