fix(kernel): the duties of one phase stop beside each other

Cause: the operators' listener and the jobs' duty were stopped before the callers' side, each until it had ended.

Ruled out: stopping the callers' side alone first. A job would then begin to be given back when the time of the stop is over.

Change: the duties of a phase stop beside each other, the phases in the reverse order as before. The operators' listener waits 2 s for its last answer, then closes the connections. A job that is given up at the end of stop.drain gets 2 s to record it, which the callers' drain after it gave it before.

Result: the tests of the stop that others hold up pass, with -race. The test of the job that is given up passes on the code before as well: it guards the new order.

--- a/internal/duty/jobs/jobs.go
+++ b/internal/duty/jobs/jobs.go
@@ -30,7 +30,7 @@
 	lookEvery = time.Second
 	// maxRunning bounds the jobs of one instance.
 	maxRunning = 8
-	// handOver is how long a stop waits for running jobs before it gives them back.
+	// handOver is how long a stop waits for running jobs before it gives them back, and for the last records after that.
 	handOver = 2 * time.Second
 	// writeLimit bounds one change of a record.
 	writeLimit = 10 * time.Second
@@ -94,7 +94,7 @@
 		}
 		ctx, cancel := context.WithTimeout(ctx, env.Settings.Stop.Drain.Std())
 		defer cancel()
-		kp.drain(ctx)
+		kp.drain(ctx, cancelWork)
 		return nil
 	}, nil
 }
@@ -263,8 +263,9 @@
 	}
 }
 
-// drain waits a moment for running jobs, then gives back those that may be repeated; the others are waited for.
-func (kp *keeper) drain(ctx context.Context) {
+// drain waits a moment for running jobs, then gives back those that may be repeated; the others are waited for. Those that
+// still run when ctx ends are given up, and get a moment to record it.
+func (kp *keeper) drain(ctx context.Context, giveUp func()) {
 	done := make(chan struct{})
 	go func() { kp.wg.Wait(); close(done) }()
 	select {
@@ -281,6 +282,12 @@
 	kp.mu.Unlock()
 	select {
 	case <-done:
+		return
 	case <-ctx.Done():
 	}
+	giveUp()
+	select {
+	case <-done:
+	case <-time.After(handOver):
+	}
 }
--- a/internal/duty/operators/operators.go
+++ b/internal/duty/operators/operators.go
@@ -33,6 +33,9 @@
 const (
 	minKey      = 8
 	headerLimit = 5 * time.Second
+	// lastAnswer bounds the wait for the last answer in a stop: an operator who does not read it would keep the instance
+	// from ending until it is killed. Chosen by hand, twice what a call to the store may take.
+	lastAnswer = 2 * time.Second
 )
 
 func check(s config.Settings) config.Faults {
@@ -125,7 +128,18 @@
 			env.Logger("operators").WithError(err).Error("listener ended")
 		}
 	}()
-	return func(ctx context.Context) error { return errors.Wrap(srv.Shutdown(ctx), "stop operators") }, nil
+	return func(ctx context.Context) error { return stop(ctx, srv) }, nil
+}
+
+// stop waits for the last answer, then breaks off those that nobody reads.
+func stop(ctx context.Context, srv *http.Server) error {
+	ctx, cancel := context.WithTimeout(ctx, lastAnswer)
+	defer cancel()
+	err := srv.Shutdown(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		err = srv.Close()
+	}
+	return errors.Wrap(err, "stop operators")
 }
 
 func (ap *api) gauges() {
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -12,6 +12,7 @@
 	"reflect"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 
 	"github.com/apex/log"
@@ -20,7 +21,7 @@
 	"github.com/silvermount/silvermount/internal/config"
 )
 
-// Phase orders the start of duties. Duties stop in the reverse order.
+// Phase orders the start of duties. The phases stop in the reverse order, the duties of one phase beside each other.
 type Phase int
 
 // The phases, in the order in which they start.
@@ -163,8 +164,9 @@
 }
 
 type running struct {
-	name string
-	stop Stop
+	name  string
+	phase Phase
+	stop  Stop
 }
 
 // Kernel is one running instance.
@@ -211,7 +213,7 @@
 			return &StartError{Duty: d.Name, Cause: err}
 		}
 		if stop != nil {
-			kn.running = append(kn.running, running{name: d.Name, stop: stop})
+			kn.running = append(kn.running, running{name: d.Name, phase: d.Phase, stop: stop})
 		}
 	}
 	kn.logStarted()
@@ -258,16 +260,17 @@
 // Settings returns what is in force, with what was reloaded.
 func (kn *Kernel) Settings() config.Settings { return kn.current }
 
-// Stop stops the running duties in reverse order and returns the first error.
+// Stop stops the running duties, those of the last phase first, and returns the first error in the reverse order of start.
 func (kn *Kernel) Stop(ctx context.Context) error {
 	kn.Env.Stopping.Store(true)
 	var first error
-	for _, r := range slices.Backward(kn.running) {
-		if err := r.stop(ctx); err != nil && first == nil {
-			first = errors.Wrapf(err, "stop %s", r.name)
+	for len(kn.running) > 0 {
+		begin := lastPhase(kn.running)
+		if err := stopAll(ctx, kn.running[begin:]); first == nil {
+			first = err
 		}
+		kn.running = kn.running[:begin]
 	}
-	kn.running = nil
 	lg := kn.Env.Logger("kernel").WithField("incarnation", kn.Env.Incarnation)
 	if first != nil {
 		lg = lg.WithField("cause", first.Error())
@@ -275,3 +278,25 @@
 	lg.Info("stopped")
 	return first
 }
+
+// lastPhase returns where the duties of the last phase begin; there is at least one.
+func lastPhase(rs []running) int {
+	last := rs[len(rs)-1].phase
+	return slices.IndexFunc(rs, func(r running) bool { return r.phase == last })
+}
+
+// stopAll stops duties beside each other: one that waits for somebody outside must not take the others' time to stop.
+func stopAll(ctx context.Context, rs []running) error {
+	errs := make([]error, len(rs))
+	var wg sync.WaitGroup
+	for i, r := range rs {
+		wg.Go(func() { errs[i] = errors.Wrapf(r.stop(ctx), "stop %s", r.name) })
+	}
+	wg.Wait()
+	for _, err := range slices.Backward(errs) {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/kernel/kernel_test.go
+++ b/internal/kernel/kernel_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/memory"
@@ -175,3 +177,70 @@
 	g.Expect(first["settings"]).To(Equal(same["settings"]))
 	g.Expect(first["settings"]).NotTo(Equal(other["settings"]))
 }
+
+// patience is far longer than a stop takes that nothing holds up.
+const patience = 10 * time.Second
+
+// stopper returns a duty whose stop notes its name and runs a function.
+func stopper(name string, ph Phase, stop func() error) Duty {
+	return Duty{Name: name, Phase: ph, Start: func(context.Context, *Env) (Stop, error) {
+		return func(context.Context) error { return stop() }, nil
+	}}
+}
+
+// TestStopOfOnePhaseRunsBesideEachOther has two duties of a phase that each wait for the other's stop, and one of an
+// earlier phase that must not be stopped before they are.
+//
+// Symptom: a duty has no time left to stop in.
+// Sequence: a duty of its phase waits for somebody outside when it is stopped.
+// Cause: the duties of a phase stop one after the other.
+func TestStopOfOnePhaseRunsBesideEachOther(t *testing.T) {
+	g := NewWithT(t)
+	one, two := make(chan struct{}), make(chan struct{})
+	var ended atomic.Int32
+	meet := func(mine chan<- struct{}, other <-chan struct{}) func() error {
+		return func() error {
+			close(mine)
+			select {
+			case <-other:
+				ended.Add(1)
+			case <-time.After(patience):
+			}
+			return nil
+		}
+	}
+	endedBefore := int32(-1)
+	only(t, stopper("one", PhaseListen, meet(one, two)), stopper("two", PhaseListen, meet(two, one)),
+		stopper("ground", PhaseStore, func() error { endedBefore = ended.Load(); return nil }))
+	kn, _ := started(t, settings(1))
+	g.Expect(kn.Stop(t.Context())).To(Succeed())
+	g.Expect(endedBefore).To(Equal(int32(2)))
+}
+
+func TestStopReturnsTheFirstError(t *testing.T) {
+	boom := func(name string) func() error {
+		return func() error { return &MissingPartError{Type: name} }
+	}
+	well := func() error { return nil }
+	tests := map[string]struct {
+		duties []Duty
+		want   string
+	}{
+		"of the last phase": {
+			[]Duty{stopper("a", PhaseStore, boom("a")), stopper("b", PhaseListen, boom("b"))}, "stop b: no duty provides b",
+		},
+		"of the last duty in a phase": {
+			[]Duty{stopper("a", PhaseListen, boom("a")), stopper("b", PhaseListen, boom("b"))}, "stop b: no duty provides b",
+		},
+		"of an earlier phase": {
+			[]Duty{stopper("a", PhaseStore, boom("a")), stopper("b", PhaseListen, well)}, "stop a: no duty provides a",
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			only(t, tc.duties...)
+			kn, _ := started(t, settings(1))
+			NewWithT(t).Expect(kn.Stop(t.Context())).To(MatchError(tc.want))
+		})
+	}
+}
--- a/internal/session/stop_test.go
+++ b/internal/session/stop_test.go
@@ -9,9 +9,11 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/silvermount/silvermount/internal/config"
 	"github.com/silvermount/silvermount/internal/instance"
 	"github.com/silvermount/silvermount/internal/job"
 	"github.com/silvermount/silvermount/internal/localfleet"
+	"github.com/silvermount/silvermount/internal/objectstore"
 	"github.com/silvermount/silvermount/internal/serve"
 )
 
@@ -102,3 +104,24 @@
 	ended := stopping(t, lf.Instances[0], func() { conn.Close() })
 	g.Eventually(ended, patience).Should(Receive(Not(HaveOccurred())))
 }
+
+// TestJobGivenUpByAStopIsRecorded stops an instance for longer than it waits for a job that cannot be given back.
+//
+// Symptom: a job stays in the state of running until another instance finds its instance gone.
+// Sequence: the stop gives the job up, and the process ends before the job has recorded it.
+// Cause: nothing waits for a job that is given up.
+func TestJobGivenUpByAStopIsRecorded(t *testing.T) {
+	g := NewWithT(t)
+	lf := start(t, localfleet.Options{Zones: 1, Engines: 1, Instances: 1, Params: fast(200), Adjust: func(s *config.Settings) {
+		s.Stop.Drain = config.Duration(100 * time.Millisecond)
+	}})
+	lf.Engines[0].Hang(true)
+	rc := submit(t, lf.URLs()[0], "a valve record", serve.HeaderRepeat, "never")
+	g.Eventually(stateOf(t, lf.URLs()[0], rc.ID), patience).Should(Equal(job.Running))
+	g.Expect(lf.Instances[0].Stop(t.Context())).To(Succeed())
+	o, ok := lf.Store.Object(objectstore.KindJobs, rc.ID)
+	g.Expect(ok).To(BeTrue())
+	v, err := job.Decode(o)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(v.State.Final()).To(BeTrue(), string(v.State))
+}
