test(session): the record of a key in a planned stop

Cause: the result of a request with a key is recorded behind its answer for up to 10 s, and a planned stop waits for answers only. Whoever asks again with the key is then told, for good, that the result is not known.

Ruled out: a slow store alone; while the instance runs on, the record is written as soon as the store takes it.

--- a/internal/session/stop_test.go
+++ b/internal/session/stop_test.go
@@ -2,19 +2,23 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/silvermount/silvermount/internal/claim"
 	"github.com/silvermount/silvermount/internal/config"
 	"github.com/silvermount/silvermount/internal/instance"
 	"github.com/silvermount/silvermount/internal/job"
 	"github.com/silvermount/silvermount/internal/localfleet"
 	"github.com/silvermount/silvermount/internal/objectstore"
 	"github.com/silvermount/silvermount/internal/serve"
+	"github.com/silvermount/silvermount/internal/standin/servicesim"
 )
 
 // patience is far longer than any step of a stop that nothing holds up.
@@ -125,3 +129,58 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(v.State.Final()).To(BeTrue(), string(v.State))
 }
+
+// TestRecordOfAKeyOutlivesTheStop stops an instance while the store takes no record of its last answer.
+//
+// Symptom: a caller that asks again with its key after a planned stop is told that the result is not known, though it was
+// answered.
+// Sequence: the instance answers a request with a key; the record waits for the store; the instance is stopped, and ends
+// before the record is written.
+// Cause: the record is written behind the answer, and the stop waits for answers only.
+func TestRecordOfAKeyOutlivesTheStop(t *testing.T) {
+	tests := map[string]struct {
+		drops  int
+		status int
+		want   claim.State
+	}{
+		"answered":              {status: http.StatusOK, want: claim.Done},
+		"the service broke off": {drops: 1, status: http.StatusBadGateway, want: claim.Lost},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var fr *localfleet.Front
+			lf := start(t, localfleet.Options{Zones: 1, Engines: 1, Instances: 1, Params: fast(200), Adjust: func(s *config.Settings) {
+				var err error
+				fr, err = localfleet.NewFront(s.Platform.URL)
+				g.Expect(err).NotTo(HaveOccurred())
+				s.Platform.URL = fr.URL
+			}})
+			lf.Services.SetDelay(300 * time.Millisecond)
+			lf.Services.DropAfterRun(tc.drops)
+			go func() {
+				// The claim is in the store once the service runs the request.
+				for lf.Services.Runs("valve") == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				fr.SetCut(true)
+			}()
+			rep := call(t, http.MethodPost, lf.URLs()[0]+valvePath, []byte("open"), serve.HeaderKey, "valve", servicesim.HeaderRequest, "valve")
+			g.Expect(rep.status).To(Equal(tc.status), rep.body)
+			time.AfterFunc(2*time.Second, func() { fr.SetCut(false) })
+			g.Expect(lf.Instances[0].Stop(t.Context())).To(Succeed())
+			g.Expect(claimOf(t, lf, "valve").State).To(Equal(tc.want))
+		})
+	}
+}
+
+// claimOf returns the record of a key at the service.
+func claimOf(t *testing.T, lf *localfleet.Fleet, key string) claim.Record {
+	t.Helper()
+	g := NewWithT(t)
+	o, ok := lf.Store.Object(objectstore.KindClaims, claim.Name("tywi", valvePath+"\x00"+key))
+	g.Expect(ok).To(BeTrue())
+	var rec claim.Record
+	g.Expect(json.Unmarshal(o.Value, &rec)).To(Succeed())
+	return rec
+}
