fix(serve): a planned stop waits for the records of keys

Cause: the result of a request with a key is recorded behind its answer, and the stop waited for answers only: the process ended with the claim "running".

Ruled out: holding the answer back until the record is written. The caller would wait for the store, up to 10 s.

Change: the server counts the records on their way, and the callers' side waits for them after the last answer, within the time that it waits for answers.

--- a/internal/duty/callers/callers.go
+++ b/internal/duty/callers/callers.go
@@ -110,15 +110,19 @@
 			env.Logger("callers").WithError(err).Error("listener ended")
 		}
 	}()
-	return func(ctx context.Context) error { return stop(ctx, env, srv) }, nil
+	return func(ctx context.Context) error { return stop(ctx, env, sv, srv) }, nil
 }
 
-// stop goes on accepting for the balancer's lag, then waits for attached requests.
-func stop(ctx context.Context, env *kernel.Env, srv *http.Server) error {
+// stop goes on accepting for the balancer's lag, then waits for attached requests and for the records of their results.
+func stop(ctx context.Context, env *kernel.Env, sv *serve.Server, srv *http.Server) error {
 	env.Logger("callers").Info("draining")
 	st := env.Settings.Stop
 	lag := st.BalancerLag.Std()
-	return drain.Plan{Lag: lag, Most: lag + st.Drain.Std()}.Run(ctx, srv)
+	most := lag + st.Drain.Std()
+	ctx, cancel := context.WithTimeout(ctx, most)
+	defer cancel()
+	err := drain.Plan{Lag: lag, Most: most}.Run(ctx, srv)
+	return errors.CombineErrors(err, errors.Wrap(sv.Settled(ctx), "record results"))
 }
 
 // gather collects what the callers' side works with.
--- a/internal/serve/inference.go
+++ b/internal/serve/inference.go
@@ -86,16 +86,18 @@
 	rq.never = true
 	sk.record = &claim.Answer{}
 	err = run(ctx, rq, sk)
-	settle(ctx, cl, sk.record, err)
+	sv.settle(ctx, cl, sk.record, err)
 	return err
 }
 
 // settle records how a request with a key ended. The record is written also when the caller is gone; when the store is
 // slow it goes on behind, so that the end of the caller's answer does not wait for it.
-func settle(ctx context.Context, cl *claim.Claim, ans *claim.Answer, err error) {
+func (sv *Server) settle(ctx context.Context, cl *claim.Claim, ans *claim.Answer, err error) {
 	done := make(chan struct{})
+	sv.settling.Add(1)
 	go func() {
 		defer close(done)
+		defer sv.settling.Add(-1)
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleLimit)
 		defer cancel()
 		switch {
@@ -113,6 +115,21 @@
 	}
 }
 
+// Settled waits until the results of all requests with a key are recorded. A stop that did not wait would leave a claim
+// whose result nobody knows, though its caller has the answer.
+func (sv *Server) Settled(ctx context.Context) error {
+	tick := time.NewTicker(settledLook)
+	defer tick.Stop()
+	for sv.settling.Load() > 0 {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
 // refuse ends a request that nothing was sent of.
 func (sv *Server) refuse(ctx context.Context, rq *request, err error) error {
 	if ferr := sv.machine.Fire(ctx, &rq.life, life.Refuse); ferr != nil {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -81,6 +81,8 @@
 	limits   Limits
 	machine  *life.Machine
 	inFlight atomic.Int64
+	// settling counts the results that are being recorded, also behind answers that have ended.
+	settling atomic.Int64
 
 	mu sync.Mutex
 	// byOrganisation counts requests in flight; entries at zero are removed.
