test(session): requests left at the end of a stop

Cause: a request of the entry role waits for room, or for its target, until its own deadline. When the time of a planned stop is over first, the process ends and the connection is closed without a word: the same as on gateways.

Ruled out: classes that last longer than stop.drain are refused by `check` and by `bundle sign`, but not by an instance that starts under the accepted bundle. A class that lasts just as long (the defaults allow 10 min for both) leaves no time to write its last answer.

--- a/internal/session/stop_test.go
+++ b/internal/session/stop_test.go
@@ -1,8 +1,11 @@
 package session
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -15,6 +18,7 @@
 	"github.com/silvermount/silvermount/internal/config"
 	"github.com/silvermount/silvermount/internal/instance"
 	"github.com/silvermount/silvermount/internal/job"
+	"github.com/silvermount/silvermount/internal/kernel"
 	"github.com/silvermount/silvermount/internal/localfleet"
 	"github.com/silvermount/silvermount/internal/objectstore"
 	"github.com/silvermount/silvermount/internal/serve"
@@ -184,3 +188,72 @@
 	g.Expect(json.Unmarshal(o.Value, &rec)).To(Succeed())
 	return rec
 }
+
+// TestRequestsLeftAtTheEndOfAStopAreAnswered stops an instance whose requests may take longer than the stop waits.
+//
+// Symptom: callers get neither an answer nor a refusal; their connections end with the process.
+// Sequence: a request waits for room, or its target does not answer; the time of the stop is over before the request's own.
+// Cause: what a request waits for is bounded by its own deadline only, and nobody tells it that the instance ends.
+func TestRequestsLeftAtTheEndOfAStopAreAnswered(t *testing.T) {
+	const long = 500_000 // bytes; over the length from which only one prompt is taken by a target at a time
+	tests := map[string]struct {
+		prompts []string
+		waiting int
+		// want are statuses, codes and outcomes, in any order.
+		want []string
+	}{
+		"no answer of the target": {prompts: []string{"a deed"}, want: []string{"502 instance_ended failed"}},
+		"no room": {
+			prompts: []string{strings.Repeat("a", long), strings.Repeat("b", long)}, waiting: 1,
+			want: []string{"502 instance_ended failed", "503 stopping not_run"},
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			lf := start(t, localfleet.Options{Zones: 1, Engines: 1, Instances: 1, Params: fast(200), Adjust: func(s *config.Settings) {
+				s.Stop.Drain = config.Duration(time.Second)
+			}})
+			lf.Engines[0].Hang(true)
+			sv, err := kernel.Need[*serve.Server](lf.Instances[0].Env())
+			g.Expect(err).NotTo(HaveOccurred())
+			answers := make(chan reply, len(tc.prompts))
+			for _, prompt := range tc.prompts {
+				go func() { answers <- endOf(t.Context(), lf.URLs()[0]+"/v1/completions", completion(prompt, 4, false)) }()
+			}
+			g.Eventually(func() []int { return []int{int(sv.InFlight()), sv.Router.Waiting()} }, patience).
+				Should(Equal([]int{len(tc.prompts), tc.waiting}))
+			stopped := lf.Instances[0].Stop(t.Context())
+			var got []string
+			for range tc.prompts {
+				var rep reply
+				g.Eventually(answers, patience).Should(Receive(&rep))
+				got = append(got, fmt.Sprintf("%d %s %s", rep.status, rep.code, rep.outcome))
+			}
+			g.Expect(got).To(ConsistOf(tc.want))
+			g.Expect(stopped).To(Succeed())
+		})
+	}
+}
+
+// endOf sends a request and returns how it ended; one that gets no answer has no status, and the error as its body.
+func endOf(ctx context.Context, url string, body []byte) reply {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return reply{body: err.Error()}
+	}
+	req.Header.Set("Authorization", "Bearer "+localfleet.Key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{body: err.Error()}
+	}
+	defer resp.Body.Close()
+	var eb struct {
+		Error struct{ Code, Outcome string }
+	}
+	b, err := io.ReadAll(resp.Body)
+	if err != nil || json.Unmarshal(b, &eb) != nil {
+		return reply{body: string(b)}
+	}
+	return reply{status: resp.StatusCode, body: string(b), code: eb.Error.Code, outcome: eb.Error.Outcome}
+}
