test(gossip): the last state of a member that ends

Cause: the links of a member end with it, whatever waits to be told.

Ruled out: that the peers drop it when its link ends. A link may end for other reasons, and in a large fleet most members have no link to it.

--- a/internal/gossip/mesh_test.go
+++ b/internal/gossip/mesh_test.go
@@ -486,3 +486,29 @@
 	g.Eventually(func() bool { return b.ms.Live()[0].Stopping }, patience).Should(BeTrue())
 	g.Expect(b.lostMembers()).To(BeEmpty())
 }
+
+// TestLastStateIsToldBeforeTheEnd changes a member's state right before it ends.
+//
+// Symptom: for as long as a silent member counts as live, the others hold what one that has ended had in flight.
+// Sequence: the last request of a member ends, its state says so, and the member ends.
+// Cause: the end closes the links, whatever waits to be told.
+func TestLastStateIsToldBeforeTheEnd(t *testing.T) {
+	tests := map[string]struct{ first, second string }{
+		"by a link that the member opened": {"a", "b"},
+		"by a link that the peer opened":   {"b", "a"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			// The first of two names dials.
+			leaver := newNode(t, Options{Self: Member{Name: tc.first}, Coalesce: 20 * time.Millisecond, Lost: never})
+			stop := leaver.start(t)
+			stays := startNode(t, Options{Self: Member{Name: tc.second}, Seeds: []string{leaver.address()}, Lost: never})
+			g.Eventually(stays.stateOf(tc.first), patience).Should(Equal("state of " + tc.first))
+			g.Eventually(leaver.stateOf(tc.second), patience).Should(Equal("state of " + tc.second))
+			leaver.publish([]byte("nothing in flight"))
+			stop()
+			g.Eventually(stays.stateOf(tc.first), patience).Should(Equal("nothing in flight"))
+		})
+	}
+}
