test(router): a queue whose targets leave

Cause: only the first of a queue looks for a place. When it is refused because all targets have left, the next one notices at its own next look, 25 to 75 ms later, and so on.

Ruled out: the time of the machine. The test's clock goes on only while all wait.

--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -93,3 +94,34 @@
 	first.Done()
 	g.Expect(<-got).NotTo(HaveOccurred())
 }
+
+// TestAllWhoWaitAreToldThatTheTargetsLeft takes the only target from a queue of many.
+//
+// Symptom: requests that cannot be served any more are refused one after the other, the last ones at their deadlines.
+// Sequence: many requests wait in one queue; all targets that could take them leave.
+// Cause: only the first of a queue looks for a place, and when it has left nobody tells the next one.
+func TestAllWhoWaitAreToldThatTheTargetsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const waiters = 200
+		g := NewWithT(t)
+		rt := oneEngine(waiters)
+		_, err := rt.Acquire(t.Context(), long(100, time.Hour))
+		g.Expect(err).NotTo(HaveOccurred())
+		ended := make(chan error, waiters)
+		for range waiters {
+			go func() {
+				_, err := rt.Acquire(t.Context(), long(100, time.Hour))
+				ended <- err
+			}()
+		}
+		synctest.Wait()
+		g.Expect(rt.Waiting()).To(Equal(waiters))
+		rt.fl.SetTargets(nil)
+		left := time.Now()
+		for range waiters {
+			g.Expect(codeOf(<-ended)).To(Equal(failure.NoTarget))
+		}
+		// The clock is the test's own: it does not go on while anybody works.
+		g.Expect(time.Since(left)).To(BeNumerically("<=", 2*recheck))
+	})
+}
