fix(router): who leaves a queue without a place wakes the next

Cause: only the first of a queue looks for a place, and the next one noticed that it was first at its own next look, up to 75 ms later. When all targets left, the last of many were refused minutes of their time later, or at their deadlines.

Ruled out: waking all that wait. Each would look through all that wait before it, for each one that leaves.

Change: a request that ends without a place wakes the next of its queue. One that got a place does not: the next then looks as before.

Result: 200 prompts that wait are refused within 100 ms in place of 5.3 s, on the test's clock; the tests of router and session pass with -race.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -156,11 +156,21 @@
 	if !ask.Request.Long {
 		rt.arriving.Add(ask.Request.Tokens)
 	}
-	wt := &waiter{ask: ask, out: make(chan struct{})}
+	wt := newWaiter(ask)
 	if err := rt.enter(wt); err != nil {
 		return nil, err
 	}
+	pl, err := rt.await(ctx, wt)
+	if err != nil {
+		rt.wakeNext(wt)
+	}
+	return pl, err
+}
+
+// await returns a place for a waiter that has entered; the waiter has left afterwards.
+func (rt *Router) await(ctx context.Context, wt *waiter) (*Place, error) {
 	defer rt.leave(wt)
+	ask := wt.ask
 	for waits := false; ; waits = true {
 		changed := rt.fl.Changed()
 		if rt.first(wt) {
@@ -183,6 +193,7 @@
 		select {
 		case <-changed:
 		case <-timer.C:
+		case <-wt.turn:
 		case <-wt.out:
 			timer.Stop()
 			return nil, rt.overloaded()
--- a/internal/router/waiting.go
+++ b/internal/router/waiting.go
@@ -14,6 +14,12 @@
 	ask Ask
 	// out is closed when the request has to make way.
 	out chan struct{}
+	// turn has room for one signal: the request before it in its queue has left without a place.
+	turn chan struct{}
+}
+
+func newWaiter(ask Ask) *waiter {
+	return &waiter{ask: ask, out: make(chan struct{}), turn: make(chan struct{}, 1)}
 }
 
 // before orders waiters: class priority, then length band, then deadline.
@@ -61,6 +67,22 @@
 	}
 }
 
+// wakeNext wakes the first of a queue that a waiter has left without a place: what ended one often ends all, and each would
+// else notice it up to 75 ms after the one before it.
+func (rt *Router) wakeNext(gone *waiter) {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	i := slices.IndexFunc(rt.waiting, func(wt *waiter) bool { return sameQueue(wt, gone) })
+	if i < 0 {
+		return
+	}
+	select {
+	case rt.waiting[i].turn <- struct{}{}:
+	default:
+		// A signal waits already.
+	}
+}
+
 // first reports whether no more urgent request of the same length band and model waits.
 func (rt *Router) first(wt *waiter) bool {
 	rt.mu.Lock()
