fix(cancel): cancels that wait at the end are sent

Cause: the end of the canceller dropped the cancels that wait and cut off the one on its way. Those of the last requests of a stop come right before it.

Ruled out: repeating them until they are acknowledged.

--- a/internal/cancel/cancel.go
+++ b/internal/cancel/cancel.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -43,7 +44,8 @@
 // Shed returns how many cancels were left to the sweeper.
 func (cn *Canceller) Shed() uint64 { return cn.orders.Shed() }
 
-// Run sends cancels until ctx ends.
+// Run sends cancels until ctx ends, and then once those that wait: they are of the last requests of a stop, and their
+// engines would work on until another instance sweeps them.
 func (cn *Canceller) Run(ctx context.Context) {
 	for {
 		select {
@@ -52,13 +54,25 @@
 				go repeat(ctx, o)
 			}
 		case <-ctx.Done():
+			cn.sendWaiting(ctx)
 			return
 		}
 	}
 }
 
+// sendWaiting sends the cancels that wait beside each other, so that they take no longer than one call.
+func (cn *Canceller) sendWaiting(ctx context.Context) {
+	var wg sync.WaitGroup
+	for range cn.orders.Len() {
+		o := <-cn.orders.Items()
+		wg.Go(func() { once(ctx, o) })
+	}
+	wg.Wait()
+}
+
+// once sends a cancel. A call on its way goes on when ctx ends.
 func once(ctx context.Context, o Order) bool {
-	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callLimit)
 	defer cancel()
 	err := o.Client.Cancel(ctx, o.Attempt)
 	var se *engine.StatusError
