--- a/internal/serve/inference.go
+++ b/internal/serve/inference.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/silvermount/silvermount/internal/claim"
 	"github.com/silvermount/silvermount/internal/failure"
 	"github.com/silvermount/silvermount/internal/fleet"
@@ -86,16 +88,18 @@
 	rq.never = true
 	sk.record = &claim.Answer{}
 	err = run(ctx, rq, sk)
-	settle(ctx, cl, sk.record, err)
+	sv.settle(ctx, cl, sk.record, err)
 	return err
 }
 
 // settle records how a request with a key ended. The record is written also when the caller is gone; when the store is
 // slow it goes on behind, so that the end of the caller's answer does not wait for it.
-func settle(ctx context.Context, cl *claim.Claim, ans *claim.Answer, err error) {
+func (sv *Server) settle(ctx context.Context, cl *claim.Claim, ans *claim.Answer, err error) {
 	done := make(chan struct{})
+	sv.settling.Add(1)
 	go func() {
 		defer close(done)
+		defer sv.settling.Add(-1)
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleLimit)
 		defer cancel()
 		switch {
@@ -113,6 +117,21 @@
 	}
 }
 
+// Settled waits until the results of all requests with a key are recorded. A stop that did not wait would leave a claim
+// whose result nobody knows, though its caller has the answer.
+func (sv *Server) Settled(ctx context.Context) error {
+	tick := time.NewTicker(settledLook)
+	defer tick.Stop()
+	for sv.settling.Load() > 0 {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
 // refuse ends a request that nothing was sent of.
 func (sv *Server) refuse(ctx context.Context, rq *request, err error) error {
 	if ferr := sv.machine.Fire(ctx, &rq.life, life.Refuse); ferr != nil {
@@ -149,7 +168,7 @@
 			pl, err = sv.Router.Acquire(ctx, ask(tried))
 		}
 		if err != nil {
-			return sv.end(rq, sk, known.Of(failure.Of(err)))
+			return sv.end(rq, sk, noPlace(ctx, known, err))
 		}
 		if err := sv.machine.Fire(ctx, &rq.life, life.Dispatch); err != nil {
 			pl.Done()
@@ -172,6 +191,21 @@
 	}
 }
 
+// noPlace is the failure of a request that found no place. One that was given up before anything was sent may come back at
+// once, over a new connection.
+func noPlace(ctx context.Context, known outcome.Known, err error) *failure.Error {
+	var ge *GivenUpError
+	switch {
+	case !errors.As(context.Cause(ctx), &ge):
+		return known.Of(failure.Of(err))
+	case known.MayHaveRun():
+		return known.Of(contextFailure(ctx))
+	default:
+		return failure.New(failure.Stopping, failure.NotRun, "the instance ends before a place came free").
+			WithCause(ge).WithRetryAfter(time.Second)
+	}
+}
+
 // mayRetry decides whether a failed attempt is followed by another.
 func (sv *Server) mayRetry(ctx context.Context, rq *request, sk *sink, fe *failure.Error, known outcome.Known) bool {
 	return retry.Case{
