fix(gateway): a key is asked for again at each look for a target

Change: the dispatcher asks at each look whether the request is still allowed. The route that the request came by stays its own: a caller whose route was taken away meanwhile is better off with the answer. The entry role's give-up at the end of a stop goes through the drain plan as the gateway's does.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -37,6 +37,9 @@
 	Resumed bool
 	// Caution is how sure the request must be of its target.
 	Caution targets.Caution
+	// Allowed returns why the request may not be sent any more, and is asked at each look for a target: what allowed it when
+	// it came may be taken away while it waits. It is nil when nothing can be.
+	Allowed func() error
 }
 
 // Helper is a target that reads a part of the prompt.
@@ -102,6 +105,11 @@
 	ds.arrive(as)
 	for {
 		woken := ds.book.woken()
+		if as.Allowed != nil {
+			if err := as.Allowed(); err != nil {
+				return nil, err
+			}
+		}
 		sl, ok, err := ds.try(ctx, as)
 		if err != nil {
 			return nil, err
--- a/internal/duty/callers/callers.go
+++ b/internal/duty/callers/callers.go
@@ -42,8 +42,8 @@
 	ticketLimit = 100_000
 	maxHeader   = 32 << 10
 	idleLimit   = 60 * time.Second
-	// lastAnswers is the time for the answers to requests that are given up at the end of a stop, and for their records:
-	// what the server takes to notice the end of the last connection (up to 500 ms), at most half of the drain.
+	// lastAnswers is the time for the answers to requests that are given up at the end of a stop, and for their records in
+	// the store: several calls to it, at most half of the drain.
 	lastAnswers = time.Second
 )
 
@@ -124,9 +124,8 @@
 	most := lag + st.Drain.Std()
 	ctx, cancel := context.WithTimeout(ctx, most)
 	defer cancel()
-	giveUp := time.AfterFunc(most-min(lastAnswers, st.Drain.Std()/2), sv.GiveUp)
-	defer giveUp.Stop()
-	err := drain.Plan{Lag: lag, Most: most}.Run(ctx, srv)
+	answers := most - min(lastAnswers, st.Drain.Std()/2)
+	err := drain.Plan{Lag: lag, Answers: answers, End: sv.GiveUp, Most: most}.Run(ctx, srv)
 	return errors.CombineErrors(err, errors.Wrap(sv.Settled(ctx), "record results"))
 }
 
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -111,6 +111,21 @@
 	rq.table = tb
 	rq.route = rt
 	rq.keyed = tb.NeedsKey(rt)
+	return gw.allowKey(rq, tb, provenAt)
+}
+
+// keyHolds checks the key of a request that was sent nowhere yet against the configuration in force now: it may be taken
+// away while the request waits for room. The route that the request came by stays its own.
+func (gw *Gateway) keyHolds(rq *request) error {
+	tb, provenAt := gw.Routes.Current()
+	if len(rq.tried) > 0 {
+		return nil
+	}
+	return gw.allowKey(rq, tb, provenAt)
+}
+
+// allowKey checks the key of a request, and how long ago the configuration was proven to be the newest.
+func (gw *Gateway) allowKey(rq *request, tb *routes.Table, provenAt time.Time) error {
 	if !rq.keyed {
 		return nil
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -92,7 +92,7 @@
 		PromptTokens: rq.PromptTokens, MostAnswer: rq.MostAnswerTokens, AnswerHint: rq.AnswerHint, Events: rq.events,
 		Objective: rq.route.Objective, LongestPause: rq.route.LongestPause, Patience: rq.route.Patience,
 		Arrived: rq.arrived, Deadline: rq.due.At, Priority: rq.priority(), Resumed: rq.lastEvent >= 0,
-		Caution: rq.caution(),
+		Caution: rq.caution(), Allowed: func() error { return gw.keyHolds(rq) },
 	}
 }
 
--- a/internal/gossip/options.go
+++ b/internal/gossip/options.go
@@ -57,8 +57,8 @@
 	defaultInterval = 250 * time.Millisecond
 	// defaultLost is the silence of a process that restarts at once, and some more.
 	defaultLost = 2 * time.Second
-	// defaultFarewell is above the least time between two sends in a fleet of 300 instances, and leaves most of the 700 ms
-	// that a planned stop keeps for the end of the process.
+	// defaultFarewell is above the least time between two sends in a fleet of 300 instances, and below the 450 ms that a
+	// planned stop keeps for the end of the process.
 	defaultFarewell = 250 * time.Millisecond
 	// defaultCoalesce bounds the sends for a busy instance to a hundred a second.
 	defaultCoalesce = 10 * time.Millisecond
