fix(gateway): what the end meets between two steps of a request is answered too

Cause: the end was seen by its cause in the request's context alone.

Change: whether the instance has ended is asked itself, after the body, before the run and for each failure; a whole stream is whole.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -156,7 +156,8 @@
 	defer detach()
 	var err error
 	rq.body, rq.free, err = rd.Read(r)
-	if err != nil && gw.ended.Err() != nil {
+	// Whether or not the body is whole: nothing of it may be sent any more.
+	if gw.ended.Err() != nil {
 		return gw.cutShort(rq)
 	}
 	return err
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -23,8 +23,8 @@
 func (gw *Gateway) run(ctx context.Context, rq *request, sk *sink) error {
 	ctx, cancel := rq.due.Context(ctx)
 	defer cancel()
-	ctx, free := gw.untilEnd(ctx)
-	defer free()
+	ctx, cancelEnd := gw.untilEnd(ctx)
+	defer cancelEnd()
 	if err := gw.fire(ctx, rq, life.Admit); err != nil {
 		return err
 	}
@@ -135,9 +135,9 @@
 
 // timeUp is the failure of a request whose time is over, whose caller has gone, or whose instance has ended.
 func (gw *Gateway) timeUp(ctx context.Context, rq *request) *failure.Error {
-	var ee *EndedError
 	switch {
-	case errors.As(context.Cause(ctx), &ee):
+	case gw.ended.Err() != nil:
+		// The end of the instance also looks like a caller that has gone: it breaks off the reading of connections.
 		return gw.cutShort(rq)
 	case ctx.Err() != nil && gw.Now().Before(rq.due.At):
 		return failure.New(failure.CallerGone, gw.outcome(rq), "the caller went away")
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -8,12 +8,6 @@
 	"github.com/silvermount/silvermount/internal/failure"
 )
 
-// EndedError is the cause of the end of a request that was still being served at the end of its instance.
-type EndedError struct{}
-
-// Error says what happened.
-func (*EndedError) Error() string { return "the instance has ended" }
-
 // EndsAt tells when this instance ends: from now on a request is sent to a target only if its answer can be whole by then.
 func (gw *Gateway) EndsAt(at time.Time) { gw.Dispatcher.SetEnd(at) }
 
@@ -28,13 +22,17 @@
 	gw.end()
 }
 
-// untilEnd returns a context that also ends with the instance, with an EndedError as its cause. cancel frees it.
+// untilEnd returns a context that also ends with the instance. cancel frees it.
 func (gw *Gateway) untilEnd(ctx context.Context) (bound context.Context, cancel func()) {
-	ctx, stop := context.WithCancelCause(ctx)
-	detach := context.AfterFunc(gw.ended, func() { stop(&EndedError{}) })
+	ctx, end := context.WithCancel(ctx)
+	if gw.ended.Err() != nil {
+		// At once: what is done in the background comes too late for a request that is just being sent.
+		end()
+	}
+	detach := context.AfterFunc(gw.ended, end)
 	return ctx, func() {
 		detach()
-		stop(nil)
+		end()
 	}
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -98,7 +98,8 @@
 	for {
 		ev, err := readEvent(br)
 		if errors.Is(err, io.EOF) {
-			return gw.streamEnded(ctx, rq, sk, sl, an)
+			gw.streamEnded(sk, sl, an)
+			return nil
 		}
 		if err != nil {
 			rq.claimed = wd.hasFired()
@@ -162,17 +163,14 @@
 	rq.eventAt = now
 }
 
-func (gw *Gateway) streamEnded(ctx context.Context, rq *request, sk *sink, sl *dispatch.Slot, an *upstream.Answer) error {
-	if ctx.Err() != nil {
-		return gw.timeUp(ctx, rq)
-	}
+// streamEnded notes that a stream is whole. That holds also when its time is over just now.
+func (gw *Gateway) streamEnded(sk *sink, sl *dispatch.Slot, an *upstream.Answer) {
 	an.Whole()
 	gw.Targets.Success(sl.Target.ID)
 	if !sk.Started() {
 		copyHeader(sk.w.Header(), an.Header)
 		sk.start(an.StatusCode)
 	}
-	return nil
 }
 
 // watchdog closes an answer that stays silent for too long, but only while the stream can go on elsewhere: silence
