fix(frontend): a stop without requests succeeds, and a short grace leaves time for what is taken

Cause: a connection that was just opened and never used counts as busy for five seconds, so a stop with nothing in flight waited to its end and exited with a failure.

Change: only requests in flight make a stop fail; new ones are taken for half of the time for answers at the most. The names in the drain plan say what they do. TestPlannedStopWithoutRequestsSucceeds fails before and passes now.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -17,7 +17,7 @@
 	Taking time.Duration
 	// Refuse makes the instance turn new requests away; it is called after Taking, and is nil when Taking is zero.
 	Refuse func()
-	// Answers is how long requests that are still running may go on, from Lag to Most. It counts only with End.
+	// Answers is how long requests that are still running may go on, from Lag to Most. Without End it has no effect.
 	Answers time.Duration
 	// End makes each request that is still running answer and end. It is called after Answers if there may be one, and is
 	// nil where all requests end by themselves before Most.
@@ -37,23 +37,22 @@
 		pl.Refuse()
 	}
 	wait(ctx, pl.Lag-pl.Taking)
-	if pl.End != nil && pl.idle(ctx, srv, began.Add(pl.Answers)) {
-		return nil
+	if pl.End != nil {
+		if finished(ctx, srv, began.Add(pl.Answers)) {
+			return nil
+		}
+		pl.End()
 	}
+	// The server looks for the last connection in steps that grow up to half a second: asked anew after End, it sees the last
+	// answers go out within milliseconds.
 	return errors.Wrap(srv.Shutdown(ctx), "finish requests")
 }
 
-// idle waits for the last answer and reports whether it came before a time. If not, the requests are told to end. The server
-// looks for the last connection in steps that grow up to half a second: asked anew, it sees the answers go out within
-// milliseconds.
-func (pl Plan) idle(ctx context.Context, srv *http.Server, until time.Time) bool {
+// finished closes the listener and reports whether the last answer came before a time.
+func finished(ctx context.Context, srv *http.Server, until time.Time) bool {
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
-	if srv.Shutdown(ctx) == nil {
-		return true
-	}
-	pl.End()
-	return false
+	return srv.Shutdown(ctx) == nil
 }
 
 func wait(ctx context.Context, d time.Duration) {
--- a/internal/duty/frontend/frontend.go
+++ b/internal/duty/frontend/frontend.go
@@ -187,19 +187,27 @@
 	sv.lg.WithFields(sv.gw.InFlight().Fields()).Info("stopping")
 	sv.mesh.SetStopping()
 	sv.gw.EndsAt(time.Now().Add(grace - answerMargin))
-	lag := min(balancerLag, grace/2)
-	plan := drain.Plan{
-		Lag: lag, Taking: min(takeLag, lag), Refuse: sv.gw.StopTaking,
-		Answers: grace - answerMargin, End: sv.end, Most: grace - endMargin,
+	err := stopPlan(grace, sv.gw.StopTaking, sv.end).Run(ctx, sv.list[0])
+	inf := sv.gw.InFlight()
+	if inf == (gateway.InFlight{}) {
+		// What is left are connections that were opened and never used.
+		err = nil
 	}
-	err := plan.Run(ctx, sv.list[0])
 	if err != nil {
-		sv.lg.WithFields(sv.gw.InFlight().Fields()).Warn("connections are closed before the last answer")
+		sv.lg.WithFields(inf.Fields()).Warn("connections are closed before the last answer")
 	}
 	sv.close()
 	return err
 }
 
+// stopPlan is how a stop goes within the grace. However short that is, a request that is taken has some time for its answer.
+func stopPlan(grace time.Duration, refuse, end func()) drain.Plan {
+	lag, answers := min(balancerLag, grace/2), grace-answerMargin
+	return drain.Plan{
+		Lag: lag, Taking: min(takeLag, lag, answers/2), Refuse: refuse, Answers: answers, End: end, Most: grace - endMargin,
+	}
+}
+
 // end tells the requests that are still running to end.
 func (sv *servers) end() {
 	if inf := sv.gw.InFlight(); inf != (gateway.InFlight{}) {
