fix(reservation): a stop waits for the memory that its last requests give back

Change: the keeper counts orders under way up to their first end, and the stop waits for them for 0.1 s at the most. The count is shared with the records of keys in the entry role, which waited in a loop of their own.

--- a/internal/duty/forwarding/forwarding.go
+++ b/internal/duty/forwarding/forwarding.go
@@ -125,6 +125,9 @@
 	// minGrace is chosen by hand: half of it goes to the balancer's lag, and with less nothing would be left between it and
 	// the 0.45 s that the end of the process takes.
 	minGrace = time.Second
+	// releaseMost bounds the wait for the last memory to be given back: a few round trips, and less than what a stop leaves of
+	// the grace.
+	releaseMost = 100 * time.Millisecond
 	// defaultMaxBody, in bytes, is a million tokens of four bytes.
 	defaultMaxBody = 4 << 20
 	// defaultBodyBudget, in bytes, holds a burst of large bodies in a process of a few hundred MB.
@@ -275,5 +278,12 @@
 		Adapter: ad, Routes: &routes.Holder{}, Targets: dr, Dispatcher: ds, Metrics: ms, Changed: ch, Followers: &Followers{},
 		Pool: upstream.NewPool(time.Now, ms, env.Settings.Gateway.DialTimeout.Std()),
 	})
-	return nil, nil
+	return func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, releaseMost)
+		defer cancel()
+		if err := kp.Released(ctx); err != nil {
+			kp.Log.WithError(err).Warn("ended before all memory was given back; it lapses")
+		}
+		return nil
+	}, nil
 }
--- a/internal/reservation/reservation.go
+++ b/internal/reservation/reservation.go
@@ -10,6 +10,8 @@
 
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
+
+	"github.com/silvermount/silvermount/internal/pending"
 )
 
 const (
@@ -76,8 +78,14 @@
 	// Hold is how long memory stays set aside after the last renewal.
 	Hold time.Duration
 	Log  log.Interface
+	// releasing counts the orders that give memory back, up to their first end.
+	releasing pending.Count
 }
 
+// Released waits until all memory that was released is given back at targets that answer. An instance that ends before would
+// leave it set aside for nobody until it lapses.
+func (kp *Keeper) Released(ctx context.Context) error { return kp.releasing.Wait(ctx) }
+
 // Reservation is memory set aside for one request.
 type Reservation struct {
 	kp *Keeper
@@ -169,7 +177,9 @@
 // Release ends the renewals and gives the memory back in the background.
 func (rv *Reservation) Release() {
 	rv.stop()
+	begun := rv.kp.releasing.Begin()
 	go func() {
+		defer begun()
 		// A renewal under way could set the memory aside once more.
 		rv.done.Wait()
 		rv.giveBack(rv.unsure)
@@ -183,12 +193,15 @@
 		if errors.As(asked[i], &re) {
 			continue
 		}
-		go rv.release(pc, asked[i] != nil)
+		released := rv.kp.releasing.Begin()
+		go rv.release(pc, asked[i] != nil, released)
 	}
 }
 
-func (rv *Reservation) release(pc Place, unsure bool) {
+// release gives the memory at one place back, and calls released after the first try.
+func (rv *Reservation) release(pc Place, unsure bool, released func()) {
 	err := rv.kp.releaseOnce(pc, rv.id)
+	released()
 	for _, pause := range releaseAgain {
 		if err == nil && !unsure {
 			return
--- a/internal/reservation/reservation_test.go
+++ b/internal/reservation/reservation_test.go
@@ -394,3 +394,37 @@
 		})
 	}
 }
+
+// TestReleasedWaitsForWhatIsGivenBack releases memory while its targets answer, and while they do not.
+func TestReleasedWaitsForWhatIsGivenBack(t *testing.T) {
+	cases := map[string]struct {
+		release func(string) error
+		// least and most bound the wait; the patience is a second.
+		least, most time.Duration
+	}{
+		"targets answer": {nil, travel, 4 * travel},
+		"an answer is lost: what is told again later is not waited for": {
+			func(string) error { return &LostError{} }, travel, 4 * travel,
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				ft := newFakeTargets()
+				ft.release = tc.release
+				kp := ft.keeper()
+				rv, err := kp.Take(t.Context(), []reservation.Place{{Address: "a", Tokens: 1}, {Address: "b", Tokens: 1}})
+				g.Expect(err).NotTo(HaveOccurred())
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				began := time.Now()
+				rv.Release()
+				g.Expect(kp.Released(ctx)).To(Succeed())
+				g.Expect(time.Since(began)).To(And(BeNumerically(">=", tc.least), BeNumerically("<=", tc.most)))
+				g.Expect(ft.count("release", "a") + ft.count("release", "b")).To(Equal(2))
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
--- a/internal/serve/inference.go
+++ b/internal/serve/inference.go
@@ -96,10 +96,10 @@
 // slow it goes on behind, so that the end of the caller's answer does not wait for it.
 func (sv *Server) settle(ctx context.Context, cl *claim.Claim, ans *claim.Answer, err error) {
 	done := make(chan struct{})
-	sv.settling.Add(1)
+	settled := sv.settling.Begin()
 	go func() {
 		defer close(done)
-		defer sv.settling.Add(-1)
+		defer settled()
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleLimit)
 		defer cancel()
 		switch {
@@ -119,18 +119,7 @@
 
 // Settled waits until the results of all requests with a key are recorded. A stop that did not wait would leave a claim
 // whose result nobody knows, though its caller has the answer.
-func (sv *Server) Settled(ctx context.Context) error {
-	tick := time.NewTicker(settledLook)
-	defer tick.Stop()
-	for sv.settling.Load() > 0 {
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-	return nil
-}
+func (sv *Server) Settled(ctx context.Context) error { return sv.settling.Wait(ctx) }
 
 // refuse ends a request that nothing was sent of.
 func (sv *Server) refuse(ctx context.Context, rq *request, err error) error {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -22,6 +22,7 @@
 	"github.com/silvermount/silvermount/internal/failure"
 	"github.com/silvermount/silvermount/internal/fleet"
 	"github.com/silvermount/silvermount/internal/life"
+	"github.com/silvermount/silvermount/internal/pending"
 	"github.com/silvermount/silvermount/internal/rollout"
 	"github.com/silvermount/silvermount/internal/router"
 	"github.com/silvermount/silvermount/internal/ticket"
@@ -85,7 +86,7 @@
 	giveUp   context.CancelCauseFunc
 	inFlight atomic.Int64
 	// settling counts the results that are being recorded, also behind answers that have ended.
-	settling atomic.Int64
+	settling pending.Count
 
 	mu sync.Mutex
 	// byOrganisation counts requests in flight; entries at zero are removed.
--- a/internal/serve/tickets.go
+++ b/internal/serve/tickets.go
@@ -17,8 +17,6 @@
 	settleLimit = 10 * time.Second
 	// settleWait is how much of it the caller's answer waits for, so that one who asks again at once finds the record.
 	settleWait = 250 * time.Millisecond
-	// settledLook is the time between two looks for records that are still written. A stop may end that much later.
-	settledLook = 10 * time.Millisecond
 )
 
 // headerPassed marks a request that another instance passed on, so that it is not passed on again.
