--- a/internal/gateway/lines_test.go
+++ b/internal/gateway/lines_test.go
@@ -33,13 +33,15 @@
 	}, gateway.Limits{})
 }
 
-func get(gw *gateway.Gateway, request, key string) int {
+func get(gw *gateway.Gateway, request, key string) int { return ask(gw, request, key).Code }
+
+func ask(gw *gateway.Gateway, request, key string) *httptest.ResponseRecorder {
 	rec := httptest.NewRecorder()
 	r := httptest.NewRequest(http.MethodGet, "/a/", http.NoBody)
 	r.Header.Set("Request", request)
 	r.Header.Set("Key", key)
 	gw.ServeHTTP(rec, r)
-	return rec.Code
+	return rec
 }
 
 func keys(version int64, keys ...string) *routes.Table {
