fix(gateway): only an instance that can know calls a key unknown

Cause: a key that is not in the table in force was answered 401 before the age of the proof was looked at, and the gateway did not know that peers tell of a newer version.

Ruled out: a weaker treatment of known keys (they pass the same check of the age, then as before); a request without a key stays 401, since no configuration allows it; with no bound set only a version that is told of and not in force changes an answer.

Change: the age of the proof is looked at first, 503 proof_too_old; then an unknown key is 503 not_ready while routes.Holder.Told, the newest version offered or told of, is above the version that the request was looked up in; then 401.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -124,16 +124,33 @@
 	return gw.allowKey(rq, tb, provenAt)
 }
 
-// allowKey checks the key of a request, and how long ago the configuration was proven to be the newest.
+// allowKey checks the key of a request, and how long ago the configuration was proven to be the newest. A key that is not in
+// force is called unknown only by an instance that can know it: a caller who is told so does not come back. A request without
+// a key is refused by any configuration.
 func (gw *Gateway) allowKey(rq *request, tb *routes.Table, provenAt time.Time) error {
 	if !rq.keyed {
 		return nil
 	}
-	og, ok := tb.Organisation(rq.Key)
-	if !ok {
-		return failure.New(failure.Unauthorized, failure.NotRun, "the key is not known")
+	og, known := tb.Organisation(rq.Key)
+	if !known && rq.Key == "" {
+		return failure.New(failure.Unauthorized, failure.NotRun, "the request has no key")
 	}
 	rq.org = og
+	if err := gw.proven(tb, provenAt); err != nil {
+		return err
+	}
+	switch {
+	case known:
+		return nil
+	case gw.Routes.Told() > tb.Version():
+		return refused(failure.NotReady, comeBackUnready, "a newer configuration, which may have the key, is not in force yet")
+	default:
+		return failure.New(failure.Unauthorized, failure.NotRun, "the key is not known")
+	}
+}
+
+// proven refuses a request with a key when the configuration was not confirmed for too long.
+func (gw *Gateway) proven(tb *routes.Table, provenAt time.Time) error {
 	most := gw.limits.Load().ProofAge
 	age := gw.Now().Sub(provenAt)
 	tooOld := most > 0 && age > most
--- a/internal/routes/holder.go
+++ b/internal/routes/holder.go
@@ -15,6 +15,8 @@
 	document []byte
 	// provenAt is on the steady clock, taken before the store was asked; it only grows.
 	provenAt time.Time
+	// told is the newest version that was offered or told of, in force or not; it only grows.
+	told int64
 	// gone maps the digest of a key that was in force here to the first version that lacked it, at most maxGone of them.
 	gone map[Digest]int64
 }
@@ -53,6 +55,7 @@
 func (hd *Holder) Offer(tb *Table, document []byte, evidence time.Time) bool {
 	hd.mu.Lock()
 	defer hd.mu.Unlock()
+	hd.told = max(hd.told, tb.version)
 	newer := hd.table == nil || tb.version > hd.table.version
 	if newer && hd.table != nil {
 		hd.remember(hd.table, tb)
@@ -71,6 +74,7 @@
 func (hd *Holder) Confirm(version int64, evidence time.Time) bool {
 	hd.mu.Lock()
 	defer hd.mu.Unlock()
+	hd.told = max(hd.told, version)
 	if hd.table == nil || version > hd.table.version {
 		return false
 	}
@@ -87,6 +91,14 @@
 	return hd.table, hd.provenAt
 }
 
+// Told returns the newest version that this instance knows of. While it is above that in force, what the table in force
+// lacks may exist.
+func (hd *Holder) Told() int64 {
+	hd.mu.Lock()
+	defer hd.mu.Unlock()
+	return hd.told
+}
+
 // Document returns what the table in force was decoded from.
 func (hd *Holder) Document() (version int64, document []byte) {
 	hd.mu.Lock()
