test(gossip): the age of a state counts the time in the buffers of a link

Cause: an entry tells its age when its frame is made. How long the frame then waits in buffers, up to seconds where a reader has a small share of a core or of the network, counts for nothing, and a proof of the configuration that came with it seems as young as when it was written. Only a freeze of the whole process is counted (stalls).

--- /dev/null
+++ b/internal/gossip/delay_test.go
@@ -0,0 +1,87 @@
+package gossip
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// way is a link from a node to another whose frames a test carries. Neither end sends by itself.
+type way struct {
+	out, in *link
+}
+
+// newWay links two nodes that share a clock and do not run.
+func newWay(from, to *node) *way {
+	wy := &way{out: from.ms.newLink(nil, nil, ""), in: to.ms.newLink(nil, nil, "")}
+	wy.out.wanted.Scope = scopeAll
+	return wy
+}
+
+// send returns what would be written now.
+func (wy *way) send(g *WithT) []byte {
+	b, err := encoding{}.Marshal(wy.out.news())
+	g.Expect(err).NotTo(HaveOccurred())
+	return b
+}
+
+// arrive has the other end read what was written.
+func (wy *way) arrive(g *WithT, b []byte) {
+	var fr frame
+	g.Expect(encoding{}.Unmarshal(b, &fr)).To(Succeed())
+	g.Expect(wy.in.take(fr)).To(Succeed())
+}
+
+// awaits lets a time go by in which a node that does not run is awake.
+func (nd *node) awaits(ck *clock, d time.Duration) {
+	for over := ck.now.Add(d); ck.now.Before(over); {
+		ck.now = ck.now.Add(min(over.Sub(ck.now), defaultInterval))
+		nd.ms.beat()
+	}
+}
+
+// TestAgeCountsTheTimeInBuffers holds frames up between two members.
+//
+// Symptom: an instance refuses a key with 401 long after the configuration that has it was taken, and its proof of the older one
+// seems young. Sequence: a relay, or who hears from it, falls behind by seconds on a small share of a core or of the network;
+// what it was told waits in the buffers of the link and is read late. Cause: a state tells its age from when it was made to when
+// it was written, and the time from there to the reader counts for nothing, so that an old proof is taken for a new one, once for
+// each hop.
+func TestAgeCountsTheTimeInBuffers(t *testing.T) {
+	const usual = 2 * time.Millisecond
+	tests := map[string]struct {
+		// before are the times that earlier frames took, took that of the last.
+		before []time.Duration
+		took   time.Duration
+		// least and most bound the age that the last state is taken to have.
+		least, most time.Duration
+	}{
+		"in time":               {[]time.Duration{usual}, usual, 0, usual},
+		"late by seconds":       {[]time.Duration{usual}, 3 * time.Second, 2900 * time.Millisecond, 3 * time.Second},
+		"later each time":       {[]time.Duration{usual, time.Second, 2 * time.Second}, 3 * time.Second, 2900 * time.Millisecond, 3 * time.Second},
+		"in time again":         {[]time.Duration{usual, 3 * time.Second}, usual, 0, 100 * time.Millisecond},
+		"sooner than the first": {[]time.Duration{500 * time.Millisecond}, usual, 0, usual},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			ck := &clock{now: time.Unix(0, 0)}
+			from := newNode(t, Options{Self: Member{Name: "a"}, Interval: defaultInterval, Now: ck.read})
+			ck.now = ck.now.Add(time.Hour)
+			to := newNode(t, Options{Self: Member{Name: "b"}, Interval: defaultInterval, Now: ck.read})
+			var age time.Duration
+			to.ms.opts.Receive = func(_ Member, _ []byte, made time.Time) { age = ck.now.Sub(made) }
+			wy := newWay(from, to)
+			for i, took := range append(tc.before, tc.took) {
+				from.body = []byte{byte(i)}
+				from.ms.Publish()
+				from.ms.refresh()
+				sent := wy.send(g)
+				to.awaits(ck, took)
+				wy.arrive(g, sent)
+			}
+			g.Expect(age).To(And(BeNumerically(">=", tc.least), BeNumerically("<=", tc.most)))
+		})
+	}
+}
