fix(gossip): the time that a frame lies in buffers makes its states older

Cause: a state's age was that when its frame was made. A relay or a reader that falls behind reads frames seconds later from the buffers of its link, and takes the proof of the configuration in them for new; each hop adds its own delay. The proof then stays young while the version in force is older than one that the store took, and requests with its keys are refused with 401, or a removed key is taken for too long.

Ruled out: the freeze of a process, which stalls counts already (the larger of the two counts, not both); the ages of pulses, which stay as they were, so that a slow link loses nobody.

Change: a frame tells the time from its sender's start to its making, and the receiver takes the least difference to its own clock as the usual way; what a frame took beyond it is added to the age of its states. The least grows by a hundredth of the elapsed time, for clocks that drift apart. A peer that does not tell the time is taken as before.

--- a/internal/gossip/delay_test.go
+++ b/internal/gossip/delay_test.go
@@ -85,3 +85,39 @@
 		})
 	}
 }
+
+// TestDelayOfALinkThatLastsLong takes a frame each second on a link whose clocks differ.
+func TestDelayOfALinkThatLastsLong(t *testing.T) {
+	const frames = 3600
+	tests := map[string]struct {
+		// sent returns the sender's clock when the receiver's has counted so long.
+		sent func(counted time.Duration) time.Duration
+		want time.Duration
+	}{
+		"same clock":                {func(d time.Duration) time.Duration { return d }, 0},
+		"sender's clock ahead":      {func(d time.Duration) time.Duration { return d + time.Hour }, 0},
+		"sender's clock runs slow":  {func(d time.Duration) time.Duration { return d - d/1000 }, 0},
+		"sender's clock runs fast":  {func(d time.Duration) time.Duration { return d + d/1000 }, 0},
+		"sender's clock stood long": {func(d time.Duration) time.Duration { return d - min(d, 10*time.Second) + 1 }, 0},
+		"sender does not tell":      {func(time.Duration) time.Duration { return 0 }, 0},
+		"last frame late": {func(d time.Duration) time.Duration {
+			if d == frames*time.Second {
+				return d - 3*time.Second
+			}
+			return d
+		}, 3*time.Second - time.Second/delayForget},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			began := time.Unix(0, 0)
+			var de delays
+			var delay time.Duration
+			for no := range frames {
+				counted := time.Duration(no+1) * time.Second
+				delay = de.of(tc.sent(counted), began.Add(counted), began)
+			}
+			g.Expect(delay).To(Equal(tc.want))
+		})
+	}
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -62,6 +62,8 @@
 	dials  map[string]*dialState
 	awake  awakeClock
 	stalls stalls
+	// began is when this mesh was made.
+	began time.Time
 	// refreshing is the number of the newest refresh that has begun, refreshed of the newest that has ended.
 	refreshing, refreshed uint64
 	// farewell runs once, when the first of Serve and Run is asked to end.
@@ -83,6 +85,7 @@
 		dials:    map[string]*dialState{},
 		awake:    awakeClock{step: o.Interval, last: now},
 		stalls:   stalls{began: now},
+		began:    now,
 	}
 	ms.log.touch(ms.self, changedAll)
 	ms.published.Store(true)
--- a/internal/gossip/link.go
+++ b/internal/gossip/link.go
@@ -47,6 +47,8 @@
 	done chan struct{}
 	// cards are those received, by entry ID. Only the receiving goroutine uses them.
 	cards map[uint64]*card
+	// delays is used by the receiving goroutine only.
+	delays delays
 }
 
 func (ms *Mesh) newLink(stream drpc.Stream, transport io.Closer, address string) *link {
@@ -172,6 +174,7 @@
 		}
 	}
 	lk.sent = ms.log.last
+	fr.Sent = now.Sub(ms.began)
 	return fr
 }
 
@@ -221,7 +224,9 @@
 func (lk *link) takeLocked(fr frame, now time.Time) ([]event, error) {
 	var events []event
 	lk.heard = lk.ms.awake.at(now)
+	delay := lk.delays.of(fr.Sent, now, lk.ms.began)
 	for _, e := range fr.Entries {
+		e.Delay = delay
 		if e.Card != nil {
 			lk.cards[e.ID] = e.Card
 		}
--- a/internal/gossip/record.go
+++ b/internal/gossip/record.go
@@ -180,7 +180,8 @@
 // takeBody takes a newer state, and returns the newest there is of a live member.
 func (ms *Mesh) takeBody(r *record, e entry, now time.Time) []event {
 	if e.Version > r.version {
-		late := ms.stalls.noticed(ms.awake.at(now), now)
+		// A freeze of this process delayed the frames that came meanwhile: that time counts once.
+		late := max(e.Delay, ms.stalls.noticed(ms.awake.at(now), now))
 		r.version, r.body, r.made = e.Version, e.Body, now.Add(-e.BodyAge-late)
 		ms.log.touch(r, changedState)
 		if len(ms.subscribers) > 0 {
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -31,6 +31,8 @@
 	Version uint64
 	Body    []byte
 	BodyAge time.Duration
+	// Delay is by how much longer than usual the frame was under way. The receiver finds it; it is not on the wire.
+	Delay time.Duration
 }
 
 // senderID is the entry ID of the sender itself.
@@ -43,6 +45,9 @@
 	Entries []entry
 	Asks    []ask
 	Answers []answer
+	// Sent is the time from the sender's start to when the frame was made, in whole milliseconds on the wire; 0 when the
+	// sender does not tell.
+	Sent time.Duration
 }
 
 func (fr *frame) empty() bool {
@@ -77,6 +82,7 @@
 	frameAsk    protowire.Number = 2
 	frameAnswer protowire.Number = 3
 	frameWants  protowire.Number = 4
+	frameSent   protowire.Number = 5
 
 	wantsScope protowire.Number = 1
 	wantsPart  protowire.Number = 2
@@ -151,7 +157,7 @@
 	for _, a := range fr.Answers {
 		b = appendMessage(b, frameAnswer, appendVarint(a.append(nil), documentID, a.ID))
 	}
-	return b
+	return appendVarint(b, frameSent, uint64(fr.Sent.Milliseconds()))
 }
 
 func (su subscription) append(b []byte) []byte {
@@ -208,6 +214,8 @@
 	case frameWants:
 		fr.Wants = &subscription{}
 		err = eachField(f.bytes, fr.Wants.set)
+	case frameSent:
+		fr.Sent = time.Duration(min(f.varint, maxSent)) * time.Millisecond
 	}
 	return err
 }
@@ -301,6 +309,9 @@
 // maxAge is the longest age that is told: far beyond every use of an age, and safe to count in a Duration.
 const maxAge = time.Hour
 
+// maxSent is the longest time since a start that is taken, in milliseconds: some thirty years, and safe to count in a Duration.
+const maxSent = 1 << 40
+
 func micros(d time.Duration) uint64 { return uint64(max(0, min(d, maxAge)).Microseconds()) }
 
 func duration(us uint64) time.Duration {
--- a/internal/gossip/wire_test.go
+++ b/internal/gossip/wire_test.go
@@ -57,6 +57,7 @@
 				Scope: scope(rapid.Uint64().Draw(rt, "scope")), Part: rapid.Uint64().Draw(rt, "part"), Parts: rapid.Uint64().Draw(rt, "parts"),
 			}
 		}
+		in.Sent = time.Duration(rapid.Uint64Range(0, maxSent).Draw(rt, "sent")) * time.Millisecond
 		b, err := encoding{}.Marshal(&in)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(encoding{}.Unmarshal(b, &out)).To(Succeed())
