test(facts): a storm of versions does not put off that the store is asked

Cause: Followers.Lacking counts from when the newest version was told of. While versions come within newsTime of each other, and no peer hands them out, an instance that knows that it lacks one waits until its proof is 3.7 s to 4.1 s old before it asks.

Result: fails, on the fake clock, 3.6 s after the store took the first version that an instance lacks.

--- a/internal/duty/facts/fleet_test.go
+++ b/internal/duty/facts/fleet_test.go
@@ -442,6 +442,41 @@
 	})
 }
 
+// TestVersionsOneAfterAnotherThatNoPeerHandsOut: a storm of versions does not put off that the store is asked.
+//
+// Symptom: instances know for seconds that they lack a newer configuration, and neither fetch it nor ask the store. Sequence:
+// peers tell of a version that they do not hand out in time, and of the next one within a second, again and again. Cause: the
+// time for which a configuration is lacking began anew with each version that peers told of.
+func TestVersionsOneAfterAnotherThatNoPeerHandsOut(t *testing.T) {
+	inFleet(t, func(g *WithT, fl *fleet) {
+		const every, versions = 400 * time.Millisecond, 50
+		fl.mu.Lock()
+		fl.fetched = time.Hour
+		fl.mu.Unlock()
+		began := time.Now()
+		for range versions {
+			fl.change(kindConfiguration)
+			time.Sleep(every)
+			g.Expect(fl.behind(began, every)).To(BeNumerically("<", storm))
+		}
+	})
+}
+
+// storm bounds the age of the first version that an instance lacks while versions come one after another: a follower's pause,
+// newsTime, an instance's own pause after the answer before, and a second for the calls. Changes must be in force after 4 s.
+const storm = newsPause + newsTime + listenerPause + time.Second
+
+// behind returns the greatest time since the store took the first version that an instance lacks, where the store took version 2
+// at a time and one more each time that an interval had gone by.
+func (fl *fleet) behind(began time.Time, every time.Duration) time.Duration {
+	var most time.Duration
+	for _, ma := range fl.machines {
+		version, _ := ma.rd.inForce()
+		most = max(most, time.Since(began)-time.Duration(version-1)*every)
+	}
+	return most
+}
+
 // TestRestartOfOneAmongPeers: who starts again asks the store at once, for callers come already, and then no more.
 func TestRestartOfOneAmongPeers(t *testing.T) {
 	inFleet(t, func(g *WithT, fl *fleet) {
