fix(forwarding): the time for which a configuration is lacking does not begin anew

Ruled out: asking at the first word of a newer version, which would cost a call of each instance for each version; newsTime stays.

Change: Followers keeps the versions told of that are not in force, 64 at most, and Lacking counts from the oldest of them.

--- a/internal/duty/forwarding/forwarding.go
+++ b/internal/duty/forwarding/forwarding.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -58,18 +59,40 @@
 	part atomic.Pointer[func() Part]
 
 	mu sync.Mutex
-	// newest is the newest configuration that a peer told of, heardAt when one first told of it.
-	newest  int64
-	heardAt time.Time
+	// newest is the newest configuration that a peer told of.
+	newest int64
+	// lacked are those told of that were not in force when last asked, the oldest first and at most maxLacked: a storm of
+	// versions does not make the time begin anew for which this instance lacks one.
+	lacked []toldVersion
 }
 
+// toldVersion is a configuration that a peer told of, and when one first did.
+type toldVersion struct {
+	version int64
+	at      time.Time
+}
+
+// maxLacked bounds the configurations remembered as lacking: beyond it, who gets one of the later ones lacks the next for longer
+// than it says, and asks the store sooner.
+const maxLacked = 64
+
 // Heard notes a configuration that a peer told of.
 func (fo *Followers) Heard(version int64) {
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
 	if version > fo.newest {
-		fo.newest, fo.heardAt = version, time.Now()
+		fo.newest = version
+		fo.lack(toldVersion{version: version, at: time.Now()})
+	}
+}
+
+// lack remembers a version; beyond the bound the last one stands for it, with its earlier time. The lock is held.
+func (fo *Followers) lack(tv toldVersion) {
+	if len(fo.lacked) < maxLacked {
+		fo.lacked = append(fo.lacked, tv)
+		return
 	}
+	fo.lacked[maxLacked-1].version = tv.version
 }
 
 // Newest returns the newest configuration that a peer told of.
@@ -79,14 +102,15 @@
 	return fo.newest
 }
 
-// Lacking returns for how long peers have told of a newer configuration than a version; zero when none did.
+// Lacking returns for how long peers have told of a newer configuration than that in force; zero when none did.
 func (fo *Followers) Lacking(version int64) time.Duration {
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
-	if fo.newest <= version {
+	fo.lacked = slices.DeleteFunc(fo.lacked, func(tv toldVersion) bool { return tv.version <= version })
+	if len(fo.lacked) == 0 {
 		return 0
 	}
-	return time.Since(fo.heardAt)
+	return time.Since(fo.lacked[0].at)
 }
 
 // Set sets who decides.
