test(gossip): the age of a state counts the time of its making

Cause: refresh reads the clock after Options.Body has returned.

Result: fails, the proof seems 5 s younger than it is.

--- a/internal/gossip/delay_test.go
+++ b/internal/gossip/delay_test.go
@@ -121,3 +121,22 @@
 		})
 	}
 }
+
+// TestAgeCountsTheMakingOfTheState has an instance freeze while it makes its state.
+//
+// Symptom: as above. Sequence: a member that is frozen, or waits for its share of a core, in the middle of telling its state says
+// how old its proof is, and seconds later that it made its state just now. Cause: the time of the state was read after it was made.
+func TestAgeCountsTheMakingOfTheState(t *testing.T) {
+	const frozen = 5 * time.Second
+	g := NewWithT(t)
+	nd, ck := still(t)
+	provenAt := ck.now
+	var told time.Duration
+	nd.ms.opts.Body = func() []byte {
+		told = ck.now.Sub(provenAt)
+		ck.now = ck.now.Add(frozen)
+		return []byte("state")
+	}
+	nd.ms.refresh()
+	g.Expect(nd.ms.self.made.Add(-told)).NotTo(BeTemporally(">", provenAt))
+}
