fix(gossip): a state's time is read before it is made

Change: refresh reads the clock before Options.Body; the state then seems older by its making, never younger.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -207,8 +207,9 @@
 		return
 	}
 	number := ms.beginRefresh()
+	// The ages in a body hold from before it is made: a freeze until it is there must not make what it proves seem newer.
+	made := ms.opts.Now()
 	body := ms.opts.Body()
-	now := ms.opts.Now()
 	ms.mu.Lock()
 	defer ms.mu.Unlock()
 	ms.refreshed = number
@@ -216,7 +217,7 @@
 		return
 	}
 	ms.self.pulse++
-	ms.self.version, ms.self.body, ms.self.made = ms.self.pulse, body, now
+	ms.self.version, ms.self.body, ms.self.made = ms.self.pulse, body, made
 	ms.log.touch(ms.self, changedState)
 }
 
