--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -62,6 +62,8 @@
 	dials  map[string]*dialState
 	awake  awakeClock
 	stalls stalls
+	// began is when this mesh was made.
+	began time.Time
 	// refreshing is the number of the newest refresh that has begun, refreshed of the newest that has ended.
 	refreshing, refreshed uint64
 	// farewell runs once, when the first of Serve and Run is asked to end.
@@ -83,6 +85,7 @@
 		dials:    map[string]*dialState{},
 		awake:    awakeClock{step: o.Interval, last: now},
 		stalls:   stalls{began: now},
+		began:    now,
 	}
 	ms.log.touch(ms.self, changedAll)
 	ms.published.Store(true)
@@ -204,8 +207,9 @@
 		return
 	}
 	number := ms.beginRefresh()
+	// The ages in a body hold from before it is made: a freeze until it is there must not make what it proves seem newer.
+	made := ms.opts.Now()
 	body := ms.opts.Body()
-	now := ms.opts.Now()
 	ms.mu.Lock()
 	defer ms.mu.Unlock()
 	ms.refreshed = number
@@ -213,7 +217,7 @@
 		return
 	}
 	ms.self.pulse++
-	ms.self.version, ms.self.body, ms.self.made = ms.self.pulse, body, now
+	ms.self.version, ms.self.body, ms.self.made = ms.self.pulse, body, made
 	ms.log.touch(ms.self, changedState)
 }
 
