feat(gateway): which request was broken off, and whether its target ended

The log could not tell whether two requests are the same one under another id, nor whether a target ended or only broke off a connection: its entry goes three to four seconds later.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -9,6 +9,7 @@
 	"github.com/silvermount/silvermount/internal/deadline"
 	"github.com/silvermount/silvermount/internal/dispatch"
 	"github.com/silvermount/silvermount/internal/failure"
+	"github.com/silvermount/silvermount/internal/fingerprint"
 	"github.com/silvermount/silvermount/internal/life"
 	"github.com/silvermount/silvermount/internal/outcome"
 	"github.com/silvermount/silvermount/internal/retry"
@@ -65,6 +66,20 @@
 	first, pause time.Duration
 	// eventAt is when the last event was passed on.
 	eventAt time.Time
+	// print is valid once printed is set: the digest of a long body is made only when it is needed.
+	print   fingerprint.Fingerprint
+	printed bool
+}
+
+// fingerprint returns what names the request again when it comes under another id. It is asked once the body is read.
+func (rq *request) fingerprint() fingerprint.Fingerprint {
+	if !rq.printed {
+		rq.printed = true
+		rq.print = fingerprint.Of(fingerprint.Request{
+			Organisation: rq.org.Name, Method: rq.method, Host: rq.host, Target: rq.target, Body: rq.body,
+		})
+	}
+	return rq.print
 }
 
 func refused(code failure.Code, comeBack time.Duration, format string, args ...any) *failure.Error {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,6 +54,7 @@
 	limits  atomic.Pointer[Limits]
 	machine *life.Machine
 	states  tally
+	probes  probes
 	// proofOld is set while requests with a key are refused for the age of the proof.
 	proofOld atomic.Bool
 	// closed is set once new requests are refused.
--- a/internal/gateway/lines.go
+++ b/internal/gateway/lines.go
@@ -59,10 +59,21 @@
 	fs["cause"] = err.Error()
 	fs["sent"] = sent
 	fs["events"] = rq.events
+	if sent {
+		fs["fingerprint"] = rq.fingerprint().String()
+	}
 	gw.Log.WithFields(fs).Warn("attempt failed")
 	gw.Metrics.GetOrCreateCounter(`silvermount_attempts_failed_total`).Inc()
 }
 
+// logEnded says that a target ended under what it ran, which its entry does not tell before seconds have gone by.
+func (gw *Gateway) logEnded(tg targets.Target, cause string, after time.Duration) {
+	gw.Log.WithFields(log.Fields{
+		"target": tg.ID, "service": tg.Service, "cause": cause, "after": after.Round(100 * time.Microsecond).String(),
+	}).Warn("target ended")
+	gw.Metrics.GetOrCreateCounter(`silvermount_targets_ended_total`).Inc()
+}
+
 func (gw *Gateway) logBelief(tg targets.Target, what, why string) {
 	gw.Log.WithFields(log.Fields{"target": tg.ID, "service": tg.Service, "cause": why}).Info("target " + what)
 }
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -154,5 +154,6 @@
 		return fe
 	}
 	gw.failed(rq, sl.Target, err)
+	gw.broke(sl.Target, err)
 	return failure.New(failure.TargetLost, failure.Unknown, "the target broke off").WithCause(err)
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -206,6 +206,7 @@
 	} else {
 		gw.failed(rq, sl.Target, err)
 	}
+	gw.broke(sl.Target, err)
 	return failure.New(failure.TargetLost, failure.Unknown, "the target broke off before it answered").WithCause(err)
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -55,6 +55,9 @@
 // Unwrap returns the cause.
 func (de *DialError) Unwrap() error { return de.Cause }
 
+// Refused reports whether the machine is there and nothing listens at the address: the process that did has ended.
+func (de *DialError) Refused() bool { return errors.Is(de.Cause, syscall.ECONNREFUSED) }
+
 func dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
 	dl := net.Dialer{
 		Timeout: timeout,
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -75,15 +75,31 @@
 		}
 		pl.drop(address, cn)
 	}
-	cn, err = dial(ctx, address, pl.dialTimeout)
+	cn, err = pl.dial(ctx, address)
+	return cn, false, err
+}
+
+// dial opens a connection and counts it.
+func (pl *Pool) dial(ctx context.Context, address string) (*conn, error) {
+	cn, err := dial(ctx, address, pl.dialTimeout)
 	if err != nil {
-		return nil, false, err
+		return nil, err
 	}
 	pl.dialed.Inc()
 	pl.mu.Lock()
 	pl.open[address]++
 	pl.mu.Unlock()
-	return cn, false, nil
+	return cn, nil
+}
+
+// Probe asks an address for a connection, which then rests for the next request. It fails with a DialError.
+func (pl *Pool) Probe(ctx context.Context, address string) error {
+	cn, err := pl.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	pl.rest(address, cn)
+	return nil
 }
 
 func (pl *Pool) take(address string) *conn {
