--- a/internal/standin/fault/conn.go
+++ b/internal/standin/fault/conn.go
@@ -155,7 +155,12 @@
 func (cn *conn) runWatched(rq *http.Request, kd Kind, tokens int, body []byte) bool {
 	ctx, stop := cn.watch()
 	defer stop()
-	return cn.run(ctx, rq, kd, tokens, func(rn *Run) { cn.server.setBody(rn, body) })
+	return cn.run(ctx, rq, kd, tokens, func(rn *Run) {
+		cn.server.setBody(rn, body)
+		if cn.server.fatal(body) {
+			cn.server.endAfter(ctx)
+		}
+	})
 }
 
 // runEarly answers before it reads the body, and then reads the body from the same connection.
--- a/internal/standin/fault/server.go
+++ b/internal/standin/fault/server.go
@@ -3,6 +3,7 @@
 package fault
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"fmt"
@@ -40,6 +41,12 @@
 	CutAfter int
 	// Known is the host and port by which others reach the target through something in between; empty for its own.
 	Known string
+	// Fatal marks the bodies that end the target which runs them; empty for none.
+	Fatal string
+	// FatalAfter is how long after its beginning such a run ends the target; zero ends it at once.
+	FatalAfter time.Duration
+	// Ended is called by a goroutine of its own each time that End has ended the target; nil when nobody asks.
+	Ended func(*Server)
 }
 
 // DefaultSettings returns the settings of an ordinary target.
@@ -68,12 +75,17 @@
 	gate     *Gate
 	plan     plan
 	sides    map[string]*plan
+	// address is that of the listener, also while there is none.
+	address string
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+
+	mu sync.Mutex
+	// listener is closed while the target has ended.
 	listener net.Listener
-	ctx      context.Context
-	cancel   context.CancelFunc
-	wg       sync.WaitGroup
-
-	mu       sync.Mutex
+	// down is set from End to Return.
+	down     bool
 	instance string
 	draining bool
 	unwell   bool
@@ -93,10 +105,10 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	sv := &Server{
-		settings: se, work: wk, gate: gt, listener: ln, ctx: ctx, cancel: cancel,
+		settings: se, work: wk, gate: gt, listener: ln, address: ln.Addr().String(), ctx: ctx, cancel: cancel,
 		instance: ident.New("i"), conns: map[*conn]struct{}{}, sides: map[string]*plan{},
 	}
-	sv.wg.Go(sv.accept)
+	sv.wg.Go(func() { sv.accept(ln) })
 	return sv, nil
 }
 
@@ -104,7 +116,7 @@
 func (sv *Server) Address() string { return cmp.Or(sv.settings.Known, sv.Listener()) }
 
 // Listener returns the host and port that the target itself listens on.
-func (sv *Server) Listener() string { return sv.listener.Addr().String() }
+func (sv *Server) Listener() string { return sv.address }
 
 // URL returns the base of all paths, without a slash at its end.
 func (sv *Server) URL() string { return "http://" + sv.Address() }
@@ -112,11 +124,69 @@
 // Close ends all connections and waits until every run has ended.
 func (sv *Server) Close() {
 	sv.cancel()
-	_ = sv.listener.Close() // it is closed at most once more
-	sv.resetAll()
+	sv.takeDown()
 	sv.wg.Wait()
 }
 
+// End ends the target as a process ends: its connections are reset, and its address takes none until Return.
+func (sv *Server) End() {
+	if !sv.takeDown() {
+		return
+	}
+	if ended := sv.settings.Ended; ended != nil {
+		sv.wg.Go(func() { ended(sv) })
+	}
+}
+
+// takeDown reports whether the target was not down before.
+func (sv *Server) takeDown() bool {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	before := sv.down
+	sv.down = true
+	_ = sv.listener.Close() // it may be closed already
+	for cn := range sv.conns {
+		cn.reset()
+	}
+	return !before
+}
+
+// Return starts another incarnation at the same address after End. It reports false when the stand-in is closed or the address
+// is taken.
+func (sv *Server) Return() bool {
+	ln, err := net.Listen("tcp", sv.address)
+	if err != nil {
+		return false
+	}
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	if sv.ctx.Err() != nil {
+		_ = ln.Close() // nothing was served on it
+		return false
+	}
+	sv.listener, sv.down = ln, false
+	sv.instance = ident.New("i")
+	sv.draining = false
+	sv.wg.Go(func() { sv.accept(ln) })
+	return true
+}
+
+// endAfter ends the target once the time of a fatal run is over; with a time of zero it has ended on return, and so has ctx, which
+// ends with the caller's connection.
+func (sv *Server) endAfter(ctx context.Context) {
+	if sv.settings.FatalAfter > 0 {
+		time.AfterFunc(sv.settings.FatalAfter, sv.End)
+		return
+	}
+	sv.End()
+	<-ctx.Done()
+}
+
+// fatal reports whether a body ends the target.
+func (sv *Server) fatal(body []byte) bool {
+	return sv.settings.Fatal != "" && bytes.Contains(body, []byte(sv.settings.Fatal))
+}
+
 // Next gives the next n requests a fault; it comes after those set before.
 func (sv *Server) Next(kd Kind, n int) { sv.plan.add(kd, n) }
 
@@ -196,9 +266,9 @@
 	return slices.DeleteFunc(sv.Runs(), func(rn Run) bool { return rn.State != Cancelled })
 }
 
-func (sv *Server) accept() {
+func (sv *Server) accept(ln net.Listener) {
 	for {
-		nc, err := sv.listener.Accept()
+		nc, err := ln.Accept()
 		if err != nil {
 			return // the listener was closed
 		}
@@ -215,7 +285,7 @@
 func (sv *Server) enrol(cn *conn) bool {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	if len(sv.conns) >= sv.settings.MaxConnections || sv.ctx.Err() != nil {
+	if len(sv.conns) >= sv.settings.MaxConnections || sv.ctx.Err() != nil || sv.down {
 		sv.turned++
 		return false
 	}
