--- /dev/null
+++ b/internal/blame/blame.go
@@ -0,0 +1,240 @@
+// Package blame finds the requests that end the targets which run them, and names them again when they come under another id.
+//
+// Each run that a target broke off by ending is held against its request. Many requests run beside each other, so one end is held
+// against many, and targets also end by themselves. A request is judged when so many targets ended under it that neither chance
+// nor another request explains it; a whole answer clears it. Instances tell each other what they saw, so that all judge alike.
+package blame
+
+import (
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+
+	"github.com/silvermount/silvermount/internal/fingerprint"
+)
+
+const (
+	// endsLeast is how many targets end under a request before it may be judged: it is what the operators allow.
+	endsLeast = 3
+	// settleFor is how long after its last end a request is held back before it is judged: several times what instances take to hear
+	// of each other's ends in a fleet of 295 (50 ms). By then it is known which others stood under the same ends.
+	settleFor = 200 * time.Millisecond
+	// endKnownFor is how long after a run was broken off its target's end may become known. The entry of a target that says nothing
+	// goes after three of its heartbeats, 3.6 s.
+	endKnownFor = 6 * time.Second
+	// rememberFor is how long an end is held against what ran there.
+	rememberFor = 10 * time.Minute
+	// judgedFor is how long a request is first refused. It doubles with each time that a target ends under it again right afterwards,
+	// up to judgedMost, so that a request which never changes ends ever fewer targets.
+	judgedFor  = 5 * time.Minute
+	judgedMost = 2 * time.Hour
+	// tellFor is how long what this instance saw is told to peers: longer than their silence before they are taken for lost.
+	tellFor = 15 * time.Second
+)
+
+// The bounds of what is held, each with its memory at the most. They bound a flood of different requests; the oldest gives way.
+const (
+	// maxBroken bounds the runs whose targets may still turn out to have ended, 100 bytes each.
+	maxBroken = 2048
+	// maxEnds bounds the ends, and maxUnder what is held at one of them, 80 bytes each.
+	maxEnds  = 512
+	maxUnder = 64
+	// maxJudged bounds the judgements and what was cleared lately, 100 bytes each.
+	maxJudged = 256
+)
+
+// Run is one run of a request that its target broke off.
+type Run struct {
+	Request fingerprint.Fingerprint
+	// Target is the incarnation that ran it.
+	Target string
+	// Exposure is how long the target had run it: since the head of its answer, or since it was sent where none came.
+	Exposure time.Duration
+	// At is when it was broken off.
+	At time.Time
+}
+
+// end is a target that ended.
+type end struct {
+	at time.Time
+	// under holds the runs that the end broke off, at most maxUnder.
+	under map[fingerprint.Fingerprint]Run
+}
+
+// Options are the seams of a Ledger. All are set.
+type Options struct {
+	// Now is the steady clock.
+	Now func() time.Time
+	// Targets returns how many targets there are.
+	Targets func() int
+	// Gone reports whether a target is gone that never said that it would leave.
+	Gone func(incarnation string) bool
+	// Changed is told when peers have to hear something new. It must not call the ledger.
+	Changed func()
+	Metrics *metrics.Set
+	Log     log.Interface
+}
+
+// Ledger holds what is known of requests under which targets ended. It is safe for use by any goroutine.
+type Ledger struct {
+	opts Options
+
+	mu sync.Mutex
+	// broken holds the runs that were broken off by targets not known to have ended, the oldest first.
+	broken []Run
+	// ends holds the targets that ended, by incarnation.
+	ends map[string]*end
+	// own holds the runs that this instance saw end with their targets, to be told to peers.
+	own []Run
+	// judgements holds those in force and those that have passed lately.
+	judgements map[fingerprint.Fingerprint]Judgement
+	// cleared holds the requests that were cleared lately.
+	cleared map[fingerprint.Fingerprint]clearance
+	// origins counts what is held against requests of an origin.
+	origins map[fingerprint.Origin]int
+}
+
+// New returns an empty ledger.
+func New(op Options) *Ledger {
+	ld := &Ledger{
+		opts: op, ends: map[string]*end{}, judgements: map[fingerprint.Fingerprint]Judgement{},
+		cleared: map[fingerprint.Fingerprint]clearance{}, origins: map[fingerprint.Origin]int{},
+	}
+	op.Metrics.NewGauge("silvermount_requests_judged", func() float64 { return float64(len(ld.Judgements())) })
+	return ld
+}
+
+// Broke notes a run that its target broke off. It is held against the request if the target turns out to have ended.
+func (ld *Ledger) Broke(rn Run) {
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	ld.expire()
+	if _, ended := ld.ends[rn.Target]; ended {
+		ld.hold(rn, true)
+		ld.changed()
+		return
+	}
+	if len(ld.broken) >= maxBroken {
+		ld.broken = ld.broken[1:]
+	}
+	ld.broken = append(ld.broken, rn)
+}
+
+// Ended notes that a target has ended.
+func (ld *Ledger) Ended(incarnation string) {
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	ld.expire()
+	if _, known := ld.ends[incarnation]; known {
+		return
+	}
+	ld.end(incarnation, ld.opts.Now())
+	ld.changed()
+}
+
+// changed judges by what is known now, and has peers told. The lock is held.
+func (ld *Ledger) changed() {
+	ld.judge()
+	ld.count()
+	ld.opts.Changed()
+}
+
+// end notes the end of a target, and holds against their requests the runs that it broke off here. The lock is held.
+func (ld *Ledger) end(incarnation string, at time.Time) {
+	if len(ld.ends) >= maxEnds {
+		ld.forgetOldest()
+	}
+	ld.ends[incarnation] = &end{at: at, under: map[fingerprint.Fingerprint]Run{}}
+	kept := ld.broken[:0]
+	for _, rn := range ld.broken {
+		if rn.Target != incarnation {
+			kept = append(kept, rn)
+			continue
+		}
+		ld.hold(rn, true)
+	}
+	ld.broken = kept
+}
+
+// hold holds the end of a target against the request that it ran. The lock is held.
+func (ld *Ledger) hold(rn Run, own bool) {
+	en := ld.ends[rn.Target]
+	if _, known := en.under[rn.Request]; known || len(en.under) >= maxUnder {
+		return
+	}
+	if cl, ok := ld.cleared[rn.Request]; ok && !rn.At.After(cl.at) {
+		return
+	}
+	en.under[rn.Request] = rn
+	if rn.At.Before(en.at) {
+		en.at = rn.At
+	}
+	if own {
+		ld.own = append(ld.own, rn)
+	}
+}
+
+// Served notes a whole answer, which clears the request of all that happened before.
+func (ld *Ledger) Served(fp fingerprint.Fingerprint) {
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	ld.expire()
+	if ld.clear(fp, clearance{at: ld.opts.Now()}) {
+		ld.changed()
+	}
+}
+
+// Knows reports whether anything is held against a request of an origin. Only then Check and Served have to be asked.
+func (ld *Ledger) Knows(or fingerprint.Origin) bool {
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	return ld.origins[or] > 0
+}
+
+// count counts anew what is held by origin. The lock is held.
+func (ld *Ledger) count() {
+	clear(ld.origins)
+	for _, en := range ld.ends {
+		for fp := range en.under {
+			ld.origins[fp.Origin()]++
+		}
+	}
+	for fp := range ld.judgements {
+		ld.origins[fp.Origin()]++
+	}
+}
+
+// expire forgets what is too old, after a last look at whether the targets of broken runs are gone. The lock is held.
+func (ld *Ledger) expire() {
+	now := ld.opts.Now()
+	for len(ld.broken) > 0 && now.Sub(ld.broken[0].At) > endKnownFor {
+		rn := ld.broken[0]
+		if ld.opts.Gone(rn.Target) {
+			ld.end(rn.Target, rn.At)
+			continue
+		}
+		ld.broken = ld.broken[1:]
+	}
+	for len(ld.own) > 0 && now.Sub(ld.own[0].At) > tellFor {
+		ld.own = ld.own[1:]
+	}
+	for id, en := range ld.ends {
+		if now.Sub(en.at) > rememberFor {
+			delete(ld.ends, id)
+		}
+	}
+	ld.expireJudgements(now)
+}
+
+// forgetOldest forgets the end that is longest ago. The lock is held.
+func (ld *Ledger) forgetOldest() {
+	oldest := ""
+	for id, en := range ld.ends {
+		if oldest == "" || en.at.Before(ld.ends[oldest].at) {
+			oldest = id
+		}
+	}
+	delete(ld.ends, oldest)
+}
--- /dev/null
+++ b/internal/blame/blame_test.go
@@ -0,0 +1,393 @@
+package blame_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	. "github.com/onsi/gomega"
+
+	"github.com/silvermount/silvermount/internal/blame"
+	"github.com/silvermount/silvermount/internal/fingerprint"
+)
+
+const (
+	// settled is longer than a request is held back before it is judged.
+	settled = 250 * time.Millisecond
+	// brief is how long a run lasts that ends its target; lasting is that of a long answer.
+	brief   = 100 * time.Millisecond
+	lasting = 4 * time.Second
+	// lapse is how long a request is first refused.
+	lapse = 5 * time.Minute
+)
+
+// clock is a steady clock that a test sets.
+type clock struct{ now time.Time }
+
+func newClock() *clock { return &clock{now: time.Unix(1_000_000, 0)} }
+
+func (ck *clock) pass(d time.Duration) { ck.now = ck.now.Add(d) }
+
+// instance is a ledger and what its targets are believed to be.
+type instance struct {
+	*blame.Ledger
+	ck *clock
+	// gone holds targets that are gone by the list.
+	gone map[string]bool
+	// news counts how often peers were to hear something.
+	news int
+}
+
+func newInstance(ck *clock, targets int) *instance {
+	in := &instance{ck: ck, gone: map[string]bool{}}
+	in.Ledger = blame.New(blame.Options{
+		Now: func() time.Time { return ck.now }, Targets: func() int { return targets },
+		Gone: func(id string) bool { return in.gone[id] }, Changed: func() { in.news++ }, Metrics: metrics.NewSet(),
+		Log: &log.Logger{Handler: discard.New(), Level: log.ErrorLevel},
+	})
+	return in
+}
+
+func request(name string) fingerprint.Fingerprint {
+	return fingerprint.Of(fingerprint.Request{Organisation: "red", Target: name})
+}
+
+// broke lets a target break off runs of requests and end, if it does.
+func (in *instance) broke(target string, ended bool, exposure time.Duration, names ...string) {
+	for _, name := range names {
+		in.Broke(blame.Run{Request: request(name), Target: target, Exposure: exposure, At: in.ck.now})
+	}
+	if ended {
+		in.Ended(target)
+	}
+}
+
+// tell brings what an instance knows to others, over the wire.
+func (in *instance) tell(t *testing.T, others ...*instance) {
+	t.Helper()
+	b := in.Notes().Encode(in.ck.now)
+	nt, err := blame.Decode(b, in.ck.now)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	for _, other := range others {
+		other.Hear("peer", nt)
+	}
+}
+
+func (in *instance) judged(name string) bool { return in.Check(request(name)).Judged }
+
+func TestCheck(t *testing.T) {
+	ends := func(in *instance, n int, names ...string) {
+		for no := range n {
+			in.broke(fmt.Sprint("target-", no), true, brief, names...)
+			in.ck.pass(time.Second)
+		}
+	}
+	cases := map[string]struct {
+		act  func(in *instance)
+		want bool
+	}{
+		"nothing":         {func(*instance) {}, false},
+		"two ends":        {func(in *instance) { ends(in, 2, "fatal") }, false},
+		"three ends":      {func(in *instance) { ends(in, 3, "fatal") }, true},
+		"another request": {func(in *instance) { ends(in, 3, "other") }, false},
+		"broken off by targets that did not end": {func(in *instance) {
+			for no := range 9 {
+				in.broke(fmt.Sprint("target-", no), false, brief, "fatal")
+			}
+		}, false},
+		"one target, many runs": {func(in *instance) {
+			for range 9 {
+				in.broke("target", true, brief, "fatal")
+			}
+		}, false},
+		"the end is known first": {func(in *instance) {
+			for no := range 3 {
+				in.Ended(fmt.Sprint("target-", no))
+				in.broke(fmt.Sprint("target-", no), false, brief, "fatal")
+			}
+		}, true},
+		"by entries that go seconds later": {func(in *instance) {
+			for no := range 3 {
+				in.broke(fmt.Sprint("target-", no), false, brief, "fatal")
+				in.gone[fmt.Sprint("target-", no)] = true
+			}
+			in.ck.pass(7 * time.Second)
+		}, true},
+		"long after they were broken off": {func(in *instance) {
+			for no := range 3 {
+				in.broke(fmt.Sprint("target-", no), false, brief, "fatal")
+			}
+			in.ck.pass(7 * time.Second)
+			ends(in, 3)
+		}, false},
+		"answered whole in between": {func(in *instance) {
+			ends(in, 2, "fatal")
+			in.Served(request("fatal"))
+			in.broke("last", true, brief, "fatal")
+		}, false},
+		"answered whole after it was judged": {func(in *instance) {
+			ends(in, 3, "fatal")
+			in.judged("fatal")
+			in.Served(request("fatal"))
+		}, false},
+		"lifted": {func(in *instance) {
+			ends(in, 3, "fatal")
+			in.judged("fatal")
+			in.Lift(request("fatal"))
+		}, false},
+		"after its time": {func(in *instance) {
+			ends(in, 3, "fatal")
+			in.judged("fatal")
+			in.ck.pass(lapse)
+		}, false},
+		"again after its time": {func(in *instance) {
+			ends(in, 3, "fatal")
+			in.judged("fatal")
+			in.ck.pass(lapse)
+			in.broke("again", true, brief, "fatal")
+		}, true},
+		"ends a quarter of an hour apart": {func(in *instance) {
+			for no := range 3 {
+				in.broke(fmt.Sprint("target-", no), true, brief, "fatal")
+				in.ck.pass(15 * time.Minute)
+			}
+		}, false},
+		"beside the one that is judged": {func(in *instance) { ends(in, 3, "other") }, false},
+		"long runs while other targets end too": {func(in *instance) {
+			for no := range 24 {
+				in.broke(fmt.Sprint("other-", no), true, lasting, fmt.Sprint("other-", no))
+				in.ck.pass(400 * time.Millisecond)
+				if no%8 == 0 {
+					in.broke(fmt.Sprint("target-", no), true, lasting, "fatal")
+				}
+			}
+		}, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			in := newInstance(newClock(), 12)
+			tc.act(in)
+			in.ck.pass(settled)
+			NewWithT(t).Expect(in.judged("fatal")).To(Equal(tc.want))
+		})
+	}
+}
+
+func TestSuspectIsHeldBackBeforeItIsJudged(t *testing.T) {
+	g := NewWithT(t)
+	in := newInstance(newClock(), 12)
+	for no := range 3 {
+		g.Expect(in.Check(request("fatal")).Hold).To(BeZero())
+		in.broke(fmt.Sprint("target-", no), true, brief, "fatal")
+	}
+	g.Expect(in.Knows(request("fatal").Origin())).To(BeTrue())
+	vd := in.Check(request("fatal"))
+	g.Expect(vd.Judged).To(BeFalse())
+	g.Expect(vd.Hold).To(BeNumerically(">", 0))
+	in.ck.pass(vd.Hold)
+	g.Expect(in.Check(request("fatal"))).To(Equal(blame.Verdict{Judged: true, Ends: 3}))
+	g.Expect(in.Knows(request("another").Origin())).To(BeFalse())
+}
+
+// TestNeighboursAreNotJudged lets two requests stand under the same ends.
+func TestNeighboursAreNotJudged(t *testing.T) {
+	cases := map[string]struct {
+		ends                 int
+		neighbour            time.Duration
+		wantFatal, wantOther bool
+	}{
+		"the neighbour ran for long":         {3, lasting, true, false},
+		"alike":                              {3, brief, false, false},
+		"alike, once more":                   {4, brief, false, false},
+		"always together: one of the two is": {5, brief / 2, false, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			in := newInstance(newClock(), 12)
+			for no := range tc.ends {
+				target := fmt.Sprint("target-", no)
+				in.broke(target, false, tc.neighbour, "other")
+				in.broke(target, true, brief, "fatal")
+				in.ck.pass(time.Second)
+			}
+			g.Expect(in.judged("fatal")).To(Equal(tc.wantFatal))
+			g.Expect(in.judged("other")).To(Equal(tc.wantOther))
+		})
+	}
+}
+
+// TestLikeRequestsAreToldApart lets two that were alike run apart.
+func TestLikeRequestsAreToldApart(t *testing.T) {
+	g := NewWithT(t)
+	in := newInstance(newClock(), 12)
+	for no := range 3 {
+		in.broke(fmt.Sprint("target-", no), true, brief, "fatal", "other")
+	}
+	in.ck.pass(settled)
+	g.Expect(in.judged("fatal")).To(BeFalse())
+	in.Served(request("other"))
+	g.Expect(in.judged("fatal")).To(BeTrue())
+	g.Expect(in.judged("other")).To(BeFalse())
+}
+
+func TestTermsGrow(t *testing.T) {
+	g := NewWithT(t)
+	in := newInstance(newClock(), 12)
+	for no := range 3 {
+		in.broke(fmt.Sprint("target-", no), true, brief, "fatal")
+	}
+	in.ck.pass(settled)
+	for level, want := range []time.Duration{
+		5 * time.Minute, 10 * time.Minute, 20 * time.Minute, 40 * time.Minute, 80 * time.Minute,
+		2 * time.Hour, 2 * time.Hour,
+	} {
+		g.Expect(in.judged("fatal")).To(BeTrue())
+		jd := in.Judgements()[0]
+		g.Expect(jd.Until.Sub(jd.Since)).To(Equal(want))
+		g.Expect(jd.Level).To(Equal(level + 1))
+		in.ck.pass(want)
+		g.Expect(in.judged("fatal")).To(BeFalse())
+		in.broke(fmt.Sprint("once-more-", level), true, brief, "fatal")
+		in.ck.pass(settled)
+	}
+}
+
+// TestInstancesAddUpWhatTheySaw lets each of three instances see one end.
+func TestInstancesAddUpWhatTheySaw(t *testing.T) {
+	g := NewWithT(t)
+	ck := newClock()
+	a, b, c := newInstance(ck, 12), newInstance(ck, 12), newInstance(ck, 12)
+	for no, in := range []*instance{a, b, c} {
+		in.broke(fmt.Sprint("target-", no), true, brief, "fatal")
+	}
+	a.tell(t, b, c)
+	b.tell(t, a, c)
+	c.tell(t, a, b)
+	ck.pass(settled)
+	for _, in := range []*instance{a, b, c} {
+		g.Expect(in.judged("fatal")).To(BeTrue())
+	}
+}
+
+// TestEndThatAPeerSaw lets one instance see the end of a target that broke off the runs of another.
+func TestEndThatAPeerSaw(t *testing.T) {
+	g := NewWithT(t)
+	ck := newClock()
+	a, b := newInstance(ck, 12), newInstance(ck, 12)
+	for no := range 3 {
+		target := fmt.Sprint("target-", no)
+		a.broke(target, false, brief, "fatal")
+		b.broke(target, true, lasting, "other")
+	}
+	b.tell(t, a)
+	a.tell(t, b)
+	ck.pass(settled)
+	g.Expect(a.judged("fatal")).To(BeTrue())
+	g.Expect(b.judged("fatal")).To(BeTrue())
+	g.Expect(a.judged("other")).To(BeFalse())
+}
+
+// TestOneThatStartsHears lets an instance start after the others judged, and hear of it from one that did not see the ends.
+func TestOneThatStartsHears(t *testing.T) {
+	g := NewWithT(t)
+	ck := newClock()
+	a, b, late := newInstance(ck, 12), newInstance(ck, 12), newInstance(ck, 12)
+	for no := range 3 {
+		a.broke(fmt.Sprint("target-", no), true, brief, "fatal")
+	}
+	ck.pass(settled)
+	g.Expect(a.judged("fatal")).To(BeTrue())
+	a.tell(t, b)
+	ck.pass(time.Minute)
+	b.tell(t, late)
+	g.Expect(late.judged("fatal")).To(BeTrue())
+	ck.pass(lapse - time.Minute)
+	for _, in := range []*instance{a, b, late} {
+		g.Expect(in.judged("fatal")).To(BeFalse())
+		in.tell(t, a, b, late)
+	}
+	for _, in := range []*instance{a, b, late} {
+		g.Expect(in.judged("fatal")).To(BeFalse(), "told again after its time")
+	}
+}
+
+// TestWhatWasTakenBackStaysSo lets a peer that was cut off tell a judgement that the others have taken back.
+func TestWhatWasTakenBackStaysSo(t *testing.T) {
+	cases := map[string]struct {
+		take func(in *instance)
+		// heard is set when the one that was cut off is told too, by one that did not take it back itself.
+		heard bool
+	}{
+		"by a whole answer": {func(in *instance) { in.Served(request("fatal")) }, false},
+		"by an operator":    {func(in *instance) { in.Lift(request("fatal")) }, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			ck := newClock()
+			a, b, cut := newInstance(ck, 12), newInstance(ck, 12), newInstance(ck, 12)
+			for no := range 3 {
+				a.broke(fmt.Sprint("target-", no), true, brief, "fatal")
+			}
+			ck.pass(settled)
+			g.Expect(a.judged("fatal")).To(BeTrue())
+			a.tell(t, b, cut)
+			ck.pass(time.Second)
+			tc.take(a)
+			a.tell(t, b)
+			g.Expect(b.judged("fatal")).To(BeFalse())
+			ck.pass(30 * time.Second)
+			cut.tell(t, a, b)
+			g.Expect(a.judged("fatal")).To(BeFalse())
+			g.Expect(b.judged("fatal")).To(BeFalse())
+			b.tell(t, cut)
+			g.Expect(cut.judged("fatal")).To(Equal(!tc.heard))
+			// It is judged again for what it does afterwards.
+			for no := range 3 {
+				b.broke(fmt.Sprint("later-", no), true, brief, "fatal")
+			}
+			ck.pass(settled)
+			g.Expect(b.judged("fatal")).To(BeTrue())
+		})
+	}
+}
+
+// TestFloodOfRequests holds far more against different requests than is remembered.
+func TestFloodOfRequests(t *testing.T) {
+	g := NewWithT(t)
+	in := newInstance(newClock(), 12)
+	for no := range 1000 {
+		var names []string
+		for at := range 100 {
+			names = append(names, fmt.Sprint("flood-", no, "-", at))
+		}
+		in.broke(fmt.Sprint("target-", no), no%2 == 0, lasting, names...)
+		in.ck.pass(10 * time.Millisecond)
+	}
+	g.Expect(len(in.Notes().Encode(in.ck.now))).To(BeNumerically("<", 16<<10))
+	g.Expect(in.Judgements()).To(BeEmpty())
+	for no := range 3 {
+		in.broke(fmt.Sprint("fatal-", no), true, time.Millisecond, "fatal")
+	}
+	in.ck.pass(settled)
+	g.Expect(in.judged("fatal")).To(BeTrue())
+}
+
+func TestPeersHearOfWhatIsNew(t *testing.T) {
+	g := NewWithT(t)
+	in := newInstance(newClock(), 12)
+	in.broke("target", false, brief, "fatal")
+	g.Expect(in.news).To(BeZero(), "nothing is known of the target yet")
+	in.Ended("target")
+	g.Expect(in.news).To(Equal(1))
+	in.Ended("target")
+	g.Expect(in.news).To(Equal(1))
+	in.Served(request("other"))
+	g.Expect(in.news).To(Equal(1))
+	in.Served(request("fatal"))
+	g.Expect(in.news).To(Equal(2))
+}
--- /dev/null
+++ b/internal/blame/judge.go
@@ -0,0 +1,187 @@
+package blame
+
+import (
+	"bytes"
+	"cmp"
+	"math"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/silvermount/silvermount/internal/fingerprint"
+)
+
+const (
+	// chanceMost is how likely it may be, at the most, that targets ended by themselves just while a request ran, for it to be
+	// judged. Among the thousands of requests that stand beside ends in a bad minute, chance then judges one in a hundred such
+	// minutes: with 12 targets of which one ends every 0.4 s, a request of 0.1 s has three ends in a row with 8 in 1,000,000.
+	chanceMost = 1e-6
+	// chanceAgain is the same for a single end soon after a judgement has passed.
+	chanceAgain = 1e-2
+	// nearby is the time before and after an end in which other ends tell how often targets end anyway.
+	nearby = 5 * time.Second
+	// endsUnseen is added to the ends that were seen nearby, so that none seen is not taken for none possible.
+	endsUnseen = 0.5
+	// exposureLeast is the least time that a run is taken to have been at its target: a round trip.
+	exposureLeast = time.Millisecond
+	// clearer is how much less likely by chance the ends under a request must be than those under another that stood under all of
+	// them too. Between two that are alike the next end decides, or the next whole answer.
+	clearer = 100
+	// alikeEnds is how many ends judge the likeliest even so: requests that always come together would never be told apart.
+	alikeEnds = endsLeast + 2
+)
+
+// suspect is a request with what is held against it.
+type suspect struct {
+	request fingerprint.Fingerprint
+	// runs are those at targets whose ends nothing else explains, by target.
+	runs []Run
+	// chance is how likely targets ended by themselves in all of them.
+	chance float64
+}
+
+// last returns when the newest of the runs was broken off.
+func (sp suspect) last() time.Time {
+	var at time.Time
+	for _, rn := range sp.runs {
+		if rn.At.After(at) {
+			at = rn.At
+		}
+	}
+	return at
+}
+
+// likely reports whether so many targets ended under the request that it is to be judged, once all is known of them. before is its
+// judgement that has passed, if any.
+func (sp suspect) likely(before Judgement) bool {
+	if before.Level > 0 {
+		return len(sp.runs) > 0 && sp.chance <= chanceAgain
+	}
+	return len(sp.runs) >= endsLeast && sp.chance <= chanceMost
+}
+
+// judge judges requests by what is known now, the most suspect first: it explains the ends under it, which are then held against
+// nobody else. It reports whether it judged any. The lock is held.
+func (ld *Ledger) judge() bool {
+	judged := false
+	for {
+		sp, ok := ld.mostSuspect()
+		if !ok {
+			return judged
+		}
+		judged = true
+		now := ld.opts.Now()
+		before := ld.judgements[sp.request]
+		level := before.Level + 1
+		jd := Judgement{
+			Request: sp.request, Ends: before.Ends + len(sp.runs), Level: level, Since: now, Until: now.Add(term(level)),
+		}
+		ld.pass(jd, log.Fields{
+			"source": "own", "targets": names(sp.runs), "chance": strconv.FormatFloat(sp.chance, 'e', 1, 64),
+		})
+	}
+}
+
+// mostSuspect returns the request that is to be judged next. The lock is held.
+func (ld *Ledger) mostSuspect() (suspect, bool) {
+	suspects := ld.suspects()
+	slices.SortFunc(suspects, func(a, b suspect) int {
+		return cmp.Or(cmp.Compare(len(b.runs), len(a.runs)), cmp.Compare(a.chance, b.chance),
+			bytes.Compare(a.request[:], b.request[:]))
+	})
+	now := ld.opts.Now()
+	for _, sp := range suspects {
+		settled := now.Sub(sp.last()) >= settleFor
+		if settled && sp.likely(ld.judgements[sp.request]) && (len(sp.runs) >= alikeEnds || !sp.alike(suspects)) {
+			return sp, true
+		}
+	}
+	return suspect{}, false
+}
+
+// alike reports whether another request stood under all the same ends and is not clearly less suspect.
+func (sp suspect) alike(suspects []suspect) bool {
+	return slices.ContainsFunc(suspects, func(other suspect) bool {
+		return other.request != sp.request && other.chance < clearer*sp.chance && other.covers(sp.runs)
+	})
+}
+
+// covers reports whether all runs were at targets that the request ran at too.
+func (sp suspect) covers(runs []Run) bool {
+	for _, rn := range runs {
+		if !slices.ContainsFunc(sp.runs, func(own Run) bool { return own.Target == rn.Target }) {
+			return false
+		}
+	}
+	return true
+}
+
+// suspects returns the requests that may have to be judged. The lock is held.
+func (ld *Ledger) suspects() []suspect {
+	open := ld.open()
+	counts := map[fingerprint.Fingerprint]int{}
+	for _, en := range open {
+		for fp := range en.under {
+			counts[fp]++
+		}
+	}
+	var list []suspect
+	for fp, n := range counts {
+		if _, before := ld.judgements[fp]; before || n >= endsLeast {
+			list = append(list, ld.suspect(fp, open))
+		}
+	}
+	return list
+}
+
+// open returns the ends that no judged request explains. The lock is held.
+func (ld *Ledger) open() []*end {
+	open := make([]*end, 0, len(ld.ends))
+	for _, en := range ld.ends {
+		if !ld.explained(en) {
+			open = append(open, en)
+		}
+	}
+	return open
+}
+
+// explained reports whether a request that was judged afterwards explains an end. The lock is held.
+func (ld *Ledger) explained(en *end) bool {
+	if len(ld.judgements) == 0 {
+		return false
+	}
+	for fp, rn := range en.under {
+		if jd, judged := ld.judgements[fp]; judged && rn.At.Before(jd.Until) {
+			return true
+		}
+	}
+	return false
+}
+
+// suspect returns what open ends are held against a request. The lock is held.
+func (ld *Ledger) suspect(fp fingerprint.Fingerprint, open []*end) suspect {
+	sp := suspect{request: fp, chance: 1}
+	for _, en := range open {
+		if rn, ran := en.under[fp]; ran {
+			sp.runs = append(sp.runs, rn)
+			sp.chance *= ld.chance(rn, open)
+		}
+	}
+	return sp
+}
+
+// chance is how likely a target ended by itself while it ran a request, by how often targets ended about then that did not run it.
+// The lock is held.
+func (ld *Ledger) chance(rn Run, open []*end) float64 {
+	others := endsUnseen
+	for _, en := range open {
+		if _, ran := en.under[rn.Request]; !ran && en.at.Sub(rn.At).Abs() <= nearby {
+			others++
+		}
+	}
+	seen := nearby + min(nearby, ld.opts.Now().Sub(rn.At))
+	rate := others / (float64(max(1, ld.opts.Targets())) * seen.Seconds())
+	return 1 - math.Exp(-rate*max(rn.Exposure, exposureLeast).Seconds())
+}
--- /dev/null
+++ b/internal/blame/judgement.go
@@ -0,0 +1,193 @@
+package blame
+
+import (
+	"bytes"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/silvermount/silvermount/internal/fingerprint"
+)
+
+// Judgement says that a request ends the targets that run it.
+type Judgement struct {
+	Request fingerprint.Fingerprint
+	// Ends is how many targets had ended under it.
+	Ends int
+	// Level counts the judgements in a row, from 1.
+	Level int
+	// Since is when it was judged, Until how long it is refused.
+	Since, Until time.Time
+}
+
+// inForce reports whether the request is refused at a time.
+func (jd Judgement) inForce(now time.Time) bool { return now.Before(jd.Until) }
+
+// forgetAt is when a judgement that has passed is forgotten: until then one more end is enough for the next.
+func (jd Judgement) forgetAt() time.Time { return jd.Until.Add(jd.Until.Sub(jd.Since)) }
+
+// term is how long a judgement of a level is in force.
+func term(level int) time.Duration {
+	d := judgedFor
+	for range level - 1 {
+		d = min(2*d, judgedMost)
+	}
+	return d
+}
+
+// clearance says that nothing is held against a request that happened up to a time.
+type clearance struct {
+	at time.Time
+	// until is how long it stands against judgements that peers still tell; zero where there was none.
+	until time.Time
+	// lifted is set when an operator cleared it: then all instances tell it on.
+	lifted bool
+}
+
+// Verdict says what is to be done with a request.
+type Verdict struct {
+	// Judged is set when it is not to be run.
+	Judged bool
+	// Ends is how many targets had ended under it.
+	Ends int
+	// Hold is how long it is to wait before it is looked at again; zero when it may run.
+	Hold time.Duration
+}
+
+// Check says what is to be done with a request that is about to be sent to a target.
+func (ld *Ledger) Check(fp fingerprint.Fingerprint) Verdict {
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	ld.expire()
+	if ld.judge() {
+		ld.count()
+		ld.opts.Changed()
+	}
+	now := ld.opts.Now()
+	if jd, ok := ld.judgements[fp]; ok && jd.inForce(now) {
+		return Verdict{Judged: true, Ends: jd.Ends}
+	}
+	sp := ld.suspect(fp, ld.open())
+	if !sp.likely(ld.judgements[fp]) {
+		return Verdict{Ends: len(sp.runs)}
+	}
+	return Verdict{Ends: len(sp.runs), Hold: max(0, settleFor-now.Sub(sp.last()))}
+}
+
+// Judgements returns those in force, by fingerprint.
+func (ld *Ledger) Judgements() []Judgement {
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	now := ld.opts.Now()
+	var list []Judgement
+	for _, jd := range ld.judgements {
+		if jd.inForce(now) {
+			list = append(list, jd)
+		}
+	}
+	slices.SortFunc(list, func(a, b Judgement) int { return bytes.Compare(a.Request[:], b.Request[:]) })
+	return list
+}
+
+// Lift takes a judgement back at all instances. It reports whether there was one.
+func (ld *Ledger) Lift(fp fingerprint.Fingerprint) bool {
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	ld.expire()
+	if _, judged := ld.judgements[fp]; !judged {
+		return false
+	}
+	ld.clear(fp, clearance{at: ld.opts.Now(), lifted: true})
+	ld.changed()
+	return true
+}
+
+// pass notes a judgement. The lock is held.
+func (ld *Ledger) pass(jd Judgement, fields log.Fields) {
+	if len(ld.judgements) >= maxJudged {
+		ld.forgetJudgement()
+	}
+	ld.judgements[jd.Request] = jd
+	fields["fingerprint"] = jd.Request.String()
+	fields["ends"] = jd.Ends
+	fields["level"] = jd.Level
+	fields["for"] = jd.Until.Sub(ld.opts.Now()).Round(time.Second).String()
+	ld.opts.Log.WithFields(fields).Warn("request judged to end its targets")
+}
+
+// forgetJudgement forgets the judgement that passes first. The lock is held.
+func (ld *Ledger) forgetJudgement() {
+	var first Judgement
+	for _, jd := range ld.judgements {
+		if first.Until.IsZero() || jd.Until.Before(first.Until) {
+			first = jd
+		}
+	}
+	delete(ld.judgements, first.Request)
+}
+
+// clear takes back all that is held against a request up to a time, and reports whether that was anything. The lock is held.
+func (ld *Ledger) clear(fp fingerprint.Fingerprint, cl clearance) bool {
+	held := false
+	for _, en := range ld.ends {
+		if rn, ok := en.under[fp]; ok && !rn.At.After(cl.at) {
+			delete(en.under, fp)
+			held = true
+		}
+	}
+	ld.own = slices.DeleteFunc(ld.own, func(rn Run) bool { return rn.Request == fp && !rn.At.After(cl.at) })
+	ld.broken = slices.DeleteFunc(ld.broken, func(rn Run) bool { return rn.Request == fp && !rn.At.After(cl.at) })
+	if jd, ok := ld.judgements[fp]; ok {
+		held = true
+		cl.until = jd.forgetAt()
+		delete(ld.judgements, fp)
+		ld.opts.Log.WithFields(log.Fields{
+			"fingerprint": fp.String(), "ends": jd.Ends, "lifted": cl.lifted,
+		}).Warn("judgement taken back")
+	}
+	if !held {
+		return false
+	}
+	if len(ld.cleared) >= maxJudged {
+		ld.forgetCleared()
+	}
+	ld.cleared[fp] = cl
+	return true
+}
+
+// forgetCleared forgets the clearance that is longest ago. The lock is held.
+func (ld *Ledger) forgetCleared() {
+	var oldest fingerprint.Fingerprint
+	for fp, cl := range ld.cleared {
+		if first, ok := ld.cleared[oldest]; !ok || cl.at.Before(first.at) {
+			oldest = fp
+		}
+	}
+	delete(ld.cleared, oldest)
+}
+
+// expireJudgements forgets judgements and clearances that are too old. The lock is held.
+func (ld *Ledger) expireJudgements(now time.Time) {
+	for fp, jd := range ld.judgements {
+		if !now.Before(jd.forgetAt()) {
+			delete(ld.judgements, fp)
+		}
+	}
+	for fp, cl := range ld.cleared {
+		if now.Sub(cl.at) > tellFor && !now.Before(cl.until) {
+			delete(ld.cleared, fp)
+		}
+	}
+}
+
+// names lists the targets of runs, separated by commas.
+func names(runs []Run) string {
+	ids := make([]string, len(runs))
+	for i, rn := range runs {
+		ids[i] = rn.Target
+	}
+	slices.Sort(ids)
+	return strings.Join(ids, ",")
+}
--- /dev/null
+++ b/internal/blame/share.go
@@ -0,0 +1,106 @@
+package blame
+
+import (
+	"bytes"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/silvermount/silvermount/internal/fingerprint"
+)
+
+// clearMargin is how much later than a clearance a judgement that a peer tells must have been passed to stand against it: ages told
+// by peers are off by what their frames were under way.
+const clearMargin = time.Second
+
+// Clearance tells a peer that nothing is held against a request that happened up to a time.
+type Clearance struct {
+	Request fingerprint.Fingerprint
+	At      time.Time
+	// Lifted is set when an operator cleared it. It stands until Until.
+	Lifted bool
+	Until  time.Time
+}
+
+// Notes are what an instance tells its peers. Their times are on its own clock; on the wire they are ages.
+type Notes struct {
+	// Runs are those that the instance itself saw end with their targets lately.
+	Runs []Run
+	// Clearances are its own lately, and what operators lifted anywhere.
+	Clearances []Clearance
+	// Judgements are all that it knows of, so that one that starts hears of them from whoever it meets first.
+	Judgements []Judgement
+}
+
+// Notes returns what peers have to hear now. Equal notes are in the same order.
+func (ld *Ledger) Notes() Notes {
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	ld.expire()
+	now := ld.opts.Now()
+	nt := Notes{Runs: slices.Clone(ld.own)}
+	for fp, cl := range ld.cleared {
+		if cl.lifted || now.Sub(cl.at) <= tellFor {
+			nt.Clearances = append(nt.Clearances, Clearance{Request: fp, At: cl.at, Lifted: cl.lifted, Until: cl.until})
+		}
+	}
+	for _, jd := range ld.judgements {
+		nt.Judgements = append(nt.Judgements, jd)
+	}
+	slices.SortFunc(nt.Clearances, func(a, b Clearance) int { return bytes.Compare(a.Request[:], b.Request[:]) })
+	slices.SortFunc(nt.Judgements, func(a, b Judgement) int { return bytes.Compare(a.Request[:], b.Request[:]) })
+	return nt
+}
+
+// Hear takes what a peer tells.
+func (ld *Ledger) Hear(peer string, nt Notes) {
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	ld.expire()
+	before := len(ld.own)
+	for _, cl := range nt.Clearances {
+		ld.hearClearance(cl)
+	}
+	for _, rn := range nt.Runs {
+		if _, known := ld.ends[rn.Target]; !known {
+			ld.end(rn.Target, rn.At)
+		}
+		ld.hold(rn, false)
+	}
+	for _, jd := range nt.Judgements {
+		ld.hearJudgement(peer, jd)
+	}
+	judged := ld.judge()
+	ld.count()
+	if judged || len(ld.own) != before {
+		ld.opts.Changed()
+	}
+}
+
+// hearClearance takes a clearance that a peer tells. Only what an operator lifted is told on. The lock is held.
+func (ld *Ledger) hearClearance(cl Clearance) {
+	if own, ok := ld.cleared[cl.Request]; ok && !cl.At.After(own.at) {
+		return
+	}
+	jd, judged := ld.judgements[cl.Request]
+	if judged && jd.Since.After(cl.At.Add(clearMargin)) {
+		return
+	}
+	ld.clear(cl.Request, clearance{at: cl.At, until: cl.Until, lifted: cl.Lifted})
+}
+
+// hearJudgement takes a judgement that a peer tells: a new one, or one that was passed again. The lock is held.
+func (ld *Ledger) hearJudgement(peer string, jd Judgement) {
+	if cl, ok := ld.cleared[jd.Request]; ok && !jd.Since.After(cl.at.Add(clearMargin)) {
+		return
+	}
+	if own, ok := ld.judgements[jd.Request]; ok && own.Level >= jd.Level {
+		return
+	}
+	if !ld.opts.Now().Before(jd.forgetAt()) {
+		return
+	}
+	ld.pass(jd, log.Fields{"source": "peer", "peer": peer, "age": ld.opts.Now().Sub(jd.Since).Round(time.Millisecond).String()})
+	ld.opts.Changed()
+}
--- /dev/null
+++ b/internal/blame/wire.go
@@ -0,0 +1,174 @@
+package blame
+
+import (
+	"encoding/binary"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/silvermount/silvermount/internal/fingerprint"
+)
+
+const (
+	// wireVersion is the first byte of encoded notes. It changes with their form.
+	wireVersion = 1
+	// maxTold bounds each list that is told, the newest or first of them: 10 kB a list, and what decoding allocates.
+	maxTold = 256
+	// maxName bounds the name of an incarnation, in bytes.
+	maxName = 256
+	// maxSpan is the longest time that is told, far beyond every use, and safe to add to a time.
+	maxSpan = 24 * time.Hour
+)
+
+// MalformedError says that a peer's notes cannot be read.
+type MalformedError struct{ Reason string }
+
+// Error gives the reason.
+func (me *MalformedError) Error() string { return "malformed notes: " + me.Reason }
+
+// VersionError says that a peer tells its notes in another form.
+type VersionError struct{ Version byte }
+
+// Error names the form.
+func (ve *VersionError) Error() string { return "notes of version " + strconv.Itoa(int(ve.Version)) }
+
+// Encode returns the bytes that peers get of notes made at a time. Ages are told in whole milliseconds.
+func (nt Notes) Encode(made time.Time) []byte {
+	b := []byte{wireVersion}
+	runs := newest(nt.Runs)
+	b = binary.AppendUvarint(b, uint64(len(runs)))
+	for _, rn := range runs {
+		b = append(b, rn.Request[:]...)
+		b = binary.AppendUvarint(b, uint64(len(rn.Target)))
+		b = append(b, rn.Target...)
+		b = appendSpan(b, rn.Exposure)
+		b = appendSpan(b, made.Sub(rn.At))
+	}
+	cleared := newest(nt.Clearances)
+	b = binary.AppendUvarint(b, uint64(len(cleared)))
+	for _, cl := range cleared {
+		b = append(b, cl.Request[:]...)
+		b = appendSpan(b, made.Sub(cl.At))
+		b = appendSpan(b, lifted(cl, made))
+	}
+	judged := newest(nt.Judgements)
+	b = binary.AppendUvarint(b, uint64(len(judged)))
+	for _, jd := range judged {
+		b = append(b, jd.Request[:]...)
+		b = binary.AppendUvarint(b, uint64(jd.Ends))
+		b = binary.AppendUvarint(b, uint64(jd.Level))
+		b = appendSpan(b, made.Sub(jd.Since))
+		b = appendSpan(b, jd.Until.Sub(jd.Since))
+	}
+	return b
+}
+
+// newest returns the last of a list that is too long to be told.
+func newest[T any](list []T) []T { return list[max(0, len(list)-maxTold):] }
+
+// lifted is how long a clearance still stands that an operator made; zero for the others.
+func lifted(cl Clearance, made time.Time) time.Duration {
+	if !cl.Lifted {
+		return 0
+	}
+	return max(time.Millisecond, cl.Until.Sub(made))
+}
+
+func appendSpan(b []byte, d time.Duration) []byte {
+	return binary.AppendUvarint(b, uint64(max(0, min(d, maxSpan)).Milliseconds()))
+}
+
+// Decode reads a peer's notes that were made at a time by this instance's clock. It fails with a VersionError or a MalformedError.
+func Decode(b []byte, made time.Time) (Notes, error) {
+	if len(b) == 0 {
+		return Notes{}, errors.Wrap(&MalformedError{Reason: "no bytes"}, "decode notes")
+	}
+	if b[0] != wireVersion {
+		return Notes{}, errors.Wrap(&VersionError{Version: b[0]}, "decode notes")
+	}
+	rd := reader{rest: b[1:]}
+	var nt Notes
+	for range rd.count() {
+		rn := Run{Request: rd.fingerprint(), Target: rd.name()}
+		rn.Exposure = rd.span()
+		rn.At = made.Add(-rd.span())
+		nt.Runs = append(nt.Runs, rn)
+	}
+	for range rd.count() {
+		cl := Clearance{Request: rd.fingerprint(), At: made.Add(-rd.span())}
+		if left := rd.span(); left > 0 {
+			cl.Lifted, cl.Until = true, made.Add(left)
+		}
+		nt.Clearances = append(nt.Clearances, cl)
+	}
+	for range rd.count() {
+		jd := Judgement{Request: rd.fingerprint(), Ends: rd.small(), Level: rd.small()}
+		jd.Since = made.Add(-rd.span())
+		jd.Until = jd.Since.Add(rd.span())
+		nt.Judgements = append(nt.Judgements, jd)
+	}
+	if rd.err == nil && len(rd.rest) > 0 {
+		rd.fail("bytes after the end")
+	}
+	if rd.err != nil {
+		return Notes{}, errors.Wrap(rd.err, "decode notes")
+	}
+	return nt, nil
+}
+
+// reader reads notes from their start. After a failure it reads zeros.
+type reader struct {
+	rest []byte
+	// err is the first failure.
+	err error
+}
+
+func (rd *reader) fail(reason string) {
+	if rd.err == nil {
+		rd.err = &MalformedError{Reason: reason}
+	}
+}
+
+// most reads a number that has a bound.
+func (rd *reader) most(bound uint64) uint64 {
+	if rd.err != nil {
+		return 0
+	}
+	n, size := binary.Uvarint(rd.rest)
+	if size <= 0 || n > bound {
+		rd.fail("a number that is cut off or too large")
+		return 0
+	}
+	rd.rest = rd.rest[size:]
+	return n
+}
+
+func (rd *reader) count() int { return int(rd.most(maxTold)) }
+
+// small reads a count of ends or judgements.
+func (rd *reader) small() int { return int(rd.most(1 << 16)) }
+
+func (rd *reader) span() time.Duration {
+	return time.Duration(rd.most(uint64(maxSpan.Milliseconds()))) * time.Millisecond
+}
+
+func (rd *reader) bytes(n int) []byte {
+	if rd.err == nil && n > len(rd.rest) {
+		rd.fail("cut off")
+	}
+	if rd.err != nil {
+		return nil
+	}
+	b := rd.rest[:n]
+	rd.rest = rd.rest[n:]
+	return b
+}
+
+func (rd *reader) fingerprint() fingerprint.Fingerprint {
+	var fp fingerprint.Fingerprint
+	copy(fp[:], rd.bytes(len(fp)))
+	return fp
+}
+
+func (rd *reader) name() string { return string(rd.bytes(int(rd.most(maxName)))) }
--- /dev/null
+++ b/internal/blame/wire_test.go
@@ -0,0 +1,81 @@
+package blame_test
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+
+	"github.com/silvermount/silvermount/internal/blame"
+)
+
+func someNotes(now time.Time) blame.Notes {
+	return blame.Notes{
+		Runs: []blame.Run{{Request: request("a"), Target: "i-1@x", Exposure: brief, At: now.Add(-time.Second)}},
+		Clearances: []blame.Clearance{
+			{Request: request("b"), At: now.Add(-2 * time.Second)},
+			{Request: request("c"), At: now.Add(-time.Minute), Lifted: true, Until: now.Add(time.Minute)},
+		},
+		Judgements: []blame.Judgement{{Request: request("d"), Ends: 4, Level: 2, Since: now.Add(-time.Hour), Until: now.Add(time.Hour)}},
+	}
+}
+
+func TestNotesAreReadAsWritten(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1_000_000, 0)
+	for _, nt := range []blame.Notes{{}, someNotes(now)} {
+		got, err := blame.Decode(nt.Encode(now), now)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(got).To(Equal(nt))
+	}
+}
+
+func TestNotesThatCannotBeRead(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	whole := someNotes(now).Encode(now)
+	cases := map[string]struct {
+		bytes []byte
+		// version is set when the form is another one; else the notes are malformed.
+		version bool
+	}{
+		"nothing":              {nil, false},
+		"another version":      {[]byte{9}, true},
+		"too many":             {[]byte{1, 0xff, 0xff, 0x7f}, false},
+		"a long name":          {append(append([]byte{1, 1}, make([]byte, 20)...), 0xff, 0x7f), false},
+		"bytes after the end":  {append(bytes.Clone(whole), 0), false},
+		"cut off in the lists": {whole[:len(whole)-1], false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			_, err := blame.Decode(tc.bytes, now)
+			var ve *blame.VersionError
+			g.Expect(errors.As(err, &ve)).To(Equal(tc.version))
+			var me *blame.MalformedError
+			g.Expect(errors.As(err, &me)).To(Equal(!tc.version))
+		})
+	}
+	for cut := range whole {
+		_, err := blame.Decode(whole[:cut], now)
+		NewWithT(t).Expect(err).To(HaveOccurred(), "cut after %d bytes", cut)
+	}
+}
+
+// FuzzDecode reads any bytes; what can be read is written and read alike.
+func FuzzDecode(f *testing.F) {
+	now := time.Unix(1_000_000, 0)
+	f.Add(blame.Notes{}.Encode(now))
+	f.Add(someNotes(now).Encode(now))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		nt, err := blame.Decode(b, now)
+		if err != nil {
+			return
+		}
+		again, err := blame.Decode(nt.Encode(now), now)
+		g := NewWithT(t)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(again).To(Equal(nt))
+	})
+}
--- a/internal/duty/forwarding/forwarding.go
+++ b/internal/duty/forwarding/forwarding.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/silvermount/silvermount/internal/adapter"
+	"github.com/silvermount/silvermount/internal/blame"
 	"github.com/silvermount/silvermount/internal/config"
 	"github.com/silvermount/silvermount/internal/dispatch"
 	"github.com/silvermount/silvermount/internal/ident"
@@ -35,6 +36,9 @@
 	Metrics    *metrics.Set
 	Changed    *Changed
 	Followers  *Followers
+	Blame      *blame.Ledger
+	// Blamed is told when peers have to hear something new of requests that end targets.
+	Blamed *Changed
 }
 
 // Changed is told when what this instance knows or has in flight changes. It is safe for use by any goroutine.
@@ -73,7 +77,12 @@
 	ds := dispatch.New(dr, kp, dispatch.Options{
 		Instance: env.Settings.Instance, AvailabilityZone: env.Settings.AvailabilityZone, Now: time.Now, Changed: ch.Tell,
 	})
+	blamed := &Changed{}
+	ld := blame.New(blame.Options{
+		Now: time.Now, Targets: dr.Len, Gone: dr.Lost, Changed: blamed.Tell, Metrics: ms, Log: env.Logger("blame"),
+	})
 	kernel.Provide(env, &Parts{
+		Blame: ld, Blamed: blamed,
 		Adapter: ad, Routes: &routes.Holder{}, Targets: dr, Dispatcher: ds, Metrics: ms, Changed: ch, Followers: &Followers{}, Pool: pl,
 	})
 	return func(ctx context.Context) error {
--- a/internal/duty/frontend/frontend.go
+++ b/internal/duty/frontend/frontend.go
@@ -76,7 +76,7 @@
 	for _, l := range []struct {
 		address string
 		handler http.Handler
-	}{{st.Callers, sv.gw}, {st.Readiness, readiness(sv.gw)}, {st.Metrics, figures(pt.Metrics)}} {
+	}{{st.Callers, sv.gw}, {st.Readiness, readiness(sv.gw)}, {st.Metrics, operators(pt)}} {
 		if err := sv.serve(ctx, l.address, l.handler); err != nil {
 			sv.close()
 			return nil, err
@@ -96,7 +96,7 @@
 	st := env.Settings.Gateway
 	gw := gateway.New(gateway.Deps{
 		Protocol: pt.Adapter.Protocol, Routes: pt.Routes, Targets: pt.Targets, Dispatcher: pt.Dispatcher, Pool: pt.Pool,
-		Retries: rt, Bodies: budget.NewMemory(st.BodyBudgetBytes), Metrics: pt.Metrics, Log: env.Logger("gateway"),
+		Retries: rt, Blame: pt.Blame, Bodies: budget.NewMemory(st.BodyBudgetBytes), Metrics: pt.Metrics, Log: env.Logger("gateway"),
 		Random: rand.Float64, Now: time.Now, Stopping: env.Stopping.Load,
 	}, limits(st))
 	env.OnReload(func(s config.Settings) { gw.SetLimits(limits(s.Gateway)) })
@@ -156,12 +156,16 @@
 	return rt
 }
 
-func figures(ms *metrics.Set) http.Handler {
+// operators serves the metrics, and the judgements on requests that end targets.
+func operators(pt *forwarding.Parts) http.Handler {
 	rt := chi.NewRouter()
 	rt.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) {
-		ms.WritePrometheus(w)
+		pt.Metrics.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
 	})
+	jds := judgements{ledger: pt.Blame}
+	rt.Get("/judgements", jds.list)
+	rt.Delete("/judgements/{fingerprint}", jds.lift)
 	return rt
 }
 
--- /dev/null
+++ b/internal/duty/frontend/judgements.go
@@ -0,0 +1,51 @@
+package frontend
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/silvermount/silvermount/internal/blame"
+	"github.com/silvermount/silvermount/internal/fingerprint"
+	"github.com/silvermount/silvermount/internal/jsonreply"
+)
+
+// judgements shows operators which requests are refused because targets end when they run them, and lifts that.
+type judgements struct{ ledger *blame.Ledger }
+
+// judgement is one of them as operators see it.
+type judgement struct {
+	Fingerprint string `json:"fingerprint"`
+	// Ends is how many targets had ended under the request.
+	Ends int `json:"ends"`
+	// Level counts the judgements in a row, from 1.
+	Level int `json:"level"`
+	// Age is the time since it was judged, Left how long it is still refused; both are Go durations.
+	Age  string `json:"age"`
+	Left string `json:"left"`
+}
+
+func (js judgements) list(w http.ResponseWriter, _ *http.Request) {
+	list := []judgement{}
+	for _, jd := range js.ledger.Judgements() {
+		list = append(list, judgement{
+			Fingerprint: jd.Request.String(), Ends: jd.Ends, Level: jd.Level,
+			Age: time.Since(jd.Since).Round(time.Second).String(), Left: time.Until(jd.Until).Round(time.Second).String(),
+		})
+	}
+	jsonreply.Write(w, list)
+}
+
+func (js judgements) lift(w http.ResponseWriter, r *http.Request) {
+	fp, err := fingerprint.Parse(chi.URLParam(r, "fingerprint"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !js.ledger.Lift(fp) {
+		http.Error(w, "no such judgement", http.StatusNotFound)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/internal/duty/members/members.go
+++ b/internal/duty/members/members.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/silvermount/silvermount/internal/adapter"
+	"github.com/silvermount/silvermount/internal/blame"
 	"github.com/silvermount/silvermount/internal/config"
 	"github.com/silvermount/silvermount/internal/dispatch"
 	"github.com/silvermount/silvermount/internal/duty/forwarding"
@@ -62,6 +63,7 @@
 	lg  log.Interface
 	ms  *gossip.Mesh
 	fo  *forwarding.Followers
+	ld  *blame.Ledger
 	// configurations and lists are the newer documents to be fetched, each kind by a goroutine of its own: a target that is
 	// gone must be known in time, whatever a large configuration takes.
 	configurations, lists chan newer
@@ -82,7 +84,8 @@
 		return nil, err
 	}
 	du := newDuty()
-	du.ad, du.rts, du.dr, du.ds, du.fo, du.lg = pt.Adapter, pt.Routes, pt.Targets, pt.Dispatcher, pt.Followers, env.Logger("peers")
+	du.ad, du.rts, du.dr, du.ds, du.fo, du.ld = pt.Adapter, pt.Routes, pt.Targets, pt.Dispatcher, pt.Followers, pt.Blame
+	du.lg = env.Logger("peers")
 	var lc net.ListenConfig
 	l, err := lc.Listen(ctx, "tcp", env.Settings.Gateway.Peers)
 	if err != nil {
@@ -92,6 +95,7 @@
 	du.ms = gossip.New(op)
 	du.document = du.ms.Fetch
 	pt.Changed.Set(du.ms.Publish)
+	pt.Blamed.Set(du.ms.PublishNotes)
 	pt.Metrics.NewGauge("silvermount_peer_links", func() float64 { return float64(du.ms.Links()) })
 	pt.Metrics.NewGauge("silvermount_peer_subscribers", func() float64 { return float64(du.ms.Subscribers()) })
 	pt.Dispatcher.SetLag(du.ms.Lag)
@@ -113,7 +117,7 @@
 			Name: env.Settings.Instance, Incarnation: env.Incarnation, Address: gw.Peers,
 			AvailabilityZone: env.Settings.AvailabilityZone, Megabits: uint64(gw.Megabits),
 		},
-		Seeds: gw.Seeds, Coalesce: coalesce, Body: du.body, Receive: du.receive, OnLost: du.lost, Serve: du.serve, Log: du.lg,
+		Seeds: gw.Seeds, Coalesce: coalesce, Body: du.body, Receive: du.receive, Notes: du.notes, ReceiveNotes: du.receiveNotes, OnLost: du.lost, Serve: du.serve, Log: du.lg,
 	}
 }
 
--- /dev/null
+++ b/internal/duty/members/notes.go
@@ -0,0 +1,27 @@
+package members
+
+import (
+	"time"
+
+	"github.com/silvermount/silvermount/internal/blame"
+	"github.com/silvermount/silvermount/internal/gossip"
+)
+
+// notes returns what peers hear of requests that end targets.
+func (du *duty) notes() []byte {
+	now := time.Now()
+	return du.ld.Notes().Encode(now)
+}
+
+// receiveNotes takes what a peer tells of them.
+func (du *duty) receiveNotes(from gossip.Member, b []byte, made time.Time) {
+	if len(b) == 0 {
+		return
+	}
+	nt, err := blame.Decode(b, made)
+	if err != nil {
+		du.lg.WithError(err).WithField("peer", from.Name).Error("peer's notes cannot be read")
+		return
+	}
+	du.ld.Hear(from.Name, nt)
+}
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -56,6 +56,8 @@
 	TargetUnreachable Code = "target_unreachable"
 	// TargetShed means that the target turned the request away without running it.
 	TargetShed Code = "target_shed"
+	// EndsTargets means that the request ends the targets that run it, whatever is known of its earlier attempts.
+	EndsTargets Code = "ends_targets"
 )
 
 var statusOf = map[Code]int{
@@ -86,6 +88,7 @@
 	ProofTooOld:       http.StatusServiceUnavailable,
 	TargetUnreachable: http.StatusServiceUnavailable,
 	TargetShed:        http.StatusServiceUnavailable,
+	EndsTargets:       http.StatusBadRequest,
 }
 
 // Error is a failure with its kind and outcome. It is immutable; the With methods return copies.
--- a/internal/fingerprint/fingerprint.go
+++ b/internal/fingerprint/fingerprint.go
@@ -9,13 +9,22 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Size is the length of a fingerprint in bytes: half of a SHA-256, so that nobody finds a request whose fingerprint is that of
-// another caller's.
-const Size = sha256.Size / 2
+const (
+	// originSize is what a fingerprint begins with: enough that a request with another origin is seldom taken for one with this.
+	originSize = 4
+	// digestSize is half of a SHA-256: nobody finds a request whose fingerprint is that of another caller's.
+	digestSize = sha256.Size / 2
+	// Size is the length of a fingerprint in bytes.
+	Size = originSize + digestSize
+)
 
 // Fingerprint is equal for two requests of one caller with the same method, host, path, query and body.
 type Fingerprint [Size]byte
 
+// Origin is equal for two requests of one caller with the same method, host, path, query and length of the body. It costs the same
+// for a short and a long body.
+type Origin [originSize]byte
+
 // Request is what a fingerprint is made of. What differs between two tries of a caller is no part of it: the id, the deadline
 // and other headers.
 type Request struct {
@@ -27,20 +36,37 @@
 	Body   []byte
 }
 
-// Of returns the fingerprint of a request. Each part is written after its length, so that none can pass for a piece of another.
+// Of returns the fingerprint of a request.
 func Of(rq Request) Fingerprint {
-	var head []byte
-	for _, part := range []string{rq.Organisation, rq.Method, rq.Host, rq.Target} {
-		head = binary.AppendUvarint(head, uint64(len(part)))
-		head = append(head, part...)
-	}
 	hs := sha256.New()
 	// A hash takes all that is written to it.
-	_, _ = hs.Write(head)
+	_, _ = hs.Write(rq.head())
 	_, _ = hs.Write(rq.Body)
-	return Fingerprint(hs.Sum(nil)[:Size])
+	fp := Fingerprint{}
+	origin := OriginOf(rq)
+	copy(fp[copy(fp[:], origin[:]):], hs.Sum(nil))
+	return fp
+}
+
+// OriginOf returns the origin of a request.
+func OriginOf(rq Request) Origin {
+	sum := sha256.Sum256(rq.head())
+	return Origin(sum[:originSize])
 }
 
+// head returns all but the content of the body. Each part is written after its length, so that none can pass for a piece of another.
+func (rq Request) head() []byte {
+	var b []byte
+	for _, part := range []string{rq.Organisation, rq.Method, rq.Host, rq.Target} {
+		b = binary.AppendUvarint(b, uint64(len(part)))
+		b = append(b, part...)
+	}
+	return binary.AppendUvarint(b, uint64(len(rq.Body)))
+}
+
+// Origin returns the origin of the request that has the fingerprint.
+func (fp Fingerprint) Origin() Origin { return Origin(fp[:originSize]) }
+
 // String returns the fingerprint in hex.
 func (fp Fingerprint) String() string { return hex.EncodeToString(fp[:]) }
 
--- a/internal/fingerprint/fingerprint_test.go
+++ b/internal/fingerprint/fingerprint_test.go
@@ -36,6 +36,18 @@
 	}
 }
 
+func TestOriginIsThatOfTheRequest(t *testing.T) {
+	g := NewWithT(t)
+	one := fingerprint.Request{Organisation: "red", Target: "/a", Body: []byte("one")}
+	two := one
+	two.Body = []byte("two")
+	longer := one
+	longer.Body = []byte("three")
+	g.Expect(fingerprint.Of(one).Origin()).To(Equal(fingerprint.OriginOf(one)))
+	g.Expect(fingerprint.Of(two).Origin()).To(Equal(fingerprint.OriginOf(one)))
+	g.Expect(fingerprint.Of(longer).Origin()).NotTo(Equal(fingerprint.OriginOf(one)))
+}
+
 func TestParse(t *testing.T) {
 	g := NewWithT(t)
 	fp := fingerprint.Of(fingerprint.Request{Organisation: "red"})
@@ -62,3 +74,11 @@
 		})
 	}
 }
+
+// BenchmarkOriginOf measures what each request costs while others are suspected.
+func BenchmarkOriginOf(b *testing.B) {
+	rq := fingerprint.Request{Organisation: "red", Method: "POST", Host: "api", Target: "/a", Body: make([]byte, 4_000_000)}
+	for b.Loop() {
+		fingerprint.OriginOf(rq)
+	}
+}
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -66,6 +66,8 @@
 	first, pause time.Duration
 	// eventAt is when the last event was passed on.
 	eventAt time.Time
+	// sentAt is when the newest attempt was sent, headAt when the head of its answer came; zero before.
+	sentAt, headAt time.Time
 	// print is valid once printed is set: the digest of a long body is made only when it is needed.
 	print   fingerprint.Fingerprint
 	printed bool
@@ -75,13 +77,20 @@
 func (rq *request) fingerprint() fingerprint.Fingerprint {
 	if !rq.printed {
 		rq.printed = true
-		rq.print = fingerprint.Of(fingerprint.Request{
-			Organisation: rq.org.Name, Method: rq.method, Host: rq.host, Target: rq.target, Body: rq.body,
-		})
+		rq.print = fingerprint.Of(rq.identity())
 	}
 	return rq.print
 }
 
+// origin returns what a fingerprint begins with; it costs the same for short and long bodies.
+func (rq *request) origin() fingerprint.Origin { return fingerprint.OriginOf(rq.identity()) }
+
+func (rq *request) identity() fingerprint.Request {
+	return fingerprint.Request{
+		Organisation: rq.org.Name, Method: rq.method, Host: rq.host, Target: rq.target, Body: rq.body,
+	}
+}
+
 func refused(code failure.Code, comeBack time.Duration, format string, args ...any) *failure.Error {
 	return failure.New(code, failure.NotRun, format, args...).WithRetryAfter(comeBack)
 }
--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/silvermount/silvermount/internal/blame"
 	"github.com/silvermount/silvermount/internal/targets"
 	"github.com/silvermount/silvermount/internal/upstream"
 )
@@ -40,14 +41,22 @@
 	pr.asked = slices.DeleteFunc(pr.asked, func(asked string) bool { return asked == id })
 }
 
-// broke notes that a target broke off what it ran. One that had begun to leave ends as planned, and one that fell silent may be
-// reached by others.
-func (gw *Gateway) broke(tg targets.Target, cause error) {
-	var silent *SilentTargetError
-	if errors.As(cause, &silent) || !gw.Targets.TakesWork(tg.ID) {
+// broke notes that a target broke off a request. It is held against the request if the target has ended, but for one that had begun
+// to leave, which ends as planned.
+func (gw *Gateway) broke(rq *request, tg targets.Target, cause error) {
+	if !gw.Targets.TakesWork(tg.ID) {
 		return
 	}
-	gw.probeEnd(tg)
+	now := gw.Now()
+	began := rq.sentAt
+	if !rq.headAt.IsZero() {
+		began = rq.headAt
+	}
+	gw.Blame.Broke(blame.Run{Request: rq.fingerprint(), Target: tg.ID, Exposure: now.Sub(began), At: now})
+	var silent *SilentTargetError
+	if !errors.As(cause, &silent) {
+		gw.probeEnd(tg)
+	}
 }
 
 // probeEnd finds out, in the background, whether a target that broke off a run has ended: a connection that is refused tells it
@@ -63,6 +72,7 @@
 			time.Sleep(at - gw.Now().Sub(began))
 			if gw.refuses(tg) {
 				gw.logEnded(tg, "connection refused", gw.Now().Sub(began))
+				gw.Blame.Ended(tg.ID)
 				return
 			}
 		}
@@ -71,7 +81,18 @@
 
 // refuses reports whether nothing listens at a target's address.
 func (gw *Gateway) refuses(tg targets.Target) bool {
-	err := gw.Pool.Probe(context.Background(), tg.Address)
+	return connectionRefused(gw.Pool.Probe(context.Background(), tg.Address))
+}
+
+// noticeEnd notes the end of a target that refused a connection and had not begun to leave.
+func (gw *Gateway) noticeEnd(tg targets.Target, err error) {
+	if connectionRefused(err) && gw.Targets.TakesWork(tg.ID) {
+		gw.Blame.Ended(tg.ID)
+	}
+}
+
+// connectionRefused reports whether a failure says that nothing listens at the address.
+func connectionRefused(err error) bool {
 	var de *upstream.DialError
 	return errors.As(err, &de) && de.Refused()
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
+	"github.com/silvermount/silvermount/internal/blame"
 	"github.com/silvermount/silvermount/internal/budget"
 	"github.com/silvermount/silvermount/internal/dispatch"
 	"github.com/silvermount/silvermount/internal/life"
@@ -28,6 +29,7 @@
 	Dispatcher *dispatch.Dispatcher
 	Pool       *upstream.Pool
 	Retries    *budget.Retries
+	Blame      *blame.Ledger
 	Bodies     *budget.Memory
 	Metrics    *metrics.Set
 	Log        log.Interface
@@ -96,5 +98,8 @@
 	if err == nil {
 		err = gw.run(r.Context(), rq, sk)
 	}
+	if err == nil {
+		gw.clear(rq)
+	}
 	gw.finish(rq, sk, err)
 }
--- a/internal/gateway/lines.go
+++ b/internal/gateway/lines.go
@@ -120,6 +120,9 @@
 	if rq.noRetry != "" {
 		fs["no_retry"] = string(rq.noRetry)
 	}
+	if fe.Code == failure.EndsTargets {
+		fs["fingerprint"] = rq.fingerprint().String()
+	}
 	if fe.Code == failure.Unauthorized {
 		gw.keyFields(fs, rq.Key)
 	}
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -25,6 +25,7 @@
 	case Shed:
 		return gw.shed(rq, sl, an)
 	case Misdirected:
+		gw.Blame.Ended(sl.Target.ID)
 		gw.Targets.MarkLeaving(sl.Target.ID)
 		gw.logBelief(sl.Target, "gone", "another incarnation has the address")
 		gw.logPassedOver(rq, sl.Target, "another incarnation has the address")
@@ -154,6 +155,6 @@
 		return fe
 	}
 	gw.failed(rq, sl.Target, err)
-	gw.broke(sl.Target, err)
+	gw.broke(rq, sl.Target, err)
 	return failure.New(failure.TargetLost, failure.Unknown, "the target broke off").WithCause(err)
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -61,6 +62,9 @@
 			return err
 		}
 	}
+	if err := gw.notBlamed(ctx, rq); err != nil {
+		return err
+	}
 	sl, err := gw.Dispatcher.Acquire(reservation.ForRequest(ctx, rq.RequestID), gw.ask(rq))
 	if err != nil {
 		return gw.noTarget(ctx, rq, err)
@@ -92,7 +96,7 @@
 		PromptTokens: rq.PromptTokens, MostAnswer: rq.MostAnswerTokens, AnswerHint: rq.AnswerHint, Events: rq.events,
 		Objective: rq.route.Objective, LongestPause: rq.route.LongestPause, Patience: rq.route.Patience,
 		Arrived: rq.arrived, Deadline: rq.due.At, Priority: rq.priority(), Resumed: rq.lastEvent >= 0,
-		Caution: rq.caution(), Allowed: func() error { return gw.keyHolds(rq) },
+		Caution: rq.caution(), Allowed: func() error { return gw.stillAllowed(rq) },
 	}
 }
 
@@ -165,16 +169,17 @@
 	}
 	gw.logAttempt(rq, sl)
 	rq.avoid = append(rq.avoid, sl.Target.ID)
-	began := gw.Now()
+	rq.sentAt, rq.headAt = gw.Now(), time.Time{}
 	an, err := gw.exchange(ctx, rq, sl, ca)
 	if err != nil {
 		if ctx.Err() != nil {
-			gw.unanswered(rq, sl, gw.Now().Sub(began))
+			gw.unanswered(rq, sl, gw.Now().Sub(rq.sentAt))
 		}
 		return nil, gw.sendFailed(ctx, rq, sl, err)
 	}
+	rq.headAt = gw.Now()
 	gw.Targets.Reached(sl.Target.ID)
-	gw.observe("silvermount_target_answer_seconds", gw.Now().Sub(began))
+	gw.observe("silvermount_target_answer_seconds", rq.headAt.Sub(rq.sentAt))
 	return an, nil
 }
 
@@ -190,6 +195,7 @@
 		}
 		gw.logAttemptFailed(rq, sl.Target, err, false)
 		gw.logLeftOut(sl.Target)
+		gw.noticeEnd(sl.Target, err)
 		return failure.New(failure.TargetUnreachable, gw.outcome(rq), "the target took no connection").
 			WithCause(err).WithRetryAfter(comeBackFull)
 	}
@@ -206,7 +212,7 @@
 	} else {
 		gw.failed(rq, sl.Target, err)
 	}
-	gw.broke(sl.Target, err)
+	gw.broke(rq, sl.Target, err)
 	return failure.New(failure.TargetLost, failure.Unknown, "the target broke off before it answered").WithCause(err)
 }
 
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -103,6 +103,10 @@
 // answered only where that is known.
 func finalStatus(fe *failure.Error) int {
 	status := fe.Status()
+	if fe.Code == failure.EndsTargets {
+		// It promises nothing of earlier attempts, and callers do not come again after it.
+		return status
+	}
 	if fe.Outcome == failure.NotRun {
 		if status >= http.StatusInternalServerError {
 			return http.StatusServiceUnavailable
--- a/internal/gossip/changes.go
+++ b/internal/gossip/changes.go
@@ -20,8 +20,6 @@
 const (
 	// changedPulse is a newer pulse alone.
 	changedPulse changed = iota
-	// changedState is a newer state, and pulse.
-	changedState
 	// changedAll is all there is to tell, the card too.
 	changedAll
 )
@@ -30,11 +28,8 @@
 func (cl *changeLog) touch(r *record, what changed) {
 	cl.last++
 	r.changed = cl.last
-	if what >= changedState {
-		r.stateChanged = cl.last
-	}
 	if what >= changedAll {
-		r.cardChanged = cl.last
+		r.cardChanged, r.state.changed, r.notes.changed = cl.last, cl.last, cl.last
 	}
 	if r.place == nil {
 		r.place = cl.order.PushFront(r)
@@ -43,6 +38,12 @@
 	cl.order.MoveToFront(r.place)
 }
 
+// touchTold notes a change of what a member tells of itself, and of its pulse.
+func (cl *changeLog) touchTold(r *record, td *told) {
+	cl.touch(r, changedPulse)
+	td.changed = cl.last
+}
+
 // remove forgets a record.
 func (cl *changeLog) remove(r *record) {
 	if r.place != nil {
--- a/internal/gossip/delay_test.go
+++ b/internal/gossip/delay_test.go
@@ -138,5 +138,5 @@
 		return []byte("state")
 	}
 	nd.ms.refresh()
-	g.Expect(nd.ms.self.made.Add(-told)).NotTo(BeTemporally(">", provenAt))
+	g.Expect(nd.ms.self.state.made.Add(-told)).NotTo(BeTemporally(">", provenAt))
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -29,6 +29,8 @@
 	beats int
 	// published says that Options.Body is to be called at the next send.
 	published atomic.Bool
+	// noted says the same of Options.Notes.
+	noted atomic.Bool
 
 	// calls is held while callbacks run, so that they see changes in their order. It is taken before mu.
 	calls sync.Mutex
@@ -134,6 +136,7 @@
 			kick = ms.kick
 		}
 		ms.refresh()
+		ms.refreshNotes()
 		ms.connect(ctx, &wg)
 		ms.wakeLinks()
 	}
@@ -145,6 +148,12 @@
 	ms.signal()
 }
 
+// PublishNotes says that this instance's notes have changed. It never blocks.
+func (ms *Mesh) PublishNotes() {
+	ms.noted.Store(true)
+	ms.signal()
+}
+
 func (ms *Mesh) signal() {
 	select {
 	case ms.kick <- struct{}{}:
@@ -229,12 +238,29 @@
 	ms.mu.Lock()
 	defer ms.mu.Unlock()
 	ms.refreshed = number
-	if body == nil || ms.self.version > 0 && bytes.Equal(body, ms.self.body) {
+	ms.tell(&ms.self.state, body, made)
+}
+
+// refreshNotes takes this instance's notes anew when they were published.
+func (ms *Mesh) refreshNotes() {
+	if !ms.noted.Swap(false) {
+		return
+	}
+	made := ms.opts.Now()
+	notes := ms.opts.Notes()
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	ms.tell(&ms.self.notes, notes, made)
+}
+
+// tell takes a new text of this instance, made at a time. The lock is held.
+func (ms *Mesh) tell(td *told, body []byte, made time.Time) {
+	if body == nil || td.version > 0 && bytes.Equal(body, td.body) {
 		return
 	}
 	ms.self.pulse++
-	ms.self.version, ms.self.body, ms.self.made = ms.self.pulse, body, made
-	ms.log.touch(ms.self, changedState)
+	td.version, td.body, td.made = ms.self.pulse, body, made
+	ms.log.touchTold(ms.self, td)
 }
 
 func (ms *Mesh) beginRefresh() uint64 {
--- a/internal/gossip/link.go
+++ b/internal/gossip/link.go
@@ -194,12 +194,21 @@
 		return entry{}, false
 	}
 	e.Pulse, e.PulseAge = r.pulse, lk.ms.silence(r, now)
-	if tells && r.version > 0 && r.stateChanged > lk.sent && lk.wanted.takesState(r.Name) {
-		e.Version, e.Body, e.BodyAge = r.version, r.body, now.Sub(r.made)
+	if tells && lk.wanted.takesState(r.Name) {
+		e.State = r.state.since(lk.sent, now)
+		e.Notes = r.notes.since(lk.sent, now)
 	}
 	return e, true
 }
 
+// since returns the text when it changed after a change.
+func (td told) since(sent uint64, now time.Time) part {
+	if td.version == 0 || td.changed <= sent {
+		return part{}
+	}
+	return part{Version: td.version, Body: td.body, Age: now.Sub(td.made)}
+}
+
 // silence returns how long a member was not heard.
 func (ms *Mesh) silence(r *record, now time.Time) time.Duration {
 	if r == ms.self {
--- a/internal/gossip/options.go
+++ b/internal/gossip/options.go
@@ -45,6 +45,11 @@
 	// Receive takes the newest state of a member, and when its sender made it by this instance's clock, or earlier. It is called
 	// again with the last state when a lost member comes back.
 	Receive func(from Member, body []byte, made time.Time)
+	// Notes returns what this instance tells of itself beside its state, seldom: it is asked after PublishNotes alone. The slice must
+	// not be changed afterwards.
+	Notes func() []byte
+	// ReceiveNotes takes the newest notes of a member as Receive takes its state.
+	ReceiveNotes func(from Member, notes []byte, made time.Time)
 	// OnLost is called once when a member is lost, and when another incarnation replaces it.
 	OnLost func(Member)
 	// Serve returns a document that a peer asked for. It may be called by several goroutines at once.
@@ -97,6 +102,12 @@
 	if o.Receive == nil {
 		o.Receive = func(Member, []byte, time.Time) {}
 	}
+	if o.Notes == nil {
+		o.Notes = func() []byte { return nil }
+	}
+	if o.ReceiveNotes == nil {
+		o.ReceiveNotes = func(Member, []byte, time.Time) {}
+	}
 	if o.OnLost == nil {
 		o.OnLost = func(Member) {}
 	}
--- a/internal/gossip/record.go
+++ b/internal/gossip/record.go
@@ -10,8 +10,8 @@
 	card
 	// id stands for the record in the entries that are sent.
 	id uint64
-	// changed, stateChanged and cardChanged are the newest changes of anything, of the state and of the card.
-	changed, stateChanged, cardChanged uint64
+	// changed and cardChanged are the newest changes of anything and of the card.
+	changed, cardChanged uint64
 	// place is that in the change log; nil while the log does not hold the record.
 	place *list.Element
 	// pulseTold is when a pulse was last noted in the change log, by the awake clock.
@@ -26,11 +26,19 @@
 	unlinked time.Duration
 	// known says that this process, or an earlier one of its name, was live here before.
 	known bool
+	// state changes with each request, notes seldom.
+	state, notes told
+}
+
+// told is one of the texts that a member tells of itself.
+type told struct {
 	// version is the pulse at which body was made; 0 when there is none.
 	version uint64
 	body    []byte
 	// made is when the member made body, by this instance's clock.
 	made time.Time
+	// changed is its newest change.
+	changed uint64
 }
 
 // follows reports whether c is of a newer process than r. Two incarnations of one generation are put in some order that
@@ -47,7 +55,9 @@
 	lost   bool
 	found  bool
 	member Member
-	body   []byte
+	// notes says that body is the notes of the member, else it is its state.
+	notes bool
+	body  []byte
 	// made is when the member made body, or earlier.
 	made time.Time
 	// age is that of the pulse by which a member was found.
@@ -70,6 +80,10 @@
 			ms.opts.OnLost(ev.member)
 			continue
 		}
+		if ev.notes {
+			ms.opts.ReceiveNotes(ev.member, ev.body, ev.made)
+			continue
+		}
 		ms.opts.Receive(ev.member, ev.body, ev.made)
 	}
 }
@@ -89,10 +103,13 @@
 		events = append(events, event{found: true, member: r.Member, again: r.known, age: e.PulseAge})
 		r.known = true
 	}
-	if !back && e.Version <= r.version {
-		return events
+	if back || e.State.Version > r.state.version {
+		events = append(events, ms.takeBody(r, &r.state, e.State, e.Delay, now)...)
+	}
+	if back || e.Notes.Version > r.notes.version {
+		events = append(events, ms.takeBody(r, &r.notes, e.Notes, e.Delay, now)...)
 	}
-	return append(events, ms.takeBody(r, e, now)...)
+	return events
 }
 
 // refute takes a higher generation when another incarnation of this instance's name is told of.
@@ -189,19 +206,19 @@
 	ms.signal()
 }
 
-// takeBody takes a newer state, and returns the newest there is of a live member.
-func (ms *Mesh) takeBody(r *record, e entry, now time.Time) []event {
-	if e.Version > r.version {
+// takeBody takes a newer state or newer notes, and returns the newest there are of a live member.
+func (ms *Mesh) takeBody(r *record, known *told, news part, delay time.Duration, now time.Time) []event {
+	if news.Version > known.version {
 		// A freeze of this process delayed the frames that came meanwhile: that time counts once.
-		late := max(e.Delay, ms.stalls.noticed(ms.awake.at(now), now))
-		r.version, r.body, r.made = e.Version, e.Body, now.Add(-e.BodyAge-late)
-		ms.log.touch(r, changedState)
+		late := max(delay, ms.stalls.noticed(ms.awake.at(now), now))
+		known.version, known.body, known.made = news.Version, news.Body, now.Add(-news.Age-late)
+		ms.log.touchTold(r, known)
 		if len(ms.subscribers) > 0 {
 			ms.signal()
 		}
 	}
-	if r.version == 0 || !r.live {
+	if known.version == 0 || !r.live {
 		return nil
 	}
-	return []event{{member: r.Member, body: r.body, made: r.made}}
+	return []event{{member: r.Member, notes: known == &r.notes, body: known.body, made: known.made}}
 }
--- a/internal/gossip/record_test.go
+++ b/internal/gossip/record_test.go
@@ -74,7 +74,7 @@
 	a, ck := still(t)
 	var ages []time.Duration
 	a.ms.opts.Receive = func(_ Member, _ []byte, made time.Time) { ages = append(ages, ck.now.Sub(made)) }
-	a.hears(cardB, entry{Pulse: 1, Version: 1, BodyAge: 30 * time.Millisecond})
+	a.hears(cardB, entry{Pulse: 1, State: part{Version: 1, Age: 30 * time.Millisecond}})
 	a.beats(ck, int(defaultLost/defaultInterval))
 	a.hears(cardB, entry{Pulse: 2})
 	g.Expect(ages).To(Equal([]time.Duration{30 * time.Millisecond, 30*time.Millisecond + defaultLost}))
@@ -103,14 +103,14 @@
 			var age time.Duration
 			a.ms.opts.Receive = func(_ Member, _ []byte, made time.Time) { age = ck.now.Sub(made) }
 			a.beats(ck, 10)
-			a.hears(cardB, entry{Pulse: 1, Version: 1, BodyAge: told})
+			a.hears(cardB, entry{Pulse: 1, State: part{Version: 1, Age: told}})
 			g.Expect(age).To(Equal(told))
 			ck.now = ck.now.Add(frozen)
 			if tt.beaten {
 				a.ms.beat()
 			}
 			a.beats(ck, tt.beats)
-			a.hears(cardB, entry{Pulse: 2, Version: 2, BodyAge: told})
+			a.hears(cardB, entry{Pulse: 2, State: part{Version: 2, Age: told}})
 			g.Expect(age).To(Equal(tt.want))
 		})
 	}
@@ -129,18 +129,18 @@
 		lost  int
 	}{
 		"an older state is passed over": {
-			heard: []heard{{cardB, entry{Pulse: 5, Version: 5, Body: []byte("5")}}, {cardB, entry{Pulse: 6, Version: 4, Body: []byte("4")}}},
+			heard: []heard{{cardB, entry{Pulse: 5, State: part{Version: 5, Body: []byte("5")}}}, {cardB, entry{Pulse: 6, State: part{Version: 4, Body: []byte("4")}}}},
 			state: "5",
 		},
 		"a late pulse brings no one to life": {
-			heard: []heard{{cardB, entry{Pulse: 5, PulseAge: defaultLost, Version: 5, Body: []byte("5")}}},
+			heard: []heard{{cardB, entry{Pulse: 5, PulseAge: defaultLost, State: part{Version: 5, Body: []byte("5")}}}},
 		},
 		"a higher generation replaces": {
-			heard: []heard{{cardB, entry{Pulse: 5, Version: 5, Body: []byte("5")}}, {ruled, entry{Pulse: 1, Version: 1, Body: []byte("1")}}},
+			heard: []heard{{cardB, entry{Pulse: 5, State: part{Version: 5, Body: []byte("5")}}}, {ruled, entry{Pulse: 1, State: part{Version: 1, Body: []byte("1")}}}},
 			state: "1", lost: 1,
 		},
 		"an earlier incarnation is passed over": {
-			heard: []heard{{newer, entry{Pulse: 1, Version: 1, Body: []byte("1")}}, {cardB, entry{Pulse: 9, Version: 9, Body: []byte("9")}}},
+			heard: []heard{{newer, entry{Pulse: 1, State: part{Version: 1, Body: []byte("1")}}}, {cardB, entry{Pulse: 9, State: part{Version: 9, Body: []byte("9")}}}},
 			state: "1",
 		},
 	}
@@ -175,14 +175,14 @@
 	}
 	fr := lk.news()
 	g.Expect(fr.Entries).To(HaveLen(1))
-	g.Expect(string(fr.Entries[0].Body)).To(Equal("99"))
+	g.Expect(string(fr.Entries[0].State.Body)).To(Equal("99"))
 	g.Expect(lk.news().empty()).To(BeTrue())
 	a.ms.beat()
 	a.ms.refresh()
 	fr = lk.news()
 	g.Expect(fr.Entries).To(HaveLen(1))
 	g.Expect(fr.Entries[0].Card).To(BeNil())
-	g.Expect(fr.Entries[0].Body).To(BeNil())
+	g.Expect(fr.Entries[0].State.Body).To(BeNil())
 	g.Expect(len(fr.append(nil))).To(BeNumerically("<", 8))
 }
 
@@ -196,7 +196,7 @@
 	fr := lk.news()
 	g.Expect(fr.Entries).To(HaveLen(1))
 	g.Expect(fr.Entries[0].Card.Generation).To(BeEquivalentTo(1))
-	g.Expect(string(fr.Entries[0].Body)).To(Equal("state of a"))
+	g.Expect(string(fr.Entries[0].State.Body)).To(Equal("state of a"))
 }
 
 func TestMemberThatComesBackIsToldAnew(t *testing.T) {
--- a/internal/gossip/relay_test.go
+++ b/internal/gossip/relay_test.go
@@ -115,14 +115,14 @@
 	const members = 300
 	for i := range members {
 		c := card{Member: Member{Name: fmt.Sprint("m", i), Incarnation: "1"}}
-		a.hears(c, entry{Pulse: 1, Version: 1, Body: []byte("state")})
+		a.hears(c, entry{Pulse: 1, State: part{Version: 1, Body: []byte("state")}})
 	}
 	g.Expect(lk.news().Entries).To(HaveLen(members + 1))
-	a.hears(card{Member: Member{Name: "m7", Incarnation: "1"}}, entry{Pulse: 2, Version: 2, Body: []byte("newer")})
+	a.hears(card{Member: Member{Name: "m7", Incarnation: "1"}}, entry{Pulse: 2, State: part{Version: 2, Body: []byte("newer")}})
 	fr := lk.news()
 	g.Expect(fr.Entries).To(HaveLen(1), "only what changed since")
 	g.Expect(fr.Entries[0].Card).To(BeNil())
-	g.Expect(string(fr.Entries[0].Body)).To(Equal("newer"))
+	g.Expect(string(fr.Entries[0].State.Body)).To(Equal("newer"))
 }
 
 // BenchmarkFleet keeps a fleet of 120 in five availability zones for four seconds, and reports what a member keeps and how
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -26,15 +26,21 @@
 	// Pulse only grows within an incarnation; 0 means that the entry tells none.
 	Pulse uint64
 	// PulseAge is the time since the process itself was heard.
-	PulseAge time.Duration
-	// Version is the pulse at which Body was made; 0 means that the entry has no body.
-	Version uint64
-	Body    []byte
-	BodyAge time.Duration
+	PulseAge     time.Duration
+	State, Notes part
 	// Delay is by how much longer than usual the frame was under way. The receiver finds it; it is not on the wire.
 	Delay time.Duration
 }
 
+// part is one of the texts that a process tells of itself.
+type part struct {
+	// Version is the pulse at which Body was made; 0 means that the entry has none.
+	Version uint64
+	Body    []byte
+	// Age is the time since Body was made.
+	Age time.Duration
+}
+
 // senderID is the entry ID of the sender itself.
 const senderID = 0
 
@@ -95,6 +101,10 @@
 	entryVersion  protowire.Number = 5
 	entryBody     protowire.Number = 6
 	entryBodyAge  protowire.Number = 7
+	// An instance of the build before passes over the notes.
+	entryNotesVersion protowire.Number = 8
+	entryNotes        protowire.Number = 9
+	entryNotesAge     protowire.Number = 10
 
 	cardName        protowire.Number = 1
 	cardIncarnation protowire.Number = 2
@@ -181,9 +191,12 @@
 	}
 	b = appendVarint(b, entryPulse, e.Pulse)
 	b = appendVarint(b, entryPulseAge, micros(e.PulseAge))
-	b = appendVarint(b, entryVersion, e.Version)
-	b = appendBytes(b, entryBody, e.Body)
-	return appendVarint(b, entryBodyAge, micros(e.BodyAge))
+	b = appendVarint(b, entryVersion, e.State.Version)
+	b = appendBytes(b, entryBody, e.State.Body)
+	b = appendVarint(b, entryBodyAge, micros(e.State.Age))
+	b = appendVarint(b, entryNotesVersion, e.Notes.Version)
+	b = appendBytes(b, entryNotes, e.Notes.Body)
+	return appendVarint(b, entryNotesAge, micros(e.Notes.Age))
 }
 
 func (c card) append(b []byte) []byte {
@@ -279,11 +292,17 @@
 	case entryPulseAge:
 		e.PulseAge = duration(f.varint)
 	case entryVersion:
-		e.Version = f.varint
+		e.State.Version = f.varint
 	case entryBody:
-		e.Body = bytes.Clone(f.bytes)
+		e.State.Body = bytes.Clone(f.bytes)
 	case entryBodyAge:
-		e.BodyAge = duration(f.varint)
+		e.State.Age = duration(f.varint)
+	case entryNotesVersion:
+		e.Notes.Version = f.varint
+	case entryNotes:
+		e.Notes.Body = bytes.Clone(f.bytes)
+	case entryNotesAge:
+		e.Notes.Age = duration(f.varint)
 	}
 	return nil
 }
--- a/internal/gossip/wire_test.go
+++ b/internal/gossip/wire_test.go
@@ -21,10 +21,16 @@
 	return b
 }
 
+func drawPart(rt *rapid.T, label string) part {
+	return part{
+		Version: rapid.Uint64().Draw(rt, label+" version"), Body: drawBytes(rt, label+" body"), Age: drawDuration(rt, label+" age"),
+	}
+}
+
 func drawEntry(rt *rapid.T) entry {
 	e := entry{
 		ID: rapid.Uint64().Draw(rt, "id"), Pulse: rapid.Uint64().Draw(rt, "pulse"), PulseAge: drawDuration(rt, "pulse age"),
-		Version: rapid.Uint64().Draw(rt, "version"), Body: drawBytes(rt, "body"), BodyAge: drawDuration(rt, "body age"),
+		State: drawPart(rt, "state"), Notes: drawPart(rt, "notes"),
 	}
 	if rapid.Bool().Draw(rt, "with card") {
 		e.Card = &card{
--- a/internal/targets/incarnation.go
+++ b/internal/targets/incarnation.go
@@ -34,6 +34,14 @@
 	return changes
 }
 
+// Lost reports whether a target is gone that nobody said was leaving.
+func (dr *Directory) Lost(id string) bool {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	en, known := dr.entries[id]
+	return known && !en.leaving && !en.goneAt.IsZero() && !en.takesWork(dr.now())
+}
+
 // Present reports whether no later incarnation of its name is known: memory set aside at it, and connections to it, may be there
 // still.
 func (dr *Directory) Present(id string) bool {
