fix(blame): chance judges no request that stands beside ends of targets

A play of small fleets, written as a test, judged a request that ends nothing: 2.5 of 18 targets ended a second under requests of 3 s, ten of which came again and again. Cause: the chance of an end was taken from each run's own time, so that a few short ones among many runs of one request looked unlikely, from ends within 5 s only, which lags at the beginning of a bad time, and without the runs of the same request that went on.

Change: the longest of the runs counts for all, the rate is the higher of those within 1 s and 5 s, a request is not judged while a run of it goes on, here or at a peer, for longer than those that ended, and the bound is 1e-7 in place of 1e-6.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -94,6 +94,9 @@
 	cleared map[fingerprint.Fingerprint]clearance
 	// origins counts what is held against requests of an origin.
 	origins map[fingerprint.Origin]int
+	// running holds the runs that go on here, by origin, and told those at peers of requests under which targets ended.
+	running map[fingerprint.Origin][]*Running
+	told    map[string][]Survivor
 }
 
 // New returns an empty ledger.
@@ -101,6 +104,7 @@
 	ld := &Ledger{
 		opts: op, ends: map[string]*end{}, judgements: map[fingerprint.Fingerprint]Judgement{},
 		cleared: map[fingerprint.Fingerprint]clearance{}, origins: map[fingerprint.Origin]int{},
+		running: map[fingerprint.Origin][]*Running{}, told: map[string][]Survivor{},
 	}
 	op.Metrics.NewGauge("silvermount_requests_judged", func() float64 { return float64(len(ld.Judgements())) })
 	return ld
--- a/internal/blame/judge.go
+++ b/internal/blame/judge.go
@@ -15,13 +15,15 @@
 
 const (
 	// chanceMost is how likely it may be, at the most, that targets ended by themselves just while a request ran, for it to be
-	// judged. Among the thousands of requests that stand beside ends in a bad minute, chance then judges one in a hundred such
-	// minutes: with 12 targets of which one ends every 0.4 s, a request of 0.1 s has three ends in a row with 8 in 1,000,000.
-	chanceMost = 1e-6
+	// judged. With 12 targets of which 0.3 to 2.5 end a second, and requests of 50 ms to 8 s that come again and again, 3 of 2.4
+	// million requests were judged by chance (3,000 plays of TestSmallFleets' kind); with 1e-6 it was 15.
+	chanceMost = 1e-7
 	// chanceAgain is the same for a single end soon after a judgement has passed.
 	chanceAgain = 1e-2
 	// nearby is the time before and after an end in which other ends tell how often targets end anyway.
 	nearby = 5 * time.Second
+	// closeBy is the same for the beginning of a bad time, which the longer span would show too late.
+	closeBy = time.Second
 	// endsUnseen is added to the ends that were seen nearby, so that none seen is not taken for none possible.
 	endsUnseen = 0.5
 	// exposureLeast is the least time that a run is taken to have been at its target: a round trip.
@@ -38,7 +40,9 @@
 	request fingerprint.Fingerprint
 	// runs are those at targets whose ends nothing else explains, by target.
 	runs []Run
-	// chance is how likely targets ended by themselves in all of them.
+	// longest is the longest time that one of them ran.
+	longest time.Duration
+	// chance is how likely targets ended by themselves, within that time, in all of them.
 	chance float64
 }
 
@@ -94,7 +98,8 @@
 	now := ld.opts.Now()
 	for _, sp := range suspects {
 		settled := now.Sub(sp.last()) >= settleFor
-		if settled && sp.likely(ld.judgements[sp.request]) && (len(sp.runs) >= alikeEnds || !sp.alike(suspects)) {
+		likely := sp.likely(ld.judgements[sp.request]) && (len(sp.runs) >= alikeEnds || !sp.alike(suspects))
+		if settled && likely && !ld.outlived(sp) {
 			return sp, true
 		}
 	}
@@ -162,26 +167,37 @@
 
 // suspect returns what open ends are held against a request. The lock is held.
 func (ld *Ledger) suspect(fp fingerprint.Fingerprint, open []*end) suspect {
-	sp := suspect{request: fp, chance: 1}
+	sp := suspect{request: fp, longest: exposureLeast, chance: 1}
 	for _, en := range open {
 		if rn, ran := en.under[fp]; ran {
 			sp.runs = append(sp.runs, rn)
-			sp.chance *= ld.chance(rn, open)
+			sp.longest = max(sp.longest, rn.Exposure)
 		}
 	}
+	for _, rn := range sp.runs {
+		sp.chance *= 1 - math.Exp(-ld.rate(rn, open)*sp.longest.Seconds())
+	}
 	return sp
 }
 
-// chance is how likely a target ended by itself while it ran a request, by how often targets ended about then that did not run it.
-// The lock is held.
-func (ld *Ledger) chance(rn Run, open []*end) float64 {
-	others := endsUnseen
+// rate is how often a target ended by itself about the time of a run, a second, by the ends under which its request did not run. The
+// lock is held.
+func (ld *Ledger) rate(rn Run, open []*end) float64 {
+	highest := 0.0
+	for _, span := range []time.Duration{nearby, closeBy} {
+		highest = max(highest, ld.density(rn, open, span, 0))
+	}
+	return max(highest, ld.density(rn, open, nearby, endsUnseen))
+}
+
+// density is the rate within a span before and after a run; unseen is added to the ends in it.
+func (ld *Ledger) density(rn Run, open []*end, span time.Duration, unseen float64) float64 {
+	ends := unseen
 	for _, en := range open {
-		if _, ran := en.under[rn.Request]; !ran && en.at.Sub(rn.At).Abs() <= nearby {
-			others++
+		if _, ran := en.under[rn.Request]; !ran && en.at.Sub(rn.At).Abs() <= span {
+			ends++
 		}
 	}
-	seen := nearby + min(nearby, ld.opts.Now().Sub(rn.At))
-	rate := others / (float64(max(1, ld.opts.Targets())) * seen.Seconds())
-	return 1 - math.Exp(-rate*max(rn.Exposure, exposureLeast).Seconds())
+	seen := span + min(span, ld.opts.Now().Sub(rn.At))
+	return ends / (float64(max(1, ld.opts.Targets())) * seen.Seconds())
 }
--- /dev/null
+++ b/internal/blame/running.go
@@ -0,0 +1,88 @@
+package blame
+
+import (
+	"slices"
+	"time"
+
+	"github.com/silvermount/silvermount/internal/fingerprint"
+)
+
+// Running is a run of a request that its target has begun to answer. While it goes on for longer than the runs that ended with their
+// targets, the request is not judged: it may be answered whole.
+type Running struct {
+	ledger *Ledger
+	origin fingerprint.Origin
+	// request makes the fingerprint, which costs time for a long body.
+	request func() fingerprint.Fingerprint
+	since   time.Time
+}
+
+// Survivor tells a peer of a run that goes on of a request under which targets ended.
+type Survivor struct {
+	Request fingerprint.Fingerprint
+	// Since is when its target began to answer.
+	Since time.Time
+}
+
+// Begin notes a run that its target has begun to answer. End must be called. request may be called at any time before that.
+func (ld *Ledger) Begin(or fingerprint.Origin, request func() fingerprint.Fingerprint) *Running {
+	ru := &Running{ledger: ld, origin: or, request: request, since: ld.opts.Now()}
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	ld.running[or] = append(ld.running[or], ru)
+	return ru
+}
+
+// End notes that the run is over, however it went.
+func (ru *Running) End() {
+	ld := ru.ledger
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	rest := slices.DeleteFunc(ld.running[ru.origin], func(other *Running) bool { return other == ru })
+	if len(rest) == 0 {
+		delete(ld.running, ru.origin)
+	} else {
+		ld.running[ru.origin] = rest
+	}
+	if ld.origins[ru.origin] > 0 {
+		ld.opts.Changed()
+	}
+}
+
+// survivors returns the runs that go on here of requests that may come to be judged. The lock is held.
+func (ld *Ledger) survivors() []Survivor {
+	var list []Survivor
+	for or, runs := range ld.running {
+		if ld.origins[or] < endsLeast-1 {
+			continue
+		}
+		for _, ru := range runs {
+			list = append(list, Survivor{Request: ru.request(), Since: ru.since})
+		}
+	}
+	return list
+}
+
+// outlived reports whether a run goes on, here or at a peer, for longer than those that ended with their targets. The lock is held.
+func (ld *Ledger) outlived(sp suspect) bool {
+	before := ld.opts.Now().Add(-sp.longest)
+	longer := func(sv Survivor) bool { return sv.Request == sp.request && sv.Since.Before(before) }
+	for _, ru := range ld.running[sp.request.Origin()] {
+		if longer(Survivor{Request: ru.request(), Since: ru.since}) {
+			return true
+		}
+	}
+	for _, told := range ld.told {
+		if slices.ContainsFunc(told, longer) {
+			return true
+		}
+	}
+	return false
+}
+
+// Lost forgets the runs of a peer that is lost.
+func (ld *Ledger) Lost(peer string) {
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	delete(ld.told, peer)
+}
--- a/internal/blame/share.go
+++ b/internal/blame/share.go
@@ -31,6 +31,8 @@
 	Clearances []Clearance
 	// Judgements are all that it knows of, so that one that starts hears of them from whoever it meets first.
 	Judgements []Judgement
+	// Survivors are the runs that go on there of requests under which targets ended.
+	Survivors []Survivor
 }
 
 // Notes returns what peers have to hear now. Equal notes are in the same order.
@@ -39,7 +41,7 @@
 	defer ld.mu.Unlock()
 	ld.expire()
 	now := ld.opts.Now()
-	nt := Notes{Runs: slices.Clone(ld.own)}
+	nt := Notes{Runs: slices.Clone(ld.own), Survivors: ld.survivors()}
 	for fp, cl := range ld.cleared {
 		if cl.lifted || now.Sub(cl.at) <= tellFor {
 			nt.Clearances = append(nt.Clearances, Clearance{Request: fp, At: cl.at, Lifted: cl.lifted, Until: cl.until})
@@ -71,9 +73,11 @@
 	for _, jd := range nt.Judgements {
 		ld.hearJudgement(peer, jd)
 	}
+	ld.told[peer] = nt.Survivors
 	judged := ld.judge()
+	surviving := len(ld.survivors())
 	ld.count()
-	if judged || len(ld.own) != before {
+	if judged || len(ld.own) != before || len(ld.survivors()) != surviving {
 		ld.opts.Changed()
 	}
 }
--- a/internal/blame/wire.go
+++ b/internal/blame/wire.go
@@ -61,6 +61,12 @@
 		b = appendSpan(b, made.Sub(jd.Since))
 		b = appendSpan(b, jd.Until.Sub(jd.Since))
 	}
+	surviving := newest(nt.Survivors)
+	b = binary.AppendUvarint(b, uint64(len(surviving)))
+	for _, sv := range surviving {
+		b = append(b, sv.Request[:]...)
+		b = appendSpan(b, made.Sub(sv.Since))
+	}
 	return b
 }
 
@@ -108,6 +114,9 @@
 		jd.Until = jd.Since.Add(rd.span())
 		nt.Judgements = append(nt.Judgements, jd)
 	}
+	for range rd.count() {
+		nt.Survivors = append(nt.Survivors, Survivor{Request: rd.fingerprint(), Since: made.Add(-rd.span())})
+	}
 	if rd.err == nil && len(rd.rest) > 0 {
 		rd.fail("bytes after the end")
 	}
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/silvermount/silvermount/internal/body"
@@ -68,19 +69,13 @@
 	eventAt time.Time
 	// sentAt is when the newest attempt was sent, headAt when the head of its answer came; zero before.
 	sentAt, headAt time.Time
-	// print is valid once printed is set: the digest of a long body is made only when it is needed.
-	print   fingerprint.Fingerprint
-	printed bool
+	// print makes the fingerprint once: the digest of a long body is made only when it is needed.
+	print func() fingerprint.Fingerprint
 }
 
-// fingerprint returns what names the request again when it comes under another id. It is asked once the body is read.
-func (rq *request) fingerprint() fingerprint.Fingerprint {
-	if !rq.printed {
-		rq.printed = true
-		rq.print = fingerprint.Of(rq.identity())
-	}
-	return rq.print
-}
+// fingerprint returns what names the request again when it comes under another id. It may be asked by any goroutine once the body is
+// read.
+func (rq *request) fingerprint() fingerprint.Fingerprint { return rq.print() }
 
 // origin returns what a fingerprint begins with; it costs the same for short and long bodies.
 func (rq *request) origin() fingerprint.Origin { return fingerprint.OriginOf(rq.identity()) }
@@ -101,6 +96,7 @@
 		method: r.Method, target: r.RequestURI, host: r.Host, path: r.URL.EscapedPath(), header: r.Header,
 		arrived: began, free: func() {},
 	}
+	rq.print = sync.OnceValue(func() fingerprint.Fingerprint { return fingerprint.Of(rq.identity()) })
 	fa, err := gw.Protocol.Read(r)
 	if err != nil {
 		return rq, failure.New(failure.BadRequest, failure.NotRun, "the request cannot be read").WithCause(err)
