fix(blame): peers hear of the end of each run that they were told goes on

A run that was told while marks were held against its request, which were cleared before it ended, stayed told for good, and its request could not have been judged later.

--- a/internal/blame/running.go
+++ b/internal/blame/running.go
@@ -15,6 +15,8 @@
 	// request makes the fingerprint, which costs time for a long body.
 	request func() fingerprint.Fingerprint
 	since   time.Time
+	// told is set once peers heard that it goes on: they have to hear of its end too.
+	told bool
 }
 
 // Survivor tells a peer of a run that goes on of a request under which targets ended.
@@ -44,7 +46,7 @@
 	} else {
 		ld.running[ru.origin] = rest
 	}
-	if ld.origins[ru.origin] > 0 {
+	if ru.told || ld.origins[ru.origin] > 0 {
 		ld.opts.Changed()
 	}
 }
@@ -57,6 +59,7 @@
 			continue
 		}
 		for _, ru := range runs {
+			ru.told = true
 			list = append(list, Survivor{Request: ru.request(), Since: ru.since})
 		}
 	}
