fix(jobs): a job whose runs lose their targets comes again ever more seldom

Its record now counts the runs that lost their target, and the next waits 1 s, doubled each time up to 10 minutes; the first loss is tried again at once, as targets also end by themselves. No job is condemned: it still runs until its deadline. Condemning jobs on the evidence that the gateway uses is left open.

--- a/internal/duty/jobs/jobs.go
+++ b/internal/duty/jobs/jobs.go
@@ -254,7 +254,12 @@
 	fe := asFailure(err)
 	again := time.Now().Before(v.Deadline) && (fe.Outcome == failure.NotRun || !v.Never)
 	switch {
-	case again && (givenBack || fe.RetryAfter > 0 || fe.Code == failure.TargetLost):
+	case again && !givenBack && fe.Code == failure.TargetLost:
+		// The job itself may be what ends its targets: it comes again ever more seldom.
+		next := v.WithLost(time.Now())
+		kp.log.WithField("job", v.ID).WithField("lost", next.Lost).WithError(fe).Warn("job given back, its target was lost")
+		kp.change(settle, v, next)
+	case again && (givenBack || fe.RetryAfter > 0):
 		kp.change(settle, v, v.WithQueued())
 	case fe.Outcome == failure.Unknown && v.Never:
 		kp.change(settle, v, v.WithEnd(job.Unknown, ended(fe)))
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -45,6 +45,9 @@
 	Owner string `json:"owner,omitempty"`
 	// Dispatched is set before a job that may not be repeated is sent to a target.
 	Dispatched bool `json:"dispatched,omitempty"`
+	// Lost counts the runs whose target was lost, and NotBefore is when the next may begin, by the clock of the last owner.
+	Lost      int       `json:"lost,omitempty"`
+	NotBefore time.Time `json:"not_before,omitzero"`
 	// Result is set once the state is final.
 	Result *Result `json:"result,omitempty"`
 }
@@ -75,6 +78,26 @@
 	return rc
 }
 
+const (
+	// lostPause is the pause after the second run in a row whose target was lost: it doubles with each further one up to lostMost. A
+	// job that ends the targets that run it then ends some 150 in a day; without a pause it was run again within lookEvery of its owner.
+	lostPause = time.Second
+	lostMost  = 10 * time.Minute
+	// maxDoublings keeps the doubling within the numbers of a duration.
+	maxDoublings = 10
+)
+
+// WithLost returns the record as given back because the target of its run was lost. The first loss is tried again at once: targets
+// also end by themselves.
+func (rc Record) WithLost(now time.Time) Record {
+	rc = rc.WithQueued()
+	if rc.Lost > 0 {
+		rc.NotBefore = now.Add(min(lostMost, lostPause<<min(rc.Lost-1, maxDoublings)))
+	}
+	rc.Lost++
+	return rc
+}
+
 // WithDispatched returns the record as about to be sent to a target.
 func (rc Record) WithDispatched() Record {
 	rc.Dispatched = true
@@ -119,6 +142,8 @@
 		return Leave
 	case rc.State == Queued && now.After(rc.Deadline):
 		return Expire
+	case rc.State == Queued && now.Before(rc.NotBefore):
+		return Leave
 	case rc.State == Queued:
 		return Take
 	case !ownerGone(rc.Owner):
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -38,3 +38,26 @@
 		})
 	}
 }
+
+// TestJobThatLosesItsTargets follows a job whose every run loses its target, for as long as it may take.
+func TestJobThatLosesItsTargets(t *testing.T) {
+	g := NewWithT(t)
+	nobody := func(string) bool { return false }
+	began := time.Unix(1_000_000, 0)
+	rc := Record{State: Queued, Created: began, Deadline: began.Add(24 * time.Hour)}
+	runs := 0
+	var first []time.Duration
+	for now := began; now.Before(rc.Deadline); now = now.Add(250 * time.Millisecond) {
+		if Next(rc, now, nobody) != Take {
+			continue
+		}
+		runs++
+		if len(first) < 5 {
+			first = append(first, now.Sub(began))
+		}
+		rc = rc.WithOwner("me").WithLost(now)
+	}
+	g.Expect(first).To(Equal([]time.Duration{0, 250 * time.Millisecond, 1250 * time.Millisecond, 3250 * time.Millisecond, 7250 * time.Millisecond}))
+	g.Expect(runs).To(Equal(154))
+	g.Expect(Next(rc, rc.Deadline.Add(time.Second), nobody)).To(Equal(Expire))
+}
