fix(blame): ends that the list of targets alone tells are noticed

The runs that such a target broke off became held against their requests only when something else was noted within reach, and the gateway, which asks by origin first, was told that nothing is known (TestEndsThatTheListAloneTells failed). A look by origin now settles the runs whose time is over, and tells peers.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -194,6 +194,11 @@
 func (ld *Ledger) Knows(or fingerprint.Origin) bool {
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
+	if ld.overdue() {
+		// Ends that the list alone tells come to light when their runs are given up for unexplained.
+		ld.expire()
+		ld.changed()
+	}
 	return ld.origins[or] > 0
 }
 
@@ -210,10 +215,15 @@
 	}
 }
 
+// overdue reports whether the target of a broken run has to be known to have ended by now. The lock is held.
+func (ld *Ledger) overdue() bool {
+	return len(ld.broken) > 0 && ld.opts.Now().Sub(ld.broken[0].At) > endKnownFor
+}
+
 // expire forgets what is too old, after a last look at whether the targets of broken runs are gone. The lock is held.
 func (ld *Ledger) expire() {
 	now := ld.opts.Now()
-	for len(ld.broken) > 0 && now.Sub(ld.broken[0].At) > endKnownFor {
+	for ld.overdue() {
 		rn := ld.broken[0]
 		if ld.opts.Gone(rn.Target) {
 			ld.end(rn.Target, rn.At)
--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -391,3 +391,18 @@
 	in.Served(request("fatal"))
 	g.Expect(in.news).To(Equal(2))
 }
+
+// TestEndsThatTheListAloneTells lets targets end that nobody saw refuse a connection: their entries go seconds later.
+func TestEndsThatTheListAloneTells(t *testing.T) {
+	g := NewWithT(t)
+	in := newInstance(newClock(), 12)
+	for no := range 3 {
+		in.broke(fmt.Sprint("target-", no), false, brief, "fatal")
+		in.gone[fmt.Sprint("target-", no)] = true
+	}
+	g.Expect(in.Knows(request("fatal").Origin())).To(BeFalse())
+	in.ck.pass(7 * time.Second)
+	g.Expect(in.Knows(request("fatal").Origin())).To(BeTrue())
+	g.Expect(in.news).To(BeNumerically(">", 0), "peers hear of it")
+	g.Expect(in.judged("fatal")).To(BeTrue())
+}
