--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -406,3 +406,24 @@
 	g.Expect(in.news).To(BeNumerically(">", 0), "peers hear of it")
 	g.Expect(in.judged("fatal")).To(BeTrue())
 }
+
+// TestRunsThatWaitedTellLittle lets a request that ends its targets wait at some of them, behind others, before it ends them: how long
+// it ran there is not known. A request that stood beside it at fewer ends, by chance briefly, is not taken for the cause.
+func TestRunsThatWaitedTellLittle(t *testing.T) {
+	g := NewWithT(t)
+	in := newInstance(newClock(), 7)
+	for no := range 8 {
+		in.broke(fmt.Sprint("by-itself-", no), true, lasting, fmt.Sprint("once-", no))
+		in.ck.pass(100 * time.Millisecond)
+	}
+	for no := range 3 {
+		target := fmt.Sprint("waited-", no)
+		in.broke(target, false, lasting, "fatal")
+		in.broke(target, true, time.Millisecond, "other")
+		in.broke(fmt.Sprint("at-once-", no), true, time.Millisecond, "fatal")
+	}
+	in.ck.pass(settled)
+	g.Expect(in.judged("other")).To(BeFalse())
+	g.Expect(in.judged("fatal")).To(BeTrue())
+	g.Expect(in.judged("other")).To(BeFalse())
+}
--- a/internal/blame/judgement.go
+++ b/internal/blame/judgement.go
@@ -68,7 +68,8 @@
 	if jd, ok := ld.judgements[fp]; ok && jd.inForce(now) {
 		return Verdict{Judged: true, Ends: jd.Ends}
 	}
-	sp := ld.suspect(fp, ld.open())
+	open := ld.open()
+	sp := ld.suspect(fp, open, open)
 	if !sp.likely(ld.judgements[fp]) {
 		return Verdict{Ends: len(sp.runs)}
 	}
