--- a/internal/blame/judge.go
+++ b/internal/blame/judge.go
@@ -6,6 +6,7 @@
 	"math"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -191,7 +192,9 @@
 			sp.runs = append(sp.runs, rn)
 		}
 	}
-	slices.SortFunc(sp.runs, func(a, b Run) int { return cmp.Compare(a.Exposure, b.Exposure) })
+	slices.SortFunc(sp.runs, func(a, b Run) int {
+		return cmp.Or(cmp.Compare(a.Exposure, b.Exposure), strings.Compare(a.Target, b.Target))
+	})
 	rates := make([]float64, len(sp.runs))
 	for i, rn := range sp.runs {
 		rates[i] = ld.rate(rn, open)
