--- a/internal/blame/judge.go
+++ b/internal/blame/judge.go
@@ -39,7 +39,7 @@
 // suspect is a request with what is held against it.
 type suspect struct {
 	request fingerprint.Fingerprint
-	// runs are those at targets whose ends nothing else explains, by target.
+	// runs are those at targets whose ends nothing else explains, the shortest first.
 	runs []Run
 	// longest is the longest time that one of the runs ran which chance is taken of.
 	longest time.Duration
