fix(follow): a store that comes back from an older copy is noticed, and believed no further than it goes

Cause, by reading and by tests that fail without this: nothing read the era that the store tells. A follower that watched from a revision went on from it once the store had passed it again; peers dropped each other's newer lists as older ones; each answer of the copy proved a configuration to be the newest, also one without a change that was acknowledged; targets that the copy lacks counted as gone, and those that had gone were sent requests again. Peers tell the position as one number, which before the first return is the revision that builds before this one tell and expect. Ruled out: a field of its own in the state of peers, which builds before this one could not read.

--- a/internal/duty/facts/facts.go
+++ b/internal/duty/facts/facts.go
@@ -14,6 +14,7 @@
 	"github.com/silvermount/silvermount/internal/follow"
 	"github.com/silvermount/silvermount/internal/kernel"
 	"github.com/silvermount/silvermount/internal/objectstore"
+	"github.com/silvermount/silvermount/internal/position"
 	"github.com/silvermount/silvermount/internal/routes"
 	"github.com/silvermount/silvermount/internal/targets"
 )
@@ -42,6 +43,8 @@
 	version int64
 	// tellBirth says whom an entry without a time of birth is of, a target or another writer. It is set when most targets of the newest list tell when they were born; it is used by one goroutine.
 	tellBirth bool
+	// rewrittenEra is the newest era of the store in which the configuration was seen to change; it is used by one goroutine.
+	rewrittenEra int64
 	// news is set while an answer about targets holds changes; it is used by one goroutine.
 	news bool
 }
@@ -128,15 +131,19 @@
 				rd.readConfiguration(it, evidence)
 			}
 		},
-		Change: rd.readConfiguration,
-		Confirm: func(evidence time.Time, _ int64) {
+		Change: func(it objectstore.Object, evidence time.Time) {
+			rd.rewritten(it)
+			rd.readConfiguration(it, evidence)
+		},
+		Known: rd.known, Restored: rd.dr.Restored,
+		Confirm: func(evidence time.Time, _ position.Position) {
 			rd.reach.answered()
-			rd.rts.Confirm(rd.version, evidence)
+			rd.rts.Confirm(rd.version, rd.proof(evidence))
 			rd.changed.Tell()
 		},
 		Rest: func() bool {
 			version, provenAt := rd.inForce()
-			return rd.followers.Lacking(version) < newsTime && rd.rests(pc, rd.ad.ConfigurationKind, provenAt)
+			return rd.followers.Lacking(version) < newsTime && rd.rests(pc, rd.ad.ConfigurationKind, rd.provable(provenAt))
 		},
 		Retry: func() (least, most time.Duration) {
 			_, provenAt := rd.rts.Current()
@@ -181,7 +188,7 @@
 		return
 	}
 	rd.version = ct.Version
-	if rd.rts.Offer(routes.New(ct), it.Value, evidence) {
+	if rd.rts.Offer(routes.New(ct), it.Value, rd.proof(evidence)) {
 		rd.lg.WithFields(log.Fields{
 			"version": ct.Version, "routes": len(ct.Routes), "services": len(ct.Services), "source": "store",
 			"age": time.Since(evidence).Round(time.Millisecond).String(),
@@ -216,11 +223,12 @@
 			}
 			rd.tell(rd.dr.Put(tg, evidence), evidence)
 		},
-		Confirm: func(evidence time.Time, version int64) {
+		Known: rd.known, Restored: rd.dr.Restored,
+		Confirm: func(evidence time.Time, at position.Position) {
 			rd.reach.answered()
-			rd.dr.Confirm(evidence)
+			rd.tell(rd.dr.Confirm(evidence), evidence)
 			if rd.news {
-				rd.dr.Changed(version)
+				rd.dr.Changed(at)
 			}
 			rd.news = false
 			rd.changed.Tell()
--- a/internal/duty/facts/fleet_test.go
+++ b/internal/duty/facts/fleet_test.go
@@ -19,6 +19,7 @@
 	"github.com/silvermount/silvermount/internal/duty/forwarding"
 	"github.com/silvermount/silvermount/internal/follow"
 	"github.com/silvermount/silvermount/internal/objectstore"
+	"github.com/silvermount/silvermount/internal/position"
 	"github.com/silvermount/silvermount/internal/routes"
 	"github.com/silvermount/silvermount/internal/targets"
 )
@@ -43,7 +44,9 @@
 
 // shared is a store that all instances ask. It holds one configuration, whose value is its version, and targets.
 type shared struct {
-	mu      sync.Mutex
+	mu sync.Mutex
+	// era counts the returns from an older copy.
+	era     int64
 	version map[string]int64
 	down    bool
 	calls   map[string]int
@@ -71,7 +74,7 @@
 		name = "target-" + strconv.FormatInt(v, 10)
 	}
 	return objectstore.Listing{
-		Version: v, Items: []objectstore.Object{{Name: name, Version: v, Value: json.RawMessage(strconv.FormatInt(v, 10))}},
+		Era: sh.era, Version: v, Items: []objectstore.Object{{Name: name, Version: v, Value: json.RawMessage(strconv.FormatInt(v, 10))}},
 	}
 }
 
@@ -130,7 +133,7 @@
 // storeSilence is how long a call waits for an answer that does not come.
 const storeSilence = 1200 * time.Millisecond
 
-func (ma *machine) watch(ctx context.Context, kind string, since int64, wait time.Duration) (objectstore.Listing, error) {
+func (ma *machine) watch(ctx context.Context, kind string, since position.Position, wait time.Duration) (objectstore.Listing, error) {
 	ma.called()
 	for over := time.Now().Add(wait); ; {
 		l, err := ma.ask(ma.store, kind)
@@ -140,11 +143,14 @@
 		if ctx.Err() != nil {
 			return objectstore.Listing{}, ctx.Err()
 		}
-		if err != nil || l.Version > since {
-			return withRemoved(l, kind, since), err
+		if err == nil && since.Revision > l.Version {
+			return objectstore.Listing{}, &objectstore.HistoryGoneError{Kind: kind}
+		}
+		if err != nil || l.Version > since.Revision {
+			return withRemoved(l, kind, since.Revision), err
 		}
 		if !time.Now().Before(over) {
-			return objectstore.Listing{Version: l.Version}, nil
+			return objectstore.Listing{Era: l.Era, Version: l.Version}, nil
 		}
 	}
 }
@@ -285,14 +291,17 @@
 }
 
 func hearTargets(to, from *machine) {
-	version, heard := from.rd.dr.Version()
-	mine, _ := to.rd.dr.Version()
+	at, heard := from.rd.dr.ChangedAt()
+	mine, _ := to.rd.dr.ChangedAt()
 	switch {
-	case version > mine:
+	case at.After(mine):
+		if at.Restored(mine) {
+			to.rd.dr.Restored(at.Era, heard)
+		}
 		_, list := from.rd.dr.Listed()
 		to.rd.dr.Replace(list, heard)
-		to.rd.dr.Changed(version)
-	case version == mine && version > 0:
+		to.rd.dr.Changed(at)
+	case at == mine && !at.IsZero():
 		to.rd.dr.Confirm(heard)
 	}
 }
@@ -415,8 +424,8 @@
 		g.Expect(fl.calls()).To(BeNumerically("<", followers*35))
 		time.Sleep(time.Second)
 		for _, ma := range fl.machines {
-			version, _ := ma.rd.dr.Version()
-			g.Expect(version).To(Equal(int64(61)), ma.name)
+			at, _ := ma.rd.dr.ChangedAt()
+			g.Expect(at).To(Equal(position.Position{Revision: 61}), ma.name)
 		}
 	})
 }
--- /dev/null
+++ b/internal/duty/facts/restored_test.go
@@ -0,0 +1,105 @@
+package facts
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/silvermount/silvermount/internal/position"
+)
+
+// restore lets the store come back from a copy that holds older versions of both kinds.
+func (fl *fleet) restore(configuration, targets int64) {
+	fl.store.set(func() {
+		fl.store.era++
+		fl.store.version[kindConfiguration], fl.store.version[kindTargets] = configuration, targets
+	})
+}
+
+// newestProof returns the time of the newest proof that an instance has.
+func (fl *fleet) newestProof() time.Time {
+	var newest time.Time
+	for _, ma := range fl.machines {
+		if _, provenAt := ma.rd.rts.Current(); provenAt.After(newest) {
+			newest = provenAt
+		}
+	}
+	return newest
+}
+
+// TestRestoredStoreProvesNoConfiguration.
+//
+// An operator took a key away, and the store came back from a copy without that change before any instance had read it. The copy's
+// configuration is the one in force, and each answer of the store counted as proof that it is the newest: the key went on to work
+// with ever newer proof, until the operator had written the change again.
+func TestRestoredStoreProvesNoConfiguration(t *testing.T) {
+	inFleet(t, func(g *WithT, fl *fleet) {
+		// The change and the return fall between two looks of the followers.
+		fl.change(kindConfiguration)
+		fl.restore(1, 1)
+		returned := time.Now()
+		time.Sleep(rewriteFor - 100*time.Millisecond)
+		g.Expect(fl.inForce(1)).To(BeTrue())
+		g.Expect(fl.newestProof()).To(BeTemporally("<=", returned.Add(travel)), "what was asked before the return alone proves anything")
+		fl.change(kindConfiguration)
+		time.Sleep(time.Second)
+		g.Expect(fl.inForce(2)).To(BeTrue())
+		g.Expect(fl.oldest()).To(BeNumerically("<", newsBound/2), "what the operator wrote again proves itself at once")
+	})
+}
+
+// TestRestoredStoreProvesAgainLater: nothing was lost that an operator has to write again.
+func TestRestoredStoreProvesAgainLater(t *testing.T) {
+	inFleet(t, func(g *WithT, fl *fleet) {
+		fl.restore(1, 1)
+		time.Sleep(rewriteFor + newsBound)
+		g.Expect(fl.inForce(1)).To(BeTrue())
+		g.Expect(fl.oldest()).To(BeNumerically("<", newsBound/2+2*tell))
+	})
+}
+
+// TestRestoredStoreTakesNothingBack: instances that have a newer configuration than the copy keep it, and the copy proves nothing.
+func TestRestoredStoreTakesNothingBack(t *testing.T) {
+	inFleet(t, func(g *WithT, fl *fleet) {
+		fl.change(kindConfiguration)
+		fl.change(kindConfiguration)
+		time.Sleep(newsBound)
+		fl.restore(1, 1)
+		returned := time.Now()
+		time.Sleep(newsBound)
+		g.Expect(fl.inForce(3)).To(BeTrue())
+		g.Expect(fl.newestProof()).To(BeTemporally("<=", returned.Add(travel)))
+		fl.change(kindConfiguration)
+		fl.change(kindConfiguration)
+		time.Sleep(time.Second)
+		g.Expect(fl.inForce(3)).To(BeTrue())
+		g.Expect(fl.oldest()).To(BeNumerically("<", newsBound/2))
+	})
+}
+
+// TestRestoredStoreAndThoseWhoDoNotAsk.
+//
+// The store came back from a copy, and its revisions went back. Those who hear of targets from peers had a list of a larger revision,
+// took what the followers told for older, and never heard of a target that left.
+func TestRestoredStoreAndThoseWhoDoNotAsk(t *testing.T) {
+	inFleet(t, func(g *WithT, fl *fleet) {
+		for range 9 {
+			fl.change(kindTargets)
+			time.Sleep(newsPause + 4*tell)
+		}
+		fl.calls()
+		fl.restore(1, 5)
+		time.Sleep(newsBound)
+		g.Expect(fl.otherCalls()).To(BeNumerically("<=", instances), "no more than at a start of all")
+		fl.change(kindTargets)
+		// A target that had gone counts as back once entries that nobody writes are gone.
+		time.Sleep(5 * time.Second)
+		for _, ma := range fl.machines {
+			at, _ := ma.rd.dr.ChangedAt()
+			g.Expect(at).To(Equal(position.Position{Era: 1, Revision: 6}), ma.name)
+			g.Expect(ma.rd.dr.TakesWork("target-6")).To(BeTrue(), ma.name)
+			g.Expect(ma.rd.dr.TakesWork("target-5")).To(BeFalse(), ma.name)
+		}
+	})
+}
--- a/internal/duty/facts/unanswered_test.go
+++ b/internal/duty/facts/unanswered_test.go
@@ -68,8 +68,8 @@
 			fl.change(kindTargets)
 			time.Sleep(newsPause + 4*tell)
 			for _, ma := range fl.machines {
-				known, _ := ma.rd.dr.Version()
-				g.Expect(known).To(Equal(version), ma.name)
+				known, _ := ma.rd.dr.ChangedAt()
+				g.Expect(known.Revision).To(Equal(version), ma.name)
 			}
 		}
 		g.Expect(fl.otherCalls()).To(BeNumerically("<", 10*2*2*followers), "only those in their place ask")
--- a/internal/duty/members/fetch_test.go
+++ b/internal/duty/members/fetch_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/silvermount/silvermount/internal/gossip"
+	"github.com/silvermount/silvermount/internal/position"
 	"github.com/silvermount/silvermount/internal/routes"
 	"github.com/silvermount/silvermount/internal/targets"
 )
@@ -37,7 +38,7 @@
 		for version := range int64(3) {
 			du.want(newer{document: configurationDocument, version: version + 1})
 		}
-		du.want(newer{document: targetsDocument, version: 9, evidence: time.Now()})
+		du.want(newer{document: targetsDocument, at: position.Position{Revision: 9}, evidence: time.Now()})
 		ctx, cancel := context.WithCancel(t.Context())
 		var wg sync.WaitGroup
 		wg.Go(func() { du.fetchAll(ctx) })
@@ -47,3 +48,35 @@
 		wg.Wait()
 	})
 }
+
+// TestRestoredStoreAsAPeerTells.
+//
+// The store came back from an older copy, and a peer told of a list at a lower revision than this instance's. It was taken for older,
+// and a target that had left since was sent requests.
+func TestRestoredStoreAsAPeerTells(t *testing.T) {
+	g := NewWithT(t)
+	dr := targets.New(time.Now)
+	dr.Replace([]targets.Target{{ID: "stays"}, {ID: "left"}, {ID: "goes"}}, time.Now())
+	dr.Remove("goes", time.Now())
+	dr.Changed(position.Position{Revision: 480})
+	at := position.Position{Era: 1, Revision: 300}
+	list, err := json.Marshal(targetList{
+		Version: at.Number(), Targets: []targets.Target{{ID: "stays"}, {ID: "left", Leaving: true}, {ID: "goes"}},
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	du := newDuty()
+	du.rts, du.dr = &routes.Holder{}, dr
+	du.lg = &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
+	du.document = func(context.Context, gossip.Member, string) ([]byte, error) { return pack(list) }
+	du.fetchTargets(t.Context(), newer{document: targetsDocument, at: at, evidence: time.Now()})
+	mine, _ := dr.ChangedAt()
+	g.Expect(mine).To(Equal(at))
+	g.Expect(dr.TakesWork("stays")).To(BeTrue())
+	g.Expect(dr.TakesWork("left")).To(BeFalse())
+	g.Expect(dr.TakesWork("goes")).To(BeFalse(), "it was gone before the return")
+	du.document = func(context.Context, gossip.Member, string) ([]byte, error) {
+		t.Error("a list of the era before is older, whatever its revision")
+		return nil, context.Canceled
+	}
+	du.fetchTargets(t.Context(), newer{document: targetsDocument, at: position.Position{Revision: 900}, evidence: time.Now()})
+}
--- a/internal/duty/members/members.go
+++ b/internal/duty/members/members.go
@@ -21,6 +21,7 @@
 	"github.com/silvermount/silvermount/internal/kernel"
 	"github.com/silvermount/silvermount/internal/peerstate"
 	"github.com/silvermount/silvermount/internal/placement"
+	"github.com/silvermount/silvermount/internal/position"
 	"github.com/silvermount/silvermount/internal/routes"
 	"github.com/silvermount/silvermount/internal/targets"
 )
@@ -50,7 +51,9 @@
 	// document is what the peer has a newer version of.
 	document string
 	from     gossip.Member
+	// version is that of the configuration, at the position of the list of targets: one of them is set.
 	version  int64
+	at       position.Position
 	evidence time.Time
 }
 
@@ -148,8 +151,8 @@
 	if !du.left.Load() {
 		st.Loads = du.ds.Own()
 	}
-	version, heard := du.dr.Version()
-	st.Targets = version
+	at, heard := du.dr.ChangedAt()
+	st.Targets = at
 	st.TargetsAge = time.Since(heard)
 	if tb, provenAt := du.rts.Current(); tb != nil {
 		st.Configuration = tb.Version()
@@ -215,18 +218,18 @@
 
 // receiveTargets compares a peer's list of targets with this instance's.
 func (du *duty) receiveTargets(from gossip.Member, st peerstate.State, evidence time.Time) {
-	version, _ := du.dr.Version()
+	mine, _ := du.dr.ChangedAt()
 	switch {
-	case st.Targets == 0 || st.Targets < version:
-	case st.Targets == version:
-		du.dr.Confirm(evidence)
+	case st.Targets.IsZero() || mine.After(st.Targets):
+	case st.Targets == mine:
+		du.tellTargets(du.lg.WithField("peer", from.Name), du.dr.Confirm(evidence), evidence)
 	case !du.fo.Follows() && !du.ms.Source(from):
 		// The linked relays will have it too.
 		time.AfterFunc(sourceFirst, func() {
-			du.want(newer{document: targetsDocument, from: from, version: st.Targets, evidence: evidence})
+			du.want(newer{document: targetsDocument, from: from, at: st.Targets, evidence: evidence})
 		})
 	default:
-		du.want(newer{document: targetsDocument, from: from, version: st.Targets, evidence: evidence})
+		du.want(newer{document: targetsDocument, from: from, at: st.Targets, evidence: evidence})
 	}
 }
 
--- a/internal/duty/members/targets.go
+++ b/internal/duty/members/targets.go
@@ -9,11 +9,13 @@
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
+	"github.com/silvermount/silvermount/internal/position"
 	"github.com/silvermount/silvermount/internal/targets"
 )
 
 // targetList is the list of targets that peers get.
 type targetList struct {
+	// Version is the number of the position at which the list last changed.
 	Version int64
 	Targets []targets.Target
 	// Lapsed are missing from the list and still take work.
@@ -22,7 +24,8 @@
 
 func (du *duty) targetsDocument(name string) ([]byte, error) {
 	var tl targetList
-	tl.Version, tl.Targets = du.dr.Listed()
+	at, list := du.dr.Listed()
+	tl.Version, tl.Targets = at.Number(), list
 	tl.Lapsed = du.dr.Lapsed()
 	if name == nameDocument {
 		tl.Targets = withoutIncarnations(tl.Targets)
@@ -46,12 +49,12 @@
 
 // fetchTargets asks a peer for a newer list of targets.
 func (du *duty) fetchTargets(ctx context.Context, nw newer) {
-	if version, _ := du.dr.Version(); version >= nw.version {
+	if mine, _ := du.dr.ChangedAt(); !nw.at.After(mine) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	lg := du.lg.WithField("peer", nw.from.Name).WithField("version", nw.version)
+	lg := du.lg.WithField("peer", nw.from.Name).WithField("era", nw.at.Era).WithField("version", nw.at.Revision)
 	doc, err := du.document(ctx, nw.from, targetsDocument)
 	if err != nil {
 		lg.WithError(err).Warn("newer list of targets not fetched")
@@ -67,15 +70,25 @@
 		lg.WithError(err).Error("peer's list of targets cannot be read")
 		return
 	}
-	if version, _ := du.dr.Version(); tl.Version < nw.version || tl.Version <= version {
+	at, mine := position.Of(tl.Version), position.Position{}
+	if mine, _ = du.dr.ChangedAt(); nw.at.After(at) || !at.After(mine) {
 		// Meanwhile the store told more.
 		return
 	}
-	for _, ch := range du.dr.ReplaceTold(tl.Targets, tl.Lapsed, nw.evidence) {
+	if at.Restored(mine) {
+		lg.Warn("store came back from an older copy, as a peer tells")
+		du.dr.Restored(at.Era, nw.evidence)
+	}
+	du.tellTargets(lg, du.dr.ReplaceTold(tl.Targets, tl.Lapsed, nw.evidence), nw.evidence)
+	du.dr.Changed(at)
+}
+
+// tellTargets logs what a peer's word of a time changed.
+func (du *duty) tellTargets(lg log.Interface, changes []targets.Change, evidence time.Time) {
+	for _, ch := range changes {
 		lg.WithFields(log.Fields{
 			"target": ch.Target.ID, "service": ch.Target.Service, "address": ch.Target.Address, "source": "peer",
-			"age": time.Since(nw.evidence).Round(time.Millisecond).String(),
+			"age": time.Since(evidence).Round(time.Millisecond).String(),
 		}).Info("target " + ch.What)
 	}
-	du.dr.Changed(tl.Version)
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/silvermount/silvermount/internal/objectstore"
+	"github.com/silvermount/silvermount/internal/position"
 )
 
 const (
@@ -20,6 +21,9 @@
 	// historyLeast is the age of the last answer from which a watch is likely to be told that the history it asks for is
 	// gone, and a list is asked for at once: half of the 20 s that the users' store keeps.
 	historyLeast = 10 * time.Second
+	// settleFor is how long after it came back from an older copy the store may list what had gone before: an entry that nobody
+	// writes any more goes after three heartbeats of its target, 3.6 s. What is still listed then is there.
+	settleFor = 5 * time.Second
 	// restStep is how often a follower that rests looks whether it has to ask itself.
 	restStep = 100 * time.Millisecond
 )
@@ -28,8 +32,9 @@
 type Store struct {
 	// List returns all objects of a kind.
 	List func(ctx context.Context, kind string) (objectstore.Listing, error)
-	// Watch waits at most wait for changes after a version. A HistoryGoneError asks for a new list.
-	Watch func(ctx context.Context, kind string, since int64, wait time.Duration) (objectstore.Listing, error)
+	// Watch waits at most wait for changes after a position. A HistoryGoneError asks for a new list. An answer of another era does
+	// not tell what changed.
+	Watch func(ctx context.Context, kind string, since position.Position, wait time.Duration) (objectstore.Listing, error)
 }
 
 // Follower follows one kind. Its function fields are called by one goroutine. Evidence is the time on the steady clock
@@ -43,8 +48,12 @@
 	Replace func(items []objectstore.Object, evidence time.Time)
 	// Change takes one change; a removed object has no value.
 	Change func(item objectstore.Object, evidence time.Time)
-	// Confirm is told that all changes up to the evidence were taken, and the store's version then.
-	Confirm func(evidence time.Time, version int64)
+	// Confirm is told that all changes up to the evidence were taken, and where in its history the store was then.
+	Confirm func(evidence time.Time, at position.Position)
+	// Known returns where in its history the store was by what is known from elsewhere; nil for nowhere.
+	Known func() position.Position
+	// Restored is told the era of a store that came back from an older copy, before the list that shows it is taken; nil for none.
+	Restored func(era int64, evidence time.Time)
 	// Rest reports whether others tell enough, so that the store need not be asked now; nil for never.
 	Rest func() bool
 	// Pause returns how long the store is left alone after a good answer; news says that the answer was a list or held
@@ -63,6 +72,10 @@
 	lost bool
 	// answered is when the newest good answer was asked for.
 	answered time.Time
+	// at is where in its history the store was at the newest list; zero before the first.
+	at position.Position
+	// relistAt is when a list is asked for once more after the store came back from an older copy; zero for never.
+	relistAt time.Time
 }
 
 // Run follows until ctx ends.
@@ -82,7 +95,7 @@
 		// History that is gone again right after a list is trouble like any other.
 		if errors.As(err, &hg) && !gone {
 			gone = true
-			fo.Log.WithField("kind", fo.Kind).WithField("version", since).Info("history gone, listing again")
+			fo.Log.WithField("kind", fo.Kind).WithField("version", since.Revision).Info("history gone, listing again")
 			continue
 		}
 		if ctx.Err() != nil {
@@ -126,24 +139,60 @@
 	return fo.Retry()
 }
 
-func (fo *Follower) list(ctx context.Context) (int64, error) {
+func (fo *Follower) list(ctx context.Context) (position.Position, error) {
 	fo.rest(ctx)
 	evidence := time.Now()
 	l, err := fo.Store.List(ctx, fo.Kind)
 	if err != nil {
-		return 0, errors.Wrap(err, "list")
+		return position.Position{}, errors.Wrap(err, "list")
 	}
 	fo.regained()
 	fo.answered = evidence
+	fo.reach(l.Position(), evidence)
 	fo.Replace(l.Items, evidence)
-	fo.Confirm(evidence, l.Version)
+	fo.Confirm(evidence, fo.at)
 	fo.pause(ctx, true)
-	return l.Version, nil
+	return fo.at, nil
 }
 
-func (fo *Follower) watch(ctx context.Context, since int64) (int64, error) {
+// reach notes where in its history the store was at a list. After a return from an older copy, entries that nobody writes any more
+// are listed for a while, and there is no change that tells which stay: one more list does, at a moment of each follower's own, so
+// that a fleet does not ask at once.
+func (fo *Follower) reach(at position.Position, evidence time.Time) {
+	before := fo.known()
+	fo.at = at
+	if !evidence.Before(fo.relistAt) {
+		fo.relistAt = time.Time{}
+	}
+	if before.IsZero() || before.Era == at.Era {
+		return
+	}
+	fo.relistAt = evidence.Add(settleFor + rand.N(time.Second))
+	fo.Log.WithFields(log.Fields{
+		"kind": fo.Kind, "era": at.Era, "era_before": before.Era, "version": at.Revision, "version_before": before.Revision,
+	}).Warn("store came back from an older copy")
+	if fo.Restored != nil {
+		fo.Restored(at.Era, evidence)
+	}
+}
+
+// known returns where in its history the store was before: at the newest list, or by what others tell.
+func (fo *Follower) known() position.Position {
+	if !fo.at.IsZero() || fo.Known == nil {
+		return fo.at
+	}
+	return fo.Known()
+}
+
+// relists reports whether the list has to be asked for in place of what changed.
+func (fo *Follower) relists() bool {
+	settled := !fo.relistAt.IsZero() && !time.Now().Before(fo.relistAt)
+	return settled || time.Since(fo.answered) >= historyLeast
+}
+
+func (fo *Follower) watch(ctx context.Context, since position.Position) (position.Position, error) {
 	fo.rest(ctx)
-	if time.Since(fo.answered) >= historyLeast {
+	if fo.relists() {
 		return fo.list(ctx)
 	}
 	evidence := time.Now()
@@ -152,13 +201,17 @@
 		return since, errors.Wrap(err, "watch")
 	}
 	fo.regained()
+	if l.Era != since.Era {
+		// The same revisions stand for other changes there.
+		return fo.list(ctx)
+	}
 	fo.answered = evidence
 	for _, it := range l.Items {
 		fo.Change(it, evidence)
 	}
-	fo.Confirm(evidence, l.Version)
+	fo.Confirm(evidence, l.Position())
 	fo.pause(ctx, len(l.Items) > 0)
-	return l.Version, nil
+	return l.Position(), nil
 }
 
 func (fo *Follower) pause(ctx context.Context, news bool) {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/silvermount/silvermount/internal/follow"
 	"github.com/silvermount/silvermount/internal/objectstore"
+	"github.com/silvermount/silvermount/internal/position"
 )
 
 const (
@@ -29,10 +30,10 @@
 // fakeStore answers calls with what a test has set.
 type fakeStore struct {
 	mu sync.Mutex
-	// version rises with each change; items holds the present values by name.
-	version int64
-	items   map[string]string
-	changes []objectstore.Object
+	// era rises with each return from a copy, version with each change; items holds the present values by name.
+	era, version int64
+	items        map[string]string
+	changes      []objectstore.Object
 	// floor is the version before which history is gone.
 	floor int64
 	// down is what all calls fail with; nil when the store is well.
@@ -70,20 +71,20 @@
 	time.Sleep(travel)
 	fs.mu.Lock()
 	defer fs.mu.Unlock()
-	l := objectstore.Listing{Version: fs.version}
+	l := objectstore.Listing{Era: fs.era, Version: fs.version}
 	for name, value := range fs.items {
 		l.Items = append(l.Items, objectstore.Object{Name: name, Version: fs.version, Value: json.RawMessage(value)})
 	}
 	return l, fs.down
 }
 
-func (fs *fakeStore) watch(ctx context.Context, _ string, since int64, wait time.Duration) (objectstore.Listing, error) {
+func (fs *fakeStore) watch(ctx context.Context, _ string, since position.Position, wait time.Duration) (objectstore.Listing, error) {
 	fs.mu.Lock()
 	fs.watches = append(fs.watches, time.Now())
 	fs.mu.Unlock()
 	over := time.Now().Add(wait)
 	for {
-		l, done, err := fs.since(since)
+		l, done, err := fs.since(since.Revision)
 		if done || err != nil || !time.Now().Before(over) {
 			return l, err
 		}
@@ -100,10 +101,10 @@
 	if fs.down != nil {
 		return l, false, fs.down
 	}
-	if since < fs.floor {
+	if since < fs.floor || since > fs.version {
 		return l, false, &objectstore.HistoryGoneError{Kind: kind}
 	}
-	l.Version = fs.version
+	l.Era, l.Version = fs.era, fs.version
 	for _, ob := range fs.changes {
 		if ob.Version > since {
 			l.Items = append(l.Items, ob)
@@ -187,7 +188,7 @@
 	cp.items[it.Name] = string(it.Value)
 }
 
-func (cp *copyOf) confirm(evidence time.Time, _ int64) {
+func (cp *copyOf) confirm(evidence time.Time, _ position.Position) {
 	cp.mu.Lock()
 	defer cp.mu.Unlock()
 	cp.check(evidence)
--- a/internal/objectstore/objectstore.go
+++ b/internal/objectstore/objectstore.go
@@ -13,6 +13,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
+
+	"github.com/silvermount/silvermount/internal/position"
 )
 
 // The kinds of object that the system keeps.
@@ -41,12 +43,19 @@
 
 // Listing is what a list or a watch returns.
 type Listing struct {
+	// Era is that of the store's history which Version belongs to.
+	Era int64 `json:"era,omitempty"`
 	// Version is the store's version at the time of the answer.
 	Version int64 `json:"version"`
 	// Items are the objects, or the changes in order.
 	Items []Object `json:"items"`
 }
 
+// Position returns where in the store's history the answer was given.
+func (l Listing) Position() position.Position {
+	return position.Position{Era: l.Era, Revision: l.Version}
+}
+
 // NotFoundError says that the object does not exist.
 type NotFoundError struct{ Kind, Name string }
 
--- a/internal/peerstate/decode.go
+++ b/internal/peerstate/decode.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/silvermount/silvermount/internal/placement"
+	"github.com/silvermount/silvermount/internal/position"
 )
 
 // Decode reads a peer's state. It fails with a VersionError, a MalformedError, a TooManyError or a
@@ -29,7 +30,7 @@
 	rd := reader{rest: b[1:]}
 	st := State{Configuration: int64(rd.uvarint())}
 	st.ProofAge = rd.age()
-	st.Targets = int64(rd.uvarint())
+	st.Targets = position.Of(int64(rd.uvarint()))
 	st.TargetsAge = rd.age()
 	rd.targets(&st)
 	if rd.err == nil && len(rd.rest) > 0 {
--- a/internal/peerstate/peerstate.go
+++ b/internal/peerstate/peerstate.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/silvermount/silvermount/internal/placement"
+	"github.com/silvermount/silvermount/internal/position"
 )
 
 // State is one instance's state. It does not change.
@@ -16,8 +17,8 @@
 	ProofAge time.Duration
 	// Leaving are incarnations of targets that take no new work. Peers get them sorted and each once.
 	Leaving []string
-	// Targets is the store's version when the list of targets last changed; zero for none.
-	Targets int64
+	// Targets is where in its history the store was when the list of targets last changed; zero for none.
+	Targets position.Position
 	// TargetsAge is the age of the newest evidence of that list; peers get it as ProofAge.
 	TargetsAge time.Duration
 	// Loads is what the instance has in flight, by incarnation of the target; empty loads are left out. Peers get them
--- a/internal/peerstate/peerstate_test.go
+++ b/internal/peerstate/peerstate_test.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"fmt"
+	"math"
 	"runtime"
 	"slices"
 	"testing"
@@ -14,6 +15,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/silvermount/silvermount/internal/placement"
+	"github.com/silvermount/silvermount/internal/position"
 )
 
 // genID draws incarnations of the usual form and any others.
@@ -49,7 +51,7 @@
 		return State{
 			Configuration: rapid.Int64().Draw(t, "configuration"),
 			ProofAge:      time.Duration(rapid.Int64().Draw(t, "proof age")),
-			Targets:       rapid.Int64().Draw(t, "targets"),
+			Targets:       position.Of(rapid.Int64Range(0, math.MaxInt64).Draw(t, "targets")),
 			TargetsAge:    time.Duration(rapid.Int64Range(0, int64(time.Hour)).Draw(t, "targets age")).Truncate(time.Millisecond),
 			Leaving:       rapid.SliceOfN(genID(), 0, 6).Draw(t, "leaving"),
 			Loads:         rapid.MapOfN(genID(), genLoad(), 0, 6).Draw(t, "loads"),
@@ -124,7 +126,7 @@
 	}{
 		"empty":         {State{}, "030000000000"},
 		"configuration": {State{Configuration: 300, ProofAge: time.Millisecond + 1}, "03ac0202000000"},
-		"targets":       {State{Targets: 5, TargetsAge: 3 * time.Millisecond}, "030000" + "0503" + "00"},
+		"targets":       {State{Targets: position.Position{Revision: 5}, TargetsAge: 3 * time.Millisecond}, "030000" + "0503" + "00"},
 		"empty load":    {State{Loads: map[string]placement.Load{"i-01": {}}}, "030000000000"},
 		"leaving":       {State{Leaving: []string{"i-7f3a91c2"}}, "0300000000" + "01" + "237f3a91c2"},
 		"longer":        {State{Leaving: []string{"i-2f8030e4a8"}}, "0300000000" + "01" + "2b2f8030e4a8"},
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -6,6 +6,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/silvermount/silvermount/internal/position"
 )
 
 const (
@@ -91,8 +93,10 @@
 	toldUntil time.Time
 	// heard is the time of the newest evidence; it only grows.
 	heard time.Time
-	// version is the store's when the list last changed, as far as known; it only grows.
-	version int64
+	// changedAt is where in its history the store was when the list last changed, as far as known; it only grows.
+	changedAt position.Position
+	// restored is what follows from the newest return of the store from an older copy.
+	restored restored
 	// zones holds what is believed of each availability zone.
 	zones map[string]*zone
 }
@@ -133,8 +137,13 @@
 	dr.confirm(evidence)
 	var changes []Change
 	listed := map[string]bool{}
+	clear(dr.restored.doubted)
 	for _, tg := range list {
 		listed[tg.ID] = true
+		if dr.stale(tg) {
+			dr.restored.doubted[tg.ID] = tg
+			continue
+		}
 		changes = append(changes, dr.put(tg)...)
 	}
 	for id, en := range dr.entries {
@@ -151,6 +160,7 @@
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
 	dr.confirm(evidence)
+	delete(dr.restored.doubted, tg.ID)
 	return dr.put(tg)
 }
 
@@ -164,6 +174,7 @@
 func (dr *Directory) remove(name string, evidence time.Time) []Change {
 	dr.confirm(evidence)
 	dr.forget()
+	delete(dr.restored.doubted, dr.present[name].id)
 	if en, ok := dr.entries[dr.present[name].id]; ok {
 		return dr.miss(en)
 	}
@@ -183,10 +194,11 @@
 }
 
 // Confirm notes that the list was unchanged at a time.
-func (dr *Directory) Confirm(evidence time.Time) {
+func (dr *Directory) Confirm(evidence time.Time) []Change {
 	dr.mu.Lock()
+	defer dr.mu.Unlock()
 	dr.confirm(evidence)
-	dr.mu.Unlock()
+	return dr.believe()
 }
 
 func (dr *Directory) confirm(evidence time.Time) {
@@ -195,22 +207,24 @@
 	}
 }
 
-// Changed notes the store's version after a change of the list.
-func (dr *Directory) Changed(version int64) {
+// Changed notes where in its history the store was after a change of the list.
+func (dr *Directory) Changed(at position.Position) {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
-	dr.version = max(dr.version, version)
+	if at.After(dr.changedAt) {
+		dr.changedAt = at
+	}
 }
 
-// Version returns the store's version when the list last changed, and the time of the newest evidence.
-func (dr *Directory) Version() (version int64, heard time.Time) {
+// ChangedAt returns where in its history the store was when the list last changed, and the time of the newest evidence.
+func (dr *Directory) ChangedAt() (at position.Position, heard time.Time) {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
-	return dr.version, dr.heard
+	return dr.changedAt, dr.heard
 }
 
-// Listed returns all listed targets, sorted by incarnation, and the version of the list.
-func (dr *Directory) Listed() (version int64, list []Target) {
+// Listed returns all listed targets, sorted by incarnation, and where in the store's history the list last changed.
+func (dr *Directory) Listed() (at position.Position, list []Target) {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
 	for _, en := range dr.entries {
@@ -221,7 +235,7 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b Target) int { return strings.Compare(a.ID, b.ID) })
-	return dr.version, list
+	return dr.changedAt, list
 }
 
 func (dr *Directory) put(tg Target) []Change {
