test(soak): the store comes back from an older copy, beside all other faults

The stand-in of the store takes copies and comes back from one; revisions are given out again, a watch from one that is not there is answered 410, and all answers tell the era.

--- a/internal/standin/objectsim/call.go
+++ b/internal/standin/objectsim/call.go
@@ -146,6 +146,14 @@
 	body   any
 }
 
+// era returns that of the state that the answer tells, if it was noted.
+func (rp reply) era(otherwise int64) int64 {
+	if pg, ok := rp.body.(page); ok {
+		return pg.era
+	}
+	return otherwise
+}
+
 func (rp reply) write(w http.ResponseWriter) {
 	if rp.body == nil {
 		w.WriteHeader(rp.status)
@@ -205,6 +213,7 @@
 	defer over.Stop()
 	for {
 		bt, changed, ok := dr.store.since(rc.key.kind, rc.revision)
+		tellEra(w, bt.era)
 		if !ok {
 			w.WriteHeader(http.StatusGone)
 			return
--- /dev/null
+++ b/internal/standin/objectsim/copy.go
@@ -0,0 +1,48 @@
+package objectsim
+
+import (
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+)
+
+// eraHeader counts, in the head of all answers, how often the store came back from an older copy.
+const eraHeader = "Store-Era"
+
+// Copy is the state of a store at one time.
+type Copy struct {
+	objects  map[key]Object
+	history  []change
+	revision int64
+	floor    int64
+}
+
+// Copy returns the present state.
+func (sm *Sim) Copy() Copy { return sm.store.copy() }
+
+// Restore lets the store come back from a copy: what was written since is gone, and its revisions are given out again.
+func (sm *Sim) Restore(cp Copy) { sm.store.restore(cp) }
+
+// Era returns how often the store came back from a copy.
+func (sm *Sim) Era() int64 { return sm.store.eraNow() }
+
+func (st *store) eraNow() int64 { st.mu.Lock(); defer st.mu.Unlock(); return st.era }
+
+func (st *store) copy() Copy {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return Copy{objects: maps.Clone(st.objects), history: slices.Clone(st.history), revision: st.revision, floor: st.floor}
+}
+
+func (st *store) restore(cp Copy) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.era++
+	st.objects, st.history = maps.Clone(cp.objects), slices.Clone(cp.history)
+	st.revision, st.floor = cp.revision, cp.floor
+	st.signal()
+}
+
+// tellEra writes an era into the head of an answer.
+func tellEra(w http.ResponseWriter, era int64) { w.Header().Set(eraHeader, strconv.FormatInt(era, 10)) }
--- /dev/null
+++ b/internal/standin/objectsim/copy_test.go
@@ -0,0 +1,42 @@
+package objectsim_test
+
+import (
+	"net/http"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/silvermount/silvermount/internal/standin/objectsim"
+)
+
+func TestRestoredStoreGivesItsRevisionsOutAgain(t *testing.T) {
+	g := NewWithT(t)
+	sm, err := objectsim.Start()
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(sm.Close)
+	put := func(name string) int64 {
+		revision, err := sm.PutSpec("things", name, name)
+		g.Expect(err).NotTo(HaveOccurred())
+		return revision
+	}
+	status := func(path string) (code int, era string) {
+		resp, err := http.Get(sm.URL() + path)
+		g.Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		return resp.StatusCode, resp.Header.Get("Store-Era")
+	}
+	put("a")
+	cp := sm.Copy()
+	lost := put("b")
+	sm.Restore(cp)
+	g.Expect(sm.Objects("things")).To(HaveLen(1))
+	code, era := status("/objects/things?watch=2&wait_ms=1")
+	g.Expect(code).To(Equal(http.StatusGone), "there is no such revision any more")
+	g.Expect(era).To(Equal("1"))
+	g.Expect(put("c")).To(Equal(lost), "it is given out again")
+	code, era = status("/objects/things")
+	g.Expect(code).To(Equal(http.StatusOK))
+	g.Expect(era).To(Equal("1"))
+	code, _ = status("/objects/things?watch=2&wait_ms=1")
+	g.Expect(code).To(Equal(http.StatusOK))
+}
--- a/internal/standin/objectsim/door.go
+++ b/internal/standin/objectsim/door.go
@@ -162,7 +162,10 @@
 		dr.do(rc)
 		reset(w)
 	default:
-		dr.do(rc).write(w)
+		era := dr.store.eraNow()
+		rp := dr.do(rc)
+		tellEra(w, rp.era(era))
+		rp.write(w)
 	}
 }
 
--- a/internal/standin/objectsim/store.go
+++ b/internal/standin/objectsim/store.go
@@ -21,7 +21,9 @@
 // store is the state behind all doors.
 type store struct {
 	mu sync.Mutex
-	// revision rises with each change.
+	// era counts the returns from an older copy.
+	era int64
+	// revision rises with each change, and goes back with a new era.
 	revision int64
 	objects  map[key]Object
 	// history holds the changes after floor, in order.
@@ -43,13 +45,14 @@
 	Entries []Object `json:"entries"`
 	More    bool     `json:"more"`
 	At      int64    `json:"at"`
+	era     int64
 }
 
 func (st *store) list(kind, after string, size int, stale bool) page {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	objects, at := st.view(stale)
-	pg := page{Entries: []Object{}, At: at}
+	pg := page{Entries: []Object{}, At: at, era: st.era}
 	for _, name := range namesOf(objects, kind) {
 		if name <= after {
 			continue
@@ -93,17 +96,18 @@
 type batch struct {
 	Events []Event `json:"events"`
 	At     int64   `json:"at"`
+	era    int64
 }
 
 // since returns the changes of a kind after a revision, and a channel that is closed at the next change. It reports
-// false when the history is gone.
+// false when the history is gone, or when there is no such revision.
 func (st *store) since(kind string, after int64) (batch, <-chan struct{}, bool) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	if after < st.floor {
-		return batch{}, nil, false
+	bt := batch{Events: []Event{}, At: st.revision, era: st.era}
+	if after < st.floor || after > st.revision {
+		return bt, nil, false
 	}
-	bt := batch{Events: []Event{}, At: st.revision}
 	for _, ch := range st.history {
 		if ch.revision > after && ch.kind == kind {
 			bt.Events = append(bt.Events, ch.event)
