feat(dispatch): targets that long parts stay away from

Load: the mix swings between long prompts beside few short ones and the reverse. In the waves of long prompts parts came to target after target, and short answers that were written there were late by a pause: 25 of 192 in one wave. Change: the targets that short answers in flight need, in an order that depends on names alone, stay free of parts that would make their passes too long; instances agree on them by the loads that they tell each other anyway. Short prompts go there while they are in time there, and long ones only with parts that keep the pauses. Ruled out: spreading by exposure alone (it stays, for the choice among open targets).

--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -17,7 +17,7 @@
 // decide says whether a prompt runs as planned, looks again later, or is refused. The plan is the best one now, if any.
 func decide(as Ask, pr placement.Prompt, pl placement.Plan, planned bool, cands []placement.Target, op placement.Options) decision {
 	switch {
-	case as.PromptTokens > shortTokens && !as.Resumed:
+	case as.long() && !as.Resumed:
 		return decideLong(as, pr, pl, planned, cands, op)
 	case !planned:
 		return decisionWait
--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"github.com/silvermount/silvermount/internal/placement"
 )
 
@@ -15,10 +17,17 @@
 	atRisk placement.Classes
 	// known is false before the first request.
 	known bool
+	// shortStake is what a usual short answer has at stake, and shortPause the longest pause that the newest one allows; zero before
+	// the first.
+	shortStake placement.Worth
+	shortPause time.Duration
 }
 
-// observe takes a request that arrives.
-func (dm *demand) observe(pr placement.Prompt) {
+// observe takes a request that arrives, and whether it is a short one.
+func (dm *demand) observe(pr placement.Prompt, short bool) {
+	if short {
+		dm.observeShort(pr)
+	}
 	next := pr.Writing().AtRisk
 	if !dm.known {
 		dm.atRisk, dm.known = next, true
@@ -30,6 +39,16 @@
 	}
 }
 
+func (dm *demand) observeShort(pr placement.Prompt) {
+	dm.shortPause = pr.LongestPause
+	stake := pr.InTime - pr.Late
+	if dm.shortStake == 0 {
+		dm.shortStake = stake
+		return
+	}
+	dm.shortStake += placement.Worth(demandWeight * float64(stake-dm.shortStake))
+}
+
 // perSecond returns what begins to write at one of some targets in a second: by Little's law what is in flight there,
 // over the time for which an answer is written.
 func (dm *demand) perSecond(en *placement.Engine, cands []placement.Target) placement.Load {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -99,7 +99,7 @@
 // Release must be called on the slot.
 func (ds *Dispatcher) Acquire(ctx context.Context, as Ask) (*Slot, error) {
 	patience := as.Arrived.Add(time.Duration(waitShare * float64(as.Objective)))
-	if as.PromptTokens > shortTokens || as.Resumed {
+	if as.long() || as.Resumed {
 		patience = as.Deadline
 	}
 	ds.arrive(as)
@@ -137,7 +137,7 @@
 	}
 	pr := ds.prompt(as)
 	ds.book.mu.Lock()
-	ds.arriving.observe(pr)
+	ds.arriving.observe(pr, !as.long())
 	ds.book.mu.Unlock()
 }
 
@@ -145,7 +145,7 @@
 // look at different moments, the pressed ones more often, so that the first is known to the others before they look.
 func (ds *Dispatcher) pause(ctx context.Context, as Ask, woken <-chan struct{}) {
 	step := waitStep
-	if as.PromptTokens > shortTokens {
+	if as.long() {
 		woken = nil
 		left := as.Objective - ds.opts.Now().Sub(as.Arrived)
 		step = time.Duration((minSpread + fraction(as.Request, ds.opts.Now().String())) * float64(min(spreadMost, max(waitStep, left/spreadShare))))
@@ -203,7 +203,7 @@
 
 // caution is the request's own, but for longer prompts: one that takes several targets is no probe.
 func (as Ask) caution() targets.Caution {
-	if as.PromptTokens > shortTokens {
+	if as.long() {
 		return max(as.Caution, targets.Proven)
 	}
 	return as.Caution
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -79,6 +79,10 @@
 	ds.book.mu.Lock()
 	defer ds.book.mu.Unlock()
 	cands := ds.candidates(as.Service.Engine, tgs)
+	sh := newShelter(as.Service.Engine, cands, ds.arriving)
+	if as.long() && !as.Resumed && len(sh.open) > 0 {
+		cands = sh.open
+	}
 	seed := xxhash.Sum64String(ds.opts.Instance + as.Request)
 	op := placement.Options{
 		Seed: seed, Arrivals: ds.arriving.perSecond(as.Service.Engine, cands), Reading: placement.ReadingShare(cands),
@@ -86,7 +90,7 @@
 	if ds.outlives(as, pr, cands, op) {
 		return nil, endRefusal()
 	}
-	pl, ok := ds.plan(as, pr, cands, op, lag)
+	pl, ok := ds.plan(as, pr, cands, sh, op, lag)
 	switch decide(as, pr, pl, ok, cands, op) {
 	case decisionRefuse:
 		return nil, ds.refusal(as, pr)
@@ -97,8 +101,26 @@
 	return ds.bookPlan(as, pr, pl, tgs), nil
 }
 
-// plan returns the best plan for a prompt, if any. A stream that goes on elsewhere may end late: its caller reads already.
-func (ds *Dispatcher) plan(as Ask, pr placement.Prompt, cands []placement.Target, op placement.Options, lag time.Duration) (placement.Plan, bool) {
+// plan returns the best plan for a prompt, if any. Short prompts go to sheltered targets while they are in time there, and long ones
+// only where their parts are so small that nobody there has to wait for them.
+func (ds *Dispatcher) plan(as Ask, pr placement.Prompt, cands []placement.Target, sh shelter, op placement.Options, lag time.Duration) (placement.Plan, bool) {
+	if as.Resumed || len(sh.sheltered) == 0 {
+		return ds.planAnywhere(as, pr, cands, op, lag)
+	}
+	within, fits := ds.chooseFrom(as, pr, sh.sheltered, op, lag)
+	if !as.long() && fits && sh.serves(as, pr, within) {
+		return within, true
+	}
+	pl, ok := ds.planAnywhere(as, pr, cands, op, lag)
+	if as.long() && fits && sh.keeps(within) && (!ok || within.Loss < pl.Loss) {
+		return within, true
+	}
+	return pl, ok
+}
+
+// planAnywhere returns the best plan among all targets that are left. A stream that goes on elsewhere may end late: its caller reads
+// already.
+func (ds *Dispatcher) planAnywhere(as Ask, pr placement.Prompt, cands []placement.Target, op placement.Options, lag time.Duration) (placement.Plan, bool) {
 	pl, ok := ds.chooseFrom(as, pr, cands, op, lag)
 	if _, ends := ds.ends(as); ok || !as.Resumed || ends {
 		return pl, ok
--- a/internal/dispatch/rank.go
+++ b/internal/dispatch/rank.go
@@ -13,6 +13,9 @@
 // shortTokens is the size of a prompt up to which it counts as short: it is read within a pass and never waits for others.
 const shortTokens = 16_000
 
+// long reports whether a prompt is read in parts that others wait for.
+func (as Ask) long() bool { return as.PromptTokens > shortTokens }
+
 // priority is the rank at the engine: that of the caller's organisation or route.
 func priority(as Ask) int {
 	if as.Resumed {
--- /dev/null
+++ b/internal/dispatch/shelter_test.go
@@ -0,0 +1,70 @@
+package dispatch_test
+
+import (
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/silvermount/silvermount/internal/dispatch"
+)
+
+// readAt returns the targets that read a part of a prompt.
+func readAt(sl *dispatch.Slot) []string {
+	ids := []string{sl.Target.ID}
+	for _, hp := range sl.Helpers {
+		ids = append(ids, hp.ID)
+	}
+	return ids
+}
+
+// TestAShortPromptFindsAShelter.
+//
+// In a wave of long prompts each was read at all targets that were free, so that a short prompt found none where no part was being
+// read, and its answer paused for as long as that took: 25 of 192 were late by that. Some targets now stay free of long parts, and all
+// instances know which.
+func TestAShortPromptFindsAShelter(t *testing.T) {
+	const count, longs = 7, 3
+	ids := make([]string, count)
+	for no := range ids {
+		ids[no] = "t" + strconv.Itoa(no)
+	}
+	var sheltered []string
+	for _, instance := range []string{"a", "b", "c"} {
+		g := NewWithT(t)
+		be := newClockedOf(instance, func() time.Time { return time.Unix(1000, 0) }, ids...)
+		first, err := be.ds.Acquire(t.Context(), be.short())
+		g.Expect(err).NotTo(HaveOccurred())
+		first.Release()
+		var reading []string
+		for range longs {
+			sl, err := be.ds.Acquire(t.Context(), be.long())
+			g.Expect(err).NotTo(HaveOccurred())
+			reading = append(reading, readAt(sl)...)
+		}
+		g.Expect(len(reading)).To(BeNumerically(">=", count-1))
+		next, err := be.ds.Acquire(t.Context(), be.short())
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(reading).NotTo(ContainElement(next.Target.ID), "a short one is written where no part is read")
+		sheltered = append(sheltered, next.Target.ID)
+	}
+	NewWithT(t).Expect(slices.Compact(sheltered)).To(HaveLen(1), "all instances shelter the same")
+}
+
+// TestAFullShelterIsLeft: short answers take all slots of the sheltered targets, and the next one is placed elsewhere.
+func TestAFullShelterIsLeft(t *testing.T) {
+	g := NewWithT(t)
+	be := newClocked("t0", "t1", "t2", "t3")
+	used := map[string]int{}
+	for range 3 * engine.Slots {
+		sl, err := be.ds.Acquire(t.Context(), be.short())
+		g.Expect(err).NotTo(HaveOccurred())
+		sl.FirstToken()
+		used[sl.Target.ID]++
+	}
+	for id, n := range used {
+		g.Expect(n).To(BeNumerically("<=", engine.Slots), id)
+	}
+}
--- a/internal/dispatch/slot_test.go
+++ b/internal/dispatch/slot_test.go
@@ -35,12 +35,16 @@
 }
 
 func newClockedAt(clock func() time.Time, ids ...string) *clocked {
+	return newClockedOf("i", clock, ids...)
+}
+
+func newClockedOf(instance string, clock func() time.Time, ids ...string) *clocked {
 	be := &clocked{clock: clock}
 	dr := targets.New(be.now)
 	for _, id := range ids {
 		dr.Put(targets.Target{ID: id, Service: "s", Slots: engine.Slots, AvailabilityZone: "a"}, be.now())
 	}
-	be.ds = dispatch.New(dr, nil, dispatch.Options{Instance: "i", AvailabilityZone: "a", Now: be.now})
+	be.ds = dispatch.New(dr, nil, dispatch.Options{Instance: instance, AvailabilityZone: "a", Now: be.now})
 	return be
 }
 
--- a/internal/dispatch/unseen.go
+++ b/internal/dispatch/unseen.go
@@ -40,7 +40,7 @@
 func (ds *Dispatcher) sample(as Ask, cands []placement.Target, lag time.Duration) []placement.Target {
 	unseen := unseenPlacements(as.Service.Engine, cands, lag)
 	size := max(leastSample, int(float64(len(cands))/max(1, unseen)))
-	if as.PromptTokens > shortTokens || size >= len(cands) {
+	if as.long() || size >= len(cands) {
 		return cands
 	}
 	share := float64(size) / float64(len(cands))
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -125,3 +125,12 @@
 func (lo *Load) unread() Backlog {
 	return lo.Whole.Plus(lo.Parts)
 }
+
+// Within returns what is lost together at limits that are no longer than one.
+func (cl *Classes) Within(limit time.Duration) Worth {
+	sum := Worth(0)
+	for no := range classOf(limit) + 1 {
+		sum += cl[no]
+	}
+	return sum
+}
