feat(dispatch): a failed attempt counts as reading at its target for a while

Load: four of 60 targets reset every connection and say that they are well. They look idle, every instance chooses them first, and the more so once short prompts go to few targets. Change: a failed attempt is booked as 0.3 s of reading for 2 s, and told to peers as any load is. Failures told to peers as such were not built: the load needs no new message, and leaves out nothing that answers.

--- a/internal/dispatch/shelter_test.go
+++ b/internal/dispatch/shelter_test.go
@@ -68,3 +68,31 @@
 		g.Expect(n).To(BeNumerically("<=", engine.Slots), id)
 	}
 }
+
+// urgent asks for a short prompt whose first token must come soon.
+func urgent() dispatch.Ask {
+	as := prompt(1000)
+	as.Objective = 300 * time.Millisecond
+	return as
+}
+
+// TestAFailedAttemptCountsAtItsTargetForAWhile.
+//
+// A target that resets every connection looks idle, and was chosen first by each instance until that had failed there itself.
+func TestAFailedAttemptCountsAtItsTargetForAWhile(t *testing.T) {
+	bubble(t, 2, func(be *bench) {
+		sl := be.take(urgent())
+		failed := sl.Target.ID
+		sl.Failed()
+		sl.Release()
+		told := be.Own()
+		be.Expect(told).To(HaveKey(failed), "peers hear of it")
+		for range 3 {
+			next := be.take(urgent())
+			be.Expect(next.Target.ID).NotTo(Equal(failed))
+			next.Release()
+		}
+		time.Sleep(3 * time.Second)
+		be.Expect(be.Own()).To(BeEmpty())
+	})
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -80,6 +80,20 @@
 			return err
 		}
 	}
+	err = gw.exchangeWith(ctx, rq, sk, sl)
+	if err != nil && ofTarget(failure.Of(err)) {
+		sl.Failed()
+	}
+	return err
+}
+
+// ofTarget reports whether an attempt failed by its target's doing.
+func ofTarget(fe *failure.Error) bool {
+	return fe.Code == failure.TargetLost || fe.Code == failure.TargetRefused
+}
+
+// exchangeWith sends a request to the target that was found, and passes its answer on.
+func (gw *Gateway) exchangeWith(ctx context.Context, rq *request, sk *sink, sl *dispatch.Slot) error {
 	an, err := gw.send(ctx, rq, sl)
 	if err != nil {
 		return err
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -67,6 +67,14 @@
 	return tok + float64(ba.Pairs)*perMillion*float64(en.PerMillionPairs)
 }
 
+// ReadWithin returns what a target reads in a time at full speed, without pairs.
+func (en Engine) ReadWithin(d time.Duration) Backlog {
+	if en.PerThousandRead <= 0 {
+		return Backlog{}
+	}
+	return Backlog{Tokens: int64(float64(d) / (perThousand * float64(en.PerThousandRead)))}
+}
+
 // step returns the nanoseconds of one step without reading.
 func (en *Engine) step(writers int, context int64) float64 {
 	wri := float64(writers) * float64(en.PerWriter)
