--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -84,7 +84,7 @@
 // settle is longer than what a release does in the background.
 const settle = time.Minute
 
-func newBench(t *testing.T, count int) *bench {
+func newBench(t *testing.T, count int, opts ...func(*dispatch.Options)) *bench {
 	be := &bench{
 		WithT: NewWithT(t), t: t, directory: targets.New(time.Now),
 		orders: &orders{reserved: map[string]int{}, released: map[string]int{}, refuse: map[string]bool{}, silent: map[string]bool{}},
@@ -96,7 +96,11 @@
 		NewID: func() string { return strconv.FormatInt(ids.Add(1), 10) },
 		Log:   &log.Logger{Handler: discard.New(), Level: log.DebugLevel},
 	}
-	be.Dispatcher = dispatch.New(be.directory, kp, dispatch.Options{Instance: "i", AvailabilityZone: zone, Now: time.Now})
+	op := dispatch.Options{Instance: "i", AvailabilityZone: zone, Now: time.Now}
+	for _, edit := range opts {
+		edit(&op)
+	}
+	be.Dispatcher = dispatch.New(be.directory, kp, op)
 	for no := range count {
 		be.put(no, zone, false)
 	}
