feat(dispatch): no shelter where it leaves fewer targets than a long prompt can be read by

Load: a swing before 18 targets, of which short answers need a half. Long prompts were read by the few that were left, and late. Kept: a shelter only where 17 targets are left, as many as a request can name.

--- a/internal/dispatch/shelter.go
+++ b/internal/dispatch/shelter.go
@@ -34,9 +34,14 @@
 	demand demand
 }
 
-// newShelter divides targets by what short answers have at stake there.
+// newShelter divides targets by what short answers have at stake there. None are sheltered where that would leave fewer than a long
+// prompt can be read by: before 18 targets the mean worth of days with trouble was 0.663 with such a shelter and 0.690 without one (five
+// days, one play each).
 func newShelter(en *placement.Engine, cands []placement.Target, dm demand) shelter {
-	size := min(len(cands), shelterSize(en, cands, dm))
+	size := shelterSize(en, cands, dm)
+	if len(cands)-size < placement.MostParts {
+		size = 0
+	}
 	ordered := make([]placement.Target, 0, len(cands))
 	for _, ix := range shelterOrder(cands) {
 		ordered = append(ordered, cands[ix])
