--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -79,9 +79,9 @@
 	ds.book.mu.Lock()
 	defer ds.book.mu.Unlock()
 	cands := ds.candidates(as.Service.Engine, tgs)
-	sh := newShelter(as.Service.Engine, cands, ds.arriving)
-	if as.long() && !as.Resumed && len(sh.open) > 0 {
-		cands = sh.open
+	ps := newPools(as.Service.Engine, cands, ds.arriving)
+	if as.long() && !as.Resumed && len(ps.long) > 0 {
+		cands = ps.long
 	}
 	seed := xxhash.Sum64String(ds.opts.Instance + as.Request)
 	op := placement.Options{
@@ -90,7 +90,7 @@
 	if ds.outlives(as, pr, cands, op) {
 		return nil, endRefusal()
 	}
-	pl, ok := ds.plan(as, pr, cands, sh, op, lag)
+	pl, ok := ds.plan(as, pr, cands, ps, op, lag)
 	switch decide(as, pr, pl, ok, cands, op) {
 	case decisionRefuse:
 		return nil, ds.refusal(as, pr)
@@ -101,18 +101,18 @@
 	return ds.bookPlan(as, pr, pl, tgs), nil
 }
 
-// plan returns the best plan for a prompt, if any. Short prompts go to sheltered targets while they are in time there, and long ones
+// plan returns the best plan for a prompt, if any. Short prompts go to the short pool while they are in time there, and long ones
 // only where their parts are so small that nobody there has to wait for them.
-func (ds *Dispatcher) plan(as Ask, pr placement.Prompt, cands []placement.Target, sh shelter, op placement.Options, lag time.Duration) (placement.Plan, bool) {
-	if as.Resumed || len(sh.sheltered) == 0 {
+func (ds *Dispatcher) plan(as Ask, pr placement.Prompt, cands []placement.Target, ps pools, op placement.Options, lag time.Duration) (placement.Plan, bool) {
+	if as.Resumed || len(ps.short) == 0 {
 		return ds.planAnywhere(as, pr, cands, op, lag)
 	}
-	within, fits := ds.chooseFrom(as, pr, sh.sheltered, op, lag)
-	if !as.long() && fits && sh.serves(as, pr, within) {
+	within, fits := ds.chooseFrom(as, pr, ps.short, op, lag)
+	if !as.long() && fits && ps.serves(as, pr, within) {
 		return within, true
 	}
 	pl, ok := ds.planAnywhere(as, pr, cands, op, lag)
-	if as.long() && fits && sh.keeps(within) && (!ok || within.Loss < pl.Loss) {
+	if as.long() && fits && ps.keeps(within) && (!ok || within.Loss < pl.Loss) {
 		return within, true
 	}
 	return pl, ok
