--- a/internal/duty/members/targets.go
+++ b/internal/duty/members/targets.go
@@ -70,8 +70,9 @@
 		lg.WithError(err).Error("peer's list of targets cannot be read")
 		return
 	}
-	at, mine := position.Of(tl.Version), position.Position{}
-	if mine, _ = du.dr.ChangedAt(); nw.at.After(at) || !at.After(mine) {
+	at := position.Of(tl.Version)
+	mine, _ := du.dr.ChangedAt()
+	if nw.at.After(at) || !at.After(mine) {
 		// Meanwhile the store told more.
 		return
 	}
