fix(facts): a change told before the store's return is not what operators wrote again

Cause, by reading: the followers of configuration and targets run apart. When the one of targets had seen the new era, a change from the history before, still on its way to the other, counted as written again, and the copy proved its configuration at once. Change: only an answer to a question sent since the return counts. TestRestoredStoreIsNotRewrittenByAnEarlierChange fails without it.

--- a/internal/duty/facts/facts.go
+++ b/internal/duty/facts/facts.go
@@ -132,7 +132,7 @@
 			}
 		},
 		Change: func(it objectstore.Object, evidence time.Time) {
-			rd.rewritten(it)
+			rd.rewritten(it, evidence)
 			rd.readConfiguration(it, evidence)
 		},
 		Known: rd.known, Settle: targets.StaleFor, Restored: rd.dr.Restored,
--- a/internal/duty/facts/restored.go
+++ b/internal/duty/facts/restored.go
@@ -18,10 +18,12 @@
 	return at
 }
 
-// rewritten notes a change of the configuration: since the store came back from an older copy, it is what the operators wrote again.
-func (rd *reader) rewritten(it objectstore.Object) {
-	if it.Name == rd.ad.ConfigurationName && len(it.Value) > 0 {
-		rd.rewrittenEra, _ = rd.dr.RestoredAt()
+// rewritten notes a change of the configuration, told by an answer to a question asked at a time. Since the store came back from an older
+// copy, it is what the operators wrote again, unless the question was sent before: its answer may be of the history that is gone.
+func (rd *reader) rewritten(it objectstore.Object, evidence time.Time) {
+	era, returned := rd.dr.RestoredAt()
+	if it.Name == rd.ad.ConfigurationName && len(it.Value) > 0 && !evidence.Before(returned) {
+		rd.rewrittenEra = era
 	}
 }
 
--- a/internal/duty/facts/restored_test.go
+++ b/internal/duty/facts/restored_test.go
@@ -6,7 +6,10 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/silvermount/silvermount/internal/adapter"
+	"github.com/silvermount/silvermount/internal/objectstore"
 	"github.com/silvermount/silvermount/internal/position"
+	"github.com/silvermount/silvermount/internal/targets"
 )
 
 // restore lets the store come back from a copy that holds older versions of both kinds.
@@ -103,3 +106,30 @@
 		}
 	})
 }
+
+// TestRestoredStoreIsNotRewrittenByAnEarlierChange.
+//
+// A change of the configuration that the store told before its return was taken just after the follower of targets had seen the new
+// era. It counted as what the operators wrote again, so that the copy proved a configuration at once which may lack a change.
+func TestRestoredStoreIsNotRewrittenByAnEarlierChange(t *testing.T) {
+	tests := map[string]struct {
+		// asked is when the question was sent that told of the change, from the one that showed the return on.
+		asked time.Duration
+		want  bool
+	}{
+		"asked before the return was seen": {-100 * time.Millisecond, false},
+		"by the question that showed it":   {0, true},
+		"asked later":                      {300 * time.Millisecond, true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			returned := time.Now()
+			rd := &reader{dr: targets.New(time.Now), ad: adapter.Adapter{ConfigurationName: "main"}}
+			rd.dr.Restored(1, returned)
+			rd.rewritten(objectstore.Object{Name: "main", Value: []byte("{}")}, returned.Add(tc.asked))
+			asked := returned.Add(rewriteFor / 2)
+			g.Expect(rd.proof(asked).Equal(asked)).To(Equal(tc.want))
+		})
+	}
+}
