perf(dispatch): the pools are a partition in place, and no plan is made that could not be kept

Cause: each choice sorted a copy of all targets, and a long prompt was planned in the short pool too, where its smallest part alone already makes a pass too long. Behaviour is as it was.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -104,7 +104,7 @@
 // plan returns the best plan for a prompt, if any. Short prompts go to the short pool while they are in time there, and long ones
 // only where their parts are so small that nobody there has to wait for them.
 func (ds *Dispatcher) plan(as Ask, pr placement.Prompt, cands []placement.Target, ps pools, op placement.Options, lag time.Duration) (placement.Plan, bool) {
-	if as.Resumed || len(ps.short) == 0 {
+	if as.Resumed || len(ps.short) == 0 || as.long() && !ps.mayKeep(as.Service.Engine, pr) {
 		return ds.planAnywhere(as, pr, cands, op, lag)
 	}
 	within, fits := ds.chooseFrom(as, pr, ps.short, op, lag)
--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -35,7 +34,7 @@
 	pause time.Duration
 }
 
-// newPools divides targets by what short answers have at stake there. The short pool is empty where it would leave fewer targets than
+// newPools divides targets, whose order it changes, by what short answers have at stake there. The short pool is empty where it would leave fewer targets than
 // a long prompt can be read by: before 18 targets the mean worth of days with trouble was 0.663 with such a pool and 0.690 without one
 // (five days, one play each).
 func newPools(en *placement.Engine, cands []placement.Target, dm demand) pools {
@@ -43,23 +42,27 @@
 	if size == 0 || len(cands)-size < placement.MostParts {
 		return pools{long: cands}
 	}
-	ordered := make([]placement.Target, 0, len(cands))
-	for _, ix := range poolOrder(cands) {
-		ordered = append(ordered, cands[ix])
-	}
-	return pools{short: ordered[:size], long: ordered[size:], pause: dm.shortPause}
+	at := partition(cands, size)
+	return pools{short: cands[:at], long: cands[at:], pause: dm.shortPause}
 }
 
-// poolOrder returns the indices of targets in an order that depends on their names alone.
-func poolOrder(cands []placement.Target) []int {
+// partition puts so many targets first, by places that depend on their names alone, and returns how many that are.
+func partition(cands []placement.Target, size int) int {
 	places := make([]float64, len(cands))
-	order := make([]int, len(cands))
 	for ix := range cands {
 		places[ix] = fraction(cands[ix].Name, "short")
-		order[ix] = ix
 	}
-	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(places[a], places[b]) })
-	return order
+	sorted := slices.Clone(places)
+	slices.Sort(sorted)
+	last := sorted[size-1]
+	at := 0
+	for ix, place := range places {
+		if place <= last {
+			cands[at], cands[ix] = cands[ix], cands[at]
+			at++
+		}
+	}
+	return at
 }
 
 // shortPoolSize is how many targets the short answers in flight need, by what they have at stake together and one has usually.
@@ -81,6 +84,12 @@
 	return spared && !late(as, pr, pl) && pl.Pause <= pr.LongestPause
 }
 
+// mayKeep reports whether any plan for a prompt could do as keeps wants: not when the smallest part takes too long by itself.
+func (ps pools) mayKeep(en *placement.Engine, pr placement.Prompt) bool {
+	smallest := pr.Part(min(placement.MostParts, len(ps.short)))
+	return ps.keeps(placement.Plan{Pause: en.Pause(placement.Target{Pace: 1}, smallest)})
+}
+
 // keeps reports whether a plan leaves the pauses in the short pool short enough.
 func (ps pools) keeps(pl placement.Plan) bool {
 	return float64(pl.Pause) <= longPause*float64(ps.pause)
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -141,7 +141,7 @@
 // split sets the number of parts and judges all candidates for it.
 func (ch *chooser) split(parts int) {
 	ch.parts = parts
-	ch.part = ch.pr.part(parts)
+	ch.part = ch.pr.Part(parts)
 	ch.reading = ch.en.reading(ch.part)
 	if ch.reserved {
 		ch.held = ceilDiv(ch.pr.need(), int64(parts))
@@ -224,7 +224,7 @@
 func (ch *chooser) plan(pi *pick) Plan {
 	pl := Plan{
 		Main:       ch.cs[pi.chosen[0]].ta.Name,
-		Part:       ch.pr.part(pi.parts),
+		Part:       ch.pr.Part(pi.parts),
 		FirstToken: time.Duration(pi.first),
 		Pause:      time.Duration(pi.pause),
 		Loss:       Worth(pi.loss),
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -43,7 +43,7 @@
 		g := NewWithT(t)
 		pr := genPrompt().Draw(t, "prompt")
 		parts := rapid.IntRange(1, MostParts).Draw(t, "parts")
-		pa := pr.part(parts)
+		pa := pr.Part(parts)
 		over := pa.Tokens*int64(parts) - pr.Tokens
 		g.Expect(over).To(And(BeNumerically(">=", 0), BeNumerically("<", parts)))
 	})
--- a/internal/placement/predict.go
+++ b/internal/placement/predict.go
@@ -23,7 +23,7 @@
 // first, and its helpers. It is the time of the last part, since the first token comes after it.
 func (en Engine) FirstToken(pr Prompt, main Target, helpers ...Target) time.Duration {
 	parts := 1 + len(helpers)
-	pa := pr.part(parts)
+	pa := pr.Part(parts)
 	ns := en.slotWait(&main) + en.readTime(&main, pa, parts > 1, en.stepAt(&main))
 	for ix := range helpers {
 		he := &helpers[ix]
--- a/internal/placement/predict_test.go
+++ b/internal/placement/predict_test.go
@@ -46,7 +46,7 @@
 	for name, ca := range cases {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			pause := typical.Pause(ta, pr.part(ca.parts))
+			pause := typical.Pause(ta, pr.Part(ca.parts))
 			g.Expect(pause).To(BeNumerically(">", ca.least))
 			g.Expect(pause).To(BeNumerically("<", ca.most))
 		})
@@ -80,14 +80,14 @@
 		alone := typical.FirstToken(pr, ta)
 		split := typical.FirstToken(pr, ta, he)
 		pass := typical.PassTime(ta)
-		pause := typical.Pause(ta, pr.part(2))
+		pause := typical.Pause(ta, pr.Part(2))
 		more := genLoad().Draw(t, "more")
 		ta.Load = ta.Load.Plus(more)
 		he.Load = he.Load.Plus(more)
 		g.Expect(typical.FirstToken(pr, ta)).To(BeNumerically(">=", alone))
 		g.Expect(typical.FirstToken(pr, ta, he)).To(BeNumerically(">=", split))
 		g.Expect(typical.PassTime(ta)).To(BeNumerically(">=", pass))
-		g.Expect(typical.Pause(ta, pr.part(2))).To(BeNumerically(">=", pause))
+		g.Expect(typical.Pause(ta, pr.Part(2))).To(BeNumerically(">=", pause))
 	})
 }
 
--- a/internal/placement/prompt.go
+++ b/internal/placement/prompt.go
@@ -30,16 +30,16 @@
 	lo := Load{Readers: 1, Memory: pr.need()}
 	lo.Waiting = pr.risk(pr.Objective-pr.Used, pr.Patience-pr.Used)
 	if parts > 1 {
-		lo.Parts = pr.part(parts)
+		lo.Parts = pr.Part(parts)
 		return lo
 	}
-	lo.Whole = pr.part(1)
+	lo.Whole = pr.Part(1)
 	return lo
 }
 
 // Helping returns the load at each helper until the first token, when the prompt is read in a number of parts.
 func (pr Prompt) Helping(parts int) Load {
-	return Load{Parts: pr.part(parts)}
+	return Load{Parts: pr.Part(parts)}
 }
 
 // Writing returns the load at the main target from the first token on, when the whole prompt is held there.
@@ -76,8 +76,8 @@
 	return pr.InTime - pr.Late
 }
 
-// part returns what each of a number of even parts reads; each has an equal share of the pairs of the whole prompt.
-func (pr *Prompt) part(parts int) Backlog {
+// Part returns what each of a number of even parts reads; each has an equal share of the pairs of the whole prompt.
+func (pr *Prompt) Part(parts int) Backlog {
 	pa := int64(parts)
 	return Backlog{
 		Tokens: ceilDiv(pr.Tokens, pa),
