--- a/internal/standin/fault/conn.go
+++ b/internal/standin/fault/conn.go
@@ -80,6 +80,7 @@
 	if an, ok := cn.aside(rq); ok {
 		return an != nil && cn.replyAside(rq, *an)
 	}
+	cn.server.arrived()
 	tokens, refusal := cn.server.screen(rq)
 	kd := None
 	if refusal == nil {
@@ -258,6 +259,7 @@
 	if sv.Draining() {
 		an = an.With("Connection", "close")
 	}
+	an = sv.nameLimit(an)
 	return an.framed(kd)
 }
 
--- /dev/null
+++ b/internal/standin/fault/limit.go
@@ -0,0 +1,54 @@
+package fault
+
+import "time"
+
+// HeaderLimit names the requests a second that a target takes from all instances together.
+const HeaderLimit = "Server-Limit"
+
+// limited is what a target says of the requests that it takes, and the requests that came.
+type limited struct {
+	// values are those of HeaderLimit in its answers.
+	values []string
+	// named is when it first named a limit; zero before.
+	named time.Time
+	// arrivals holds when each request came, run or not; those that take no slot are left out.
+	arrivals []time.Time
+}
+
+// SetLimit makes all answers from now on name these limits; without any they name none.
+func (sv *Server) SetLimit(values ...string) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.limit.values = values
+}
+
+// LimitNamed returns when an answer first named a limit; zero before.
+func (sv *Server) LimitNamed() time.Time { sv.mu.Lock(); defer sv.mu.Unlock(); return sv.limit.named }
+
+// Arrivals returns when each request came, in order.
+func (sv *Server) Arrivals() []time.Time {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	return append([]time.Time(nil), sv.limit.arrivals...)
+}
+
+func (sv *Server) arrived() {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.limit.arrivals = append(sv.limit.arrivals, time.Now())
+}
+
+// nameLimit adds the limits to an answer.
+func (sv *Server) nameLimit(an Answer) Answer {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	if len(sv.limit.values) == 0 {
+		return an
+	}
+	if sv.limit.named.IsZero() {
+		sv.limit.named = time.Now()
+	}
+	an.Header = an.Header.Clone()
+	an.Header[HeaderLimit] = sv.limit.values
+	return an
+}
--- a/internal/standin/fault/server.go
+++ b/internal/standin/fault/server.go
@@ -95,6 +95,7 @@
 	refused  int
 	health   int
 	runs     []*Run
+	limit    limited
 }
 
 // Start listens on a free port of the loopback address.
