feat(gossip): a question to any live instance, and how many of those known live

The link to a peer takes it where there is one; else a connection that rests for a second and is used for the next one. An instance of the build before has no document of the name and says so.

--- a/internal/gossip/fetch.go
+++ b/internal/gossip/fetch.go
@@ -37,6 +37,10 @@
 }
 
 func (ms *Mesh) serveDocument(rq *request) *document {
+	if len(rq.Body) > 0 {
+		body, found := ms.opts.Answer(rq.Name, rq.Body)
+		return &document{Found: found, Body: body}
+	}
 	body, found := ms.opts.Serve(rq.Name)
 	return &document{Found: found, Body: body}
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -64,8 +64,10 @@
 	// opened is the number of links there were.
 	opened uint64
 	dials  map[string]*dialState
-	awake  awakeClock
-	stalls stalls
+	// resting are connections over which questions were put, by address.
+	resting *restingConns
+	awake   awakeClock
+	stalls  stalls
 	// began is when this mesh was made.
 	began time.Time
 	// refreshing is the number of the newest refresh that has begun, refreshed of the newest that has ended.
@@ -87,6 +89,7 @@
 		suspects: map[string]time.Duration{},
 		links:    map[*link]struct{}{},
 		dials:    map[string]*dialState{},
+		resting:  newRestingConns(),
 		awake:    awakeClock{step: o.Interval, last: now},
 		stalls:   stalls{began: now},
 		began:    now,
@@ -115,6 +118,7 @@
 func (ms *Mesh) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
 	defer wg.Wait()
+	defer ms.resting.closeAll()
 	ctx, cancel := ms.untilTold(ctx)
 	defer cancel()
 	tick := time.NewTicker(ms.opts.Interval)
--- a/internal/gossip/options.go
+++ b/internal/gossip/options.go
@@ -54,6 +54,8 @@
 	OnLost func(Member)
 	// Serve returns a document that a peer asked for. It may be called by several goroutines at once.
 	Serve func(name string) ([]byte, bool)
+	// Answer answers a question that a peer puts under a name. It may be called by several goroutines at once, and must be short.
+	Answer func(name string, question []byte) ([]byte, bool)
 	// Log is the part's logger.
 	Log log.Interface
 	// Now is a steady clock.
@@ -114,6 +116,9 @@
 	if o.Serve == nil {
 		o.Serve = func(string) ([]byte, bool) { return nil, false }
 	}
+	if o.Answer == nil {
+		o.Answer = func(string, []byte) ([]byte, bool) { return nil, false }
+	}
 	if o.Log == nil {
 		o.Log = log.Log
 	}
--- /dev/null
+++ b/internal/gossip/question_test.go
@@ -0,0 +1,74 @@
+package gossip
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// echo answers questions under the name "echo" with themselves.
+func echo(name string, question []byte) ([]byte, bool) { return question, name == "echo" }
+
+func TestAsk(t *testing.T) {
+	g := NewWithT(t)
+	a := startNode(t, Options{Self: Member{Name: "a"}, Answer: echo})
+	// One that is linked to a, and one that is not.
+	b := startNode(t, Options{Self: Member{Name: "b"}, Seeds: []string{a.address()}})
+	c := startNode(t, Options{Self: Member{Name: "c"}})
+	g.Eventually(b.stateOf("a"), patience).Should(Equal("state of a"))
+	for _, nd := range []*node{b, c} {
+		for range 3 {
+			answer, err := nd.ms.Ask(t.Context(), a.ms.self.Member, "echo", []byte("hello"))
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(string(answer)).To(Equal("hello"))
+		}
+		_, err := nd.ms.Ask(t.Context(), a.ms.self.Member, "other", []byte("hello"))
+		g.Expect(err).To(MatchError(&MissingError{Instance: "a", Document: "other"}))
+	}
+	g.Expect(c.ms.resting.count).To(Equal(1), "the connection is used again")
+	_, err := c.ms.Ask(t.Context(), Member{Name: "d", Address: deadAddress(t)}, "echo", []byte("hello"))
+	g.Expect(err).To(MatchError(ContainSubstring("dial peer")))
+}
+
+func TestQuestionToASilentPeerEndsWithTheContext(t *testing.T) {
+	g := NewWithT(t)
+	// The kernel completes the handshake; nobody accepts.
+	silent := listen(t)
+	b := startNode(t, Options{Self: Member{Name: "b"}})
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := b.ms.Ask(ctx, Member{Name: "a", Address: silent.Addr().String()}, "echo", []byte("hello"))
+	g.Expect(err).To(MatchError(context.DeadlineExceeded))
+	g.Expect(b.ms.resting.count).To(BeZero())
+}
+
+func TestRestingConnectionsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	a := startNode(t, Options{Self: Member{Name: "a"}})
+	rc := newRestingConns()
+	now := time.Now()
+	for range maxResting + 5 {
+		conn, _, err := dial(t.Context(), a.address())
+		g.Expect(err).NotTo(HaveOccurred())
+		rc.rest(a.address(), conn, now)
+	}
+	g.Expect(rc.count).To(Equal(maxResting))
+	g.Expect(rc.take(a.address(), now.Add(restMost))).To(BeNil(), "all have rested for too long")
+	g.Expect(rc.count).To(BeZero())
+}
+
+func TestKnownCountsThoseLostLately(t *testing.T) {
+	g := NewWithT(t)
+	a := startNode(t, Options{Self: Member{Name: "a"}, Lost: 200 * time.Millisecond})
+	b := newNode(t, Options{Self: Member{Name: "b"}, Seeds: []string{a.address()}, Lost: 200 * time.Millisecond})
+	stop := b.start(t)
+	both := func() []int {
+		live, known := a.ms.Known()
+		return []int{live, known}
+	}
+	g.Eventually(both, patience).Should(Equal([]int{2, 2}))
+	stop()
+	g.Eventually(both, patience).Should(Equal([]int{1, 2}))
+}
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -72,8 +72,12 @@
 	document
 }
 
-// request asks for a document.
-type request struct{ Name string }
+// request asks for a document, or, with a body, puts a question.
+type request struct {
+	Name string
+	// Body is empty for documents. An instance of the build before passes it over, and has no document of the name.
+	Body []byte
+}
 
 // document answers a request.
 type document struct {
@@ -116,6 +120,7 @@
 
 	requestName protowire.Number = 1
 	requestID   protowire.Number = 2
+	requestBody protowire.Number = 3
 
 	documentFound protowire.Number = 1
 	documentBody  protowire.Number = 2
@@ -176,7 +181,10 @@
 	return appendVarint(b, wantsParts, su.Parts)
 }
 
-func (rq request) append(b []byte) []byte { return appendBytes(b, requestName, []byte(rq.Name)) }
+func (rq request) append(b []byte) []byte {
+	b = appendBytes(b, requestName, []byte(rq.Name))
+	return appendBytes(b, requestBody, rq.Body)
+}
 
 func (doc document) append(b []byte) []byte {
 	b = appendBool(b, documentFound, doc.Found)
@@ -263,8 +271,11 @@
 }
 
 func (rq *request) set(f field) error {
-	if f.num == requestName {
+	switch f.num {
+	case requestName:
 		rq.Name = string(f.bytes)
+	case requestBody:
+		rq.Body = bytes.Clone(f.bytes)
 	}
 	return nil
 }
--- a/internal/gossip/wire_test.go
+++ b/internal/gossip/wire_test.go
@@ -53,7 +53,9 @@
 			in.Entries = append(in.Entries, drawEntry(rt))
 		}
 		for range rapid.IntRange(0, 2).Draw(rt, "asks") {
-			in.Asks = append(in.Asks, ask{ID: rapid.Uint64().Draw(rt, "id"), request: request{Name: rapid.String().Draw(rt, "name")}})
+			in.Asks = append(in.Asks, ask{ID: rapid.Uint64().Draw(rt, "id"), request: request{
+				Name: rapid.String().Draw(rt, "name"), Body: drawBytes(rt, "question"),
+			}})
 			in.Answers = append(in.Answers, answer{
 				ID: rapid.Uint64().Draw(rt, "id"), document: document{Found: rapid.Bool().Draw(rt, "found"), Body: drawBytes(rt, "body")},
 			})
