--- a/internal/placement/candidate.go
+++ b/internal/placement/candidate.go
@@ -150,6 +150,10 @@
 // judgeMain sets what the target costs as the main one. Reading the part costs the writers there and the others, which
 // are readers and arrivals.
 func (ch *chooser) judgeMain(ca *candidate, writers, others float64) {
+	if ca.ta.Closed {
+		ca.mainKey = math.Inf(1)
+		return
+	}
 	ca.mainHarm = max(writers, ca.mainHold) - ca.mainBefore + others
 	ca.mainKey = ca.mainHarm + ch.stake.loss(ca.first, ca.pausesInTime) + ca.full + ca.exposed + ca.tie
 }
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -49,6 +49,34 @@
 	}
 }
 
+func TestClosedTargetsHelpAndRunNothing(t *testing.T) {
+	cases := map[string]Prompt{"short": shortPrompt(), "long": longPrompt(133_000), "larger than a target": longPrompt(400_000)}
+	for name, pr := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			helped := false
+			for seed := range uint64(20) {
+				ts := idle(18)
+				for ix := range 12 {
+					ts[ix].Closed = true
+				}
+				pl, ok := Choose(typical, pr, ts, Options{Seed: seed})
+				g.Expect(ok).To(BeTrue())
+				open := slices.ContainsFunc(ts[12:], func(ta Target) bool { return ta.Name == pl.Main })
+				g.Expect(open).To(BeTrue(), pl.Main)
+				helped = helped || slices.ContainsFunc(ts[:12], func(ta Target) bool { return slices.Contains(pl.Helpers, ta.Name) })
+			}
+			g.Expect(helped).To(Equal(pr.Tokens > 100_000))
+			all := idle(18)
+			for ix := range all {
+				all[ix].Closed = true
+			}
+			_, ok := Choose(typical, pr, all, Options{Seed: 1})
+			g.Expect(ok).To(BeFalse())
+		})
+	}
+}
+
 func TestALongPromptSparesShortWriters(t *testing.T) {
 	g := NewWithT(t)
 	ts := idle(18)
--- a/internal/placement/prefer.go
+++ b/internal/placement/prefer.go
@@ -21,11 +21,10 @@
 
 // prefer sets the keys, unless the target cannot be chosen.
 func (ca *candidate) prefer(mainKey, helpKey float64) {
-	if math.IsInf(ca.mainKey, 1) {
-		return
+	if !math.IsInf(ca.mainKey, 1) {
+		ca.mainKey = mainKey
 	}
-	ca.mainKey = mainKey
-	if ca.helps {
+	if !math.IsInf(ca.helpKey, 1) {
 		ca.helpKey = helpKey
 	}
 }
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -14,6 +14,8 @@
 	Helps int
 	// Helper is true while it may be asked to help.
 	Helper bool
+	// Closed targets take no request of their own now; they may still help.
+	Closed bool
 }
 
 // pace returns the factor by which the target is slower than its figures.
