fix: a target's rate limit is kept by all instances together

Callers' requests went on to targets that had named how many requests a second they take, as many as before: 24 in 4 s where 1.6 a second were named and 15 are allowed. Nobody read the limit. But reading it could not have helped: each instance decided alone, and nothing lets a bound that belongs to a target be kept by all.

One live instance of the target's availability zone now issues permits for it, and whoever wants to send a request there asks for one first. The bound lies in one place, so it does not depend on how many instances there are, and any of them may use all of it. An issuer begins with nothing and holds back after a start or a freeze, so that no change of issuer is a burst. A target without permits is closed in the choice. What answers say of a limit is believed by its age, by own answers and peers' word.

--- a/internal/dispatch/defer.go
+++ b/internal/dispatch/defer.go
@@ -51,6 +51,7 @@
 	after := slices.Clone(cands)
 	for i := range after {
 		after[i].Load.Whole, after[i].Load.Parts = placement.Backlog{}, placement.Backlog{}
+		after[i].Closed = false
 	}
 	return after
 }
@@ -60,7 +61,7 @@
 	after := slices.Clone(cands)
 	for i := range after {
 		after[i].Load = placement.Load{}
-		after[i].Helper = true
+		after[i].Helper, after[i].Closed = true, false
 	}
 	return after
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
 	"github.com/silvermount/silvermount/internal/failure"
+	"github.com/silvermount/silvermount/internal/permit"
 	"github.com/silvermount/silvermount/internal/placement"
 	"github.com/silvermount/silvermount/internal/reservation"
 	"github.com/silvermount/silvermount/internal/routes"
@@ -40,6 +42,10 @@
 	// Allowed returns why the request may not be sent any more, and is asked at each look for a target: what allowed it when
 	// it came may be taken away while it waits. It is nil when nothing can be.
 	Allowed func() error
+	// permitted is the target whose permit the request holds; empty for none.
+	permitted string
+	// refusals counts the permits that it was refused.
+	refusals int
 }
 
 // Helper is a target that reads a part of the prompt.
@@ -70,6 +76,10 @@
 	Now func() time.Time
 	// Changed is told when what this instance has in flight changes.
 	Changed func()
+	// Permits is asked before a request goes to a target that names a rate limit; nil lets all go.
+	Permits *permit.Client
+	// TurnedElsewhere is told of each request that was not let to a target; it may be nil.
+	TurnedElsewhere func(request string, tg targets.Target, again time.Duration)
 }
 
 // New returns a dispatcher.
@@ -111,6 +121,11 @@
 			}
 		}
 		sl, ok, err := ds.try(ctx, as)
+		var ne *noPermitError
+		if errors.As(err, &ne) {
+			as.refusals++
+			continue
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -118,6 +133,13 @@
 			ds.targets.Chosen(sl.Target.ID)
 			return sl, nil
 		}
+		as.permitted, err = ds.turn(ctx, as)
+		if err != nil {
+			return nil, err
+		}
+		if as.permitted != "" {
+			continue
+		}
 		// A probe goes out at once or not at all.
 		as.Caution = max(as.Caution, targets.Proven)
 		if ds.opts.Now().After(patience) {
@@ -175,10 +197,14 @@
 	if len(tgs) == 0 {
 		return nil, false, failure.New(failure.NoTarget, failure.NotRun, "no target of the service takes work").WithRetryAfter(comeBack)
 	}
-	if as.Service.Engine == nil || as.PromptTokens == 0 {
-		return ds.leastBusy(as, tgs), true, nil
+	if as.Service.Engine != nil && as.PromptTokens > 0 {
+		return ds.place(ctx, as, tgs)
+	}
+	sl := ds.leastBusy(as, tgs)
+	if sl == nil {
+		return nil, false, nil
 	}
-	return ds.place(ctx, as, tgs)
+	return ds.permit(ctx, as, sl)
 }
 
 // usable returns the service's targets without those to avoid.
@@ -218,21 +244,27 @@
 	return false
 }
 
-// leastBusy chooses the target of a plain service with the fewest requests in flight, near ones first.
+// leastBusy chooses the target of a plain service with the fewest requests in flight, near ones first. It returns nil when all are closed.
 func (ds *Dispatcher) leastBusy(as Ask, tgs []targets.Target) *Slot {
 	ds.book.mu.Lock()
 	defer ds.book.mu.Unlock()
-	best, bestCost := 0, 0.0
+	best, bestCost := -1, 0.0
 	for i, tg := range tgs {
+		if ds.closed(as, tg.ID) {
+			continue
+		}
 		cost := float64(ds.book.total(tg.ID).Writers) / float64(max(1, tg.Slots))
 		if tg.AvailabilityZone != ds.opts.AvailabilityZone {
 			cost += farCost
 		}
 		cost += tieCost * fraction(as.Request, ds.opts.Instance, tg.ID)
-		if i == 0 || cost < bestCost {
+		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
 	}
+	if best < 0 {
+		return nil
+	}
 	sl := &Slot{ds: ds, Target: tgs[best], Candidates: len(tgs), At: ds.opts.Now(), Priority: -1}
 	sl.book(tgs[best].ID, placement.Load{Writers: 1})
 	return sl
--- /dev/null
+++ b/internal/dispatch/limit.go
@@ -0,0 +1,125 @@
+package dispatch
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/silvermount/silvermount/internal/failure"
+	"github.com/silvermount/silvermount/internal/permit"
+	"github.com/silvermount/silvermount/internal/targets"
+)
+
+// The load that permits answer: a target in need names how many requests a second it takes from all instances together. Each of them is
+// sent with a permit, so that the sum keeps to it. A target without permits to give is closed, as one without a slot is: the choice looks
+// at the others in the first place.
+
+// noPermitError says that the chosen target has no permit to give, and is closed now.
+type noPermitError struct{}
+
+// Error says so.
+func (*noPermitError) Error() string { return "the target has no permit to give" }
+
+// permitTries bounds the permits that one request is refused before it looks for targets without a limit alone: each takes a round trip
+// to another instance, all of them well within the shortest objective.
+const permitTries = 8
+
+// closed reports whether a target takes no request of this one's now.
+func (ds *Dispatcher) closed(as Ask, id string) bool {
+	if ds.opts.Permits == nil || as.permitted == id {
+		return false
+	}
+	if as.refusals >= permitTries && ds.opts.Permits.Limited(id) {
+		return true
+	}
+	_, closed := ds.opts.Permits.Closed(id)
+	return closed
+}
+
+// permit asks for what the chosen target needs, before anything else is spent on it. Without a permit the slot is released.
+func (ds *Dispatcher) permit(ctx context.Context, as Ask, sl *Slot) (*Slot, bool, error) {
+	if ds.opts.Permits == nil || as.permitted == sl.Target.ID {
+		return sl, true, nil
+	}
+	an := ds.take(ctx, as, sl.Target, 0)
+	if an.Granted {
+		return sl, true, nil
+	}
+	sl.Release()
+	if ctx.Err() != nil {
+		return nil, false, ctx.Err()
+	}
+	return nil, false, &noPermitError{}
+}
+
+// take asks for a permit, and tells of a refusal.
+func (ds *Dispatcher) take(ctx context.Context, as Ask, tg targets.Target, wait time.Duration) permit.Answer {
+	an := ds.opts.Permits.Take(ctx, tg, wait)
+	if !an.Granted && ds.opts.TurnedElsewhere != nil {
+		ds.opts.TurnedElsewhere(as.Request, tg, an.After)
+	}
+	return an
+}
+
+// opening is when a closed target may be asked for again.
+type opening struct {
+	target targets.Target
+	at     time.Time
+}
+
+// openings returns when the targets of a request may be asked for again, the first one first; none unless all are closed.
+func (ds *Dispatcher) openings(as Ask) []opening {
+	if ds.opts.Permits == nil {
+		return nil
+	}
+	var ops []opening
+	now := ds.opts.Now()
+	for _, tg := range ds.usable(as) {
+		if !ds.closed(as, tg.ID) {
+			return nil
+		}
+		at, closed := ds.opts.Permits.Closed(tg.ID)
+		if !closed {
+			at = now
+		}
+		ops = append(ops, opening{target: tg, at: at})
+	}
+	slices.SortFunc(ops, func(a, b opening) int { return a.at.Compare(b.at) })
+	return ops
+}
+
+// turn waits for the turn of a request whose targets are all closed, at the one that opens first, and returns that one. Where no turn
+// comes in a part of its objective, the request is refused at once with the time at which a target takes requests again. It returns
+// nothing where a target is open.
+func (ds *Dispatcher) turn(ctx context.Context, as Ask) (string, error) {
+	patience := as.Arrived.Add(time.Duration(waitShare * float64(as.Objective)))
+	for tries := 0; ; tries++ {
+		ops := ds.openings(as)
+		if len(ops) == 0 {
+			return "", nil
+		}
+		first, now := ops[0], ds.opts.Now()
+		if first.at.After(patience) || tries >= permitTries {
+			return "", failure.New(failure.Overloaded, failure.NotRun, "all targets name a rate limit that is used up").
+				WithRetryAfter(max(first.at.Sub(now), comeBack))
+		}
+		an := ds.take(ctx, as, first.target, patience.Sub(now))
+		if an.Granted {
+			return first.target.ID, sleep(ctx, an.After)
+		}
+		if ctx.Err() != nil {
+			return "", ctx.Err()
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/internal/dispatch/overload.go
+++ b/internal/dispatch/overload.go
@@ -33,9 +33,17 @@
 	return !inTime && slotsTaken(as.Service.Engine, cands)
 }
 
-// slotsTaken reports whether the targets have about as many requests as slots.
+// slotsTaken reports whether the targets that take requests have about as many as slots.
 func slotsTaken(en *placement.Engine, cands []placement.Target) bool {
-	return float64(inFlight(cands)) > overloadedFrom*float64(en.Slots*len(cands))
+	taken, slots := 0, 0
+	for i := range cands {
+		if cands[i].Closed {
+			continue
+		}
+		taken += cands[i].Load.Readers + cands[i].Load.Writers
+		slots += en.Slots
+	}
+	return float64(taken) > overloadedFrom*float64(slots)
 }
 
 // inFlight returns how many requests are read or written at some targets.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -58,6 +58,9 @@
 	if err != nil || sl == nil {
 		return nil, false, err
 	}
+	if _, ok, err := ds.permit(ctx, as, sl); !ok {
+		return nil, false, err
+	}
 	if len(sl.plan.Reserve) == 0 {
 		return sl, true, nil
 	}
@@ -78,7 +81,7 @@
 	lag := ds.lagNow()
 	ds.book.mu.Lock()
 	defer ds.book.mu.Unlock()
-	cands := ds.candidates(as.Service.Engine, tgs)
+	cands := ds.candidates(as, tgs)
 	ps := newPools(as.Service.Engine, cands, ds.arriving)
 	if as.long() && !as.Resumed {
 		cands = ps.long
@@ -130,16 +133,17 @@
 }
 
 // candidates returns targets with their loads as the placement takes them. The book's lock is held.
-func (ds *Dispatcher) candidates(en *placement.Engine, tgs []targets.Target) []placement.Target {
+func (ds *Dispatcher) candidates(as Ask, tgs []targets.Target) []placement.Target {
 	now := ds.opts.Now()
 	cands := make([]placement.Target, len(tgs))
 	for i, tg := range tgs {
 		cands[i] = placement.Target{
 			Name: tg.ID, Near: tg.AvailabilityZone == ds.opts.AvailabilityZone, Load: ds.book.total(tg.ID), Pace: 1, Helper: true,
+			Closed: ds.closed(as, tg.ID),
 		}
 		if ds.book.isFull(tg.ID, now) {
 			cands[i].Helper = false
-			cands[i].Load.Memory = max(cands[i].Load.Memory, en.Memory)
+			cands[i].Load.Memory = max(cands[i].Load.Memory, as.Service.Engine.Memory)
 		}
 	}
 	return cands
--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -38,14 +38,28 @@
 // a long prompt can be read by: before 18 targets the mean worth of days with trouble was 0.663 with such a pool and 0.690 without one
 // (five days, one play each).
 func newPools(en *placement.Engine, cands []placement.Target, dm demand) pools {
-	size := shortPoolSize(en, cands, dm)
-	if size == 0 || len(cands)-size < placement.MostParts {
+	// Targets that take no request now write no short answers: others take their place in the short pool.
+	open := openFirst(cands)
+	size := shortPoolSize(en, cands[:open], dm)
+	if size == 0 || size > open || len(cands)-size < placement.MostParts {
 		return pools{long: cands}
 	}
-	at := partition(cands, size)
+	at := partition(cands[:open], size)
 	return pools{short: cands[:at], long: cands[at:], pause: dm.shortPause}
 }
 
+// openFirst puts the targets that take requests first, and returns how many those are.
+func openFirst(cands []placement.Target) int {
+	at := 0
+	for ix := range cands {
+		if !cands[ix].Closed {
+			cands[at], cands[ix] = cands[ix], cands[at]
+			at++
+		}
+	}
+	return at
+}
+
 // partition puts so many targets first, by places that depend on their names alone, and returns how many that are.
 func partition(cands []placement.Target, size int) int {
 	places := make([]float64, len(cands))
--- a/internal/duty/forwarding/forwarding.go
+++ b/internal/duty/forwarding/forwarding.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
 
 	"github.com/silvermount/silvermount/internal/adapter"
 	"github.com/silvermount/silvermount/internal/blame"
@@ -14,6 +15,8 @@
 	"github.com/silvermount/silvermount/internal/dispatch"
 	"github.com/silvermount/silvermount/internal/ident"
 	"github.com/silvermount/silvermount/internal/kernel"
+	"github.com/silvermount/silvermount/internal/permit"
+	"github.com/silvermount/silvermount/internal/ratelimit"
 	"github.com/silvermount/silvermount/internal/reservation"
 	"github.com/silvermount/silvermount/internal/routes"
 	"github.com/silvermount/silvermount/internal/targets"
@@ -37,8 +40,11 @@
 	Changed    *Changed
 	Followers  *Followers
 	Blame      *blame.Ledger
-	// Blamed is told when peers have to hear something new of requests that end targets.
-	Blamed *Changed
+	// Noted is told when peers have to hear something new of requests that end targets, or of rate limits.
+	Noted *Changed
+	// Limits is what is believed of the rate limits of targets, and Permits what requests need to go to these.
+	Limits  *ratelimit.Book
+	Permits *permit.Client
 }
 
 // Changed is told when what this instance knows or has in flight changes. It is safe for use by any goroutine.
@@ -56,6 +62,16 @@
 	}
 }
 
+// turnedElsewhere returns what logs a request that did not go to a target for want of a permit.
+func turnedElsewhere(lg log.Interface, limits *ratelimit.Book) func(request string, tg targets.Target, again time.Duration) {
+	return func(request string, tg targets.Target, again time.Duration) {
+		lg.WithFields(log.Fields{
+			"request": request, "target": tg.ID, "service": tg.Service, "limit": limits.Of(tg.ID).String(),
+			"again": again.Round(time.Millisecond).String(),
+		}).Info("no permit for target")
+	}
+}
+
 // releaseMost bounds the wait for the last memory to be given back: a few round trips, and less than what a stop leaves of
 // the grace.
 const releaseMost = 100 * time.Millisecond
@@ -74,15 +90,19 @@
 		Reserve: ad.Reserve, Release: ad.Release, NewID: func() string { return ident.New("mem") }, Present: dr.Present,
 		Timeout: env.Settings.Gateway.OrderTimeout.Std(), Hold: env.Settings.Gateway.MemoryHold.Std(), Log: env.Logger("memory"),
 	}
+	limits := ratelimit.New(time.Now)
+	ms.NewGauge("silvermount_targets_limited", func() float64 { return float64(limits.Limited()) })
+	permits := permit.NewClient(time.Now, limits.Of, ms)
 	ds := dispatch.New(dr, kp, dispatch.Options{
 		Instance: env.Settings.Instance, AvailabilityZone: env.Settings.AvailabilityZone, Now: time.Now, Changed: ch.Tell,
+		Permits: permits, TurnedElsewhere: turnedElsewhere(env.Logger("dispatch"), limits),
 	})
-	blamed := &Changed{}
+	noted := &Changed{}
 	ld := blame.New(blame.Options{
-		Now: time.Now, Targets: dr.Len, Gone: dr.Lost, Changed: blamed.Tell, Metrics: ms, Log: env.Logger("blame"),
+		Now: time.Now, Targets: dr.Len, Gone: dr.Lost, Changed: noted.Tell, Metrics: ms, Log: env.Logger("blame"),
 	})
 	kernel.Provide(env, &Parts{
-		Blame: ld, Blamed: blamed,
+		Blame: ld, Noted: noted, Limits: limits, Permits: permits,
 		Adapter: ad, Routes: &routes.Holder{}, Targets: dr, Dispatcher: ds, Metrics: ms, Changed: ch, Followers: &Followers{}, Pool: pl,
 	})
 	return func(ctx context.Context) error {
--- /dev/null
+++ b/internal/duty/members/limits_test.go
@@ -0,0 +1,51 @@
+package members
+
+import (
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	. "github.com/onsi/gomega"
+
+	"github.com/silvermount/silvermount/internal/blame"
+	"github.com/silvermount/silvermount/internal/gossip"
+	"github.com/silvermount/silvermount/internal/ratelimit"
+)
+
+// TestNotesWithoutLimitsAreThoseOfTheBuildBefore: that build cannot read others.
+func TestNotesWithoutLimitsAreThoseOfTheBuildBefore(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	notes := blame.Notes{}.Encode(now)
+	g.Expect(withLimits(notes, nil, now)).To(Equal(notes))
+	g.Expect(notes[0]).NotTo(BeEquivalentTo(limitsVersion))
+	got, limits, err := splitLimits(notes)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(got).To(Equal(notes))
+	g.Expect(limits).To(BeEmpty())
+}
+
+func TestPeersHearOfRateLimits(t *testing.T) {
+	g := NewWithT(t)
+	du := newDuty()
+	du.limits = ratelimit.New(time.Now)
+	du.lg = &log.Logger{Handler: discard.New()}
+	now := time.Now()
+	notes := blame.Notes{}.Encode(now)
+	told := []ratelimit.Observation{{Target: "a@1", Limit: ratelimit.Of(1.5), At: now.Add(-time.Second)}}
+	got, limits, err := splitLimits(withLimits(notes, told, now))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(got).To(Equal(notes))
+	du.receiveLimits(gossip.Member{Name: "b"}, limits, now)
+	g.Expect(du.limits.Of("a@1")).To(Equal(ratelimit.Of(1.5)))
+	g.Expect(du.limits.Of("a@2").Named).To(BeFalse(), "a later incarnation names none")
+}
+
+func TestNotesThatAreCutOffAreRefused(t *testing.T) {
+	g := NewWithT(t)
+	for _, b := range [][]byte{{limitsVersion}, {limitsVersion, 9}, {limitsVersion, 0xff}} {
+		_, _, err := splitLimits(b)
+		g.Expect(err).To(HaveOccurred())
+	}
+}
--- a/internal/duty/members/members.go
+++ b/internal/duty/members/members.go
@@ -22,6 +22,7 @@
 	"github.com/silvermount/silvermount/internal/peerstate"
 	"github.com/silvermount/silvermount/internal/placement"
 	"github.com/silvermount/silvermount/internal/position"
+	"github.com/silvermount/silvermount/internal/ratelimit"
 	"github.com/silvermount/silvermount/internal/routes"
 	"github.com/silvermount/silvermount/internal/targets"
 )
@@ -67,6 +68,9 @@
 	ms  *gossip.Mesh
 	fo  *forwarding.Followers
 	ld  *blame.Ledger
+	// limits is what is believed of the rate limits of targets, and permits keeps to them with the others.
+	limits  *ratelimit.Book
+	permits *permits
 	// configurations and lists are the newer documents to be fetched, each kind by a goroutine of its own: a target that is
 	// gone must be known in time, whatever a large configuration takes.
 	configurations, lists chan newer
@@ -88,6 +92,7 @@
 	}
 	du := newDuty()
 	du.ad, du.rts, du.dr, du.ds, du.fo, du.ld = pt.Adapter, pt.Routes, pt.Targets, pt.Dispatcher, pt.Followers, pt.Blame
+	du.limits = pt.Limits
 	du.lg = env.Logger("peers")
 	var lc net.ListenConfig
 	l, err := lc.Listen(ctx, "tcp", env.Settings.Gateway.Peers)
@@ -97,8 +102,10 @@
 	op := du.options(env)
 	du.ms = gossip.New(op)
 	du.document = du.ms.Fetch
+	du.permits = newPermits(op.Self.Name, du.ms, du.limits)
+	pt.Permits.SetAsk(du.permits.ask)
 	pt.Changed.Set(du.ms.Publish)
-	pt.Blamed.Set(du.ms.PublishNotes)
+	pt.Noted.Set(du.ms.PublishNotes)
 	pt.Metrics.NewGauge("silvermount_peer_links", func() float64 { return float64(du.ms.Links()) })
 	pt.Metrics.NewGauge("silvermount_peer_subscribers", func() float64 { return float64(du.ms.Subscribers()) })
 	pt.Dispatcher.SetLag(du.ms.Lag)
@@ -121,6 +128,7 @@
 			AvailabilityZone: env.Settings.AvailabilityZone, Megabits: uint64(gw.Megabits),
 		},
 		Seeds: gw.Seeds, Coalesce: coalesce, Body: du.body, Receive: du.receive, Notes: du.notes, ReceiveNotes: du.receiveNotes, OnLost: du.lost, Serve: du.serve, Log: du.lg,
+		Answer: func(name string, question []byte) ([]byte, bool) { return du.permits.answer(name, question) },
 	}
 }
 
@@ -130,6 +138,7 @@
 	wg.Go(func() { du.ended(ctx, du.ms.Serve(ctx, l)) })
 	wg.Go(func() { du.ended(ctx, du.ms.Run(ctx)) })
 	wg.Go(func() { du.fetchAll(ctx) })
+	wg.Go(func() { du.permits.beat(ctx) })
 	return func(context.Context) error {
 		env.Logger("peers").Info("leaving the other instances")
 		du.left.Store(true)
--- a/internal/duty/members/notes.go
+++ b/internal/duty/members/notes.go
@@ -7,14 +7,20 @@
 	"github.com/silvermount/silvermount/internal/gossip"
 )
 
-// notes returns what peers hear of requests that end targets.
+// notes returns what peers hear of requests that end targets, and of rate limits.
 func (du *duty) notes() []byte {
 	now := time.Now()
-	return du.ld.Notes().Encode(now)
+	return withLimits(du.ld.Notes().Encode(now), du.limits.Told(), now)
 }
 
 // receiveNotes takes what a peer tells of them.
 func (du *duty) receiveNotes(from gossip.Member, b []byte, made time.Time) {
+	b, limits, err := splitLimits(b)
+	if err != nil {
+		du.lg.WithError(err).WithField("peer", from.Name).Error("peer's notes cannot be read")
+		return
+	}
+	du.receiveLimits(from, limits, made)
 	if len(b) == 0 {
 		return
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/silvermount/silvermount/internal/budget"
 	"github.com/silvermount/silvermount/internal/dispatch"
 	"github.com/silvermount/silvermount/internal/life"
+	"github.com/silvermount/silvermount/internal/ratelimit"
 	"github.com/silvermount/silvermount/internal/reply"
 	"github.com/silvermount/silvermount/internal/routes"
 	"github.com/silvermount/silvermount/internal/targets"
@@ -30,9 +31,12 @@
 	Pool       *upstream.Pool
 	Retries    *budget.Retries
 	Blame      *blame.Ledger
-	Bodies     *budget.Memory
-	Metrics    *metrics.Set
-	Log        log.Interface
+	// Limits is what is believed of the rate limits of targets, and LimitsChanged is told when peers have to hear of a change.
+	Limits        *ratelimit.Book
+	LimitsChanged func()
+	Bodies        *budget.Memory
+	Metrics       *metrics.Set
+	Log           log.Interface
 	// Random is uniform in [0, 1).
 	Random func() float64
 	// Now is the steady clock.
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/silvermount/silvermount/internal/ratelimit"
 )
 
 // Facts are what a caller's request says of itself.
@@ -76,4 +78,7 @@
 	Judge func(*http.Response) Verdict
 	// AtFault returns the address of the target that a shed answer names as its cause; empty when it names none.
 	AtFault func(*http.Response) string
+	// RateLimit returns how many requests a second the target takes from all instances together, as an answer says. With a
+	// ratelimit.MalformedError it returns what can be read.
+	RateLimit func(*http.Response) (ratelimit.Limit, error)
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -193,6 +193,7 @@
 	}
 	rq.headAt = gw.Now()
 	gw.Targets.Reached(sl.Target.ID)
+	gw.noteRateLimit(rq, sl.Target, an.Response)
 	gw.observe("silvermount_target_answer_seconds", rq.headAt.Sub(rq.sentAt))
 	return an, nil
 }
--- /dev/null
+++ b/internal/ratelimit/book.go
@@ -0,0 +1,190 @@
+package ratelimit
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Observation is what one instance saw in an answer of a target.
+type Observation struct {
+	// Target is its incarnation.
+	Target string
+	Limit  Limit
+	// At is when the target said so. Of an answer without a limit it is when the request was sent, of one with a limit when its head
+	// came: answers that were under way when the target named its first limit must not seem to lift it.
+	At time.Time
+}
+
+// Change is a belief that changed.
+type Change struct {
+	Observation
+	// Before is what was believed until then.
+	Before Limit
+}
+
+// What says what became of the limit.
+func (ch Change) What() string {
+	switch {
+	case !ch.Before.Named:
+		return "named"
+	case !ch.Limit.Named:
+		return "lifted"
+	default:
+		return "changed"
+	}
+}
+
+// belief is what is believed of one incarnation.
+type belief struct {
+	limit Limit
+	// at only grows.
+	at time.Time
+	// witness is set when this instance saw it, and nobody had told: it then tells the others.
+	witness bool
+}
+
+const (
+	// liftedFor is how long an instance tells, and remembers, that a limit was lifted: longer than the others' word of the limit may be
+	// under way, and than their silence before they are taken for lost.
+	liftedFor = 15 * time.Second
+	// maxBeliefs bounds the targets believed limited, 100 bytes each. It is several times the largest fleet's.
+	maxBeliefs = 1 << 13
+	// maxMalformed bounds the values remembered as logged.
+	maxMalformed = 256
+)
+
+// Book is what this instance believes of the rate limits of targets, by its own answers and its peers' word. It is safe for use by any
+// goroutine.
+type Book struct {
+	now func() time.Time
+
+	mu sync.Mutex
+	// beliefs holds incarnations that are limited, or were lately.
+	beliefs map[string]belief
+	// limited counts the beliefs in a limit.
+	limited int
+	// malformed holds the target and value of what was logged already.
+	malformed map[string]struct{}
+}
+
+// New returns an empty book; now is the steady clock.
+func New(now func() time.Time) *Book {
+	return &Book{now: now, beliefs: map[string]belief{}, malformed: map[string]struct{}{}}
+}
+
+// Observe takes what this instance saw in an answer to a request that was sent at one time and whose head came at another. It reports
+// whether the belief changed; peers must then be told.
+func (bk *Book) Observe(target string, li Limit, sent, head time.Time) (Change, bool) {
+	ob := Observation{Target: target, Limit: li, At: sent}
+	if li.Named {
+		ob.At = head
+	}
+	bk.mu.Lock()
+	defer bk.mu.Unlock()
+	return bk.take(ob, true)
+}
+
+// Hear takes what a peer tells, and returns what that changed.
+func (bk *Book) Hear(told []Observation) []Change {
+	bk.mu.Lock()
+	defer bk.mu.Unlock()
+	var changes []Change
+	for _, ob := range told {
+		if ch, changed := bk.take(ob, false); changed {
+			changes = append(changes, ch)
+		}
+	}
+	return changes
+}
+
+// take takes an observation unless what is believed is newer. The lock is held.
+func (bk *Book) take(ob Observation, own bool) (Change, bool) {
+	be, known := bk.beliefs[ob.Target]
+	// An own answer without a limit is the usual one. A peer that tells of one saw a limit lifted: an older word of that limit may still be
+	// under way.
+	if !known && !ob.Limit.Named && own {
+		return Change{}, false
+	}
+	if known && ob.At.Before(be.at) || !known && len(bk.beliefs) >= maxBeliefs {
+		return Change{}, false
+	}
+	before := be.limit
+	be.at = ob.At
+	if before == ob.Limit {
+		bk.beliefs[ob.Target] = be
+		return Change{}, false
+	}
+	be.limit, be.witness = ob.Limit, own
+	bk.beliefs[ob.Target] = be
+	bk.count(before, ob.Limit)
+	return Change{Observation: ob, Before: before}, true
+}
+
+func (bk *Book) count(before, after Limit) {
+	if before.Named {
+		bk.limited--
+	}
+	if after.Named {
+		bk.limited++
+	}
+}
+
+// Of returns the limit of a target.
+func (bk *Book) Of(target string) Limit {
+	bk.mu.Lock()
+	defer bk.mu.Unlock()
+	if bk.limited == 0 {
+		return Limit{}
+	}
+	return bk.beliefs[target].limit
+}
+
+// Limited returns how many targets are believed to name a limit.
+func (bk *Book) Limited() int {
+	bk.mu.Lock()
+	defer bk.mu.Unlock()
+	return bk.limited
+}
+
+// Told returns what peers hear: what this instance was the first to see, by target. That is a few entries for each target over the whole
+// fleet, however many instances see the same.
+func (bk *Book) Told() []Observation {
+	bk.mu.Lock()
+	defer bk.mu.Unlock()
+	var told []Observation
+	for target, be := range bk.beliefs {
+		if be.witness {
+			told = append(told, Observation{Target: target, Limit: be.limit, At: be.at})
+		}
+	}
+	slices.SortFunc(told, func(a, b Observation) int { return strings.Compare(a.Target, b.Target) })
+	return told
+}
+
+// Forget drops the beliefs in targets that are not there any more, and in limits that were lifted some time ago.
+func (bk *Book) Forget(there func(target string) bool) {
+	bk.mu.Lock()
+	defer bk.mu.Unlock()
+	now := bk.now()
+	for target, be := range bk.beliefs {
+		lifted := !be.limit.Named && now.Sub(be.at) > liftedFor
+		if lifted || now.Sub(be.at) > liftedFor && !there(target) {
+			bk.count(be.limit, Limit{})
+			delete(bk.beliefs, target)
+		}
+	}
+}
+
+// FirstMalformed reports whether a target names a value that cannot be read for the first time, so that it is logged once.
+func (bk *Book) FirstMalformed(target, value string) bool {
+	key := target + " " + value
+	bk.mu.Lock()
+	defer bk.mu.Unlock()
+	if _, seen := bk.malformed[key]; seen || len(bk.malformed) >= maxMalformed {
+		return false
+	}
+	bk.malformed[key] = struct{}{}
+	return true
+}
--- /dev/null
+++ b/internal/ratelimit/book_test.go
@@ -0,0 +1,172 @@
+package ratelimit_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/silvermount/silvermount/internal/ratelimit"
+)
+
+func TestParse(t *testing.T) {
+	cases := map[string]struct {
+		values []string
+		want   ratelimit.Limit
+		failed bool
+	}{
+		"none":               {},
+		"a decimal":          {values: []string{"1.5"}, want: ratelimit.Of(1.5)},
+		"blanks":             {values: []string{" 2 "}, want: ratelimit.Of(2)},
+		"zero":               {values: []string{"0"}, want: ratelimit.Of(0)},
+		"several":            {values: []string{"7", "3", "5"}, want: ratelimit.Of(3)},
+		"larger than a load": {values: []string{"1e300"}, want: ratelimit.Of(1e6)},
+		"empty":              {values: []string{""}, failed: true},
+		"negative":           {values: []string{"-1"}, failed: true},
+		"not a number":       {values: []string{"NaN"}, failed: true},
+		"infinite":           {values: []string{"+Inf"}, failed: true},
+		"overflow":           {values: []string{"1e999"}, failed: true},
+		"a word":             {values: []string{"many"}, failed: true},
+		"one that is good":   {values: []string{"many", "4"}, want: ratelimit.Of(4), failed: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			li, err := ratelimit.Parse(tc.values)
+			g.Expect(li).To(Equal(tc.want))
+			g.Expect(err != nil).To(Equal(tc.failed))
+		})
+	}
+}
+
+// book is a book on a clock that the test moves.
+type book struct {
+	*WithT
+	*ratelimit.Book
+	began time.Time
+	now   time.Time
+}
+
+func newBook(t *testing.T) *book {
+	bk := &book{WithT: NewWithT(t), began: time.Unix(1000, 0)}
+	bk.now = bk.began
+	bk.Book = ratelimit.New(func() time.Time { return bk.now })
+	return bk
+}
+
+func (bk *book) at(ms int) time.Time { return bk.began.Add(time.Duration(ms) * time.Millisecond) }
+
+// saw is an own answer to a request that was sent at one moment and answered at another, in milliseconds.
+func (bk *book) saw(li ratelimit.Limit, sent, head int) bool {
+	_, changed := bk.Observe("a", li, bk.at(sent), bk.at(head))
+	return changed
+}
+
+// heard is a peer's word.
+func (bk *book) heard(li ratelimit.Limit, at int) bool {
+	return len(bk.Hear([]ratelimit.Observation{{Target: "a", Limit: li, At: bk.at(at)}})) > 0
+}
+
+func TestBookBelievesTheNewestAnswer(t *testing.T) {
+	bk := newBook(t)
+	two, three, none := ratelimit.Of(2), ratelimit.Of(3), ratelimit.Limit{}
+	bk.Expect(bk.saw(none, 0, 10)).To(BeFalse())
+	bk.Expect(bk.saw(two, 20, 30)).To(BeTrue())
+	bk.Expect(bk.Of("a")).To(Equal(two))
+	bk.Expect(bk.saw(none, 25, 60)).To(BeFalse(), "under way when the limit was named")
+	bk.Expect(bk.Of("a")).To(Equal(two))
+	bk.Expect(bk.saw(three, 40, 70)).To(BeTrue())
+	bk.Expect(bk.Limited()).To(Equal(1))
+	bk.Expect(bk.saw(none, 80, 90)).To(BeTrue())
+	bk.Expect(bk.Of("a")).To(Equal(none))
+	bk.Expect(bk.Limited()).To(BeZero())
+}
+
+func TestBookTakesPeersWordByItsAge(t *testing.T) {
+	two, none := ratelimit.Of(2), ratelimit.Limit{}
+	bk := newBook(t)
+	bk.Expect(bk.heard(two, 30)).To(BeTrue())
+	bk.Expect(bk.heard(none, 20)).To(BeFalse())
+	bk.Expect(bk.Of("a")).To(Equal(two))
+	bk.Expect(bk.heard(none, 40)).To(BeTrue())
+	bk.Expect(bk.heard(two, 35)).To(BeFalse())
+	bk.Expect(bk.Of("a")).To(Equal(none))
+
+	// Told by different ways, the lifting may come first.
+	late := newBook(t)
+	late.Expect(late.heard(none, 40)).To(BeFalse())
+	late.Expect(late.heard(two, 30)).To(BeFalse())
+	late.Expect(late.Of("a")).To(Equal(none))
+}
+
+func TestBookTellsWhatItSawFirst(t *testing.T) {
+	bk := newBook(t)
+	two := ratelimit.Of(2)
+	bk.Expect(bk.heard(two, 10)).To(BeTrue())
+	bk.Expect(bk.saw(two, 20, 30)).To(BeFalse())
+	bk.Expect(bk.Told()).To(BeEmpty(), "others told of it")
+	bk.Expect(bk.saw(ratelimit.Of(4), 40, 50)).To(BeTrue())
+	bk.Expect(bk.Told()).To(Equal([]ratelimit.Observation{{Target: "a", Limit: ratelimit.Of(4), At: bk.at(50)}}))
+	bk.Expect(bk.heard(two, 60)).To(BeTrue())
+	bk.Expect(bk.Told()).To(BeEmpty(), "a peer saw something newer")
+}
+
+func TestBookForgets(t *testing.T) {
+	bk := newBook(t)
+	bk.saw(ratelimit.Of(2), 0, 10)
+	there := true
+	forget := func() { bk.Forget(func(string) bool { return there }) }
+	bk.now = bk.began.Add(time.Hour)
+	forget()
+	bk.Expect(bk.Of("a").Named).To(BeTrue(), "a target that gets no requests is limited still")
+	there = false
+	forget()
+	bk.Expect(bk.Limited()).To(BeZero())
+	bk.Expect(bk.Told()).To(BeEmpty())
+}
+
+func TestMalformedValuesAreLoggedOnceAndBounded(t *testing.T) {
+	bk := newBook(t)
+	bk.Expect(bk.FirstMalformed("a", "many")).To(BeTrue())
+	bk.Expect(bk.FirstMalformed("a", "many")).To(BeFalse())
+	bk.Expect(bk.FirstMalformed("b", "many")).To(BeTrue())
+	logged := 0
+	for no := range 10_000 {
+		if bk.FirstMalformed("c", string(rune('a'+no%26))+string(rune('0'+no))) {
+			logged++
+		}
+	}
+	bk.Expect(logged).To(BeNumerically("<", 1000))
+}
+
+func TestObservationsAreReadAsWritten(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(2000, 0)
+	told := []ratelimit.Observation{
+		{Target: "a", Limit: ratelimit.Of(1.25), At: now.Add(-3 * time.Second)},
+		{Target: "b@x", At: now},
+		{Target: "c", Limit: ratelimit.Of(0), At: now.Add(-time.Millisecond)},
+	}
+	got, err := ratelimit.Decode(ratelimit.Encode(told, now), now)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(got).To(Equal(told))
+}
+
+func FuzzDecode(f *testing.F) {
+	now := time.Unix(2000, 0)
+	f.Add(ratelimit.Encode([]ratelimit.Observation{{Target: "a", Limit: ratelimit.Of(2), At: now}}, now))
+	f.Add([]byte{1, 1, 'a', 0, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 1})
+	f.Add([]byte{0xff, 0xff, 3})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		obs, err := ratelimit.Decode(b, now)
+		if err != nil {
+			return
+		}
+		for _, ob := range obs {
+			if ob.Target == "" || math.IsNaN(ob.Limit.PerSecond) || ob.Limit.PerSecond < 0 || ob.Limit.PerSecond > 1e6 || ob.At.After(now) {
+				t.Fatalf("%+v", ob)
+			}
+		}
+	})
+}
