fix(targets): a list and its position are taken in one step, and an older list replaces no newer one

An instance that was ready and in touch refused its callers for want of targets, or did not know of a change, until the next change came. It had asked the store for its list, a peer told a newer one meanwhile, and the store's older answer took its place. The position stayed the newer one, as it only grows, so every peer's word confirmed what was held, and an instance that rests on its peers never asked again.

List and position are now taken under one lock, from the store as from peers, and what is of an earlier position changes nothing. The changes of one answer are taken together. So what is held is always what the store had at that position, and a peer's word can confirm nothing else. The configuration was looked at for the same: its version is part of it, and it is taken in one step.

The test of the order of answers passes; a property test plays any order of lists, watches, peers' lists, changes and returns of the store.

Tests that told a position by itself take it with a list now; none checks less.

--- a/internal/duty/facts/facts.go
+++ b/internal/duty/facts/facts.go
@@ -45,8 +45,8 @@
 	tellBirth bool
 	// rewrittenEra is the newest era of the store in which the configuration was seen to change; it is used by one goroutine.
 	rewrittenEra int64
-	// news is set while an answer about targets holds changes; it is used by one goroutine.
-	news bool
+	// heard is what the answer about targets that is being read holds; it is used by one goroutine.
+	heard heard
 }
 
 func start(_ context.Context, env *kernel.Env) (kernel.Stop, error) {
@@ -201,36 +201,16 @@
 	return &follow.Follower{
 		Store: st, Kind: rd.ad.TargetKind, Log: lg, Pause: pc.pause, Wait: pc.wait,
 		Replace: func(items []objectstore.Object, evidence time.Time) {
-			list, unread := rd.list(items)
-			rd.news = true
 			// The follower lists again after each failed call.
 			rd.dr.Back(evidence)
-			rd.tell(rd.dr.Replace(list, evidence), evidence)
-			for _, name := range unread {
-				rd.tell(rd.dr.Withdraw(name, evidence), evidence)
-			}
+			rd.heard.whole = true
+			rd.heard.list, rd.heard.unread = rd.list(items)
 		},
-		Change: func(it objectstore.Object, evidence time.Time) {
-			rd.news = true
-			if len(it.Value) == 0 {
-				rd.tell(rd.dr.Remove(it.Name, evidence), evidence)
-				return
-			}
-			tg, ok := rd.target(it)
-			if !ok || !rd.written(tg) {
-				rd.tell(rd.dr.Withdraw(it.Name, evidence), evidence)
-				return
-			}
-			rd.tell(rd.dr.Put(tg, evidence), evidence)
-		},
-		Known: rd.known, Settle: targets.StaleFor, Restored: rd.dr.Restored,
+		Change: func(it objectstore.Object, _ time.Time) { rd.heard.changes = append(rd.heard.changes, rd.entry(it)) },
+		Known:  rd.known, Settle: targets.StaleFor, Restored: rd.dr.Restored,
 		Confirm: func(evidence time.Time, at position.Position) {
 			rd.reach.answered()
-			rd.tell(rd.dr.Confirm(evidence), evidence)
-			if rd.news {
-				rd.dr.Changed(at)
-			}
-			rd.news = false
+			rd.tell(rd.take(at, evidence), evidence)
 			rd.changed.Tell()
 		},
 		Trouble: func(error) {
--- a/internal/duty/facts/fleet_test.go
+++ b/internal/duty/facts/fleet_test.go
@@ -299,8 +299,7 @@
 			to.rd.dr.Restored(at.Era, heard)
 		}
 		_, list := from.rd.dr.Listed()
-		to.rd.dr.Replace(list, heard)
-		to.rd.dr.Changed(at)
+		to.rd.dr.TakeTold(list, targets.Lapsed{}, at, heard)
 	case at == mine && !at.IsZero():
 		to.rd.dr.Confirm(heard)
 	}
--- a/internal/duty/facts/list.go
+++ b/internal/duty/facts/list.go
@@ -1,7 +1,10 @@
 package facts
 
 import (
+	"time"
+
 	"github.com/silvermount/silvermount/internal/objectstore"
+	"github.com/silvermount/silvermount/internal/position"
 	"github.com/silvermount/silvermount/internal/targets"
 )
 
@@ -31,6 +34,42 @@
 	return list, unread
 }
 
+// heard is what one answer of the store holds of targets. It is taken as a whole, together with the position of the answer.
+type heard struct {
+	// whole is set for a list; its entries of unread names are there and name no target.
+	whole  bool
+	list   []targets.Target
+	unread []string
+	// changes are those of a watch, in order.
+	changes []targets.Entry
+}
+
+// take takes what was heard up to a position, and returns what that changed.
+func (rd *reader) take(at position.Position, evidence time.Time) []targets.Change {
+	he := rd.heard
+	rd.heard = heard{}
+	switch {
+	case he.whole:
+		return rd.dr.TakeList(he.list, he.unread, at, evidence)
+	case len(he.changes) > 0:
+		return rd.dr.TakeChanges(he.changes, at, evidence)
+	default:
+		return rd.dr.Confirm(evidence)
+	}
+}
+
+// entry decodes an entry that changed.
+func (rd *reader) entry(it objectstore.Object) targets.Entry {
+	if len(it.Value) == 0 {
+		return targets.Entry{Name: it.Name, Gone: true}
+	}
+	tg, ok := rd.target(it)
+	if !ok || !rd.written(tg) {
+		return targets.Entry{Name: it.Name, Unread: true}
+	}
+	return targets.Entry{Name: it.Name, Target: tg}
+}
+
 // target decodes an entry. One that cannot be read is of another writer, and names no target.
 func (rd *reader) target(it objectstore.Object) (targets.Target, bool) {
 	tg, err := rd.ad.Target(it)
--- a/internal/duty/members/fetch_test.go
+++ b/internal/duty/members/fetch_test.go
@@ -56,9 +56,8 @@
 func TestRestoredStoreAsAPeerTells(t *testing.T) {
 	g := NewWithT(t)
 	dr := targets.New(time.Now)
-	dr.Replace([]targets.Target{{ID: "stays"}, {ID: "left"}, {ID: "goes"}}, time.Now())
-	dr.Remove("goes", time.Now())
-	dr.Changed(position.Position{Revision: 480})
+	dr.TakeList([]targets.Target{{ID: "stays"}, {ID: "left"}, {ID: "goes"}}, nil, position.Position{Revision: 479}, time.Now())
+	dr.TakeChanges([]targets.Entry{{Name: "goes", Gone: true}}, position.Position{Revision: 480}, time.Now())
 	at := position.Position{Era: 1, Revision: 300}
 	list, err := json.Marshal(targetList{
 		Version: at.Number(), Targets: []targets.Target{{ID: "stays"}, {ID: "left", Leaving: true}, {ID: "goes"}},
--- a/internal/targets/incarnation_test.go
+++ b/internal/targets/incarnation_test.go
@@ -48,7 +48,7 @@
 		}, false, true},
 		"an old list comes late": {func(cl *clock, dr *targets.Directory) {
 			dr.Put(second, cl.now())
-			dr.ReplaceTold([]targets.Target{leavingFirst}, targets.Lapsed{}, cl.now())
+			replaceTold(dr, []targets.Target{leavingFirst}, targets.Lapsed{}, cl.now())
 			dr.Put(second, cl.now())
 		}, false, true},
 		"a peer still tells that the old one leaves": {func(cl *clock, dr *targets.Directory) {
@@ -71,7 +71,7 @@
 		}, false, true},
 		"a peer tells of the old one as lapsed": {func(cl *clock, dr *targets.Directory) {
 			dr.Put(second, cl.now())
-			dr.ReplaceTold([]targets.Target{second}, targets.Lapsed{Targets: []targets.Target{first}, Left: time.Second}, cl.now())
+			replaceTold(dr, []targets.Target{second}, targets.Lapsed{Targets: []targets.Target{first}, Left: time.Second}, cl.now())
 		}, false, true},
 		"failures of the old one": {func(cl *clock, dr *targets.Directory) {
 			for range 5 {
--- a/internal/targets/lapse.go
+++ b/internal/targets/lapse.go
@@ -73,11 +73,8 @@
 	return la
 }
 
-// ReplaceTold takes a whole list from a peer. What it newly misses is gone at once unless the peer has seen the store
-// return lately: an instance that cannot ask the store itself does not make a lapse of it.
-func (dr *Directory) ReplaceTold(list []Target, la Lapsed, evidence time.Time) []Change {
-	dr.mu.Lock()
-	defer dr.mu.Unlock()
+// replaceTold takes a whole list from a peer. The lock is held.
+func (dr *Directory) replaceTold(list []Target, la Lapsed, evidence time.Time) []Change {
 	for _, tg := range la.Targets {
 		dr.know(tg)
 	}
--- a/internal/targets/lapse_test.go
+++ b/internal/targets/lapse_test.go
@@ -85,28 +85,28 @@
 			dr.Replace(nil, cl.now())
 		}, []string{"f1", "f2", "n2"}},
 		"one that a peer with a sound store misses is gone": {func(cl *clock, dr *targets.Directory) {
-			dr.ReplaceTold(twoZones(n1n2, []string{"f1"}), targets.Lapsed{}, cl.now())
+			replaceTold(dr, twoZones(n1n2, []string{"f1"}), targets.Lapsed{}, cl.now())
 		}, []string{"f1", "n1", "n2"}},
 		"also when the own store is just back": {func(cl *clock, dr *targets.Directory) {
 			dr.Back(cl.now())
-			dr.ReplaceTold(twoZones(n1n2, []string{"f1"}), targets.Lapsed{}, cl.now())
+			replaceTold(dr, twoZones(n1n2, []string{"f1"}), targets.Lapsed{}, cl.now())
 		}, []string{"f1", "n1", "n2"}},
 		"one that a peer misses whose store is just back has the time that the peer has": {func(cl *clock, dr *targets.Directory) {
-			dr.ReplaceTold(twoZones(n1n2, []string{"f1"}), targets.Lapsed{Left: time.Second}, cl.now())
+			replaceTold(dr, twoZones(n1n2, []string{"f1"}), targets.Lapsed{Left: time.Second}, cl.now())
 			cl.pass(900 * time.Millisecond)
 		}, []string{"f1", "f2", "n1", "n2"}},
 		"and no more": {func(cl *clock, dr *targets.Directory) {
-			dr.ReplaceTold(twoZones(n1n2, []string{"f1"}), targets.Lapsed{Left: time.Second}, cl.now())
+			replaceTold(dr, twoZones(n1n2, []string{"f1"}), targets.Lapsed{Left: time.Second}, cl.now())
 			cl.pass(time.Second)
 		}, []string{"f1", "n1", "n2"}},
 		"one that was gone before is not made a lapse by a peer": {func(cl *clock, dr *targets.Directory) {
-			dr.ReplaceTold(twoZones(n1n2, []string{"f1"}), targets.Lapsed{}, cl.now())
+			replaceTold(dr, twoZones(n1n2, []string{"f1"}), targets.Lapsed{}, cl.now())
 			told := targets.Lapsed{Targets: all(inZone("far"), []string{"f2"}), Left: time.Second}
-			dr.ReplaceTold(twoZones(n1n2, []string{"f1"}), told, cl.now())
+			replaceTold(dr, twoZones(n1n2, []string{"f1"}), told, cl.now())
 		}, []string{"f1", "n1", "n2"}},
 		"one that is first heard of from a peer takes work": {func(cl *clock, dr *targets.Directory) {
 			told := targets.Lapsed{Targets: all(inZone("far"), []string{"f3"}), Left: time.Second}
-			dr.ReplaceTold(twoZones(n1n2, f1f2), told, cl.now())
+			replaceTold(dr, twoZones(n1n2, f1f2), told, cl.now())
 		}, []string{"f1", "f2", "f3", "n1", "n2"}},
 	}
 	for name, tc := range tests {
@@ -147,10 +147,10 @@
 			cl.pass(3 * time.Second)
 		}, 0, nil},
 		"what a peer told": {func(cl *clock, dr *targets.Directory) {
-			dr.ReplaceTold(nil, targets.Lapsed{Left: time.Second}, cl.now())
+			replaceTold(dr, nil, targets.Lapsed{Left: time.Second}, cl.now())
 		}, time.Second, []string{"a"}},
 		"never more than a return gives": {func(cl *clock, dr *targets.Directory) {
-			dr.ReplaceTold(nil, targets.Lapsed{Left: time.Minute}, cl.now())
+			replaceTold(dr, nil, targets.Lapsed{Left: time.Minute}, cl.now())
 		}, 2 * time.Second, []string{"a"}},
 	}
 	for name, tc := range tests {
--- a/internal/targets/restored_test.go
+++ b/internal/targets/restored_test.go
@@ -40,7 +40,7 @@
 			dr.Remove("b", cl.now())
 			cl.pass(time.Second)
 			dr.Restored(1, cl.now())
-			dr.ReplaceTold(all(inZone("near"), copied), targets.Lapsed{}, cl.now())
+			replaceTold(dr, all(inZone("near"), copied), targets.Lapsed{}, cl.now())
 		}, []string{"a"}},
 		"it does again once its entry is written": {func(cl *clock, dr *targets.Directory) {
 			dr.Remove("b", cl.now())
@@ -61,7 +61,7 @@
 			dr.Remove("b", cl.now())
 			cl.pass(time.Second)
 			dr.Restored(1, cl.now())
-			dr.ReplaceTold(all(inZone("near"), copied), targets.Lapsed{}, cl.now())
+			replaceTold(dr, all(inZone("near"), copied), targets.Lapsed{}, cl.now())
 			cl.pass(5 * time.Second)
 			dr.Confirm(cl.now())
 		}, []string{"a", "b"}},
@@ -104,9 +104,9 @@
 func TestRestoredStoreIsLaterWhateverItsRevision(t *testing.T) {
 	g := NewWithT(t)
 	dr := targets.New(time.Now)
-	dr.Changed(position.Position{Revision: 480})
-	dr.Changed(position.Position{Era: 1, Revision: 300})
-	dr.Changed(position.Position{Revision: 500})
+	dr.TakeList(nil, nil, position.Position{Revision: 480}, time.Now())
+	dr.TakeList(nil, nil, position.Position{Era: 1, Revision: 300}, time.Now())
+	dr.TakeList(nil, nil, position.Position{Revision: 500}, time.Now())
 	at, _ := dr.ChangedAt()
 	g.Expect(at).To(Equal(position.Position{Era: 1, Revision: 300}))
 }
--- /dev/null
+++ b/internal/targets/take_test.go
@@ -0,0 +1,175 @@
+package targets_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/silvermount/silvermount/internal/position"
+	"github.com/silvermount/silvermount/internal/targets"
+)
+
+// replaceTold takes a list from a peer as one that is newer than what is held.
+func replaceTold(dr *targets.Directory, list []targets.Target, la targets.Lapsed, evidence time.Time) []targets.Change {
+	at, _ := dr.ChangedAt()
+	at.Revision++
+	return dr.TakeTold(list, la, at, evidence)
+}
+
+func TestTakeRefusesWhatIsOlder(t *testing.T) {
+	now := time.Unix(1000, 0)
+	held := position.Position{Era: 1, Revision: 50}
+	older := map[string]position.Position{"an earlier revision": {Era: 1, Revision: 49}, "an earlier era": {Revision: 900}}
+	for name, at := range older {
+		takes := map[string]func(dr *targets.Directory){
+			"list": func(dr *targets.Directory) { dr.TakeList(list("b"), []string{"a"}, at, now) },
+			"changes": func(dr *targets.Directory) {
+				dr.TakeChanges([]targets.Entry{{Name: "a", Gone: true}, {Name: "b", Target: target("b")}}, at, now)
+			},
+			"peer's list": func(dr *targets.Directory) { dr.TakeTold(list("b"), targets.Lapsed{}, at, now) },
+		}
+		for what, take := range takes {
+			t.Run(what+" of "+name, func(t *testing.T) {
+				g := NewWithT(t)
+				dr := targets.New(func() time.Time { return now })
+				dr.TakeList(list("a"), nil, held, now.Add(-time.Second))
+				take(dr)
+				changedAt, got := dr.Listed()
+				g.Expect(changedAt).To(Equal(held))
+				g.Expect(ids(got)).To(Equal([]string{"a"}))
+			})
+		}
+	}
+}
+
+// TestListIsThatOfItsPosition plays any order of changes in the store, of lists and watches that are asked for and answered later, of peers'
+// lists, and of returns of the store from an older copy. An instance that holds a position holds the list that the store had there.
+func TestListIsThatOfItsPosition(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		now := time.Unix(1000, 0)
+		history := newHistory()
+		const instances = 3
+		var drs []*targets.Directory
+		watched := make([]position.Position, instances)
+		for range instances {
+			drs = append(drs, targets.New(func() time.Time { return now }))
+		}
+		type answer struct {
+			to   int
+			take func(dr *targets.Directory)
+		}
+		var under []answer
+		for range rapid.IntRange(1, 80).Draw(rt, "steps") {
+			now = now.Add(10 * time.Millisecond)
+			to := rapid.IntRange(0, instances-1).Draw(rt, "instance")
+			evidence, at := now, history.at
+			switch rapid.SampledFrom([]string{"change", "list", "watch", "peer", "answer", "answer", "return"}).Draw(rt, "step") {
+			case "change":
+				history.change(rapid.IntRange(0, 5).Draw(rt, "target"))
+			case "list":
+				listed := history.listed(at)
+				under = append(under, answer{to, func(dr *targets.Directory) {
+					dr.Restored(at.Era, evidence)
+					dr.TakeList(listed, nil, at, evidence)
+					watched[to] = at
+				}})
+			case "watch":
+				from := watched[to]
+				if from.Era != at.Era || from.IsZero() {
+					continue
+				}
+				changes := history.since(from)
+				under = append(under, answer{to, func(dr *targets.Directory) {
+					if watched[to] == from && len(changes) > 0 {
+						dr.TakeChanges(changes, at, evidence)
+						watched[to] = at
+					}
+				}})
+			case "peer":
+				from, told := drs[(to+1)%instances].Listed()
+				under = append(under, answer{to, func(dr *targets.Directory) {
+					if mine, _ := dr.ChangedAt(); from.Restored(mine) {
+						dr.Restored(from.Era, evidence)
+					}
+					dr.TakeTold(told, targets.Lapsed{}, from, evidence)
+				}})
+			case "answer":
+				if len(under) == 0 {
+					continue
+				}
+				no := rapid.IntRange(0, len(under)-1).Draw(rt, "which")
+				an := under[no]
+				under = slices.Delete(under, no, no+1)
+				before, _ := drs[an.to].ChangedAt()
+				an.take(drs[an.to])
+				after, got := drs[an.to].Listed()
+				if before.After(after) {
+					rt.Fatalf("the position went back from %+v to %+v", before, after)
+				}
+				if want := ids(history.listed(after)); !slices.Equal(ids(got), want) && !history.doubtful(after) {
+					rt.Fatalf("at %+v: %v in place of %v", after, ids(got), want)
+				}
+			case "return":
+				history.restore(rapid.Int64Range(1, 5).Draw(rt, "revisions back"))
+			}
+		}
+	})
+}
+
+// history is that of a store of targets.
+type history struct {
+	at position.Position
+	// lists holds the names listed at each position, written what each change wrote; "" stands for a removal of names.
+	lists   map[position.Position][]string
+	written map[position.Position]targets.Entry
+}
+
+func newHistory() *history {
+	at := position.Position{Revision: 1}
+	return &history{
+		at: at, lists: map[position.Position][]string{at: nil, {}: nil}, written: map[position.Position]targets.Entry{},
+	}
+}
+
+// change lists a target, or takes its entry away where it is listed.
+func (hs *history) change(no int) {
+	name := fmt.Sprintf("t%d", no)
+	before := hs.lists[hs.at]
+	hs.at.Revision++
+	if at := slices.Index(before, name); at >= 0 {
+		hs.lists[hs.at] = slices.Delete(slices.Clone(before), at, at+1)
+		hs.written[hs.at] = targets.Entry{Name: name, Gone: true}
+		return
+	}
+	hs.lists[hs.at] = slices.Sorted(slices.Values(append(slices.Clone(before), name)))
+	hs.written[hs.at] = targets.Entry{Name: name, Target: target(name)}
+}
+
+func (hs *history) listed(at position.Position) []targets.Target { return list(hs.lists[at]...) }
+
+// since returns the changes after a position of this era.
+func (hs *history) since(from position.Position) []targets.Entry {
+	var changes []targets.Entry
+	for at := from; at.Revision < hs.at.Revision; {
+		at.Revision++
+		changes = append(changes, hs.written[at])
+	}
+	return changes
+}
+
+// restore goes back by some revisions in a new era.
+func (hs *history) restore(back int64) {
+	old := position.Position{Era: hs.at.Era, Revision: max(1, hs.at.Revision-back)}
+	if _, known := hs.lists[old]; !known {
+		return
+	}
+	hs.at = position.Position{Era: hs.at.Era + 1, Revision: old.Revision}
+	hs.lists[hs.at] = hs.lists[old]
+}
+
+// doubtful reports whether a list is one of a store that came back from an older copy: what had gone before is not believed for a while.
+func (hs *history) doubtful(at position.Position) bool { return at.Era > 0 }
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -186,6 +186,10 @@
 func (dr *Directory) Withdraw(name string, evidence time.Time) []Change {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
+	return dr.withdraw(name, evidence)
+}
+
+func (dr *Directory) withdraw(name string, evidence time.Time) []Change {
 	changes := dr.remove(name, evidence)
 	if en, ok := dr.entries[dr.present[name].id]; ok {
 		en.workUntil = time.Time{}
@@ -207,15 +211,6 @@
 	}
 }
 
-// Changed notes where in its history the store was after a change of the list.
-func (dr *Directory) Changed(at position.Position) {
-	dr.mu.Lock()
-	defer dr.mu.Unlock()
-	if at.After(dr.changedAt) {
-		dr.changedAt = at
-	}
-}
-
 // ChangedAt returns where in its history the store was when the list last changed, and the time of the newest evidence.
 func (dr *Directory) ChangedAt() (at position.Position, heard time.Time) {
 	dr.mu.Lock()
