--- a/internal/standin/fault/limit.go
+++ b/internal/standin/fault/limit.go
@@ -9,7 +9,7 @@
 type limited struct {
 	// values are those of HeaderLimit in its answers.
 	values []string
-	// named is when it first named a limit; zero before.
+	// named is when it first named the present limits; zero before.
 	named time.Time
 	// arrivals holds when each request came, run or not; those that take no slot are left out.
 	arrivals []time.Time
@@ -19,10 +19,10 @@
 func (sv *Server) SetLimit(values ...string) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	sv.limit.values = values
+	sv.limit.values, sv.limit.named = values, time.Time{}
 }
 
-// LimitNamed returns when an answer first named a limit; zero before.
+// LimitNamed returns when an answer first named the present limits; zero before.
 func (sv *Server) LimitNamed() time.Time { sv.mu.Lock(); defer sv.mu.Unlock(); return sv.limit.named }
 
 // Arrivals returns when each request came, in order.
