--- a/internal/blame/wire.go
+++ b/internal/blame/wire.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/silvermount/silvermount/internal/fingerprint"
+	"github.com/silvermount/silvermount/internal/peerbytes"
 )
 
 const (
@@ -21,12 +22,6 @@
 	maxSpan = 24 * time.Hour
 )
 
-// MalformedError says that a peer's notes cannot be read.
-type MalformedError struct{ Reason string }
-
-// Error gives the reason.
-func (me *MalformedError) Error() string { return "malformed notes: " + me.Reason }
-
 // VersionError says that a peer tells its notes in another form.
 type VersionError struct{ Version byte }
 
@@ -40,8 +35,7 @@
 	b = binary.AppendUvarint(b, uint64(len(runs)))
 	for _, rn := range runs {
 		b = append(b, rn.Request[:]...)
-		b = binary.AppendUvarint(b, uint64(len(rn.Target)))
-		b = append(b, rn.Target...)
+		b = peerbytes.AppendName(b, rn.Target)
 		b = appendSpan(b, rn.Exposure)
 		b = appendSpan(b, made.Sub(rn.At))
 	}
@@ -81,19 +75,18 @@
 	return max(time.Millisecond, cl.Until.Sub(made))
 }
 
-func appendSpan(b []byte, d time.Duration) []byte {
-	return binary.AppendUvarint(b, uint64(max(0, min(d, maxSpan)).Milliseconds()))
-}
+func appendSpan(b []byte, d time.Duration) []byte { return peerbytes.AppendSpan(b, d, maxSpan) }
 
-// Decode reads a peer's notes that were made at a time by this instance's clock. It fails with a VersionError or a MalformedError.
+// Decode reads a peer's notes that were made at a time by this instance's clock. It fails with a VersionError or a
+// peerbytes.MalformedError.
 func Decode(b []byte, made time.Time) (Notes, error) {
 	if len(b) == 0 {
-		return Notes{}, errors.Wrap(&MalformedError{Reason: "no bytes"}, "decode notes")
+		return Notes{}, errors.Wrap(&peerbytes.MalformedError{Reason: "no bytes"}, "decode notes")
 	}
 	if b[0] != wireVersion {
 		return Notes{}, errors.Wrap(&VersionError{Version: b[0]}, "decode notes")
 	}
-	rd := reader{rest: b[1:]}
+	rd := reader{peerbytes.NewReader(b[1:])}
 	var nt Notes
 	for range rd.count() {
 		rn := Run{Request: rd.fingerprint(), Target: rd.name()}
@@ -117,67 +110,26 @@
 	for range rd.count() {
 		nt.Survivors = append(nt.Survivors, Survivor{Request: rd.fingerprint(), Since: made.Add(-rd.span())})
 	}
-	if rd.err == nil && len(rd.rest) > 0 {
-		rd.fail("bytes after the end")
-	}
-	if rd.err != nil {
-		return Notes{}, errors.Wrap(rd.err, "decode notes")
+	if err := rd.End(); err != nil {
+		return Notes{}, errors.Wrap(err, "decode notes")
 	}
 	return nt, nil
 }
 
 // reader reads notes from their start. After a failure it reads zeros.
-type reader struct {
-	rest []byte
-	// err is the first failure.
-	err error
-}
-
-func (rd *reader) fail(reason string) {
-	if rd.err == nil {
-		rd.err = &MalformedError{Reason: reason}
-	}
-}
-
-// most reads a number that has a bound.
-func (rd *reader) most(bound uint64) uint64 {
-	if rd.err != nil {
-		return 0
-	}
-	n, size := binary.Uvarint(rd.rest)
-	if size <= 0 || n > bound {
-		rd.fail("a number that is cut off or too large")
-		return 0
-	}
-	rd.rest = rd.rest[size:]
-	return n
-}
+type reader struct{ *peerbytes.Reader }
 
-func (rd *reader) count() int { return int(rd.most(maxTold)) }
+func (rd *reader) count() int { return int(rd.Number(maxTold)) }
 
 // small reads a count of ends or judgements.
-func (rd *reader) small() int { return int(rd.most(1 << 16)) }
-
-func (rd *reader) span() time.Duration {
-	return time.Duration(rd.most(uint64(maxSpan.Milliseconds()))) * time.Millisecond
-}
+func (rd *reader) small() int { return int(rd.Number(1 << 16)) }
 
-func (rd *reader) bytes(n int) []byte {
-	if rd.err == nil && n > len(rd.rest) {
-		rd.fail("cut off")
-	}
-	if rd.err != nil {
-		return nil
-	}
-	b := rd.rest[:n]
-	rd.rest = rd.rest[n:]
-	return b
-}
+func (rd *reader) span() time.Duration { return rd.Span(maxSpan) }
 
 func (rd *reader) fingerprint() fingerprint.Fingerprint {
 	var fp fingerprint.Fingerprint
-	copy(fp[:], rd.bytes(len(fp)))
+	copy(fp[:], rd.Bytes(len(fp)))
 	return fp
 }
 
-func (rd *reader) name() string { return string(rd.bytes(int(rd.most(maxName)))) }
+func (rd *reader) name() string { return rd.Name(maxName) }
--- a/internal/blame/wire_test.go
+++ b/internal/blame/wire_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/silvermount/silvermount/internal/blame"
+	"github.com/silvermount/silvermount/internal/peerbytes"
 )
 
 func someNotes(now time.Time) blame.Notes {
@@ -54,7 +55,7 @@
 			_, err := blame.Decode(tc.bytes, now)
 			var ve *blame.VersionError
 			g.Expect(errors.As(err, &ve)).To(Equal(tc.version))
-			var me *blame.MalformedError
+			var me *peerbytes.MalformedError
 			g.Expect(errors.As(err, &me)).To(Equal(!tc.version))
 		})
 	}
--- a/internal/duty/members/limits.go
+++ b/internal/duty/members/limits.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 
 	"github.com/silvermount/silvermount/internal/gossip"
+	"github.com/silvermount/silvermount/internal/peerbytes"
 	"github.com/silvermount/silvermount/internal/ratelimit"
 )
 
@@ -31,7 +32,7 @@
 	}
 	size, n := binary.Uvarint(b[1:])
 	if n <= 0 || size > uint64(len(b)-1-n) {
-		return nil, nil, &ratelimit.WireError{Reason: "notes that are cut off"}
+		return nil, nil, &peerbytes.MalformedError{Reason: "notes that are cut off"}
 	}
 	b = b[1+n:]
 	return b[:size], b[size:], nil
--- /dev/null
+++ b/internal/peerbytes/peerbytes_test.go
@@ -0,0 +1,50 @@
+package peerbytes_test
+
+import (
+	"encoding/binary"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/silvermount/silvermount/internal/peerbytes"
+)
+
+func TestReader(t *testing.T) {
+	g := NewWithT(t)
+	b := peerbytes.AppendName(nil, "a name")
+	b = peerbytes.AppendSpan(b, 1500*time.Millisecond, time.Minute)
+	b = peerbytes.AppendSpan(b, time.Hour, time.Minute)
+	b = peerbytes.AppendSpan(b, -time.Hour, time.Minute)
+	b = binary.AppendUvarint(b, 7)
+	rd := peerbytes.NewReader(b)
+	g.Expect(rd.Name(10)).To(Equal("a name"))
+	g.Expect(rd.Span(time.Minute)).To(Equal(1500 * time.Millisecond))
+	g.Expect(rd.Span(time.Minute)).To(Equal(time.Minute))
+	g.Expect(rd.Span(time.Minute)).To(BeZero())
+	g.Expect(rd.Number(7)).To(BeEquivalentTo(7))
+	g.Expect(rd.End()).To(Succeed())
+}
+
+func TestReaderFails(t *testing.T) {
+	cases := map[string]func(rd *peerbytes.Reader){
+		"a number out of range": func(rd *peerbytes.Reader) { rd.Number(5) },
+		"a name out of range":   func(rd *peerbytes.Reader) { rd.Name(5) },
+		"a name that is cut":    func(rd *peerbytes.Reader) { rd.Name(10) },
+		"bytes that are cut":    func(rd *peerbytes.Reader) { rd.Bytes(10) },
+		"bytes that are left":   func(rd *peerbytes.Reader) { rd.Number(10) },
+		"a reason of one's own": func(rd *peerbytes.Reader) { rd.Fail("out of order"); rd.Fail("another") },
+	}
+	for name, read := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			rd := peerbytes.NewReader([]byte{6, 'a', 'b'})
+			read(rd)
+			var me *peerbytes.MalformedError
+			g.Expect(rd.End()).To(BeAssignableToTypeOf(me))
+			g.Expect(rd.Failed()).To(BeTrue())
+			g.Expect(rd.Number(100)).To(BeZero())
+			g.Expect(rd.Bytes(1)).To(BeNil())
+		})
+	}
+}
