--- a/internal/dispatch/limit.go
+++ b/internal/dispatch/limit.go
@@ -104,15 +104,26 @@
 				WithRetryAfter(max(first.at.Sub(now), comeBack))
 		}
 		an := ds.take(ctx, as, first.target, patience.Sub(now))
-		if an.Granted {
-			return first.target.ID, sleep(ctx, an.After)
-		}
 		if ctx.Err() != nil {
 			return "", ctx.Err()
 		}
+		if !an.Granted {
+			continue
+		}
+		due := ds.opts.Now().Add(an.After)
+		if err := sleep(ctx, an.After); err != nil {
+			return "", err
+		}
+		if ds.opts.Now().Sub(due) < turnLateMost {
+			return first.target.ID, nil
+		}
 	}
 }
 
+// turnLateMost is how late a turn may be taken: more is a process that was frozen, which must not send at once all that had waited for
+// their turns.
+const turnLateMost = 250 * time.Millisecond
+
 func sleep(ctx context.Context, d time.Duration) error {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/dispatch/limit_test.go
+++ b/internal/dispatch/limit_test.go
@@ -25,7 +25,7 @@
 }
 
 // limitedBench plays with targets that name a limit.
-func limitedBench(t *testing.T, count int, pm *permits, play func(be *bench)) {
+func limitedBench(t *testing.T, count int, pm *permits, play func(be *bench), opts ...func(*dispatch.Options)) {
 	synctest.Test(t, func(t *testing.T) {
 		limitOf := func(target string) ratelimit.Limit {
 			if slices.Contains(pm.limited, target) {
@@ -39,7 +39,7 @@
 			time.Sleep(travel)
 			return pm.answer(rq.Target.ID, rq.Wait), nil
 		})
-		play(newBench(t, count, func(op *dispatch.Options) { op.Permits = cl }))
+		play(newBench(t, count, append(opts, func(op *dispatch.Options) { op.Permits = cl })...))
 		time.Sleep(settle)
 	})
 }
@@ -123,6 +123,22 @@
 	})
 }
 
+// TestTurnThatIsMissedIsVoid: a process that was frozen must not send at once all that had waited for their turns.
+func TestTurnThatIsMissedIsVoid(t *testing.T) {
+	var frozen atomic.Int64
+	pm := &permits{limited: []string{id(0)}, answer: func(_ string, wait time.Duration) permit.Answer {
+		return permit.Answer{Granted: wait > 0, After: objective / 4}
+	}}
+	limitedBench(t, 1, pm, func(be *bench) {
+		time.AfterFunc(objective/8, func() { frozen.Store(int64(objective / 2)) })
+		sl := be.take(plain())
+		be.Expect(pm.asked.Load()).To(BeNumerically(">=", 3), "refused, missed, and asked for again")
+		sl.Release()
+	}, func(op *dispatch.Options) {
+		op.Now = func() time.Time { return time.Now().Add(time.Duration(frozen.Load())) }
+	})
+}
+
 func TestOneRequestAsksForFewPermits(t *testing.T) {
 	const count = 40
 	pm := &permits{answer: never(time.Second)}
--- a/internal/gateway/lines.go
+++ b/internal/gateway/lines.go
@@ -37,6 +37,9 @@
 	fs["helpers"] = helperNames(sl)
 	fs["prompt_tokens"] = rq.PromptTokens
 	fs["candidates"] = sl.Candidates
+	if li := gw.Limits.Of(sl.Target.ID); li.Named {
+		fs["limit"] = li.String()
+	}
 	fs["predicted_first"] = sl.FirstPredicted.Round(time.Millisecond).String()
 	fs["predicted_pause"] = sl.PausePredicted.Round(time.Millisecond).String()
 	fs["list_age"] = since(gw.Targets.HeardAt(), gw.Now()).String()
