--- a/internal/permit/client.go
+++ b/internal/permit/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -39,6 +40,9 @@
 	refused *metrics.Counter
 	failed  *metrics.Counter
 
+	// anyClosed is set while closed has entries: a choice among all targets of a fleet without limits takes no lock for each.
+	anyClosed atomic.Bool
+
 	mu  sync.Mutex
 	ask Ask
 	// closed is when a target may be asked for again; entries in the past are removed when they are met.
@@ -63,6 +67,9 @@
 
 // Closed returns when a target may be asked for again; it reports false when that is now.
 func (cl *Client) Closed(target string) (time.Time, bool) {
+	if !cl.anyClosed.Load() {
+		return time.Time{}, false
+	}
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	at, closed := cl.closed[target]
@@ -71,6 +78,7 @@
 	}
 	if !cl.now().Before(at) || !cl.limitOf(target).Named {
 		delete(cl.closed, target)
+		cl.anyClosed.Store(len(cl.closed) > 0)
 		return time.Time{}, false
 	}
 	return at, true
@@ -97,6 +105,7 @@
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	cl.closed[tg.ID] = cl.now().Add(max(an.After, time.Millisecond))
+	cl.anyClosed.Store(true)
 	return an
 }
 
