--- a/internal/permit/sim_test.go
+++ b/internal/permit/sim_test.go
@@ -54,7 +54,7 @@
 	zoneCut bool
 	// restartAll kills all instances at once.
 	restartAll bool
-	// large troubles strike the largest fleets in each run of the tests, the others there only by hand.
+	// large troubles strike the largest fleets in each run of the tests, the others only by hand.
 	large bool
 }
 
