fix(dispatch): requests with long objectives book no turns far ahead

Where all targets of a service name a rate limit, callers wait for turns. Long prompts may wait for seconds, and booked all turns of those seconds before short ones, which may wait for a quarter of one, came to any: the most urgent would have been refused first. A turn is booked 0.25 s ahead at the most now; who may wait longer comes back when the issuer says.

--- a/internal/dispatch/limit.go
+++ b/internal/dispatch/limit.go
@@ -103,7 +103,10 @@
 			return "", failure.New(failure.Overloaded, failure.NotRun, "all targets name a rate limit that is used up").
 				WithRetryAfter(max(first.at.Sub(now), comeBack))
 		}
-		an := ds.take(ctx, as, first.target, patience.Sub(now))
+		if err := sleep(ctx, first.at.Sub(now)); err != nil {
+			return "", err
+		}
+		an := ds.take(ctx, as, first.target, min(turnMost, patience.Sub(ds.opts.Now())))
 		if ctx.Err() != nil {
 			return "", ctx.Err()
 		}
@@ -120,6 +123,10 @@
 	}
 }
 
+// turnMost bounds how far ahead a request books its turn: those with long objectives would book all turns before those with short ones may.
+// It is about what the shortest objectives let a request wait.
+const turnMost = 250 * time.Millisecond
+
 // turnLateMost is how late a turn may be taken: more is a process that was frozen, which must not send at once all that had waited for
 // their turns.
 const turnLateMost = 250 * time.Millisecond
--- a/internal/dispatch/limit_test.go
+++ b/internal/dispatch/limit_test.go
@@ -92,28 +92,45 @@
 }
 
 func TestRequestWaitsForItsTurn(t *testing.T) {
-	// The issuer has a turn for those that may wait so long.
+	// A turn comes after a while; until then the issuer says when to ask again.
 	const turn = objective / 2
+	var free time.Time
 	pm := &permits{limited: []string{id(0), id(1)}, answer: func(_ string, wait time.Duration) permit.Answer {
-		return permit.Answer{Granted: wait >= turn, After: turn}
+		after := max(0, time.Until(free))
+		return permit.Answer{Granted: after <= wait, After: after}
 	}}
 	limitedBench(t, 2, pm, func(be *bench) {
 		for name, as := range map[string]dispatch.Ask{"plain": plain(), "prompt": prompt(1000)} {
 			began := time.Now()
+			free = began.Add(turn)
 			as.Arrived, as.Deadline = began, began.Add(time.Minute)
 			sl := be.take(as)
 			be.Expect(time.Since(began)).To(BeNumerically(">=", turn), name)
-			be.Expect(time.Since(began)).To(BeNumerically("<", objective), name)
+			be.Expect(time.Since(began)).To(BeNumerically("<", turn+objective/10), name)
 			sl.Release()
 			time.Sleep(objective)
 		}
 	})
 }
 
-func TestCallerThatGoesWhileItWaitsForItsTurn(t *testing.T) {
+// TestLongObjectivesBookNoTurnsFarAhead: requests that may wait for long must leave turns to those that may not.
+func TestLongObjectivesBookNoTurnsFarAhead(t *testing.T) {
+	longest := time.Duration(0)
 	pm := &permits{limited: []string{id(0)}, answer: func(_ string, wait time.Duration) permit.Answer {
-		return permit.Answer{Granted: wait > 0, After: wait}
+		longest = max(longest, wait)
+		return permit.Answer{After: 300 * time.Millisecond}
 	}}
+	limitedBench(t, 1, pm, func(be *bench) {
+		as := plain()
+		as.Objective = 30 * time.Second
+		be.refused(as)
+		be.Expect(longest).To(BeNumerically(">", 0))
+		be.Expect(longest).To(BeNumerically("<=", 300*time.Millisecond), "a short request may wait as long")
+	})
+}
+
+func TestCallerThatGoesWhileItWaitsForItsTurn(t *testing.T) {
+	pm := &permits{limited: []string{id(0)}, answer: never(objective / 2)}
 	limitedBench(t, 1, pm, func(be *bench) {
 		ctx, cancel := context.WithCancel(context.Background())
 		time.AfterFunc(objective/4, cancel)
@@ -127,10 +144,11 @@
 func TestTurnThatIsMissedIsVoid(t *testing.T) {
 	var frozen atomic.Int64
 	pm := &permits{limited: []string{id(0)}, answer: func(_ string, wait time.Duration) permit.Answer {
-		return permit.Answer{Granted: wait > 0, After: objective / 4}
+		return permit.Answer{Granted: wait > 0, After: objective / 16}
 	}}
 	limitedBench(t, 1, pm, func(be *bench) {
-		time.AfterFunc(objective/8, func() { frozen.Store(int64(objective / 2)) })
+		// It was refused, waits for its turn, and is frozen for longer than a turn may be late.
+		time.AfterFunc(objective/10, func() { frozen.Store(int64(300 * time.Millisecond)) })
 		sl := be.take(plain())
 		be.Expect(pm.asked.Load()).To(BeNumerically(">=", 3), "refused, missed, and asked for again")
 		sl.Release()
