fix(dispatch): a request is refused at once where no turn is near

Where all targets named a rate limit, requests that might wait longer than a turn may be booked ahead slept until the issuer's hint and asked again, all of one instance at one moment. One got a permit, the others' hints grew, and callers were refused after 1.5 to 3.9 s with room left: beside load one target of four had 0.63 of its limit in use, seen once (1.57 of 2.5 a second).

A turn is booked within 0.25 s or the caller is told at once when to come back.

--- a/internal/dispatch/limit.go
+++ b/internal/dispatch/limit.go
@@ -88,8 +88,8 @@
 	return ops
 }
 
-// turn waits for the turn of a request whose targets are all closed, at the one that opens first, and returns that one. Where no turn
-// comes in a part of its objective, the request is refused at once with the time at which a target takes requests again. It returns
+// turn books the next turn for a request whose targets are all closed, at the one that opens first, waits for it and returns that
+// target. Where no turn comes in time, the request is refused at once with the time at which a target takes requests again. It returns
 // nothing where a target is open.
 func (ds *Dispatcher) turn(ctx context.Context, as Ask) (string, error) {
 	patience := as.Arrived.Add(time.Duration(waitShare * float64(as.Objective)))
@@ -99,14 +99,12 @@
 			return "", nil
 		}
 		first, now := ops[0], ds.opts.Now()
-		if first.at.After(patience) || tries >= permitTries {
+		ahead := min(turnMost, patience.Sub(now))
+		if first.at.Sub(now) > ahead || tries >= permitTries {
 			return "", failure.New(failure.Overloaded, failure.NotRun, "all targets name a rate limit that is used up").
 				WithRetryAfter(max(first.at.Sub(now), comeBack))
 		}
-		if err := sleep(ctx, first.at.Sub(now)); err != nil {
-			return "", err
-		}
-		an := ds.take(ctx, as, first.target, min(turnMost, patience.Sub(ds.opts.Now())))
+		an := ds.take(ctx, as, first.target, ahead)
 		if ctx.Err() != nil {
 			return "", ctx.Err()
 		}
@@ -123,8 +121,9 @@
 	}
 }
 
-// turnMost bounds how far ahead a request books its turn: those with long objectives would book all turns before those with short ones may.
-// It is about what the shortest objectives let a request wait.
+// turnMost bounds how far ahead a request books its turn: those with long objectives would book all turns before those with short ones may,
+// and a caller that would wait for longer had better know at once when to come back. It is about what the shortest objectives let a
+// request wait.
 const turnMost = 250 * time.Millisecond
 
 // turnLateMost is how late a turn may be taken: more is a process that was frozen, which must not send at once all that had waited for
