fix(members): questions about permits that fail leave a line

An operator who looked for why a target got nothing saw a counter alone: an issuer that gave no answer, and a question that could not be read, were told in no line. What is decided is as before; the tests of the package and of rate limits over three instances pass.

--- a/internal/duty/members/members.go
+++ b/internal/duty/members/members.go
@@ -102,7 +102,7 @@
 	op := du.options(env)
 	du.ms = gossip.New(op)
 	du.document = du.ms.Fetch
-	du.permits = newPermits(op.Self.Name, du.ms, du.limits)
+	du.permits = newPermits(op.Self.Name, du.ms, du.limits, du.lg)
 	pt.Permits.SetAsk(du.permits.ask)
 	pt.Changed.Set(du.ms.Publish)
 	pt.Noted.Set(du.ms.PublishNotes)
--- a/internal/duty/members/permits.go
+++ b/internal/duty/members/permits.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
 	"github.com/silvermount/silvermount/internal/gossip"
@@ -46,6 +47,7 @@
 	mesh   *gossip.Mesh
 	issuer *permit.Issuer
 	limits *ratelimit.Book
+	lg     log.Interface
 
 	mu sync.Mutex
 	// live is the list of live instances of a version of the mesh, and candidates the same as the choice of an issuer takes them.
@@ -54,8 +56,8 @@
 	version    uint64
 }
 
-func newPermits(self string, ms *gossip.Mesh, limits *ratelimit.Book) *permits {
-	return &permits{self: self, mesh: ms, issuer: permit.NewIssuer(time.Now), limits: limits}
+func newPermits(self string, ms *gossip.Mesh, limits *ratelimit.Book, lg log.Interface) *permits {
+	return &permits{self: self, mesh: ms, issuer: permit.NewIssuer(time.Now), limits: limits, lg: lg}
 }
 
 // issuerOf returns the instance that issues the permits of a target.
@@ -90,6 +92,15 @@
 	if issuer.Name == ps.self {
 		return ps.issue(qu), nil
 	}
+	an, err := ps.askPeer(ctx, issuer, qu)
+	if err != nil {
+		ps.lg.WithError(err).WithFields(log.Fields{"target": qu.Target, "peer": issuer.Name}).Warn("no answer about a permit")
+	}
+	return an, err
+}
+
+// askPeer puts a question to the issuer that is another instance.
+func (ps *permits) askPeer(ctx context.Context, issuer gossip.Member, qu question) (permit.Answer, error) {
 	b, err := json.Marshal(qu)
 	if err != nil {
 		return permit.Answer{}, errors.Wrap(err, "encode question")
@@ -125,10 +136,14 @@
 	}
 	var qu question
 	if err := json.Unmarshal(b, &qu); err != nil {
+		ps.lg.WithError(err).Error("peer's question about a permit cannot be read")
 		return nil, false
 	}
 	an := ps.issue(qu)
 	b, err := json.Marshal(reply{Granted: an.Granted, AfterUS: an.After.Microseconds()})
+	if err != nil {
+		ps.lg.WithError(err).Error("permit not told")
+	}
 	return b, err == nil
 }
 
