test(modelsim): the first request's memory is free before the second one's is counted

A caller that closes its connection ends the use of its ticket, which the test waited for, and the stand-in frees the memory of the request shortly after: the second request could come between. The figure is asked for as before.

--- a/internal/standin/modelsim/modelsim_test.go
+++ b/internal/standin/modelsim/modelsim_test.go
@@ -223,6 +223,8 @@
 	g.Expect(ask(t.Context(), first, header).body).To(Equal(events(1, 5)))
 	state := func() string { return helper.Tickets()[0].State }
 	g.Eventually(state).WithTimeout(generous).Should(Equal("held"))
+	// A caller that closes its connection gives the ticket back; the memory of its request is free shortly after its last byte.
+	g.Eventually(first.MemoryUsed).WithTimeout(generous).Should(BeZero())
 
 	first.SetPace(slowPace)
 	done := make(chan answer, 1)
