refactor: one way to take what is said of targets; a permit is an error or nothing

The directory kept four ways to take a list or an entry without its position, which tests alone used, beside those that take both in one step. The tests go by those now, with the next position; none checks less. When a closed target opens was asked for in two places of one choice; the first of those that open is found without sorting all.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -204,7 +204,10 @@
 	if sl == nil {
 		return nil, false, nil
 	}
-	return ds.permit(ctx, as, sl)
+	if err := ds.permit(ctx, as, sl); err != nil {
+		return nil, false, err
+	}
+	return sl, true, nil
 }
 
 // usable returns the service's targets without those to avoid.
@@ -250,7 +253,7 @@
 	defer ds.book.mu.Unlock()
 	best, bestCost := -1, 0.0
 	for i, tg := range tgs {
-		if ds.closed(as, tg.ID) {
+		if _, closed := ds.closed(as, tg.ID); closed {
 			continue
 		}
 		cost := float64(ds.book.total(tg.ID).Writers) / float64(max(1, tg.Slots))
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -17,6 +17,7 @@
 	"github.com/silvermount/silvermount/internal/dispatch"
 	"github.com/silvermount/silvermount/internal/failure"
 	"github.com/silvermount/silvermount/internal/placement"
+	"github.com/silvermount/silvermount/internal/position"
 	"github.com/silvermount/silvermount/internal/reservation"
 	"github.com/silvermount/silvermount/internal/routes"
 	"github.com/silvermount/silvermount/internal/targets"
@@ -110,9 +111,10 @@
 func id(no int) string { return "t" + strconv.Itoa(no) }
 
 func (be *bench) put(no int, at string, leaving bool) {
-	be.directory.Put(targets.Target{
+	tg := targets.Target{
 		ID: id(no), Service: "s", Address: "10.0.0." + strconv.Itoa(no) + ":80", AvailabilityZone: at, Slots: slots, Leaving: leaving,
-	}, time.Now())
+	}
+	be.directory.TakeChanges([]targets.Entry{{Name: tg.ID, Target: tg}}, position.Position{}, time.Now())
 }
 
 func bubble(t *testing.T, count int, run func(be *bench)) {
--- a/internal/dispatch/limit.go
+++ b/internal/dispatch/limit.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/silvermount/silvermount/internal/failure"
@@ -24,32 +23,31 @@
 // to another instance, all of them well within the shortest objective.
 const permitTries = 8
 
-// closed reports whether a target takes no request of this one's now.
-func (ds *Dispatcher) closed(as Ask, id string) bool {
+// closed reports whether a target takes no request of this one's now, and when it may be asked again.
+func (ds *Dispatcher) closed(as Ask, id string) (opens time.Time, closed bool) {
 	if ds.opts.Permits == nil || as.permitted == id {
-		return false
+		return time.Time{}, false
 	}
-	if as.refusals >= permitTries && ds.opts.Permits.Limited(id) {
-		return true
+	if opens, closed = ds.opts.Permits.Closed(id); closed {
+		return opens, true
 	}
-	_, closed := ds.opts.Permits.Closed(id)
-	return closed
+	return ds.opts.Now(), as.refusals >= permitTries && ds.opts.Permits.Limited(id)
 }
 
-// permit asks for what the chosen target needs, before anything else is spent on it. Without a permit the slot is released.
-func (ds *Dispatcher) permit(ctx context.Context, as Ask, sl *Slot) (*Slot, bool, error) {
+// permit asks for what the chosen target needs, before anything else is spent on it. Without a permit it fails with a noPermitError, and
+// the slot is released.
+func (ds *Dispatcher) permit(ctx context.Context, as Ask, sl *Slot) error {
 	if ds.opts.Permits == nil || as.permitted == sl.Target.ID {
-		return sl, true, nil
+		return nil
 	}
-	an := ds.take(ctx, as, sl.Target, 0)
-	if an.Granted {
-		return sl, true, nil
+	if an := ds.take(ctx, as, sl.Target, 0); an.Granted {
+		return nil
 	}
 	sl.Release()
 	if ctx.Err() != nil {
-		return nil, false, ctx.Err()
+		return ctx.Err()
 	}
-	return nil, false, &noPermitError{}
+	return &noPermitError{}
 }
 
 // take asks for a permit, and tells of a refusal.
@@ -67,25 +65,19 @@
 	at     time.Time
 }
 
-// openings returns when the targets of a request may be asked for again, the first one first; none unless all are closed.
-func (ds *Dispatcher) openings(as Ask) []opening {
-	if ds.opts.Permits == nil {
-		return nil
-	}
-	var ops []opening
-	now := ds.opts.Now()
-	for _, tg := range ds.usable(as) {
-		if !ds.closed(as, tg.ID) {
-			return nil
-		}
-		at, closed := ds.opts.Permits.Closed(tg.ID)
+// firstOpening returns the target of a request that may be asked for again first; it reports false unless all are closed.
+func (ds *Dispatcher) firstOpening(as Ask) (first opening, allClosed bool) {
+	for no, tg := range ds.usable(as) {
+		at, closed := ds.closed(as, tg.ID)
 		if !closed {
-			at = now
+			return opening{}, false
+		}
+		if no == 0 || at.Before(first.at) {
+			first = opening{target: tg, at: at}
 		}
-		ops = append(ops, opening{target: tg, at: at})
+		allClosed = true
 	}
-	slices.SortFunc(ops, func(a, b opening) int { return a.at.Compare(b.at) })
-	return ops
+	return first, allClosed
 }
 
 // turn books the next turn for a request whose targets are all closed, at the one that opens first, waits for it and returns that
@@ -94,11 +86,11 @@
 func (ds *Dispatcher) turn(ctx context.Context, as Ask) (string, error) {
 	patience := as.Arrived.Add(time.Duration(waitShare * float64(as.Objective)))
 	for tries := 0; ; tries++ {
-		ops := ds.openings(as)
-		if len(ops) == 0 {
+		first, allClosed := ds.firstOpening(as)
+		if !allClosed {
 			return "", nil
 		}
-		first, now := ops[0], ds.opts.Now()
+		now := ds.opts.Now()
 		ahead := min(turnMost, patience.Sub(now))
 		if first.at.Sub(now) > ahead || tries >= permitTries {
 			return "", failure.New(failure.Overloaded, failure.NotRun, "all targets name a rate limit that is used up").
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -58,7 +58,7 @@
 	if err != nil || sl == nil {
 		return nil, false, err
 	}
-	if _, ok, err := ds.permit(ctx, as, sl); !ok {
+	if err := ds.permit(ctx, as, sl); err != nil {
 		return nil, false, err
 	}
 	if len(sl.plan.Reserve) == 0 {
@@ -137,9 +137,10 @@
 	now := ds.opts.Now()
 	cands := make([]placement.Target, len(tgs))
 	for i, tg := range tgs {
+		_, closed := ds.closed(as, tg.ID)
 		cands[i] = placement.Target{
 			Name: tg.ID, Near: tg.AvailabilityZone == ds.opts.AvailabilityZone, Load: ds.book.total(tg.ID), Pace: 1, Helper: true,
-			Closed: ds.closed(as, tg.ID),
+			Closed: closed,
 		}
 		if ds.book.isFull(tg.ID, now) {
 			cands[i].Helper = false
--- a/internal/dispatch/slot_test.go
+++ b/internal/dispatch/slot_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/silvermount/silvermount/internal/dispatch"
 	"github.com/silvermount/silvermount/internal/placement"
+	"github.com/silvermount/silvermount/internal/position"
 	"github.com/silvermount/silvermount/internal/routes"
 	"github.com/silvermount/silvermount/internal/targets"
 )
@@ -41,9 +42,11 @@
 func newClockedOf(instance string, clock func() time.Time, ids ...string) *clocked {
 	be := &clocked{clock: clock}
 	dr := targets.New(be.now)
+	var listed []targets.Target
 	for _, id := range ids {
-		dr.Put(targets.Target{ID: id, Service: "s", Slots: engine.Slots, AvailabilityZone: "a"}, be.now())
+		listed = append(listed, targets.Target{ID: id, Service: "s", Slots: engine.Slots, AvailabilityZone: "a"})
 	}
+	dr.TakeList(listed, nil, position.Position{}, be.now())
 	be.ds = dispatch.New(dr, nil, dispatch.Options{Instance: instance, AvailabilityZone: "a", Now: be.now})
 	return be
 }
--- a/internal/duty/members/targets_test.go
+++ b/internal/duty/members/targets_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/silvermount/silvermount/internal/position"
 	"github.com/silvermount/silvermount/internal/targets"
 )
 
@@ -15,8 +16,10 @@
 	g := NewWithT(t)
 	du := newDuty()
 	du.dr = targets.New(time.Now)
-	du.dr.Put(targets.Target{ID: "a@1", Name: "a", Born: time.UnixMilli(1000), Service: "s"}, time.Now())
-	du.dr.Put(targets.Target{ID: "a@2", Name: "a", Born: time.UnixMilli(2000), Service: "s"}, time.Now())
+	du.dr.TakeChanges([]targets.Entry{
+		{Name: "a", Target: targets.Target{ID: "a@1", Name: "a", Born: time.UnixMilli(1000), Service: "s"}},
+		{Name: "a", Target: targets.Target{ID: "a@2", Name: "a", Born: time.UnixMilli(2000), Service: "s"}},
+	}, position.Position{}, time.Now())
 	want := map[string][]targets.Target{
 		nameDocument:    {{ID: "a", Service: "s"}},
 		targetsDocument: {{ID: "a@2", Name: "a", Born: time.UnixMilli(2000), Service: "s"}},
--- a/internal/targets/health_test.go
+++ b/internal/targets/health_test.go
@@ -102,7 +102,7 @@
 			g := NewWithT(t)
 			cl := newClock()
 			dr := targets.New(cl.now)
-			dr.Replace(list(all...), cl.now())
+			replace(dr, list(all...), cl.now())
 			tc.happen(cl, dr)
 			g.Expect(ids(dr.Usable("s", targets.Proven))).To(Equal(tc.proven))
 			g.Expect(ids(dr.Usable("s", targets.Sure))).To(Equal(tc.sure))
--- a/internal/targets/incarnation_test.go
+++ b/internal/targets/incarnation_test.go
@@ -28,49 +28,49 @@
 		first, second bool
 	}{
 		"one that left starts again": {func(cl *clock, dr *targets.Directory) {
-			dr.Put(leavingFirst, cl.now())
-			dr.Put(second, cl.now())
+			put(dr, leavingFirst, cl.now())
+			put(dr, second, cl.now())
 		}, false, true},
 		"one whose entry went starts again": {func(cl *clock, dr *targets.Directory) {
-			dr.Remove("a", cl.now())
-			dr.Put(second, cl.now())
+			remove(dr, "a", cl.now())
+			put(dr, second, cl.now())
 		}, false, true},
 		"it starts again without a word": {func(cl *clock, dr *targets.Directory) {
-			dr.Put(second, cl.now())
+			put(dr, second, cl.now())
 		}, false, true},
 		"a list has the new one": {func(cl *clock, dr *targets.Directory) {
-			dr.Replace([]targets.Target{second}, cl.now())
+			replace(dr, []targets.Target{second}, cl.now())
 		}, false, true},
 		"an old entry comes late": {func(cl *clock, dr *targets.Directory) {
-			dr.Put(second, cl.now())
-			dr.Put(leavingFirst, cl.now())
-			dr.Put(first, cl.now())
+			put(dr, second, cl.now())
+			put(dr, leavingFirst, cl.now())
+			put(dr, first, cl.now())
 		}, false, true},
 		"an old list comes late": {func(cl *clock, dr *targets.Directory) {
-			dr.Put(second, cl.now())
+			put(dr, second, cl.now())
 			replaceTold(dr, []targets.Target{leavingFirst}, targets.Lapsed{}, cl.now())
-			dr.Put(second, cl.now())
+			put(dr, second, cl.now())
 		}, false, true},
 		"a peer still tells that the old one leaves": {func(cl *clock, dr *targets.Directory) {
-			dr.Put(second, cl.now())
+			put(dr, second, cl.now())
 			dr.MarkLeaving(first.ID)
 		}, false, true},
 		"the new one leaves": {func(cl *clock, dr *targets.Directory) {
-			dr.Put(second, cl.now())
+			put(dr, second, cl.now())
 			dr.MarkLeaving(second.ID)
 		}, false, false},
 		"the new one's entry goes": {func(cl *clock, dr *targets.Directory) {
-			dr.Put(second, cl.now())
-			dr.Remove("a", cl.now())
+			put(dr, second, cl.now())
+			remove(dr, "a", cl.now())
 		}, false, false},
 		"the old one's entry lapsed with the store away": {func(cl *clock, dr *targets.Directory) {
 			dr.Trouble()
 			dr.Back(cl.now())
-			dr.Remove("a", cl.now())
-			dr.Put(second, cl.now())
+			remove(dr, "a", cl.now())
+			put(dr, second, cl.now())
 		}, false, true},
 		"a peer tells of the old one as lapsed": {func(cl *clock, dr *targets.Directory) {
-			dr.Put(second, cl.now())
+			put(dr, second, cl.now())
 			replaceTold(dr, []targets.Target{second}, targets.Lapsed{Targets: []targets.Target{first}, Left: time.Second}, cl.now())
 		}, false, true},
 		"failures of the old one": {func(cl *clock, dr *targets.Directory) {
@@ -78,7 +78,7 @@
 				dr.Failure(first.ID)
 				dr.Unreachable(first.ID)
 			}
-			dr.Put(second, cl.now())
+			put(dr, second, cl.now())
 		}, false, true},
 	}
 	for name, tc := range tests {
@@ -86,7 +86,7 @@
 			g := NewWithT(t)
 			cl := newClock()
 			dr := targets.New(cl.now)
-			dr.Replace([]targets.Target{first}, cl.now())
+			replace(dr, []targets.Target{first}, cl.now())
 			tc.happen(cl, dr)
 			g.Expect(dr.TakesWork(first.ID)).To(Equal(tc.first))
 			g.Expect(dr.TakesWork(second.ID)).To(Equal(tc.second))
--- a/internal/targets/lapse_test.go
+++ b/internal/targets/lapse_test.go
@@ -29,52 +29,52 @@
 	}{
 		"keep their targets for two seconds of the return": {func(cl *clock, dr *targets.Directory) {
 			dr.Back(cl.now())
-			dr.Replace(nil, cl.now())
+			replace(dr, nil, cl.now())
 			cl.pass(1900 * time.Millisecond)
 		}, []string{"f1", "f2", "n1", "n2"}},
 		"and no longer, however many they are": {func(cl *clock, dr *targets.Directory) {
 			dr.Back(cl.now())
-			dr.Replace(nil, cl.now())
+			replace(dr, nil, cl.now())
 			cl.pass(2 * time.Second)
 		}, nil},
 		"the time runs from the question that was answered": {func(cl *clock, dr *targets.Directory) {
 			asked := cl.now()
 			cl.pass(time.Second)
 			dr.Back(asked)
-			dr.Replace(nil, asked)
+			replace(dr, nil, asked)
 			cl.pass(time.Second)
 		}, nil},
 		"one that goes later has no more time": {func(cl *clock, dr *targets.Directory) {
 			dr.Back(cl.now())
-			dr.Replace(twoZones(n1n2, f1f2), cl.now())
+			replace(dr, twoZones(n1n2, f1f2), cl.now())
 			cl.pass(1500 * time.Millisecond)
-			dr.Remove("n1", cl.now())
+			remove(dr, "n1", cl.now())
 			cl.pass(500 * time.Millisecond)
 		}, []string{"f1", "f2", "n2"}},
 		"one that goes after that is gone at once": {func(cl *clock, dr *targets.Directory) {
 			dr.Back(cl.now())
-			dr.Replace(twoZones(n1n2, f1f2), cl.now())
+			replace(dr, twoZones(n1n2, f1f2), cl.now())
 			cl.pass(2 * time.Second)
-			dr.Remove("n1", cl.now())
+			remove(dr, "n1", cl.now())
 		}, []string{"f1", "f2", "n2"}},
 		"one that takes no connection gets nothing": {func(cl *clock, dr *targets.Directory) {
 			dr.Back(cl.now())
-			dr.Replace(nil, cl.now())
+			replace(dr, nil, cl.now())
 			dr.Unreachable("n1")
 		}, []string{"f1", "f2", "n2"}},
 		"one whose availability zone was not heard since gets nothing": {func(cl *clock, dr *targets.Directory) {
 			cl.pass(time.Second)
 			dr.Back(cl.now())
-			dr.Replace(twoZones(n1n2, nil), cl.now())
+			replace(dr, twoZones(n1n2, nil), cl.now())
 			dr.Trouble()
 			cl.pass(time.Second)
 			dr.Reached("n1")
 			dr.Back(cl.now())
-			dr.Replace(twoZones([]string{"n1"}, nil), cl.now())
+			replace(dr, twoZones([]string{"n1"}, nil), cl.now())
 		}, []string{"n1", "n2"}},
 		"but when there is no other": {func(cl *clock, dr *targets.Directory) {
 			dr.Back(cl.now())
-			dr.Replace(nil, cl.now())
+			replace(dr, nil, cl.now())
 			for _, id := range []string{"f1", "f2", "n1", "n2"} {
 				dr.Unreachable(id)
 			}
@@ -82,7 +82,7 @@
 		"one that is leaving gets nothing": {func(cl *clock, dr *targets.Directory) {
 			dr.MarkLeaving("n1")
 			dr.Back(cl.now())
-			dr.Replace(nil, cl.now())
+			replace(dr, nil, cl.now())
 		}, []string{"f1", "f2", "n2"}},
 		"one that a peer with a sound store misses is gone": {func(cl *clock, dr *targets.Directory) {
 			replaceTold(dr, twoZones(n1n2, []string{"f1"}), targets.Lapsed{}, cl.now())
@@ -114,7 +114,7 @@
 			g := NewWithT(t)
 			cl := newClock()
 			dr := targets.New(cl.now)
-			dr.Replace(twoZones(n1n2, f1f2), cl.now())
+			replace(dr, twoZones(n1n2, f1f2), cl.now())
 			dr.Trouble()
 			cl.pass(time.Second)
 			dr.Reached("n1")
@@ -132,18 +132,18 @@
 		want   []string
 	}{
 		"nothing while the store is well": {func(cl *clock, dr *targets.Directory) {
-			dr.Remove("a", cl.now())
+			remove(dr, "a", cl.now())
 		}, 0, nil},
 		"after a return": {func(cl *clock, dr *targets.Directory) {
 			dr.Trouble()
 			dr.Back(cl.now())
-			dr.Replace(nil, cl.now())
+			replace(dr, nil, cl.now())
 			cl.pass(time.Second)
 		}, time.Second, []string{"a"}},
 		"nothing later": {func(cl *clock, dr *targets.Directory) {
 			dr.Trouble()
 			dr.Back(cl.now())
-			dr.Replace(nil, cl.now())
+			replace(dr, nil, cl.now())
 			cl.pass(3 * time.Second)
 		}, 0, nil},
 		"what a peer told": {func(cl *clock, dr *targets.Directory) {
@@ -158,7 +158,7 @@
 			g := NewWithT(t)
 			cl := newClock()
 			dr := targets.New(cl.now)
-			dr.Replace(list("a"), cl.now())
+			replace(dr, list("a"), cl.now())
 			tc.happen(cl, dr)
 			la := dr.Lapsed()
 			g.Expect(la.Left).To(Equal(tc.left))
--- a/internal/targets/take_test.go
+++ b/internal/targets/take_test.go
@@ -13,11 +13,28 @@
 	"github.com/silvermount/silvermount/internal/targets"
 )
 
-// replaceTold takes a list from a peer as one that is newer than what is held.
-func replaceTold(dr *targets.Directory, list []targets.Target, la targets.Lapsed, evidence time.Time) []targets.Change {
+// next is a position after the one that is held.
+func next(dr *targets.Directory) position.Position {
 	at, _ := dr.ChangedAt()
 	at.Revision++
-	return dr.TakeTold(list, la, at, evidence)
+	return at
+}
+
+// replaceTold takes a list from a peer as one that is newer than what is held; the others take an answer of the store likewise.
+func replaceTold(dr *targets.Directory, list []targets.Target, la targets.Lapsed, evidence time.Time) []targets.Change {
+	return dr.TakeTold(list, la, next(dr), evidence)
+}
+
+func replace(dr *targets.Directory, list []targets.Target, evidence time.Time) []targets.Change {
+	return dr.TakeList(list, nil, next(dr), evidence)
+}
+
+func put(dr *targets.Directory, tg targets.Target, evidence time.Time) []targets.Change {
+	return dr.TakeChanges([]targets.Entry{{Name: tg.OwnName(), Target: tg}}, next(dr), evidence)
+}
+
+func remove(dr *targets.Directory, name string, evidence time.Time) []targets.Change {
+	return dr.TakeChanges([]targets.Entry{{Name: name, Gone: true}}, next(dr), evidence)
 }
 
 func TestTakeRefusesWhatIsOlder(t *testing.T) {
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -126,13 +126,7 @@
 	What string
 }
 
-// Replace takes a whole list. Evidence is when the store was asked.
-func (dr *Directory) Replace(list []Target, evidence time.Time) []Change {
-	dr.mu.Lock()
-	defer dr.mu.Unlock()
-	return dr.replace(list, evidence)
-}
-
+// replace takes a whole list. Evidence is when the store was asked. The lock is held.
 func (dr *Directory) replace(list []Target, evidence time.Time) []Change {
 	dr.confirm(evidence)
 	var changes []Change
@@ -155,22 +149,7 @@
 	return changes
 }
 
-// Put takes one listed target.
-func (dr *Directory) Put(tg Target, evidence time.Time) []Change {
-	dr.mu.Lock()
-	defer dr.mu.Unlock()
-	dr.confirm(evidence)
-	delete(dr.restored.doubted, tg.ID)
-	return dr.put(tg)
-}
-
-// Remove notes that the entry of a target, by its own name, is gone.
-func (dr *Directory) Remove(name string, evidence time.Time) []Change {
-	dr.mu.Lock()
-	defer dr.mu.Unlock()
-	return dr.remove(name, evidence)
-}
-
+// remove notes that the entry of a target, by its own name, is gone. The lock is held.
 func (dr *Directory) remove(name string, evidence time.Time) []Change {
 	dr.confirm(evidence)
 	dr.forget()
@@ -181,14 +160,8 @@
 	return nil
 }
 
-// Withdraw notes that the entry of a target, by its own name, names no target any more. It takes no work, also when the store was away
-// lately.
-func (dr *Directory) Withdraw(name string, evidence time.Time) []Change {
-	dr.mu.Lock()
-	defer dr.mu.Unlock()
-	return dr.withdraw(name, evidence)
-}
-
+// withdraw notes that the entry of a target, by its own name, names no target any more. It takes no work, also when the store was away
+// lately. The lock is held.
 func (dr *Directory) withdraw(name string, evidence time.Time) []Change {
 	changes := dr.remove(name, evidence)
 	if en, ok := dr.entries[dr.present[name].id]; ok {
--- a/internal/targets/targets_test.go
+++ b/internal/targets/targets_test.go
@@ -49,25 +49,25 @@
 	}{
 		"listed targets take work": {func(*clock, *targets.Directory) {}, []string{"a", "b", "c"}},
 		"a leaving target takes none": {func(cl *clock, dr *targets.Directory) {
-			dr.Put(leaving("a"), cl.now())
+			put(dr, leaving("a"), cl.now())
 		}, []string{"b", "c"}},
 		"leaving is never taken back": {func(cl *clock, dr *targets.Directory) {
-			dr.Put(leaving("a"), cl.now())
-			dr.Replace(list("a", "b", "c"), cl.now())
+			put(dr, leaving("a"), cl.now())
+			replace(dr, list("a", "b", "c"), cl.now())
 		}, []string{"b", "c"}},
 		"leaving told by a peer binds": {func(_ *clock, dr *targets.Directory) {
 			dr.MarkLeaving("b")
 		}, []string{"a", "c"}},
 		"leaving told before the target is listed binds": {func(cl *clock, dr *targets.Directory) {
 			dr.MarkLeaving("d")
-			dr.Put(target("d"), cl.now())
+			put(dr, target("d"), cl.now())
 		}, []string{"a", "b", "c"}},
 		"a target that is gone takes none": {func(cl *clock, dr *targets.Directory) {
-			dr.Remove("a", cl.now())
+			remove(dr, "a", cl.now())
 		}, []string{"b", "c"}},
 		"an entry that is back takes work": {func(cl *clock, dr *targets.Directory) {
-			dr.Remove("a", cl.now())
-			dr.Put(target("a"), cl.now())
+			remove(dr, "a", cl.now())
+			put(dr, target("a"), cl.now())
 		}, []string{"a", "b", "c"}},
 		"a failing target is left out": {func(_ *clock, dr *targets.Directory) {
 			for range 3 {
@@ -115,7 +115,7 @@
 			g := NewWithT(t)
 			cl := newClock()
 			dr := targets.New(cl.now)
-			dr.Replace(list("a", "b", "c"), cl.now())
+			replace(dr, list("a", "b", "c"), cl.now())
 			tc.happen(cl, dr)
 			g.Expect(ids(dr.Usable("s", targets.Any))).To(Equal(tc.want))
 			for _, id := range tc.want {
@@ -133,18 +133,18 @@
 		want   []string
 	}{
 		"the newer one, while both are listed": {func(cl *clock, dr *targets.Directory) {
-			dr.Put(at("a", shared), cl.now())
+			put(dr, at("a", shared), cl.now())
 		}, []string{"a", "other"}},
 		"the newer one, after the older lapsed in trouble": {func(cl *clock, dr *targets.Directory) {
 			dr.Trouble()
-			dr.Replace([]targets.Target{at("a", shared), target("other")}, cl.now())
+			replace(dr, []targets.Target{at("a", shared), target("other")}, cl.now())
 		}, []string{"a", "other"}},
 		"the older one again, once the newer takes no connection": {func(cl *clock, dr *targets.Directory) {
-			dr.Put(at("a", shared), cl.now())
+			put(dr, at("a", shared), cl.now())
 			dr.Unreachable("a")
 		}, []string{"b", "other"}},
 		"the older one again, once the newer is leaving": {func(cl *clock, dr *targets.Directory) {
-			dr.Put(at("a", shared), cl.now())
+			put(dr, at("a", shared), cl.now())
 			dr.MarkLeaving("a")
 		}, []string{"b", "other"}},
 	}
@@ -153,7 +153,7 @@
 			g := NewWithT(t)
 			cl := newClock()
 			dr := targets.New(cl.now)
-			dr.Replace([]targets.Target{at("b", shared), target("other")}, cl.now())
+			replace(dr, []targets.Target{at("b", shared), target("other")}, cl.now())
 			tc.happen(cl, dr)
 			g.Expect(ids(dr.Usable("s", targets.Any))).To(Equal(tc.want))
 		})
@@ -164,10 +164,10 @@
 	g := NewWithT(t)
 	cl := newClock()
 	dr := targets.New(cl.now)
-	g.Expect(dr.Replace(list("a"), cl.now())).To(HaveLen(1))
-	g.Expect(dr.Replace(list("a"), cl.now())).To(BeEmpty())
-	g.Expect(dr.Remove("a", cl.now())).To(HaveLen(1))
-	g.Expect(dr.Remove("a", cl.now())).To(BeEmpty())
+	g.Expect(replace(dr, list("a"), cl.now())).To(HaveLen(1))
+	g.Expect(replace(dr, list("a"), cl.now())).To(BeEmpty())
+	g.Expect(remove(dr, "a", cl.now())).To(HaveLen(1))
+	g.Expect(remove(dr, "a", cl.now())).To(BeEmpty())
 	g.Expect(dr.MarkLeaving("a")).To(BeTrue())
 	g.Expect(dr.MarkLeaving("a")).To(BeFalse())
 	g.Expect(dr.Leaving()).To(Equal([]string{"a"}))
@@ -190,7 +190,7 @@
 			g := NewWithT(t)
 			cl := newClock()
 			dr := targets.New(cl.now)
-			dr.Replace(list("a", "b", "c"), cl.now())
+			replace(dr, list("a", "b", "c"), cl.now())
 			for _, id := range tc.unreachable {
 				dr.Unreachable(id)
 			}
