feat: one reader of the heads of targets' answers, and a line when one leaves or wants no requests

What a target says of itself in an answer was read header by header, each by a function of its own where somebody had thought of it: the verdict, the target at fault, the rate limit.

The adapter now reads a head once, of any answer: to requests (surplus ones too), and to orders for memory. It gives an answer.Head; feedback.Recorder applies the facts to the incarnation that gave the answer, which a 421 names. Lines tell when a leaving or a back-off is first heard and when the latter is over, and a gauge counts targets that are backed off from. No request goes elsewhere for either yet. An answer of another incarnation now also tells that one's rate limit, where it told nothing before.

The test of malformed values that are logged once moves with its code from ratelimit to feedback, as it was.

--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/silvermount/silvermount/internal/answer"
 	"github.com/silvermount/silvermount/internal/follow"
 	"github.com/silvermount/silvermount/internal/gateway"
 	"github.com/silvermount/silvermount/internal/objectstore"
@@ -31,10 +32,11 @@
 	Configuration func(value []byte) (routes.Content, error)
 	// Target decodes a listed target.
 	Target func(objectstore.Object) (targets.Target, error)
-	// Reserve sets memory aside at a target, or renews it; a reservation.RefusedError says that it surely did not.
-	Reserve func(ctx context.Context, address, id string, tokens int64, hold time.Duration) error
+	// Reserve sets memory aside at a target, or renews it; a reservation.RefusedError says that it surely did not. It tells of the head of
+	// the answer, as Release does.
+	Reserve func(ctx context.Context, address, id string, tokens int64, hold time.Duration, heard func(answer.Head)) error
 	// Release gives memory back; it succeeds also when there is none.
-	Release func(ctx context.Context, address, id string) error
+	Release func(ctx context.Context, address, id string, heard func(answer.Head)) error
 }
 
 var registered = map[string]Adapter{}
--- /dev/null
+++ b/internal/backoff/backoff.go
@@ -0,0 +1,201 @@
+// Package backoff holds which targets want no requests from this instance for a while, and lets requests back to them step by step.
+//
+// A back-off is between one target and one instance: it binds the instance that was turned away, and nobody else. When it ends, a single
+// request finds out whether the target takes work again, and each good answer lets more go there. What waited for the end does not arrive
+// at once, and neither do the requests of all instances.
+package backoff
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// spreadShare and spreadMost bound how much later than the target asked a back-off ends: instances that were turned away at the same
+	// moment come back one after the other.
+	spreadShare = 0.1
+	spreadMost  = 250 * time.Millisecond
+	// trialEvery is when another request may find out whether the target takes work, as long as the one before has no answer.
+	trialEvery = 200 * time.Millisecond
+	// perAnswer is how many requests may follow each good answer, so that their number doubles from one round trip to the next.
+	perAnswer = 2
+	// openAfter is how many good answers open the target to all requests.
+	openAfter = 6
+	// maxTargets bounds the targets remembered, some 150 bytes each. It is several times the largest fleet's.
+	maxTargets = 1 << 13
+	// forgetAfter is how long after its end a back-off is remembered that no request ended.
+	forgetAfter = time.Minute
+)
+
+// Phase is how far a target is open to requests of this instance.
+type Phase int
+
+// The phases.
+const (
+	// Open targets take all requests.
+	Open Phase = iota
+	// OnTrial targets may be sent one more request, which finds out whether they take work again.
+	OnTrial
+	// Closed targets take none now.
+	Closed
+)
+
+// state is what is known of one target.
+type state struct {
+	// began is when the target first asked, and until when the last back-off that it asked for ends.
+	began, until time.Time
+	// left is how many requests may go there before the next good answer.
+	left int
+	// trialAt is when one more may go there without an answer.
+	trialAt time.Time
+	// good counts the good answers since the end, below openAfter.
+	good int
+}
+
+// Book is the set of targets that asked for a back-off. It is safe for use by any goroutine.
+type Book struct {
+	now    func() time.Time
+	random func() float64
+
+	// any is set while there are targets: a choice in a fleet without back-offs takes no lock for each target.
+	any atomic.Bool
+
+	mu sync.Mutex
+	// targets holds incarnations.
+	targets map[string]*state
+}
+
+// New returns an empty book; now is the steady clock, and random is uniform in [0, 1).
+func New(now func() time.Time, random func() float64) *Book {
+	return &Book{now: now, random: random, targets: map[string]*state{}}
+}
+
+// Ask notes that a target asked for a back-off in an answer that came at a time. A shorter one that comes later shortens nothing. It
+// reports whether the target was not backed off from until then.
+func (bk *Book) Ask(target string, span time.Duration, came time.Time) (first bool) {
+	bk.mu.Lock()
+	defer bk.mu.Unlock()
+	st, known := bk.targets[target]
+	if !known && len(bk.targets) >= maxTargets {
+		return false
+	}
+	if !known {
+		st = &state{began: came}
+		bk.targets[target] = st
+		bk.any.Store(true)
+	}
+	first = !bk.now().Before(st.until)
+	spread := min(spreadMost, time.Duration(spreadShare*float64(span)))
+	until := came.Add(span + time.Duration(bk.random()*float64(spread)))
+	if until.After(st.until) {
+		st.until = until
+	}
+	st.left, st.good, st.trialAt = 1, 0, time.Time{}
+	return first
+}
+
+// Answered notes an answer that asks for no back-off, to a request that was sent at a time. It returns how long the target was not open,
+// and reports whether it is from now on.
+func (bk *Book) Answered(target string, sent time.Time) (after time.Duration, opened bool) {
+	if !bk.any.Load() {
+		return 0, false
+	}
+	bk.mu.Lock()
+	defer bk.mu.Unlock()
+	st, known := bk.targets[target]
+	if !known || sent.Before(st.until) {
+		// What was under way when the target asked proves nothing about the time after.
+		return 0, false
+	}
+	st.good++
+	st.left += perAnswer
+	if st.good < openAfter {
+		return 0, false
+	}
+	bk.drop(target)
+	return bk.now().Sub(st.began), true
+}
+
+// drop forgets a target. The lock is held.
+func (bk *Book) drop(target string) {
+	delete(bk.targets, target)
+	bk.any.Store(len(bk.targets) > 0)
+}
+
+// Of returns the phase of a target; of a closed one also when it may be on trial.
+func (bk *Book) Of(target string) (ph Phase, opens time.Time) {
+	if !bk.any.Load() {
+		return Open, time.Time{}
+	}
+	bk.mu.Lock()
+	defer bk.mu.Unlock()
+	st, known := bk.targets[target]
+	if !known {
+		return Open, time.Time{}
+	}
+	now := bk.now()
+	switch {
+	case now.Before(st.until):
+		return Closed, st.until
+	case st.left > 0 || !now.Before(st.trialAt):
+		return OnTrial, st.until
+	default:
+		return Closed, st.trialAt
+	}
+}
+
+// Until returns when the back-off of a target ends; it reports false when there is none now.
+func (bk *Book) Until(target string) (time.Time, bool) {
+	if !bk.any.Load() {
+		return time.Time{}, false
+	}
+	bk.mu.Lock()
+	defer bk.mu.Unlock()
+	st, known := bk.targets[target]
+	if !known || !bk.now().Before(st.until) {
+		return time.Time{}, false
+	}
+	return st.until, true
+}
+
+// Chosen notes that a request was chosen to go to a target.
+func (bk *Book) Chosen(target string) {
+	if !bk.any.Load() {
+		return
+	}
+	bk.mu.Lock()
+	defer bk.mu.Unlock()
+	st, known := bk.targets[target]
+	if !known {
+		return
+	}
+	st.left = max(0, st.left-1)
+	st.trialAt = bk.now().Add(trialEvery)
+}
+
+// Len returns how many targets are backed off from now.
+func (bk *Book) Len() int {
+	bk.mu.Lock()
+	defer bk.mu.Unlock()
+	now := bk.now()
+	n := 0
+	for _, st := range bk.targets {
+		if now.Before(st.until) {
+			n++
+		}
+	}
+	return n
+}
+
+// Forget drops the back-offs that ended some time ago, and those that ended of targets that are not there any more.
+func (bk *Book) Forget(there func(target string) bool) {
+	bk.mu.Lock()
+	defer bk.mu.Unlock()
+	now := bk.now()
+	for target, st := range bk.targets {
+		if now.Sub(st.until) > forgetAfter || !now.Before(st.until) && !there(target) {
+			bk.drop(target)
+		}
+	}
+}
--- /dev/null
+++ b/internal/backoff/backoff_test.go
@@ -0,0 +1,131 @@
+package backoff_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/silvermount/silvermount/internal/backoff"
+)
+
+// clockedBook is a book on a clock that a test moves, without spread.
+type clockedBook struct {
+	*WithT
+	*backoff.Book
+	now time.Time
+}
+
+func newBook(t *testing.T) *clockedBook {
+	cb := &clockedBook{WithT: NewWithT(t), now: time.Unix(1000, 0)}
+	cb.Book = backoff.New(func() time.Time { return cb.now }, func() float64 { return 0 })
+	return cb
+}
+
+func (cb *clockedBook) ask(span time.Duration) bool { return cb.Ask("a", span, cb.now) }
+
+func (cb *clockedBook) phase() backoff.Phase {
+	ph, _ := cb.Of("a")
+	return ph
+}
+
+func TestBackOffBindsUntilItsEnd(t *testing.T) {
+	cb := newBook(t)
+	cb.Expect(cb.phase()).To(Equal(backoff.Open))
+	cb.Expect(cb.ask(3 * time.Second)).To(BeTrue())
+	end := cb.now.Add(3 * time.Second)
+	cb.now = end.Add(-time.Nanosecond)
+	cb.Expect(cb.phase()).To(Equal(backoff.Closed))
+	until, backedOff := cb.Until("a")
+	cb.Expect(backedOff).To(BeTrue())
+	cb.Expect(until).To(Equal(end))
+	cb.now = end
+	cb.Expect(cb.phase()).To(Equal(backoff.OnTrial))
+	_, backedOff = cb.Until("a")
+	cb.Expect(backedOff).To(BeFalse())
+	ph, _ := cb.Of("another incarnation")
+	cb.Expect(ph).To(Equal(backoff.Open))
+}
+
+func TestShorterBackOffShortensNothing(t *testing.T) {
+	cb := newBook(t)
+	cb.ask(3 * time.Second)
+	cb.now = cb.now.Add(time.Second)
+	cb.Expect(cb.ask(time.Second)).To(BeFalse(), "it is known already")
+	cb.now = cb.now.Add(1900 * time.Millisecond)
+	cb.Expect(cb.phase()).To(Equal(backoff.Closed))
+	cb.ask(time.Second)
+	cb.now = cb.now.Add(900 * time.Millisecond)
+	cb.Expect(cb.phase()).To(Equal(backoff.Closed), "a later one lengthens it")
+}
+
+func TestTargetOpensStepByStep(t *testing.T) {
+	cb := newBook(t)
+	cb.ask(time.Second)
+	sentBefore := cb.now
+	cb.now = cb.now.Add(time.Second)
+	cb.Chosen("a")
+	cb.Expect(cb.phase()).To(Equal(backoff.Closed), "one request is on its way")
+	cb.Answered("a", sentBefore)
+	cb.Expect(cb.phase()).To(Equal(backoff.Closed), "what was sent before proves nothing")
+	sent := 1
+	for cb.phase() != backoff.Open {
+		cb.Answered("a", cb.now)
+		for cb.phase() == backoff.OnTrial {
+			cb.Chosen("a")
+			sent++
+		}
+	}
+	cb.Expect(sent).To(BeNumerically("<=", 12))
+}
+
+func TestSilentTrialIsFollowedByAnother(t *testing.T) {
+	cb := newBook(t)
+	cb.ask(time.Second)
+	cb.now = cb.now.Add(time.Second)
+	cb.Chosen("a")
+	ph, opens := cb.Of("a")
+	cb.Expect(ph).To(Equal(backoff.Closed))
+	cb.now = opens
+	cb.Expect(cb.phase()).To(Equal(backoff.OnTrial))
+}
+
+func TestTargetThatAsksAgainIsOnTrialAgain(t *testing.T) {
+	cb := newBook(t)
+	cb.ask(time.Second)
+	cb.now = cb.now.Add(time.Second)
+	cb.Answered("a", cb.now)
+	cb.Expect(cb.ask(time.Second)).To(BeTrue())
+	cb.Expect(cb.phase()).To(Equal(backoff.Closed))
+	cb.now = cb.now.Add(time.Second)
+	cb.Chosen("a")
+	cb.Expect(cb.phase()).To(Equal(backoff.Closed))
+}
+
+func TestInstancesComeBackOneAfterTheOther(t *testing.T) {
+	g := NewWithT(t)
+	began := time.Unix(1000, 0)
+	ends := map[time.Time]bool{}
+	for no := range 100 {
+		bk := backoff.New(func() time.Time { return began }, func() float64 { return float64(no) / 100 })
+		bk.Ask("a", 3*time.Second, began)
+		until, _ := bk.Until("a")
+		g.Expect(until).To(BeTemporally(">=", began.Add(3*time.Second)))
+		g.Expect(until).To(BeTemporally("<", began.Add(3300*time.Millisecond)))
+		ends[until] = true
+	}
+	g.Expect(len(ends)).To(BeNumerically(">=", 100))
+}
+
+func TestForgetKeepsWhatBinds(t *testing.T) {
+	cb := newBook(t)
+	gone := func(string) bool { return false }
+	cb.ask(time.Hour)
+	cb.Forget(gone)
+	cb.Expect(cb.phase()).To(Equal(backoff.Closed), "an entry that goes may come back")
+	cb.Expect(cb.Len()).To(Equal(1))
+	cb.now = cb.now.Add(time.Hour)
+	cb.Expect(cb.Len()).To(BeZero())
+	cb.Forget(gone)
+	cb.Expect(cb.phase()).To(Equal(backoff.Open))
+}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
+	"github.com/silvermount/silvermount/internal/answer"
 	"github.com/silvermount/silvermount/internal/dispatch"
 	"github.com/silvermount/silvermount/internal/failure"
 	"github.com/silvermount/silvermount/internal/placement"
@@ -44,7 +45,7 @@
 // travel is how long an order and its answer take.
 const travel = time.Millisecond
 
-func (od *orders) reserve(_ context.Context, address, _ string, _ int64, _ time.Duration) error {
+func (od *orders) reserve(_ context.Context, address, _ string, _ int64, _ time.Duration, _ func(answer.Head)) error {
 	time.Sleep(travel)
 	od.mu.Lock()
 	defer od.mu.Unlock()
@@ -59,7 +60,7 @@
 	return nil
 }
 
-func (od *orders) release(_ context.Context, address, _ string) error {
+func (od *orders) release(_ context.Context, address, _ string, _ func(answer.Head)) error {
 	od.mu.Lock()
 	defer od.mu.Unlock()
 	od.released[address]++
--- a/internal/duty/forwarding/forwarding.go
+++ b/internal/duty/forwarding/forwarding.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -10,9 +11,12 @@
 	"github.com/apex/log"
 
 	"github.com/silvermount/silvermount/internal/adapter"
+	"github.com/silvermount/silvermount/internal/answer"
+	"github.com/silvermount/silvermount/internal/backoff"
 	"github.com/silvermount/silvermount/internal/blame"
 	"github.com/silvermount/silvermount/internal/config"
 	"github.com/silvermount/silvermount/internal/dispatch"
+	"github.com/silvermount/silvermount/internal/feedback"
 	"github.com/silvermount/silvermount/internal/ident"
 	"github.com/silvermount/silvermount/internal/kernel"
 	"github.com/silvermount/silvermount/internal/permit"
@@ -45,6 +49,9 @@
 	// Limits is what is believed of the rate limits of targets, and Permits what requests need to go to these.
 	Limits  *ratelimit.Book
 	Permits *permit.Client
+	// BackOffs is which targets want no requests from this instance, and Feedback takes what answers say of all this.
+	BackOffs *backoff.Book
+	Feedback *feedback.Recorder
 }
 
 // Changed is told when what this instance knows or has in flight changes. It is safe for use by any goroutine.
@@ -93,16 +100,24 @@
 	limits := ratelimit.New(time.Now)
 	ms.NewGauge("silvermount_targets_limited", func() float64 { return float64(limits.Limited()) })
 	permits := permit.NewClient(time.Now, limits.Of, ms)
+	backOffs := backoff.New(time.Now, rand.Float64)
+	ms.NewGauge("silvermount_targets_backed_off", func() float64 { return float64(backOffs.Len()) })
+	noted := &Changed{}
+	fb := feedback.New(feedback.Deps{
+		Targets: dr, Limits: limits, BackOffs: backOffs, LimitsChanged: noted.Tell, Log: env.Logger("feedback"), Now: time.Now,
+	})
+	kp.Heard = func(pc reservation.Place, hd answer.Head) {
+		fb.Record(feedback.Report{Source: feedback.Order, Target: dr.Incarnation(pc.Target), Head: hd, Came: time.Now()})
+	}
 	ds := dispatch.New(dr, kp, dispatch.Options{
 		Instance: env.Settings.Instance, AvailabilityZone: env.Settings.AvailabilityZone, Now: time.Now, Changed: ch.Tell,
 		Permits: permits, TurnedElsewhere: turnedElsewhere(env.Logger("dispatch"), limits),
 	})
-	noted := &Changed{}
 	ld := blame.New(blame.Options{
 		Now: time.Now, Targets: dr.Len, Gone: dr.Lost, Changed: noted.Tell, Metrics: ms, Log: env.Logger("blame"),
 	})
 	kernel.Provide(env, &Parts{
-		Blame: ld, Noted: noted, Limits: limits, Permits: permits,
+		Blame: ld, Noted: noted, Limits: limits, Permits: permits, BackOffs: backOffs, Feedback: fb,
 		Adapter: ad, Routes: &routes.Holder{}, Targets: dr, Dispatcher: ds, Metrics: ms, Changed: ch, Followers: &Followers{}, Pool: pl,
 	})
 	return func(ctx context.Context) error {
--- a/internal/duty/frontend/frontend.go
+++ b/internal/duty/frontend/frontend.go
@@ -86,6 +86,7 @@
 	sv.sweep(func() {
 		pt.Pool.Sweep()
 		pt.Limits.Forget(pt.Targets.TakesWork)
+		pt.BackOffs.Forget(pt.Targets.TakesWork)
 		sh.update()
 	})
 	grace := st.Grace.Std()
@@ -97,7 +98,8 @@
 	st := env.Settings.Gateway
 	gw := gateway.New(gateway.Deps{
 		Protocol: pt.Adapter.Protocol, Routes: pt.Routes, Targets: pt.Targets, Dispatcher: pt.Dispatcher, Pool: pt.Pool,
-		Retries: rt, Blame: pt.Blame, Limits: pt.Limits, LimitsChanged: pt.Noted.Tell, Bodies: budget.NewMemory(st.BodyBudgetBytes), Metrics: pt.Metrics, Log: env.Logger("gateway"),
+		Retries: rt, Blame: pt.Blame, Feedback: pt.Feedback, Limits: pt.Limits, Bodies: budget.NewMemory(st.BodyBudgetBytes), Metrics: pt.Metrics,
+		Log:    env.Logger("gateway"),
 		Random: rand.Float64, Now: time.Now, Stopping: env.Stopping.Load,
 	}, limits(st))
 	env.OnReload(func(s config.Settings) { gw.SetLimits(limits(s.Gateway)) })
--- /dev/null
+++ b/internal/feedback/feedback.go
@@ -0,0 +1,165 @@
+// Package feedback takes what targets say of themselves in their answers, and keeps the beliefs that follow from it.
+package feedback
+
+import (
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/silvermount/silvermount/internal/answer"
+	"github.com/silvermount/silvermount/internal/backoff"
+	"github.com/silvermount/silvermount/internal/ratelimit"
+	"github.com/silvermount/silvermount/internal/targets"
+)
+
+// Source is what was answered.
+type Source string
+
+// The sources.
+const (
+	// Request is an answer to a request, whole or not, also one that came too late for the request it belongs to.
+	Request Source = "answer"
+	// Order is an answer to an order for memory.
+	Order Source = "order"
+)
+
+// Report is one answer that came.
+type Report struct {
+	Source Source
+	// Request is the id of the request that the exchange was for.
+	Request string
+	// Target is the incarnation that was meant.
+	Target targets.Target
+	Head   answer.Head
+	// Sent is when the request was sent. It is zero where that is not known, and for orders: only an answer to a request shows that the target
+	// takes requests again, or that it names no limit any more.
+	Sent time.Time
+	// Came is when the head came.
+	Came time.Time
+}
+
+// maxMalformed bounds the values remembered as logged.
+const maxMalformed = 256
+
+// malformed is one value that was logged.
+type malformed struct {
+	target string
+	answer.MalformedError
+}
+
+// Recorder takes reports. It is safe for use by any goroutine.
+type Recorder struct {
+	Deps
+
+	mu sync.Mutex
+	// logged holds the malformed values that were logged.
+	logged map[malformed]struct{}
+}
+
+// Deps are the parts that a Recorder works with. All are set.
+type Deps struct {
+	Targets  *targets.Directory
+	Limits   *ratelimit.Book
+	BackOffs *backoff.Book
+	// LimitsChanged is told when peers have to hear of a rate limit.
+	LimitsChanged func()
+	Log           log.Interface
+	// Now is the steady clock.
+	Now func() time.Time
+}
+
+// New returns a recorder.
+func New(dp Deps) *Recorder { return &Recorder{Deps: dp, logged: map[malformed]struct{}{}} }
+
+// Record takes a report. An answer speaks for the incarnation that gave it, and for no other.
+func (rc *Recorder) Record(rp Report) {
+	tg, known := rc.speaker(rp)
+	if !known {
+		return
+	}
+	rc.logMalformed(tg, rp.Head)
+	rc.noteLeaving(tg, rp)
+	rc.noteLimit(tg, rp)
+	rc.noteBackOff(tg, rp)
+}
+
+// speaker returns the incarnation that gave an answer: the one that was meant, unless the answer names another. It reports false when that
+// one is not known.
+func (rc *Recorder) speaker(rp Report) (targets.Target, bool) {
+	if rp.Head.Target == "" || rp.Head.Target == rp.Target.OwnName() {
+		return rp.Target, rp.Head.Verdict != answer.Misdirected
+	}
+	return rc.Targets.Named(rp.Head.Target)
+}
+
+func (rc *Recorder) logMalformed(tg targets.Target, hd answer.Head) {
+	for _, me := range hd.Malformed {
+		if rc.first(malformed{target: tg.ID, MalformedError: me}) {
+			rc.Log.WithError(&me).WithFields(log.Fields{"target": tg.ID, "service": tg.Service}).Warn("answer of target cannot be read")
+		}
+	}
+}
+
+// first reports whether a malformed value was not logged before.
+func (rc *Recorder) first(ma malformed) bool {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	if _, seen := rc.logged[ma]; seen || len(rc.logged) >= maxMalformed {
+		return false
+	}
+	rc.logged[ma] = struct{}{}
+	return true
+}
+
+// fields are those of each line about a target's word.
+func (rc *Recorder) fields(tg targets.Target, rp Report) log.Fields {
+	return log.Fields{
+		"request": rp.Request, "target": tg.ID, "service": tg.Service, "source": string(rp.Source), "age": rc.age(rp.Came),
+	}
+}
+
+func (rc *Recorder) age(at time.Time) string {
+	return rc.Now().Sub(at).Round(100 * time.Microsecond).String()
+}
+
+// noteLeaving takes the word that a target leaves.
+func (rc *Recorder) noteLeaving(tg targets.Target, rp Report) {
+	if !rp.Head.Leaving || !rc.first(malformed{target: tg.ID, MalformedError: answer.MalformedError{Fact: answer.Leaving}}) {
+		return
+	}
+	rc.Log.WithFields(rc.fields(tg, rp)).Info("target leaving")
+}
+
+// noteLimit takes what an answer says of the rate limit of its target. One whose limits cannot be read neither sets nor lifts one.
+func (rc *Recorder) noteLimit(tg targets.Target, rp Report) {
+	li := rp.Head.Limit
+	if rp.Head.Unread(answer.RateLimit) && !li.Named {
+		return
+	}
+	ch, changed := rc.Limits.Observe(tg.ID, li, rp.Sent, rp.Came)
+	if !changed {
+		return
+	}
+	fs := rc.fields(tg, rp)
+	fs["limit"], fs["before"], fs["age"] = ch.Limit.String(), ch.Before.String(), rc.age(ch.At)
+	rc.Log.WithFields(fs).Info("rate limit of target " + ch.What())
+	rc.LimitsChanged()
+}
+
+// noteBackOff takes a target's wish for no further requests, and an answer that shows that it takes some.
+func (rc *Recorder) noteBackOff(tg targets.Target, rp Report) {
+	if rp.Head.BackOff > 0 {
+		if rc.BackOffs.Ask(tg.ID, rp.Head.BackOff, rp.Came) {
+			fs := rc.fields(tg, rp)
+			fs["back_off"] = rp.Head.BackOff.String()
+			rc.Log.WithFields(fs).Info("target wants no requests")
+		}
+		return
+	}
+	if after, opened := rc.BackOffs.Answered(tg.ID, rp.Sent); opened {
+		fs := rc.fields(tg, rp)
+		fs["after"] = after.Round(time.Millisecond).String()
+		rc.Log.WithFields(fs).Info("target takes requests again")
+	}
+}
--- /dev/null
+++ b/internal/feedback/feedback_test.go
@@ -0,0 +1,133 @@
+package feedback_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+	. "github.com/onsi/gomega"
+
+	"github.com/silvermount/silvermount/internal/answer"
+	"github.com/silvermount/silvermount/internal/backoff"
+	"github.com/silvermount/silvermount/internal/feedback"
+	"github.com/silvermount/silvermount/internal/position"
+	"github.com/silvermount/silvermount/internal/ratelimit"
+	"github.com/silvermount/silvermount/internal/targets"
+)
+
+// bench is a recorder and what it keeps.
+type bench struct {
+	*WithT
+	*feedback.Recorder
+	lines *memory.Handler
+	now   time.Time
+}
+
+// meant and other are listed targets.
+var (
+	meant = targets.Target{ID: "a@1", Name: "a", Service: "s", Address: "10.0.0.1:80", AvailabilityZone: "z", Slots: 1}
+	other = targets.Target{ID: "b@1", Name: "b", Service: "s", Address: "10.0.0.2:80", AvailabilityZone: "z", Slots: 1}
+)
+
+func newBench(t *testing.T) *bench {
+	be := &bench{WithT: NewWithT(t), lines: memory.New(), now: time.Unix(1000, 0)}
+	now := func() time.Time { return be.now }
+	dr := targets.New(now)
+	dr.TakeList([]targets.Target{meant, other}, nil, position.Position{Revision: 1}, be.now)
+	be.Recorder = feedback.New(feedback.Deps{
+		Targets: dr, Limits: ratelimit.New(now), BackOffs: backoff.New(now, func() float64 { return 0 }),
+		LimitsChanged: func() {}, Log: &log.Logger{Handler: be.lines, Level: log.DebugLevel}, Now: now,
+	})
+	return be
+}
+
+func (be *bench) record(hd answer.Head) {
+	be.Record(feedback.Report{Source: feedback.Request, Request: "r", Target: meant, Head: hd, Sent: be.now, Came: be.now})
+}
+
+// backedOff reports whether a target is backed off from.
+func (be *bench) backedOff(tg targets.Target) bool {
+	_, backedOff := be.BackOffs.Until(tg.ID)
+	return backedOff
+}
+
+func (be *bench) messages() []string {
+	var all []string
+	for _, e := range be.lines.Entries {
+		all = append(all, e.Message)
+	}
+	return all
+}
+
+func TestAnswerSpeaksForTheIncarnationThatGaveIt(t *testing.T) {
+	facts := answer.Head{BackOff: time.Second, Limit: ratelimit.Of(2)}
+	tests := map[string]struct {
+		verdict answer.Verdict
+		target  string
+		of      *targets.Target
+	}{
+		"without a name":            {of: &meant},
+		"the one that was meant":    {target: "a", of: &meant},
+		"turned away":               {verdict: answer.Shed, of: &meant},
+		"failed":                    {verdict: answer.Failed, of: &meant},
+		"not provably its own":      {verdict: answer.Unproven, of: &meant},
+		"another one":               {verdict: answer.Misdirected, target: "b", of: &other},
+		"one that nobody knows":     {verdict: answer.Misdirected, target: "c"},
+		"another one without a 421": {target: "b", of: &other},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			be := newBench(t)
+			hd := facts
+			hd.Verdict, hd.Target = tc.verdict, tc.target
+			be.record(hd)
+			for _, tg := range []targets.Target{meant, other} {
+				is := tc.of != nil && tc.of.ID == tg.ID
+				be.Expect(be.backedOff(tg)).To(Equal(is), tg.ID)
+				be.Expect(be.Limits.Of(tg.ID).Named).To(Equal(is), tg.ID)
+			}
+		})
+	}
+}
+
+func TestBackOffIsLoggedWhenItBeginsAndWhenItIsOver(t *testing.T) {
+	be := newBench(t)
+	be.record(answer.Head{Verdict: answer.Shed, BackOff: time.Second})
+	be.record(answer.Head{Verdict: answer.Shed, BackOff: time.Second})
+	be.now = be.now.Add(2 * time.Second)
+	for range 20 {
+		be.record(answer.Head{})
+	}
+	be.Expect(be.messages()).To(Equal([]string{"target wants no requests", "target takes requests again"}))
+}
+
+func TestMalformedLimitNeitherSetsNorLiftsOne(t *testing.T) {
+	be := newBench(t)
+	be.record(answer.Head{Limit: ratelimit.Of(2)})
+	be.now = be.now.Add(time.Second)
+	be.record(answer.Head{Malformed: []answer.MalformedError{{Fact: answer.RateLimit, Value: "many"}}})
+	be.Expect(be.Limits.Of(meant.ID)).To(Equal(ratelimit.Of(2)))
+}
+
+func TestMalformedValuesAreLoggedOnceAndBounded(t *testing.T) {
+	be := newBench(t)
+	say := func(value string) {
+		be.record(answer.Head{Malformed: []answer.MalformedError{{Fact: answer.BackOff, Value: value}}})
+	}
+	say("many")
+	say("many")
+	be.Expect(be.messages()).To(HaveLen(1))
+	for no := range 10_000 {
+		say(string(rune('a'+no%26)) + string(rune('0'+no)))
+	}
+	be.Expect(len(be.messages())).To(BeNumerically("<", 1000))
+}
+
+func TestOrdersLiftNothing(t *testing.T) {
+	be := newBench(t)
+	be.record(answer.Head{Limit: ratelimit.Of(2)})
+	be.now = be.now.Add(time.Second)
+	be.Record(feedback.Report{Source: feedback.Order, Target: meant, Came: be.now})
+	be.Expect(be.Limits.Of(meant.ID).Named).To(BeTrue())
+}
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/silvermount/silvermount/internal/answer"
 	"github.com/silvermount/silvermount/internal/body"
 	"github.com/silvermount/silvermount/internal/deadline"
 	"github.com/silvermount/silvermount/internal/dispatch"
@@ -69,6 +70,8 @@
 	eventAt time.Time
 	// sentAt is when the newest attempt was sent, headAt when the head of its answer came; zero before.
 	sentAt, headAt time.Time
+	// head is that of the newest answer; it is valid while headAt is set.
+	head answer.Head
 	// print makes the fingerprint once: the digest of a long body is made only when it is needed.
 	print func() fingerprint.Fingerprint
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/silvermount/silvermount/internal/blame"
 	"github.com/silvermount/silvermount/internal/budget"
 	"github.com/silvermount/silvermount/internal/dispatch"
+	"github.com/silvermount/silvermount/internal/feedback"
 	"github.com/silvermount/silvermount/internal/life"
 	"github.com/silvermount/silvermount/internal/ratelimit"
 	"github.com/silvermount/silvermount/internal/reply"
@@ -31,12 +32,12 @@
 	Pool       *upstream.Pool
 	Retries    *budget.Retries
 	Blame      *blame.Ledger
-	// Limits is what is believed of the rate limits of targets, and LimitsChanged is told when peers have to hear of a change.
-	Limits        *ratelimit.Book
-	LimitsChanged func()
-	Bodies        *budget.Memory
-	Metrics       *metrics.Set
-	Log           log.Interface
+	// Feedback takes the head of each answer, and Limits is what follows from them of rate limits.
+	Feedback *feedback.Recorder
+	Limits   *ratelimit.Book
+	Bodies   *budget.Memory
+	Metrics  *metrics.Set
+	Log      log.Interface
 	// Random is uniform in [0, 1).
 	Random func() float64
 	// Now is the steady clock.
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -4,7 +4,7 @@
 	"net/http"
 	"time"
 
-	"github.com/silvermount/silvermount/internal/ratelimit"
+	"github.com/silvermount/silvermount/internal/answer"
 )
 
 // Facts are what a caller's request says of itself.
@@ -49,36 +49,12 @@
 	Reservation string
 }
 
-// Verdict says what the head of a target's answer means.
-type Verdict int
-
-// The verdicts.
-const (
-	// Answered is an answer to pass on unchanged.
-	Answered Verdict = iota
-	// Failed is a failure of the target after it began; it may be passed on unchanged.
-	Failed
-	// Shed means that the target has not run the request and will not.
-	Shed
-	// Misdirected means that another incarnation has the address; it has not run the request.
-	Misdirected
-	// Unproven is an answer that cannot be passed on: it lacks what shows that it is whole and the target's own.
-	Unproven
-)
-
 // Protocol translates between the callers' and targets' protocol and this package. All fields are set.
 type Protocol struct {
 	// Read returns the facts of a caller's request.
 	Read func(*http.Request) (Facts, error)
 	// Write completes the headers of a request to a target; h starts as a copy of the caller's.
 	Write func(h http.Header, at Attempt)
-	// Mine reports whether an answer belongs to the request.
-	Mine func(resp *http.Response, requestID string) bool
-	// Judge classifies the head of an answer.
-	Judge func(*http.Response) Verdict
-	// AtFault returns the address of the target that a shed answer names as its cause; empty when it names none.
-	AtFault func(*http.Response) string
-	// RateLimit returns how many requests a second the target takes from all instances together, as an answer says. With a
-	// ratelimit.MalformedError it returns what can be read.
-	RateLimit func(*http.Response) (ratelimit.Limit, error)
+	// Head reads what the head of an answer says.
+	Head func(*http.Response) answer.Head
 }
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/silvermount/silvermount/internal/answer"
 	"github.com/silvermount/silvermount/internal/dispatch"
 	"github.com/silvermount/silvermount/internal/failure"
 	"github.com/silvermount/silvermount/internal/life"
@@ -17,27 +18,27 @@
 
 // receive passes a target's answer on.
 func (gw *Gateway) receive(ctx context.Context, rq *request, sk *sink, sl *dispatch.Slot, an *upstream.Answer) error {
-	verdict := gw.Protocol.Judge(an.Response)
-	if verdict != Misdirected {
+	verdict := rq.head.Verdict
+	if verdict != answer.Misdirected {
 		rq.tried = append(rq.tried, sl.Target.ID)
 	}
 	switch verdict {
-	case Shed:
+	case answer.Shed:
 		return gw.shed(rq, sl, an)
-	case Misdirected:
+	case answer.Misdirected:
 		gw.Blame.Ended(sl.Target.ID)
 		gw.Targets.MarkLeaving(sl.Target.ID)
 		gw.logBelief(sl.Target, "gone", "another incarnation has the address")
 		gw.logPassedOver(rq, sl.Target, "another incarnation has the address")
 		return failure.New(failure.TargetUnreachable, gw.outcome(rq), "another target has the address").WithRetryAfter(comeBackFull)
-	case Unproven:
+	case answer.Unproven:
 		rq.known.Add(failure.Unknown)
 		err := &UnprovenAnswerError{Status: an.StatusCode}
 		gw.failed(rq, sl.Target, err)
 		return failure.New(failure.TargetLost, failure.Unknown, "the answer cannot be passed on").WithCause(err)
 	}
 	rq.known.Add(failure.Unknown)
-	if verdict == Answered && rq.route.Streaming && an.StatusCode == http.StatusOK {
+	if verdict == answer.Answered && rq.route.Streaming && an.StatusCode == http.StatusOK {
 		return gw.stream(ctx, rq, sk, sl, an)
 	}
 	if sk.Started() {
@@ -62,7 +63,7 @@
 	if _, err := io.CopyN(io.Discard, an.Body, bufferMost); errors.Is(err, io.EOF) {
 		an.Whole()
 	}
-	atFault := gw.Protocol.AtFault(an.Response)
+	atFault := rq.head.AtFault
 	sl.Shed(atFault)
 	gw.logAttemptFailed(rq, sl.Target, &ShedError{Status: an.StatusCode, AtFault: atFault}, true)
 	return failure.New(failure.TargetShed, gw.outcome(rq), "the target has no room").WithRetryAfter(comeBackFull)
@@ -89,7 +90,7 @@
 
 // plain passes on an answer that is no stream. Short ones are passed on when they are whole, so that a broken one can
 // still be asked for elsewhere.
-func (gw *Gateway) plain(ctx context.Context, rq *request, sk *sink, sl *dispatch.Slot, an *upstream.Answer, v Verdict) error {
+func (gw *Gateway) plain(ctx context.Context, rq *request, sk *sink, sl *dispatch.Slot, an *upstream.Answer, v answer.Verdict) error {
 	body, err := io.ReadAll(io.LimitReader(an.Body, bufferMost))
 	if err != nil {
 		return gw.brokenOff(ctx, rq, sl, err)
@@ -97,11 +98,11 @@
 	if len(body) < bufferMost {
 		an.Whole()
 	}
-	if v == Failed && gw.retryFailed(ctx, rq, sk) {
+	if v == answer.Failed && gw.retryFailed(ctx, rq, sk) {
 		gw.failed(rq, sl.Target, &TargetFailureError{Status: an.StatusCode})
 		return failure.New(failure.TargetRefused, failure.Failed, "the target answered %d", an.StatusCode)
 	}
-	if v == Answered {
+	if v == answer.Answered {
 		gw.Targets.Success(sl.Target.ID)
 	} else {
 		gw.held(sl.Target)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/silvermount/silvermount/internal/dispatch"
 	"github.com/silvermount/silvermount/internal/failure"
+	"github.com/silvermount/silvermount/internal/feedback"
 	"github.com/silvermount/silvermount/internal/life"
 	"github.com/silvermount/silvermount/internal/reservation"
 	"github.com/silvermount/silvermount/internal/retry"
@@ -179,7 +180,7 @@
 	ca := upstream.Call{
 		Address: sl.Target.Address, Method: rq.method, Target: rq.target, Host: rq.host, Header: h, Body: rq.body,
 		Exclusive: rq.route.Exclusive(),
-		Mine:      func(resp *http.Response) bool { return gw.Protocol.Mine(resp, rq.RequestID) },
+		Heard:     func(resp *http.Response) bool { return gw.heard(rq, sl.Target, resp) },
 	}
 	gw.logAttempt(rq, sl)
 	rq.avoid = append(rq.avoid, sl.Target.ID)
@@ -191,13 +192,26 @@
 		}
 		return nil, gw.sendFailed(ctx, rq, sl, err)
 	}
-	rq.headAt = gw.Now()
 	gw.Targets.Reached(sl.Target.ID)
-	gw.noteRateLimit(rq, sl.Target, an.Response)
 	gw.observe("silvermount_target_answer_seconds", rq.headAt.Sub(rq.sentAt))
 	return an, nil
 }
 
+// heard takes the head of an answer that came over the connection to a target, and reports whether it answers the request: a surplus answer
+// to an earlier one speaks for the target too.
+func (gw *Gateway) heard(rq *request, tg targets.Target, resp *http.Response) bool {
+	rp := feedback.Report{
+		Source: feedback.Request, Request: rq.RequestID, Target: tg, Head: gw.Protocol.Head(resp), Came: gw.Now(),
+	}
+	mine := rp.Head.Request == rq.RequestID
+	if mine {
+		rq.head, rq.headAt = rp.Head, rp.Came
+		rp.Sent = rq.sentAt
+	}
+	gw.Feedback.Record(rp)
+	return mine
+}
+
 // sendFailed tells what is known after an attempt without an answer.
 func (gw *Gateway) sendFailed(ctx context.Context, rq *request, sl *dispatch.Slot, err error) error {
 	var se *upstream.SendError
--- a/internal/ratelimit/book.go
+++ b/internal/ratelimit/book.go
@@ -51,8 +51,6 @@
 	liftedFor = 15 * time.Second
 	// maxBeliefs bounds the targets believed limited, 100 bytes each. It is several times the largest fleet's.
 	maxBeliefs = 1 << 13
-	// maxMalformed bounds the values remembered as logged.
-	maxMalformed = 256
 )
 
 // Book is what this instance believes of the rate limits of targets, by its own answers and its peers' word. It is safe for use by any
@@ -65,13 +63,11 @@
 	beliefs map[string]belief
 	// limited counts the beliefs in a limit.
 	limited int
-	// malformed holds the target and value of what was logged already.
-	malformed map[string]struct{}
 }
 
 // New returns an empty book; now is the steady clock.
 func New(now func() time.Time) *Book {
-	return &Book{now: now, beliefs: map[string]belief{}, malformed: map[string]struct{}{}}
+	return &Book{now: now, beliefs: map[string]belief{}}
 }
 
 // Observe takes what this instance saw in an answer to a request that was sent at one time and whose head came at another. It reports
@@ -176,15 +172,3 @@
 		}
 	}
 }
-
-// FirstMalformed reports whether a target names a value that cannot be read for the first time, so that it is logged once.
-func (bk *Book) FirstMalformed(target, value string) bool {
-	key := target + " " + value
-	bk.mu.Lock()
-	defer bk.mu.Unlock()
-	if _, seen := bk.malformed[key]; seen || len(bk.malformed) >= maxMalformed {
-		return false
-	}
-	bk.malformed[key] = struct{}{}
-	return true
-}
--- a/internal/ratelimit/book_test.go
+++ b/internal/ratelimit/book_test.go
@@ -126,20 +126,6 @@
 	bk.Expect(bk.Told()).To(BeEmpty())
 }
 
-func TestMalformedValuesAreLoggedOnceAndBounded(t *testing.T) {
-	bk := newBook(t)
-	bk.Expect(bk.FirstMalformed("a", "many")).To(BeTrue())
-	bk.Expect(bk.FirstMalformed("a", "many")).To(BeFalse())
-	bk.Expect(bk.FirstMalformed("b", "many")).To(BeTrue())
-	logged := 0
-	for no := range 10_000 {
-		if bk.FirstMalformed("c", string(rune('a'+no%26))+string(rune('0'+no))) {
-			logged++
-		}
-	}
-	bk.Expect(logged).To(BeNumerically("<", 1000))
-}
-
 func TestObservationsAreReadAsWritten(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(2000, 0)
--- a/internal/reservation/reservation.go
+++ b/internal/reservation/reservation.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
+	"github.com/silvermount/silvermount/internal/answer"
 	"github.com/silvermount/silvermount/internal/pending"
 )
 
@@ -70,9 +71,11 @@
 // Keeper sets memory aside. It is safe for use by any goroutine.
 type Keeper struct {
 	// Reserve sets memory aside or renews it; a RefusedError says that it surely did not. Seams of the adapter.
-	Reserve func(ctx context.Context, address, id string, tokens int64, hold time.Duration) error
+	Reserve func(ctx context.Context, address, id string, tokens int64, hold time.Duration, heard func(answer.Head)) error
 	// Release gives memory back; it succeeds also when there is none.
-	Release func(ctx context.Context, address, id string) error
+	Release func(ctx context.Context, address, id string, heard func(answer.Head)) error
+	// Heard is told of the head of each answer to an order; nil for nobody.
+	Heard func(pc Place, hd answer.Head)
 	// NewID returns an id that is used once.
 	NewID func() string
 	// Present reports whether a target's process, by its incarnation, has not started again: memory at one that has is gone, and an
@@ -140,7 +143,7 @@
 func (kp *Keeper) ask(ctx context.Context, pc Place, id string) error {
 	ctx, cancel := context.WithTimeout(ctx, kp.Timeout)
 	defer cancel()
-	err := kp.Reserve(ctx, pc.Address, id, pc.Tokens, kp.Hold)
+	err := kp.Reserve(ctx, pc.Address, id, pc.Tokens, kp.Hold, kp.heard(pc))
 	var re *RefusedError
 	if err == nil || errors.As(err, &re) {
 		return err
@@ -247,5 +250,14 @@
 func (kp *Keeper) releaseOnce(pc Place, id string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), kp.Timeout)
 	defer cancel()
-	return errors.Wrap(kp.Release(ctx, pc.Address, id), "give memory back")
+	return errors.Wrap(kp.Release(ctx, pc.Address, id, kp.heard(pc)), "give memory back")
+}
+
+// heard returns what is told of the head of an answer to an order at a place.
+func (kp *Keeper) heard(pc Place) func(answer.Head) {
+	return func(hd answer.Head) {
+		if kp.Heard != nil {
+			kp.Heard(pc, hd)
+		}
+	}
 }
--- a/internal/reservation/reservation_test.go
+++ b/internal/reservation/reservation_test.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
+	"github.com/silvermount/silvermount/internal/answer"
 	"github.com/silvermount/silvermount/internal/reservation"
 )
 
@@ -70,7 +71,7 @@
 	return fmt.Sprintf("mem-%d", ft.ids)
 }
 
-func (ft *fakeTargets) onReserve(ctx context.Context, address, id string, tokens int64, hold time.Duration) error {
+func (ft *fakeTargets) onReserve(ctx context.Context, address, id string, tokens int64, hold time.Duration, _ func(answer.Head)) error {
 	time.Sleep(travel)
 	ft.mu.Lock()
 	defer ft.mu.Unlock()
@@ -87,7 +88,7 @@
 	return nil
 }
 
-func (ft *fakeTargets) onRelease(_ context.Context, address, id string) error {
+func (ft *fakeTargets) onRelease(_ context.Context, address, id string, _ func(answer.Head)) error {
 	time.Sleep(travel)
 	ft.mu.Lock()
 	defer ft.mu.Unlock()
@@ -221,12 +222,12 @@
 		}
 		kp := ft.keeper()
 		answers := kp.Release
-		kp.Release = func(ctx context.Context, address, id string) error {
+		kp.Release = func(ctx context.Context, address, id string, heard func(answer.Head)) error {
 			if address == "b" {
 				<-ctx.Done()
 				return ctx.Err()
 			}
-			return answers(ctx, address, id)
+			return answers(ctx, address, id, heard)
 		}
 		began := time.Now()
 		_, err := kp.Take(context.Background(), places)
@@ -318,12 +319,12 @@
 func TestSilentTargetDoesNotHoldATakeUp(t *testing.T) {
 	bubble(t, func(g *WithT, ft *fakeTargets) {
 		kp := ft.keeper()
-		kp.Reserve = func(ctx context.Context, address, id string, tokens int64, hold time.Duration) error {
+		kp.Reserve = func(ctx context.Context, address, id string, tokens int64, hold time.Duration, heard func(answer.Head)) error {
 			if address == "b" {
 				<-ctx.Done()
 				return ctx.Err()
 			}
-			return ft.onReserve(ctx, address, id, tokens, hold)
+			return ft.onReserve(ctx, address, id, tokens, hold, heard)
 		}
 		began := time.Now()
 		_, err := kp.Take(context.Background(), places)
@@ -379,7 +380,7 @@
 		var mu sync.Mutex
 		quiet := false
 		kp := ft.keeper()
-		kp.Reserve = func(ctx context.Context, address, id string, tokens int64, hold time.Duration) error {
+		kp.Reserve = func(ctx context.Context, address, id string, tokens int64, hold time.Duration, heard func(answer.Head)) error {
 			mu.Lock()
 			stuck := quiet && address < fmt.Sprintf("t%02d", silent)
 			mu.Unlock()
@@ -387,7 +388,7 @@
 				<-ctx.Done()
 				return ctx.Err()
 			}
-			return ft.onReserve(ctx, address, id, tokens, hold)
+			return ft.onReserve(ctx, address, id, tokens, hold, heard)
 		}
 		rv, err := kp.Take(context.Background(), many)
 		g.Expect(err).NotTo(HaveOccurred())
@@ -411,16 +412,16 @@
 		kp := ft.keeper()
 		var mu sync.Mutex
 		late := false
-		kp.Reserve = func(ctx context.Context, address, id string, tokens int64, hold time.Duration) error {
+		kp.Reserve = func(ctx context.Context, address, id string, tokens int64, hold time.Duration, heard func(answer.Head)) error {
 			mu.Lock()
 			lost := late && address == "b"
 			mu.Unlock()
 			if !lost {
-				return ft.onReserve(ctx, address, id, tokens, hold)
+				return ft.onReserve(ctx, address, id, tokens, hold, heard)
 			}
 			go func() {
 				time.Sleep(3 * time.Second)
-				_ = ft.onReserve(context.Background(), address, id, tokens, hold) // nobody hears of its end
+				_ = ft.onReserve(context.Background(), address, id, tokens, hold, heard) // nobody hears of its end
 			}()
 			<-ctx.Done()
 			return ctx.Err()
--- a/internal/targets/incarnation.go
+++ b/internal/targets/incarnation.go
@@ -59,3 +59,24 @@
 		}
 	}
 }
+
+// Incarnation returns a target by its incarnation; of one that is not known nothing else is set.
+func (dr *Directory) Incarnation(id string) Target {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	if en, known := dr.entries[id]; known {
+		return en.Target
+	}
+	return Target{ID: id}
+}
+
+// Named returns the present incarnation of a target's own name; it reports false when none is known.
+func (dr *Directory) Named(name string) (Target, bool) {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	en, known := dr.entries[dr.present[name].id]
+	if !known {
+		return Target{}, false
+	}
+	return en.Target, true
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -26,8 +26,8 @@
 	// Exclusive requests may run only once: they go out on new connections, since a target may drop a resting one
 	// without a sign and earlier than it said.
 	Exclusive bool
-	// Mine reports whether an answer belongs to this call; others are skipped.
-	Mine func(*http.Response) bool
+	// Heard is told of each head that comes, and reports whether the answer belongs to this call; others are skipped.
+	Heard func(*http.Response) bool
 }
 
 // SendError says that an exchange broke off.
@@ -95,7 +95,7 @@
 	before := cn.got
 	go an.write(req)
 	// Close ends the body with the connection.
-	an.Response, err = readAnswer(cn, req, ca.Mine) //nolint:bodyclose // it stays open for the caller
+	an.Response, err = readAnswer(cn, req, ca.Heard) //nolint:bodyclose // it stays open for the caller
 	if err != nil {
 		forgotten := reused && cn.got == before && ended(err) && ctx.Err() == nil
 		if forgotten {
@@ -146,13 +146,13 @@
 	*an.wroteAll = req.Write(an.cn) == nil
 }
 
-func readAnswer(cn *conn, req *http.Request, mine func(*http.Response) bool) (*http.Response, error) {
+func readAnswer(cn *conn, req *http.Request, heard func(*http.Response) bool) (*http.Response, error) {
 	for range strayMost {
 		resp, err := http.ReadResponse(cn.br, req)
 		if err != nil {
 			return nil, errors.Wrap(err, "read answer")
 		}
-		if resp.StatusCode >= http.StatusOK && (mine == nil || mine(resp)) {
+		if resp.StatusCode >= http.StatusOK && (heard == nil || heard(resp)) {
 			return resp, nil
 		}
 		_, err = io.CopyN(io.Discard, resp.Body, strayBodyMost)
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -143,7 +143,7 @@
 func call(address, path string) upstream.Call {
 	return upstream.Call{
 		Address: address, Method: http.MethodPost, Target: path, Host: "h", Header: http.Header{headerID: []string{path}},
-		Mine: func(resp *http.Response) bool { return resp.Header.Get(headerID) == path },
+		Heard: func(resp *http.Response) bool { return resp.Header.Get(headerID) == path },
 	}
 }
 
