--- a/internal/standin/fault/conn.go
+++ b/internal/standin/fault/conn.go
@@ -35,6 +35,8 @@
 	writer *bufio.Writer
 	// owed is a surplus answer that goes out in front of the next one.
 	owed []byte
+	// exchange is the request that is being answered; nil for one that takes no slot.
+	exchange *Exchange
 	// broken is set once the server itself has reset the connection.
 	broken atomic.Bool
 }
@@ -77,11 +79,16 @@
 
 // handle answers one request and reports whether the connection can serve another.
 func (cn *conn) handle(rq *http.Request) bool {
+	cn.exchange = nil
 	if an, ok := cn.aside(rq); ok {
 		return an != nil && cn.replyAside(rq, *an)
 	}
 	cn.server.arrived()
+	cn.exchange = cn.server.came(rq)
 	tokens, refusal := cn.server.screen(rq)
+	if an, away := cn.server.turnedAway(); away && refusal == nil {
+		refusal = &an
+	}
 	kd := None
 	if refusal == nil {
 		kd = cn.server.plan.take()
@@ -200,7 +207,7 @@
 	if dctx.Err() != nil && ctx.Err() == nil {
 		an = Whole(http.StatusGatewayTimeout, nil)
 	}
-	an = cn.server.dress(disguise(an.With(HeaderSignature, rn.Signature), kd), rq, kd)
+	an = cn.dress(disguise(an.With(HeaderSignature, rn.Signature), kd), rq, kd)
 	whole := ctx.Err() == nil && cn.answer(ctx, an, kd)
 	cn.server.gate.Leave(tokens) // before the record says that the run has ended
 	cn.server.end(rn, cn.outcome(ctx, dctx, whole, kd))
@@ -248,6 +255,11 @@
 	}
 }
 
+// dress returns the answer with all that the target says in it.
+func (cn *conn) dress(an Answer, rq *http.Request, kd Kind) Answer {
+	return cn.server.dress(cn.server.say(an, cn.exchange), rq, kd)
+}
+
 // dress returns the answer with the headers that every answer has.
 func (sv *Server) dress(an Answer, rq *http.Request, kd Kind) Answer {
 	if an.Header.Get(HeaderAttempt) == "" && rq.Header.Get(HeaderAttempt) != "" {
@@ -265,7 +277,7 @@
 
 // reply sends an answer without a fault and reports whether the connection can serve another request.
 func (cn *conn) reply(rq *http.Request, an Answer) bool {
-	an = cn.server.dress(an, rq, None)
+	an = cn.dress(an, rq, None)
 	return cn.send(an, None) && an.Header.Get("Connection") != "close"
 }
 
@@ -277,7 +289,7 @@
 	}
 	ctx, stop := cn.watch()
 	defer stop()
-	return cn.answer(ctx, cn.server.dress(disguise(an, kd), rq, kd), kd)
+	return cn.answer(ctx, cn.dress(disguise(an, kd), rq, kd), kd)
 }
 
 func sideKey(rq *http.Request) string { return rq.Method + " " + rq.URL.Path }
--- a/internal/standin/fault/server.go
+++ b/internal/standin/fault/server.go
@@ -96,6 +96,7 @@
 	health   int
 	runs     []*Run
 	limit    limited
+	word     word
 }
 
 // Start listens on a free port of the loopback address.
--- /dev/null
+++ b/internal/standin/fault/word.go
@@ -0,0 +1,102 @@
+package fault
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+const (
+	// HeaderLeaving is set in all answers of a target that leaves.
+	HeaderLeaving = "Server-Leaving"
+	// HeaderRetryAfter is how many seconds a target that turns a request away wants no more of them.
+	HeaderRetryAfter = "Retry-After"
+)
+
+// Exchange is one request that came, run or not, and what its answer said. Requests that take no slot are left out.
+type Exchange struct {
+	Attempt string
+	// Instance is the incarnation that answered.
+	Instance string
+	// Came is when the request came, and Answered when the head of its answer was made; zero without one.
+	Came, Answered time.Time
+	// Leaving and BackOff are what the answer said; zero for nothing.
+	Leaving bool
+	BackOff time.Duration
+}
+
+// word is what a target says of itself in its answers.
+type word struct {
+	leaving bool
+	// backOff is what each request is turned away with; zero turns none away.
+	backOff time.Duration
+	// unpromised leaves out the mark that a request which is turned away has not run.
+	unpromised bool
+	exchanges  []*Exchange
+}
+
+// SayLeaving makes all answers say that the target leaves; it goes on serving, and its entry is not changed.
+func (sv *Server) SayLeaving(leaving bool) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.word.leaving = leaving
+}
+
+// TurnAway makes the target turn all requests away and ask for a back-off, with or without the promise that they have not run; zero ends
+// that.
+func (sv *Server) TurnAway(backOff time.Duration, promise bool) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.word.backOff, sv.word.unpromised = backOff, !promise
+}
+
+// Exchanges returns the requests that came so far, in order.
+func (sv *Server) Exchanges() []Exchange {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	all := make([]Exchange, 0, len(sv.word.exchanges))
+	for _, ex := range sv.word.exchanges {
+		all = append(all, *ex)
+	}
+	return all
+}
+
+// turnedAway returns the refusal of a target that asks for a back-off.
+func (sv *Server) turnedAway() (Answer, bool) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	if sv.word.backOff == 0 {
+		return Answer{}, false
+	}
+	an := Refusal(http.StatusServiceUnavailable).With(HeaderRetryAfter, strconv.FormatFloat(sv.word.backOff.Seconds(), 'f', -1, 64))
+	if sv.word.unpromised {
+		an = an.without(HeaderNotExecuted)
+	}
+	return an, true
+}
+
+// came notes a request.
+func (sv *Server) came(rq *http.Request) *Exchange {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	ex := &Exchange{Attempt: rq.Header.Get(HeaderAttempt), Came: time.Now()}
+	sv.word.exchanges = append(sv.word.exchanges, ex)
+	return ex
+}
+
+// say adds what the target says of itself to the answer of an exchange; nil for one that takes no slot.
+func (sv *Server) say(an Answer, ex *Exchange) Answer {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	if sv.word.leaving {
+		an = an.With(HeaderLeaving, "1")
+	}
+	if ex == nil {
+		return an
+	}
+	ex.Instance, ex.Answered, ex.Leaving = sv.instance, time.Now(), sv.word.leaving
+	if an.Header.Get(HeaderRetryAfter) != "" {
+		ex.BackOff = sv.word.backOff
+	}
+	return an
+}
