fix: a target that says in an answer that it leaves gets nothing more, whatever a list says

Callers' requests reached targets up to 9.1 s after these had said in their answers that they leave; one of them got a 504 from a target that ended under it. The store, the only source that was heard, was away and took the leaving 12 s late.

No instance looked for the word in heads of answers. The class: what a target says of itself in an answer is read by nobody.

Now the head of any answer (whole, failed, turned away, surplus, to an order) marks the incarnation that gave it as leaving, and the peers hear of it at once by the state that they get in any case. The mark is never taken back: it was forgotten a minute after the entry had gone, so that an entry which came back later took work again; it now stays, bounded by number, and only the late ones are told to peers.

TestLeavingIsNeverTakenBack fails without the longer memory for an entry that is back after an hour.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -64,6 +64,10 @@
 	if len(sl.plan.Reserve) == 0 {
 		return sl, true, nil
 	}
+	if !ds.takeWork(sl) {
+		sl.Release()
+		return nil, false, nil
+	}
 	if err := ds.reserve(ctx, sl, tgs); err != nil {
 		sl.Release()
 		if ds.avoid(err, tgs) {
@@ -75,6 +79,16 @@
 	return sl, true, nil
 }
 
+// takeWork reports whether all targets of a slot still take work: an order for memory begins some.
+func (ds *Dispatcher) takeWork(sl *Slot) bool {
+	for _, id := range sl.Targets() {
+		if !ds.targets.TakesWork(id) {
+			return false
+		}
+	}
+	return true
+}
+
 // choose books the plan of least expected loss under the book's lock, so that two requests do not see the same room. It
 // returns nil when the prompt has to wait, and an error when it is refused.
 func (ds *Dispatcher) choose(as Ask, pr placement.Prompt, tgs []targets.Target) (*Slot, error) {
--- a/internal/dispatch/slot.go
+++ b/internal/dispatch/slot.go
@@ -43,6 +43,17 @@
 	load placement.Load
 }
 
+// Targets returns the incarnations that take part: the main one and its helpers.
+func (sl *Slot) Targets() []string {
+	ids := []string{sl.Target.ID}
+	for _, hp := range sl.Helpers {
+		if hp.ID != sl.Target.ID {
+			ids = append(ids, hp.ID)
+		}
+	}
+	return ids
+}
+
 // book adds a load that lasts until the slot's next step. The book's lock is held.
 func (sl *Slot) book(id string, lo placement.Load) {
 	sl.booked = append(sl.booked, booking{id: id, load: lo})
--- a/internal/duty/forwarding/forwarding.go
+++ b/internal/duty/forwarding/forwarding.go
@@ -101,10 +101,12 @@
 	ms.NewGauge("silvermount_targets_limited", func() float64 { return float64(limits.Limited()) })
 	permits := permit.NewClient(time.Now, limits.Of, ms)
 	backOffs := backoff.New(time.Now, rand.Float64)
+	ms.NewGauge("silvermount_targets_leaving", func() float64 { return float64(dr.LenLeaving()) })
 	ms.NewGauge("silvermount_targets_backed_off", func() float64 { return float64(backOffs.Len()) })
 	noted := &Changed{}
 	fb := feedback.New(feedback.Deps{
-		Targets: dr, Limits: limits, BackOffs: backOffs, LimitsChanged: noted.Tell, Log: env.Logger("feedback"), Now: time.Now,
+		Targets: dr, Limits: limits, BackOffs: backOffs, LeavingChanged: ch.Tell, LimitsChanged: noted.Tell,
+		Log: env.Logger("feedback"), Now: time.Now,
 	})
 	kp.Heard = func(pc reservation.Place, hd answer.Head) {
 		fb.Record(feedback.Report{Source: feedback.Order, Target: dr.Incarnation(pc.Target), Head: hd, Came: time.Now()})
--- a/internal/feedback/feedback.go
+++ b/internal/feedback/feedback.go
@@ -62,9 +62,9 @@
 	Targets  *targets.Directory
 	Limits   *ratelimit.Book
 	BackOffs *backoff.Book
-	// LimitsChanged is told when peers have to hear of a rate limit.
-	LimitsChanged func()
-	Log           log.Interface
+	// LeavingChanged and LimitsChanged are told when peers have to hear that a target leaves, and of a rate limit.
+	LeavingChanged, LimitsChanged func()
+	Log                           log.Interface
 	// Now is the steady clock.
 	Now func() time.Time
 }
@@ -125,10 +125,11 @@
 
 // noteLeaving takes the word that a target leaves.
 func (rc *Recorder) noteLeaving(tg targets.Target, rp Report) {
-	if !rp.Head.Leaving || !rc.first(malformed{target: tg.ID, MalformedError: answer.MalformedError{Fact: answer.Leaving}}) {
+	if !rp.Head.Leaving || !rc.Targets.MarkLeaving(tg.ID) {
 		return
 	}
 	rc.Log.WithFields(rc.fields(tg, rp)).Info("target leaving")
+	rc.LeavingChanged()
 }
 
 // noteLimit takes what an answer says of the rate limit of its target. One whose limits cannot be read neither sets nor lifts one.
--- a/internal/feedback/feedback_test.go
+++ b/internal/feedback/feedback_test.go
@@ -22,6 +22,8 @@
 	*feedback.Recorder
 	lines *memory.Handler
 	now   time.Time
+	// told counts how often peers were told of a target that leaves.
+	told int
 }
 
 // meant and other are listed targets.
@@ -37,7 +39,7 @@
 	dr.TakeList([]targets.Target{meant, other}, nil, position.Position{Revision: 1}, be.now)
 	be.Recorder = feedback.New(feedback.Deps{
 		Targets: dr, Limits: ratelimit.New(now), BackOffs: backoff.New(now, func() float64 { return 0 }),
-		LimitsChanged: func() {}, Log: &log.Logger{Handler: be.lines, Level: log.DebugLevel}, Now: now,
+		LeavingChanged: func() { be.told++ }, LimitsChanged: func() {}, Log: &log.Logger{Handler: be.lines, Level: log.DebugLevel}, Now: now,
 	})
 	return be
 }
@@ -91,6 +93,17 @@
 	}
 }
 
+func TestLeavingIsToldOnceAndNeverTakenBack(t *testing.T) {
+	be := newBench(t)
+	be.record(answer.Head{Verdict: answer.Failed, Leaving: true})
+	be.record(answer.Head{Leaving: true})
+	be.record(answer.Head{})
+	be.Expect(be.Targets.TakesWork(meant.ID)).To(BeFalse())
+	be.Expect(be.Targets.TakesWork(other.ID)).To(BeTrue())
+	be.Expect(be.messages()).To(Equal([]string{"target leaving"}))
+	be.Expect(be.told).To(Equal(1))
+}
+
 func TestBackOffIsLoggedWhenItBeginsAndWhenItIsOver(t *testing.T) {
 	be := newBench(t)
 	be.record(answer.Head{Verdict: answer.Shed, BackOff: time.Second})
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -71,10 +72,9 @@
 		return gw.noTarget(ctx, rq, err)
 	}
 	defer sl.Release()
-	if !gw.Targets.TakesWork(sl.Target.ID) {
-		rq.avoid = append(rq.avoid, sl.Target.ID)
-		gw.logPassedOver(rq, sl.Target, "it began to leave")
-		return failure.New(failure.TargetUnreachable, gw.outcome(rq), "the target began to leave")
+	var ce *ClosedTargetError
+	if errors.As(gw.mayLeave(sl), &ce) {
+		return gw.passOver(rq, sl, ce)
 	}
 	if rq.life.State == life.Waiting {
 		if err := gw.fire(ctx, rq, life.Dispatch); err != nil {
@@ -180,6 +180,7 @@
 	ca := upstream.Call{
 		Address: sl.Target.Address, Method: rq.method, Target: rq.target, Host: rq.host, Header: h, Body: rq.body,
 		Exclusive: rq.route.Exclusive(),
+		Leave:     func() error { return gw.mayLeave(sl) },
 		Heard:     func(resp *http.Response) bool { return gw.heard(rq, sl.Target, resp) },
 	}
 	gw.logAttempt(rq, sl)
@@ -214,6 +215,10 @@
 
 // sendFailed tells what is known after an attempt without an answer.
 func (gw *Gateway) sendFailed(ctx context.Context, rq *request, sl *dispatch.Slot, err error) error {
+	var ce *ClosedTargetError
+	if errors.As(err, &ce) && ctx.Err() == nil {
+		return gw.passOver(rq, sl, ce)
+	}
 	var se *upstream.SendError
 	if errors.As(err, &se) && !se.Sent {
 		if ctx.Err() != nil {
@@ -245,6 +250,33 @@
 	return failure.New(failure.TargetLost, failure.Unknown, "the target broke off before it answered").WithCause(err)
 }
 
+// ClosedTargetError says that a target that was chosen may not be sent the request any more.
+type ClosedTargetError struct {
+	// Target is the incarnation, the main one or a helper, and Cause a few words.
+	Target, Cause string
+}
+
+// Error names the target and the cause.
+func (ce *ClosedTargetError) Error() string { return "target " + ce.Target + " " + ce.Cause }
+
+// mayLeave returns a ClosedTargetError when one of the targets of a slot takes no work any more: what was known when it was chosen may have
+// changed during the waits since.
+func (gw *Gateway) mayLeave(sl *dispatch.Slot) error {
+	for _, id := range sl.Targets() {
+		if !gw.Targets.TakesWork(id) {
+			return &ClosedTargetError{Target: id, Cause: "began to leave"}
+		}
+	}
+	return nil
+}
+
+// passOver ends an attempt that was not sent, as one of its targets takes no work any more. The others may be chosen again.
+func (gw *Gateway) passOver(rq *request, sl *dispatch.Slot, ce *ClosedTargetError) error {
+	rq.avoid = append(slices.DeleteFunc(rq.avoid, func(id string) bool { return id == sl.Target.ID }), ce.Target)
+	gw.logPassedOver(rq, sl.Target, ce.Error())
+	return failure.New(failure.TargetUnreachable, gw.outcome(rq), "the target takes no work any more").WithRetryAfter(comeBackFull)
+}
+
 // failed notes a failed attempt at a target.
 func (gw *Gateway) failed(rq *request, tg targets.Target, err error) {
 	gw.logAttemptFailed(rq, tg, err, true)
--- /dev/null
+++ b/internal/targets/leaving_test.go
@@ -0,0 +1,108 @@
+package targets
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/silvermount/silvermount/internal/position"
+)
+
+// leavingBench is a directory on a clock that a test moves.
+type leavingBench struct {
+	*WithT
+	*Directory
+	now time.Time
+	at  position.Position
+}
+
+func newLeavingBench(t *testing.T) *leavingBench {
+	lb := &leavingBench{WithT: NewWithT(t), now: time.Unix(1000, 0)}
+	lb.Directory = New(func() time.Time { return lb.now })
+	return lb
+}
+
+// list takes a newer list of the store.
+func (lb *leavingBench) list(tgs ...Target) {
+	lb.at.Revision++
+	lb.TakeList(tgs, nil, lb.at, lb.now)
+}
+
+// TestLeavingIsNeverTakenBack marks a target as leaving by its own word, which no list says.
+func TestLeavingIsNeverTakenBack(t *testing.T) {
+	ready := Target{ID: "a@1", Name: "a", Born: time.Unix(1, 0), Service: "s", Address: "10.0.0.1:80"}
+	tests := map[string]func(lb *leavingBench){
+		"a newer list":          func(lb *leavingBench) { lb.list(ready) },
+		"an entry that is back": func(lb *leavingBench) { lb.list(); lb.list(ready) },
+		"an entry back after an hour": func(lb *leavingBench) {
+			lb.list()
+			lb.now = lb.now.Add(time.Hour)
+			lb.list()
+			lb.list(ready)
+		},
+		"an older copy": func(lb *leavingBench) {
+			lb.Restored(2, lb.now)
+			lb.at = position.Position{Era: 2}
+			lb.list(ready)
+			lb.now = lb.now.Add(time.Minute)
+			lb.Confirm(lb.now)
+		},
+		"a peer's list": func(lb *leavingBench) {
+			lb.at.Revision++
+			lb.TakeTold([]Target{ready}, Lapsed{}, lb.at, lb.now)
+		},
+		"a peer's word of a lapse": func(lb *leavingBench) {
+			lb.list()
+			lb.now = lb.now.Add(time.Hour)
+			lb.list()
+			lb.at.Revision++
+			lb.TakeTold(nil, Lapsed{Targets: []Target{ready}, Left: time.Second}, lb.at, lb.now)
+		},
+		"a store that was away": func(lb *leavingBench) { lb.Trouble(); lb.Back(lb.now); lb.list(); lb.list(ready) },
+	}
+	for name, undo := range tests {
+		t.Run(name, func(t *testing.T) {
+			lb := newLeavingBench(t)
+			lb.list(ready)
+			lb.Expect(lb.MarkLeaving(ready.ID)).To(BeTrue())
+			undo(lb)
+			lb.Expect(lb.TakesWork(ready.ID)).To(BeFalse())
+			lb.Expect(lb.Usable("s", Any)).To(BeEmpty())
+			lb.Expect(lb.MarkLeaving(ready.ID)).To(BeFalse(), "it is known")
+		})
+	}
+}
+
+func TestNextIncarnationOfALeavingTargetTakesWorkAtOnce(t *testing.T) {
+	lb := newLeavingBench(t)
+	first := Target{ID: "a@1", Name: "a", Born: time.Unix(1, 0), Service: "s", Address: "10.0.0.1:80"}
+	second := first
+	second.ID, second.Born = "a@2", time.Unix(2, 0)
+	lb.list(first)
+	lb.MarkLeaving(first.ID)
+	lb.list(second)
+	lb.Expect(lb.TakesWork(second.ID)).To(BeTrue())
+	other := Target{ID: "b@1", Name: "b", Born: time.Unix(3, 0), Service: "s", Address: first.Address}
+	lb.MarkLeaving(second.ID)
+	lb.list(other)
+	lb.Expect(lb.TakesWork(other.ID)).To(BeTrue())
+}
+
+// TestLeavingIsBounded marks far more incarnations than are remembered, and peers hear of the late ones alone.
+func TestLeavingIsBounded(t *testing.T) {
+	lb := newLeavingBench(t)
+	listed := Target{ID: "listed", Service: "s", Address: "10.0.0.1:80"}
+	lb.list(listed)
+	lb.MarkLeaving(listed.ID)
+	for no := range 2 * maxLeaving {
+		lb.now = lb.now.Add(time.Second)
+		lb.MarkLeaving(strconv.Itoa(no))
+		lb.list(listed)
+	}
+	lb.Expect(len(lb.leaving)).To(BeNumerically("<=", maxLeaving))
+	lb.Expect(len(lb.leaving)).To(BeNumerically(">=", maxLeaving/2))
+	lb.Expect(lb.TakesWork(listed.ID)).To(BeFalse())
+	lb.Expect(lb.Leaving()).To(HaveLen(int(forgetAfter/time.Second) + 2))
+}
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -13,6 +13,9 @@
 const (
 	// forgetAfter is how long a target that is gone is remembered, well past any list that still names it.
 	forgetAfter = 60 * time.Second
+	// maxLeaving bounds the incarnations remembered as leaving that have no entry, some 100 bytes each: those that leave a large fleet in
+	// several days.
+	maxLeaving = 1 << 13
 	// unreachableFor is how long a target that took no connection is first left out: about a restart's detection time.
 	// It doubles up to unreachableMost, so that a cut of some seconds is found to have healed soon after.
 	unreachableFor  = 800 * time.Millisecond
@@ -85,7 +88,8 @@
 	present map[string]presence
 	// arrivals counts the entries there were.
 	arrivals int
-	// leaving holds incarnations that were told to be leaving before they were listed.
+	// leaving is when incarnations were first told to be leaving, listed or not. They stay, since an entry may come back after any time, and
+	// none of them ever takes work again.
 	leaving map[string]time.Time
 	// store is what the own calls say of the store.
 	store outage
@@ -258,11 +262,24 @@
 		}
 	}
 	dr.forgetNames()
-	for id, at := range dr.leaving {
-		if now.Sub(at) > forgetAfter && dr.entries[id] == nil {
-			delete(dr.leaving, id)
+	dr.forgetLeaving()
+}
+
+// forgetLeaving forgets the incarnations without an entry that were told longest ago once there are too many, some at a time.
+func (dr *Directory) forgetLeaving() {
+	if len(dr.leaving) <= maxLeaving {
+		return
+	}
+	var unlisted []string
+	for id := range dr.leaving {
+		if dr.entries[id] == nil {
+			unlisted = append(unlisted, id)
 		}
 	}
+	slices.SortFunc(unlisted, func(a, b string) int { return dr.leaving[a].Compare(dr.leaving[b]) })
+	for _, id := range unlisted[:min(len(unlisted), len(dr.leaving)-maxLeaving*3/4)] {
+		delete(dr.leaving, id)
+	}
 }
 
 // MarkLeaving notes that an incarnation is leaving, whoever says so. It is never taken back. It reports whether that
@@ -280,18 +297,34 @@
 	return true
 }
 
-// Leaving returns the incarnations known to be leaving, sorted.
+// Leaving returns the incarnations known to be leaving that peers have to hear of, sorted: those with an entry, and those told lately.
 func (dr *Directory) Leaving() []string {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
+	now := dr.now()
 	ids := make([]string, 0, len(dr.leaving))
-	for id := range dr.leaving {
-		ids = append(ids, id)
+	for id, at := range dr.leaving {
+		if dr.entries[id] != nil || now.Sub(at) <= forgetAfter {
+			ids = append(ids, id)
+		}
 	}
 	slices.Sort(ids)
 	return ids
 }
 
+// LenLeaving returns how many listed targets are leaving.
+func (dr *Directory) LenLeaving() int {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	n := 0
+	for _, en := range dr.entries {
+		if en.leaving && en.goneAt.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
 // Len returns how many targets are listed.
 func (dr *Directory) Len() int {
 	dr.mu.Lock()
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -26,6 +26,9 @@
 	// Exclusive requests may run only once: they go out on new connections, since a target may drop a resting one
 	// without a sign and earlier than it said.
 	Exclusive bool
+	// Leave is asked right before anything is sent, after the wait for a connection; its error ends the call as one that was not sent. It is
+	// nil when nothing can forbid it.
+	Leave func() error
 	// Heard is told of each head that comes, and reports whether the answer belongs to this call; others are skipped.
 	Heard func(*http.Response) bool
 }
@@ -85,10 +88,10 @@
 		return nil, &SendError{Sent: false, Cause: err}
 	}
 	stop := context.AfterFunc(ctx, cn.abandon)
-	if ctx.Err() != nil {
+	if err := ca.mayLeave(ctx); err != nil {
 		stop()
 		pl.drop(ca.Address, cn)
-		return nil, &SendError{Sent: false, Cause: ctx.Err()}
+		return nil, &SendError{Sent: false, Cause: err}
 	}
 	an := &Answer{pool: pl, address: ca.Address, cn: cn, stop: stop, written: make(chan struct{}), wroteAll: new(bool)}
 	req := ca.request()
@@ -107,6 +110,14 @@
 	return an, nil
 }
 
+// mayLeave returns what forbids to send the call now.
+func (ca Call) mayLeave(ctx context.Context) error {
+	if ctx.Err() != nil || ca.Leave == nil {
+		return ctx.Err()
+	}
+	return ca.Leave()
+}
+
 // ended reports whether a read failed because the target ended the connection.
 func ended(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -463,3 +463,19 @@
 		})
 	}
 }
+
+// TestCallThatMayNotLeaveIsNotSent forbids a call once its connection is there.
+func TestCallThatMayNotLeaveIsNotSent(t *testing.T) {
+	be := newBench(t)
+	tg := startTarget(t, echo)
+	ca := call(tg.address(), "/1")
+	forbidden := &upstream.StrayAnswerError{}
+	ca.Leave = func() error { return forbidden }
+	_, err := be.pool.Do(context.Background(), ca)
+	var se *upstream.SendError
+	be.Expect(errors.As(err, &se)).To(BeTrue())
+	be.Expect(se.Sent).To(BeFalse())
+	be.Expect(errors.Is(err, forbidden)).To(BeTrue())
+	be.Expect(be.do(call(tg.address(), "/2"))).To(Equal("/2"))
+	be.Expect(tg.requests()).To(Equal([]string{"/2"}))
+}
