fix: a target that turns requests away for a time gets none from this instance until then

A target that answered 503 with Retry-After: 3 went on to get every third request of its service: 63 in 8 s, three and four from one instance within a time it had asked for. Callers on routes with one attempt were refused for it (18 of them) while two targets were idle.

No instance looked at the time in a target's 503; the choice saw a target that answers at once, and so seems idle. The class: what a target says of itself in an answer is read by nobody.

Now such a target is closed for the instance that it turned away, one more bound in the choice beside slots, memory and permits, and takes no part of a prompt and no order for memory either. The question is asked again where a request leaves. Where all targets of a service are closed a request waits for the first end if that comes in its time, else it is refused at once with the true time to come back. A 503 that names a time is no failure of the target's health: before, a target that gave no promise was left out for seconds more.

Ways weighed: a filter behind the choice (long prompts would be refused as hopeless for a rest of a second: they are judged by what the targets can do once closed ones are open); telling peers (the wish binds the instance that was turned away, and others may be welcome); opening at once at the end (60 waiters would come in one moment: TestWaitersDoNotAllComeAtOnce).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"github.com/silvermount/silvermount/internal/backoff"
 	"github.com/silvermount/silvermount/internal/failure"
 	"github.com/silvermount/silvermount/internal/permit"
 	"github.com/silvermount/silvermount/internal/placement"
@@ -42,6 +43,10 @@
 	// Allowed returns why the request may not be sent any more, and is asked at each look for a target: what allowed it when
 	// it came may be taken away while it waits. It is nil when nothing can be.
 	Allowed func() error
+	// Spare is set when the request can go to another target should this one turn it away.
+	Spare bool
+	// probe is set when the request may go to a target that is on trial after a back-off.
+	probe bool
 	// permitted is the target whose permit the request holds; empty for none.
 	permitted string
 	// refusals counts the permits that it was refused.
@@ -78,6 +83,10 @@
 	Changed func()
 	// Permits is asked before a request goes to a target that names a rate limit; nil lets all go.
 	Permits *permit.Client
+	// BackOffs is which targets want no requests of this instance; nil for none.
+	BackOffs *backoff.Book
+	// Waits is told of each request that waits for the end of a target's back-off; it may be nil.
+	Waits func(request string, tg targets.Target, wait time.Duration)
 	// TurnedElsewhere is told of each request that was not let to a target; it may be nil.
 	TurnedElsewhere func(request string, tg targets.Target, again time.Duration)
 }
@@ -108,10 +117,11 @@
 // longer one for as long as it can still be answered.
 // Release must be called on the slot.
 func (ds *Dispatcher) Acquire(ctx context.Context, as Ask) (*Slot, error) {
-	patience := as.Arrived.Add(time.Duration(waitShare * float64(as.Objective)))
+	patience := as.soon()
 	if as.long() || as.Resumed {
 		patience = as.Deadline
 	}
+	as.probe = as.probes()
 	ds.arrive(as)
 	for {
 		woken := ds.book.woken()
@@ -133,11 +143,11 @@
 			ds.targets.Chosen(sl.Target.ID)
 			return sl, nil
 		}
-		as.permitted, err = ds.turn(ctx, as)
+		as, ok, err = ds.turn(ctx, as)
 		if err != nil {
 			return nil, err
 		}
-		if as.permitted != "" {
+		if ok {
 			continue
 		}
 		// A probe goes out at once or not at all.
@@ -152,6 +162,19 @@
 	}
 }
 
+// soon is until when a request waits whose answer would else be late.
+func (as Ask) soon() time.Time {
+	return as.Arrived.Add(time.Duration(waitShare * float64(as.Objective)))
+}
+
+// patience is until when a request waits for a target that takes requests again. One whose caller reads already goes on as long as it can.
+func (as Ask) patience() time.Time {
+	if as.Resumed {
+		return as.Deadline
+	}
+	return as.soon()
+}
+
 // arrive notes a prompt that arrives.
 func (ds *Dispatcher) arrive(as Ask) {
 	if as.Service.Engine == nil || as.PromptTokens == 0 || as.Resumed {
@@ -195,7 +218,8 @@
 func (ds *Dispatcher) try(ctx context.Context, as Ask) (*Slot, bool, error) {
 	tgs := ds.usable(as)
 	if len(tgs) == 0 {
-		return nil, false, failure.New(failure.NoTarget, failure.NotRun, "no target of the service takes work").WithRetryAfter(comeBack)
+		return nil, false, failure.New(failure.NoTarget, failure.NotRun, "no target of the service takes work").
+			WithRetryAfter(ds.ReturnAfter(as.Service.Name))
 	}
 	if as.Service.Engine != nil && as.PromptTokens > 0 {
 		return ds.place(ctx, as, tgs)
@@ -270,6 +294,7 @@
 	}
 	sl := &Slot{ds: ds, Target: tgs[best], Candidates: len(tgs), At: ds.opts.Now(), Priority: -1}
 	sl.book(tgs[best].ID, placement.Load{Writers: 1})
+	ds.tried(tgs[best].ID)
 	return sl
 }
 
--- a/internal/dispatch/limit.go
+++ b/internal/dispatch/limit.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/silvermount/silvermount/internal/backoff"
 	"github.com/silvermount/silvermount/internal/failure"
 	"github.com/silvermount/silvermount/internal/permit"
 	"github.com/silvermount/silvermount/internal/targets"
@@ -25,6 +26,9 @@
 
 // closed reports whether a target takes no request of this one's now, and when it may be asked again.
 func (ds *Dispatcher) closed(as Ask, id string) (opens time.Time, closed bool) {
+	if opens, closed = ds.backedOff(as, id); closed {
+		return opens, true
+	}
 	if ds.opts.Permits == nil || as.permitted == id {
 		return time.Time{}, false
 	}
@@ -63,6 +67,8 @@
 type opening struct {
 	target targets.Target
 	at     time.Time
+	// phase is how far a back-off closes it; Open where that is not what closes it.
+	phase backoff.Phase
 }
 
 // firstOpening returns the target of a request that may be asked for again first; it reports false unless all are closed.
@@ -74,41 +80,51 @@
 		}
 		if no == 0 || at.Before(first.at) {
 			first = opening{target: tg, at: at}
+			if _, backedOff := ds.backedOff(as, tg.ID); backedOff {
+				first.phase, _ = ds.phase(tg.ID)
+			}
 		}
 		allClosed = true
 	}
 	return first, allClosed
 }
 
-// turn books the next turn for a request whose targets are all closed, at the one that opens first, waits for it and returns that
-// target. Where no turn comes in time, the request is refused at once with the time at which a target takes requests again. It returns
-// nothing where a target is open.
-func (ds *Dispatcher) turn(ctx context.Context, as Ask) (string, error) {
-	patience := as.Arrived.Add(time.Duration(waitShare * float64(as.Objective)))
+// turn gets a request whose targets are all closed to the one that opens first, and returns it changed accordingly: it waits for the end of
+// a back-off, is the one to find out whether there is one still, or books the next permit and waits for its turn. Where that does not come in
+// time, the request is refused at once with the time at which a target takes requests again. It reports false where a target is open.
+func (ds *Dispatcher) turn(ctx context.Context, as Ask) (Ask, bool, error) {
+	as.permitted = ""
 	for tries := 0; ; tries++ {
 		first, allClosed := ds.firstOpening(as)
-		if !allClosed {
-			return "", nil
+		switch {
+		case !allClosed:
+			return as, false, nil
+		case first.phase == backoff.OnTrial:
+			as.probe = true
+			return as, true, nil
+		case first.phase == backoff.Closed:
+			return as, true, ds.awaitBackOff(ctx, as, first)
 		}
 		now := ds.opts.Now()
-		ahead := min(turnMost, patience.Sub(now))
+		ahead := min(turnMost, as.soon().Sub(now))
 		if first.at.Sub(now) > ahead || tries >= permitTries {
-			return "", failure.New(failure.Overloaded, failure.NotRun, "all targets name a rate limit that is used up").
+			return as, false, failure.New(failure.Overloaded, failure.NotRun, "all targets name a rate limit that is used up").
 				WithRetryAfter(max(first.at.Sub(now), comeBack))
 		}
 		an := ds.take(ctx, as, first.target, ahead)
 		if ctx.Err() != nil {
-			return "", ctx.Err()
+			return as, false, ctx.Err()
 		}
 		if !an.Granted {
 			continue
 		}
 		due := ds.opts.Now().Add(an.After)
 		if err := sleep(ctx, an.After); err != nil {
-			return "", err
+			return as, false, err
 		}
 		if ds.opts.Now().Sub(due) < turnLateMost {
-			return first.target.ID, nil
+			as.permitted = first.target.ID
+			return as, true, nil
 		}
 	}
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/silvermount/silvermount/internal/backoff"
 	"github.com/silvermount/silvermount/internal/failure"
 	"github.com/silvermount/silvermount/internal/placement"
 	"github.com/silvermount/silvermount/internal/targets"
@@ -82,7 +83,7 @@
 // takeWork reports whether all targets of a slot still take work: an order for memory begins some.
 func (ds *Dispatcher) takeWork(sl *Slot) bool {
 	for _, id := range sl.Targets() {
-		if !ds.targets.TakesWork(id) {
+		if !ds.targets.TakesWork(id) || ds.isBackedOff(id) {
 			return false
 		}
 	}
@@ -152,8 +153,10 @@
 	cands := make([]placement.Target, len(tgs))
 	for i, tg := range tgs {
 		_, closed := ds.closed(as, tg.ID)
+		ph, _ := ds.phase(tg.ID)
 		cands[i] = placement.Target{
-			Name: tg.ID, Near: tg.AvailabilityZone == ds.opts.AvailabilityZone, Load: ds.book.total(tg.ID), Pace: 1, Helper: true,
+			Name: tg.ID, Near: tg.AvailabilityZone == ds.opts.AvailabilityZone, Load: ds.book.total(tg.ID), Pace: 1,
+			Helper: ph == backoff.Open,
 			Closed: closed,
 		}
 		if ds.book.isFull(tg.ID, now) {
@@ -183,6 +186,7 @@
 		reading = reading.WithMemory(0)
 	}
 	sl.book(pl.Main, reading)
+	ds.tried(pl.Main)
 	for _, id := range pl.Helpers {
 		sl.Helpers = append(sl.Helpers, Helper{ID: id, Address: byID[id].Address})
 		sl.book(id, pr.Helping(parts))
--- a/internal/duty/forwarding/forwarding.go
+++ b/internal/duty/forwarding/forwarding.go
@@ -79,6 +79,15 @@
 	}
 }
 
+// waits returns what logs a request that waits for the end of a target's back-off.
+func waits(lg log.Interface) func(request string, tg targets.Target, wait time.Duration) {
+	return func(request string, tg targets.Target, wait time.Duration) {
+		lg.WithFields(log.Fields{
+			"request": request, "target": tg.ID, "service": tg.Service, "wait": wait.Round(time.Millisecond).String(),
+		}).Info("all targets are backed off from")
+	}
+}
+
 // releaseMost bounds the wait for the last memory to be given back: a few round trips, and less than what a stop leaves of
 // the grace.
 const releaseMost = 100 * time.Millisecond
@@ -114,6 +123,7 @@
 	ds := dispatch.New(dr, kp, dispatch.Options{
 		Instance: env.Settings.Instance, AvailabilityZone: env.Settings.AvailabilityZone, Now: time.Now, Changed: ch.Tell,
 		Permits: permits, TurnedElsewhere: turnedElsewhere(env.Logger("dispatch"), limits),
+		BackOffs: backOffs, Waits: waits(env.Logger("dispatch")),
 	})
 	ld := blame.New(blame.Options{
 		Now: time.Now, Targets: dr.Len, Gone: dr.Lost, Changed: noted.Tell, Metrics: ms, Log: env.Logger("blame"),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
+	"github.com/silvermount/silvermount/internal/backoff"
 	"github.com/silvermount/silvermount/internal/blame"
 	"github.com/silvermount/silvermount/internal/budget"
 	"github.com/silvermount/silvermount/internal/dispatch"
@@ -32,9 +33,10 @@
 	Pool       *upstream.Pool
 	Retries    *budget.Retries
 	Blame      *blame.Ledger
-	// Feedback takes the head of each answer, and Limits is what follows from them of rate limits.
+	// Feedback takes the head of each answer, and Limits and BackOffs are what follows from them.
 	Feedback *feedback.Recorder
 	Limits   *ratelimit.Book
+	BackOffs *backoff.Book
 	Bodies   *budget.Memory
 	Metrics  *metrics.Set
 	Log      log.Interface
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -34,7 +34,12 @@
 	case answer.Unproven:
 		rq.known.Add(failure.Unknown)
 		err := &UnprovenAnswerError{Status: an.StatusCode}
-		gw.failed(rq, sl.Target, err)
+		if rq.head.BackOff > 0 {
+			// A target that says when to come back is no sick one.
+			gw.logAttemptFailed(rq, sl.Target, err, true)
+		} else {
+			gw.failed(rq, sl.Target, err)
+		}
 		return failure.New(failure.TargetLost, failure.Unknown, "the answer cannot be passed on").WithCause(err)
 	}
 	rq.known.Add(failure.Unknown)
@@ -66,7 +71,8 @@
 	atFault := rq.head.AtFault
 	sl.Shed(atFault)
 	gw.logAttemptFailed(rq, sl.Target, &ShedError{Status: an.StatusCode, AtFault: atFault}, true)
-	return failure.New(failure.TargetShed, gw.outcome(rq), "the target has no room").WithRetryAfter(comeBackFull)
+	return failure.New(failure.TargetShed, gw.outcome(rq), "the target has no room").
+		WithRetryAfter(gw.Dispatcher.ReturnAfter(rq.service))
 }
 
 // ShedError says that a target turned a request away without running it.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -112,6 +112,7 @@
 		Objective: rq.route.Objective, LongestPause: rq.route.LongestPause, Patience: rq.route.Patience,
 		Arrived: rq.arrived, Deadline: rq.due.At, Priority: rq.priority(), Resumed: rq.lastEvent >= 0,
 		Caution: rq.caution(), Allowed: func() error { return gw.stillAllowed(rq) },
+		Spare: len(rq.tried) == 0 && rq.route.MaxAttempts > 1 && gw.Retries.Left(),
 	}
 }
 
@@ -266,15 +267,19 @@
 		if !gw.Targets.TakesWork(id) {
 			return &ClosedTargetError{Target: id, Cause: "began to leave"}
 		}
+		if _, backedOff := gw.BackOffs.Until(id); backedOff {
+			return &ClosedTargetError{Target: id, Cause: "wants no requests now"}
+		}
 	}
 	return nil
 }
 
-// passOver ends an attempt that was not sent, as one of its targets takes no work any more. The others may be chosen again.
+// passOver ends an attempt that was not sent, as one of its targets takes no requests now. Any may be chosen again, as far as it does.
 func (gw *Gateway) passOver(rq *request, sl *dispatch.Slot, ce *ClosedTargetError) error {
-	rq.avoid = append(slices.DeleteFunc(rq.avoid, func(id string) bool { return id == sl.Target.ID }), ce.Target)
+	rq.avoid = slices.DeleteFunc(rq.avoid, func(id string) bool { return id == sl.Target.ID })
 	gw.logPassedOver(rq, sl.Target, ce.Error())
-	return failure.New(failure.TargetUnreachable, gw.outcome(rq), "the target takes no work any more").WithRetryAfter(comeBackFull)
+	return failure.New(failure.TargetUnreachable, gw.outcome(rq), "the target takes no requests now").
+		WithRetryAfter(gw.Dispatcher.ReturnAfter(rq.service))
 }
 
 // failed notes a failed attempt at a target.
