fix: peers of an instance that was turned away prefer other targets

A back-off binds the instance that was turned away, and its peers may be welcome. So they hear of it as of any load: the target looks full to them for as long, they go there when the others have no room, and nothing is refused for it. A request that was turned away once is no probe of a target whose back-off is over, however long nobody asked.

--- a/internal/dispatch/backoff.go
+++ b/internal/dispatch/backoff.go
@@ -6,6 +6,7 @@
 
 	"github.com/silvermount/silvermount/internal/backoff"
 	"github.com/silvermount/silvermount/internal/failure"
+	"github.com/silvermount/silvermount/internal/placement"
 	"github.com/silvermount/silvermount/internal/targets"
 )
 
@@ -13,7 +14,8 @@
 // choice. It is closed until its back-off is over, as one without a permit is, and helps nobody either. A request that can go elsewhere then
 // finds out whether it takes work again.
 
-// unprobedFor is the time after a back-off from which any request may go there, if none that can go elsewhere came by.
+// unprobedFor is the time after a back-off from which any request may go there that was not turned away yet, if none that can go elsewhere
+// came by.
 const unprobedFor = time.Second
 
 // probes reports whether a request may find out whether a target takes work again: it loses nothing when it is turned away.
@@ -30,7 +32,7 @@
 		return at, true
 	case backoff.OnTrial:
 		now := ds.opts.Now()
-		return now, !as.probe && now.Sub(at) < unprobedFor
+		return now, !as.probe && (as.Retried || now.Sub(at) < unprobedFor)
 	case backoff.Open:
 	}
 	return time.Time{}, false
@@ -59,6 +61,41 @@
 	}
 }
 
+// hintMost bounds how long a back-off of this instance is a load in the eyes of its peers.
+const hintMost = 10 * time.Second
+
+// TurnedAway notes that the target turned the request away for a time. For peers, who may be welcome there, that is a load like any other:
+// they prefer other targets as long as these have room, and need not all be turned away before they know.
+func (sl *Slot) TurnedAway(backOff time.Duration) {
+	if !sl.ds.hint(sl.Target.ID) {
+		return
+	}
+	load := placement.Load{Writers: max(1, sl.Target.Slots)}
+	if sl.engine != nil {
+		load = placement.Load{Parts: sl.engine.ReadWithin(failedReading)}
+	}
+	span := min(backOff, hintMost)
+	sl.ds.addFor(span, sl.Target.ID, load)
+	time.AfterFunc(span, func() { sl.ds.unhint(sl.Target.ID) })
+}
+
+// hint reports whether peers are not told of a back-off yet.
+func (ds *Dispatcher) hint(id string) bool {
+	ds.book.mu.Lock()
+	defer ds.book.mu.Unlock()
+	if _, hinted := ds.book.hinted[id]; hinted {
+		return false
+	}
+	ds.book.hinted[id] = struct{}{}
+	return true
+}
+
+func (ds *Dispatcher) unhint(id string) {
+	ds.book.mu.Lock()
+	defer ds.book.mu.Unlock()
+	delete(ds.book.hinted, id)
+}
+
 // BackedOffError says that a request finds no target for the back-offs of all.
 type BackedOffError struct {
 	// Target is the incarnation whose back-off ends first, and After the time until then.
--- a/internal/dispatch/backoff_test.go
+++ b/internal/dispatch/backoff_test.go
@@ -153,3 +153,34 @@
 		})
 	}
 }
+
+// TestPeersPreferTargetsThatTurnNobodyAway plays with two instances of which one was turned away.
+func TestPeersPreferTargetsThatTurnNobodyAway(t *testing.T) {
+	for name, ask := range map[string]func() dispatch.Ask{"plain": plain, "prompt": func() dispatch.Ask { return prompt(1000) }} {
+		t.Run(name, func(t *testing.T) {
+			backOffBench(t, 2, func(be *bench, _ *backoff.Book) {
+				peer := newBench(be.t, 2)
+				sl := be.take(ask())
+				sl.TurnedAway(time.Second)
+				sl.TurnedAway(time.Second)
+				sl.Release()
+				peer.Heard("i", be.Own())
+				for range 2 {
+					be.Expect(peer.take(ask()).Target.ID).NotTo(Equal(sl.Target.ID))
+				}
+				time.Sleep(2 * time.Second)
+				be.Expect(be.Own()).To(BeEmpty(), "it is over with the back-off")
+			})
+		})
+	}
+}
+
+func TestRetriedRequestIsNoProbe(t *testing.T) {
+	backOffBench(t, 2, func(be *bench, bk *backoff.Book) {
+		bk.Ask(id(0), time.Second, time.Now())
+		time.Sleep(time.Minute)
+		as := plain()
+		as.Retried = true
+		be.Expect(be.take(as).Target.ID).To(Equal(id(1)))
+	})
+}
--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -20,6 +20,8 @@
 	told map[string]placement.Load
 	// fullUntil is when a target that had no memory may be taken at its predicted load again, by incarnation.
 	fullUntil map[string]time.Time
+	// hinted holds the incarnations whose back-off from this instance is told to peers as a load.
+	hinted map[string]struct{}
 	// freed is closed and replaced when room may have become free.
 	freed chan struct{}
 }
@@ -27,7 +29,7 @@
 func newBook() *book {
 	return &book{
 		own: map[string]placement.Load{}, peers: map[string]map[string]placement.Load{}, told: map[string]placement.Load{},
-		fullUntil: map[string]time.Time{}, freed: make(chan struct{}),
+		fullUntil: map[string]time.Time{}, hinted: map[string]struct{}{}, freed: make(chan struct{}),
 	}
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -43,8 +43,8 @@
 	// Allowed returns why the request may not be sent any more, and is asked at each look for a target: what allowed it when
 	// it came may be taken away while it waits. It is nil when nothing can be.
 	Allowed func() error
-	// Spare is set when the request can go to another target should this one turn it away.
-	Spare bool
+	// Spare is set when the request can go to another target should this one turn it away, and Retried when one did.
+	Spare, Retried bool
 	// probe is set when the request may go to a target that is on trial after a back-off.
 	probe bool
 	// permitted is the target whose permit the request holds; empty for none.
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -22,6 +22,9 @@
 	if verdict != answer.Misdirected {
 		rq.tried = append(rq.tried, sl.Target.ID)
 	}
+	if rq.head.BackOff > 0 {
+		sl.TurnedAway(rq.head.BackOff)
+	}
 	switch verdict {
 	case answer.Shed:
 		return gw.shed(rq, sl, an)
