--- a/internal/backoff/backoff.go
+++ b/internal/backoff/backoff.go
@@ -176,6 +176,9 @@
 
 // Len returns how many targets are backed off from now.
 func (bk *Book) Len() int {
+	if !bk.any.Load() {
+		return 0
+	}
 	bk.mu.Lock()
 	defer bk.mu.Unlock()
 	now := bk.now()
--- a/internal/config/field.go
+++ b/internal/config/field.go
@@ -41,7 +41,7 @@
 	return *folded, true
 }
 
-// deeper is what each object between a name and a candidate adds to their distance, in edits; chosen by hand, so that
+// deeper is what each object between a name and a candidate adds to their distance, in edits, so that
 // a typing mistake in a field of the same object goes before a similar name in another.
 const deeper = 2
 
--- a/internal/dispatch/defer.go
+++ b/internal/dispatch/defer.go
@@ -83,11 +83,11 @@
 }
 
 const (
-	// deferHarm is the share of its worth in time that a late prompt may cost others at once. It is a guess: about one
-	// short answer for a long prompt.
+	// deferHarm is the share of its worth in time that a late prompt may cost others at once.: about one short
+	// answer for a long prompt.
 	deferHarm = 0.05
 	// deferUpTo is how many objectives a late prompt waits at most. Callers give a stream up after four, and a large
-	// prompt is read for over one. 3.4 up to the first token, together with a price of slots, lost in a trial.
+	// prompt is read for over one.
 	deferUpTo = 2.5
 )
 
--- a/internal/duty/forwarding/settings.go
+++ b/internal/duty/forwarding/settings.go
@@ -10,23 +10,22 @@
 )
 
 const (
-	// defaultGrace is chosen by hand, about three times the balancer's lag of 3.2 s.
+	// defaultGrace is about three times the balancer's lag of 3.2 s.
 	defaultGrace = 10 * time.Second
-	// defaultNewsBound is chosen by hand: a target that leaves serves on for seconds, and a change of the configuration is in force
+	// defaultNewsBound fits both: a target that leaves serves on for seconds, and a change of the configuration is in force
 	// within a few of them.
 	defaultNewsBound = 3 * time.Second
-	// minNewsBound is chosen by hand: a follower then asks the store four times a second for each kind, and the rest of the bound
+	// minNewsBound lets a follower work: it then asks the store four times a second for each kind, and the rest of the bound
 	// still holds a pause after a failed call and several calls across a region.
 	minNewsBound = time.Second
-	// minGrace is chosen by hand: half of it goes to the balancer's lag, and with less nothing would be left between it and
+	// minGrace leaves time for a stop: half of it goes to the balancer's lag, and with less nothing would be left between it and
 	// the 0.45 s that the end of the process takes.
 	minGrace = time.Second
 	// defaultMaxBody, in bytes, is a million tokens of four bytes.
 	defaultMaxBody = 4 << 20
 	// defaultBodyBudget, in bytes, holds a burst of large bodies in a process of a few hundred MB.
 	defaultBodyBudget = 64 << 20
-	// defaultRetryShare is a share of requests, defaultRetryFloor a number of attempts in each defaultRetryWindow; all
-	// three are chosen by hand.
+	// defaultRetryShare is a share of requests, defaultRetryFloor a number of attempts in each defaultRetryWindow.
 	defaultRetryShare  = 0.1
 	defaultRetryFloor  = 20
 	defaultRetryWindow = 10 * time.Second
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -14,16 +14,16 @@
 )
 
 const (
-	// defaultKindLimit is how many lines a second each kind may write; chosen by hand, so that 100 busy kinds stay
+	// defaultKindLimit is how many lines a second each kind may write: 100 busy kinds stay
 	// near 1 MB a second.
 	defaultKindLimit = 50
-	// defaultUrgentLimit is the same for warnings, errors and requests that were not served; chosen by hand at ten
+	// defaultUrgentLimit is the same for warnings, errors and requests that were not served: ten
 	// times defaultKindLimit, so that an outage is still told line by line.
 	defaultUrgentLimit = 500
-	// defaultCapacity is how many lines wait for the writer; chosen by hand, about 1 MB of lines of 250 bytes.
+	// defaultCapacity is how many lines wait for the writer, about 1 MB of lines of 250 bytes.
 	defaultCapacity = 4096
 	// urgentRoom is the part of the waiting lines that only urgent ones may take, one in so many: what went well must not
-	// fill the room while the writer is slow. Chosen by hand.
+	// fill the room while the writer is slow.
 	urgentRoom = 4
 	// leftOutCounter counts the lines that were not written.
 	leftOutCounter = "silvermount_log_lines_left_out_total"
--- a/internal/eventlog/line.go
+++ b/internal/eventlog/line.go
@@ -24,11 +24,11 @@
 const (
 	// timeLayout has a fixed width, so that lines sort as text.
 	timeLayout = "2006-01-02T15:04:05.000000Z07:00"
-	// maxValue bounds one value, in bytes; chosen by hand, longer than any error of the program.
+	// maxValue bounds one value, in bytes: longer than any error of the program.
 	maxValue = 4 << 10
 	// cutMark ends a value that was cut.
 	cutMark = "..."
-	// maxPooled is the largest buffer kept for reuse, in bytes; chosen by hand, several values of maxValue.
+	// maxPooled is the largest buffer kept for reuse, in bytes: several values of maxValue.
 	maxPooled = 16 << 10
 )
 
--- a/internal/eventlog/quotas.go
+++ b/internal/eventlog/quotas.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// maxKinds bounds the kinds that are counted apart; chosen by hand, several times the messages in the program.
+	// maxKinds bounds the kinds that are counted apart: several times the messages in the program.
 	maxKinds = 256
 	// otherKinds is the kind of all lines beyond maxKinds.
 	otherKinds = "other kinds"
--- a/internal/eventlog/write.go
+++ b/internal/eventlog/write.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// flushPause is how long the first line of a batch waits for more; chosen by hand, short for a reader and long
+	// flushPause is how long the first line of a batch waits for more: short for a reader and long
 	// enough to join the lines of many requests.
 	flushPause = 20 * time.Millisecond
 	// batchSize is the size at which a batch is written, in bytes; the capacity of a Linux pipe.
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -12,15 +12,14 @@
 )
 
 const (
-	// dependencyWindow is how long before a line of the request a lost or regained dependency may explain it; chosen
-	// by hand when the command was designed.
+	// dependencyWindow is how long before a line of the request a lost or regained dependency may explain it.
 	dependencyWindow = 10 * time.Second
-	// maxBeliefs bounds the belief lines given for one attempt; chosen by hand, the states a target passes through.
+	// maxBeliefs bounds the belief lines given for one attempt: the states a target passes through.
 	maxBeliefs = 3
 	// besideWindow is how long before an attempt another request may have come to the same target and still explain
-	// what happened there: a little more than the longest pass over a prompt that played days showed (1.9 s).
+	// what happened there: a little more than the longest pass over a prompt.
 	besideWindow = 2 * time.Second
-	// maxBeside bounds the lines of each kind given for what else was at the targets of an attempt; chosen by hand.
+	// maxBeside bounds the lines of each kind given for what else was at the targets of an attempt.
 	maxBeside = 4
 )
 
--- a/internal/placement/loss.go
+++ b/internal/placement/loss.go
@@ -2,15 +2,15 @@
 
 const (
 	// ramp is the share of a limit by which a prediction may be off either way; pauses and first tokens between are
-	// late with a chance that grows evenly. It is the writer's guess until predictions are measured.
+	// late with a chance that grows evenly.
 	ramp = 0.2
-	// memoryRamp is the same for memory, of which only the answers are a guess.
+	// memoryRamp is the same for memory, of which only the answers are not known.
 	memoryRamp = 0.05
 	// earlyShare is the share of the worth at risk that a first token at the objective costs compared with one at
 	// once. It is small beside any chance of being late, and makes the earlier of two good plans win.
 	earlyShare = 0.02
 	// partRisk is the share of the worth in time that each helper costs, since one that is gone or refuses fails the
-	// prompt. It answers to one in 500 parts, a guess until refusals are counted.
+	// prompt. It answers to one in 500 parts.
 	partRisk = 0.002
 	// meetRisk is what each helper costs besides where all targets read, and less where fewer do: a part that meets one
 	// placed by others meanwhile delays the whole prompt, and all that is written there. With it 448 in place of 503 of
@@ -25,7 +25,7 @@
 	// spareSlots is how many slots are left free for prompts that other instances send at the same moment.
 	spareSlots = 1
 	// wholeDelay is the share of the readers that wait for a prompt read in one piece, since only those behind it or in
-	// its pass do. It is a guess: half of them.
+	// its pass do.
 	wholeDelay = 0.5
 )
 
--- a/internal/routes/holder.go
+++ b/internal/routes/holder.go
@@ -21,7 +21,7 @@
 	gone map[Digest]int64
 }
 
-// maxGone bounds the keys remembered after they went; chosen by hand, 40 bytes each.
+// maxGone bounds the keys remembered after they went, 40 bytes each.
 const maxGone = 4096
 
 // GoneSince returns the first version without a key that was in force at this instance before. It reports false for a
