fix(dispatch): targets that want no requests do not stand for those that a request would rather not choose

A request that may run only once leaves out targets that failed lately, and the probe of an availability zone looks at that zone alone. Where all that was left wanted no requests or had no permits, the request was refused although others were open. Found by reading; the same held for rate limits. It now looks among all before it waits or is refused. TestClosedTargetsOfAProbeOrASureChoiceLeaveTheOthers fails without.

--- a/internal/dispatch/backoff_test.go
+++ b/internal/dispatch/backoff_test.go
@@ -13,6 +13,7 @@
 	"github.com/silvermount/silvermount/internal/backoff"
 	"github.com/silvermount/silvermount/internal/dispatch"
 	"github.com/silvermount/silvermount/internal/failure"
+	"github.com/silvermount/silvermount/internal/targets"
 )
 
 // backOffBench plays with targets that want no requests for a while.
@@ -184,3 +185,35 @@
 		be.Expect(be.take(as).Target.ID).To(Equal(id(1)))
 	})
 }
+
+// TestClosedTargetsOfAProbeOrASureChoiceLeaveTheOthers: what a request would rather choose from wants no requests, and others do.
+func TestClosedTargetsOfAProbeOrASureChoiceLeaveTheOthers(t *testing.T) {
+	tests := map[string]func(be *bench, as *dispatch.Ask){
+		"one that runs once, beside a target that failed": func(be *bench, as *dispatch.Ask) {
+			as.Caution = targets.Sure
+			for range 2 {
+				be.directory.Failure(id(0))
+			}
+		},
+		"the probe of an availability zone": func(be *bench, _ *dispatch.Ask) {
+			be.directory.Unreachable(id(1))
+			be.directory.Unreachable(id(2))
+			time.Sleep(time.Second)
+		},
+	}
+	for name, edit := range tests {
+		t.Run(name, func(t *testing.T) {
+			backOffBench(t, 1, func(be *bench, bk *backoff.Book) {
+				be.put(1, "far", false)
+				be.put(2, "far", false)
+				as := plain()
+				edit(be, &as)
+				for no := 1; no <= 2; no++ {
+					bk.Ask(id(no), time.Minute, time.Now())
+				}
+				as.Arrived, as.Deadline = time.Now(), time.Now().Add(deadline)
+				be.Expect(be.take(as).Target.ID).To(Equal(id(0)))
+			})
+		})
+	}
+}
--- a/internal/dispatch/limit.go
+++ b/internal/dispatch/limit.go
@@ -99,6 +99,10 @@
 		switch {
 		case !allClosed:
 			return as, false, nil
+		case as.Caution != targets.Proven:
+			// Those that failed lately may be open, or those of other availability zones than the one that a probe was for.
+			as.Caution = targets.Proven
+			return as, true, nil
 		case first.phase == backoff.OnTrial:
 			as.probe = true
 			return as, true, nil
