--- a/internal/dispatch/defer.go
+++ b/internal/dispatch/defer.go
@@ -83,7 +83,7 @@
 }
 
 const (
-	// deferHarm is the share of its worth in time that a late prompt may cost others at once.: about one short
+	// deferHarm is the share of its worth in time that a late prompt may cost others at once: about one short
 	// answer for a long prompt.
 	deferHarm = 0.05
 	// deferUpTo is how many objectives a late prompt waits at most. Callers give a stream up after four, and a large
