fix(reply): an answer that begins late still reaches its caller

What callers saw: the connection ended without an answer, in place of a 504 or a refusal, when the process that served the request had been held up (no processor, suspended) until more than 250 ms after the request's deadline. TestAttemptThatTheTimeEndsLeavesALine showed it twice on a busy machine: attempt given up 1.13 s after it began where 0.5 s were allowed, "answer not passed on", cause "flush to caller: i/o timeout".

Cause: the bound for writing was set once, when the request came, to the deadline and 250 ms. A process that goes on after that writes to a connection whose bound is over, so that the final error is lost with it. In the same way a body whose bound passed while nobody read it was taken for a caller that had gone, and the connection was broken off although the request had been sent nowhere.

Ruled out: load alone. The five cases of TestInstanceHeldUpPastADeadlineStillAnswers hold a reader up for half a second on an idle machine; before the change all five end without an answer, every time.

Change: the bound is set again when the answer begins (deadline.BindAnswer), 250 ms from the deadline or from now, whichever is later; a caller that does not read is still cut off. A body that does not come in time is refused as deadline_exceeded, "not run", with a time to come back, in both roles.

--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -4,6 +4,7 @@
 import (
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,8 +13,8 @@
 	"github.com/silvermount/silvermount/internal/failure"
 )
 
-// chunkStep is how much of a body of unknown length is accounted for at a time, in bytes: the authors' choice, about the
-// length of a prompt of 16,000 tokens.
+// chunkStep is how much of a body of unknown length is accounted for at a time, in bytes: about the length of a prompt of
+// 16,000 tokens.
 const chunkStep = 64 << 10
 
 // Reader reads bodies within a bound and within the memory that all requests share.
@@ -21,7 +22,7 @@
 	Memory *budget.Memory
 	// Most bounds one body, in bytes.
 	Most int64
-	// ComeBack is when a caller should come back for whom there is no memory.
+	// ComeBack is when a caller should come back for whom there is no memory, or whose body did not come in time.
 	ComeBack time.Duration
 	// Broken is the kind of failure of a body that does not come whole.
 	Broken failure.Code
@@ -84,5 +85,10 @@
 }
 
 func (rd Reader) broken(err error) error {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		// The caller may still be there: it is told that its request has not run.
+		return failure.New(failure.DeadlineExceeded, failure.NotRun, "the body did not come in time").
+			WithCause(errors.Wrap(err, "read body")).WithRetryAfter(rd.ComeBack)
+	}
 	return failure.New(rd.Broken, failure.NotRun, "the body could not be read").WithCause(errors.Wrap(err, "read body"))
 }
--- a/internal/body/body_test.go
+++ b/internal/body/body_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -24,6 +25,9 @@
 	torn := func(n int) io.Reader {
 		return io.MultiReader(strings.NewReader(strings.Repeat("x", n)), iotest.ErrReader(io.ErrUnexpectedEOF))
 	}
+	slow := func(n int) io.Reader {
+		return io.MultiReader(strings.NewReader(strings.Repeat("x", n)), iotest.ErrReader(os.ErrDeadlineExceeded))
+	}
 	whole := func(n int) io.Reader { return strings.NewReader(strings.Repeat("x", n)) }
 	tests := map[string]struct {
 		from io.Reader
@@ -39,6 +43,8 @@
 		"of known length, too large":        {whole(11), 11, 20, 10, 0, 0, failure.TooLarge},
 		"of known length, no memory":        {whole(10), 10, 9, 10, 0, 0, failure.NoMemory},
 		"of known length, torn":             {torn(5), 10, 10, 10, 0, 10, failure.CallerGone},
+		"of known length, too slow":         {slow(5), 10, 10, 10, 0, 10, failure.DeadlineExceeded},
+		"of unknown length, too slow":       {slow(5), -1, chunk, 10, 0, chunk, failure.DeadlineExceeded},
 		"of unknown length":                 {whole(10), -1, chunk, 10, 10, chunk, ""},
 		"of unknown length, empty":          {whole(0), -1, chunk, 10, 0, chunk, ""},
 		"of unknown length, several steps":  {whole(chunk + 1), -1, 2 * chunk, 2 * chunk, chunk + 1, 2 * chunk, ""},
@@ -67,7 +73,8 @@
 			fe := failure.Of(err)
 			g.Expect(fe.Code).To(Equal(tc.wantCode))
 			g.Expect(fe.Outcome).To(Equal(failure.NotRun))
-			g.Expect(fe.RetryAfter > 0).To(Equal(tc.wantCode == failure.NoMemory))
+			comesBack := tc.wantCode == failure.NoMemory || tc.wantCode == failure.DeadlineExceeded
+			g.Expect(fe.RetryAfter > 0).To(Equal(comesBack))
 		})
 	}
 }
--- a/internal/deadline/deadline.go
+++ b/internal/deadline/deadline.go
@@ -9,8 +9,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// answerGrace is the time after a deadline within which the final error may still be written: the authors' choice, well
-// over a round trip to a caller.
+// answerGrace is the time that an answer has to reach its caller which begins when the answer is due, or later. It is
+// well over a round trip.
 const answerGrace = 250 * time.Millisecond
 
 // Deadline is when a caller's answer is due.
@@ -45,6 +45,16 @@
 	return errors.Wrap(rc.SetWriteDeadline(dl.At.Add(answerGrace)), "bound the answer")
 }
 
+// BindAnswer bounds the writing of an answer that begins now. One that begins late, as the process was held up, gets as
+// long as one that begins in time: its caller still learns what became of the request.
+func (dl Deadline) BindAnswer(rc *http.ResponseController, now time.Time) error {
+	by := dl.At
+	if now.After(by) {
+		by = now
+	}
+	return errors.Wrap(rc.SetWriteDeadline(by.Add(answerGrace)), "bound the answer")
+}
+
 // BodyRead ends the bound for the body, which is read to its end: left in place it would look like a caller that goes
 // away. After a body that did not come it stays, else the server would wait for the rest before it ends the connection.
 func (dl Deadline) BodyRead(rc *http.ResponseController) error {
--- a/internal/reply/reply.go
+++ b/internal/reply/reply.go
@@ -3,9 +3,11 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/silvermount/silvermount/internal/deadline"
 	"github.com/silvermount/silvermount/internal/failure"
 )
 
@@ -13,6 +15,8 @@
 type Writer struct {
 	w  http.ResponseWriter
 	rc *http.ResponseController
+	// due bounds the writing; its zero value bounds nothing.
+	due deadline.Deadline
 	// status is what was written; zero before.
 	status int
 }
@@ -26,6 +30,9 @@
 // Control returns the controls of the caller's connection.
 func (wr *Writer) Control() *http.ResponseController { return wr.rc }
 
+// Due bounds the writing of an answer that has not begun by the time when it is due.
+func (wr *Writer) Due(dl deadline.Deadline) { wr.due = dl }
+
 // Started reports whether a status line was written.
 func (wr *Writer) Started() bool { return wr.status != 0 }
 
@@ -38,6 +45,10 @@
 		return
 	}
 	wr.status = status
+	if !wr.due.At.IsZero() {
+		// It fails on a connection that has ended, which the next write tells, and on a writer that is none.
+		_ = wr.due.BindAnswer(wr.rc, time.Now())
+	}
 	wr.w.WriteHeader(status)
 }
 
--- a/internal/reply/reply_test.go
+++ b/internal/reply/reply_test.go
@@ -1,13 +1,16 @@
 package reply_test
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
+	"github.com/silvermount/silvermount/internal/deadline"
 	"github.com/silvermount/silvermount/internal/failure"
 	"github.com/silvermount/silvermount/internal/reply"
 )
@@ -81,3 +84,28 @@
 	g.Expect(rec.Code).To(Equal(http.StatusAccepted))
 	g.Expect(rec.Header().Get("Content-Type")).To(Equal("text/plain"))
 }
+
+// TestAnswerAfterItsBoundReachesTheCaller begins an answer long after the time it was due.
+func TestAnswerAfterItsBoundReachesTheCaller(t *testing.T) {
+	g := NewWithT(t)
+	sv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		due := deadline.Deadline{At: time.Now().Add(-time.Minute)}
+		wr := reply.New(w)
+		if err := due.Bind(wr.Control(), time.Now().Add(time.Minute)); err != nil {
+			t.Error(err)
+		}
+		wr.Due(due)
+		wr.Start(http.StatusGatewayTimeout)
+		if err := wr.Pass([]byte("late"), true); err != nil {
+			t.Error(err)
+		}
+	}))
+	defer sv.Close()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, sv.URL, http.NoBody)
+	g.Expect(err).NotTo(HaveOccurred())
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	g.Expect(resp.StatusCode).To(Equal(http.StatusGatewayTimeout))
+	g.Expect(io.ReadAll(resp.Body)).To(BeEquivalentTo("late"))
+}
--- a/internal/serve/inference.go
+++ b/internal/serve/inference.go
@@ -44,7 +44,7 @@
 	if sv.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
-	ctx, end, err := sv.begin(w, r, rq)
+	ctx, end, err := sv.begin(r, rq, sk)
 	if err != nil {
 		sv.countError(err)
 		sk.fail(err)
--- a/internal/serve/request.go
+++ b/internal/serve/request.go
@@ -116,12 +116,13 @@
 }
 
 // begin bounds a request by its deadline and its organisation's limit. end is called exactly once.
-func (sv *Server) begin(w http.ResponseWriter, r *http.Request, rq *request) (ctx context.Context, end func(), err error) {
+func (sv *Server) begin(r *http.Request, rq *request, sk *sink) (ctx context.Context, end func(), err error) {
 	if !sv.enter(rq.org) {
 		return nil, nil, failure.New(failure.LimitReached, failure.NotRun, "%s has %d requests in flight",
 			rq.org.Name, rq.org.MaxConcurrent).WithRetryAfter(time.Second)
 	}
-	sv.logDeadline(rq, rq.due.Bind(http.NewResponseController(w), rq.due.At))
+	sv.logDeadline(rq, rq.due.Bind(sk.Control(), rq.due.At))
+	sk.Due(rq.due)
 	ctx, giveUp := context.WithCancelCause(r.Context())
 	stop := context.AfterFunc(sv.over, func() { giveUp(context.Cause(sv.over)) })
 	ctx, cancel := rq.due.Context(ctx)
