refactor(dispatch): one look at what closes a target

Why a target is closed was asked for up to three times for each target where all are closed: by the choice, by the search for the first to open, and for its phase. It is now told with the answer, and the question about permits has a function of its own. Comments on four bounds say what they bound alone. Behaviour and assertions are as they were.

--- a/internal/backoff/backoff.go
+++ b/internal/backoff/backoff.go
@@ -22,7 +22,7 @@
 	perAnswer = 2
 	// openAfter is how many good answers open the target to all requests.
 	openAfter = 6
-	// maxTargets bounds the targets remembered, some 150 bytes each. It is several times the largest fleet's.
+	// maxTargets bounds the targets remembered, some 150 bytes each.
 	maxTargets = 1 << 13
 	// forgetAfter is how long after its end a back-off is remembered that no request ended.
 	forgetAfter = time.Minute
--- a/internal/dispatch/backoff.go
+++ b/internal/dispatch/backoff.go
@@ -25,17 +25,17 @@
 
 // backedOff reports whether a target is closed to a request for a back-off, and when it may be asked again. One that is on trial may be at
 // once where there is no other.
-func (ds *Dispatcher) backedOff(as Ask, id string) (opens time.Time, closed bool) {
-	ph, at := ds.phase(id)
-	switch ph {
+func (ds *Dispatcher) backedOff(as Ask, id string) (opens time.Time, by backoff.Phase, closed bool) {
+	by, at := ds.phase(id)
+	switch by {
 	case backoff.Closed:
-		return at, true
+		return at, by, true
 	case backoff.OnTrial:
 		now := ds.opts.Now()
-		return now, !as.probe && (as.Retried || now.Sub(at) < unprobedFor)
+		return now, by, !as.probe && (as.Retried || now.Sub(at) < unprobedFor)
 	case backoff.Open:
 	}
-	return time.Time{}, false
+	return time.Time{}, by, false
 }
 
 func (ds *Dispatcher) phase(id string) (backoff.Phase, time.Time) {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -277,7 +277,7 @@
 	defer ds.book.mu.Unlock()
 	best, bestCost := -1, 0.0
 	for i, tg := range tgs {
-		if _, closed := ds.closed(as, tg.ID); closed {
+		if _, _, closed := ds.closed(as, tg.ID); closed {
 			continue
 		}
 		cost := float64(ds.book.total(tg.ID).Writers) / float64(max(1, tg.Slots))
--- a/internal/dispatch/limit.go
+++ b/internal/dispatch/limit.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/silvermount/silvermount/internal/backoff"
 	"github.com/silvermount/silvermount/internal/permit"
 	"github.com/silvermount/silvermount/internal/targets"
 )
@@ -23,10 +24,17 @@
 const permitTries = 8
 
 // closed reports whether a target takes no request of this one's now, and when it may be asked again.
-func (ds *Dispatcher) closed(as Ask, id string) (opens time.Time, closed bool) {
-	if opens, closed = ds.backedOff(as, id); closed {
-		return opens, true
+// The phase is that of the back-off that closes it; Open where it lacks permits.
+func (ds *Dispatcher) closed(as Ask, id string) (opens time.Time, by backoff.Phase, closed bool) {
+	if opens, by, closed = ds.backedOff(as, id); closed {
+		return opens, by, true
 	}
+	opens, closed = ds.unpermitted(as, id)
+	return opens, backoff.Open, closed
+}
+
+// unpermitted reports whether a target has no permit for a request now, and when it may be asked again.
+func (ds *Dispatcher) unpermitted(as Ask, id string) (opens time.Time, closed bool) {
 	if ds.opts.Permits == nil || as.permitted == id {
 		return time.Time{}, false
 	}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -152,7 +152,7 @@
 	now := ds.opts.Now()
 	cands := make([]placement.Target, len(tgs))
 	for i, tg := range tgs {
-		_, closed := ds.closed(as, tg.ID)
+		_, _, closed := ds.closed(as, tg.ID)
 		ph, _ := ds.phase(tg.ID)
 		cands[i] = placement.Target{
 			Name: tg.ID, Near: tg.AvailabilityZone == ds.opts.AvailabilityZone, Load: ds.book.total(tg.ID), Pace: 1,
--- a/internal/dispatch/turn.go
+++ b/internal/dispatch/turn.go
@@ -22,15 +22,12 @@
 // firstOpening returns the target of a request that may be asked for again first; it reports false unless all are closed.
 func (ds *Dispatcher) firstOpening(as Ask) (first opening, allClosed bool) {
 	for no, tg := range ds.usable(as) {
-		at, closed := ds.closed(as, tg.ID)
+		at, by, closed := ds.closed(as, tg.ID)
 		if !closed {
 			return opening{}, false
 		}
 		if no == 0 || at.Before(first.at) {
-			first = opening{target: tg, at: at}
-			if _, backedOff := ds.backedOff(as, tg.ID); backedOff {
-				first.phase, _ = ds.phase(tg.ID)
-			}
+			first = opening{target: tg, at: at, phase: by}
 		}
 		allClosed = true
 	}
--- a/internal/duty/operators/operators.go
+++ b/internal/duty/operators/operators.go
@@ -34,7 +34,7 @@
 	minKey      = 8
 	headerLimit = 5 * time.Second
 	// lastAnswer bounds the wait for the last answer in a stop: an operator who does not read it would keep the instance
-	// from ending until it is killed. It is twice what a call to the store may take.
+	// from ending until it is killed.
 	lastAnswer = 2 * time.Second
 )
 
--- a/internal/ratelimit/book.go
+++ b/internal/ratelimit/book.go
@@ -49,7 +49,7 @@
 	// liftedFor is how long an instance tells, and remembers, that a limit was lifted: longer than the others' word of the limit may be
 	// under way, and than their silence before they are taken for lost.
 	liftedFor = 15 * time.Second
-	// maxBeliefs bounds the targets believed limited, 100 bytes each. It is several times the largest fleet's.
+	// maxBeliefs bounds the targets believed limited, 100 bytes each.
 	maxBeliefs = 1 << 13
 )
 
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -13,8 +13,7 @@
 const (
 	// forgetAfter is how long a target that is gone is remembered, well past any list that still names it.
 	forgetAfter = 60 * time.Second
-	// maxLeaving bounds the incarnations remembered as leaving that have no entry, some 100 bytes each: those that leave a large fleet in
-	// several days.
+	// maxLeaving bounds the incarnations remembered as leaving that have no entry, some 100 bytes each.
 	maxLeaving = 1 << 13
 	// unreachableFor is how long a target that took no connection is first left out: about a restart's detection time.
 	// It doubles up to unreachableMost, so that a cut of some seconds is found to have healed soon after.
