fix(blame): a request that may end targets is run on trial until more is known

What callers saw: at an instance that hears of no peer, requests that end nothing were refused for five minutes as the cause of ends which the requests of others had brought about (TestSmallFleets/some_instances_cut_off, known to fail).

Cause: while most targets of a service end again and again, the runs of every request are broken off, and an instance sees only the ends of targets that run its own. What it takes for chance (0.03 to 0.4 ends a second and target) was 1.8 to 3.4 in fact.

Change: a request under which three targets ended and that chance explains with 1 in 100 or less, but which is not judged, is on trial: an instance runs it a second after its last end, then once in 2, 4 and 8 s. The requests that end targets end few then, so that the targets come back, and the others are answered whole, which clears them. Copies wait, at most 0.5 s between two looks, or are refused at once with the time to come back where their deadline comes first. Asking whether a request that waits for room is judged takes no trial.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -2,7 +2,7 @@
 //
 // Each run that a target broke off by ending is held against its request. Many requests run beside each other, so one end is held
 // against many, and targets also end by themselves. A request is judged when so many targets ended under it that neither chance
-// nor another request explains it; a whole answer clears it. Instances tell each other what they saw, so that all judge alike.
+// nor another request explains it; before that it is run seldom, on trial. A whole answer clears it. Instances tell each other what they saw, so that all judge alike.
 package blame
 
 import (
@@ -98,6 +98,8 @@
 	// are removed.
 	held    map[fingerprint.Fingerprint]int
 	origins map[fingerprint.Origin]int
+	// trials holds the requests on trial that were run here.
+	trials map[fingerprint.Fingerprint]trial
 	// sweptAt is when ends and judgements that are too old were last forgotten.
 	sweptAt time.Time
 	// running holds the runs that go on here, by origin, and told those at peers of requests under which targets ended.
@@ -110,7 +112,7 @@
 	ld := &Ledger{
 		opts: op, ends: map[string]*end{}, judgements: map[fingerprint.Fingerprint]Judgement{},
 		cleared: map[fingerprint.Fingerprint]clearance{}, held: map[fingerprint.Fingerprint]int{}, origins: map[fingerprint.Origin]int{},
-		running: map[fingerprint.Origin][]*Running{}, told: map[string][]Survivor{},
+		running: map[fingerprint.Origin][]*Running{}, told: map[string][]Survivor{}, trials: map[fingerprint.Fingerprint]trial{},
 	}
 	op.Metrics.NewGauge("silvermount_requests_judged", func() float64 { return float64(len(ld.Judgements())) })
 	return ld
@@ -259,6 +261,7 @@
 		}
 	}
 	ld.expireJudgements(now)
+	ld.expireTrials()
 }
 
 // forgetOldest forgets the end that is longest ago. The lock is held.
--- /dev/null
+++ b/internal/blame/check.go
@@ -0,0 +1,102 @@
+package blame
+
+import (
+	"time"
+
+	"github.com/silvermount/silvermount/internal/fingerprint"
+)
+
+const (
+	// chanceTrial is how likely it may be, at the most, that chance or other requests ended the targets under a request, for it to be
+	// run only on trial.
+	chanceTrial = 1e-2
+	// trialPause is how long after an end under it, and after its trial, a request on trial is next run here. It doubles with each trial,
+	// up to trialPauseMost.
+	trialPause     = time.Second
+	trialPauseMost = 8 * time.Second
+)
+
+// trial is what this instance did with a request on trial.
+type trial struct {
+	// at is when it was last run, pause how long it is not run after that, or after a later end.
+	at    time.Time
+	pause time.Duration
+}
+
+// Verdict says what is to be done with a request.
+type Verdict struct {
+	// Judged is set when it is not to be run.
+	Judged bool
+	// Ends is how many targets had ended under it.
+	Ends int
+	// Hold is how long it is to wait before it is looked at again; zero when it may run.
+	Hold time.Duration
+}
+
+// Judged reports whether a request is not to be run, and how many targets had ended under it.
+func (ld *Ledger) Judged(fp fingerprint.Fingerprint) (ends int, judged bool) {
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	ld.refresh()
+	jd, ok := ld.judgements[fp]
+	return jd.Ends, ok && jd.inForce(ld.opts.Now())
+}
+
+// refresh judges by what is known now. The lock is held.
+func (ld *Ledger) refresh() {
+	ld.expire()
+	if ld.judge() {
+		ld.opts.Changed()
+	}
+}
+
+// Check says what is to be done with a request that is about to be sent to a target. Where it may run, that is its trial if it is on
+// trial.
+func (ld *Ledger) Check(fp fingerprint.Fingerprint) Verdict {
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	ld.refresh()
+	now := ld.opts.Now()
+	if jd, ok := ld.judgements[fp]; ok && jd.inForce(now) {
+		return Verdict{Judged: true, Ends: jd.Ends}
+	}
+	open := ld.open()
+	sp := ld.suspect(fp, open, open)
+	if sp.likely(ld.judgements[fp]) {
+		return Verdict{Ends: len(sp.runs), Hold: max(0, settleFor-now.Sub(sp.last()))}
+	}
+	return Verdict{Ends: len(sp.runs), Hold: ld.untilTrial(sp)}
+}
+
+// untilTrial returns how long a request that may end its targets is to wait before it is run again; zero when it may run now.
+//
+// While many targets end, too little tells the requests that end them from those beside them, above all at an instance that hears of no
+// peer. Run seldom, the former end few targets, and the latter are answered whole, which clears them. The lock is held.
+func (ld *Ledger) untilTrial(sp suspect) time.Duration {
+	if len(sp.runs) < endsLeast || sp.chance > chanceTrial {
+		return 0
+	}
+	tr, tried := ld.trials[sp.request]
+	if !tried {
+		tr.pause = trialPause
+	}
+	from := sp.last()
+	if tr.at.After(from) {
+		from = tr.at
+	}
+	now := ld.opts.Now()
+	if wait := tr.pause - now.Sub(from); wait > 0 {
+		return wait
+	}
+	ld.trials[sp.request] = trial{at: now, pause: min(2*tr.pause, trialPauseMost)}
+	return 0
+}
+
+// expireTrials forgets the trials of requests that are no longer on trial. The lock is held.
+func (ld *Ledger) expireTrials() {
+	for fp := range ld.trials {
+		if ld.held[fp] < endsLeast {
+			delete(ld.trials, fp)
+		}
+	}
+}
--- a/internal/blame/judgement.go
+++ b/internal/blame/judgement.go
@@ -46,36 +46,6 @@
 	lifted bool
 }
 
-// Verdict says what is to be done with a request.
-type Verdict struct {
-	// Judged is set when it is not to be run.
-	Judged bool
-	// Ends is how many targets had ended under it.
-	Ends int
-	// Hold is how long it is to wait before it is looked at again; zero when it may run.
-	Hold time.Duration
-}
-
-// Check says what is to be done with a request that is about to be sent to a target.
-func (ld *Ledger) Check(fp fingerprint.Fingerprint) Verdict {
-	ld.mu.Lock()
-	defer ld.mu.Unlock()
-	ld.expire()
-	if ld.judge() {
-		ld.opts.Changed()
-	}
-	now := ld.opts.Now()
-	if jd, ok := ld.judgements[fp]; ok && jd.inForce(now) {
-		return Verdict{Judged: true, Ends: jd.Ends}
-	}
-	open := ld.open()
-	sp := ld.suspect(fp, open, open)
-	if !sp.likely(ld.judgements[fp]) {
-		return Verdict{Ends: len(sp.runs)}
-	}
-	return Verdict{Ends: len(sp.runs), Hold: max(0, settleFor-now.Sub(sp.last()))}
-}
-
 // Judgements returns those in force, by fingerprint.
 func (ld *Ledger) Judgements() []Judgement {
 	ld.mu.Lock()
--- a/internal/gateway/blame.go
+++ b/internal/gateway/blame.go
@@ -7,31 +7,38 @@
 	"github.com/silvermount/silvermount/internal/failure"
 )
 
+// heldLookMost is the longest time after which a request that is held back is looked at again: a copy may be answered meanwhile, which
+// clears it.
+const heldLookMost = 500 * time.Millisecond
+
 // notBlamed refuses a request that ends the targets which run it: nothing else tells a copy under a new id from a new request.
-// One that is about to be judged waits until others that stood under the same ends are known.
+// One that may be judged waits until others that stood under the same ends are known, or until its next trial.
 func (gw *Gateway) notBlamed(ctx context.Context, rq *request) error {
-	for {
-		hold, err := gw.blamed(rq)
-		if err != nil || hold <= 0 {
-			return err
+	for held := false; gw.Blame.Knows(rq.origin()); held = true {
+		vd := gw.Blame.Check(rq.fingerprint())
+		switch {
+		case vd.Judged:
+			return gw.endsTargets(rq, vd.Ends)
+		case vd.Hold <= 0:
+			return nil
+		case gw.Now().Add(vd.Hold).After(rq.due.At):
+			return refused(failure.Overloaded, vd.Hold, "%d targets ended while they ran this request; it is run seldom", vd.Ends).
+				WithOutcome(gw.outcome(rq))
+		}
+		if !held {
+			gw.logHeld(rq, vd)
 		}
-		if !sleep(ctx, hold) {
+		if !sleep(ctx, min(vd.Hold, heldLookMost)) {
 			return gw.timeUp(ctx, rq)
 		}
 	}
+	return nil
 }
 
-// blamed returns the refusal of a request that was judged, or how long one that may be judged is to wait.
-func (gw *Gateway) blamed(rq *request) (hold time.Duration, refusal error) {
-	if !gw.Blame.Knows(rq.origin()) {
-		return 0, nil
-	}
-	vd := gw.Blame.Check(rq.fingerprint())
-	if vd.Judged {
-		return 0, failure.New(failure.EndsTargets, gw.outcome(rq),
-			"%d targets ended while they ran this request; it is not sent to another, and should not be sent again", vd.Ends)
-	}
-	return vd.Hold, nil
+// endsTargets is the failure of a request that was judged.
+func (gw *Gateway) endsTargets(rq *request, ends int) error {
+	return failure.New(failure.EndsTargets, gw.outcome(rq),
+		"%d targets ended while they ran this request; it is not sent to another, and should not be sent again", ends)
 }
 
 // stillAllowed returns why a request that waits for room may not be sent any more.
@@ -39,8 +46,13 @@
 	if err := gw.keyHolds(rq); err != nil {
 		return err
 	}
-	_, err := gw.blamed(rq)
-	return err
+	if !gw.Blame.Knows(rq.origin()) {
+		return nil
+	}
+	if ends, judged := gw.Blame.Judged(rq.fingerprint()); judged {
+		return gw.endsTargets(rq, ends)
+	}
+	return nil
 }
 
 // clear notes that a request was answered whole, by a target that therefore did not end under it.
--- a/internal/gateway/lines.go
+++ b/internal/gateway/lines.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
+	"github.com/silvermount/silvermount/internal/blame"
 	"github.com/silvermount/silvermount/internal/dispatch"
 	"github.com/silvermount/silvermount/internal/failure"
 	"github.com/silvermount/silvermount/internal/routes"
@@ -50,6 +51,15 @@
 	gw.Log.WithFields(fs).Info("request sent")
 }
 
+// logHeld says that a request waits, since targets ended under it.
+func (gw *Gateway) logHeld(rq *request, vd blame.Verdict) {
+	fs := gw.fields(rq)
+	fs["fingerprint"] = rq.fingerprint().String()
+	fs["ends"] = vd.Ends
+	fs["for"] = vd.Hold.Round(time.Millisecond).String()
+	gw.Log.WithFields(fs).Info("request held back")
+}
+
 // helperNames lists the helping targets, separated by commas.
 func helperNames(sl *dispatch.Slot) string {
 	names := make([]string, len(sl.Helpers))
