--- /dev/null
+++ b/internal/gossip/node_test.go
@@ -0,0 +1,176 @@
+package gossip
+
+import (
+	"context"
+	"maps"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	. "github.com/onsi/gomega"
+)
+
+// patience is far beyond what any wait in these tests needs, also on a busy machine.
+const patience = 30 * time.Second
+
+// never is longer than any test.
+const never = 24 * time.Hour
+
+// node is a mesh with what its callbacks were told.
+type node struct {
+	ms  *Mesh
+	lis net.Listener
+
+	mu       sync.Mutex
+	body     []byte
+	received map[string]string
+	order    []string
+	lost     []Member
+}
+
+func listen(t testing.TB) net.Listener {
+	t.Helper()
+	// Not the address of the tests of other packages, which run side by side: an instance there goes on dialling the address of one
+	// that has ended, whose port the system may have given to a listener here, and joins its mesh.
+	lis, err := net.Listen("tcp", "127.0.0.4:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = lis.Close() })
+	return lis
+}
+
+// deadAddress returns an address at which nobody listens.
+func deadAddress(t *testing.T) string {
+	t.Helper()
+	lis := listen(t)
+	_ = lis.Close()
+	return lis.Addr().String()
+}
+
+func newNode(t testing.TB, o Options) *node {
+	t.Helper()
+	nd := &node{lis: listen(t), received: map[string]string{}}
+	nd.body = []byte("state of " + o.Self.Name)
+	if o.Self.Incarnation == "" {
+		o.Self.Incarnation = "1"
+	}
+	if o.Self.Address == "" {
+		o.Self.Address = nd.lis.Addr().String()
+	}
+	if o.Interval == 0 {
+		o.Interval = 20 * time.Millisecond
+	}
+	if o.Log == nil {
+		o.Log = &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
+	}
+	o.Body, o.Receive, o.OnLost = nd.state, nd.receive, nd.lose
+	nd.ms = New(o)
+	return nd
+}
+
+// start runs a node until the test ends or the returned function is called.
+func (nd *node) start(t *testing.T) (stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	lis := nd.lis
+	wg.Go(func() { _ = nd.ms.Serve(ctx, lis) })
+	wg.Go(func() { _ = nd.ms.Run(ctx) })
+	stop = func() {
+		cancel()
+		wg.Wait()
+	}
+	t.Cleanup(stop)
+	return stop
+}
+
+func startNode(t *testing.T, o Options) *node {
+	t.Helper()
+	nd := newNode(t, o)
+	nd.start(t)
+	return nd
+}
+
+func (nd *node) address() string { return nd.lis.Addr().String() }
+
+func (nd *node) state() []byte {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	return nd.body
+}
+
+func (nd *node) publish(body []byte) {
+	nd.mu.Lock()
+	nd.body = body
+	nd.mu.Unlock()
+	nd.ms.Publish()
+}
+
+func (nd *node) receive(from Member, body []byte, _ time.Time) {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	nd.received[from.Name] = string(body)
+	nd.order = append(nd.order, string(body))
+}
+
+func (nd *node) lose(m Member) {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	nd.lost = append(nd.lost, m)
+}
+
+func (nd *node) lostMembers() []Member {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	return slices.Clone(nd.lost)
+}
+
+func (nd *node) stateOf(name string) func() string {
+	return func() string {
+		nd.mu.Lock()
+		defer nd.mu.Unlock()
+		return nd.received[name]
+	}
+}
+
+func (nd *node) states() int {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	return len(nd.received)
+}
+
+// heardOf returns the names of the members whose state came, sorted.
+func (nd *node) heardOf() []string {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	return slices.Sorted(maps.Keys(nd.received))
+}
+
+func (nd *node) names() []string {
+	var names []string
+	for _, m := range nd.ms.Live() {
+		names = append(names, m.Name)
+	}
+	return names
+}
+
+func (nd *node) linkCount() int {
+	nd.ms.mu.Lock()
+	defer nd.ms.mu.Unlock()
+	return len(nd.ms.links)
+}
+
+// peers returns the names at the other ends of the node's links, each once.
+func (nd *node) peers() []string {
+	nd.ms.mu.Lock()
+	defer nd.ms.mu.Unlock()
+	var names []string
+	for lk := range nd.ms.links {
+		names = append(names, lk.peer.Name)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
