--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -18,8 +18,8 @@
 const (
 	// endsLeast is how many targets end under a request before it may be judged: it is what the operators allow.
 	endsLeast = 3
-	// settleFor is how long after its last end a request is held back before it is judged: several times what instances take to hear
-	// of each other's ends in a fleet of 295 (50 ms). By then it is known which others stood under the same ends.
+	// settleFor is how long after its last end a request is held back before it is judged: by then instances have heard of each other's
+	// ends, and it is known which others stood under the same ones.
 	settleFor = 200 * time.Millisecond
 	// endKnownFor is how long after a run was broken off its target's end may become known. The entry of a target that says nothing
 	// goes after three of its heartbeats, 3.6 s.
--- a/internal/blame/judge.go
+++ b/internal/blame/judge.go
@@ -16,8 +16,7 @@
 
 const (
 	// chanceMost is how likely it may be, at the most, that targets ended by themselves just while a request ran, for it to be
-	// judged. With 12 targets of which 0.3 to 2.5 end a second, and requests of 50 ms to 8 s that come again and again, 3 of 2.4
-	// million requests were judged by chance (3,000 plays of TestSmallFleets' kind); with 1e-6 it was 15.
+	// judged. Requests come in millions, and one that is judged by chance is refused for minutes.
 	chanceMost = 1e-7
 	// chanceAgain is the same for a single end soon after a judgement has passed.
 	chanceAgain = 1e-2
