--- a/internal/dispatch/defer.go
+++ b/internal/dispatch/defer.go
@@ -16,9 +16,8 @@
 const lateFrom = 1.2
 
 // worthwhile reports whether a long prompt is expected to bring more than it costs the others. One that is late already
-// brings little, and read by a few targets in long passes it makes all that arrives there late as well: overloads that
-// began with one such prompt lasted for nine seconds, and giving way raises the worth of days with trouble by 0.03 to 0.08
-// (mean of 10 to 15 plays a deployment).
+// brings little, and read by a few targets in long passes it makes all that arrives there late as well: an overload may
+// begin with one such prompt.
 //
 // One that is late for having waited has no better moment to wait for: refused in the end, its caller comes back once more for nothing.
 func worthwhile(as Ask, pr placement.Prompt, pl placement.Plan) bool {
@@ -29,10 +28,7 @@
 	return pl.Loss < saved
 }
 
-// refusalCost is what a caller loses by a refusal after a long wait beside the answer, as a share of its worth in time: so much the
-// users count for a request that is refused again. Counted for all long prompts, not only for late ones, 12 in place of 17 of some 100 were
-// refused in a wave of them, and the worth of that day was 0.690 in place of 0.654 (one play each); for late ones alone it was not
-// measured by itself.
+// refusalCost is what a caller loses by a refusal after a long wait beside the answer, as a share of its worth in time.
 const refusalCost = 0.3
 
 // hopeless reports whether a long prompt cannot be answered in its caller's time even at idle targets.
--- a/internal/dispatch/end.go
+++ b/internal/dispatch/end.go
@@ -38,8 +38,7 @@
 
 // outlives reports whether the answer to a prompt is expected to end after this instance even at idle targets. It is refused
 // at once, while its caller still has the time to be answered by another instance. One that may end in time is
-// not: callers come back once or twice, often to the next instance that ends. Refusing whatever a usual pass makes too long
-// left 3.7 requests in a hundred unserved in place of 0.7 (mean of nine plays of planned stops on three deployments).
+// not: callers come back once or twice, often to the next instance that ends.
 func (ds *Dispatcher) outlives(as Ask, pr placement.Prompt, cands []placement.Target, op placement.Options) bool {
 	_, earlier := ds.ends(as)
 	return earlier && hopeless(as, pr, cands, op)
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -13,11 +13,10 @@
 )
 
 const (
-	// worthBase and worthPerThousand give the worth of an answer: the users' sheets rank their kinds of request about
-	// like this (1.3 at 5,000 tokens, 3.9 at 45,000, 15 at 133,000).
+	// worthBase and worthPerThousand give the worth of an answer by its prompt: a base, and more for each thousand tokens.
 	worthBase        = 0.7
 	worthPerThousand = 0.1
-	// worthLate is the share of an answer's worth that is left when it is late, on all sheets.
+	// worthLate is the share of an answer's worth that is left when it is late.
 	worthLate = 0.25
 	// pauseUnset stands for the longest pause of a route that sets none.
 	pauseUnset = time.Second
@@ -200,8 +199,7 @@
 // anyTime stands for a deadline that does not matter.
 const anyTime = time.Hour
 
-// writerPass is a usual pass of an engine with writers, some of them beside reading; the users' engines take 45 ms
-// without and up to 250 ms with it.
+// writerPass is a usual pass of an engine with writers, some of them beside reading.
 const writerPass = 90 * time.Millisecond
 
 // answerTime returns how long a usual answer is written.
--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -35,8 +35,7 @@
 }
 
 // newPools divides targets, whose order it changes, by what short answers have at stake there. The short pool is empty where it would leave fewer targets than
-// a long prompt can be read by: before 18 targets the mean worth of days with trouble was 0.663 with such a pool and 0.690 without one
-// (five days, one play each).
+// a long prompt can be read by.
 func newPools(en *placement.Engine, cands []placement.Target, dm demand) pools {
 	// Targets that take no request now write no short answers: others take their place in the short pool.
 	open := openFirst(cands)
--- a/internal/dispatch/rank.go
+++ b/internal/dispatch/rank.go
@@ -1,8 +1,7 @@
 package dispatch
 
 // The ranks of prompts at an engine, most urgent first. A stream that goes on elsewhere has a caller who already reads.
-// Prompts of different lengths have the same rank: with long ones that give way, ranks by length were worth nothing (mean
-// worth of 10 days with trouble 0.708 without and 0.713 with them, 0.796 and 0.786, 0.617 and 0.618 on three deployments).
+// Prompts of different lengths have the same rank: long ones give way before they are sent.
 const (
 	rankResumed = 0
 	rankUsual   = 1
--- a/internal/duty/frontend/shares.go
+++ b/internal/duty/frontend/shares.go
@@ -20,9 +20,8 @@
 	sharersMemory = 60 * time.Second
 	// floorUse is the share of the retry floor that is used.
 	floorUse = 0.9
-	// floorBurst is the share of that which may be saved up; the rest comes back over the window. Failures come together: with
-	// 72 instances before targets that fail all at once, a part that is saved by half failed 305 of 2,772 short requests, this one
-	// 169 (one play each, the second with another mean of what short prompts have at stake too). The fleet's bound is the same for any share.
+	// floorBurst is the share of that which may be saved up, as failures come together; the rest comes back over the window. The
+	// fleet's bound is the same for any share.
 	floorBurst = 0.8
 	// idleShare is the share of a target's connections that may rest.
 	idleShare = 0.5
--- a/internal/gossip/options.go
+++ b/internal/gossip/options.go
@@ -75,9 +75,7 @@
 	// defaultFullMesh is where the relays' work becomes less than that of the links saved.
 	defaultFullMesh = 16
 	// coalescePerLink is what each link beyond those of a full mesh adds to the least time between two sends: a relay
-	// then sends at most two thousand frames a second, however many subscribe to it. With four times as much, 295 instances
-	// knew of each other's choices after 120 ms in place of 50 ms, and 36 in 1,000 more short prompts were late or lost
-	// (a play of the first 20 s of a day with trouble); a relay took 0.084 of a core in place of 0.101.
+	// then sends at most two thousand frames a second, however many subscribe to it.
 	coalescePerLink = 500 * time.Microsecond
 	// forgetAfter is the silence after which a member is no longer dialled: longer than a restart.
 	forgetAfter = time.Minute
--- a/internal/placement/candidate.go
+++ b/internal/placement/candidate.go
@@ -10,8 +10,7 @@
 const tieShare = 0.002
 
 // farShare is the share of the worth in time that a target in another availability zone costs: a cut between zones breaks off what is
-// read or written across it, and the bytes cross the border. It answers to one in a hundred answers. With it 181 in place of 222 of
-// some 3,650 short answers were late on a day whose end cuts a zone off (one play each).
+// read or written across it, and the bytes cross the border. It answers to one in a hundred answers.
 const farShare = 0.01
 
 // candidate is a target and what it costs to place a part of the prompt there.
--- a/internal/placement/loss.go
+++ b/internal/placement/loss.go
@@ -13,9 +13,7 @@
 	// prompt. It answers to one in 500 parts.
 	partRisk = 0.002
 	// meetRisk is what each helper costs besides where all targets read, and less where fewer do: a part that meets one
-	// placed by others meanwhile delays the whole prompt, and all that is written there. With it 448 in place of 503 of
-	// some 3,950 short prompts were late before 150 targets (the first 20 s of a day with trouble, one play each), and nine
-	// instances had a mean worth of 0.680 in place of 0.661 (10 plays).
+	// placed by others meanwhile delays the whole prompt, and all that is written there.
 	meetRisk = 0.012
 	// exposedShare is the share of its stake that a prompt loses to long parts to come at a target with nothing at
 	// stake, which those choose first: about one short answer in ten is made late so.
