fix(upstream): an answer that is there at the deadline is read and passed on

What callers saw: after an instance had been paused until after the deadlines of its requests, 504 or a stream that breaks off, although the target had answered in time and the answer lay at the instance.

Cause: a process that goes on finds two things at once, the deadline that has passed and the answer on the connection. The deadline closed the connection to the target, so that what was not read yet was lost; which of the two came first was chance. Of a stream that had begun, the bound for writing to the caller had passed as well.

Change: at the deadline of a call the connection is asked whether bytes wait there (a peek that does not block, beside the reader). If so, they may be read for 200 ms more; if not, it is closed at once as before, also when the caller has gone. What is written after the answer was due gets a bound of its own, not only its beginning.

--- a/internal/deadline/deadline.go
+++ b/internal/deadline/deadline.go
@@ -45,8 +45,8 @@
 	return errors.Wrap(rc.SetWriteDeadline(dl.At.Add(answerGrace)), "bound the answer")
 }
 
-// BindAnswer bounds the writing of an answer that begins now. One that begins late, as the process was held up, gets as
-// long as one that begins in time: its caller still learns what became of the request.
+// BindAnswer bounds the writing of what is written now. What is late, as the process was held up, gets as long as what is in time: its
+// caller still learns what became of the request.
 func (dl Deadline) BindAnswer(rc *http.ResponseController, now time.Time) error {
 	by := dl.At
 	if now.After(by) {
--- a/internal/reply/reply.go
+++ b/internal/reply/reply.go
@@ -15,7 +15,7 @@
 type Writer struct {
 	w  http.ResponseWriter
 	rc *http.ResponseController
-	// due bounds the writing; its zero value bounds nothing.
+	// due is when the answer is due; its zero value bounds nothing.
 	due deadline.Deadline
 	// status is what was written; zero before.
 	status int
@@ -30,7 +30,7 @@
 // Control returns the controls of the caller's connection.
 func (wr *Writer) Control() *http.ResponseController { return wr.rc }
 
-// Due bounds the writing of an answer that has not begun by the time when it is due.
+// Due sets when the answer is due, before it begins: what is written later is bound anew.
 func (wr *Writer) Due(dl deadline.Deadline) { wr.due = dl }
 
 // Started reports whether a status line was written.
@@ -45,15 +45,13 @@
 		return
 	}
 	wr.status = status
-	if !wr.due.At.IsZero() {
-		// It fails on a connection that has ended, which the next write tells, and on a writer that is none.
-		_ = wr.due.BindAnswer(wr.rc, time.Now())
-	}
+	wr.bindLate()
 	wr.w.WriteHeader(status)
 }
 
 // Pass writes a part of the answer, and sends it at once with flush. It fails when the caller has gone.
 func (wr *Writer) Pass(part []byte, flush bool) error {
+	wr.bindLate()
 	if _, err := wr.w.Write(part); err != nil {
 		return gone(errors.Wrap(err, "write to caller"))
 	}
@@ -66,6 +64,16 @@
 	return nil
 }
 
+// bindLate bounds anew what is written after the answer was due: the process may have been held up, and the bound passed meanwhile.
+func (wr *Writer) bindLate() {
+	now := time.Now()
+	if wr.due.At.IsZero() || !now.After(wr.due.At) {
+		return
+	}
+	// It fails on a connection that has ended, which the write tells, and on a writer that is none.
+	_ = wr.due.BindAnswer(wr.rc, now)
+}
+
 func gone(err error) error {
 	return failure.New(failure.CallerGone, failure.Failed, "the caller went away").WithCause(err)
 }
--- a/internal/reply/reply_test.go
+++ b/internal/reply/reply_test.go
@@ -85,27 +85,44 @@
 	g.Expect(rec.Header().Get("Content-Type")).To(Equal("text/plain"))
 }
 
-// TestAnswerAfterItsBoundReachesTheCaller begins an answer long after the time it was due.
+// TestAnswerAfterItsBoundReachesTheCaller begins an answer, or goes on with one, long after it was due.
 func TestAnswerAfterItsBoundReachesTheCaller(t *testing.T) {
-	g := NewWithT(t)
-	sv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		due := deadline.Deadline{At: time.Now().Add(-time.Minute)}
-		wr := reply.New(w)
-		if err := due.Bind(wr.Control(), time.Now().Add(time.Minute)); err != nil {
-			t.Error(err)
-		}
-		wr.Due(due)
-		wr.Start(http.StatusGatewayTimeout)
-		if err := wr.Pass([]byte("late"), true); err != nil {
-			t.Error(err)
-		}
-	}))
-	defer sv.Close()
-	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, sv.URL, http.NoBody)
-	g.Expect(err).NotTo(HaveOccurred())
-	resp, err := http.DefaultTransport.RoundTrip(r)
-	g.Expect(err).NotTo(HaveOccurred())
-	defer resp.Body.Close()
-	g.Expect(resp.StatusCode).To(Equal(http.StatusGatewayTimeout))
-	g.Expect(io.ReadAll(resp.Body)).To(BeEquivalentTo("late"))
+	tests := map[string]struct {
+		due time.Duration
+		// held is how long the process stands still before the last part.
+		held time.Duration
+	}{
+		"begun late":   {due: -time.Minute},
+		"gone on late": {due: 20 * time.Millisecond, held: 500 * time.Millisecond},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			sv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				due := deadline.Deadline{At: time.Now().Add(tc.due)}
+				wr := reply.New(w)
+				if err := due.Bind(wr.Control(), time.Now().Add(time.Minute)); err != nil {
+					t.Error(err)
+				}
+				wr.Due(due)
+				wr.Start(http.StatusGatewayTimeout)
+				if err := wr.Pass([]byte("first,"), true); err != nil {
+					t.Error(err)
+				}
+				time.Sleep(tc.held)
+				if err := wr.Pass([]byte("last"), true); err != nil {
+					t.Error(err)
+				}
+			}))
+			defer sv.Close()
+			r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, sv.URL, http.NoBody)
+			g.Expect(err).NotTo(HaveOccurred())
+			resp, err := http.DefaultTransport.RoundTrip(r)
+			g.Expect(err).NotTo(HaveOccurred())
+			defer resp.Body.Close()
+			g.Expect(resp.StatusCode).To(Equal(http.StatusGatewayTimeout))
+			g.Expect(io.ReadAll(resp.Body)).To(BeEquivalentTo("first,last"))
+		})
+	}
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -97,6 +97,36 @@
 // abandon closes the connection. An error changes nothing: it is not used again.
 func (cn *conn) abandon() { _ = cn.Close() }
 
+// lastLook is how long what a target had sent by the deadline of a call may take to be read. It ends the rest too.
+const lastLook = 200 * time.Millisecond
+
+// end ends the exchange of a call whose context has ended. An answer that is there at the deadline is still read: a process that was held
+// up finds the two at once.
+func (cn *conn) end(ctx context.Context) {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) && cn.readable() && cn.SetDeadline(time.Now().Add(lastLook)) == nil {
+		return
+	}
+	cn.abandon()
+}
+
+// readable reports whether something has come that was not read. It may be asked beside a reader.
+func (cn *conn) readable() bool {
+	sc, ok := cn.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = rc.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, _ = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
+}
+
 // quiet reports whether an idle connection is still open and has nothing to read: bytes that came unasked belong to
 // no request.
 func (cn *conn) quiet() bool {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -80,14 +80,14 @@
 	whole    bool
 }
 
-// Do sends a call and returns the head of its answer. Cancelling ctx closes the connection, which ends the work at the
-// target.
+// Do sends a call and returns the head of its answer. The end of ctx closes the connection, which ends the work at the target; what has
+// come of an answer by a deadline is still read.
 func (pl *Pool) Do(ctx context.Context, ca Call) (*Answer, error) {
 	cn, reused, err := pl.get(ctx, ca.Address, ca.Exclusive)
 	if err != nil {
 		return nil, &SendError{Sent: false, Cause: err}
 	}
-	stop := context.AfterFunc(ctx, cn.abandon)
+	stop := context.AfterFunc(ctx, func() { cn.end(ctx) })
 	if err := ca.mayLeave(ctx); err != nil {
 		stop()
 		pl.drop(ca.Address, cn)
