--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -2,7 +2,8 @@
 //
 // Each run that a target broke off by ending is held against its request. Many requests run beside each other, so one end is held
 // against many, and targets also end by themselves. A request is judged when so many targets ended under it that neither chance
-// nor another request explains it; before that it is run seldom, on trial. A whole answer clears it. Instances tell each other what they saw, so that all judge alike.
+// nor another request explains it; before that it is on trial, run seldom. A whole answer clears it. Instances tell each other what
+// they saw, so that all judge alike.
 package blame
 
 import (
--- a/internal/blame/check.go
+++ b/internal/blame/check.go
@@ -16,9 +16,9 @@
 	trialPauseMost = 8 * time.Second
 )
 
-// trial is what this instance did with a request on trial.
+// trial is the last run of a request on trial at this instance.
 type trial struct {
-	// at is when it was last run, pause how long it is not run after that, or after a later end.
+	// at is when it was let through, pause how long it is not run after that, or after a later end.
 	at    time.Time
 	pause time.Duration
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -122,6 +122,7 @@
 	n := 0
 	err = rc.Control(func(fd uintptr) {
 		var b [1]byte
+		// It fails where nothing has come, or the connection has broken.
 		n, _, _ = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
 	return err == nil && n > 0
