fix(gateway): a target whose answer is there is not silent

What callers saw: after an instance had been paused for longer than a target may be silent (1.7 s inside a stream, twice the objective before an answer), requests were run a second time, and a whole availability zone was left out, although all targets had answered meanwhile.

Cause: the timers that watch for silence fire as soon as the process goes on, before what has come is read. They took that for the target's silence, gave the answer up, took a retry for it, and held it against the target's zone.

Change: before a target is given up, its connection is asked whether something has come since the last look (bytes that were read, or that wait there). The watch for the head of an answer is a type of its own, which cannot fire any more once the answer is there; until now it could, between the head and the end of the wait.

--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"slices"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,29 +21,75 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	tried := append(slices.Clone(rq.tried), sl.Target.ID)
-	var claimed atomic.Bool
-	var timer *time.Timer
-	armed := make(chan struct{})
-	timer = time.AfterFunc(most, func() {
-		<-armed
+	sw := watchSilence(most, func() bool {
 		gw.silent(sl.Target)
 		if !gw.claimMove(rq.route, rq.service, tried) {
-			timer.Reset(most)
-			return
+			return false
 		}
-		claimed.Store(true)
 		cancel(&SilentTargetError{After: most})
+		return true
 	})
-	close(armed)
-	defer timer.Stop()
+	ca.Sending = sw.sending
 	an, err := gw.Pool.Do(ctx, ca)
-	rq.claimed = claimed.Load()
+	rq.claimed = sw.stop()
 	if err != nil {
 		return nil, errors.Wrap(withCause(ctx, err), "wait for answer")
 	}
 	return an, nil
 }
 
+// silenceWatch gives a target up that sends nothing for some time before its answer.
+type silenceWatch struct {
+	most time.Duration
+	// giveUp reports whether it gave the target up.
+	giveUp func() bool
+
+	mu    sync.Mutex
+	timer *time.Timer
+	// came reports whether something has come since it was last asked; nil until the request is sent.
+	came func() bool
+	// ended is set when the answer is there, or will not come; gaveUp when the target was given up before.
+	ended, gaveUp bool
+}
+
+func watchSilence(most time.Duration, giveUp func() bool) *silenceWatch {
+	sw := &silenceWatch{most: most, giveUp: giveUp}
+	sw.mu.Lock()
+	defer sw.mu.Unlock()
+	sw.timer = time.AfterFunc(most, sw.fire)
+	return sw
+}
+
+// sending takes how to learn whether something came.
+func (sw *silenceWatch) sending(came func() bool) {
+	sw.mu.Lock()
+	defer sw.mu.Unlock()
+	sw.came = came
+}
+
+func (sw *silenceWatch) fire() {
+	sw.mu.Lock()
+	defer sw.mu.Unlock()
+	if sw.ended {
+		return
+	}
+	// What has come already shows that it was this process which was held up, not the target.
+	if sw.came != nil && sw.came() || !sw.giveUp() {
+		sw.timer.Reset(sw.most)
+		return
+	}
+	sw.gaveUp = true
+}
+
+// stop ends the watch, and reports whether the target was given up.
+func (sw *silenceWatch) stop() (gaveUp bool) {
+	sw.mu.Lock()
+	defer sw.mu.Unlock()
+	sw.ended = true
+	sw.timer.Stop()
+	return sw.gaveUp
+}
+
 func withCause(ctx context.Context, err error) error {
 	var se *SilentTargetError
 	if errors.As(context.Cause(ctx), &se) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -211,6 +211,11 @@
 	if wd.ended {
 		return
 	}
+	if wd.an.Waits() {
+		// It is not the target that was silent: this process, or the caller, takes no more at present.
+		wd.timer.Reset(askAgain)
+		return
+	}
 	if !wd.claim(time.Since(wd.heard)) {
 		wd.timer.Reset(askAgain)
 		return
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -35,8 +36,8 @@
 	restedAt time.Time
 	// rested is how long it had rested when it was taken; zero for a new connection.
 	rested time.Duration
-	// got counts the bytes that came; it is used by the reader of the answer.
-	got int64
+	// got counts the bytes that were read.
+	got atomic.Int64
 	// keep is how long the target keeps an idle connection, as far as it says.
 	keep time.Duration
 }
@@ -78,7 +79,7 @@
 // Read counts what comes.
 func (cn *conn) Read(b []byte) (int, error) {
 	n, err := cn.Conn.Read(b)
-	cn.got += int64(n)
+	cn.got.Add(int64(n))
 	return n, err
 }
 
@@ -109,6 +110,16 @@
 	cn.abandon()
 }
 
+// news returns how one goroutine learns whether something has come since it last asked.
+func (cn *conn) news() func() bool {
+	seen := cn.got.Load()
+	return func() bool {
+		before := seen
+		seen = cn.got.Load()
+		return seen != before || cn.readable()
+	}
+}
+
 // readable reports whether something has come that was not read. It may be asked beside a reader.
 func (cn *conn) readable() bool {
 	sc, ok := cn.Conn.(syscall.Conn)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -29,6 +29,9 @@
 	// Leave is asked right before anything is sent, after the wait for a connection; its error ends the call as one that was not sent. It is
 	// nil when nothing can forbid it.
 	Leave func() error
+	// Sending is told right before anything is sent how to learn whether something has come since that was last asked. It is nil when
+	// nobody asks.
+	Sending func(came func() bool)
 	// Heard is told of each head that comes, and reports whether the answer belongs to this call; others are skipped.
 	Heard func(*http.Response) bool
 }
@@ -95,12 +98,15 @@
 	}
 	an := &Answer{pool: pl, address: ca.Address, cn: cn, stop: stop, written: make(chan struct{}), wroteAll: new(bool)}
 	req := ca.request()
-	before := cn.got
+	before := cn.got.Load()
+	if ca.Sending != nil {
+		ca.Sending(cn.news())
+	}
 	go an.write(req)
 	// Close ends the body with the connection.
 	an.Response, err = readAnswer(cn, req, ca.Heard) //nolint:bodyclose // it stays open for the caller
 	if err != nil {
-		forgotten := reused && cn.got == before && ended(err) && ctx.Err() == nil
+		forgotten := reused && cn.got.Load() == before && ended(err) && ctx.Err() == nil
 		if forgotten {
 			pl.forgot(ca.Address, cn.rested)
 		}
@@ -178,6 +184,9 @@
 // Whole notes that the body was read to its end, so that the connection can be used again.
 func (an *Answer) Whole() { an.whole = true }
 
+// Waits reports whether something of the answer has come that was not read yet.
+func (an *Answer) Waits() bool { return an.cn.readable() }
+
 // Break closes the connection under a reader, whose read then fails. Close must still be called.
 func (an *Answer) Break() { an.cn.abandon() }
 
