fix(upstream): a dial that times out while the process is held up tells nothing of the target

Cause: the timeout of a dial fires as soon as the process goes on, before the connection that stands since long is noticed. Ruled out: the deadline of the request, which is no failure of the target; its timer may run a moment later.

Change: a dial that timed out after more than its timeout and 100 ms is marked, and is not held against the target. The request tries another as before.

--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -91,6 +91,19 @@
 	}
 }
 
+// notReached notes that a target took no connection, unless this process stood still meanwhile.
+func (gw *Gateway) notReached(tg targets.Target, err error) {
+	var de *upstream.DialError
+	if errors.As(err, &de) && de.HeldUp {
+		return
+	}
+	if gw.Targets.Unreachable(tg.ID) {
+		gw.logZoneOut(tg, "connections not taken")
+	}
+	gw.logLeftOut(tg)
+	gw.noticeEnd(tg, err)
+}
+
 // connectionRefused reports whether a failure says that nothing listens at the address.
 func connectionRefused(err error) bool {
 	var de *upstream.DialError
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -225,12 +225,8 @@
 		if ctx.Err() != nil {
 			return gw.timeUp(ctx, rq)
 		}
-		if gw.Targets.Unreachable(sl.Target.ID) {
-			gw.logZoneOut(sl.Target, "connections not taken")
-		}
 		gw.logAttemptFailed(rq, sl.Target, err, false)
-		gw.logLeftOut(sl.Target)
-		gw.noticeEnd(sl.Target, err)
+		gw.notReached(sl.Target, err)
 		return failure.New(failure.TargetUnreachable, gw.outcome(rq), "the target took no connection").
 			WithCause(err).WithRetryAfter(comeBackFull)
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -46,6 +46,8 @@
 type DialError struct {
 	Address string
 	Cause   error
+	// HeldUp is set when this process stood still while it waited, so that the failure tells nothing of the target.
+	HeldUp bool
 }
 
 // Error names the address.
@@ -59,7 +61,18 @@
 // Refused reports whether the machine is there and nothing listens at the address: the process that did has ended.
 func (de *DialError) Refused() bool { return errors.Is(de.Cause, syscall.ECONNREFUSED) }
 
-func dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
+// heldUpLeast is how much longer than its timeout a wait takes in a process that was held up: its timers fire late.
+const heldUpLeast = 100 * time.Millisecond
+
+// waited returns the error of a dial that took some time of at most so much.
+func (de *DialError) waited(took, most time.Duration) *DialError {
+	var ne net.Error
+	timedOut := errors.As(de.Cause, &ne) && ne.Timeout()
+	de.HeldUp = timedOut && took >= most+heldUpLeast
+	return de
+}
+
+func dial(ctx context.Context, address string, timeout time.Duration, now func() time.Time) (*conn, error) {
 	dl := net.Dialer{
 		Timeout: timeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -67,9 +80,11 @@
 		},
 		Control: boundUnacked,
 	}
+	began := now()
 	nc, err := dl.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, &DialError{Address: address, Cause: err}
+		de := &DialError{Address: address, Cause: err}
+		return nil, de.waited(now().Sub(began), timeout)
 	}
 	cn := &conn{Conn: nc}
 	cn.br = bufio.NewReaderSize(cn, readBuffer)
--- a/internal/upstream/late_test.go
+++ b/internal/upstream/late_test.go
@@ -10,7 +10,12 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
+	"golang.org/x/sys/unix"
+
+	"github.com/silvermount/silvermount/internal/upstream"
 )
 
 // TestAnswerThatIsThereAtTheDeadlineIsRead has the reader of an answer held up until after the deadline of its call.
@@ -63,3 +68,49 @@
 		})
 	}
 }
+
+// TestDialThatTimesOutWhileTheProcessIsHeldUp dials a listener that takes no connections.
+func TestDialThatTimesOutWhileTheProcessIsHeldUp(t *testing.T) {
+	const timeout = 50 * time.Millisecond
+	tests := map[string]struct {
+		heldUp time.Duration
+		want   bool
+	}{
+		"not held up": {0, false},
+		"held up":     {time.Second, true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			be := newBench(t)
+			address := fullListener(t)
+			pl := upstream.NewPool(be.clock.Now, metrics.NewSet(), timeout)
+			time.AfterFunc(timeout/5, func() { be.clock.forward(tc.heldUp) })
+			_, err := pl.Do(t.Context(), call(address, "/1"))
+			var de *upstream.DialError
+			be.Expect(errors.As(err, &de)).To(BeTrue())
+			be.Expect(de.HeldUp).To(Equal(tc.want))
+		})
+	}
+}
+
+// fullListener returns the address of a listener whose queue is full, so that it answers no further dial.
+func fullListener(t *testing.T) string {
+	t.Helper()
+	g := NewWithT(t)
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { unix.Close(fd) })
+	g.Expect(unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})).To(Succeed())
+	g.Expect(unix.Listen(fd, 0)).To(Succeed())
+	at, err := unix.Getsockname(fd)
+	g.Expect(err).NotTo(HaveOccurred())
+	address := fmt.Sprint("127.0.0.1:", at.(*unix.SockaddrInet4).Port)
+	for {
+		cn, err := net.DialTimeout("tcp", address, 100*time.Millisecond)
+		if err != nil {
+			return address
+		}
+		t.Cleanup(func() { cn.Close() })
+	}
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -81,7 +81,7 @@
 
 // dial opens a connection and counts it.
 func (pl *Pool) dial(ctx context.Context, address string) (*conn, error) {
-	cn, err := dial(ctx, address, pl.dialTimeout)
+	cn, err := dial(ctx, address, pl.dialTimeout, pl.now)
 	if err != nil {
 		return nil, err
 	}
