fix(body): the entry role answers a body that does not come in time with 400 as before

Only the gateway role, which broke the connection off, names the time now; the kind is a field of the reader.

--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -26,6 +26,8 @@
 	ComeBack time.Duration
 	// Broken is the kind of failure of a body that does not come whole.
 	Broken failure.Code
+	// Late is the kind of failure of a body that does not come whole in its time, whose caller may still be there; empty for Broken.
+	Late failure.Code
 }
 
 // Read reads a body. free gives its memory back, also after a failure, and is never nil.
@@ -85,9 +87,8 @@
 }
 
 func (rd Reader) broken(err error) error {
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		// The caller may still be there: it is told that its request has not run.
-		return failure.New(failure.DeadlineExceeded, failure.NotRun, "the body did not come in time").
+	if errors.Is(err, os.ErrDeadlineExceeded) && rd.Late != "" {
+		return failure.New(rd.Late, failure.NotRun, "the body did not come in time").
 			WithCause(errors.Wrap(err, "read body")).WithRetryAfter(rd.ComeBack)
 	}
 	return failure.New(rd.Broken, failure.NotRun, "the body could not be read").WithCause(errors.Wrap(err, "read body"))
