fix(serve): a place that comes free at the end of a stop is not taken any more

What a caller saw: a request that waited for a place when its instance ended got 502 instance_ended, outcome failed, where it had waited to be told 503 stopping, not run (TestRequestsLeftAtTheEndOfAStopAreAnswered/no_room, once beside load).

Cause: at the end each request is told by a function of its own. One that ran and was told first gave its place back, and one that waited took it before it was told, and was sent to a target.

Evidence: with a delay of up to 50 ms before each is told, 16 of 20 plays failed; with the change none of 20.

Change: the end is asked for once a place is there, before anything is sent.

--- a/internal/serve/inference.go
+++ b/internal/serve/inference.go
@@ -159,6 +159,11 @@
 		if err != nil {
 			return sv.end(rq, sk, noPlace(ctx, known, err))
 		}
+		if sv.over.Err() != nil {
+			// A request that was given up left its place to this one, which is told of the end a moment later.
+			pl.Done()
+			return sv.end(rq, sk, noPlace(sv.over, known, sv.over.Err()))
+		}
 		if err := sv.machine.Fire(ctx, &rq.life, life.Dispatch); err != nil {
 			pl.Done()
 			return err
