refactor(test): the gateway of a late caller is set up in one place

TestBodyReadWholeAtTheEndIsRefused and TestInstanceHeldUpPastADeadlineStillAnswers set up the same gateway; the first uses newWaiting now. Three comments no longer tell why a bound has its value: 250 ms to write an answer that is due is well over a round trip; a step of 64 KiB for bodies is about a prompt of 16,000 tokens; 1e-7 by chance since a request judged so is refused for minutes. Behaviour and assertions are as they were.

--- a/internal/blame/judge.go
+++ b/internal/blame/judge.go
@@ -16,7 +16,7 @@
 
 const (
 	// chanceMost is how likely it may be, at the most, that targets ended by themselves just while a request ran, for it to be
-	// judged. Requests come in millions, and one that is judged by chance is refused for minutes.
+	// judged.
 	chanceMost = 1e-7
 	// chanceAgain is the same for a single end soon after a judgement has passed.
 	chanceAgain = 1e-2
--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -13,8 +13,7 @@
 	"github.com/silvermount/silvermount/internal/failure"
 )
 
-// chunkStep is how much of a body of unknown length is accounted for at a time, in bytes: about the length of a prompt of
-// 16,000 tokens.
+// chunkStep is how much of a body of unknown length is accounted for at a time, in bytes.
 const chunkStep = 64 << 10
 
 // Reader reads bodies within a bound and within the memory that all requests share.
--- a/internal/deadline/deadline.go
+++ b/internal/deadline/deadline.go
@@ -9,8 +9,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-// answerGrace is the time that an answer has to reach its caller which begins when the answer is due, or later. It is
-// well over a round trip.
+// answerGrace is the time that an answer has to reach its caller which begins when the answer is due, or later.
 const answerGrace = 250 * time.Millisecond
 
 // Deadline is when a caller's answer is due.
--- a/internal/gateway/stop_body_test.go
+++ b/internal/gateway/stop_body_test.go
@@ -9,15 +9,7 @@
 	"testing"
 	"time"
 
-	"github.com/apex/log/handlers/discard"
 	. "github.com/onsi/gomega"
-
-	"github.com/silvermount/silvermount/internal/budget"
-	"github.com/silvermount/silvermount/internal/dispatch"
-	"github.com/silvermount/silvermount/internal/gateway"
-	"github.com/silvermount/silvermount/internal/reservation"
-	"github.com/silvermount/silvermount/internal/routes"
-	"github.com/silvermount/silvermount/internal/targets"
 )
 
 // hookedBody calls a function once its last byte was read.
@@ -49,15 +41,7 @@
 // EndedError, and for a caller that has gone the connection is broken off.
 func TestBodyReadWholeAtTheEndIsRefused(t *testing.T) {
 	g := NewWithT(t)
-	hd := &routes.Holder{}
-	hd.Offer(routes.New(routes.Content{Version: 1, Routes: []routes.Route{{
-		Name: "r", Host: "example.com", PathPrefix: "/", Timeout: generous, Shares: []routes.Share{{Service: "s", Weight: 1}},
-	}}}), nil, time.Now())
-	gw := newGateway(hd, discard.New())
-	gw.SetLimits(gateway.Limits{MaxBodyBytes: 100})
-	gw.Dispatcher = dispatch.New(targets.New(time.Now), &reservation.Keeper{}, dispatch.Options{Now: time.Now})
-	gw.Retries = budget.NewRetries(1, time.Now)
-	gw.Random = func() float64 { return 0 }
+	gw := newWaiting(generous)
 	const text = "whole body"
 	// unscheduled is how long the reader of the body gets no processor.
 	const unscheduled = 50 * time.Millisecond
