feat(evacuation): leave out the targets of evacuated availability zones

Cause: nothing read the objects by which operators evacuate.

Followers of the store watch them beside configuration and targets, and announce each change to all instances in their notes, by position in the store's history. Targets there are left out of the choice, and checked once more when a request is sent. Only with the new setting evacuation_bound, so that other fleets make no further calls.

--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -27,8 +27,8 @@
 	// maxSilence. After that, no call is sent over a connection that was idle meanwhile. onCall is called for each call.
 	Store func(address string, maxSilence time.Duration, onCall func()) listwatch.Store
 	// ConfigurationKind and ConfigurationName identify the object that holds the configuration. TargetKind is the kind of the
-	// objects that describe targets.
-	ConfigurationKind, ConfigurationName, TargetKind string
+	// objects that describe targets, EvacuationKind that of objects named after the availability zones that are evacuated.
+	ConfigurationKind, ConfigurationName, TargetKind, EvacuationKind string
 	// Configuration decodes the value of the configuration object.
 	Configuration func(value []byte) (routes.Config, error)
 	// Target decodes an object that describes a target.
--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -46,6 +46,9 @@
 	// an older configuration allows. The polling interval of the store is derived from both.
 	LeavingBound       Duration `json:"leaving_bound"`
 	ConfigurationBound Duration `json:"configuration_bound"`
+	// EvacuationBound is the time after which an instance that can reach the store must not send requests to targets of an
+	// availability zone that operators have evacuated. Zero means that there are no evacuations; the store is then not asked for them.
+	EvacuationBound Duration `json:"evacuation_bound,omitempty"`
 	// Grace is the time between the request to stop and the forced end of the process.
 	Grace Duration `json:"grace"`
 	// RetryShare and RetryFloor define the retry budget over all instances. In each RetryWindow, the attempts beyond the first may be
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -85,7 +85,7 @@
 // already starts work on them.
 func (ds *Dispatcher) allTakeWork(sl *Slot) bool {
 	for _, id := range sl.TargetIDs() {
-		if !ds.targets.TakesWork(id) || ds.isBackedOff(id) {
+		if !ds.targets.TakesWork(id) || ds.targets.IsEvacuated(id) || ds.isBackedOff(id) {
 			return false
 		}
 	}
--- a/internal/duty/gatewaydeps/gatewaydeps.go
+++ b/internal/duty/gatewaydeps/gatewaydeps.go
@@ -14,6 +14,7 @@
 	"github.com/silvermount/silvermount/internal/backoff"
 	"github.com/silvermount/silvermount/internal/config"
 	"github.com/silvermount/silvermount/internal/dispatch"
+	"github.com/silvermount/silvermount/internal/evacuation"
 	"github.com/silvermount/silvermount/internal/feedback"
 	"github.com/silvermount/silvermount/internal/ident"
 	"github.com/silvermount/silvermount/internal/kernel"
@@ -45,7 +46,9 @@
 	StateNotifier    *Notifier
 	StoreCoordinator *StoreCoordinator
 	Quarantine       *quarantine.Tracker
-	// NotesNotifier is notified when peers need to learn of a change in the requests that crash targets, or in rate limits.
+	Evacuations      *evacuation.Tracker
+	// NotesNotifier is notified when peers need to learn of a change in the requests that crash targets, in rate limits, or in
+	// evacuations.
 	NotesNotifier *Notifier
 	// RateLimits holds the estimated rate limits of targets, and Permits obtains the permits that requests to such targets need.
 	RateLimits *ratelimit.Tracker
@@ -101,7 +104,9 @@
 		ms = metrics.NewSet()
 	}
 	pl := upstream.NewPool(time.Now, ms, env.Settings.Gateway.DialTimeout.Std())
-	dr := targets.New(time.Now, targets.WithSupersededHook(func(tg targets.Target) { pl.CloseIdle(tg.Address) }))
+	evacuations := evacuation.New(time.Now)
+	ms.NewGauge("silvermount_zones_evacuated", func() float64 { return float64(evacuations.Evacuated().Len()) })
+	dr := targets.New(time.Now, targets.WithEvacuations(evacuations.Evacuated), targets.WithSupersededHook(func(tg targets.Target) { pl.CloseIdle(tg.Address) }))
 	stateNotifier := &Notifier{}
 	mg := &reservation.Manager{
 		Reserve: ad.Reserve, Release: ad.Release, NewID: func() string { return ident.New("mem") }, IsCurrent: dr.IsCurrent,
@@ -130,7 +135,7 @@
 		Now: time.Now, TargetCount: dr.Len, Crashed: dr.Lost, NotifyPeers: notesNotifier.Notify, Metrics: ms, Log: env.Logger("blame"),
 	})
 	kernel.Provide(env, &Components{
-		Quarantine: tracker, NotesNotifier: notesNotifier, RateLimits: limits, Permits: permits, BackOffs: backOffs, Feedback: fb,
+		Quarantine: tracker, Evacuations: evacuations, NotesNotifier: notesNotifier, RateLimits: limits, Permits: permits, BackOffs: backOffs, Feedback: fb,
 		Adapter: ad, Routes: &routes.Holder{}, Targets: dr, Dispatcher: ds, Metrics: ms, StateNotifier: stateNotifier, StoreCoordinator: &StoreCoordinator{}, Pool: pl,
 	})
 	return func(ctx context.Context) error {
--- a/internal/duty/gatewaydeps/gatewaydeps_test.go
+++ b/internal/duty/gatewaydeps/gatewaydeps_test.go
@@ -27,7 +27,7 @@
 // invalidGateway returns settings in which every field that is checked is invalid.
 func invalidGateway() config.Gateway {
 	return config.Gateway{
-		Seeds: []string{"x"}, RevocationBound: -1, LeavingBound: -1, ConfigurationBound: -1, Grace: -1, RetryShare: -1, RetryFloor: -1, RetryWindow: -1, Megabits: -1,
+		Seeds: []string{"x"}, RevocationBound: -1, LeavingBound: -1, ConfigurationBound: -1, EvacuationBound: -1, Grace: -1, RetryShare: -1, RetryFloor: -1, RetryWindow: -1, Megabits: -1,
 		DialTimeout: -1, OrderTimeout: -1, MemoryHold: -1, MaxBodyBytes: -1, BodyBudgetBytes: -1,
 	}
 }
@@ -128,6 +128,8 @@
 		"shortest propagation bounds":   {func(gw *config.Gateway) { gw.LeavingBound, gw.ConfigurationBound = 1000*ms, 1000*ms }, nil},
 		"leaving bound too short":       {func(gw *config.Gateway) { gw.LeavingBound = 999 * ms }, []string{"gateway.leaving_bound"}},
 		"configuration bound too short": {func(gw *config.Gateway) { gw.ConfigurationBound = 0 }, []string{"gateway.configuration_bound"}},
+		"shortest evacuation bound":     {func(gw *config.Gateway) { gw.EvacuationBound = 1000 * ms }, nil},
+		"evacuation bound too short":    {func(gw *config.Gateway) { gw.EvacuationBound = 999 * ms }, []string{"gateway.evacuation_bound"}},
 		"shortest grace":                {func(gw *config.Gateway) { gw.Grace = 1000 * ms }, nil},
 		"grace too short":               {func(gw *config.Gateway) { gw.Grace = 999 * ms }, []string{"gateway.grace"}},
 		"grace below zero":              {func(gw *config.Gateway) { gw.Grace = -ms }, []string{"gateway.grace"}},
@@ -149,7 +151,7 @@
 			func(gw *config.Gateway) { *gw = invalidGateway() },
 			[]string{
 				"gateway.adapter", "gateway.callers", "gateway.readiness", "gateway.peers", "gateway.metrics", "gateway.store",
-				"gateway.seeds[0]", "gateway.revocation_bound", "gateway.leaving_bound", "gateway.configuration_bound", "gateway.dial_timeout", "gateway.order_timeout",
+				"gateway.seeds[0]", "gateway.revocation_bound", "gateway.leaving_bound", "gateway.configuration_bound", "gateway.evacuation_bound", "gateway.dial_timeout", "gateway.order_timeout",
 				"gateway.memory_hold", "gateway.grace", "gateway.retry_share", "gateway.retry_floor", "gateway.megabits", "gateway.retry_window",
 				"gateway.max_body_bytes", "gateway.body_budget_bytes",
 			},
--- a/internal/duty/gatewaydeps/settings.go
+++ b/internal/duty/gatewaydeps/settings.go
@@ -101,6 +101,9 @@
 	}
 	fs = append(fs, atLeast("gateway.leaving_bound", gw.LeavingBound, minPropagationBound)...)
 	fs = append(fs, atLeast("gateway.configuration_bound", gw.ConfigurationBound, minPropagationBound)...)
+	if gw.EvacuationBound != 0 {
+		fs = append(fs, atLeast("gateway.evacuation_bound", gw.EvacuationBound, minPropagationBound)...)
+	}
 	fs = append(fs, positive("gateway.dial_timeout", gw.DialTimeout)...)
 	fs = append(fs, positive("gateway.order_timeout", gw.OrderTimeout)...)
 	fs = append(fs, positive("gateway.memory_hold", gw.MemoryHold)...)
--- a/internal/duty/peersync/limits_test.go
+++ b/internal/duty/peersync/limits_test.go
@@ -21,7 +21,7 @@
 	notes := quarantine.Snapshot{}.Encode(now)
 	g.Expect(joinLimits(notes, nil, now)).To(Equal(notes))
 	g.Expect(notes[0]).NotTo(BeEquivalentTo(limitsFormat))
-	got, limits, err := splitLimits(notes)
+	got, limits, err := unwrapNotes(limitsFormat, notes)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(got).To(Equal(notes))
 	g.Expect(limits).To(BeEmpty())
@@ -35,7 +35,7 @@
 	now := time.Now()
 	notes := quarantine.Snapshot{}.Encode(now)
 	obs := []ratelimit.Observation{{Target: "a@1", Limit: ratelimit.PerSecond(1.5), At: now.Add(-time.Second)}}
-	got, rateLimits, err := splitLimits(joinLimits(notes, obs, now))
+	got, rateLimits, err := unwrapNotes(limitsFormat, joinLimits(notes, obs, now))
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(got).To(Equal(notes))
 	du.receiveLimits(gossip.Member{Name: "b"}, rateLimits, now)
@@ -43,10 +43,10 @@
 	g.Expect(du.rateLimits.Limit("a@2").Limited).To(BeFalse(), "the limit does not apply to a later incarnation")
 }
 
-func TestSplitLimitsRejectsTruncatedNotes(t *testing.T) {
+func TestUnwrapNotesRejectsTruncatedNotes(t *testing.T) {
 	g := NewWithT(t)
 	for _, b := range [][]byte{{limitsFormat}, {limitsFormat, 9}, {limitsFormat, 0xff}} {
-		_, _, err := splitLimits(b)
+		_, _, err := unwrapNotes(limitsFormat, b)
 		g.Expect(err).To(HaveOccurred())
 	}
 }
--- a/internal/duty/peersync/peersync.go
+++ b/internal/duty/peersync/peersync.go
@@ -16,6 +16,7 @@
 	"github.com/silvermount/silvermount/internal/config"
 	"github.com/silvermount/silvermount/internal/dispatch"
 	"github.com/silvermount/silvermount/internal/duty/gatewaydeps"
+	"github.com/silvermount/silvermount/internal/evacuation"
 	"github.com/silvermount/silvermount/internal/gossip"
 	"github.com/silvermount/silvermount/internal/kernel"
 	"github.com/silvermount/silvermount/internal/peerstate"
@@ -68,6 +69,8 @@
 	ms  *gossip.Mesh
 	sc  *gatewaydeps.StoreCoordinator
 	tr  *quarantine.Tracker
+	// evacuations holds the evacuated availability zones.
+	evacuations *evacuation.Tracker
 	// rateLimits holds the known rate limits of targets, and permits enforces them together with the other instances.
 	rateLimits *ratelimit.Tracker
 	permits    *permitService
@@ -93,7 +96,7 @@
 	}
 	du := newDuty()
 	du.ad, du.rts, du.dr, du.ds, du.sc, du.tr = co.Adapter, co.Routes, co.Targets, co.Dispatcher, co.StoreCoordinator, co.Quarantine
-	du.rateLimits = co.RateLimits
+	du.rateLimits, du.evacuations = co.RateLimits, co.Evacuations
 	du.lg = env.Logger("peers")
 	var lc net.ListenConfig
 	l, err := lc.Listen(ctx, "tcp", env.Settings.Gateway.Peers)
--- a/internal/duty/storesync/fleet_test.go
+++ b/internal/duty/storesync/fleet_test.go
@@ -18,7 +18,7 @@
 func TestFleetStartCausesFewCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		fl := newFleet(t)
+		fl := newFleet(t, false)
 		time.Sleep(2 * time.Second)
 		g.Expect(fl.allHave(1)).To(BeTrue())
 		g.Expect(fl.takeNonFollowerCalls()).To(BeZero(), "peers provide the state")
--- a/internal/duty/storesync/simfleet_test.go
+++ b/internal/duty/storesync/simfleet_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/silvermount/silvermount/internal/adapter"
 	"github.com/silvermount/silvermount/internal/duty/gatewaydeps"
+	"github.com/silvermount/silvermount/internal/evacuation"
 	"github.com/silvermount/silvermount/internal/listwatch"
 	"github.com/silvermount/silvermount/internal/objectstore"
 	"github.com/silvermount/silvermount/internal/position"
@@ -40,6 +41,9 @@
 	// proofExpiry is the age of a proof from which keys are refused.
 	proofExpiry                    = 4400 * time.Millisecond
 	kindConfiguration, kindTargets = "configurations", "targets"
+	// kindEvacuations objects alternate with each change: none, zone-a, none, and so on.
+	kindEvacuations = "evacuations"
+	evacuatedZone   = "zone-a"
 )
 
 // sharedStore is the store that all instances call. It holds one configuration, whose value is its version, and one target, which
@@ -70,7 +74,13 @@
 
 func (st *sharedStore) list(kind string) objectstore.Listing {
 	v := st.version[kind]
+	if kind == kindEvacuations && v%2 == 1 {
+		return objectstore.Listing{Era: st.era, Version: v}
+	}
 	name := "main"
+	if kind == kindEvacuations {
+		name = evacuatedZone
+	}
 	if kind == kindTargets {
 		name = "target-" + strconv.FormatInt(v, 10)
 	}
@@ -158,6 +168,9 @@
 
 // withRemoved adds the removals of the targets that were replaced since a version.
 func withRemoved(l objectstore.Listing, kind string, since int64) objectstore.Listing {
+	if kind == kindEvacuations && l.Version > since && l.Version%2 == 1 {
+		l.Items = append(l.Items, objectstore.Object{Name: evacuatedZone, Version: l.Version})
+	}
 	for v := since; kind == kindTargets && v < l.Version; v++ {
 		l.Items = append(l.Items, objectstore.Object{Name: "target-" + strconv.FormatInt(v, 10), Version: v + 1})
 	}
@@ -174,10 +187,10 @@
 	peerFetchLatency time.Duration
 }
 
-func newFleet(t *testing.T) *fleet {
+func newFleet(t *testing.T, withEvacuations bool) *fleet {
 	t.Helper()
 	fl := &fleet{
-		store:            &sharedStore{version: map[string]int64{kindConfiguration: 1, kindTargets: 1}, calls: map[string]int{}},
+		store:            &sharedStore{version: map[string]int64{kindConfiguration: 1, kindTargets: 1, kindEvacuations: 1}, calls: map[string]int{}},
 		peerFetchLatency: peerFetchLatency,
 	}
 	for i := range instanceCount {
@@ -190,6 +203,9 @@
 		st := listwatch.Store{List: si.list, Watch: si.watch}
 		wg.Go(func() { si.sy.configurationWatcher(st, lg).Run(ctx) })
 		wg.Go(func() { si.sy.targetWatcher(st, lg).Run(ctx) })
+		if withEvacuations {
+			wg.Go(func() { si.sy.evacuationWatcher(st, lg, changeBound).Run(ctx) })
+		}
 	}
 	wg.Go(func() {
 		for ctx.Err() == nil {
@@ -216,14 +232,15 @@
 	})
 	si.sy = &syncer{
 		ad: adapter.Adapter{
-			ConfigurationKind: kindConfiguration, ConfigurationName: "main", TargetKind: kindTargets,
+			ConfigurationKind: kindConfiguration, ConfigurationName: "main", TargetKind: kindTargets, EvacuationKind: kindEvacuations,
 			Configuration: func(value []byte) (routes.Config, error) {
 				v, err := strconv.ParseInt(string(value), 10, 64)
 				return routes.Config{Version: v}, err
 			},
 			Target: func(ob objectstore.Object) (targets.Target, error) { return targets.Target{ID: ob.Name}, nil },
 		},
-		rts: &routes.Holder{}, dr: targets.New(time.Now), stateNotifier: &gatewaydeps.Notifier{}, coordinator: sc, hasSeeds: true, firstStart: true,
+		rts: &routes.Holder{}, dr: targets.New(time.Now), stateNotifier: &gatewaydeps.Notifier{}, evacuations: evacuation.New(time.Now),
+		notesNotifier: &gatewaydeps.Notifier{}, coordinator: sc, hasSeeds: true, firstStart: true,
 		leavingBound: changeBound, configurationBound: changeBound,
 		lg: &log.Logger{Handler: discard.New(), Level: log.ErrorLevel},
 	}
@@ -270,6 +287,9 @@
 			if from != to && from.reachable() && to.reachable() {
 				receiveConfiguration(to, from, fl.peerFetchLatency)
 				receiveTargets(to, from)
+				if st, local := from.sy.evacuations.LocalState(); local {
+					to.sy.evacuations.Merge(st)
+				}
 			}
 		}
 	}
@@ -374,7 +394,7 @@
 func runInFleet(t *testing.T, run func(g *WithT, fl *fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		fl := newFleet(t)
+		fl := newFleet(t, false)
 		time.Sleep(20 * time.Second)
 		fl.takeAllCalls()
 		run(NewWithT(t), fl)
--- a/internal/duty/storesync/storesync.go
+++ b/internal/duty/storesync/storesync.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -11,6 +12,7 @@
 	"github.com/silvermount/silvermount/internal/adapter"
 	"github.com/silvermount/silvermount/internal/config"
 	"github.com/silvermount/silvermount/internal/duty/gatewaydeps"
+	"github.com/silvermount/silvermount/internal/evacuation"
 	"github.com/silvermount/silvermount/internal/kernel"
 	"github.com/silvermount/silvermount/internal/listwatch"
 	"github.com/silvermount/silvermount/internal/objectstore"
@@ -28,7 +30,10 @@
 	ad  adapter.Adapter
 	rts *routes.Holder
 	dr  *targets.Directory
-	lg  log.Interface
+	// evacuations holds the evacuated availability zones, and notesNotifier is notified when peers need to learn of a change.
+	evacuations   *evacuation.Tracker
+	notesNotifier *gatewaydeps.Notifier
+	lg            log.Interface
 	// stateNotifier is notified of changes that peers may not know yet.
 	stateNotifier *gatewaydeps.Notifier
 	// coordinator knows whether peers watch the store on behalf of this instance.
@@ -46,6 +51,8 @@
 	startTimeRequired bool
 	// rewrittenEra is the newest era of the store in which a change of the configuration was seen. It is used by one goroutine.
 	rewrittenEra int64
+	// targetAnswers counts the successful calls about targets.
+	targetAnswers atomic.Int64
 	// pending collects the contents of the response about targets that is being read. It is used by one goroutine.
 	pending targetUpdate
 }
@@ -64,7 +71,7 @@
 	})
 	sy := &syncer{
 		ad: co.Adapter, rts: co.Routes, dr: co.Targets, lg: env.Logger("facts"), stateNotifier: co.StateNotifier, coordinator: co.StoreCoordinator,
-		hasSeeds: len(gw.Seeds) > 0, firstStart: gw.FirstStart,
+		evacuations: co.Evacuations, notesNotifier: co.NotesNotifier, hasSeeds: len(gw.Seeds) > 0, firstStart: gw.FirstStart,
 		leavingBound: gw.LeavingBound.Std(), configurationBound: configurationBound(gw),
 	}
 	sy.detector = newFailureDetector(sy.silenceTimeout(), co.StoreCoordinator.ReportStoreResult)
@@ -73,6 +80,9 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { sy.configurationWatcher(st, env.Logger("store")).Run(ctx) })
 	wg.Go(func() { sy.targetWatcher(st, env.Logger("store")).Run(ctx) })
+	if bound := gw.EvacuationBound.Std(); bound > 0 {
+		wg.Go(func() { sy.evacuationWatcher(st, env.Logger("store"), min(bound, sy.leavingBound)).Run(ctx) })
+	}
 	return func(context.Context) error {
 		cancel()
 		wg.Wait()
@@ -216,6 +226,7 @@
 		Confirm: func(asOf time.Time, at position.Position) {
 			sy.detector.recordSuccess()
 			sy.reportChanges(sy.applyTargets(at, asOf), asOf)
+			sy.targetAnswers.Add(1)
 			sy.stateNotifier.Notify()
 		},
 		OnFailure: func(error) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -270,6 +270,9 @@
 		if !gw.Targets.TakesWork(id) {
 			return &UnavailableTargetError{Target: id, Cause: "is leaving or gone"}
 		}
+		if gw.Targets.IsEvacuated(id) {
+			return &UnavailableTargetError{Target: id, Cause: "is in an evacuated availability zone"}
+		}
 		if _, backedOff := gw.BackOffs.Until(id); backedOff {
 			return &UnavailableTargetError{Target: id, Cause: "is backed off"}
 		}
--- a/internal/set/set.go
+++ b/internal/set/set.go
@@ -42,5 +42,15 @@
 	return Set[T]{members: m}
 }
 
+// Without returns a set that has the members of st other than v.
+func (st Set[T]) Without(v T) Set[T] {
+	if !st.Has(v) {
+		return st
+	}
+	m := maps.Clone(st.members)
+	delete(m, v)
+	return Set[T]{members: m}
+}
+
 // All returns an iterator over the members in no particular order.
 func (st Set[T]) All() iter.Seq[T] { return maps.Keys(st.members) }
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/silvermount/silvermount/internal/position"
+	"github.com/silvermount/silvermount/internal/set"
 )
 
 const (
@@ -84,6 +85,9 @@
 	// onSuperseded is called, with the lock held, for each incarnation that a later one with the same name replaces.
 	onSuperseded func(Target)
 
+	// evacuated returns the availability zones whose targets accept no new requests.
+	evacuated func() set.Set[string]
+
 	mu sync.Mutex
 	// entries is keyed by incarnation.
 	entries map[string]*entry
@@ -117,10 +121,16 @@
 	return func(dr *Directory) { dr.onSuperseded = hook }
 }
 
+// WithEvacuations sets a function that returns the evacuated availability zones. It may be called with the lock held, so it must
+// not call the directory.
+func WithEvacuations(evacuated func() set.Set[string]) Option {
+	return func(dr *Directory) { dr.evacuated = evacuated }
+}
+
 // New returns an empty directory; now is its clock.
 func New(now func() time.Time, opts ...Option) *Directory {
 	dr := &Directory{
-		now: now, onSuperseded: func(Target) {}, entries: map[string]*entry{}, latest: map[string]incarnation{},
+		now: now, onSuperseded: func(Target) {}, evacuated: func() set.Set[string] { return set.Set[string]{} }, entries: map[string]*entry{}, latest: map[string]incarnation{},
 		leavingSince: map[string]time.Time{}, zones: map[string]*zone{},
 	}
 	for _, o := range opts {
--- a/internal/targets/usable.go
+++ b/internal/targets/usable.go
@@ -22,7 +22,8 @@
 	RequireHealthy
 )
 
-// Usable returns the targets of a service that may get work now, sorted by ID. Targets that accept no connections, or whose
+// Usable returns the targets of a service that may get work now, sorted by ID. Targets of evacuated availability zones are left
+// out. Targets that accept no connections, or whose
 // availability zone is excluded, are returned only when no healthy target is left. Ejected targets are returned only when too few
 // others are left. Lapsed targets that are presumed dead are the last resort. When probes of availability zones are due, only the
 // targets of those zones are returned. Of several targets at one address, only the one that was listed last is returned.
@@ -30,10 +31,11 @@
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
 	now := dr.now()
+	evacuated := dr.evacuated()
 	var probes, good, suspect, ejected, unreachable, lastResort []Target
 	for _, en := range dr.entries {
 		switch {
-		case en.Service != service || !en.takesWork(now):
+		case en.Service != service || !en.takesWork(now) || evacuated.Has(en.AvailabilityZone):
 		case dr.presumedDead(en, now):
 			lastResort = append(lastResort, en.Target)
 		case now.Before(en.unreachableUntil):
@@ -95,6 +97,14 @@
 	return ok && en.takesWork(dr.now())
 }
 
+// IsEvacuated reports whether a target is in an evacuated availability zone. Such a target may still finish requests.
+func (dr *Directory) IsEvacuated(id string) bool {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	en, ok := dr.entries[id]
+	return ok && dr.evacuated().Has(en.AvailabilityZone)
+}
+
 // takesWork is TakesWork for one entry.
 func (en *entry) takesWork(now time.Time) bool {
 	if en.leaving {
