feat(targets): limit the requests to cold targets across all instances

A target that warms up takes a stated number of requests a second from all instances together. It now is a rate limit until the target is warm, kept by the permits that also keep the limits which targets state.

--- a/internal/duty/gatewaydeps/gatewaydeps.go
+++ b/internal/duty/gatewaydeps/gatewaydeps.go
@@ -50,7 +50,9 @@
 	// NotesNotifier is notified when peers need to learn of a change in the requests that crash targets, in rate limits, or in
 	// evacuations.
 	NotesNotifier *Notifier
-	// RateLimits holds the estimated rate limits of targets, and Permits obtains the permits that requests to such targets need.
+	// TargetLimit returns the rate limit of a target: the one that it states, or a lower one while it warms up.
+	TargetLimit func(target string) ratelimit.Limit
+	// RateLimits holds the rate limits that targets state, and Permits obtains the permits that requests to such targets need.
 	RateLimits *ratelimit.Tracker
 	Permits    *permit.Client
 	// BackOffs holds the targets that asked this instance to back off. Feedback updates all of these from the targets' answers.
@@ -74,15 +76,33 @@
 }
 
 // logNoPermit returns a function that logs a request that is not sent to a target because it got no permit.
-func logNoPermit(lg log.Interface, limits *ratelimit.Tracker) func(request string, tg targets.Target, again time.Duration) {
+func logNoPermit(lg log.Interface, limitOf func(target string) ratelimit.Limit) func(request string, tg targets.Target, again time.Duration) {
 	return func(request string, tg targets.Target, again time.Duration) {
 		lg.WithFields(log.Fields{
-			"request": request, "target": tg.ID, "service": tg.Service, "limit": limits.Limit(tg.ID).String(),
+			"request": request, "target": tg.ID, "service": tg.Service, "limit": limitOf(tg.ID).String(),
 			"again": again.Round(time.Millisecond).String(),
 		}).Info("no permit for target")
 	}
 }
 
+// targetLimit returns a function that returns the rate limit of a target: the one that it states, or that of a cold target of its
+// service if this is lower.
+func targetLimit(limits *ratelimit.Tracker, dr *targets.Directory, rts *routes.Holder) func(target string) ratelimit.Limit {
+	return func(target string) ratelimit.Limit {
+		li := limits.Limit(target)
+		service, cold := dr.Cold(target)
+		tb, _ := rts.Current()
+		if !cold || tb == nil {
+			return li
+		}
+		sv, _ := tb.Service(service)
+		if sv.ColdRequestsPerSecond == 0 {
+			return li
+		}
+		return li.Lower(ratelimit.PerSecond(sv.ColdRequestsPerSecond))
+	}
+}
+
 // logBackOffWait returns a function that logs a request that waits for the end of a target's back-off.
 func logBackOffWait(lg log.Interface) func(request string, tg targets.Target, wait time.Duration) {
 	return func(request string, tg targets.Target, wait time.Duration) {
@@ -114,7 +134,10 @@
 	}
 	limits := ratelimit.New(time.Now)
 	ms.NewGauge("silvermount_targets_limited", func() float64 { return float64(limits.LimitedCount()) })
-	permits := permit.NewClient(time.Now, limits.Limit, ms)
+	ms.NewGauge("silvermount_targets_cold", func() float64 { return float64(dr.ColdCount()) })
+	rts := &routes.Holder{}
+	limitOf := targetLimit(limits, dr, rts)
+	permits := permit.NewClient(time.Now, limitOf, ms)
 	backOffs := backoff.New(time.Now, rand.Float64)
 	ms.NewGauge("silvermount_targets_leaving", func() float64 { return float64(dr.LeavingCount()) })
 	ms.NewGauge("silvermount_targets_backed_off", func() float64 { return float64(backOffs.ActiveCount()) })
@@ -128,7 +151,7 @@
 	}
 	ds := dispatch.New(dr, mg, dispatch.Options{
 		Instance: env.Settings.Instance, AvailabilityZone: env.Settings.AvailabilityZone, Now: time.Now, OnLoadChange: stateNotifier.Notify,
-		Permits: permits, OnPermitRefused: logNoPermit(env.Logger("dispatch"), limits),
+		Permits: permits, OnPermitRefused: logNoPermit(env.Logger("dispatch"), limitOf),
 		BackOffs: backOffs, OnBackOffWait: logBackOffWait(env.Logger("dispatch")),
 	})
 	tracker := quarantine.New(quarantine.Options{
@@ -136,7 +159,7 @@
 	})
 	kernel.Provide(env, &Components{
 		Quarantine: tracker, Evacuations: evacuations, NotesNotifier: notesNotifier, RateLimits: limits, Permits: permits, BackOffs: backOffs, Feedback: fb,
-		Adapter: ad, Routes: &routes.Holder{}, Targets: dr, Dispatcher: ds, Metrics: ms, StateNotifier: stateNotifier, StoreCoordinator: &StoreCoordinator{}, Pool: pl,
+		Adapter: ad, Routes: rts, TargetLimit: limitOf, Targets: dr, Dispatcher: ds, Metrics: ms, StateNotifier: stateNotifier, StoreCoordinator: &StoreCoordinator{}, Pool: pl,
 	})
 	return func(ctx context.Context) error {
 		ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
--- a/internal/duty/peersync/peersync.go
+++ b/internal/duty/peersync/peersync.go
@@ -106,7 +106,7 @@
 	opts := du.options(env)
 	du.ms = gossip.New(opts)
 	du.fetchDocument = du.ms.Fetch
-	du.permits = newPermitService(opts.Self.Name, du.ms, du.rateLimits, du.lg)
+	du.permits = newPermitService(opts.Self.Name, du.ms, co.TargetLimit, du.lg)
 	co.Permits.SetRequestFunc(du.permits.requestPermit)
 	co.StateNotifier.SetCallback(du.ms.PublishState)
 	co.NotesNotifier.SetCallback(du.ms.PublishNotes)
--- a/internal/duty/peersync/permits.go
+++ b/internal/duty/peersync/permits.go
@@ -43,11 +43,12 @@
 
 // permitService issues permits to peers, and requests permits from the issuers of targets.
 type permitService struct {
-	self       string
-	mesh       *gossip.Mesh
-	issuer     *permit.Issuer
-	rateLimits *ratelimit.Tracker
-	lg         log.Interface
+	self   string
+	mesh   *gossip.Mesh
+	issuer *permit.Issuer
+	// limitOf returns the rate limit of a target.
+	limitOf func(target string) ratelimit.Limit
+	lg      log.Interface
 
 	mu sync.Mutex
 	// live holds the live instances at a version of the member list, and candidates the same instances as input of
@@ -57,8 +58,8 @@
 	membersVersion uint64
 }
 
-func newPermitService(self string, ms *gossip.Mesh, rateLimits *ratelimit.Tracker, lg log.Interface) *permitService {
-	return &permitService{self: self, mesh: ms, issuer: permit.NewIssuer(time.Now), rateLimits: rateLimits, lg: lg}
+func newPermitService(self string, ms *gossip.Mesh, limitOf func(target string) ratelimit.Limit, lg log.Interface) *permitService {
+	return &permitService{self: self, mesh: ms, issuer: permit.NewIssuer(time.Now), limitOf: limitOf, lg: lg}
 }
 
 // issuerOf returns the instance that issues the permits of a target, in the view of this instance.
@@ -123,7 +124,7 @@
 	if ps.issuerOf(tg).Name != ps.self {
 		return permit.Decision{Delay: wrongIssuerRetryDelay}
 	}
-	li := ps.rateLimits.Limit(pr.Target)
+	li := ps.limitOf(pr.Target)
 	if !li.Limited {
 		li = ratelimit.PerSecond(pr.PerSecond)
 	}
--- a/internal/ratelimit/limit.go
+++ b/internal/ratelimit/limit.go
@@ -25,6 +25,14 @@
 	return Limit{Limited: true, PerSecond: max(0, min(n, maxPerSecond))}
 }
 
+// Lower returns the lower of two limits, of which none, one or both may be set.
+func (li Limit) Lower(other Limit) Limit {
+	if !li.Limited || other.Limited && other.PerSecond < li.PerSecond {
+		return other
+	}
+	return li
+}
+
 // String returns the limit in the form that targets use, or "none".
 func (li Limit) String() string {
 	if !li.Limited {
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -54,6 +54,9 @@
 	Name string
 	// MaxConnections is the maximum number of connections that one target accepts from all instances together; zero if unknown.
 	MaxConnections int
+	// ColdRequestsPerSecond is the number of requests per second that a target accepts from all instances together while it warms
+	// up; zero if it is not limited.
+	ColdRequestsPerSecond float64
 	// Engine describes the model engines of the service; nil for plain services.
 	Engine *placement.Engine
 }
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -41,6 +41,8 @@
 	Slots int `json:"Slots"`
 	// Leaving targets accept no new work.
 	Leaving bool `json:"Leaving"`
+	// WarmUp is how much longer the target stays cold, counted from when the entry was read; zero for a warm target.
+	WarmUp time.Duration `json:"WarmUp,omitempty"`
 }
 
 // NameOrID returns the name that the target gives itself, which is its ID when Name is empty.
@@ -58,6 +60,8 @@
 	leaving bool
 	// missingSince is when the target was first missing from the list; zero while it is listed.
 	missingSince time.Time
+	// warmAt is when the target has warmed up; zero or in the past for a warm target.
+	warmAt time.Time
 	// graceUntil is the time until which a target whose entry lapsed during a store outage still accepts work; zero for others.
 	graceUntil time.Time
 	// ejectedUntil is when an ejected target may be tried again.
@@ -217,10 +221,12 @@
 func (dr *Directory) Listed() (at position.Position, list []Target) {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
+	now := dr.now()
 	for _, en := range dr.entries {
 		if en.missingSince.IsZero() {
 			tg := en.Target
 			tg.Leaving = en.leaving
+			tg.WarmUp = max(0, en.warmAt.Sub(now))
 			list = append(list, tg)
 		}
 	}
@@ -245,6 +251,10 @@
 		en = &entry{listOrder: dr.listings}
 		dr.entries[tg.ID] = en
 	}
+	if !known || tg.WarmUp != en.WarmUp {
+		// An entry that states the same warm-up again was not written again.
+		en.warmAt = dr.now().Add(tg.WarmUp)
+	}
 	relisted := known && !en.missingSince.IsZero()
 	wasLeaving := en.leaving
 	_, markedLeaving := dr.leavingSince[tg.ID]
