fix(gossip): do not send the infos of all members to a seed over each link

All members of a fleet that starts dial the same seeds. A seed subscribed to the infos of all members over each of these links, so that it received n infos from each of n members, kept a copy for each link, and computed a plan for each. What grows: the square of the fleet. Processes of seeds reached 790 MB at 985 members.

A member of a large fleet now subscribes to all infos over the links of the plan and four others, links share one copy of an info, and an opened or ended link no longer causes a new plan.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -18,6 +18,8 @@
 	"github.com/cockroachdb/errors"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+
+	"github.com/silvermount/silvermount/internal/set"
 )
 
 // Mesh is this instance's view of the fleet and its links to other members.
@@ -58,6 +60,8 @@
 	wasRelay bool
 	// upstreamRelays are the relays that this instance receives states from, sorted. Each sends one shard of the states.
 	upstreamRelays []string
+	// infoLinks are the links outside the plan over which this instance subscribes to the infos of all members.
+	infoLinks set.Set[*link]
 	// subscribers counts, for each member that receives all states from this instance, the links that it does so over.
 	subscribers map[string]int
 	links       map[*link]struct{}
--- a/internal/gossip/link.go
+++ b/internal/gossip/link.go
@@ -249,6 +249,9 @@
 			}
 		}
 		events = append(events, lk.ms.applyEntry(*mi, e, now)...)
+		if r := lk.ms.records[mi.Name]; e.Info != nil && r != nil && r.memberInfo == *mi {
+			lk.infos[e.ID] = r.share()
+		}
 	}
 	lk.ms.clearSuspicion(lk.peer.Name)
 	if fr.Subscription != nil {
@@ -280,10 +283,7 @@
 	}
 	if firstFrame {
 		// The subscription to the peer depends on its identity.
-		ms.topologyVersion++
-		ms.replanNow = true
-		ms.countSubscribers()
-		ms.signal()
+		ms.linksChanged()
 	}
 	return nil
 }
@@ -295,9 +295,7 @@
 	defer ms.mu.Unlock()
 	delete(ms.links, lk)
 	close(lk.done)
-	ms.topologyVersion++
-	ms.replanNow = true
-	ms.countSubscribers()
+	ms.linksChanged()
 	r := ms.records[lk.peer.Name]
 	if r == nil || r.Incarnation != lk.peer.Incarnation {
 		return
--- a/internal/gossip/record.go
+++ b/internal/gossip/record.go
@@ -8,6 +8,8 @@
 // record is what this instance knows of one member.
 type record struct {
 	memberInfo
+	// sharedInfo is a copy of memberInfo that is never modified, so that links can refer to it; nil if none does.
+	sharedInfo *memberInfo
 	// id identifies the record in the entries sent to peers.
 	id uint64
 	// lastChange is the newest change of anything in the record, infoChange that of the member info.
@@ -50,6 +52,16 @@
 	return mi.Incarnation > r.Incarnation
 }
 
+// share returns an unmodified copy of the record's member info. All links refer to the same copy, so that the memory for the infos
+// of n members on m links does not grow as n times m.
+func (r *record) share() *memberInfo {
+	if r.sharedInfo == nil || *r.sharedInfo != r.memberInfo {
+		mi := r.memberInfo
+		r.sharedInfo = &mi
+	}
+	return r.sharedInfo
+}
+
 // event is a callback to run.
 type event struct {
 	lost   bool
--- a/internal/gossip/scope.go
+++ b/internal/gossip/scope.go
@@ -41,14 +41,21 @@
 // subscriptionTo returns this instance's subscription to the peer of a link. The lock is held.
 func (ms *Mesh) subscriptionTo(lk *link) subscription {
 	self := ms.self.Member
-	if ms.plan.fullMesh || lk.peer.Name == "" {
+	if ms.plan.fullMesh {
 		return subscription{Scope: scopeMembers}
 	}
+	if lk.peer.Name == "" {
+		return subscription{Scope: scopeDirect}
+	}
 	if lk.peer.AvailabilityZone != self.AvailabilityZone {
-		if slices.Contains(ms.plan.remoteRelays(self), lk.peer.Name) {
+		switch {
+		case slices.Contains(ms.plan.remoteRelays(self), lk.peer.Name):
 			return subscription{Scope: scopeZone}
+		case ms.infoLinks.Has(lk):
+			return subscription{Scope: scopeMembers}
+		default:
+			return subscription{Scope: scopeDirect}
 		}
-		return subscription{Scope: scopeMembers}
 	}
 	if !ms.plan.subscribes(self, lk.peer) {
 		return subscription{Scope: scopeDirect}
--- a/internal/gossip/topology.go
+++ b/internal/gossip/topology.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -33,9 +34,19 @@
 	}
 	ms.plannedPeers = ms.selectPeers()
 	ms.updateUpstreamRelays()
+	ms.updateInfoLinks()
 	ms.logRelayRole()
 }
 
+// linksChanged updates what depends on the links, after one of them was identified or has ended. The plan depends on the members
+// only: when hundreds of them connect to one instance at once, it must not compute a plan for each. The lock is held.
+func (ms *Mesh) linksChanged() {
+	ms.updateUpstreamRelays()
+	ms.updateInfoLinks()
+	ms.countSubscribers()
+	ms.signal()
+}
+
 func (ms *Mesh) liveCount() int {
 	live := 1
 	for _, r := range ms.records {
@@ -96,6 +107,25 @@
 	ms.upstreamRelays = slices.Compact(upstream)
 }
 
+// maxInfoLinks is the number of links to other availability zones, beyond those that the plan selects, over which an instance
+// subscribes to the infos of all members. Through them parts of the fleet that do not know each other yet become one.
+const maxInfoLinks = 4
+
+// updateInfoLinks determines the links to other availability zones over which this instance subscribes to the infos of all members:
+// the oldest ones that the plan does not select. The seeds of a large fleet are dialled by all of its members at once, and would
+// otherwise receive the infos of all members from each of them. The lock is held.
+func (ms *Mesh) updateInfoLinks() {
+	selected := set.Of(ms.plan.remoteRelays(ms.self.Member)...)
+	var candidates []*link
+	for lk := range ms.links {
+		if lk.peer.Name != "" && lk.peer.AvailabilityZone != ms.self.AvailabilityZone && !selected.Has(lk.peer.Name) {
+			candidates = append(candidates, lk)
+		}
+	}
+	slices.SortFunc(candidates, func(a, b *link) int { return cmp.Compare(a.seq, b.seq) })
+	ms.infoLinks = set.Of(candidates[:min(maxInfoLinks, len(candidates))]...)
+}
+
 // wantedMembers returns the members, live or lost, to keep links to. The lock is held.
 func (ms *Mesh) wantedMembers() []*record {
 	ms.replan()
