fix(frontend): share the retry budget of an availability zone in a large fleet

The retry floor is divided by the live instances, and a retry needs a whole one. 1,040 divided by 985 left each instance a burst of 0.76, so that no instance could retry at all; at 295 it was 1.6. What holds only while the fleet is small: floor x 0.72 / instances >= 1.

Where the burst of an instance is below two, the instances of an availability zone now share one budget, held by one live instance that all select alike, as for permits. The bound on all retries in a window stays. Without it TestEveryInstanceOfLargeFleetCanRetry fails at 295, 985 and 1,970 instances and TestRetryWithSmallShareOfFloor in platform.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -59,6 +59,16 @@
 	// balance is between zero and burst.
 	balance    float64
 	refilledAt time.Time
+	// borrow withdraws a retry from a budget that several instances share; nil if there is none.
+	borrow func() bool
+}
+
+// SetShared sets the function that withdraws a retry from a budget shared by several instances. It is called when the balance is
+// below one, without the lock held, and may block. Nil disables it.
+func (rt *Retries) SetShared(borrow func() bool) {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	rt.borrow = borrow
 }
 
 // SetFloor changes the retries that are allowed without traffic: burst is the maximum balance, minRate the number per second.
@@ -95,25 +105,31 @@
 	rt.credit(rt.ratio)
 }
 
-// TryWithdraw withdraws one retry, or returns false when the balance is below one.
+// TryWithdraw withdraws one retry from the balance, or else from the shared budget. It returns false when neither has one.
 func (rt *Retries) TryWithdraw() bool {
+	taken, borrow := rt.withdraw()
+	return taken || borrow != nil && borrow()
+}
+
+// withdraw withdraws one retry from the balance. If the balance is below one, it returns the function for the shared budget.
+func (rt *Retries) withdraw() (taken bool, borrow func() bool) {
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
 	now := rt.now()
 	rt.credit(now.Sub(rt.refilledAt).Seconds() * rt.minRate)
 	rt.refilledAt = now
 	if rt.balance < 1 {
-		return false
+		return false, rt.borrow
 	}
 	rt.balance--
-	return true
+	return true, nil
 }
 
-// Available reports whether the balance allows a retry, without withdrawing it.
+// Available reports whether the balance allows a retry, or a shared budget may, without withdrawing it.
 func (rt *Retries) Available() bool {
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
-	return rt.balance >= 1
+	return rt.balance >= 1 || rt.borrow != nil
 }
 
 // credit adds n retries to the balance, up to burst. The caller holds the lock.
--- a/internal/duty/frontend/shares.go
+++ b/internal/duty/frontend/shares.go
@@ -24,6 +24,9 @@
 	// burstShare is the part of an instance's share that it may save up, because failures come in bursts. The rest is refilled over
 	// the window. The bound of the fleet does not depend on this value.
 	burstShare = 0.8
+	// minLocalBurst is the number of retries that an instance needs at once, for the failures of one target. If its share of the fleet's
+	// floor is smaller, the instances of an availability zone share one budget instead of dividing it.
+	minLocalBurst = 2
 	// idleShare is the part of a target's connections that may be idle.
 	idleShare = 0.5
 )
@@ -32,17 +35,23 @@
 type limitShares struct {
 	// settings is replaced when the settings are reloaded.
 	settings atomic.Pointer[config.Gateway]
-	mesh     *gossip.Mesh
-	routes   *routes.Holder
-	pool     *upstream.Pool
-	retries  *budget.Retries
+	// zone is the availability zone of this instance.
+	zone    string
+	mesh    *gossip.Mesh
+	routes  *routes.Holder
+	pool    *upstream.Pool
+	retries *budget.Retries
+	// zoneRetries is the budget of the availability zone, which this instance uses while it is the holder. withdrawShared withdraws a
+	// retry from it, wherever it is held.
+	zoneRetries    *budget.Retries
+	withdrawShared func() bool
 	// maxLive is the largest number of live instances seen recently, and maxLiveAt is when it was last seen.
 	maxLive   int
 	maxLiveAt time.Time
 }
 
 func newLimitShares(env *kernel.Env, co *gatewaydeps.Components, mesh *gossip.Mesh, rt *budget.Retries) *limitShares {
-	ls := &limitShares{mesh: mesh, routes: co.Routes, pool: co.Pool, retries: rt, maxLive: minSharers, maxLiveAt: time.Now()}
+	ls := &limitShares{zone: env.Settings.AvailabilityZone, mesh: mesh, routes: co.Routes, pool: co.Pool, retries: rt, zoneRetries: co.ZoneRetries, withdrawShared: co.SharedRetry.Withdraw, maxLive: minSharers, maxLiveAt: time.Now()}
 	ls.settings.Store(env.Settings.Gateway)
 	env.OnReload(func(s config.Settings) { ls.settings.Store(s.Gateway) })
 	return ls
@@ -50,12 +59,13 @@
 
 // update adapts the shares to the number of live instances and the configuration.
 func (ls *limitShares) update() {
-	live := len(ls.mesh.Live())
+	members := ls.mesh.Live()
+	live := len(members)
 	if live >= ls.maxLive || time.Since(ls.maxLiveAt) > sharerCountRetention {
 		ls.maxLive = max(minSharers, live)
 		ls.maxLiveAt = time.Now()
 	}
-	ls.retries.SetFloor(retryFloorShare(ls.settings.Load(), ls.maxLive))
+	ls.updateRetries(membersOfZone(members, ls.zone))
 	tb, _ := ls.routes.Current()
 	if tb == nil {
 		return
@@ -63,6 +73,45 @@
 	ls.pool.SetMaxIdle(idleLimit(tb.Services(), ls.maxLive))
 }
 
+// updateRetries sets this instance's share of the retry floor, or that of its availability zone if an instance's own share is too
+// small. zoneMembers is the number of live instances of the availability zone.
+func (ls *limitShares) updateRetries(zoneMembers int) {
+	st := ls.settings.Load()
+	own, zone, shared := floorShares(st, zoneMembers, ls.maxLive)
+	ls.retries.SetFloor(own.burst, own.perSecond)
+	ls.zoneRetries.SetFloor(zone.burst, zone.perSecond)
+	if shared {
+		ls.retries.SetShared(ls.withdrawShared)
+		return
+	}
+	ls.retries.SetShared(nil)
+}
+
+// membersOfZone returns how many of the members are in an availability zone.
+func membersOfZone(members []gossip.Member, zone string) int {
+	n := 0
+	for _, mb := range members {
+		if mb.AvailabilityZone == zone {
+			n++
+		}
+	}
+	return n
+}
+
+// floorShare is a share of the retry floor: the burst that may be saved up, and the refill per second.
+type floorShare struct{ burst, perSecond float64 }
+
+// floorShares divides the retry floor of a fleet of instances. shared reports whether the instances of an availability zone share one
+// budget; otherwise each has its own. One of the two shares is zero.
+func floorShares(st *config.Gateway, zoneMembers, instances int) (own, zone floorShare, shared bool) {
+	burst, perSecond := retryFloorShare(st, instances)
+	if burst >= minLocalBurst || burst == 0 {
+		return floorShare{burst, perSecond}, floorShare{}, false
+	}
+	members := float64(zoneMembers)
+	return floorShare{}, floorShare{members * burst, members * perSecond}, true
+}
+
 // maxIdlePerTarget is the number of idle connections to one target beyond which an instance has no use for more, even if the target
 // accepts them.
 const maxIdlePerTarget = 8
--- a/internal/duty/peersync/peersync.go
+++ b/internal/duty/peersync/peersync.go
@@ -74,6 +74,8 @@
 	// rateLimits holds the known rate limits of targets, and permits enforces them together with the other instances.
 	rateLimits *ratelimit.Tracker
 	permits    *permitService
+	// retries is the retry budget that the instances of an availability zone share.
+	retries *sharedRetries
 	// configurationFetches and listFetches queue the documents to fetch, with one goroutine for each kind: a list with a target
 	// that is gone must not wait for a large configuration.
 	configurationFetches, listFetches chan fetchRequest
@@ -108,6 +110,13 @@
 	du.fetchDocument = du.ms.Fetch
 	du.permits = newPermitService(opts.Self.Name, du.ms, co.TargetLimit, du.lg)
 	co.Permits.SetRequestFunc(du.permits.requestPermit)
+	du.retries = &sharedRetries{
+		self: opts.Self, issuerOf: du.permits.issuerOf, query: du.ms.Query, held: co.ZoneRetries, lg: du.lg,
+		granted:    co.Metrics.GetOrCreateCounter("silvermount_shared_retries_granted_total"),
+		refused:    co.Metrics.GetOrCreateCounter("silvermount_shared_retries_refused_total"),
+		unanswered: co.Metrics.GetOrCreateCounter("silvermount_shared_retries_unanswered_total"),
+	}
+	co.SharedRetry.Set(du.retries.withdraw)
 	co.StateNotifier.SetCallback(du.ms.PublishState)
 	co.NotesNotifier.SetCallback(du.ms.PublishNotes)
 	co.Metrics.NewGauge("silvermount_peer_links", func() float64 { return float64(du.ms.LinkCount()) })
@@ -134,7 +143,19 @@
 			AvailabilityZone: env.Settings.AvailabilityZone, BandwidthMbps: uint64(gw.Megabits),
 		},
 		Seeds: gw.Seeds, MinSendInterval: minPublishInterval, State: du.encodeState, ReceiveState: du.receiveState, Notes: du.encodeNotes, ReceiveNotes: du.receiveNotes, OnLost: du.onPeerLost, HandleFetch: du.serveDocument, Log: du.lg,
-		HandleQuery: func(name string, request []byte) ([]byte, bool) { return du.permits.answerPeer(name, request) },
+		HandleQuery: du.answerQuery,
+	}
+}
+
+// answerQuery responds to a query of a peer. It reports false if the query is unknown or cannot be decoded.
+func (du *duty) answerQuery(name string, query []byte) ([]byte, bool) {
+	switch name {
+	case permitQuery:
+		return du.permits.answerPeer(query)
+	case retryQuery:
+		return du.retries.answerPeer(query)
+	default:
+		return nil, false
 	}
 }
 
--- a/internal/duty/peersync/permits.go
+++ b/internal/duty/peersync/permits.go
@@ -131,11 +131,8 @@
 	return ps.issuer.Issue(pr.Target, li, permit.LimitShare(ps.mesh.MemberCounts()), time.Duration(pr.MaxWaitUS)*time.Microsecond)
 }
 
-// answerPeer responds to the request of a peer. It reports false if the query is not a request for a permit or cannot be decoded.
-func (ps *permitService) answerPeer(name string, b []byte) ([]byte, bool) {
-	if name != permitQuery {
-		return nil, false
-	}
+// answerPeer responds to the request of a peer. It reports false if the request cannot be decoded.
+func (ps *permitService) answerPeer(b []byte) ([]byte, bool) {
 	var pr permitRequest
 	if err := json.Unmarshal(b, &pr); err != nil {
 		ps.lg.WithError(err).Error("cannot decode permit request of peer")
