feat(explain): say from logs how long changes took to reach all instances

silvermount propagation reads the logs of all instances and prints, for each kind of change, the one that took longest to reach its last instance.

--- a/cmd/commands.go
+++ b/cmd/commands.go
@@ -14,6 +14,7 @@
 	{"standin", "run a stand-in of an outside system", func(op *options) any { return &standinCommand{options: op} }},
 	{"experiment", "measure routing policies on the same arrivals", func(op *options) any { return &experimentCommand{options: op} }},
 	{"losses", "sum up from log lines on standard input what became of all requests", func(op *options) any { return &lossesCommand{options: op} }},
+	{"propagation", "tell from log lines on standard input how long changes took to reach all instances", func(op *options) any { return &propagationCommand{options: op} }},
 	{"explain", "tell from log lines on standard input what happened to a request", func(op *options) any { return &explainCommand{options: op} }},
 	{"version", "print the version", func(op *options) any { return &versionCommand{options: op} }},
 }
