fix(gateway): read a stream ahead while its caller is slow

While a caller was slow to take an event, the target of its stream was left unread. It breaks such a stream off after some seconds, and holds a slot and memory for it until then. A write that takes longer than 250 ms now starts to read ahead, up to 64 KiB a stream and within the memory budget of bodies. The stall watchdog does not take what waits here for silence of the target.

With reading ahead disabled TestStreamOfSlowCallerIsReadAhead fails.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -14,6 +14,7 @@
 
 	"github.com/silvermount/silvermount/internal/dispatch"
 	"github.com/silvermount/silvermount/internal/lifecycle"
+	"github.com/silvermount/silvermount/internal/readahead"
 	"github.com/silvermount/silvermount/internal/routes"
 	"github.com/silvermount/silvermount/internal/targets"
 	"github.com/silvermount/silvermount/internal/upstream"
@@ -27,6 +28,11 @@
 	minStallTimeout = 1700 * time.Millisecond
 	// stallPauseFactor is the same minimum as a multiple of the route's longest pause. The greater of the two applies.
 	stallPauseFactor = 3
+	// maxReadAheadBytes is how much of a stream is held for a slow caller. It is several times the size of a usual answer.
+	maxReadAheadBytes = 64 << 10
+	// slowWriteDelay is the duration of a write to a caller after which the stream is read ahead. Targets break off a stream that is
+	// left unread for some seconds.
+	slowWriteDelay = 250 * time.Millisecond
 )
 
 var idField = []byte("id:")
@@ -84,11 +90,13 @@
 func (gw *Gateway) forwardStream(ctx context.Context, rq *request, rw *responseWriter, sl *dispatch.Slot, rs *upstream.Response) error {
 	ar := gw.Quarantine.BeginRun(rq.headHash(), rq.fingerprint)
 	defer ar.End()
-	br := bufio.NewReader(rs.Body)
+	ahead := readahead.New(rs.Body, maxReadAheadBytes, slowWriteDelay, gw.BodyMemory.TryAcquire)
+	defer func() { gw.BodyMemory.Release(ahead.Close()) }()
+	br := bufio.NewReader(ahead)
 	stallTimeout := max(minStallTimeout, stallPauseFactor*rq.route.MaxPause)
 	// Cloned, because the watchdog may read it while the next attempt appends to rq.tried.
 	tried := slices.Clone(rq.tried)
-	wd := startStallWatchdog(rs, stallTimeout, func(silence time.Duration) bool {
+	wd := startStallWatchdog(rs, ahead.Pending, stallTimeout, func(silence time.Duration) bool {
 		if silence <= sl.MaxSilence() {
 			return false
 		}
@@ -122,7 +130,8 @@
 			// The event was already forwarded before the stream moved to this target.
 			continue
 		}
-		if err := gw.forwardEvent(rq, rw, rs, ev); err != nil {
+		err = ahead.During(func() error { return gw.forwardEvent(rq, rw, rs, ev) })
+		if err != nil {
 			return err
 		}
 	}
@@ -180,7 +189,9 @@
 // stallWatchdog breaks off a stream that has stalled, but only while the stream can continue on another target. A stall alone
 // is no reason to end a response before its deadline. It is safe for concurrent use.
 type stallWatchdog struct {
-	rs      *upstream.Response
+	rs *upstream.Response
+	// pending reports whether data was read ahead that is not forwarded yet.
+	pending func() bool
 	timeout time.Duration
 	// takeRetry reports whether the stream may be broken off, after it has taken the retry to continue it on another target.
 	takeRetry func(silence time.Duration) bool
@@ -196,8 +207,8 @@
 }
 
 // startStallWatchdog starts a watchdog for a stream whose head has been received.
-func startStallWatchdog(rs *upstream.Response, timeout time.Duration, takeRetry func(silence time.Duration) bool) *stallWatchdog {
-	wd := &stallWatchdog{rs: rs, timeout: timeout, takeRetry: takeRetry, lastEventAt: time.Now()}
+func startStallWatchdog(rs *upstream.Response, pending func() bool, timeout time.Duration, takeRetry func(silence time.Duration) bool) *stallWatchdog {
+	wd := &stallWatchdog{rs: rs, pending: pending, timeout: timeout, takeRetry: takeRetry, lastEventAt: time.Now()}
 	wd.mu.Lock()
 	defer wd.mu.Unlock()
 	wd.timer = time.AfterFunc(maxFirstEventDelay, wd.fire)
@@ -215,7 +226,7 @@
 	if wd.stopped {
 		return
 	}
-	if wd.rs.HasUnreadData() {
+	if wd.pending() || wd.rs.HasUnreadData() {
 		// Data is waiting to be read, so the target is not silent: this process or the caller is slow.
 		wd.timer.Reset(stallRecheckInterval)
 		return
