fix(dispatch): size the short pool for the prompts that peers do not know yet

The pool of targets for short prompts was as large as the answers known to be in flight need, plus one. At the start of traffic that is one target, the same for all instances: the first prompts of 60 instances all went there (TestFirstPromptsOfManyInstancesSpread: 60 of 60). On the whole fleet one of 939 targets received 45 of 1,098 requests, and 91 of the first 296 requests were late. What grows: the prompts placed during the propagation delay.

The pool now also holds the prompts placed before peers know of them, and at least a twentieth of the targets.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -99,7 +99,7 @@
 	ds.loadTable.mu.Lock()
 	defer ds.loadTable.mu.Unlock()
 	cands := ds.candidates(rq, tgs)
-	ps := newPools(rq.Service.Engine, cands, ds.arrivals)
+	ps := newPools(rq.Service.Engine, cands, ds.arrivals, unpropagatedPlacements(rq.Service.Engine, cands, delay))
 	if rq.isLong() && !rq.Resumed {
 		cands = ps.long
 	}
--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -16,9 +16,11 @@
 	// shortPoolUtilisation is the share of the slots in the short pool that short answers are expected to use. The rest is
 	// for requests that are placed before peers know of them.
 	shortPoolUtilisation = 0.6
-	// spareShortTargets is the number of targets in the short pool beyond those that the short answers in flight need, for
-	// requests that arrive next.
-	spareShortTargets = 1
+	// minSpareShortTargets and spareShortTargetShare determine how many targets the short pool has beyond those that the known short
+	// answers need, for requests that arrive next: a number, or a share of all targets if that is more. At the start of traffic
+	// no answer is in flight, and the first prompts of all instances must not meet at one target.
+	minSpareShortTargets  = 1
+	spareShortTargetShare = 0.05
 	// maxShortPoolLoss is the share of its worth that a short answer may be expected to lose in the short pool. Above it, for
 	// example when memory or slots are exhausted there, the prompt is placed among all targets.
 	maxShortPoolLoss = 0.5
@@ -37,11 +39,12 @@
 }
 
 // newPools divides the targets, which it reorders, by the worth that short answers have at risk there. The short pool is
-// empty if it would leave fewer targets in the long pool than the largest number of parts of a prompt.
-func newPools(en *placement.Engine, cands []placement.Target, st arrivalStats) pools {
+// empty if it would leave fewer targets in the long pool than the largest number of parts of a prompt. unseen is the number of
+// prompts that are placed before peers know of them.
+func newPools(en *placement.Engine, cands []placement.Target, st arrivalStats, unseen float64) pools {
 	// Blocked targets receive no short prompts now, so other targets take their place in the short pool.
 	unblockedCount := moveUnblockedFirst(cands)
-	size := shortPoolSize(en, cands[:unblockedCount], st)
+	size := shortPoolSize(en, cands[:unblockedCount], st, unseen)
 	if size == 0 || size > unblockedCount || len(cands)-size < placement.MaxParts {
 		return pools{long: cands}
 	}
@@ -81,9 +84,9 @@
 	return count
 }
 
-// shortPoolSize returns how many targets the short answers in flight need. It estimates the number of these answers as their
-// total worth at risk divided by the average worth at risk of one.
-func shortPoolSize(en *placement.Engine, cands []placement.Target, st arrivalStats) int {
+// shortPoolSize returns how many targets the short answers in flight and the unseen ones need. It estimates the number of those in
+// flight as their total worth at risk divided by the average worth at risk of one.
+func shortPoolSize(en *placement.Engine, cands []placement.Target, st arrivalStats, unseen float64) int {
 	if st.shortAtRisk <= 0 {
 		return 0
 	}
@@ -91,8 +94,9 @@
 	for i := range cands {
 		sum += cands[i].Load.PauseRisk.SumUpTo(st.shortMaxPause)
 	}
-	answers := float64(sum) / float64(st.shortAtRisk)
-	return spareShortTargets + int(math.Ceil(answers/(shortPoolUtilisation*float64(en.Slots))))
+	answers := float64(sum)/float64(st.shortAtRisk) + unseen
+	spare := max(minSpareShortTargets, int(spareShortTargetShare*float64(len(cands))))
+	return spare + int(math.Ceil(answers/(shortPoolUtilisation*float64(en.Slots))))
 }
 
 // servesShort reports whether a plan in the short pool serves a short prompt well: with little loss, in time, and without a
--- a/internal/dispatch/pools_test.go
+++ b/internal/dispatch/pools_test.go
@@ -69,6 +69,30 @@
 	}
 }
 
+// TestFirstPromptsOfManyInstancesSpread guards against the start of traffic in a large fleet: no answer is in flight yet, so the short
+// pool was a single target, and all instances sent their first prompts there before they heard of each other. One of 939 targets
+// received 45 of 1,098 requests.
+func TestFirstPromptsOfManyInstancesSpread(t *testing.T) {
+	const instances, count = 60, 400
+	ids := make([]string, count)
+	for i := range ids {
+		ids[i] = "t" + strconv.Itoa(i)
+	}
+	g := NewWithT(t)
+	chosen := map[string]int{}
+	for i := range instances {
+		hs := newClockHarnessOf("i"+strconv.Itoa(i), func() time.Time { return time.Unix(1000, 0) }, ids...)
+		rq := hs.shortPrompt()
+		rq.ID = "request-" + strconv.Itoa(i)
+		sl, err := hs.dispatcher.Acquire(t.Context(), rq)
+		g.Expect(err).NotTo(HaveOccurred())
+		chosen[sl.Target.ID]++
+	}
+	for id, n := range chosen {
+		g.Expect(n).To(BeNumerically("<=", instances/5), id)
+	}
+}
+
 // urgentPrompt returns a request with a short prompt and a short objective.
 func urgentPrompt() dispatch.Request {
 	rq := promptRequest(1000)
