perf(gossip): send states as often as the choice of targets needs them

A relay of 67 links sent 37 times a second on each, whether or not anybody's choice depended on it: 73,000 frames a second over 985 instances, also while nothing was in flight. What grows: frames with the instances, while the prompts that a choice can collide with are few before 925 engines.

The send interval now follows the propagation delay at which at most one prompt in 25 targets is placed unseen, up to a third of a heartbeat. A busy fleet sends as often as before.

--- a/internal/dispatch/arrivals.go
+++ b/internal/dispatch/arrivals.go
@@ -21,6 +21,8 @@
 	// short request allows. Both are zero before the first short request.
 	shortAtRisk   placement.Worth
 	shortMaxPause time.Duration
+	// answerTime is the time that an engine of the latest prompt's service takes for an answer of mean length; zero before.
+	answerTime time.Duration
 }
 
 // observe adds an arriving request to the average.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -72,6 +72,7 @@
 	propagationDelayFunc atomic.Pointer[func() time.Duration]
 	// shutdownAt is when this instance stops; nil until it is asked to stop.
 	shutdownAt atomic.Pointer[time.Time]
+	acceptable acceptableDelay
 	// arrivals describes the requests that arrive at this instance; the load table's lock guards it.
 	arrivals arrivalStats
 }
@@ -187,6 +188,7 @@
 	pr := ds.newPrompt(rq)
 	ds.loadTable.mu.Lock()
 	ds.arrivals.observe(pr, !rq.isLong())
+	ds.arrivals.answerTime = meanAnswerTime(rq.Service.Engine)
 	ds.loadTable.mu.Unlock()
 }
 
--- a/internal/dispatch/loads.go
+++ b/internal/dispatch/loads.go
@@ -60,6 +60,17 @@
 	return lt.ownByTarget[id].Plus(lt.peerTotals[id])
 }
 
+// inFlight returns the number of requests and of parts of prompts in flight at all targets. The caller holds the lock.
+func (lt *loadTable) inFlight() int {
+	sum := 0
+	for _, loads := range []map[string]placement.Load{lt.ownByTarget, lt.peerTotals} {
+		for _, lo := range loads {
+			sum += lo.Prefilling + lo.Decoding
+		}
+	}
+	return sum
+}
+
 func (lt *loadTable) ownLoads() map[string]placement.Load {
 	lt.mu.Lock()
 	defer lt.mu.Unlock()
--- a/internal/duty/peersync/peersync.go
+++ b/internal/duty/peersync/peersync.go
@@ -143,7 +143,7 @@
 			AvailabilityZone: env.Settings.AvailabilityZone, BandwidthMbps: uint64(gw.Megabits),
 		},
 		Seeds: gw.Seeds, MinSendInterval: minPublishInterval, State: du.encodeState, ReceiveState: du.receiveState, Notes: du.encodeNotes, ReceiveNotes: du.receiveNotes, OnLost: du.onPeerLost, HandleFetch: du.serveDocument, Log: du.lg,
-		HandleQuery: du.answerQuery,
+		HandleQuery: du.answerQuery, AcceptableDelay: du.ds.AcceptableDelay,
 	}
 }
 
--- a/internal/gossip/options.go
+++ b/internal/gossip/options.go
@@ -58,6 +58,9 @@
 	HandleFetch func(name string) ([]byte, bool)
 	// HandleQuery answers a peer's query of the given name. It may be called concurrently and must return quickly.
 	HandleQuery func(name string, query []byte) ([]byte, bool)
+	// AcceptableDelay returns the propagation delay of states that is short enough for now. A large fleet then sends less often. Without
+	// it, or if it returns zero, states are sent as often as the links allow.
+	AcceptableDelay func() time.Duration
 	// Log receives the log lines of the mesh.
 	Log log.Interface
 	// Now is a monotonic clock.
@@ -120,6 +123,9 @@
 	if o.HandleQuery == nil {
 		o.HandleQuery = func(string, []byte) ([]byte, bool) { return nil, false }
 	}
+	if o.AcceptableDelay == nil {
+		o.AcceptableDelay = func() time.Duration { return 0 }
+	}
 	if o.Log == nil {
 		o.Log = log.Log
 	}
