fix(storesync): call the store once the starting fleet has settled

An instance without a list called the store 1 to 1.5 s after the first start of the fleet unless it knew of followers by then. Members of a fleet of 985 need longer to meet, and take themselves for followers or for alone meanwhile: 14 calls an instance.

At the first start an instance now waits up to 3 s for its first peer, and one that would follow the store until the number of known instances has not grown for half a second, 6 s at most.

--- a/internal/duty/gatewaydeps/coordinator.go
+++ b/internal/duty/gatewaydeps/coordinator.go
@@ -25,6 +25,8 @@
 // announce. It is safe for concurrent use.
 type StoreCoordinator struct {
 	role atomic.Pointer[func() Role]
+	// settledFor returns how long the number of known instances has not grown.
+	settledFor atomic.Pointer[func() time.Duration]
 	// onStoreResult is called with whether the store answers this instance.
 	onStoreResult atomic.Pointer[func(answered bool)]
 
@@ -88,6 +90,20 @@
 // SetRole sets the function that determines the role.
 func (sc *StoreCoordinator) SetRole(role func() Role) { sc.role.Store(&role) }
 
+// SetSettledFor sets the function that determines how long the number of known instances has not grown.
+func (sc *StoreCoordinator) SetSettledFor(settledFor func() time.Duration) {
+	sc.settledFor.Store(&settledFor)
+}
+
+// SettledFor returns how long the number of known instances has not grown, which is zero before SetSettledFor.
+func (sc *StoreCoordinator) SettledFor() time.Duration {
+	settledFor := sc.settledFor.Load()
+	if settledFor == nil {
+		return 0
+	}
+	return (*settledFor)()
+}
+
 // SetOnStoreResult sets the function that ReportStoreResult calls.
 func (sc *StoreCoordinator) SetOnStoreResult(onStoreResult func(answered bool)) {
 	sc.onStoreResult.Store(&onStoreResult)
--- a/internal/duty/peersync/followers.go
+++ b/internal/duty/peersync/followers.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
@@ -163,6 +164,17 @@
 	// current is the role at membersVersion of the member list.
 	current        gatewaydeps.Role
 	membersVersion uint64
+	// maxLive is the largest number of live members so far, grownAt when it last grew.
+	maxLive int
+	grownAt time.Time
+}
+
+// settledFor returns how long the number of live members has not grown.
+func (tk *roleTracker) settledFor(ms *gossip.Mesh) time.Duration {
+	tk.currentRole(ms)
+	tk.mu.Lock()
+	defer tk.mu.Unlock()
+	return time.Since(tk.grownAt)
 }
 
 // currentRole returns the role of this instance at the newest version of the member list.
@@ -171,7 +183,11 @@
 	defer tk.mu.Unlock()
 	if version := ms.MembershipVersion(); version != tk.membersVersion {
 		tk.membersVersion = version
-		tk.current = tk.update(ms.Live())
+		live := ms.Live()
+		if len(live) > tk.maxLive {
+			tk.maxLive, tk.grownAt = len(live), time.Now()
+		}
+		tk.current = tk.update(live)
 	}
 	return tk.current
 }
--- a/internal/duty/peersync/peersync.go
+++ b/internal/duty/peersync/peersync.go
@@ -124,6 +124,7 @@
 	co.Dispatcher.SetPropagationDelay(du.ms.PropagationDelay)
 	tk := &roleTracker{self: opts.Self, lg: du.lg}
 	co.StoreCoordinator.SetRole(func() gatewaydeps.Role { return tk.currentRole(du.ms) })
+	co.StoreCoordinator.SetSettledFor(func() time.Duration { return tk.settledFor(du.ms) })
 	co.StoreCoordinator.SetOnStoreResult(func(answered bool) {
 		reportStoreReachability(answered, tk.currentRole(du.ms), du.ms.Live, du.ms.SetStoreUnreachable)
 	})
--- a/internal/duty/storesync/pollpolicy.go
+++ b/internal/duty/storesync/pollpolicy.go
@@ -23,9 +23,17 @@
 	// callers yet. After about a second 295 instances with a fifth of a core each know each other, and so which ones are followers.
 	firstStartDelay  = time.Second
 	firstStartJitter = 500 * time.Millisecond
+	// firstContactTimeout is how long an instance without any peer waits for one when the whole fleet starts for the first time. The
+	// seeds of a large fleet are dialled by all instances at once.
+	firstContactTimeout = 3 * time.Second
+	// settleTime is how long the number of known instances must not have grown before a follower calls the store when the whole fleet
+	// starts for the first time: in a fleet that still grows, most instances take themselves for followers. It waits for
+	// maxSettlePeriod at most.
+	settleTime      = 500 * time.Millisecond
+	maxSettlePeriod = 6 * time.Second
 	// firstListTimeout is how long an instance waits for the first list from peers when the whole fleet starts for the first time. It
 	// covers the delay until a peer calls the store, and the time to learn of its list and to fetch it.
-	firstListTimeout = 3 * time.Second
+	firstListTimeout = 8 * time.Second
 	// peerFetchTimeout is how long an instance that learns of a newer configuration waits to get it from a peer before it calls the
 	// store. A second is enough on a slow link, and leaves more than another second until the configuration must be in force.
 	peerFetchTimeout = time.Second
@@ -78,6 +86,8 @@
 type pollPolicy struct {
 	timings
 	role func() gatewaydeps.Role
+	// settledFor returns how long the number of known instances has not grown.
+	settledFor func() time.Duration
 	// jitterFraction is the random fraction of each jitter that this instance uses. It is chosen once, in [0, 1).
 	jitterFraction float64
 	// startedAt is when this instance started to watch the store.
@@ -88,8 +98,8 @@
 	listed bool
 }
 
-func newPollPolicy(bound time.Duration, role func() gatewaydeps.Role, hasSeeds, firstStart bool) *pollPolicy {
-	return &pollPolicy{timings: newTimings(bound), role: role, jitterFraction: rand.Float64(), startedAt: time.Now(), hasSeeds: hasSeeds, firstStart: firstStart}
+func newPollPolicy(bound time.Duration, sc *gatewaydeps.StoreCoordinator, hasSeeds, firstStart bool) *pollPolicy {
+	return &pollPolicy{timings: newTimings(bound), role: sc.Role, settledFor: sc.SettledFor, jitterFraction: rand.Float64(), startedAt: time.Now(), hasSeeds: hasSeeds, firstStart: firstStart}
 }
 
 // suspended reports whether calls to the store are suspended, given the time of the last update from the store or peers. An instance
@@ -105,7 +115,7 @@
 		}
 		age = time.Since(pp.startedAt)
 		maxAge = firstListTimeout
-		if age < firstStartDelay+pp.jitter(firstStartJitter) {
+		if pp.awaitsDiscovery(role, age) {
 			return true
 		}
 	}
@@ -119,6 +129,21 @@
 	}
 }
 
+// awaitsDiscovery reports whether an instance that started an age ago, when the whole fleet starts for the first time, waits until it
+// has discovered its peers before it calls the store.
+func (pp *pollPolicy) awaitsDiscovery(role gatewaydeps.Role, age time.Duration) bool {
+	switch {
+	case age < firstStartDelay+pp.jitter(firstStartJitter):
+		return true
+	case role == gatewaydeps.RoleJoining:
+		return age < firstContactTimeout
+	case role <= gatewaydeps.RoleFollower:
+		return age < maxSettlePeriod && pp.settledFor() < settleTime
+	default:
+		return false
+	}
+}
+
 // jitter returns the fraction of a maximum jitter that this instance uses.
 func (pp *pollPolicy) jitter(maxJitter time.Duration) time.Duration {
 	return time.Duration(pp.jitterFraction * float64(maxJitter))
--- a/internal/duty/storesync/pollpolicy_test.go
+++ b/internal/duty/storesync/pollpolicy_test.go
@@ -19,7 +19,15 @@
 var testTimings = newTimings(changeBound)
 
 func policyFor(role gatewaydeps.Role, seeds bool) *pollPolicy {
-	return newPollPolicy(changeBound, func() gatewaydeps.Role { return role }, seeds, false)
+	return newPollPolicy(changeBound, coordinatorOf(role, time.Hour), seeds, false)
+}
+
+// coordinatorOf returns a coordinator of an instance with a role, in a fleet that has not grown for a while.
+func coordinatorOf(role gatewaydeps.Role, settledFor time.Duration) *gatewaydeps.StoreCoordinator {
+	sc := &gatewaydeps.StoreCoordinator{}
+	sc.SetRole(func() gatewaydeps.Role { return role })
+	sc.SetSettledFor(func() time.Duration { return settledFor })
+	return sc
 }
 
 func TestPause(t *testing.T) {
@@ -81,25 +89,36 @@
 		seeds, first bool
 		after        time.Duration
 		want         bool
+		// growing is set if the number of known instances has just grown.
+		growing bool
 	}{
-		"restart, no peers discovered":    {gatewaydeps.RoleJoining, true, false, 0, false},
-		"restart, listener":               {gatewaydeps.RoleListener, true, false, 0, false},
-		"discovery in progress":           {gatewaydeps.RoleJoining, true, true, firstStartDelay - 1, true},
-		"no peers discovered":             {gatewaydeps.RoleJoining, true, true, firstStartDelay + firstStartJitter, false},
-		"no seeds":                        {gatewaydeps.RoleJoining, false, true, 0, false},
-		"standalone":                      {gatewaydeps.RoleStandalone, true, true, firstStartDelay + firstStartJitter, false},
-		"follower":                        {gatewaydeps.RoleFollower, true, true, firstStartDelay + firstStartJitter, false},
-		"follower, discovery in progress": {gatewaydeps.RoleFollower, true, true, firstStartDelay - 1, true},
-		"listener, before timeout":        {gatewaydeps.RoleListener, true, true, firstListTimeout, true},
-		"listener, after timeout":         {gatewaydeps.RoleListener, true, true, firstListTimeout + testTimings.listenerDelay + testTimings.listenerJitter, false},
-		"standby, before timeout":         {gatewaydeps.RoleStandby, true, true, firstListTimeout - 1, true},
-		"standby, after timeout":          {gatewaydeps.RoleStandby, true, true, firstListTimeout + testTimings.standbyJitter, false},
+		"restart, no peers discovered":    {gatewaydeps.RoleJoining, true, false, 0, false, false},
+		"restart, listener":               {gatewaydeps.RoleListener, true, false, 0, false, false},
+		"discovery in progress":           {gatewaydeps.RoleJoining, true, true, firstStartDelay - 1, true, false},
+		"no peers discovered yet":         {gatewaydeps.RoleJoining, true, true, firstContactTimeout - 1, true, false},
+		"no peers discovered":             {gatewaydeps.RoleJoining, true, true, firstContactTimeout, false, false},
+		"follower, fleet grows":           {gatewaydeps.RoleFollower, true, true, maxSettlePeriod - 1, true, true},
+		"follower, fleet grows for long":  {gatewaydeps.RoleFollower, true, true, maxSettlePeriod, false, true},
+		"standalone, fleet grows":         {gatewaydeps.RoleStandalone, true, true, firstStartDelay + firstStartJitter, true, true},
+		"restart, fleet grows":            {gatewaydeps.RoleFollower, true, false, 0, false, true},
+		"no seeds":                        {gatewaydeps.RoleJoining, false, true, 0, false, false},
+		"standalone":                      {gatewaydeps.RoleStandalone, true, true, firstStartDelay + firstStartJitter, false, false},
+		"follower":                        {gatewaydeps.RoleFollower, true, true, firstStartDelay + firstStartJitter, false, false},
+		"follower, discovery in progress": {gatewaydeps.RoleFollower, true, true, firstStartDelay - 1, true, false},
+		"listener, before timeout":        {gatewaydeps.RoleListener, true, true, firstListTimeout, true, false},
+		"listener, after timeout":         {gatewaydeps.RoleListener, true, true, firstListTimeout + testTimings.listenerDelay + testTimings.listenerJitter, false, false},
+		"standby, before timeout":         {gatewaydeps.RoleStandby, true, true, firstListTimeout - 1, true, false},
+		"standby, after timeout":          {gatewaydeps.RoleStandby, true, true, firstListTimeout + testTimings.standbyJitter, false, false},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
-				pp := newPollPolicy(changeBound, func() gatewaydeps.Role { return tc.role }, tc.seeds, tc.first)
+				settledFor := settleTime
+				if tc.growing {
+					settledFor--
+				}
+				pp := newPollPolicy(changeBound, coordinatorOf(tc.role, settledFor), tc.seeds, tc.first)
 				pp.suspended(time.Time{})
 				time.Sleep(tc.after)
 				g.Expect(pp.suspended(time.Time{})).To(Equal(tc.want))
--- a/internal/duty/storesync/simfleet_test.go
+++ b/internal/duty/storesync/simfleet_test.go
@@ -224,6 +224,7 @@
 	si := &simInstance{name: fmt.Sprintf("instance-%d", i), store: fl.store}
 	sc := &gatewaydeps.StoreCoordinator{}
 	start := time.Now()
+	sc.SetSettledFor(func() time.Duration { return time.Since(start) })
 	sc.SetRole(func() gatewaydeps.Role {
 		if time.Since(start) < gossipInterval {
 			return gatewaydeps.RoleJoining
--- a/internal/duty/storesync/storesync.go
+++ b/internal/duty/storesync/storesync.go
@@ -135,7 +135,7 @@
 }
 
 func (sy *syncer) configurationWatcher(st listwatch.Store, lg log.Interface) *listwatch.ListWatcher {
-	pp := newPollPolicy(sy.configurationBound, sy.coordinator.Role, sy.hasSeeds, sy.firstStart)
+	pp := newPollPolicy(sy.configurationBound, sy.coordinator, sy.hasSeeds, sy.firstStart)
 	return &listwatch.ListWatcher{
 		Store: st, Kind: sy.ad.ConfigurationKind, Log: lg, Pause: pp.pause, WatchTimeout: pp.watchTimeout,
 		Replace: func(items []objectstore.Object, asOf time.Time) {
@@ -210,7 +210,7 @@
 }
 
 func (sy *syncer) targetWatcher(st listwatch.Store, lg log.Interface) *listwatch.ListWatcher {
-	pp := newPollPolicy(sy.leavingBound, sy.coordinator.Role, sy.hasSeeds, sy.firstStart)
+	pp := newPollPolicy(sy.leavingBound, sy.coordinator, sy.hasSeeds, sy.firstStart)
 	return &listwatch.ListWatcher{
 		Store: st, Kind: sy.ad.TargetKind, Log: lg, Pause: pp.pause, WatchTimeout: pp.watchTimeout,
 		Replace: func(items []objectstore.Object, asOf time.Time) {
