fix(gateway): hold no silence during a pause of the process against a target

A resumable stream ran twice although its first target had answered: the pause had caught it before its bytes left, the silence timeout passed meanwhile, and the timer fired before the request was sent and answered. A timer that fires over 100 ms late now gives the target the lost time again. TestSilenceDuringPauseIsNotHeldAgainstTarget has the events in this order; without the check it is cancelled after a pause.

--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -50,6 +50,8 @@
 
 	mu    sync.Mutex
 	timer *time.Timer
+	// dueAt is when the timer is due.
+	dueAt time.Time
 	// hasActivity reports whether data was received since its last call; nil until the request is sent.
 	hasActivity func() bool
 	// stopped is set once the head was received or the call failed, cancelled if tryCancel succeeded before.
@@ -57,13 +59,22 @@
 }
 
 func startSilenceWatchdog(timeout time.Duration, tryCancel func() bool) *silenceWatchdog {
-	wd := &silenceWatchdog{timeout: timeout, tryCancel: tryCancel}
+	wd := &silenceWatchdog{timeout: timeout, tryCancel: tryCancel, dueAt: time.Now().Add(timeout)}
 	wd.mu.Lock()
 	defer wd.mu.Unlock()
-	wd.timer = time.AfterFunc(timeout, wd.fire)
+	wd.timer = time.AfterFunc(timeout, func() { wd.fire(time.Now()) })
 	return wd
 }
 
+// maxTimerDelay is how late a timer may fire on a busy machine. A later one shows that the process was paused.
+const maxTimerDelay = 100 * time.Millisecond
+
+// resetTimer restarts the timer at the given time.
+func (wd *silenceWatchdog) resetTimer(now time.Time, d time.Duration) {
+	wd.dueAt = now.Add(d)
+	wd.timer.Reset(d)
+}
+
 // setHasActivity sets the function that reports whether data was received since its last call.
 func (wd *silenceWatchdog) setHasActivity(hasActivity func() bool) {
 	wd.mu.Lock()
@@ -72,15 +83,20 @@
 }
 
 // fire is called by the timer.
-func (wd *silenceWatchdog) fire() {
+func (wd *silenceWatchdog) fire(now time.Time) {
 	wd.mu.Lock()
 	defer wd.mu.Unlock()
 	if wd.stopped {
 		return
 	}
+	if late := now.Sub(wd.dueAt); late > maxTimerDelay {
+		// The process was paused, possibly before the request had left it. The target gets the time again that it lost.
+		wd.resetTimer(now, min(late, wd.timeout))
+		return
+	}
 	// Data that was received but not read shows that this process was stalled, not the target.
 	if wd.hasActivity != nil && wd.hasActivity() || !wd.tryCancel() {
-		wd.timer.Reset(wd.timeout)
+		wd.resetTimer(now, wd.timeout)
 		return
 	}
 	wd.cancelled = true
