perf(gossip): compute plans as seldom as a large fleet can afford

A plan costs time in proportion to the members, and after it members may link to other relays and send each other all records anew. With members that join, leave or are lost in series there was one every 100 ms at any size. The interval is now 100 ms for each hundred members. A lost relay still causes a plan at once.

--- a/internal/gossip/topology.go
+++ b/internal/gossip/topology.go
@@ -17,14 +17,24 @@
 	return ms.plan.fullMesh || ms.plan.isRelay(ms.self.Member) || slices.Contains(ms.upstreamRelays, m.Name)
 }
 
-// minReplanInterval is the minimum time between two plans for members that join or change. It batches hundreds that start at
-// once, since a plan takes some milliseconds on a fifth of a core.
-const minReplanInterval = 100 * time.Millisecond
+const (
+	// minReplanInterval is the minimum time between two plans for members that join or change. It batches hundreds that start at
+	// once, since a plan takes some milliseconds on a fifth of a core.
+	minReplanInterval = 100 * time.Millisecond
+	// membersPerReplanInterval is the number of known members for which minReplanInterval applies; with more it grows in proportion.
+	// The cost of a plan, and of what members send each other anew after it, grows with their number.
+	membersPerReplanInterval = 100
+)
+
+// replanInterval returns the minimum time between two plans for members that join or change. The lock is held.
+func (ms *Mesh) replanInterval() time.Duration {
+	return minReplanInterval * time.Duration(max(membersPerReplanInterval, len(ms.records))) / membersPerReplanInterval
+}
 
 // replan computes a new plan of the live members that are not suspected if the topology has changed. The lock is held.
 func (ms *Mesh) replan() {
 	now := ms.opts.Now()
-	if ms.plannedVersion == ms.topologyVersion || !ms.replanNow && now.Sub(ms.plannedAt) < minReplanInterval {
+	if ms.plannedVersion == ms.topologyVersion || !ms.replanNow && now.Sub(ms.plannedAt) < ms.replanInterval() {
 		return
 	}
 	ms.plannedVersion, ms.plannedAt, ms.replanNow = ms.topologyVersion, now, false
