perf(peersync): sort no member list for each lost member

For each lost member all live members were copied and sorted to see whether one of its availability zone is left: losses times members. TestHasLive takes the cases of TestZoneLost, with members that fall silent.

--- a/internal/duty/peersync/peersync.go
+++ b/internal/duty/peersync/peersync.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -285,16 +284,11 @@
 func (du *duty) onPeerLost(mb gossip.Member) {
 	du.ds.SetPeerLoads(mb.Name, nil)
 	du.tr.RemovePeer(mb.Name)
-	if zoneLost(mb, du.ms.Live()) && du.dr.RecordPeerLoss(mb.AvailabilityZone, mb.Name) {
+	if !du.ms.HasLive(mb.AvailabilityZone) && du.dr.RecordPeerLoss(mb.AvailabilityZone, mb.Name) {
 		du.lg.WithFields(log.Fields{"zone": mb.AvailabilityZone, "cause": "instances lost"}).Warn("availability zone left out")
 	}
 }
 
-// zoneLost reports whether no live instance remains in the availability zone of a lost instance.
-func zoneLost(lost gossip.Member, live []gossip.Member) bool {
-	return !slices.ContainsFunc(live, func(mb gossip.Member) bool { return mb.AvailabilityZone == lost.AvailabilityZone })
-}
-
 func (du *duty) serveDocument(name string) ([]byte, bool) {
 	switch name {
 	case configurationDocument:
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -210,6 +210,22 @@
 	return live
 }
 
+// HasLive reports whether any live member, including this instance, is in an availability zone. Unlike Live it sorts nothing, so that it
+// can be called for each of hundreds of members that are lost at once.
+func (ms *Mesh) HasLive(zone string) bool {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	if ms.self.AvailabilityZone == zone {
+		return true
+	}
+	for _, r := range ms.records {
+		if r.live && r.AvailabilityZone == zone {
+			return true
+		}
+	}
+	return false
+}
+
 // SetStopping announces to all members that this instance is stopping.
 func (ms *Mesh) SetStopping() {
 	ms.mu.Lock()
