perf(peersync): send peers the changes of the list of targets, not the whole list

After each change of one target every instance fetched the whole list: targets times instances times changes, which themselves grow with the targets.

An instance now asks the peer that reported a newer position for the changes since its own, and fetches the list only if the peer does not know them.

--- a/internal/duty/peersync/peersync.go
+++ b/internal/duty/peersync/peersync.go
@@ -80,6 +80,8 @@
 	configurationFetches, listFetches chan fetchRequest
 	// fetchDocument fetches a document from a peer.
 	fetchDocument func(ctx context.Context, from gossip.Member, name string) ([]byte, error)
+	// queryPeer sends a query to a peer and returns its response.
+	queryPeer func(ctx context.Context, m gossip.Member, name string, query []byte) ([]byte, error)
 	// awaitedFromRelays is the newest version of the configuration that the linked relays are expected to report. It is used by one
 	// callback at a time.
 	awaitedFromRelays int64
@@ -106,7 +108,7 @@
 	}
 	opts := du.options(env)
 	du.ms = gossip.New(opts)
-	du.fetchDocument = du.ms.Fetch
+	du.fetchDocument, du.queryPeer = du.ms.Fetch, du.ms.Query
 	du.permits = newPermitService(opts.Self.Name, du.ms, co.TargetLimit, du.lg)
 	co.Permits.SetRequestFunc(du.permits.requestPermit)
 	du.retries = &sharedRetries{
@@ -154,6 +156,8 @@
 		return du.permits.answerPeer(query)
 	case retryQuery:
 		return du.retries.answerPeer(query)
+	case targetChangesQuery:
+		return du.answerTargetChanges(query)
 	default:
 		return nil, false
 	}
--- a/internal/duty/peersync/targets.go
+++ b/internal/duty/peersync/targets.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/apex/log"
@@ -22,6 +23,66 @@
 	Lapsed targets.Lapsed `json:"Lapsed"`
 }
 
+// targetChangesQuery is the name of the gossip query for the changes of the list of targets since a position.
+const targetChangesQuery = "target changes"
+
+// targetChanges are changes of the list of targets as they are sent to peers.
+type targetChanges struct {
+	// Since and Version are the packed positions between which the list changed.
+	Since   int64            `json:"Since"`
+	Version int64            `json:"Version"`
+	Changed []targets.Target `json:"Changed"`
+	Removed []string         `json:"Removed"`
+	// Lapsed holds targets that are missing from the list and still take work.
+	Lapsed targets.Lapsed `json:"Lapsed"`
+}
+
+// answerTargetChanges returns the encoded changes since the position that a query names. It reports false if they are not known; the peer
+// then fetches the whole list.
+func (du *duty) answerTargetChanges(query []byte) ([]byte, bool) {
+	since, err := strconv.ParseInt(string(query), 10, 64)
+	if err != nil {
+		du.lg.WithError(err).Error("cannot decode query of peer for changes of targets")
+		return nil, false
+	}
+	pc, known := du.dr.ChangesSince(position.Unpack(since))
+	if !known {
+		return nil, false
+	}
+	b, err := json.Marshal(targetChanges{
+		Since: since, Version: pc.At.Pack(), Changed: pc.Changed, Removed: pc.Removed, Lapsed: du.dr.Lapsed(),
+	})
+	if err != nil {
+		du.lg.WithError(err).Error("cannot encode changes of targets for peers")
+	}
+	return b, err == nil
+}
+
+// updateTargets gets the changes of the list of targets from a peer that reported a newer one, and applies them. It reports false if
+// that did not succeed: the peer may not know the changes since this instance's list, or be of a build that does not send them.
+func (du *duty) updateTargets(ctx context.Context, lg log.Interface, fr fetchRequest) bool {
+	own, _ := du.dr.ListPosition()
+	if own.IsZero() || own.Era != fr.at.Era {
+		return false
+	}
+	b, err := du.queryPeer(ctx, fr.from, targetChangesQuery, strconv.AppendInt(nil, own.Pack(), 10))
+	if err != nil {
+		lg.WithError(err).Debug("no changes of targets from peer")
+		return false
+	}
+	var tc targetChanges
+	if err := json.Unmarshal(b, &tc); err != nil {
+		lg.WithError(err).Error("cannot decode changes of targets from peer")
+		return false
+	}
+	pc := targets.PeerChanges{Since: position.Unpack(tc.Since), At: position.Unpack(tc.Version), Changed: tc.Changed, Removed: tc.Removed}
+	if fr.at.After(pc.At) {
+		return false
+	}
+	du.logTargetChanges(lg, du.dr.ApplyPeerChanges(pc, tc.Lapsed, fr.asOf), fr.asOf)
+	return true
+}
+
 // encodeTargets returns the compressed list of targets as the legacy document.
 func (du *duty) encodeTargets(name string) ([]byte, error) {
 	var tl targetList
@@ -57,6 +118,9 @@
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	lg := du.lg.WithField("peer", fr.from.Name).WithField("era", fr.at.Era).WithField("version", fr.at.Revision)
+	if du.updateTargets(ctx, lg, fr) {
+		return
+	}
 	doc, err := du.fetchDocument(ctx, fr.from, targetsDocument)
 	if err != nil {
 		lg.WithError(err).Warn("cannot fetch newer list of targets from peer")
--- a/internal/targets/apply.go
+++ b/internal/targets/apply.go
@@ -28,6 +28,7 @@
 	if dr.isOlder(at) {
 		return dr.confirmOnly(asOf)
 	}
+	dr.history.begin(at, true)
 	changes := dr.replaceAll(list, asOf)
 	for _, name := range unreadable {
 		changes = append(changes, dr.invalidate(name, asOf)...)
@@ -44,6 +45,7 @@
 	if dr.isOlder(at) {
 		return dr.confirmOnly(asOf)
 	}
+	dr.history.begin(at, false)
 	var changes []Change
 	for _, ec := range entries {
 		switch {
@@ -71,6 +73,7 @@
 		return nil
 	}
 	dr.listPosition = at
+	dr.history.begin(at, true)
 	return dr.replaceFromPeer(list, la, asOf)
 }
 
--- a/internal/targets/lapse.go
+++ b/internal/targets/lapse.go
@@ -80,11 +80,7 @@
 		dr.addLapsed(tg)
 	}
 	changes := dr.replaceAll(list, asOf)
-	var graceUntil time.Time
-	if la.GraceLeft > 0 {
-		graceUntil = dr.now().Add(min(la.GraceLeft, LapseGrace))
-		dr.peerGraceUntil = graceUntil
-	}
+	graceUntil := dr.peerGrace(la)
 	for _, ch := range changes {
 		if ch.Kind == "gone" {
 			dr.entries[ch.Target.ID].graceUntil = graceUntil
@@ -93,6 +89,15 @@
 	return changes
 }
 
+// peerGrace returns until when an entry that a peer's list newly misses may be missing, and records it. The caller holds the lock.
+func (dr *Directory) peerGrace(la Lapsed) time.Time {
+	if la.GraceLeft <= 0 {
+		return time.Time{}
+	}
+	dr.peerGraceUntil = dr.now().Add(min(la.GraceLeft, LapseGrace))
+	return dr.peerGraceUntil
+}
+
 // addLapsed adds a lapsed target that a peer reports and this instance does not know. The caller holds the lock.
 func (dr *Directory) addLapsed(tg Target) {
 	if _, known := dr.entries[tg.ID]; known {
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -76,6 +76,8 @@
 	// connectFailures counts failed connections since the target was last reachable, up to maxDoublings; each doubles the next
 	// pause.
 	connectFailures int
+	// changedAt is the position at which the listed target last changed.
+	changedAt position.Position
 	// listOrder orders the entries by when they were first listed.
 	listOrder int
 	// superseded is set when a later incarnation with the same name is known; it is never reset.
@@ -110,6 +112,8 @@
 	confirmedAt time.Time
 	// listPosition is the position in the store's history at which the list last changed, as far as known; it never decreases.
 	listPosition position.Position
+	// history holds what peers with an older list need to update it.
+	history history
 	// lastRestore is the newest known restore of the store from an older copy.
 	lastRestore storeRestore
 	// zones is keyed by the name of the availability zone.
@@ -135,7 +139,7 @@
 func New(now func() time.Time, opts ...Option) *Directory {
 	dr := &Directory{
 		now: now, onSuperseded: func(Target) {}, evacuated: func() set.Set[string] { return set.Set[string]{} }, entries: map[string]*entry{}, latest: map[string]incarnation{},
-		leavingSince: map[string]time.Time{}, zones: map[string]*zone{},
+		leavingSince: map[string]time.Time{}, zones: map[string]*zone{}, history: history{removals: map[string]removal{}},
 	}
 	for _, o := range opts {
 		o(dr)
@@ -224,16 +228,21 @@
 	now := dr.now()
 	for _, en := range dr.entries {
 		if en.missingSince.IsZero() {
-			tg := en.Target
-			tg.Leaving = en.leaving
-			tg.WarmUp = max(0, en.warmAt.Sub(now))
-			list = append(list, tg)
+			list = append(list, en.listed(now))
 		}
 	}
 	slices.SortFunc(list, func(a, b Target) int { return strings.Compare(a.ID, b.ID) })
 	return dr.listPosition, list
 }
 
+// listed returns the target as it is listed for peers.
+func (en *entry) listed(now time.Time) Target {
+	tg := en.Target
+	tg.Leaving = en.leaving
+	tg.WarmUp = max(0, en.warmAt.Sub(now))
+	return tg
+}
+
 // upsert adds or updates a listed target, unless a later incarnation is known. The caller holds the lock.
 func (dr *Directory) upsert(tg Target) []Change {
 	latest, changes := dr.registerLatest(tg)
@@ -258,6 +267,10 @@
 	relisted := known && !en.missingSince.IsZero()
 	wasLeaving := en.leaving
 	_, markedLeaving := dr.leavingSince[tg.ID]
+	if !known || relisted || !en.sameEntry(tg) {
+		en.changedAt = dr.history.applying
+		delete(dr.history.removals, tg.ID)
+	}
 	en.Target = tg
 	en.missingSince = time.Time{}
 	en.graceUntil = time.Time{}
@@ -282,6 +295,7 @@
 	}
 	en.missingSince = dr.now()
 	en.graceUntil = dr.ownOutage.graceEnds()
+	dr.history.recordRemoval(en.ID, dr.now())
 	return []Change{{Target: en.Target, Kind: "gone"}}
 }
 
@@ -295,6 +309,7 @@
 	}
 	dr.pruneNames()
 	dr.pruneLeaving()
+	dr.history.prune(now)
 }
 
 // pruneLeaving evicts the oldest leaving incarnations that have no entry once there are more than maxLeaving. It evicts down to
