fix(gossip): link a relay to its subscribers only

A relay dialled every member of its availability zone that had not dialled it. With one relay for twenty members that is a tenth of the square of the zone: ten links for each member of the whole fleet where two are used, and four frames a second in each direction on each. What grows: relays times members of a zone.

--- a/internal/gossip/topology.go
+++ b/internal/gossip/topology.go
@@ -68,16 +68,15 @@
 }
 
 // selectPeers returns the names of the members, live or lost, to keep links to. Members of an availability zone without any
-// unsuspected member are planned for as if unsuspected, so that dialling goes on while the zone is cut off. In its own zone an
-// instance that serves others keeps links to all members.
+// unsuspected member are planned for as if unsuspected, so that dialling goes on while the zone is cut off. A relay keeps links to its
+// subscribers; links to all members of its zone would grow with the square of the zone, since its relays grow with its members.
 func (ms *Mesh) selectPeers() []string {
 	self := ms.self.Member
-	servesZone := ms.plan.fullMesh || ms.plan.isRelay(self)
 	linked := set.Of(slices.Concat(ms.plan.linkedNames(self), ms.planWithSilentZones().linkedNames(self))...)
 	var names []string
 	for name, r := range ms.records {
 		sameZone := r.AvailabilityZone == self.AvailabilityZone
-		if r.live && ms.plan.fullMesh || sameZone && servesZone || linked.Has(name) {
+		if ms.plan.fullMesh && (r.live || sameZone) || ms.plan.subscribes(r.Member, self) || linked.Has(name) {
 			names = append(names, name)
 		}
 	}
