--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -3,13 +3,10 @@
 package explain
 
 import (
-	"bufio"
 	"io"
 	"slices"
 	"strings"
 	"time"
-
-	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -55,7 +52,7 @@
 // ReadTimeline reads log lines and returns the timeline of a request, or an UnknownRequestError.
 func ReadTimeline(r io.Reader, id string) (Timeline, error) {
 	rd := reader{id: id, last: map[string]time.Time{}}
-	if err := rd.read(r); err != nil {
+	if err := eachLine(r, rd.add); err != nil {
 		return Timeline{}, err
 	}
 	if !slices.ContainsFunc(rd.lines, rd.mentionsRequest) {
@@ -77,22 +74,6 @@
 	count int
 }
 
-func (rd *reader) read(r io.Reader) error {
-	br := bufio.NewReader(r)
-	for {
-		text, err := br.ReadString('\n')
-		if text != "" {
-			rd.add(text)
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return errors.Wrap(err, "read log lines")
-		}
-	}
-}
-
 // add keeps a line if the timeline may need it. A line without a time gets the time of the previous line of its instance.
 func (rd *reader) add(text string) {
 	rd.count++
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -1,9 +1,13 @@
 package explain
 
 import (
+	"bufio"
+	"io"
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // field is a key and its value.
@@ -60,6 +64,23 @@
 	return ln
 }
 
+// eachLine calls add for each line of a text, which may lack its final newline. It returns the error of the reader.
+func eachLine(r io.Reader, add func(text string)) error {
+	br := bufio.NewReader(r)
+	for {
+		text, err := br.ReadString('\n')
+		if text != "" {
+			add(text)
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "read log lines")
+		}
+	}
+}
+
 // nextField cuts the first word or key=value pair from a text. The text must not be empty or start with a space.
 func nextField(text string) (fd field, rest string) {
 	end := strings.IndexAny(text, " \t=")
--- a/internal/explain/losses.go
+++ b/internal/explain/losses.go
@@ -1,7 +1,6 @@
 package explain
 
 import (
-	"bufio"
 	"cmp"
 	"fmt"
 	"io"
@@ -54,20 +53,14 @@
 		losses:   LossSummary{outcomes: map[outcome]int{}, buckets: map[int]bucket{}},
 		inFlight: map[string]progress{},
 	}
-	br := bufio.NewReader(r)
-	for {
-		text, err := br.ReadString('\n')
-		if text != "" {
-			ln := parseLine(text)
-			sm.add(&ln)
-		}
-		if errors.Is(err, io.EOF) {
-			return sm.losses, nil
-		}
-		if err != nil {
-			return LossSummary{}, errors.Wrap(err, "read log lines")
-		}
+	err := eachLine(r, func(text string) {
+		ln := parseLine(text)
+		sm.add(&ln)
+	})
+	if err != nil {
+		return LossSummary{}, err
 	}
+	return sm.losses, nil
 }
 
 // summariser counts outcomes while lines are read.
--- a/internal/explain/propagation.go
+++ b/internal/explain/propagation.go
@@ -1,7 +1,6 @@
 package explain
 
 import (
-	"bufio"
 	"cmp"
 	"fmt"
 	"io"
@@ -44,20 +43,14 @@
 // SummarisePropagation reads log lines of several instances, in any order.
 func SummarisePropagation(r io.Reader) (PropagationSummary, error) {
 	ps := PropagationSummary{learnedAt: map[change]map[string]time.Time{}}
-	br := bufio.NewReader(r)
-	for {
-		text, err := br.ReadString('\n')
-		if text != "" {
-			ln := parseLine(text)
-			ps.add(&ln)
-		}
-		if errors.Is(err, io.EOF) {
-			return ps, nil
-		}
-		if err != nil {
-			return PropagationSummary{}, errors.Wrap(err, "read log lines")
-		}
+	err := eachLine(r, func(text string) {
+		ln := parseLine(text)
+		ps.add(&ln)
+	})
+	if err != nil {
+		return PropagationSummary{}, err
 	}
+	return ps, nil
 }
 
 // add records the first line of an instance about a change.
