fix(dispatch): check the authorisation of a prompt again once its memory is reserved

A prompt was sent with a key 140 ms after the configuration without it was in force here. It had been checked before its memory was reserved at several targets, which takes calls to them. Seen once in TestQueuedPromptIsRefusedAfterKeyRevocation beside a fleet of 985 processes: configuration 6 in force at 07.110, sent with configuration 3 at 07.251.

TestAuthorisationWithdrawnDuringReservation has the revocation during the reservation; without the second check a slot is given.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -129,10 +129,8 @@
 	ds.recordArrival(rq)
 	for {
 		roomFreedChan := ds.loadTable.roomFreedChan()
-		if rq.Authorise != nil {
-			if err := rq.Authorise(); err != nil {
-				return nil, err
-			}
+		if err := rq.authorise(); err != nil {
+			return nil, err
 		}
 		sl, ok, err := ds.tryOnce(ctx, rq)
 		var ne *noPermitError
@@ -144,8 +142,7 @@
 			return nil, err
 		}
 		if ok {
-			ds.targets.RecordDispatch(sl.Target.ID)
-			return sl, nil
+			return ds.confirm(rq, sl)
 		}
 		rq, ok, err = ds.waitUntilUnblocked(ctx, rq)
 		if err != nil {
@@ -166,6 +163,25 @@
 	}
 }
 
+// confirm returns a slot unless the authorisation of the request was withdrawn while permits and memory were acquired for it, which
+// takes calls to other instances and to targets.
+func (ds *Dispatcher) confirm(rq Request, sl *Slot) (*Slot, error) {
+	if err := rq.authorise(); err != nil {
+		sl.Release()
+		return nil, err
+	}
+	ds.targets.RecordDispatch(sl.Target.ID)
+	return sl, nil
+}
+
+// authorise returns an error if the request may no longer be sent.
+func (rq Request) authorise() error {
+	if rq.Authorise == nil {
+		return nil
+	}
+	return rq.Authorise()
+}
+
 // roomWaitDeadline is the time after which a request no longer waits, since its answer would be late.
 func (rq Request) roomWaitDeadline() time.Time {
 	return rq.Arrived.Add(time.Duration(maxRoomWaitShare * float64(rq.Objective)))
