--- a/internal/dispatch/delay.go
+++ b/internal/dispatch/delay.go
@@ -7,7 +7,7 @@
 
 const (
 	// maxUnseenShare is the number of prompts that all instances may place before they know of each other's choice, as a share of the
-	// targets. So few seldom choose the same target.
+	// targets.
 	maxUnseenShare = 0.04
 	// defaultAnswerTime is the time that a target takes to answer, until the performance figures of an engine are known.
 	defaultAnswerTime = time.Second
--- a/internal/dispatch/pools_test.go
+++ b/internal/dispatch/pools_test.go
@@ -70,8 +70,7 @@
 }
 
 // TestFirstPromptsOfManyInstancesSpread guards against the start of traffic in a large fleet: no answer is in flight yet, so the short
-// pool was a single target, and all instances sent their first prompts there before they heard of each other. One of 939 targets
-// received 45 of 1,098 requests.
+// pool was a single target, and all instances sent their first prompts there before they heard of each other.
 func TestFirstPromptsOfManyInstancesSpread(t *testing.T) {
 	const instances, count = 60, 400
 	ids := make([]string, count)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -28,7 +28,7 @@
 	minStallTimeout = 1700 * time.Millisecond
 	// stallPauseFactor is the same minimum as a multiple of the route's longest pause. The greater of the two applies.
 	stallPauseFactor = 3
-	// maxReadAheadBytes is how much of a stream is held for a slow caller. It is several times the size of a usual answer.
+	// maxReadAheadBytes is how much of a stream is held for a slow caller. Most answers fit into it whole.
 	maxReadAheadBytes = 64 << 10
 	// slowWriteDelay is the duration of a write to a caller after which the stream is read ahead. Targets break off a stream that is
 	// left unread for some seconds.
