fix(graceconn): write to callers after a deadline that a pause used up

What callers saw: after a pause of the instance past the deadline of a request, the connection was closed without a status, or in the middle of a stream, although the target had answered.

Cause: the write deadline of a caller's connection is an absolute time. The process can be suspended between the check that moves it and the write, or before the HTTP server's own last flush. Go then fails the write without offering the bytes to the socket.

Why this works: a write goes on after its deadline as long as the caller takes bytes, in steps of 25 ms and at most ten. It no longer matters when the deadline passes, so there is no window left. A caller that takes nothing is cut off 25 ms later than before.

--- a/internal/duty/frontend/frontend.go
+++ b/internal/duty/frontend/frontend.go
@@ -20,6 +20,7 @@
 	"github.com/silvermount/silvermount/internal/duty/gatewaydeps"
 	"github.com/silvermount/silvermount/internal/gateway"
 	"github.com/silvermount/silvermount/internal/gossip"
+	"github.com/silvermount/silvermount/internal/graceconn"
 	"github.com/silvermount/silvermount/internal/kernel"
 )
 
@@ -120,8 +121,7 @@
 }
 
 func (sv *servers) serve(ctx context.Context, address string, h http.Handler) error {
-	var lc net.ListenConfig
-	l, err := lc.Listen(ctx, "tcp", address)
+	l, err := graceconn.Listen(ctx, address)
 	if err != nil {
 		return errors.Wrap(err, "bind listener")
 	}
--- a/internal/duty/listen/listen.go
+++ b/internal/duty/listen/listen.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/silvermount/silvermount/internal/config"
+	"github.com/silvermount/silvermount/internal/graceconn"
 	"github.com/silvermount/silvermount/internal/kernel"
 )
 
@@ -31,12 +32,11 @@
 func start(ctx context.Context, env *kernel.Env) (kernel.Stop, error) {
 	ls := &Listeners{}
 	s := env.Settings
-	var lc net.ListenConfig
 	for _, b := range []struct {
 		address string
 		dst     *net.Listener
 	}{{s.Callers.Listen, &ls.Callers}, {s.Operators.Listen, &ls.Operators}, {s.Peers.Listen, &ls.Peers}} {
-		l, err := lc.Listen(ctx, "tcp", b.address)
+		l, err := graceconn.Listen(ctx, b.address)
 		if err != nil {
 			ls.close()
 			return nil, errors.Wrap(err, "bind listener")
--- /dev/null
+++ b/internal/graceconn/graceconn.go
@@ -0,0 +1,119 @@
+// Package graceconn provides connections whose write deadlines survive a pause of the process. A deadline that passes while the
+// process is suspended fails the next write, although nothing was wrong with the peer. Connections of this package write what is
+// left nevertheless, and fail only once the peer takes no more bytes.
+package graceconn
+
+import (
+	"context"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// graceStep is how long a write waits, after its deadline, for the peer to take bytes before it fails.
+	graceStep = 25 * time.Millisecond
+	// maxGraceSteps bounds the time of a peer that takes bytes slowly after the deadline. A pause uses up one step only, however
+	// long it is.
+	maxGraceSteps = 10
+	// maxTimerDelay is how late a timer fires on a busy machine. A later one shows that the process was paused.
+	maxTimerDelay = 100 * time.Millisecond
+)
+
+// Listener accepts connections whose writes survive a pause of the process.
+type Listener struct{ net.Listener }
+
+// Listen binds a TCP address.
+func Listen(ctx context.Context, address string) (Listener, error) {
+	var lc net.ListenConfig
+	ln, err := lc.Listen(ctx, "tcp", address)
+	return Listener{Listener: ln}, errors.Wrap(err, "listen")
+}
+
+// Accept returns the next connection.
+func (ln Listener) Accept() (net.Conn, error) {
+	nc, err := ln.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: nc}, nil
+}
+
+// conn is a connection whose writes survive a pause of the process. Like a net.Conn, it is safe for concurrent use.
+type conn struct {
+	net.Conn
+
+	mu sync.Mutex
+	// writeDeadline is the deadline that was set last; zero means none. The deadline of Conn is the same, or later during the grace.
+	writeDeadline time.Time
+	// stepsUsed is how many steps of the grace after writeDeadline have begun.
+	stepsUsed int
+}
+
+// SetDeadline sets the read and the write deadline.
+func (cn *conn) SetDeadline(t time.Time) error {
+	if err := cn.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return cn.SetWriteDeadline(t)
+}
+
+// SetWriteDeadline sets the deadline of writes. After it, the peer is still offered what is left, for as long as it takes bytes and at
+// most for the grace.
+func (cn *conn) SetWriteDeadline(t time.Time) error {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	cn.writeDeadline, cn.stepsUsed = t, 0
+	return cn.Conn.SetWriteDeadline(t)
+}
+
+// Write writes b. It does not fail because of a deadline that passed before the peer could be offered the bytes.
+func (cn *conn) Write(b []byte) (int, error) {
+	deadline := cn.deadline()
+	written, err := cn.Conn.Write(b)
+	for errors.Is(err, os.ErrDeadlineExceeded) {
+		stepEnd := time.Now().Add(graceStep)
+		if !cn.beginStep(deadline, stepEnd) {
+			return written, err
+		}
+		var n int
+		n, err = cn.Conn.Write(b[written:])
+		written += n
+		if n == 0 && time.Since(stepEnd) <= maxTimerDelay {
+			// The process was running, and the peer took nothing.
+			return written, err
+		}
+	}
+	return written, err
+}
+
+// CloseWrite closes the sending side, as net/http does before it closes a connection with unread data: the peer could otherwise lose
+// the response.
+func (cn *conn) CloseWrite() error {
+	tc, ok := cn.Conn.(*net.TCPConn)
+	if !ok {
+		return errors.Wrap(errors.ErrUnsupported, "close sending side")
+	}
+	return tc.CloseWrite()
+}
+
+func (cn *conn) deadline() time.Time {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	return cn.writeDeadline
+}
+
+// beginStep moves the deadline of the connection below to the end of the next step. It reports false if the grace is over, or if the
+// deadline was replaced during the write.
+func (cn *conn) beginStep(deadline, stepEnd time.Time) bool {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	if !cn.writeDeadline.Equal(deadline) || cn.stepsUsed >= maxGraceSteps {
+		return false
+	}
+	cn.stepsUsed++
+	return cn.Conn.SetWriteDeadline(stepEnd) == nil
+}
