fix(responsewriter): tell a write that timed out from a caller that left

What operators saw: answers that our own write deadline cut off were logged and counted as caller_gone, so the loss could not be found.

Cause: every error of a write to the caller was taken for the caller's leaving.

Cases of TestForward failed before with caller_gone.

--- a/internal/callerapi/account.go
+++ b/internal/callerapi/account.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/silvermount/silvermount/internal/failure"
@@ -17,11 +18,14 @@
 	sv.incCounter(fmt.Sprintf("errors_total{code=%q,outcome=%q}", fe.Code, fe.Outcome))
 }
 
+// lostCallerCodes are the failures that are the caller's doing.
+var lostCallerCodes = []failure.Code{failure.CallerGone, failure.WriteTimeout}
+
 // recordObjective counts a request and records whether it met the latency objective of its class. Requests whose caller went
-// away are counted, but not recorded against the objective: they are no miss.
+// away or did not take the response are counted, but not recorded against the objective: they are no miss.
 func (sv *Server) recordObjective(rq *request, err error) {
 	sv.incCounter(fmt.Sprintf("requests_total{class=%q}", rq.class.Name))
-	if err != nil && failure.FromError(err).Code == failure.CallerGone {
+	if err != nil && slices.Contains(lostCallerCodes, failure.FromError(err).Code) {
 		return
 	}
 	latency := time.Since(rq.arrived)
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -27,17 +27,19 @@
 
 // The codes of failures.
 const (
-	BadRequest          Code = "bad_request"
-	Unauthorized        Code = "unauthorized"
-	Forbidden           Code = "forbidden"
-	NotFound            Code = "not_found"
-	TooLarge            Code = "too_large"
-	Overloaded          Code = "overloaded"
-	NoMemory            Code = "no_memory"
-	LimitReached        Code = "limit_reached"
-	DeadlineTooShort    Code = "deadline_too_short"
-	DeadlineExceeded    Code = "deadline_exceeded"
-	CallerGone          Code = "caller_gone"
+	BadRequest       Code = "bad_request"
+	Unauthorized     Code = "unauthorized"
+	Forbidden        Code = "forbidden"
+	NotFound         Code = "not_found"
+	TooLarge         Code = "too_large"
+	Overloaded       Code = "overloaded"
+	NoMemory         Code = "no_memory"
+	LimitReached     Code = "limit_reached"
+	DeadlineTooShort Code = "deadline_too_short"
+	DeadlineExceeded Code = "deadline_exceeded"
+	CallerGone       Code = "caller_gone"
+	// WriteTimeout means that the caller was connected and did not take its response in time.
+	WriteTimeout        Code = "write_timeout"
 	NoTarget            Code = "no_target"
 	TargetRefused       Code = "target_refused"
 	TargetLost          Code = "target_lost"
@@ -72,6 +74,7 @@
 	DeadlineTooShort:    http.StatusServiceUnavailable,
 	DeadlineExceeded:    http.StatusGatewayTimeout,
 	CallerGone:          499,
+	WriteTimeout:        499,
 	NoTarget:            http.StatusServiceUnavailable,
 	TargetRefused:       http.StatusBadGateway,
 	TargetLost:          http.StatusBadGateway,
--- a/internal/responsewriter/responsewriter.go
+++ b/internal/responsewriter/responsewriter.go
@@ -3,6 +3,7 @@
 
 import (
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -51,17 +52,17 @@
 }
 
 // Forward writes part of the response, and flushes it if flush is set. It returns a failure.CallerGone error if the caller has
-// disconnected.
+// disconnected, and a failure.WriteTimeout error if it did not take the part in time.
 func (wr *Writer) Forward(part []byte, flush bool) error {
 	wr.extendDeadline()
 	if _, err := wr.w.Write(part); err != nil {
-		return callerGone(errors.Wrap(err, "write to caller"))
+		return writeFailure(errors.Wrap(err, "write to caller"))
 	}
 	if !flush {
 		return nil
 	}
 	if err := wr.rc.Flush(); err != nil {
-		return callerGone(errors.Wrap(err, "flush to caller"))
+		return writeFailure(errors.Wrap(err, "flush to caller"))
 	}
 	return nil
 }
@@ -77,7 +78,10 @@
 	_ = wr.deadline.ExtendWriteDeadline(wr.rc, now)
 }
 
-// callerGone returns the failure for an error of the connection.
-func callerGone(err error) error {
+// writeFailure returns the failure for an error of the connection.
+func writeFailure(err error) error {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return failure.New(failure.WriteTimeout, failure.Failed, "the caller did not take the response in time").WithCause(err)
+	}
 	return failure.New(failure.CallerGone, failure.Failed, "the caller went away").WithCause(err)
 }
--- a/internal/responsewriter/responsewriter_test.go
+++ b/internal/responsewriter/responsewriter_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"testing"
 	"time"
 
@@ -44,12 +45,15 @@
 		writeErr, flushErr error
 		flush              bool
 		wantErr            bool
+		wantCode           failure.Code
 		wantFlushed        bool
 	}{
 		"without flush":                      {},
 		"with flush":                         {flush: true, wantFlushed: true},
-		"write fails":                        {writeErr: errBroken, flush: true, wantErr: true},
-		"flush fails":                        {flushErr: errBroken, flush: true, wantErr: true},
+		"write fails":                        {writeErr: errBroken, flush: true, wantErr: true, wantCode: failure.CallerGone},
+		"flush fails":                        {flushErr: errBroken, flush: true, wantErr: true, wantCode: failure.CallerGone},
+		"write deadline passes":              {writeErr: os.ErrDeadlineExceeded, wantErr: true, wantCode: failure.WriteTimeout},
+		"write deadline passes at the flush": {flushErr: os.ErrDeadlineExceeded, flush: true, wantErr: true, wantCode: failure.WriteTimeout},
 		"failure not detected without flush": {flushErr: errBroken},
 	}
 	for name, tc := range tests {
@@ -64,9 +68,9 @@
 				g.Expect(err).NotTo(HaveOccurred())
 				return
 			}
-			g.Expect(failure.FromError(err).Code).To(Equal(failure.CallerGone))
+			g.Expect(failure.FromError(err).Code).To(Equal(tc.wantCode))
 			g.Expect(failure.FromError(err).Outcome).To(Equal(failure.Failed))
-			g.Expect(errors.Is(err, errBroken)).To(BeTrue())
+			g.Expect(errors.Is(err, errors.CombineErrors(tc.writeErr, tc.flushErr))).To(BeTrue())
 		})
 	}
 }
