fix(upstream): wait for the answer to a request that left during a pause

What callers saw: 504 with an unknown outcome, after a pause of the instance past the deadline, for a request that may run once. Its target ran it and answered.

Cause: the context of the call ended as the process went on, and the connection was closed because no response data was there. The bytes of the request had been held up by the pause and left just then.

Why this works: a context that ends 0.1 s or more after its deadline shows the pause. The connection then stays open for the same 0.2 s as when data is there. These are counted in steps of 25 ms, of which a further pause uses up one.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -39,6 +40,8 @@
 	// idleFor is how long the connection had been idle when it was last reused; zero for a new connection.
 	idleFor   time.Duration
 	bytesRead atomic.Int64
+	// finalSteps is how many further steps a read may wait after the deadline of its call; zero before the deadline.
+	finalSteps atomic.Int64
 	// keepAliveTimeout is how long the target keeps an idle connection open, by its Keep-Alive header; zero if unknown.
 	keepAliveTimeout time.Duration
 }
@@ -95,9 +98,15 @@
 	return cn, nil
 }
 
-// Read adds the bytes it reads to bytesRead.
+// Read adds the bytes it reads to bytesRead. After the deadline of the call it waits for finalSteps further steps.
 func (cn *conn) Read(b []byte) (int, error) {
 	n, err := cn.Conn.Read(b)
+	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && cn.finalSteps.Add(-1) >= 0 {
+		if deadlineErr := cn.SetReadDeadline(time.Now().Add(finalReadStep)); deadlineErr != nil {
+			return 0, errors.Wrap(deadlineErr, "set deadline of final read")
+		}
+		n, err = cn.Conn.Read(b)
+	}
 	cn.bytesRead.Add(int64(n))
 	return n, err
 }
@@ -117,17 +126,26 @@
 // closeIgnoringError closes the connection. A close error has no effect, as the connection is not used again.
 func (cn *conn) closeIgnoringError() { _ = cn.Close() }
 
-// finalReadTimeout bounds the reading of response data that had arrived by the call's deadline. If the response is
-// incomplete, the read fails after this time.
-const finalReadTimeout = 200 * time.Millisecond
-
-// handleContextDone closes the connection when the call's context ends. If the deadline has passed but response data is
-// already there, the connection stays open for finalReadTimeout: after a stall, this process sees the response and the
-// expired deadline at the same time.
-func (cn *conn) handleContextDone(ctx context.Context) {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) && cn.hasUnreadData() &&
-		cn.SetDeadline(time.Now().Add(finalReadTimeout)) == nil {
-		return
+const (
+	// finalReadTimeout bounds the reading of a response after the call's deadline. If the response is incomplete, the read fails
+	// after this time.
+	finalReadTimeout = 200 * time.Millisecond
+	// finalReadStep is the part of finalReadTimeout that one pause of the process can use up.
+	finalReadStep = 25 * time.Millisecond
+)
+
+// handleContextDone closes the connection when the call's context ends. If the deadline has passed, the connection stays open for
+// finalReadTimeout in two cases. Response data may already be there: after a pause, this process sees the response and the expired
+// deadline at the same time. Or the process was paused until after the deadline: the request may have left it only now, and its
+// target runs it.
+func (cn *conn) handleContextDone(ctx context.Context, now time.Time, finalReadSteps int64) {
+	deadline, ok := ctx.Deadline()
+	pausedPastDeadline := ok && now.Sub(deadline) >= minStallDelay
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) && (pausedPastDeadline || cn.hasUnreadData()) {
+		cn.finalSteps.Store(finalReadSteps)
+		if cn.SetReadDeadline(now) == nil && cn.SetWriteDeadline(now.Add(finalReadTimeout)) == nil {
+			return
+		}
 	}
 	cn.closeIgnoringError()
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -36,6 +36,8 @@
 	opened *metrics.Counter
 	// dialTimeout bounds the establishment of a connection.
 	dialTimeout time.Duration
+	// finalReadSteps is how many steps the reading of a response may take after the call's deadline.
+	finalReadSteps int64
 	// maxIdle is at least one.
 	maxIdle atomic.Int64
 
@@ -51,7 +53,7 @@
 // NewPool returns an empty pool. The counter of opened connections is registered in ms.
 func NewPool(now func() time.Time, ms *metrics.Set, dialTimeout time.Duration) *Pool {
 	pl := &Pool{
-		now: now, dialTimeout: dialTimeout, idle: map[string][]*conn{}, openCounts: map[string]int{},
+		now: now, dialTimeout: dialTimeout, finalReadSteps: int64(finalReadTimeout / finalReadStep), idle: map[string][]*conn{}, openCounts: map[string]int{},
 		reduced: map[string]reducedIdle{},
 		opened:  ms.GetOrCreateCounter("silvermount_target_connections_opened_total"),
 	}
