fix(upstream): do not send a request after its deadline

What callers saw: 504 with an unknown outcome for a request of which nothing was sent; they cannot know that they may send it again. A request whose deadline passed during the last check before it was sent could also still be sent.

Cause: once a connection was there, an exchange that failed was taken as sent, and the context was checked before BeforeSend only.

Why this works: the context is checked again after BeforeSend and by the goroutine that writes. If the call has ended and the connection took no byte of it, the error says that it was not sent, and the caller gets a refusal that says the request has not run.

TestRequestIsNotSentAfterItsDeadline failed before in both cases.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -40,6 +40,8 @@
 	// idleFor is how long the connection had been idle when it was last reused; zero for a new connection.
 	idleFor   time.Duration
 	bytesRead atomic.Int64
+	// bytesWritten counts the bytes that were handed to the kernel.
+	bytesWritten atomic.Int64
 	// finalSteps is how many further steps a read may wait after the deadline of its call; zero before the deadline.
 	finalSteps atomic.Int64
 	// keepAliveTimeout is how long the target keeps an idle connection open, by its Keep-Alive header; zero if unknown.
@@ -111,6 +113,13 @@
 	return n, err
 }
 
+// Write adds the bytes it writes to bytesWritten.
+func (cn *conn) Write(b []byte) (int, error) {
+	n, err := cn.Conn.Write(b)
+	cn.bytesWritten.Add(int64(n))
+	return n, err
+}
+
 // setUserTimeout makes the kernel close the connection when sent data stays unacknowledged for unackedTimeout.
 func setUserTimeout(_, _ string, rc syscall.RawConn) error {
 	var sockErr error
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -101,11 +101,11 @@
 		pool: pl, address: ca.Address, cn: cn, detachContext: detachContext, writeDone: make(chan struct{}), writeSucceeded: new(bool),
 	}
 	req := ca.httpRequest()
-	readBefore := cn.bytesRead.Load()
+	readBefore, writtenBefore := cn.bytesRead.Load(), cn.bytesWritten.Load()
 	if ca.OnSend != nil {
 		ca.OnSend(cn.activityCheck())
 	}
-	go rs.writeRequest(req)
+	go rs.writeRequest(ctx, req)
 	// Response.Close ends the body together with the connection.
 	rs.Response, err = readResponse(cn, req, ca.AcceptResponse) //nolint:bodyclose // the body stays open for the caller
 	if err != nil {
@@ -114,7 +114,9 @@
 			pl.recordStaleConnection(ca.Address, cn.idleFor)
 		}
 		rs.Close()
-		return nil, &ExchangeError{Sent: true, StaleConnection: stale, Cause: err}
+		<-rs.writeDone
+		sent := ctx.Err() == nil || cn.bytesWritten.Load() > writtenBefore
+		return nil, &ExchangeError{Sent: sent, StaleConnection: stale, Cause: err}
 	}
 	return rs, nil
 }
@@ -124,7 +126,10 @@
 	if ctx.Err() != nil || ca.BeforeSend == nil {
 		return ctx.Err()
 	}
-	return ca.BeforeSend()
+	if err := ca.BeforeSend(); err != nil {
+		return err
+	}
+	return ctx.Err()
 }
 
 // isConnectionClosed reports whether a read failed because the target closed or reset the connection.
@@ -161,8 +166,13 @@
 
 // writeRequest sends the request concurrently with the reading of the response: a target may respond before it has read a
 // long body.
-func (rs *Response) writeRequest(req *http.Request) {
+func (rs *Response) writeRequest(ctx context.Context, req *http.Request) {
 	defer close(rs.writeDone)
+	if ctx.Err() != nil {
+		// The call ended while this goroutine waited to run. Its target must not run it.
+		rs.cn.closeIgnoringError()
+		return
+	}
 	// A write error is not returned: the response on the same connection then fails, or is an early response.
 	*rs.writeSucceeded = req.Write(rs.cn) == nil
 }
--- a/internal/upstream/pause_test.go
+++ b/internal/upstream/pause_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -117,3 +118,40 @@
 	g.Expect(io.ReadFull(cn, b)).To(Equal(len(b)))
 	g.Expect(string(b)).To(Equal("answer"))
 }
+
+// TestRequestIsNotSentAfterItsDeadline guards against requests whose outcome is reported as unknown although nothing of them was sent,
+// and against requests that are sent after a deadline which passed during the checks before.
+func TestRequestIsNotSentAfterItsDeadline(t *testing.T) {
+	tests := map[string]func(ca *Call, endAndWait func()){
+		"deadline passes in the last check": func(ca *Call, endAndWait func()) {
+			ca.BeforeSend = func() error { endAndWait(); return nil }
+		},
+		"deadline passes before the write": func(ca *Call, endAndWait func()) {
+			ca.OnSend = func(func() bool) { endAndWait() }
+		},
+	}
+	for name, hook := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			received := make(chan struct{}, 1)
+			address := serveOnce(t, func(net.Conn) { received <- struct{}{} })
+			ended, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			ctx := pausedContext{Context: ended, late: time.Minute}
+			pl := NewPool(time.Now, metrics.NewSet(), time.Minute)
+			ca := Call{Address: address, Method: http.MethodPost, RequestURI: "/", Host: "h", Header: http.Header{}, Body: []byte(strings.Repeat("x", 1<<20))}
+			hook(&ca, func() {
+				done := make(chan struct{})
+				context.AfterFunc(ctx, func() { close(done) })
+				cancel()
+				<-done
+			})
+			_, err := pl.Do(ctx, ca)
+			var ee *ExchangeError
+			g.Expect(errors.As(err, &ee)).To(BeTrue())
+			g.Expect(ee.Sent).To(BeFalse(), "nothing was sent, so that the caller may send the request again")
+			g.Consistently(received, finalReadStep).ShouldNot(Receive())
+		})
+	}
+}
