fix(gateway): hold no failure after the deadline against a target

What callers saw: after a pause of the instance, requests were refused as target_unreachable or waited, because targets and availability zones that had not failed were left out.

Cause: an attempt that the deadline of the request had cut off was taken for a failure of the target if it was seen before the timer of the request's context had fired. After a pause both are ready at once: a dial that the deadline ended, a target that ended its run at the deadline it had been sent.

Why this works: isOver asks the clock too, so the order no longer matters. It is used wherever a failed attempt is judged, retried or sent.

--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -163,13 +163,13 @@
 
 // shouldRetryFailure reports whether a request is to be retried on another target instead of forwarding the target's failure.
 func (gw *Gateway) shouldRetryFailure(ctx context.Context, rq *request, rw *responseWriter) bool {
-	return ctx.Err() == nil && !rq.route.AtMostOnce() && !rw.Started() &&
+	return !gw.isOver(ctx, rq) && !rq.route.AtMostOnce() && !rw.Started() &&
 		gw.hasUntriedTarget(rq.route, rq.service, rq.tried) && gw.RetryBudget.Available()
 }
 
 // handleInterrupted handles a response that broke off.
 func (gw *Gateway) handleInterrupted(ctx context.Context, rq *request, sl *dispatch.Slot, err error) error {
-	if ctx.Err() != nil {
+	if gw.isOver(ctx, rq) {
 		fe := gw.cancellationError(ctx, rq).WithCause(err)
 		gw.logCancelled(rq, sl.Target, fe)
 		return fe
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -40,7 +40,7 @@
 			return gw.transition(ctx, rq, lifecycle.Finish)
 		}
 		last = failure.FromError(err)
-		if isUnsent(last) && dialRetries < maxDialRetries && ctx.Err() == nil {
+		if isUnsent(last) && dialRetries < maxDialRetries && !gw.isOver(ctx, rq) {
 			dialRetries++
 			continue
 		}
@@ -141,7 +141,7 @@
 
 // acquireError returns the failure of a request for which the dispatcher returned an error.
 func (gw *Gateway) acquireError(ctx context.Context, rq *request, err error) error {
-	if ctx.Err() != nil {
+	if gw.isOver(ctx, rq) {
 		return gw.cancellationError(ctx, rq)
 	}
 	var fe *failure.Error
@@ -157,6 +157,13 @@
 	return rq.outcomes.Outcome()
 }
 
+// isOver reports whether the deadline of a request has passed, its caller has disconnected or the instance stops. The clock is asked as
+// well as the context: after a pause of the process, an attempt that the deadline cut off can be seen to fail before the context's timer
+// has fired. Its target is not to blame then.
+func (gw *Gateway) isOver(ctx context.Context, rq *request) bool {
+	return ctx.Err() != nil || !gw.Now().Before(rq.deadline.At)
+}
+
 // cancellationError returns the failure of a request whose deadline passed, whose caller disconnected, or that was aborted
 // because the instance stops.
 func (gw *Gateway) cancellationError(ctx context.Context, rq *request) *failure.Error {
@@ -186,7 +193,7 @@
 	ca := upstream.Call{
 		Address: sl.Target.Address, Method: rq.method, RequestURI: rq.requestURI, Host: rq.host, Header: h, Body: rq.body,
 		AtMostOnce:     rq.route.AtMostOnce(),
-		BeforeSend:     func() error { return gw.checkAvailable(sl) },
+		BeforeSend:     func() error { return gw.checkSend(ctx, rq, sl) },
 		AcceptResponse: func(resp *http.Response) bool { return gw.recordHead(rq, sl.Target, resp) },
 	}
 	gw.logSent(rq, sl)
@@ -222,12 +229,12 @@
 // handleExchangeError records an attempt that received no response, and returns its failure.
 func (gw *Gateway) handleExchangeError(ctx context.Context, rq *request, sl *dispatch.Slot, err error) error {
 	var ue *UnavailableTargetError
-	if errors.As(err, &ue) && ctx.Err() == nil {
+	if errors.As(err, &ue) && !gw.isOver(ctx, rq) {
 		return gw.skipTarget(rq, sl, ue)
 	}
 	var ee *upstream.ExchangeError
 	if errors.As(err, &ee) && !ee.Sent {
-		if ctx.Err() != nil {
+		if gw.isOver(ctx, rq) {
 			return gw.cancellationError(ctx, rq)
 		}
 		gw.logAttemptFailed(rq, sl.Target, err, false)
@@ -237,7 +244,7 @@
 	}
 	rq.tried = append(rq.tried, sl.Target.ID)
 	rq.outcomes.Add(failure.Unknown)
-	if ctx.Err() != nil {
+	if gw.isOver(ctx, rq) {
 		fe := gw.cancellationError(ctx, rq)
 		gw.logCancelled(rq, sl.Target, fe)
 		return fe
@@ -263,6 +270,14 @@
 // Error names the target and the cause.
 func (ue *UnavailableTargetError) Error() string { return "target " + ue.Target + " " + ue.Cause }
 
+// checkSend returns an error if a request may not be sent any more: it is over, or a target of the slot takes no requests now.
+func (gw *Gateway) checkSend(ctx context.Context, rq *request, sl *dispatch.Slot) error {
+	if gw.isOver(ctx, rq) {
+		return gw.cancellationError(ctx, rq)
+	}
+	return gw.checkAvailable(sl)
+}
+
 // checkAvailable returns an UnavailableTargetError if a target of the slot takes no requests now. The state of a target may
 // have changed since it was chosen, because the request had to wait.
 func (gw *Gateway) checkAvailable(sl *dispatch.Slot) error {
@@ -307,7 +322,7 @@
 	retryTaken := rq.retryTaken
 	rq.retryTaken = false
 	retried, reason := retry.FailedAttempt{
-		Code: fe.Code, Cancelled: ctx.Err() != nil, AtMostOnce: rq.route.AtMostOnce(), MayHaveRun: rq.outcomes.MayHaveRun(),
+		Code: fe.Code, Cancelled: gw.isOver(ctx, rq), AtMostOnce: rq.route.AtMostOnce(), MayHaveRun: rq.outcomes.MayHaveRun(),
 		Attempts: gw.countAvailable(rq.tried), MaxAttempts: rq.route.MaxAttempts, ResponseStarted: rw.Started(),
 		TryResume: func() bool { return rq.route.Resumable }, BudgetTaken: retryTaken,
 	}.Decide(gw.RetryBudget)
--- a/internal/gateway/slowcaller_test.go
+++ b/internal/gateway/slowcaller_test.go
@@ -11,24 +11,9 @@
 	"testing"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 	. "github.com/onsi/gomega"
 
-	"github.com/silvermount/silvermount/internal/backoff"
-	"github.com/silvermount/silvermount/internal/budget"
-	"github.com/silvermount/silvermount/internal/dispatch"
-	"github.com/silvermount/silvermount/internal/feedback"
-	"github.com/silvermount/silvermount/internal/gateway"
-	"github.com/silvermount/silvermount/internal/position"
-	"github.com/silvermount/silvermount/internal/quarantine"
-	"github.com/silvermount/silvermount/internal/ratelimit"
-	"github.com/silvermount/silvermount/internal/reservation"
-	"github.com/silvermount/silvermount/internal/responsehead"
 	"github.com/silvermount/silvermount/internal/routes"
-	"github.com/silvermount/silvermount/internal/targets"
-	"github.com/silvermount/silvermount/internal/upstream"
 )
 
 // slowWriter is a caller that takes the second part of its response only once it is released.
@@ -82,32 +67,7 @@
 	g := NewWithT(t)
 	const events, timeout = 30, 10 * time.Second
 	address := startStreamTarget(t, events)
-	hd := &routes.Holder{}
-	hd.ApplyIfNewer(routes.New(routes.Config{
-		Version: 1, Services: []routes.Service{{Name: "s"}},
-		Routes: []routes.Route{{
-			Name: "r", Host: "example.com", PathPrefix: "/", Timeout: time.Minute, Objective: time.Minute, Streaming: true, MaxAttempts: 1,
-			Services: []routes.WeightedService{{Service: "s", Weight: 1}},
-		}},
-	}), nil, time.Now())
-	dr := targets.New(time.Now)
-	dr.ApplyList([]targets.Target{{ID: "t", Service: "s", Address: address, Slots: 1}}, nil, position.Position{Revision: 1}, time.Now())
-	gw := newGateway(hd, discard.New())
-	gw.SetLimits(gateway.Limits{MaxBodyBytes: 100})
-	gw.Protocol.ReadRequest = func(*http.Request) (gateway.RequestInfo, error) { return gateway.RequestInfo{LastEventID: -1}, nil }
-	gw.Protocol.WriteAttempt = func(http.Header, gateway.Attempt) {}
-	gw.Protocol.ReadHead = func(*http.Response) responsehead.Head { return responsehead.Head{Verdict: responsehead.Answered} }
-	gw.BodyMemory = budget.NewMemory(1 << 20)
-	gw.Targets, gw.Pool = dr, upstream.NewPool(time.Now, gw.Metrics, time.Second)
-	gw.Dispatcher = dispatch.New(dr, &reservation.Manager{}, dispatch.Options{Now: time.Now})
-	gw.Quarantine = quarantine.New(quarantine.Options{Now: time.Now, Metrics: metrics.NewSet()})
-	gw.RetryBudget = budget.NewRetries(1, time.Now)
-	gw.RateLimits, gw.BackOffs = ratelimit.New(time.Now), backoff.New(time.Now, func() float64 { return 0 })
-	gw.Feedback = feedback.New(feedback.Deps{
-		Targets: dr, RateLimits: gw.RateLimits, BackOffs: gw.BackOffs, OnLeavingChange: func() {}, OnRateLimitChange: func() {},
-		Log: &log.Logger{Handler: discard.New()}, Now: time.Now,
-	})
-	gw.Random = func() float64 { return 0 }
+	gw := newGatewayWithTarget(address, routes.Route{Timeout: time.Minute, Objective: time.Minute, Streaming: true, MaxAttempts: 1})
 	released := make(chan struct{})
 	sv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		gw.ServeHTTP(&slowWriter{ResponseWriter: w, released: released}, r)
