fix(gateway): count no pause of the process as silence of a target

What callers saw: requests that ran twice after a pause of the instance, and targets avoided by the requests that came next.

Cause: the time for which a target was silent was measured by the wall clock. A pause that ended before a timer was due, within a stream, or during which the callers left, counted as silence; so did the part of a dial's timeout in which the process did not run. Only a timer that fired late was recognised.

Why this works: internal/pauseclock knows how long the process was paused, also for a pause that has just ended, and each wait for a target subtracts it. Pauses are logged and counted.

--- a/internal/duty/frontend/frontend.go
+++ b/internal/duty/frontend/frontend.go
@@ -101,7 +101,7 @@
 		Protocol: co.Adapter.Protocol, Routes: co.Routes, Targets: co.Targets, Dispatcher: co.Dispatcher, Pool: co.Pool,
 		RetryBudget: rt, Quarantine: co.Quarantine, Feedback: co.Feedback, RateLimits: co.RateLimits, BackOffs: co.BackOffs,
 		BodyMemory: budget.NewMemory(st.BodyBudgetBytes), Metrics: co.Metrics, Log: env.Logger("gateway"),
-		Random: rand.Float64, Now: time.Now, Stopping: env.Stopping.Load,
+		Random: rand.Float64, Now: time.Now, Paused: co.Pauses.Paused, Stopping: env.Stopping.Load,
 	}, gatewayLimits(st))
 	env.OnReload(func(s config.Settings) { gw.SetLimits(gatewayLimits(s.Gateway)) })
 	return gw
--- a/internal/duty/gatewaydeps/gatewaydeps.go
+++ b/internal/duty/gatewaydeps/gatewaydeps.go
@@ -19,6 +19,7 @@
 	"github.com/silvermount/silvermount/internal/feedback"
 	"github.com/silvermount/silvermount/internal/ident"
 	"github.com/silvermount/silvermount/internal/kernel"
+	"github.com/silvermount/silvermount/internal/pauseclock"
 	"github.com/silvermount/silvermount/internal/permit"
 	"github.com/silvermount/silvermount/internal/quarantine"
 	"github.com/silvermount/silvermount/internal/ratelimit"
@@ -42,7 +43,9 @@
 	Targets    *targets.Directory
 	Dispatcher *dispatch.Dispatcher
 	Pool       *upstream.Pool
-	Metrics    *metrics.Set
+	// Pauses measures the pauses of the process.
+	Pauses  *pauseclock.Clock
+	Metrics *metrics.Set
 	// StateNotifier is notified when the state that this instance publishes to its peers changes.
 	StateNotifier    *Notifier
 	StoreCoordinator *StoreCoordinator
@@ -131,6 +134,15 @@
 	}
 }
 
+// newPauseClock returns a clock that logs and counts the pauses of the process.
+func newPauseClock(lg log.Interface, ms *metrics.Set) *pauseclock.Clock {
+	counter := ms.GetOrCreateCounter("silvermount_process_paused_ms_total")
+	return pauseclock.New(time.Now, pauseclock.WithOnPause(func(d time.Duration) {
+		counter.Add(int(d.Milliseconds()))
+		lg.WithField("for", d.Round(time.Millisecond).String()).Warn("process was paused")
+	}))
+}
+
 // releaseTimeout bounds the wait for the last reserved memory to be released. It covers a few round trips and is shorter than the
 // part of the grace that a stop leaves.
 const releaseTimeout = 100 * time.Millisecond
@@ -142,7 +154,8 @@
 		// The program that started the instance provides no set of metrics.
 		ms = metrics.NewSet()
 	}
-	pl := upstream.NewPool(time.Now, ms, env.Settings.Gateway.DialTimeout.Std())
+	pauses := newPauseClock(env.Logger("pauses"), ms)
+	pl := upstream.NewPool(time.Now, ms, env.Settings.Gateway.DialTimeout.Std(), upstream.WithPaused(pauses.Paused))
 	evacuations := evacuation.New(time.Now)
 	ms.NewGauge("silvermount_zones_evacuated", func() float64 { return float64(evacuations.Evacuated().Len()) })
 	dr := targets.New(time.Now, targets.WithEvacuations(evacuations.Evacuated), targets.WithSupersededHook(func(tg targets.Target) { pl.CloseIdle(tg.Address) }))
@@ -179,9 +192,12 @@
 	kernel.Provide(env, &Components{
 		Quarantine: tracker, Evacuations: evacuations, NotesNotifier: notesNotifier, RateLimits: limits, Permits: permits, BackOffs: backOffs, Feedback: fb,
 		ZoneRetries: budget.NewRetries(0, time.Now, budget.WithBurst(0), budget.WithMinRate(0)), SharedRetry: &SharedRetry{},
-		Adapter: ad, Routes: rts, TargetLimit: limitOf, Targets: dr, Dispatcher: ds, Metrics: ms, StateNotifier: stateNotifier, StoreCoordinator: &StoreCoordinator{}, Pool: pl,
+		Adapter: ad, Routes: rts, TargetLimit: limitOf, Targets: dr, Dispatcher: ds, Metrics: ms, StateNotifier: stateNotifier, StoreCoordinator: &StoreCoordinator{}, Pool: pl, Pauses: pauses,
 	})
+	pausesCtx, stopPauses := context.WithCancel(context.Background())
+	go pauses.Run(pausesCtx)
 	return func(ctx context.Context) error {
+		stopPauses()
 		ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 		defer cancel()
 		if err := mg.WaitReleased(ctx); err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,6 +45,8 @@
 	Random func() float64
 	// Now returns the time of a monotonic clock.
 	Now func() time.Time
+	// Paused returns the total time for which the process was paused so far.
+	Paused func() time.Duration
 	// Stopping reports whether shutdown of the instance has been requested.
 	Stopping func() bool
 }
--- a/internal/gateway/logging_test.go
+++ b/internal/gateway/logging_test.go
@@ -29,7 +29,8 @@
 	return gateway.New(gateway.Deps{
 		Protocol: gateway.Protocol{ReadRequest: read},
 		Routes:   hd, BodyMemory: budget.NewMemory(bodyMemory), Metrics: metrics.NewSet(),
-		Log: &log.Logger{Handler: h}, Now: time.Now, Stopping: func() bool { return false },
+		Log: &log.Logger{Handler: h}, Now: time.Now,
+		Paused: func() time.Duration { return 0 }, Stopping: func() bool { return false },
 	}, gateway.Limits{})
 }
 
--- a/internal/gateway/pause_test.go
+++ b/internal/gateway/pause_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -13,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/silvermount/silvermount/internal/gateway"
+	"github.com/silvermount/silvermount/internal/position"
 	"github.com/silvermount/silvermount/internal/routes"
 	"github.com/silvermount/silvermount/internal/targets"
 )
@@ -90,3 +92,76 @@
 		})
 	}
 }
+
+// TestPauseIsNotSilenceOfTarget guards against healthy targets that are avoided because callers left during a pause of the process: the
+// time that the target had been silent included the pause.
+func TestPauseIsNotSilenceOfTarget(t *testing.T) {
+	// requests is how many callers leave. It is enough for the target to be avoided, and too few for it to be ejected.
+	const requests = 2
+	tests := map[string]struct {
+		paused time.Duration
+		// wantHealthy is the number of targets, out of three, that count as healthy.
+		wantHealthy int
+	}{
+		"process paused":        {paused: time.Minute, wantHealthy: 3},
+		"process ran meanwhile": {paused: 0, wantHealthy: 2},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			ck := &skippingClock{}
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			g.Expect(err).NotTo(HaveOccurred())
+			defer ln.Close()
+			received := make(chan struct{})
+			go func() {
+				for {
+					cn, err := ln.Accept()
+					if err != nil {
+						return // the listener was closed
+					}
+					defer cn.Close()
+					if _, err := http.ReadRequest(bufio.NewReader(cn)); err != nil {
+						t.Error(err)
+					}
+					received <- struct{}{}
+				}
+			}()
+			gw := newGatewayWithTarget(ln.Addr().String(), routes.Route{Timeout: time.Hour, Objective: time.Second, MaxAttempts: 1})
+			gw.Now = ck.Now
+			var paused atomic.Int64
+			gw.Paused = func() time.Duration { return time.Duration(paused.Load()) }
+			ended := make(chan struct{})
+			sv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				defer func() { ended <- struct{}{} }()
+				gw.ServeHTTP(w, r)
+			}))
+			defer sv.Close()
+			for range requests {
+				ctx, cancel := context.WithCancel(t.Context())
+				go func() {
+					<-received
+					ck.pause(time.Minute)
+					paused.Add(int64(tc.paused))
+					cancel()
+				}()
+				rq, err := http.NewRequestWithContext(ctx, http.MethodGet, sv.URL, http.NoBody)
+				g.Expect(err).NotTo(HaveOccurred())
+				rq.Host = "example.com"
+				resp, err := http.DefaultTransport.RoundTrip(rq)
+				if err == nil {
+					resp.Body.Close()
+				}
+				g.Expect(err).To(MatchError(context.Canceled))
+				g.Eventually(ended).WithTimeout(waitTimeout).Should(Receive())
+			}
+			gw.Targets.ApplyList([]targets.Target{
+				{ID: "t", Service: "s", Address: ln.Addr().String(), Slots: 1},
+				{ID: "u", Service: "s", Address: "127.0.0.1:1", Slots: 1},
+				{ID: "v", Service: "s", Address: "127.0.0.1:2", Slots: 1},
+			}, nil, position.Position{Revision: 2}, time.Now())
+			g.Expect(gw.Targets.Usable("s", targets.RequireHealthy)).To(HaveLen(tc.wantHealthy))
+		})
+	}
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -199,10 +199,11 @@
 	gw.logSent(rq, sl)
 	rq.excluded = append(rq.excluded, sl.Target.ID)
 	rq.sentAt, rq.headAt = gw.Now(), time.Time{}
+	pauses := newPauseMeter(gw.Paused)
 	rs, err := gw.sendWithSilenceTimeout(ctx, rq, sl, ca)
 	if err != nil {
 		if ctx.Err() != nil {
-			gw.recordUnanswered(rq, sl, gw.Now().Sub(rq.sentAt))
+			gw.recordUnanswered(rq, sl, gw.Now().Sub(rq.sentAt)-pauses.sinceLast())
 		}
 		return nil, gw.handleExchangeError(ctx, rq, sl, err)
 	}
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -31,7 +31,7 @@
 		}
 		cancel(&SilentTargetError{After: timeout})
 		return true
-	})
+	}, withPauses(gw.Paused))
 	ca.OnSend = wd.setHasActivity
 	rs, err := gw.Pool.Do(ctx, ca)
 	rq.retryTaken = wd.stop()
@@ -54,12 +54,26 @@
 	dueAt time.Time
 	// hasActivity reports whether data was received since its last call; nil until the request is sent.
 	hasActivity func() bool
+	// pauses measures the pauses of this process.
+	pauses pauseMeter
 	// stopped is set once the head was received or the call failed, cancelled if tryCancel succeeded before.
 	stopped, cancelled bool
 }
 
-func startSilenceWatchdog(timeout time.Duration, tryCancel func() bool) *silenceWatchdog {
+// silenceOption configures a silenceWatchdog.
+type silenceOption func(*silenceWatchdog)
+
+// withPauses sets the function that returns the total time for which this process was paused.
+func withPauses(paused func() time.Duration) silenceOption {
+	return func(wd *silenceWatchdog) { wd.pauses = newPauseMeter(paused) }
+}
+
+func startSilenceWatchdog(timeout time.Duration, tryCancel func() bool, opts ...silenceOption) *silenceWatchdog {
 	wd := &silenceWatchdog{timeout: timeout, tryCancel: tryCancel, dueAt: time.Now().Add(timeout)}
+	wd.pauses = newPauseMeter(func() time.Duration { return 0 })
+	for _, opt := range opts {
+		opt(wd)
+	}
 	wd.mu.Lock()
 	defer wd.mu.Unlock()
 	wd.timer = time.AfterFunc(timeout, func() { wd.fire(time.Now()) })
@@ -89,9 +103,13 @@
 	if wd.stopped {
 		return
 	}
+	lost := wd.pauses.sinceLast()
 	if late := now.Sub(wd.dueAt); late > maxTimerDelay {
+		lost = max(lost, late)
+	}
+	if lost > 0 {
 		// The process was paused, possibly before the request had left it. The target gets the time again that it lost.
-		wd.resetTimer(now, min(late, wd.timeout))
+		wd.resetTimer(now, min(lost, wd.timeout))
 		return
 	}
 	// Data that was received but not read shows that this process was stalled, not the target.
@@ -148,7 +166,7 @@
 }
 
 // recordUnanswered records a failure against a target that sent nothing until the request was cancelled, unless the wait was
-// too short to tell.
+// too short to tell. waited does not include pauses of this process.
 func (gw *Gateway) recordUnanswered(rq *request, sl *dispatch.Slot, waited time.Duration) {
 	if waited < max(minStallTimeout, silenceObjectives*rq.route.Objective, silencePredictionFactor*sl.PredictedFirstToken) {
 		return
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -96,7 +96,7 @@
 	stallTimeout := max(minStallTimeout, stallPauseFactor*rq.route.MaxPause)
 	// Cloned, because the watchdog may read it while the next attempt appends to rq.tried.
 	tried := slices.Clone(rq.tried)
-	wd := startStallWatchdog(rs, ahead.Pending, stallTimeout, func(silence time.Duration) bool {
+	wd := startStallWatchdog(rs, ahead.Pending, gw.Paused, stallTimeout, func(silence time.Duration) bool {
 		if silence <= sl.MaxSilence() {
 			return false
 		}
@@ -195,8 +195,11 @@
 	timeout time.Duration
 	// takeRetry reports whether the stream may be broken off, after it has taken the retry to continue it on another target.
 	takeRetry func(silence time.Duration) bool
-	// lastEventAt is when the last event was received; before the first event, when the head was.
+	// lastEventAt is when the last event was received; before the first event, when the head was. It is moved on by pauses of this
+	// process since then.
 	lastEventAt time.Time
+	// pauses measures the pauses of this process.
+	pauses pauseMeter
 
 	mu    sync.Mutex
 	timer *time.Timer
@@ -207,8 +210,12 @@
 }
 
 // startStallWatchdog starts a watchdog for a stream whose head has been received.
-func startStallWatchdog(rs *upstream.Response, pending func() bool, timeout time.Duration, takeRetry func(silence time.Duration) bool) *stallWatchdog {
-	wd := &stallWatchdog{rs: rs, pending: pending, timeout: timeout, takeRetry: takeRetry, lastEventAt: time.Now()}
+func startStallWatchdog(
+	rs *upstream.Response, pending func() bool, paused func() time.Duration, timeout time.Duration, takeRetry func(silence time.Duration) bool,
+) *stallWatchdog {
+	wd := &stallWatchdog{
+		rs: rs, pending: pending, pauses: newPauseMeter(paused), timeout: timeout, takeRetry: takeRetry, lastEventAt: time.Now(),
+	}
 	wd.mu.Lock()
 	defer wd.mu.Unlock()
 	wd.timer = time.AfterFunc(maxFirstEventDelay, wd.fire)
@@ -231,6 +238,12 @@
 		wd.timer.Reset(stallRecheckInterval)
 		return
 	}
+	if lost := wd.pauses.sinceLast(); lost > 0 {
+		// The target gets the time again that it lost.
+		wd.lastEventAt = wd.lastEventAt.Add(lost)
+		wd.timer.Reset(min(lost, wd.timeout))
+		return
+	}
 	if !wd.takeRetry(time.Since(wd.lastEventAt)) {
 		wd.timer.Reset(stallRecheckInterval)
 		return
@@ -248,6 +261,7 @@
 	wd.mu.Lock()
 	defer wd.mu.Unlock()
 	wd.lastEventAt = time.Now()
+	wd.pauses.sinceLast()
 	wd.timer.Reset(d)
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -73,15 +73,15 @@
 // late.
 const minStallDelay = 100 * time.Millisecond
 
-// withElapsed sets ProcessStalled if the dial timed out and took much longer than its timeout.
-func (de *DialError) withElapsed(elapsed, timeout time.Duration) *DialError {
+// withElapsed sets ProcessStalled if the dial timed out, and the process was paused during it or it took much longer than its timeout.
+func (de *DialError) withElapsed(elapsed, paused, timeout time.Duration) *DialError {
 	var ne net.Error
 	timedOut := errors.As(de.Cause, &ne) && ne.Timeout()
-	de.ProcessStalled = timedOut && elapsed >= timeout+minStallDelay
+	de.ProcessStalled = timedOut && (paused > 0 || elapsed >= timeout+minStallDelay)
 	return de
 }
 
-func dial(ctx context.Context, address string, timeout time.Duration, now func() time.Time) (*conn, error) {
+func dial(ctx context.Context, address string, timeout time.Duration, now func() time.Time, paused func() time.Duration) (*conn, error) {
 	dl := net.Dialer{
 		Timeout: timeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -89,11 +89,11 @@
 		},
 		Control: setUserTimeout,
 	}
-	startedAt := now()
+	startedAt, pausedBefore := now(), paused()
 	nc, err := dl.DialContext(ctx, "tcp", address)
 	if err != nil {
 		de := &DialError{Address: address, Cause: err}
-		return nil, de.withElapsed(now().Sub(startedAt), timeout)
+		return nil, de.withElapsed(now().Sub(startedAt), paused()-pausedBefore, timeout)
 	}
 	cn := &conn{Conn: nc}
 	cn.br = bufio.NewReaderSize(cn, readBufferBytes)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -34,6 +34,8 @@
 type Pool struct {
 	now    func() time.Time
 	opened *metrics.Counter
+	// paused returns the total time for which the process was paused; never nil.
+	paused func() time.Duration
 	// dialTimeout bounds the establishment of a connection.
 	dialTimeout time.Duration
 	// finalReadSteps is how many steps the reading of a response may take after the call's deadline.
@@ -50,12 +52,24 @@
 	reduced map[string]reducedIdle
 }
 
+// Option configures a Pool.
+type Option func(*Pool)
+
+// WithPaused sets the function that returns the total time for which the process was paused so far.
+func WithPaused(paused func() time.Duration) Option {
+	return func(pl *Pool) { pl.paused = paused }
+}
+
 // NewPool returns an empty pool. The counter of opened connections is registered in ms.
-func NewPool(now func() time.Time, ms *metrics.Set, dialTimeout time.Duration) *Pool {
+func NewPool(now func() time.Time, ms *metrics.Set, dialTimeout time.Duration, opts ...Option) *Pool {
 	pl := &Pool{
 		now: now, dialTimeout: dialTimeout, finalReadSteps: int64(finalReadTimeout / finalReadStep), idle: map[string][]*conn{}, openCounts: map[string]int{},
 		reduced: map[string]reducedIdle{},
 		opened:  ms.GetOrCreateCounter("silvermount_target_connections_opened_total"),
+		paused:  func() time.Duration { return 0 },
+	}
+	for _, opt := range opts {
+		opt(pl)
 	}
 	pl.SetMaxIdle(defaultMaxIdle)
 	return pl
@@ -84,7 +98,7 @@
 
 // dial opens a connection and counts it.
 func (pl *Pool) dial(ctx context.Context, address string) (*conn, error) {
-	cn, err := dial(ctx, address, pl.dialTimeout, pl.now)
+	cn, err := dial(ctx, address, pl.dialTimeout, pl.now, pl.paused)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/upstream/stall_test.go
+++ b/internal/upstream/stall_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -75,19 +76,24 @@
 func TestDialTimeoutReportsProcessStall(t *testing.T) {
 	const timeout = 50 * time.Millisecond
 	tests := map[string]struct {
-		stall time.Duration
-		want  bool
+		// stall is how far the clock advances during the dial, paused how long a pause was noticed in it.
+		stall, paused time.Duration
+		want          bool
 	}{
-		"no stall":      {0, false},
-		"process stall": {time.Second, true},
+		"no stall":                    {0, 0, false},
+		"process stall":               {time.Second, 0, true},
+		"pause within the timeout":    {0, 40 * time.Millisecond, true},
+		"pause noticed after a stall": {time.Second, time.Second, true},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			fx := newFixture(t)
 			address := startFullListener(t)
-			pl := upstream.NewPool(fx.clock.Now, metrics.NewSet(), timeout)
-			time.AfterFunc(timeout/5, func() { fx.clock.advance(tc.stall) })
+			var paused atomic.Int64
+			pl := upstream.NewPool(fx.clock.Now, metrics.NewSet(), timeout,
+				upstream.WithPaused(func() time.Duration { return time.Duration(paused.Load()) }))
+			time.AfterFunc(timeout/5, func() { paused.Store(int64(tc.paused)); fx.clock.advance(tc.stall) })
 			_, err := pl.Do(t.Context(), call(address, "/1"))
 			var de *upstream.DialError
 			fx.Expect(errors.As(err, &de)).To(BeTrue())
