fix(gossip): keep a link when its deadline passes during a write

A link between instances has a deadline of one second for each write, set just before. If the process is paused between the two for longer, the write fails without an attempt, and the link is closed although its peer reads.

Why this works: the connections of links are those of graceconn, which offer the peer what is left.

--- a/internal/gossip/conn.go
+++ b/internal/gossip/conn.go
@@ -12,6 +12,8 @@
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcwire"
+
+	"github.com/silvermount/silvermount/internal/graceconn"
 )
 
 const (
@@ -28,7 +30,10 @@
 // deadlineConn sets a deadline on every write.
 type deadlineConn struct{ net.Conn }
 
-// Write fails if it takes longer than writeTimeout.
+// newDeadlineConn returns a connection to a peer. A pause of the process during a write does not end it.
+func newDeadlineConn(nc net.Conn) deadlineConn { return deadlineConn{Conn: graceconn.New(nc)} }
+
+// Write fails if the peer takes no bytes for longer than writeTimeout.
 func (dc deadlineConn) Write(b []byte) (int, error) {
 	if err := dc.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return 0, errors.Wrap(err, "set write deadline")
@@ -58,7 +63,7 @@
 			dl.lg.WithError(err).Debug("cannot set the TCP user timeout of a gossip connection")
 		}
 	}
-	return deadlineConn{Conn: nc}, nil
+	return newDeadlineConn(nc), nil
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT on a socket. Its signature is that of net.Dialer.Control.
@@ -84,6 +89,6 @@
 	if err != nil {
 		return nil, nil, &dialError{cause: errors.Wrap(err, "dial peer")}
 	}
-	nc = deadlineConn{Conn: nc}
+	nc = newDeadlineConn(nc)
 	return drpcconn.NewWithOptions(nc, drpcconn.Options{Manager: managerOptions()}), nc, nil
 }
--- a/internal/graceconn/graceconn.go
+++ b/internal/graceconn/graceconn.go
@@ -39,9 +39,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc}, nil
+	return New(nc), nil
 }
 
+// New returns a connection that is nc but for its writes, which survive a pause of the process.
+func New(nc net.Conn) net.Conn { return &conn{Conn: nc} }
+
 // conn is a connection whose writes survive a pause of the process. Like a net.Conn, it is safe for concurrent use.
 type conn struct {
 	net.Conn
