fix(dispatch): mark no target full that did not answer during a pause

What callers saw: after a pause of the instance, a long prompt was refused with "no target has room" although its targets had room. Found by reading; no run of the system shows it.

Cause: an order for memory that timed out marked its target as full for two seconds, also if this process was paused meanwhile.

Why this works: the error of the order says whether the process was paused while it waited. The target is then asked again at once.

TestPauseDuringReservationExcludesNoTarget failed before with "no target has room".

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -40,6 +40,14 @@
 	refusing, silent map[string]bool
 	// requested counts all requests for a reservation.
 	requested int
+	// pause is how long the process is paused during the next reservation, paused the total of such times.
+	pause, paused time.Duration
+}
+
+func (fr *fakeReservations) totalPaused() time.Duration {
+	fr.mu.Lock()
+	defer fr.mu.Unlock()
+	return fr.paused
 }
 
 // roundTripTime is how long a call and its answer take.
@@ -50,6 +58,11 @@
 	fr.mu.Lock()
 	defer fr.mu.Unlock()
 	fr.requested++
+	if fr.pause > 0 {
+		fr.paused += fr.pause
+		fr.pause = 0
+		return context.DeadlineExceeded
+	}
 	if fr.refusing[address] {
 		return &reservation.RefusedError{Address: address}
 	}
@@ -94,7 +107,7 @@
 	var ids atomic.Int64
 	mg := &reservation.Manager{
 		Timeout: 400 * time.Millisecond, LeaseDuration: 3 * time.Second,
-		Reserve: hs.reservations.reserve, Release: hs.reservations.release,
+		Reserve: hs.reservations.reserve, Release: hs.reservations.release, Paused: hs.reservations.totalPaused,
 		NewID: func() string { return strconv.FormatInt(ids.Add(1), 10) },
 		Log:   &log.Logger{Handler: discard.New(), Level: log.DebugLevel},
 	}
--- a/internal/dispatch/memory.go
+++ b/internal/dispatch/memory.go
@@ -19,8 +19,8 @@
 	absentPeriod = 2 * time.Second
 )
 
-// markReservationFailures marks all targets as full that refused or did not answer a memory reservation. All are marked at
-// once, since every further plan that includes one of them would reserve memory at the others in vain. It reports whether
+// markReservationFailures marks all targets as full that refused a memory reservation, or did not answer it although this process was
+// running. All are marked at once, since every further plan that includes one of them would reserve memory at the others in vain. It reports whether
 // the error is a failed reservation.
 func (ds *Dispatcher) markReservationFailures(err error, tgs []targets.Target) bool {
 	var ae *reservation.AcquireError
@@ -33,7 +33,7 @@
 		switch {
 		case errors.As(cause, &re):
 			ds.markAddressFull(re.Address, tgs, fullPeriod)
-		case errors.As(cause, &ue):
+		case errors.As(cause, &ue) && !ue.ProcessPaused:
 			ds.markAddressFull(ue.Address, tgs, absentPeriod)
 		}
 	}
--- a/internal/dispatch/memory_test.go
+++ b/internal/dispatch/memory_test.go
@@ -212,3 +212,17 @@
 		time.Sleep(settleTime)
 	})
 }
+
+// TestPauseDuringReservationExcludesNoTarget guards against targets that count as absent because this process was paused until its order had
+// timed out. With two targets, a prompt that needs the memory of both would wait for a target that has answered.
+func TestPauseDuringReservationExcludesNoTarget(t *testing.T) {
+	runInBubble(t, 2, func(hs *harness) {
+		hs.reservations.pause = time.Second
+		start := time.Now()
+		sl := hs.mustAcquire(promptRequest(largePromptTokens))
+		hs.Expect(hs.reservations.totalPaused()).To(Equal(time.Second))
+		hs.Expect(time.Since(start)).To(BeNumerically("<", objective/2), "both targets are used again at once")
+		sl.Release()
+		time.Sleep(settleTime)
+	})
+}
--- a/internal/duty/gatewaydeps/gatewaydeps.go
+++ b/internal/duty/gatewaydeps/gatewaydeps.go
@@ -162,7 +162,7 @@
 	stateNotifier := &Notifier{}
 	mg := &reservation.Manager{
 		Reserve: ad.Reserve, Release: ad.Release, NewID: func() string { return ident.New("mem") }, IsCurrent: dr.IsCurrent,
-		Timeout: env.Settings.Gateway.OrderTimeout.Std(), LeaseDuration: env.Settings.Gateway.MemoryHold.Std(), Log: env.Logger("memory"),
+		Timeout: env.Settings.Gateway.OrderTimeout.Std(), LeaseDuration: env.Settings.Gateway.MemoryHold.Std(), Paused: pauses.Paused, Log: env.Logger("memory"),
 	}
 	limits := ratelimit.New(time.Now)
 	ms.NewGauge("silvermount_targets_limited", func() float64 { return float64(limits.LimitedCount()) })
--- a/internal/reservation/reservation.go
+++ b/internal/reservation/reservation.go
@@ -48,6 +48,8 @@
 type UnansweredError struct {
 	Address string
 	Cause   error
+	// ProcessPaused is set when this process was paused while it waited. The missing answer is then no evidence against the target.
+	ProcessPaused bool
 }
 
 // Error includes the address of the target and the cause.
@@ -89,6 +91,8 @@
 	IsCurrent func(target string) bool
 	// Timeout is the timeout of one order.
 	Timeout time.Duration
+	// Paused returns the total time for which this process was paused so far. If it is nil, pauses are not known.
+	Paused func() time.Duration
 	// LeaseDuration is the time from the last renewal until reserved memory expires.
 	LeaseDuration time.Duration
 	Log           log.Interface
@@ -149,12 +153,20 @@
 func (mg *Manager) reserveOnce(ctx context.Context, al Allocation, id string) error {
 	ctx, cancel := context.WithTimeout(ctx, mg.Timeout)
 	defer cancel()
+	pausedBefore := mg.paused()
 	err := mg.Reserve(ctx, al.Address, id, al.Tokens, mg.LeaseDuration, mg.answerCallback(al))
 	var re *RefusedError
 	if err == nil || errors.As(err, &re) {
 		return err
 	}
-	return &UnansweredError{Address: al.Address, Cause: err}
+	return &UnansweredError{Address: al.Address, Cause: err, ProcessPaused: mg.paused() > pausedBefore}
+}
+
+func (mg *Manager) paused() time.Duration {
+	if mg.Paused == nil {
+		return 0
+	}
+	return mg.Paused()
 }
 
 // renewPeriodically renews the reservation until ctx ends.
