fix(upstream): wait for the answer when a pause ends just before a deadline

Found by reading.

TestAnswerToRequestSentAfterPauseIsReturned/deadline_passed_right_after_a_pause failed before.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -145,12 +145,12 @@
 
 // handleContextDone closes the connection when the call's context ends. If the deadline has passed, the connection stays open for
 // finalReadTimeout in two cases. Response data may already be there: after a pause, this process sees the response and the expired
-// deadline at the same time. Or the process was paused until after the deadline: the request may have left it only now, and its
-// target runs it.
-func (cn *conn) handleContextDone(ctx context.Context, now time.Time, finalReadSteps int64) {
+// deadline at the same time. Or the process was paused during the call, or until after the deadline: the request may have left it only
+// now, and its target runs it.
+func (cn *conn) handleContextDone(ctx context.Context, now time.Time, paused bool, finalReadSteps int64) {
 	deadline, ok := ctx.Deadline()
-	pausedPastDeadline := ok && now.Sub(deadline) >= minStallDelay
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) && (pausedPastDeadline || cn.hasUnreadData()) {
+	paused = paused || ok && now.Sub(deadline) >= minStallDelay
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) && (paused || cn.hasUnreadData()) {
 		cn.finalSteps.Store(finalReadSteps)
 		if cn.SetReadDeadline(now) == nil && cn.SetWriteDeadline(now.Add(finalReadTimeout)) == nil {
 			return
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -91,7 +91,10 @@
 	if err != nil {
 		return nil, &ExchangeError{Sent: false, Cause: err}
 	}
-	detachContext := context.AfterFunc(ctx, func() { cn.handleContextDone(ctx, time.Now(), pl.finalReadSteps) })
+	pausedBefore := pl.paused()
+	detachContext := context.AfterFunc(ctx, func() {
+		cn.handleContextDone(ctx, time.Now(), pl.paused() > pausedBefore, pl.finalReadSteps)
+	})
 	if err := ca.checkBeforeSend(ctx); err != nil {
 		detachContext()
 		pl.discard(ca.Address, cn)
--- a/internal/upstream/pause_test.go
+++ b/internal/upstream/pause_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -60,11 +61,12 @@
 // process was paused after its last check of the deadline: the bytes of the request left it afterwards, when the deadline had long passed.
 func TestAnswerToRequestSentAfterPauseIsReturned(t *testing.T) {
 	tests := map[string]struct {
-		// late is how long after the deadline the context ends.
-		late       time.Duration
-		wantAnswer bool
+		// late is how long after the deadline the context ends, paused how long the process was paused during the call.
+		late, paused time.Duration
+		wantAnswer   bool
 	}{
 		"deadline passed during a pause":          {late: 2 * minStallDelay, wantAnswer: true},
+		"deadline passed right after a pause":     {paused: time.Second, wantAnswer: true},
 		"deadline passed while the process ran":   {late: 0},
 		"deadline passed while the timer was due": {late: minStallDelay / 2},
 	}
@@ -76,13 +78,15 @@
 			ended, cancel := context.WithCancel(t.Context())
 			defer cancel()
 			ctx := pausedContext{Context: ended, late: tc.late}
+			var paused atomic.Int64
 			handled := make(chan struct{})
 			address := serveOnce(t, func(nc net.Conn) {
+				paused.Store(int64(tc.paused))
 				cancel()
 				<-handled
 				_, _ = io.WriteString(nc, answer+"ok") // fails if the call was given up
 			})
-			pl := NewPool(time.Now, metrics.NewSet(), time.Minute)
+			pl := NewPool(time.Now, metrics.NewSet(), time.Minute, WithPaused(func() time.Duration { return time.Duration(paused.Load()) }))
 			pl.finalReadSteps = int64(time.Minute / finalReadStep)
 			ca := Call{Address: address, Method: http.MethodPost, RequestURI: "/", Host: "h", Header: http.Header{}, AtMostOnce: true}
 			ca.OnSend = func(func() bool) {
