refactor(pauseclock): say once how late a timer must be to show a pause

Four packages had a constant of their own for it. Also a test of CloseWrite, by which the HTTP server keeps a refusal of a body from being lost.

--- a/internal/deadline/deadline.go
+++ b/internal/deadline/deadline.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/silvermount/silvermount/internal/pauseclock"
 )
 
 // writeGrace is the time that a response which starts at the deadline or later has to reach its caller.
@@ -32,12 +34,8 @@
 	return context.WithDeadline(ctx, dl.At)
 }
 
-const (
-	// maxTimerDelay is how late a timer may fire on a busy machine. A later one shows that the process was paused.
-	maxTimerDelay = 100 * time.Millisecond
-	// pauseGrace is how long a request goes on whose deadline passed while the process was paused.
-	pauseGrace = 200 * time.Millisecond
-)
+// pauseGrace is how long a request goes on whose deadline passed while the process was paused.
+const pauseGrace = 200 * time.Millisecond
 
 // ContextAfterPause returns a context that ends at the deadline, with the cause context.DeadlineExceeded. If the process is paused until
 // after the deadline, it ends pauseGrace after the pause, so that what has arrived meanwhile can be read. cancel releases its resources.
@@ -48,7 +46,7 @@
 func (dl Deadline) contextAfterPause(ctx context.Context, now func() time.Time) (bound context.Context, cancel context.CancelFunc) {
 	ctx, end := context.WithCancelCause(ctx)
 	timer := time.AfterFunc(time.Until(dl.At), func() {
-		if now().Sub(dl.At) >= maxTimerDelay {
+		if now().Sub(dl.At) >= pauseclock.MinPause {
 			waitForGrace(ctx)
 		}
 		end(context.DeadlineExceeded)
--- a/internal/deadline/pause_test.go
+++ b/internal/deadline/pause_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/silvermount/silvermount/internal/pauseclock"
 )
 
 // TestContextAfterPause guards against answers that arrived during a pause of the process and are lost because the context of their
@@ -23,8 +25,8 @@
 		want time.Duration
 	}{
 		"no pause":                   {},
-		"busy machine":               {pause: maxTimerDelay - 1},
-		"paused past the deadline":   {pause: maxTimerDelay, want: pauseGrace},
+		"busy machine":               {pause: pauseclock.MinPause - 1},
+		"paused past the deadline":   {pause: pauseclock.MinPause, want: pauseGrace},
 		"paused for an hour past it": {pause: time.Hour, want: pauseGrace},
 	}
 	for name, tc := range tests {
--- a/internal/dispatch/memory.go
+++ b/internal/dispatch/memory.go
@@ -19,9 +19,9 @@
 	absentPeriod = 2 * time.Second
 )
 
-// markReservationFailures marks all targets as full that refused a memory reservation, or did not answer it although this process was
-// running. All are marked at once, since every further plan that includes one of them would reserve memory at the others in vain. It reports whether
-// the error is a failed reservation.
+// markReservationFailures marks all targets as full that refused a memory reservation, or did not answer it although this
+// process was running. All are marked at once, since every further plan that includes one of them would reserve memory at
+// the others in vain. It reports whether the error is a failed reservation.
 func (ds *Dispatcher) markReservationFailures(err error, tgs []targets.Target) bool {
 	var ae *reservation.AcquireError
 	if !errors.As(err, &ae) {
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/silvermount/silvermount/internal/dispatch"
+	"github.com/silvermount/silvermount/internal/pauseclock"
 	"github.com/silvermount/silvermount/internal/targets"
 	"github.com/silvermount/silvermount/internal/upstream"
 )
@@ -80,8 +81,8 @@
 	return wd
 }
 
-// maxTimerDelay is how late a timer may fire on a busy machine. A later one shows that the process was paused.
-const maxTimerDelay = 100 * time.Millisecond
+// maxTimerDelay is how late a timer may fire. A later one shows that the process was paused.
+const maxTimerDelay = pauseclock.MinPause
 
 // resetTimer restarts the timer at the given time.
 func (wd *silenceWatchdog) resetTimer(now time.Time, d time.Duration) {
--- a/internal/graceconn/graceconn.go
+++ b/internal/graceconn/graceconn.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/silvermount/silvermount/internal/pauseclock"
 )
 
 const (
@@ -19,8 +21,6 @@
 	// maxGraceSteps bounds the time of a peer that takes bytes slowly after the deadline. A pause uses up one step only, however
 	// long it is.
 	maxGraceSteps = 10
-	// maxTimerDelay is how late a timer fires on a busy machine. A later one shows that the process was paused.
-	maxTimerDelay = 100 * time.Millisecond
 )
 
 // Listener accepts connections whose writes survive a pause of the process.
@@ -85,7 +85,7 @@
 		var n int
 		n, err = cn.Conn.Write(b[written:])
 		written += n
-		if n == 0 && time.Since(stepEnd) <= maxTimerDelay {
+		if n == 0 && time.Since(stepEnd) < pauseclock.MinPause {
 			// The process was running, and the peer took nothing.
 			return written, err
 		}
--- a/internal/graceconn/graceconn_test.go
+++ b/internal/graceconn/graceconn_test.go
@@ -165,3 +165,23 @@
 	g.Expect(cn.SetDeadline(time.Now())).To(Succeed())
 	g.Eventually(result).WithTimeout(time.Minute).Should(Receive(MatchError(os.ErrDeadlineExceeded)))
 }
+
+// TestCloseWrite guards against callers that lose a refusal of their body: the HTTP server closes its sending side first, so that what they
+// still send does not reset the connection.
+func TestCloseWrite(t *testing.T) {
+	g := NewWithT(t)
+	ln, err := graceconn.Listen(t.Context(), "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer ln.Close()
+	caller, err := net.Dial("tcp", ln.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer caller.Close()
+	cn, err := ln.Accept()
+	g.Expect(err).NotTo(HaveOccurred())
+	defer cn.Close()
+	g.Expect(io.WriteString(cn, "refused")).To(Equal(len("refused")))
+	half, ok := cn.(interface{ CloseWrite() error })
+	g.Expect(ok).To(BeTrue(), "as net/http asks for it")
+	g.Expect(half.CloseWrite()).To(Succeed())
+	g.Expect(io.ReadAll(caller)).To(BeEquivalentTo("refused"))
+}
--- a/internal/pauseclock/pauseclock.go
+++ b/internal/pauseclock/pauseclock.go
@@ -8,12 +8,11 @@
 	"time"
 )
 
-const (
-	// tickInterval is the time between two observations by Run. A pause is measured up to this error.
-	tickInterval = 100 * time.Millisecond
-	// minPause is by how much an observation must be late to show a pause. Less occurs on a busy machine.
-	minPause = 100 * time.Millisecond
-)
+// MinPause is by how much a timer must be late to show that the process was paused. Less occurs on a busy machine.
+const MinPause = 100 * time.Millisecond
+
+// tickInterval is the time between two observations by Run. A pause is measured up to this error.
+const tickInterval = 100 * time.Millisecond
 
 // Clock measures the pauses of the process. It is safe for concurrent use.
 type Clock struct {
@@ -73,7 +72,7 @@
 	ck.mu.Lock()
 	defer ck.mu.Unlock()
 	now := ck.now()
-	if late := now.Sub(ck.lastObserved) - tickInterval; late >= minPause {
+	if late := now.Sub(ck.lastObserved) - tickInterval; late >= MinPause {
 		pause = late
 		ck.paused += pause
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -16,6 +16,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/silvermount/silvermount/internal/pauseclock"
 )
 
 const (
@@ -69,15 +71,11 @@
 // address has ended.
 func (de *DialError) Refused() bool { return errors.Is(de.Cause, syscall.ECONNREFUSED) }
 
-// minStallDelay is by how much a dial must exceed its timeout to count as a stall of this process, whose timers then fire
-// late.
-const minStallDelay = 100 * time.Millisecond
-
 // withElapsed sets ProcessStalled if the dial timed out, and the process was paused during it or it took much longer than its timeout.
 func (de *DialError) withElapsed(elapsed, paused, timeout time.Duration) *DialError {
 	var ne net.Error
 	timedOut := errors.As(de.Cause, &ne) && ne.Timeout()
-	de.ProcessStalled = timedOut && (paused > 0 || elapsed >= timeout+minStallDelay)
+	de.ProcessStalled = timedOut && (paused > 0 || elapsed >= timeout+pauseclock.MinPause)
 	return de
 }
 
@@ -149,7 +147,7 @@
 // now, and its target runs it.
 func (cn *conn) handleContextDone(ctx context.Context, now time.Time, paused bool, finalReadSteps int64) {
 	deadline, ok := ctx.Deadline()
-	paused = paused || ok && now.Sub(deadline) >= minStallDelay
+	paused = paused || ok && now.Sub(deadline) >= pauseclock.MinPause
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) && (paused || cn.hasUnreadData()) {
 		cn.finalSteps.Store(finalReadSteps)
 		if cn.SetReadDeadline(now) == nil && cn.SetWriteDeadline(now.Add(finalReadTimeout)) == nil {
--- a/internal/upstream/pause_test.go
+++ b/internal/upstream/pause_test.go
@@ -14,6 +14,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
+
+	"github.com/silvermount/silvermount/internal/pauseclock"
 )
 
 // pausedContext is a context that ends late, as if its deadline had passed during a pause of the process.
@@ -65,10 +67,10 @@
 		late, paused time.Duration
 		wantAnswer   bool
 	}{
-		"deadline passed during a pause":          {late: 2 * minStallDelay, wantAnswer: true},
+		"deadline passed during a pause":          {late: 2 * pauseclock.MinPause, wantAnswer: true},
 		"deadline passed right after a pause":     {paused: time.Second, wantAnswer: true},
 		"deadline passed while the process ran":   {late: 0},
-		"deadline passed while the timer was due": {late: minStallDelay / 2},
+		"deadline passed while the timer was due": {late: pauseclock.MinPause / 2},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
