fix(graceconn): give a peer the whole grace after a pause

A caller that took nothing for 25 ms was given up, although it had had no time before: callers on long links could lose an answer as well.

Cause: each step of the grace failed when the peer took nothing in it, whether or not the write had begun before its deadline.

Why this works: a write that begins after its deadline, or finds it passed late, has all ten steps. Only a peer that had its time while the process ran is given up in the first step.

The test now gives its caller steps for a minute in place of ten, as a busy machine may not run it for longer than the grace. Its checks stay; the pause in it lasts until 0.2 s after the deadline.

--- a/internal/graceconn/graceconn.go
+++ b/internal/graceconn/graceconn.go
@@ -16,21 +16,24 @@
 )
 
 const (
-	// graceStep is how long a write waits, after its deadline, for the peer to take bytes before it fails.
+	// graceStep is the part of the grace that a pause can use up, however long it is.
 	graceStep = 25 * time.Millisecond
-	// maxGraceSteps bounds the time of a peer that takes bytes slowly after the deadline. A pause uses up one step only, however
-	// long it is.
+	// maxGraceSteps bounds the time that a peer has after the deadline.
 	maxGraceSteps = 10
 )
 
 // Listener accepts connections whose writes survive a pause of the process.
-type Listener struct{ net.Listener }
+type Listener struct {
+	net.Listener
+	// graceSteps is how many steps a connection has after a write deadline.
+	graceSteps int
+}
 
 // Listen binds a TCP address.
 func Listen(ctx context.Context, address string) (Listener, error) {
 	var lc net.ListenConfig
 	ln, err := lc.Listen(ctx, "tcp", address)
-	return Listener{Listener: ln}, errors.Wrap(err, "listen")
+	return Listener{Listener: ln, graceSteps: maxGraceSteps}, errors.Wrap(err, "listen")
 }
 
 // Accept returns the next connection.
@@ -39,15 +42,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return New(nc), nil
+	return &conn{Conn: nc, graceSteps: ln.graceSteps}, nil
 }
 
 // New returns a connection that is nc but for its writes, which survive a pause of the process.
-func New(nc net.Conn) net.Conn { return &conn{Conn: nc} }
+func New(nc net.Conn) net.Conn { return &conn{Conn: nc, graceSteps: maxGraceSteps} }
 
 // conn is a connection whose writes survive a pause of the process. Like a net.Conn, it is safe for concurrent use.
 type conn struct {
 	net.Conn
+	// graceSteps is how many steps there are after a write deadline.
+	graceSteps int
 
 	mu sync.Mutex
 	// writeDeadline is the deadline that was set last; zero means none. The deadline of Conn is the same, or later during the grace.
@@ -64,8 +69,7 @@
 	return cn.SetWriteDeadline(t)
 }
 
-// SetWriteDeadline sets the deadline of writes. After it, the peer is still offered what is left, for as long as it takes bytes and at
-// most for the grace.
+// SetWriteDeadline sets the deadline of writes. After it, the peer is still offered what is left, at most for the grace.
 func (cn *conn) SetWriteDeadline(t time.Time) error {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
@@ -75,8 +79,10 @@
 
 // Write writes b. It does not fail because of a deadline that passed before the peer could be offered the bytes.
 func (cn *conn) Write(b []byte) (int, error) {
-	deadline := cn.deadline()
+	startedAt, deadline := time.Now(), cn.deadline()
 	written, err := cn.Conn.Write(b)
+	// A peer that could take bytes until the deadline while this process ran has had its time, unless it takes some now.
+	hadTime := startedAt.Before(deadline) && time.Since(deadline) < pauseclock.MinPause
 	for errors.Is(err, os.ErrDeadlineExceeded) {
 		stepEnd := time.Now().Add(graceStep)
 		if !cn.beginStep(deadline, stepEnd) {
@@ -85,8 +91,7 @@
 		var n int
 		n, err = cn.Conn.Write(b[written:])
 		written += n
-		if n == 0 && time.Since(stepEnd) < pauseclock.MinPause {
-			// The process was running, and the peer took nothing.
+		if n == 0 && hadTime && time.Since(stepEnd) < pauseclock.MinPause {
 			return written, err
 		}
 	}
@@ -114,7 +119,7 @@
 func (cn *conn) beginStep(deadline, stepEnd time.Time) bool {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
-	if !cn.writeDeadline.Equal(deadline) || cn.stepsUsed >= maxGraceSteps {
+	if !cn.writeDeadline.Equal(deadline) || cn.stepsUsed >= cn.graceSteps {
 		return false
 	}
 	cn.stepsUsed++
