refactor(upstream): call a pause of the process a pause everywhere

DialError.ProcessStalled and UnansweredError.ProcessPaused meant the same. ContextAfterPause is ContextWithPauseGrace, as it ends with the deadline unless there was a pause. The tests of graceconn open their connections in one place. Behaviour and assertions are as they were.

--- a/internal/callerapi/job.go
+++ b/internal/callerapi/job.go
@@ -70,7 +70,7 @@
 		return claim.Response{}, failure.New(failure.NoMemory, failure.NotRun, "no memory for the body").WithRetryAfter(time.Second)
 	}
 	defer sv.Bodies.Release(size)
-	ctx, cancel := rq.deadline.ContextAfterPause(ctx)
+	ctx, cancel := rq.deadline.ContextWithPauseGrace(ctx)
 	defer cancel()
 	sk := newSink(&discardWriter{header: http.Header{}})
 	sk.recording = &claim.Response{BodyKept: true}
--- a/internal/callerapi/request.go
+++ b/internal/callerapi/request.go
@@ -131,7 +131,7 @@
 	sk.SetDeadline(rq.deadline)
 	ctx, abort := context.WithCancelCause(r.Context())
 	detach := context.AfterFunc(sv.abortCtx, func() { abort(context.Cause(sv.abortCtx)) })
-	ctx, cancel := rq.deadline.ContextAfterPause(ctx)
+	ctx, cancel := rq.deadline.ContextWithPauseGrace(ctx)
 	return ctx, func() {
 		cancel()
 		detach()
--- a/internal/deadline/deadline.go
+++ b/internal/deadline/deadline.go
@@ -37,13 +37,13 @@
 // pauseGrace is how long a request goes on whose deadline passed while the process was paused.
 const pauseGrace = 200 * time.Millisecond
 
-// ContextAfterPause returns a context that ends at the deadline, with the cause context.DeadlineExceeded. If the process is paused until
+// ContextWithPauseGrace returns a context that ends at the deadline, with the cause context.DeadlineExceeded. If the process is paused until
 // after the deadline, it ends pauseGrace after the pause, so that what has arrived meanwhile can be read. cancel releases its resources.
-func (dl Deadline) ContextAfterPause(ctx context.Context) (bound context.Context, cancel context.CancelFunc) {
-	return dl.contextAfterPause(ctx, time.Now)
+func (dl Deadline) ContextWithPauseGrace(ctx context.Context) (bound context.Context, cancel context.CancelFunc) {
+	return dl.contextWithPauseGrace(ctx, time.Now)
 }
 
-func (dl Deadline) contextAfterPause(ctx context.Context, now func() time.Time) (bound context.Context, cancel context.CancelFunc) {
+func (dl Deadline) contextWithPauseGrace(ctx context.Context, now func() time.Time) (bound context.Context, cancel context.CancelFunc) {
 	ctx, end := context.WithCancelCause(ctx)
 	timer := time.AfterFunc(time.Until(dl.At), func() {
 		if now().Sub(dl.At) >= pauseclock.MinPause {
--- a/internal/deadline/pause_test.go
+++ b/internal/deadline/pause_test.go
@@ -15,9 +15,9 @@
 	"github.com/silvermount/silvermount/internal/pauseclock"
 )
 
-// TestContextAfterPause guards against answers that arrived during a pause of the process and are lost because the context of their
+// TestContextWithPauseGrace guards against answers that arrived during a pause of the process and are lost because the context of their
 // request ends as soon as the process goes on.
-func TestContextAfterPause(t *testing.T) {
+func TestContextWithPauseGrace(t *testing.T) {
 	tests := map[string]struct {
 		// pause is how late the timer fires.
 		pause time.Duration
@@ -34,7 +34,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
 				dl := Deadline{At: time.Now().Add(time.Second)}
-				ctx, cancel := dl.contextAfterPause(t.Context(), func() time.Time { return time.Now().Add(tc.pause) })
+				ctx, cancel := dl.contextWithPauseGrace(t.Context(), func() time.Time { return time.Now().Add(tc.pause) })
 				defer cancel()
 				<-ctx.Done()
 				g.Expect(time.Since(dl.At)).To(Equal(tc.want))
@@ -44,7 +44,7 @@
 	}
 }
 
-func TestContextAfterPauseEndsEarly(t *testing.T) {
+func TestContextWithPauseGraceEndsEarly(t *testing.T) {
 	tests := map[string]func(cancelParent, cancel func()){
 		"parent cancelled":  func(cancelParent, _ func()) { cancelParent() },
 		"context cancelled": func(_, cancel func()) { cancel() },
@@ -56,7 +56,7 @@
 				parent, cancelParent := context.WithCancel(t.Context())
 				defer cancelParent()
 				start := time.Now()
-				ctx, cancel := Deadline{At: start.Add(time.Second)}.ContextAfterPause(parent)
+				ctx, cancel := Deadline{At: start.Add(time.Second)}.ContextWithPauseGrace(parent)
 				defer cancel()
 				g.Expect(ctx.Err()).NotTo(HaveOccurred())
 				end(cancelParent, cancel)
@@ -84,7 +84,7 @@
 		}()
 		tr := &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) { return local, nil }}
 		defer tr.CloseIdleConnections()
-		ctx, cancel := Deadline{At: time.Now().Add(timeout)}.contextAfterPause(t.Context(), func() time.Time { return time.Now().Add(pause) })
+		ctx, cancel := Deadline{At: time.Now().Add(timeout)}.contextWithPauseGrace(t.Context(), func() time.Time { return time.Now().Add(pause) })
 		defer cancel()
 		rq, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://target/", http.NoBody)
 		g.Expect(err).NotTo(HaveOccurred())
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -94,10 +94,10 @@
 	}
 }
 
-// recordUnreachable records that no connection to a target could be opened, unless this process was stalled meanwhile.
+// recordUnreachable records that no connection to a target could be opened, unless this process was paused meanwhile.
 func (gw *Gateway) recordUnreachable(tg targets.Target, err error) {
 	var de *upstream.DialError
-	if errors.As(err, &de) && de.ProcessStalled {
+	if errors.As(err, &de) && de.ProcessPaused {
 		return
 	}
 	if gw.Targets.RecordUnreachable(tg.ID) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -261,6 +261,7 @@
 	wd.mu.Lock()
 	defer wd.mu.Unlock()
 	wd.lastEventAt = time.Now()
+	// Pauses before this event are no part of the next silence.
 	wd.pauses.sinceLast()
 	wd.timer.Reset(d)
 }
--- a/internal/graceconn/graceconn_test.go
+++ b/internal/graceconn/graceconn_test.go
@@ -14,6 +14,22 @@
 	"github.com/silvermount/silvermount/internal/graceconn"
 )
 
+// connect returns both ends of a connection that a Listener accepted.
+func connect(t *testing.T) (caller, cn net.Conn) {
+	t.Helper()
+	g := NewWithT(t)
+	ln, err := graceconn.Listen(t.Context(), "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = ln.Close() }) // nothing depends on the result
+	caller, err = net.Dial("tcp", ln.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = caller.Close() })
+	cn, err = ln.Accept()
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = cn.Close() })
+	return caller, cn
+}
+
 // TestWriteToCallerThatDoesNotReadFails guards against writes that a caller without end holds up.
 func TestWriteToCallerThatDoesNotReadFails(t *testing.T) {
 	tests := map[string]struct {
@@ -27,20 +43,12 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			g := NewWithT(t)
-			ln, err := graceconn.Listen(t.Context(), "127.0.0.1:0")
-			g.Expect(err).NotTo(HaveOccurred())
-			defer ln.Close()
-			caller, err := net.Dial("tcp", ln.Addr().String())
-			g.Expect(err).NotTo(HaveOccurred())
-			defer caller.Close()
-			cn, err := ln.Accept()
-			g.Expect(err).NotTo(HaveOccurred())
-			defer cn.Close()
+			caller, cn := connect(t)
 			done := make(chan struct{})
 			defer close(done)
 			go takeSlowly(caller, tc.readBytes, done)
 			g.Expect(cn.SetWriteDeadline(time.Now().Add(10 * time.Millisecond))).To(Succeed())
-			_, err = cn.Write(make([]byte, 256<<20))
+			_, err := cn.Write(make([]byte, 256<<20))
 			g.Expect(errors.Is(err, os.ErrDeadlineExceeded)).To(BeTrue(), "%v", err)
 		})
 	}
@@ -63,21 +71,13 @@
 // TestWriteDeadlineReplacedDuringWrite sets a new deadline while a write waits for its caller, as the end of the process does.
 func TestWriteDeadlineReplacedDuringWrite(t *testing.T) {
 	g := NewWithT(t)
-	ln, err := graceconn.Listen(t.Context(), "127.0.0.1:0")
-	g.Expect(err).NotTo(HaveOccurred())
-	defer ln.Close()
-	caller, err := net.Dial("tcp", ln.Addr().String())
-	g.Expect(err).NotTo(HaveOccurred())
-	defer caller.Close()
-	cn, err := ln.Accept()
-	g.Expect(err).NotTo(HaveOccurred())
-	defer cn.Close()
+	caller, cn := connect(t)
 	result := make(chan error, 1)
 	go func() {
 		_, err := cn.Write(make([]byte, 256<<20))
 		result <- err
 	}()
-	_, err = bufio.NewReader(caller).ReadByte()
+	_, err := bufio.NewReader(caller).ReadByte()
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(cn.SetDeadline(time.Now())).To(Succeed())
 	g.Eventually(result).WithTimeout(time.Minute).Should(Receive(MatchError(os.ErrDeadlineExceeded)))
@@ -87,15 +87,7 @@
 // still send does not reset the connection.
 func TestCloseWrite(t *testing.T) {
 	g := NewWithT(t)
-	ln, err := graceconn.Listen(t.Context(), "127.0.0.1:0")
-	g.Expect(err).NotTo(HaveOccurred())
-	defer ln.Close()
-	caller, err := net.Dial("tcp", ln.Addr().String())
-	g.Expect(err).NotTo(HaveOccurred())
-	defer caller.Close()
-	cn, err := ln.Accept()
-	g.Expect(err).NotTo(HaveOccurred())
-	defer cn.Close()
+	caller, cn := connect(t)
 	g.Expect(io.WriteString(cn, "refused")).To(Equal(len("refused")))
 	half, ok := cn.(interface{ CloseWrite() error })
 	g.Expect(ok).To(BeTrue(), "as net/http asks for it")
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -54,9 +54,8 @@
 type DialError struct {
 	Address string
 	Cause   error
-	// ProcessStalled is set when this process was not running for part of the dial timeout. The timeout is then no evidence
-	// against the target.
-	ProcessStalled bool
+	// ProcessPaused is set when this process was paused during the dial. The timeout is then no evidence against the target.
+	ProcessPaused bool
 }
 
 // Error includes the address and the cause.
@@ -71,11 +70,11 @@
 // address has ended.
 func (de *DialError) Refused() bool { return errors.Is(de.Cause, syscall.ECONNREFUSED) }
 
-// withElapsed sets ProcessStalled if the dial timed out, and the process was paused during it or it took much longer than its timeout.
+// withElapsed sets ProcessPaused if the dial timed out, and the process was paused during it or it took much longer than its timeout.
 func (de *DialError) withElapsed(elapsed, paused, timeout time.Duration) *DialError {
 	var ne net.Error
 	timedOut := errors.As(de.Cause, &ne) && ne.Timeout()
-	de.ProcessStalled = timedOut && (paused > 0 || elapsed >= timeout+pauseclock.MinPause)
+	de.ProcessPaused = timedOut && (paused > 0 || elapsed >= timeout+pauseclock.MinPause)
 	return de
 }
 
--- a/internal/upstream/stall_test.go
+++ b/internal/upstream/stall_test.go
@@ -71,19 +71,19 @@
 	}
 }
 
-// TestDialTimeoutReportsProcessStall dials a listener that accepts no connections, and advances the clock during the dial as
-// a stall of the process would.
-func TestDialTimeoutReportsProcessStall(t *testing.T) {
+// TestDialTimeoutReportsProcessPause dials a listener that accepts no connections, and advances the clock during the dial as
+// a pause of the process would.
+func TestDialTimeoutReportsProcessPause(t *testing.T) {
 	const timeout = 50 * time.Millisecond
 	tests := map[string]struct {
-		// stall is how far the clock advances during the dial, paused how long a pause was noticed in it.
-		stall, paused time.Duration
-		want          bool
+		// elapsed is how far the clock advances during the dial, paused the length of the pauses that were observed in it.
+		elapsed, paused time.Duration
+		want            bool
 	}{
-		"no stall":                    {0, 0, false},
-		"process stall":               {time.Second, 0, true},
-		"pause within the timeout":    {0, 40 * time.Millisecond, true},
-		"pause noticed after a stall": {time.Second, time.Second, true},
+		"no pause":                 {0, 0, false},
+		"pause not observed yet":   {time.Second, 0, true},
+		"pause within the timeout": {0, 40 * time.Millisecond, true},
+		"pause past the timeout":   {time.Second, time.Second, true},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -93,11 +93,11 @@
 			var paused atomic.Int64
 			pl := upstream.NewPool(fx.clock.Now, metrics.NewSet(), timeout,
 				upstream.WithPaused(func() time.Duration { return time.Duration(paused.Load()) }))
-			time.AfterFunc(timeout/5, func() { paused.Store(int64(tc.paused)); fx.clock.advance(tc.stall) })
+			time.AfterFunc(timeout/5, func() { paused.Store(int64(tc.paused)); fx.clock.advance(tc.elapsed) })
 			_, err := pl.Do(t.Context(), call(address, "/1"))
 			var de *upstream.DialError
 			fx.Expect(errors.As(err, &de)).To(BeTrue())
-			fx.Expect(de.ProcessStalled).To(Equal(tc.want))
+			fx.Expect(de.ProcessPaused).To(Equal(tc.want))
 		})
 	}
 }
