feat(gateway): log what else an instance reaches when a target takes no connection

In an incident, instances that had lost their links to all targets logged each failed dial as the fault of one target. Their log could not tell a dead target, a lost availability zone and an instance that is cut off apart. The lines of targets left out and of requests refused for lack of a target now say when a target was last reached and when a peer was last heard. Decisions are unchanged.

--- a/internal/duty/frontend/frontend.go
+++ b/internal/duty/frontend/frontend.go
@@ -72,7 +72,7 @@
 		return nil, err
 	}
 	rt := newRetryBudget(env.Settings.Gateway)
-	sv := &servers{gw: newGateway(env, co, rt), mesh: mesh, lg: env.Logger("frontend")}
+	sv := &servers{gw: newGateway(env, co, mesh, rt), mesh: mesh, lg: env.Logger("frontend")}
 	st := env.Settings.Gateway
 	for _, l := range []struct {
 		address string
@@ -95,13 +95,13 @@
 }
 
 // newGateway builds the gateway from the shared components and keeps its limits up to date with the settings.
-func newGateway(env *kernel.Env, co *gatewaydeps.Components, rt *budget.Retries) *gateway.Gateway {
+func newGateway(env *kernel.Env, co *gatewaydeps.Components, mesh *gossip.Mesh, rt *budget.Retries) *gateway.Gateway {
 	st := env.Settings.Gateway
 	gw := gateway.New(gateway.Deps{
 		Protocol: co.Adapter.Protocol, Routes: co.Routes, Targets: co.Targets, Dispatcher: co.Dispatcher, Pool: co.Pool,
 		RetryBudget: rt, Quarantine: co.Quarantine, Feedback: co.Feedback, RateLimits: co.RateLimits, BackOffs: co.BackOffs,
 		BodyMemory: budget.NewMemory(st.BodyBudgetBytes), Metrics: co.Metrics, Log: env.Logger("gateway"),
-		Random: rand.Float64, Now: time.Now, Paused: co.Pauses.Paused, Stopping: env.Stopping.Load,
+		Random: rand.Float64, Now: time.Now, Paused: co.Pauses.Paused, PeersHeardAge: mesh.HeardAge, Stopping: env.Stopping.Load,
 	}, gatewayLimits(st))
 	env.OnReload(func(s config.Settings) { gw.SetLimits(gatewayLimits(s.Gateway)) })
 	return gw
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -41,7 +41,10 @@
 	gw.BodyMemory = budget.NewMemory(1 << 20)
 	gw.Targets, gw.Pool = dr, upstream.NewPool(time.Now, gw.Metrics, time.Second)
 	gw.Dispatcher = dispatch.New(dr, &reservation.Manager{}, dispatch.Options{Now: time.Now})
-	gw.Quarantine = quarantine.New(quarantine.Options{Now: time.Now, Metrics: metrics.NewSet()})
+	gw.Quarantine = quarantine.New(quarantine.Options{
+		Now: time.Now, TargetCount: dr.Len, Crashed: dr.Lost, NotifyPeers: func() {}, Metrics: metrics.NewSet(),
+		Log: &log.Logger{Handler: discard.New()},
+	})
 	gw.RetryBudget = budget.NewRetries(1, time.Now)
 	gw.RateLimits, gw.BackOffs = ratelimit.New(time.Now), backoff.New(time.Now, func() float64 { return 0 })
 	gw.Feedback = feedback.New(feedback.Deps{
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,6 +47,8 @@
 	Now func() time.Time
 	// Paused returns the total time for which the process was paused so far.
 	Paused func() time.Duration
+	// PeersHeardAge returns the time since this instance last heard a peer, and false if it is linked to none.
+	PeersHeardAge func() (time.Duration, bool)
 	// Stopping reports whether shutdown of the instance has been requested.
 	Stopping func() bool
 }
--- a/internal/gateway/logging.go
+++ b/internal/gateway/logging.go
@@ -137,6 +137,9 @@
 	if rq.noRetryReason != "" {
 		fs["no_retry"] = string(rq.noRetryReason)
 	}
+	if fe.Code == failure.TargetUnreachable || fe.Code == failure.NoTarget {
+		gw.addReachFields(fs)
+	}
 	if fe.Code == failure.EndsTargets {
 		fs["fingerprint"] = rq.fingerprint().String()
 	}
@@ -174,10 +177,25 @@
 // excluded with it.
 func (gw *Gateway) logLeftOut(tg targets.Target) {
 	ct := gw.Targets.Connectivity(tg.ID)
-	gw.Log.WithFields(log.Fields{
+	fs := log.Fields{
 		"target": tg.ID, "service": tg.Service, "zone": tg.AvailabilityZone, "refusals": ct.ConnectFailures,
 		"out_for": ct.ExcludedFor.Round(time.Millisecond).String(), "zone_out": ct.ZoneExcluded,
-	}).Warn("target left out after connection failure")
+	}
+	gw.addReachFields(fs)
+	gw.Log.WithFields(fs).Warn("target left out after connection failure")
+}
+
+// addReachFields adds what else this instance reaches. One target that accepts no connection while others do is at fault itself; if
+// none does while peers are heard, this instance may be the one that is cut off.
+func (gw *Gateway) addReachFields(fs log.Fields) {
+	fs["reached_age"] = "never"
+	if at := gw.Targets.ReachedAt(); !at.IsZero() {
+		fs["reached_age"] = roundedSince(at, gw.Now()).String()
+	}
+	fs["peers_age"] = "none"
+	if age, linked := gw.PeersHeardAge(); linked {
+		fs["peers_age"] = age.Round(100 * time.Microsecond).String()
+	}
 }
 
 // logCancelled logs that an attempt ended because its deadline passed, its caller disconnected or the instance stopped.
--- a/internal/gateway/logging_test.go
+++ b/internal/gateway/logging_test.go
@@ -16,6 +16,7 @@
 	"github.com/silvermount/silvermount/internal/eventlog"
 	"github.com/silvermount/silvermount/internal/gateway"
 	"github.com/silvermount/silvermount/internal/routes"
+	"github.com/silvermount/silvermount/internal/targets"
 )
 
 // bodyMemory is enough for a few small bodies.
@@ -28,9 +29,9 @@
 	}
 	return gateway.New(gateway.Deps{
 		Protocol: gateway.Protocol{ReadRequest: read},
-		Routes:   hd, BodyMemory: budget.NewMemory(bodyMemory), Metrics: metrics.NewSet(),
+		Routes:   hd, Targets: targets.New(time.Now), BodyMemory: budget.NewMemory(bodyMemory), Metrics: metrics.NewSet(),
 		Log: &log.Logger{Handler: h}, Now: time.Now,
-		Paused: func() time.Duration { return 0 }, Stopping: func() bool { return false },
+		Paused: func() time.Duration { return 0 }, PeersHeardAge: func() (time.Duration, bool) { return 0, false }, Stopping: func() bool { return false },
 	}, gateway.Limits{})
 }
 
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -177,6 +177,21 @@
 	return len(ms.links)
 }
 
+// HeardAge returns the time since a frame last arrived from any peer. It reports false while there is no link.
+func (ms *Mesh) HeardAge() (time.Duration, bool) {
+	now := ms.opts.Now()
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	elapsed := ms.clock.elapsedAt(now)
+	age, linked := time.Duration(0), false
+	for lk := range ms.links {
+		if silence := elapsed - lk.lastHeard; !linked || silence < age {
+			age, linked = silence, true
+		}
+	}
+	return age, linked
+}
+
 // SubscriberCount returns the number of members that receive all states from this instance.
 func (ms *Mesh) SubscriberCount() int {
 	ms.mu.Lock()
--- a/internal/targets/connectivity.go
+++ b/internal/targets/connectivity.go
@@ -12,6 +12,19 @@
 	ZoneExcluded bool
 }
 
+// ReachedAt returns when a target last accepted a connection from this instance or answered it; zero before the first.
+func (dr *Directory) ReachedAt() time.Time {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	var newest time.Time
+	for _, zn := range dr.zones {
+		if zn.reachedAt.After(newest) {
+			newest = zn.reachedAt
+		}
+	}
+	return newest
+}
+
 // Connectivity returns the connectivity of a target; the zero value when the target is unknown.
 func (dr *Directory) Connectivity(id string) Connectivity {
 	dr.mu.Lock()
