--- a/internal/duty/gatewaydeps/gatewaydeps.go
+++ b/internal/duty/gatewaydeps/gatewaydeps.go
@@ -155,7 +155,11 @@
 		ms = metrics.NewSet()
 	}
 	pauses := newPauseClock(env.Logger("pauses"), ms)
-	pl := upstream.NewPool(time.Now, ms, env.Settings.Gateway.DialTimeout.Std(), upstream.WithPaused(pauses.Paused))
+	poolOpts := []upstream.Option{upstream.WithPaused(pauses.Paused)}
+	if connect, err := kernel.Resolve[upstream.ConnectFunc](env); err == nil {
+		poolOpts = append(poolOpts, upstream.WithConnect(connect))
+	}
+	pl := upstream.NewPool(time.Now, ms, env.Settings.Gateway.DialTimeout.Std(), poolOpts...)
 	evacuations := evacuation.New(time.Now)
 	ms.NewGauge("silvermount_zones_evacuated", func() float64 { return float64(evacuations.Evacuated().Len()) })
 	dr := targets.New(time.Now, targets.WithEvacuations(evacuations.Evacuated), targets.WithSupersededHook(func(tg targets.Target) { pl.CloseIdle(tg.Address) }))
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -28,6 +28,7 @@
 	_ "github.com/silvermount/silvermount/internal/duty/sweep"
 	"github.com/silvermount/silvermount/internal/ident"
 	"github.com/silvermount/silvermount/internal/kernel"
+	"github.com/silvermount/silvermount/internal/upstream"
 	// Adapters register themselves when they are imported.
 	_ "github.com/silvermount/silvermount/platform"
 )
@@ -51,6 +52,11 @@
 	return func(env *kernel.Env) { kernel.Provide(env, ms) }
 }
 
+// WithTargetConnect makes a gateway open its connections to targets with a function. It is meant for tests that simulate the network.
+func WithTargetConnect(connect upstream.ConnectFunc) Option {
+	return func(env *kernel.Env) { kernel.Provide(env, connect) }
+}
+
 // Start starts an instance with the given settings.
 func Start(ctx context.Context, s config.Settings, lg log.Interface, opts ...Option) (*Instance, error) {
 	kn, err := kernel.New(s, ident.New("inst"), lg)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -78,16 +78,27 @@
 	return de
 }
 
-func dial(ctx context.Context, address string, timeout time.Duration, now func() time.Time, paused func() time.Duration) (*conn, error) {
+// ConnectFunc opens a connection to the IP address and port of a target, like net.Dialer.DialContext.
+type ConnectFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// connect opens a connection whose loss the kernel detects.
+func connect(ctx context.Context, network, address string) (net.Conn, error) {
 	dl := net.Dialer{
-		Timeout: timeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
 		Control: setUserTimeout,
 	}
+	return dl.DialContext(ctx, network, address)
+}
+
+func (pl *Pool) connect(ctx context.Context, address string) (*conn, error) {
+	timeout := pl.dialTimeout
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	now, paused := pl.now, pl.paused
 	startedAt, pausedBefore := now(), paused()
-	nc, err := dl.DialContext(ctx, "tcp", address)
+	nc, err := pl.connectFunc(ctx, "tcp", address)
 	if err != nil {
 		de := &DialError{Address: address, Cause: err}
 		return nil, de.withElapsed(now().Sub(startedAt), paused()-pausedBefore, timeout)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -36,6 +36,8 @@
 	opened *metrics.Counter
 	// paused returns the total time for which the process was paused; never nil.
 	paused func() time.Duration
+	// connectFunc opens new connections; never nil.
+	connectFunc ConnectFunc
 	// dialTimeout bounds the establishment of a connection.
 	dialTimeout time.Duration
 	// finalReadSteps is how many steps the reading of a response may take after the call's deadline.
@@ -60,10 +62,15 @@
 	return func(pl *Pool) { pl.paused = paused }
 }
 
+// WithConnect sets the function that opens connections to targets.
+func WithConnect(connect ConnectFunc) Option {
+	return func(pl *Pool) { pl.connectFunc = connect }
+}
+
 // NewPool returns an empty pool. The counter of opened connections is registered in ms.
 func NewPool(now func() time.Time, ms *metrics.Set, dialTimeout time.Duration, opts ...Option) *Pool {
 	pl := &Pool{
-		now: now, dialTimeout: dialTimeout, finalReadSteps: int64(finalReadTimeout / finalReadStep), idle: map[string][]*conn{}, openCounts: map[string]int{},
+		now: now, connectFunc: connect, dialTimeout: dialTimeout, finalReadSteps: int64(finalReadTimeout / finalReadStep), idle: map[string][]*conn{}, openCounts: map[string]int{},
 		reduced: map[string]reducedIdle{},
 		opened:  ms.GetOrCreateCounter("silvermount_target_connections_opened_total"),
 		paused:  func() time.Duration { return 0 },
@@ -98,7 +105,7 @@
 
 // dial opens a connection and counts it.
 func (pl *Pool) dial(ctx context.Context, address string) (*conn, error) {
-	cn, err := dial(ctx, address, pl.dialTimeout, pl.now, pl.paused)
+	cn, err := pl.connect(ctx, address)
 	if err != nil {
 		return nil, err
 	}
