fix(upstream): keep a connection through two seconds of a target's silence

On Linux, TCP_USER_TIMEOUT decides when keep-alive probes give up, whatever their count. With a first probe after 2 s and a user timeout of 3 s, one lost probe ended a connection on which a request waited: a sound target that answers nothing for the moment of that probe lost the request. Probes now start after 1 s, one a second, and the user timeout of 3.2 s falls between two of them: three probes in a row must stay unanswered. Unacknowledged data ends a connection after 3.2 s instead of 3 s, a target without any answer after 4 s instead of 3 s.

The options of both kinds of connections now come from one place.

--- a/internal/gossip/conn.go
+++ b/internal/gossip/conn.go
@@ -3,17 +3,16 @@
 import (
 	"context"
 	"net"
-	"syscall"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcwire"
 
 	"github.com/silvermount/silvermount/internal/graceconn"
+	"github.com/silvermount/silvermount/internal/sockopt"
 )
 
 const (
@@ -27,6 +26,9 @@
 	maxMessageBytes = 16 << 20
 )
 
+// liveness detects a lost connection to a peer. Heartbeats keep data in transit, so the default keep-alive probes are never sent.
+var liveness = sockopt.Liveness{UserTimeout: userTimeout}
+
 // deadlineConn sets a deadline on every write.
 type deadlineConn struct{ net.Conn }
 
@@ -53,12 +55,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if sc, ok := nc.(syscall.Conn); ok {
-		rc, err := sc.SyscallConn()
-		if err == nil {
-			err = setUserTimeout("", "", rc)
-		}
-		if err != nil {
+	if tc, ok := nc.(*net.TCPConn); ok {
+		if err := liveness.Apply(tc); err != nil {
 			// Without the option only the write timeout bounds how long a silent peer blocks a link.
 			dl.lg.WithError(err).Debug("cannot set the TCP user timeout of a gossip connection")
 		}
@@ -66,15 +64,6 @@
 	return newDeadlineConn(nc), nil
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT on a socket. Its signature is that of net.Dialer.Control.
-func setUserTimeout(_, _ string, rc syscall.RawConn) error {
-	var optErr error
-	err := rc.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
-	return errors.Wrap(errors.CombineErrors(err, optErr), "set user timeout")
-}
-
 func managerOptions() drpcmanager.Options {
 	return drpcmanager.Options{
 		Reader:            drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes},
@@ -84,7 +73,8 @@
 
 // dial returns a drpc connection to a peer and the TCP connection below it.
 func dial(ctx context.Context, address string) (*drpcconn.Conn, net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, Control: setUserTimeout}
+	d := liveness.Dialer()
+	d.Timeout = dialTimeout
 	nc, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, nil, &dialError{cause: errors.Wrap(err, "dial peer")}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -18,20 +18,16 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/silvermount/silvermount/internal/pauseclock"
+	"github.com/silvermount/silvermount/internal/sockopt"
 )
 
-const (
-	// unackedTimeout is the TCP user timeout: how long sent data may stay unacknowledged before the kernel closes the
-	// connection. It leaves time for two retransmissions and a margin.
-	unackedTimeout = 3 * time.Second
-	// keepAliveIdle, keepAliveInterval and keepAliveCount set the TCP keep-alive probes, which detect an unreachable peer
-	// while a request waits for its response.
-	keepAliveIdle     = 2 * time.Second
-	keepAliveInterval = time.Second
-	keepAliveCount    = 2
-	// readBufferBytes holds the head of a response and several events.
-	readBufferBytes = 8 << 10
-)
+// readBufferBytes holds the head of a response and several events.
+const readBufferBytes = 8 << 10
+
+// Liveness detects a lost connection to a target. The user timeout leaves time for several retransmissions of a request. Keep-alive
+// probes detect the loss while a request waits for its response. A target that answers nothing for two seconds leaves at most two probes
+// in a row unanswered, and keeps its connections.
+var Liveness = sockopt.Liveness{UserTimeout: 3200 * time.Millisecond, KeepAliveIdle: time.Second, KeepAliveInterval: time.Second}
 
 // conn is a pooled connection. It carries one request at a time.
 type conn struct {
@@ -83,13 +79,7 @@
 
 // connect opens a connection whose loss the kernel detects.
 func connect(ctx context.Context, network, address string) (net.Conn, error) {
-	dl := net.Dialer{
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
-		},
-		Control: setUserTimeout,
-	}
-	return dl.DialContext(ctx, network, address)
+	return Liveness.Dialer().DialContext(ctx, network, address)
 }
 
 func (pl *Pool) connect(ctx context.Context, address string) (*conn, error) {
@@ -128,18 +118,6 @@
 	return n, err
 }
 
-// setUserTimeout makes the kernel close the connection when sent data stays unacknowledged for unackedTimeout.
-func setUserTimeout(_, _ string, rc syscall.RawConn) error {
-	var sockErr error
-	err := rc.Control(func(fd uintptr) {
-		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return errors.Wrap(err, "access socket of new connection")
-	}
-	return errors.Wrap(sockErr, "set TCP user timeout")
-}
-
 // closeIgnoringError closes the connection. A close error has no effect, as the connection is not used again.
 func (cn *conn) closeIgnoringError() { _ = cn.Close() }
 
