--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"net"
 	"slices"
 	"time"
 
@@ -33,11 +34,19 @@
 	Configuration func(value []byte) (routes.Config, error)
 	// Target decodes an object that describes a target.
 	Target func(objectstore.Object) (targets.Target, error)
+	// MemoryOrders returns a client for memory orders to targets. It connects to their addresses with dial.
+	MemoryOrders func(dial func(ctx context.Context, network, address string) (net.Conn, error)) MemoryOrders
+}
+
+// MemoryOrders is a client for memory orders to targets. All fields are set.
+type MemoryOrders struct {
 	// Reserve reserves memory at a target, or renews a reservation. It returns a reservation.RefusedError if the target surely did
 	// not do so. Reserve and Release call onAnswer with the head of the target's answer.
 	Reserve func(ctx context.Context, address, id string, tokens int64, leaseDuration time.Duration, onAnswer func(responsehead.Head)) error
 	// Release releases a reservation. It also succeeds if the target has no such reservation.
 	Release func(ctx context.Context, address, id string, onAnswer func(responsehead.Head)) error
+	// CloseIdle closes the idle connections, because paths to targets were lost or work again.
+	CloseIdle func()
 }
 
 var registry = map[string]Adapter{}
--- a/internal/duty/frontend/frontend.go
+++ b/internal/duty/frontend/frontend.go
@@ -22,6 +22,7 @@
 	"github.com/silvermount/silvermount/internal/gossip"
 	"github.com/silvermount/silvermount/internal/graceconn"
 	"github.com/silvermount/silvermount/internal/kernel"
+	"github.com/silvermount/silvermount/internal/tunnelserver"
 )
 
 func init() {
@@ -57,6 +58,7 @@
 type servers struct {
 	gw          *gateway.Gateway
 	mesh        *gossip.Mesh
+	tunnels     *tunnelserver.Server
 	lg          log.Interface
 	httpServers []*http.Server
 	stops       []func()
@@ -72,7 +74,7 @@
 		return nil, err
 	}
 	rt := newRetryBudget(env.Settings.Gateway)
-	sv := &servers{gw: newGateway(env, co, mesh, rt), mesh: mesh, lg: env.Logger("frontend")}
+	sv := &servers{gw: newGateway(env, co, mesh, rt), mesh: mesh, tunnels: co.TunnelServer, lg: env.Logger("frontend")}
 	st := env.Settings.Gateway
 	for _, l := range []struct {
 		address string
@@ -101,7 +103,11 @@
 		Protocol: co.Adapter.Protocol, Routes: co.Routes, Targets: co.Targets, Dispatcher: co.Dispatcher, Pool: co.Pool,
 		RetryBudget: rt, Quarantine: co.Quarantine, Feedback: co.Feedback, RateLimits: co.RateLimits, BackOffs: co.BackOffs,
 		BodyMemory: budget.NewMemory(st.BodyBudgetBytes), Metrics: co.Metrics, Log: env.Logger("gateway"),
-		Random: rand.Float64, Now: time.Now, Paused: co.Pauses.Paused, PeersHeardAge: mesh.HeardAge, Stopping: env.Stopping.Load,
+		Random: rand.Float64, Now: time.Now, Paused: co.Pauses.Paused, PeersHeardAge: mesh.HeardAge,
+		Paths: gateway.Paths{
+			IsLost: co.Paths.UsesPeers, Isolated: co.Paths.Isolated, Check: co.TargetDialer.Check, AvoidPeer: co.TunnelClient.Avoid,
+		},
+		Stopping: env.Stopping.Load,
 	}, gatewayLimits(st))
 	env.OnReload(func(s config.Settings) { gw.SetLimits(gatewayLimits(s.Gateway)) })
 	return gw
@@ -195,6 +201,7 @@
 func (sv *servers) stop(ctx context.Context, grace time.Duration) error {
 	sv.lg.WithFields(sv.gw.InFlight().Fields()).Info("stopping")
 	sv.mesh.SetStopping()
+	sv.tunnels.Drain()
 	sv.gw.SetShutdownTime(time.Now().Add(grace - answerMargin))
 	err := stopPlan(grace, sv.gw.RefuseNewRequests, sv.abortRequests).Run(ctx, sv.httpServers[0])
 	inf := sv.gw.InFlight()
--- a/internal/duty/gatewaydeps/gatewaydeps.go
+++ b/internal/duty/gatewaydeps/gatewaydeps.go
@@ -19,6 +19,7 @@
 	"github.com/silvermount/silvermount/internal/feedback"
 	"github.com/silvermount/silvermount/internal/ident"
 	"github.com/silvermount/silvermount/internal/kernel"
+	"github.com/silvermount/silvermount/internal/pathstate"
 	"github.com/silvermount/silvermount/internal/pauseclock"
 	"github.com/silvermount/silvermount/internal/permit"
 	"github.com/silvermount/silvermount/internal/quarantine"
@@ -26,7 +27,10 @@
 	"github.com/silvermount/silvermount/internal/reservation"
 	"github.com/silvermount/silvermount/internal/responsehead"
 	"github.com/silvermount/silvermount/internal/routes"
+	"github.com/silvermount/silvermount/internal/targetdial"
 	"github.com/silvermount/silvermount/internal/targets"
+	"github.com/silvermount/silvermount/internal/tunnelclient"
+	"github.com/silvermount/silvermount/internal/tunnelserver"
 	"github.com/silvermount/silvermount/internal/upstream"
 )
 
@@ -43,6 +47,13 @@
 	Targets    *targets.Directory
 	Dispatcher *dispatch.Dispatcher
 	Pool       *upstream.Pool
+	// Paths tracks which targets this instance reaches itself. TargetDialer connects to them, TunnelClient through peers, and TunnelServer
+	// does so for peers. Peers lists those that may be asked.
+	Paths        *pathstate.Tracker
+	TargetDialer *targetdial.Dialer
+	TunnelClient *tunnelclient.Client
+	TunnelServer *tunnelserver.Server
+	Peers        *PeerList
 	// Pauses measures the pauses of the process.
 	Pauses  *pauseclock.Clock
 	Metrics *metrics.Set
@@ -155,17 +166,18 @@
 		ms = metrics.NewSet()
 	}
 	pauses := newPauseClock(env.Logger("pauses"), ms)
-	poolOpts := []upstream.Option{upstream.WithPaused(pauses.Paused)}
-	if connect, err := kernel.Resolve[upstream.ConnectFunc](env); err == nil {
-		poolOpts = append(poolOpts, upstream.WithConnect(connect))
-	}
-	pl := upstream.NewPool(time.Now, ms, env.Settings.Gateway.DialTimeout.Std(), poolOpts...)
 	evacuations := evacuation.New(time.Now)
 	ms.NewGauge("silvermount_zones_evacuated", func() float64 { return float64(evacuations.Evacuated().Len()) })
+	var pl *upstream.Pool
 	dr := targets.New(time.Now, targets.WithEvacuations(evacuations.Evacuated), targets.WithSupersededHook(func(tg targets.Target) { pl.CloseIdle(tg.Address) }))
+	var orders adapter.MemoryOrders
+	pt := newPaths(env, ms, pauses, dr, func() { orders.CloseIdle() })
+	orders = ad.MemoryOrders(pt.dialNetwork)
+	pl = upstream.NewPool(time.Now, ms, env.Settings.Gateway.DialTimeout.Std(), upstream.WithPaused(pauses.Paused),
+		upstream.WithDial(pt.dialer.Dial), upstream.WithReusable(pt.dialer.IsReusable), upstream.WithOnDirectRead(pt.state.RecordHeard))
 	stateNotifier := &Notifier{}
 	mg := &reservation.Manager{
-		Reserve: ad.Reserve, Release: ad.Release, NewID: func() string { return ident.New("mem") }, IsCurrent: dr.IsCurrent,
+		Reserve: orders.Reserve, Release: orders.Release, NewID: func() string { return ident.New("mem") }, IsCurrent: dr.IsCurrent,
 		Timeout: env.Settings.Gateway.OrderTimeout.Std(), LeaseDuration: env.Settings.Gateway.MemoryHold.Std(), Paused: pauses.Paused, Log: env.Logger("memory"),
 	}
 	limits := ratelimit.New(time.Now)
@@ -197,11 +209,13 @@
 		Quarantine: tracker, Evacuations: evacuations, NotesNotifier: notesNotifier, RateLimits: limits, Permits: permits, BackOffs: backOffs, Feedback: fb,
 		ZoneRetries: budget.NewRetries(0, time.Now, budget.WithBurst(0), budget.WithMinRate(0)), SharedRetry: &SharedRetry{},
 		Adapter: ad, Routes: rts, TargetLimit: limitOf, Targets: dr, Dispatcher: ds, Metrics: ms, StateNotifier: stateNotifier, StoreCoordinator: &StoreCoordinator{}, Pool: pl, Pauses: pauses,
+		Paths: pt.state, TargetDialer: pt.dialer, TunnelClient: pt.client, TunnelServer: pt.server, Peers: pt.peers,
 	})
-	pausesCtx, stopPauses := context.WithCancel(context.Background())
-	go pauses.Run(pausesCtx)
+	backgroundCtx, stopBackground := context.WithCancel(context.Background())
+	go pauses.Run(backgroundCtx)
+	go pt.dialer.Run(backgroundCtx)
 	return func(ctx context.Context) error {
-		stopPauses()
+		stopBackground()
 		ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 		defer cancel()
 		if err := mg.WaitReleased(ctx); err != nil {
--- a/internal/duty/peersync/peersync.go
+++ b/internal/duty/peersync/peersync.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/cockroachdb/errors"
+	"storj.io/drpc/drpcmigrate"
 
 	"github.com/silvermount/silvermount/internal/adapter"
 	"github.com/silvermount/silvermount/internal/config"
@@ -25,6 +25,8 @@
 	"github.com/silvermount/silvermount/internal/ratelimit"
 	"github.com/silvermount/silvermount/internal/routes"
 	"github.com/silvermount/silvermount/internal/targets"
+	"github.com/silvermount/silvermount/internal/tunnel"
+	"github.com/silvermount/silvermount/internal/tunnelserver"
 )
 
 func init() {
@@ -75,6 +77,8 @@
 	permits    *permitService
 	// retries is the retry budget that the instances of an availability zone share.
 	retries *sharedRetries
+	// tunnels connects peers to targets that they do not reach.
+	tunnels *tunnelserver.Server
 	// configurationFetches and listFetches queue the documents to fetch, with one goroutine for each kind: a list with a target
 	// that is gone must not wait for a large configuration.
 	configurationFetches, listFetches chan fetchRequest
@@ -101,10 +105,9 @@
 	du.ad, du.rts, du.dr, du.ds, du.sc, du.tr = co.Adapter, co.Routes, co.Targets, co.Dispatcher, co.StoreCoordinator, co.Quarantine
 	du.rateLimits, du.evacuations = co.RateLimits, co.Evacuations
 	du.lg = env.Logger("peers")
-	var lc net.ListenConfig
-	l, err := lc.Listen(ctx, "tcp", env.Settings.Gateway.Peers)
+	l, err := gossip.Listen(ctx, env.Settings.Gateway.Peers, du.lg)
 	if err != nil {
-		return nil, errors.Wrap(err, "bind listener")
+		return nil, err
 	}
 	opts := du.options(env)
 	du.ms = gossip.New(opts)
@@ -130,6 +133,8 @@
 		reportStoreReachability(answered, tk.currentRole(du.ms), du.ms.Live, du.ms.SetStoreUnreachable)
 	})
 	kernel.Provide(env, du.ms)
+	du.tunnels = co.TunnelServer
+	co.Peers.Set((&tunnelPeers{live: du.permits.liveMembers}).list)
 	return du.run(l, env), nil
 }
 
@@ -166,22 +171,32 @@
 func (du *duty) run(l net.Listener, env *kernel.Env) kernel.Stop {
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	wg.Go(func() { du.logUnexpectedEnd(ctx, du.ms.Serve(ctx, l)) })
+	mux := drpcmigrate.NewListenMux(l, len(tunnel.Prefix))
+	tunnels := mux.Route(tunnel.Prefix)
+	// The listener outlives the gossip, which ends with a flush of the final state.
+	muxCtx, stopMux := context.WithCancel(context.Background())
+	var muxWG sync.WaitGroup
+	muxWG.Go(func() { du.logUnexpectedEnd(muxCtx, mux.Run(muxCtx)) })
+	muxWG.Go(func() { du.logUnexpectedEnd(muxCtx, du.tunnels.Serve(tunnels)) })
+	wg.Go(func() { du.logUnexpectedEnd(ctx, du.ms.Serve(ctx, mux.Default())) })
 	wg.Go(func() { du.logUnexpectedEnd(ctx, du.ms.Run(ctx)) })
 	wg.Go(func() { du.fetchAll(ctx) })
 	wg.Go(func() { du.permits.tickIssuer(ctx) })
-	return func(context.Context) error {
+	return func(ctx context.Context) error {
+		closeTunnels(ctx, du.tunnels, env.Settings.Gateway.Grace.Std())
 		env.Logger("peers").Info("leaving the fleet")
 		du.hasLeft.Store(true)
 		cancel()
 		wg.Wait()
+		stopMux()
+		muxWG.Wait()
 		return nil
 	}
 }
 
 func (du *duty) logUnexpectedEnd(ctx context.Context, err error) {
 	if err != nil && ctx.Err() == nil {
-		du.lg.WithError(err).Error("gossip with peers ended unexpectedly")
+		du.lg.WithError(err).Error("service for peers ended unexpectedly")
 	}
 }
 
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/silvermount/silvermount/internal/body"
@@ -57,6 +58,10 @@
 	tried []string
 	// excluded holds the incarnations that are not chosen again: those already tried, and those that were unreachable.
 	excluded []string
+	// lostAttempt is set once an attempt was lost after it was sent. Further ones are not sent on idle connections.
+	lostAttempt bool
+	// via is the peer that the latest attempt was sent through; nil if it was sent directly. A watchdog reads it concurrently.
+	via atomic.Pointer[string]
 	// retryTaken is set if the next retry has already been taken from the retry budget.
 	retryTaken bool
 	// noRetryReason is why the last failed attempt was not retried; empty before.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,12 +47,26 @@
 	Now func() time.Time
 	// Paused returns the total time for which the process was paused so far.
 	Paused func() time.Duration
+	// Paths is what is known of the paths from this instance to the targets.
+	Paths Paths
 	// PeersHeardAge returns the time since this instance last heard a peer, and false if it is linked to none.
 	PeersHeardAge func() (time.Duration, bool)
 	// Stopping reports whether shutdown of the instance has been requested.
 	Stopping func() bool
 }
 
+// Paths is what is known of the paths from this instance to the targets. All fields are required.
+type Paths struct {
+	// IsLost reports whether connections to the target at an address are made through peers, since this instance does not reach it.
+	IsLost func(address string) bool
+	// Isolated reports whether neither this instance nor its peers reach any target.
+	Isolated func() bool
+	// Check finds out in the background whether the target at an address accepts connections of this instance.
+	Check func(address string)
+	// AvoidPeer makes new connections lead through other peers than this one for a while.
+	AvoidPeer func(peer string)
+}
+
 // Limits holds the limits that apply to all requests of a Gateway.
 type Limits struct {
 	// MaxBodyBytes is the maximum size of a request body. A lower limit in the configuration takes precedence.
@@ -90,17 +104,21 @@
 // SetLimits replaces the limits. Checks that have already been made are not repeated.
 func (gw *Gateway) SetLimits(lm Limits) { gw.limits.Store(&lm) }
 
-// Ready reports whether the instance can accept new callers: a configuration is in force and the instance is not stopping.
+// Ready reports whether the instance can accept new callers: a configuration is in force, and the instance is neither stopping nor
+// isolated from all targets.
 func (gw *Gateway) Ready() bool {
 	tb, _ := gw.Routes.Current()
-	return tb != nil && !gw.Stopping()
+	return tb != nil && !gw.turnsCallersAway()
 }
 
+// turnsCallersAway reports whether callers should open their next connection to another instance.
+func (gw *Gateway) turnsCallersAway() bool { return gw.Stopping() || gw.Paths.Isolated() }
+
 // ServeHTTP serves one request. It panics with http.ErrAbortHandler to close the connection if the response cannot be
 // completed or the caller has disconnected.
 func (gw *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := gw.Now()
-	rw := &responseWriter{Writer: responsewriter.New(w), w: w, stopping: gw.Stopping}
+	rw := &responseWriter{Writer: responsewriter.New(w), w: w, turnsCallersAway: gw.turnsCallersAway}
 	gw.stateCounts.enter(lifecycle.Received)
 	rq, err := gw.admit(r, rw, arrived)
 	defer func() {
--- a/internal/gateway/logging.go
+++ b/internal/gateway/logging.go
@@ -75,6 +75,7 @@
 	fs["target"] = tg.ID
 	fs["cause"] = err.Error()
 	fs["sent"] = sent
+	rq.addVia(fs)
 	fs["events"] = rq.eventsForwarded
 	if sent {
 		fs["fingerprint"] = rq.fingerprint().String()
@@ -108,6 +109,7 @@
 		fs["late_by"] = reason
 	}
 	fs["attempts"] = len(rq.tried)
+	rq.addVia(fs)
 	if len(rq.tried) > 0 {
 		// Under load, the log may leave out the message that the request was sent.
 		fs["target"] = rq.tried[len(rq.tried)-1]
@@ -185,6 +187,13 @@
 	gw.Log.WithFields(fs).Warn("target left out after connection failure")
 }
 
+// addVia adds the peer that the latest attempt was sent through.
+func (rq *request) addVia(fs log.Fields) {
+	if peer := rq.via.Load(); peer != nil {
+		fs["via"] = *peer
+	}
+}
+
 // addReachFields adds what else this instance reaches. One target that accepts no connection while others do is at fault itself; if
 // none does while peers are heard, this instance may be the one that is cut off.
 func (gw *Gateway) addReachFields(fs log.Fields) {
@@ -203,6 +212,7 @@
 	fs := gw.logFields(rq)
 	fs["target"] = tg.ID
 	fs["cause"] = string(fe.Code)
+	rq.addVia(fs)
 	fs["events"] = rq.eventsForwarded
 	lg := gw.Log.WithFields(fs)
 	if fe.Code == failure.DeadlineExceeded {
--- a/internal/gateway/logging_test.go
+++ b/internal/gateway/logging_test.go
@@ -31,7 +31,7 @@
 		Protocol: gateway.Protocol{ReadRequest: read},
 		Routes:   hd, Targets: targets.New(time.Now), BodyMemory: budget.NewMemory(bodyMemory), Metrics: metrics.NewSet(),
 		Log: &log.Logger{Handler: h}, Now: time.Now,
-		Paused: func() time.Duration { return 0 }, PeersHeardAge: func() (time.Duration, bool) { return 0, false }, Stopping: func() bool { return false },
+		Paused: func() time.Duration { return 0 }, Paths: workingPaths(), PeersHeardAge: func() (time.Duration, bool) { return 0, false }, Stopping: func() bool { return false },
 	}, gateway.Limits{})
 }
 
@@ -154,3 +154,10 @@
 	}
 	g.Expect(messages).To(Equal([]string{"configuration not confirmed for too long; refusing requests with keys"}))
 }
+
+// workingPaths are the paths of an instance that reaches all targets.
+func workingPaths() gateway.Paths {
+	return gateway.Paths{
+		IsLost: func(string) bool { return false }, Isolated: func() bool { return false }, Check: func(string) {}, AvoidPeer: func(string) {},
+	}
+}
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -174,6 +174,7 @@
 		gw.logCancelled(rq, sl.Target, fe)
 		return fe
 	}
+	rq.lostAttempt = true
 	gw.recordFailedAttempt(rq, sl.Target, err)
 	gw.recordInterrupted(rq, sl.Target, err)
 	return failure.New(failure.TargetLost, failure.Unknown, "the target broke off").WithCause(err)
--- a/internal/gateway/responsewriter.go
+++ b/internal/gateway/responsewriter.go
@@ -42,13 +42,13 @@
 type responseWriter struct {
 	*responsewriter.Writer
 	w http.ResponseWriter
-	// stopping reports whether shutdown of the instance has been requested.
-	stopping func() bool
+	// turnsCallersAway reports whether callers should open their next connection to another instance.
+	turnsCallersAway func() bool
 }
 
-// start writes the status line and the headers. During a shutdown it asks the caller to close the connection.
+// start writes the status line and the headers. While callers are turned away it asks the caller to close the connection.
 func (rw *responseWriter) start(status int) {
-	if rw.stopping() {
+	if rw.turnsCallersAway() {
 		rw.w.Header().Set("Connection", "close")
 	}
 	rw.Start(status)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -15,6 +15,7 @@
 	"github.com/silvermount/silvermount/internal/reservation"
 	"github.com/silvermount/silvermount/internal/retry"
 	"github.com/silvermount/silvermount/internal/targets"
+	"github.com/silvermount/silvermount/internal/tunnel"
 	"github.com/silvermount/silvermount/internal/upstream"
 )
 
@@ -40,7 +41,7 @@
 			return gw.transition(ctx, rq, lifecycle.Finish)
 		}
 		last = failure.FromError(err)
-		if isUnsent(last) && dialRetries < maxDialRetries && !gw.isOver(ctx, rq) {
+		if isUnsent(last) && !isIsolated(last) && dialRetries < maxDialRetries && !gw.isOver(ctx, rq) {
 			dialRetries++
 			continue
 		}
@@ -56,6 +57,12 @@
 // isUnsent reports whether an attempt ended before anything was sent to the chosen target.
 func isUnsent(fe *failure.Error) bool { return fe.Code == failure.TargetUnreachable }
 
+// isIsolated reports whether an attempt failed because no target can be reached at all.
+func isIsolated(fe *failure.Error) bool {
+	var de *upstream.DialError
+	return errors.As(fe.Cause, &de) && de.Isolated
+}
+
 // attempt chooses a target, sends the request to it and forwards the response.
 func (gw *Gateway) attempt(ctx context.Context, rq *request, rw *responseWriter) error {
 	if len(rq.tried) == 0 {
@@ -192,7 +199,8 @@
 	gw.Protocol.WriteAttempt(h, at)
 	ca := upstream.Call{
 		Address: sl.Target.Address, Method: rq.method, RequestURI: rq.requestURI, Host: rq.host, Header: h, Body: rq.body,
-		AtMostOnce:     rq.route.AtMostOnce(),
+		NewConnection:  rq.route.AtMostOnce() || rq.lostAttempt,
+		OnConnection:   rq.setVia,
 		BeforeSend:     func() error { return gw.checkSend(ctx, rq, sl) },
 		AcceptResponse: func(resp *http.Response) bool { return gw.recordHead(rq, sl.Target, resp) },
 	}
@@ -200,7 +208,8 @@
 	rq.excluded = append(rq.excluded, sl.Target.ID)
 	rq.sentAt, rq.headAt = gw.Now(), time.Time{}
 	pauses := newPauseMeter(gw.Paused)
-	rs, err := gw.sendWithSilenceTimeout(ctx, rq, sl, ca)
+	rq.via.Store(nil)
+	rs, err := gw.sendWithSilenceTimeout(tunnel.WithRequestID(ctx, rq.RequestID), rq, sl, ca)
 	if err != nil {
 		if ctx.Err() != nil {
 			gw.recordUnanswered(rq, sl, gw.Now().Sub(rq.sentAt)-pauses.sinceLast())
@@ -238,13 +247,11 @@
 		if gw.isOver(ctx, rq) {
 			return gw.cancellationError(ctx, rq)
 		}
-		gw.logAttemptFailed(rq, sl.Target, err, false)
-		gw.recordUnreachable(sl.Target, err)
-		return failure.New(failure.TargetUnreachable, gw.outcome(rq), "the target took no connection").
-			WithCause(err).WithRetryAfter(overloadRetryAfter)
+		return gw.unsentError(rq, sl.Target, err)
 	}
 	rq.tried = append(rq.tried, sl.Target.ID)
 	rq.outcomes.Add(failure.Unknown)
+	rq.lostAttempt = true
 	if gw.isOver(ctx, rq) {
 		fe := gw.cancellationError(ctx, rq)
 		gw.logCancelled(rq, sl.Target, fe)
@@ -261,6 +268,26 @@
 	return failure.New(failure.TargetLost, failure.Unknown, "the target broke off before it answered").WithCause(err)
 }
 
+// setVia records the peer that the latest attempt is sent through; empty for a direct connection.
+func (rq *request) setVia(peer string) {
+	if peer != "" {
+		rq.via.Store(&peer)
+	}
+}
+
+// unsentError records that no connection to a target was established, and returns the failure of the attempt.
+func (gw *Gateway) unsentError(rq *request, tg targets.Target, err error) error {
+	var de *upstream.DialError
+	if errors.As(err, &de) && de.Isolated {
+		return failure.New(failure.TargetUnreachable, gw.outcome(rq), "no target can be reached from here").
+			WithCause(err).WithRetryAfter(dispatch.RetryElsewhereAfter)
+	}
+	gw.logAttemptFailed(rq, tg, err, false)
+	gw.recordUnreachable(tg, err)
+	return failure.New(failure.TargetUnreachable, gw.outcome(rq), "the target took no connection").
+		WithCause(err).WithRetryAfter(overloadRetryAfter)
+}
+
 // UnavailableTargetError means that a request may not be sent to the target that was chosen for it, because that target or one
 // of its helpers takes no requests now.
 type UnavailableTargetError struct {
@@ -308,7 +335,9 @@
 // recordFailedAttempt logs a failed attempt and records it against the target.
 func (gw *Gateway) recordFailedAttempt(rq *request, tg targets.Target, err error) {
 	gw.logAttemptFailed(rq, tg, err, true)
-	gw.recordTargetFailure(tg)
+	if !gw.Paths.IsLost(tg.Address) {
+		gw.recordTargetFailure(tg)
+	}
 }
 
 // recordTargetFailure records a failure against a target, which may eject it.
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -26,7 +26,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	tried := append(slices.Clone(rq.tried), sl.Target.ID)
 	wd := startSilenceWatchdog(timeout, func() bool {
-		gw.recordSilence(sl.Target)
+		gw.recordSilence(rq, sl.Target)
 		if !gw.takeFailoverRetry(rq.route, rq.service, tried) {
 			return false
 		}
@@ -172,12 +172,23 @@
 	if waited < max(minStallTimeout, silenceObjectives*rq.route.Objective, silencePredictionFactor*sl.PredictedFirstToken) {
 		return
 	}
-	gw.recordSilence(sl.Target)
-	gw.recordTargetFailure(sl.Target)
+	gw.recordSilence(rq, sl.Target)
+	if !gw.Paths.IsLost(sl.Target.Address) {
+		gw.recordTargetFailure(sl.Target)
+	}
 }
 
-// recordSilence records that a target was silent for longer than a healthy one.
-func (gw *Gateway) recordSilence(tg targets.Target) {
+// recordSilence records that a target was silent for longer than a healthy one. If the request was sent through a peer, that peer may be
+// the cause; if it was sent directly, the path may be.
+func (gw *Gateway) recordSilence(rq *request, tg targets.Target) {
+	if peer := rq.via.Load(); peer != nil {
+		gw.Paths.AvoidPeer(*peer)
+		return
+	}
+	if gw.Paths.IsLost(tg.Address) {
+		return
+	}
+	gw.Paths.Check(tg.Address)
 	if gw.Targets.RecordSilence(tg.ID) {
 		gw.logZoneLeftOut(tg, "silence")
 	}
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -27,7 +27,7 @@
 			ReadRequest: func(*http.Request) (gateway.RequestInfo, error) { return gateway.RequestInfo{RequestID: "1"}, nil },
 		},
 		Routes: &routes.Holder{}, BodyMemory: budget.NewMemory(0), Metrics: metrics.NewSet(),
-		Log: &log.Logger{Handler: discard.New()}, Now: time.Now, PeersHeardAge: func() (time.Duration, bool) { return 0, false }, Stopping: func() bool { return true },
+		Log: &log.Logger{Handler: discard.New()}, Now: time.Now, Paths: workingPaths(), PeersHeardAge: func() (time.Duration, bool) { return 0, false }, Stopping: func() bool { return true },
 	}, gateway.Limits{})
 	send := func() *httptest.ResponseRecorder {
 		rec := httptest.NewRecorder()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -100,7 +100,7 @@
 		if silence <= sl.MaxSilence() {
 			return false
 		}
-		gw.recordSilence(sl.Target)
+		gw.recordSilence(rq, sl.Target)
 		return gw.takeFailoverRetry(rq.route, rq.service, tried)
 	})
 	defer wd.stop()
--- a/internal/gossip/conn.go
+++ b/internal/gossip/conn.go
@@ -44,24 +44,46 @@
 }
 
 // deadlineListener accepts connections whose writes have a deadline.
-type deadlineListener struct {
+type deadlineListener struct{ net.Listener }
+
+// Accept wraps the next connection in a deadlineConn.
+func (dl deadlineListener) Accept() (net.Conn, error) {
+	nc, err := dl.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return newDeadlineConn(nc), nil
+}
+
+// livenessListener accepts connections whose loss the kernel detects.
+type livenessListener struct {
 	net.Listener
 	lg log.Interface
 }
 
-// Accept wraps the next connection in a deadlineConn and sets its TCP user timeout.
-func (dl deadlineListener) Accept() (net.Conn, error) {
-	nc, err := dl.Listener.Accept()
+// Listen returns a listener for Serve.
+func Listen(ctx context.Context, address string, lg log.Interface) (net.Listener, error) {
+	var lc net.ListenConfig
+	lis, err := lc.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for peers")
+	}
+	return livenessListener{Listener: lis, lg: lg}, nil
+}
+
+// Accept sets the TCP user timeout of the next connection.
+func (ll livenessListener) Accept() (net.Conn, error) {
+	nc, err := ll.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
 	if tc, ok := nc.(*net.TCPConn); ok {
 		if err := liveness.Apply(tc); err != nil {
 			// Without the option only the write timeout bounds how long a silent peer blocks a link.
-			dl.lg.WithError(err).Debug("cannot set the TCP user timeout of a gossip connection")
+			ll.lg.WithError(err).Debug("cannot set the TCP user timeout of a gossip connection")
 		}
 	}
-	return newDeadlineConn(nc), nil
+	return nc, nil
 }
 
 func managerOptions() drpcmanager.Options {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -115,7 +115,7 @@
 		Manager: managerOptions(),
 		Log:     func(err error) { ms.opts.Log.WithError(err).Debug("gossip connection ended") },
 	})
-	return errors.Wrap(sv.Serve(ctx, deadlineListener{Listener: lis, lg: ms.opts.Log}), "serve gossip")
+	return errors.Wrap(sv.Serve(ctx, deadlineListener{Listener: lis}), "serve gossip")
 }
 
 // Run sends heartbeats, maintains links and detects lost members until ctx ends and the final state is flushed.
--- /dev/null
+++ b/internal/targetdial/targetdial.go
@@ -0,0 +1,291 @@
+// Package targetdial connects to targets, directly or, where this instance does not reach a target itself, through a peer that does.
+package targetdial
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/silvermount/silvermount/internal/pathstate"
+	"github.com/silvermount/silvermount/internal/tunnelclient"
+	"github.com/silvermount/silvermount/internal/upstream"
+)
+
+const (
+	// peerDelay is how long a direct connection may take before a peer is asked as well: several round trips across a region.
+	peerDelay = 50 * time.Millisecond
+	// probeInterval is the time between two direct connections that find out whether a lost path works again.
+	probeInterval = 250 * time.Millisecond
+)
+
+// Deps are the dependencies of a Dialer. All fields are required.
+type Deps struct {
+	// Direct connects without a peer. It fails with an upstream.DialError.
+	Direct func(ctx context.Context, address string) (net.Conn, error)
+	// ThroughPeer connects through a peer. It fails with a tunnelclient.FailureError.
+	ThroughPeer func(ctx context.Context, address string) (*tunnelclient.Conn, error)
+	// IsPeerUsable reports whether an open connection through a peer may carry another request.
+	IsPeerUsable func(peer string) bool
+	Paths        *pathstate.Tracker
+	// IsTarget reports whether an address is that of a known target.
+	IsTarget func(address string) bool
+}
+
+// Dialer connects to targets. It is safe for concurrent use.
+type Dialer struct{ Deps }
+
+// New returns a dialer.
+func New(dp Deps) *Dialer { return &Dialer{Deps: dp} }
+
+// Dial connects to a target. It fails with an upstream.DialError.
+func (dl *Dialer) Dial(ctx context.Context, address string) (net.Conn, error) {
+	if dl.Paths.Isolated() {
+		return nil, &upstream.DialError{Address: address, Cause: &IsolatedError{LastSign: dl.Paths.LastSign()}, Isolated: true}
+	}
+	return dl.dial(ctx, address)
+}
+
+// IsolatedError means that no connection was tried, because neither this instance nor its peers reach any target.
+type IsolatedError struct {
+	// LastSign is when a target last accepted a direct connection or answered on one; zero if none has.
+	LastSign time.Time
+}
+
+// Error includes the time of the last sign of a target.
+func (ie *IsolatedError) Error() string {
+	if ie.LastSign.IsZero() {
+		return "no target was ever reached, by this instance or its peers"
+	}
+	return "no target reached by this instance or its peers since " + ie.LastSign.UTC().Format(time.RFC3339Nano)
+}
+
+func (dl *Dialer) dial(ctx context.Context, address string) (net.Conn, error) {
+	if dl.Paths.UsesPeers(address) {
+		return dl.dialPeersFirst(ctx, address)
+	}
+	return dl.dialDirectFirst(ctx, address)
+}
+
+// IsReusable reports whether an idle connection may carry another request. While the path to its target is lost, a direct connection must
+// have received data since, and a connection through a peer is used only then.
+func (dl *Dialer) IsReusable(address string, st upstream.State) bool {
+	since, lost := dl.Paths.LostSince(address)
+	if st.Peer != "" {
+		return lost && dl.IsPeerUsable(st.Peer)
+	}
+	return !lost || st.LastReadAt.After(since)
+}
+
+// directResult is the result of a direct attempt.
+type directResult struct {
+	conn net.Conn
+	err  error
+}
+
+// isEvidence reports whether a failed direct attempt shows that the target is out of reach: this process was not paused meanwhile.
+func (dr directResult) isEvidence() bool {
+	var de *upstream.DialError
+	if errors.As(dr.err, &de) && de.ProcessPaused {
+		return false
+	}
+	return dr.err != nil
+}
+
+// peerResult is the result of an attempt through peers.
+type peerResult struct {
+	conn *tunnelclient.Conn
+	err  error
+}
+
+// startDirect starts a direct attempt, which continues when ctx ends: its result is evidence.
+func (dl *Dialer) startDirect(ctx context.Context, address string) <-chan directResult {
+	done := make(chan directResult, 1)
+	go func() {
+		nc, err := dl.DialDirect(context.WithoutCancel(ctx), address)
+		done <- directResult{conn: nc, err: err}
+	}()
+	return done
+}
+
+func (dl *Dialer) startPeers(ctx context.Context, address string) <-chan peerResult {
+	done := make(chan peerResult, 1)
+	go func() {
+		cn, err := dl.ThroughPeer(ctx, address)
+		done <- peerResult{conn: cn, err: err}
+	}()
+	return done
+}
+
+// dialDirectFirst connects directly, and asks peers as soon as that fails or takes long.
+func (dl *Dialer) dialDirectFirst(ctx context.Context, address string) (net.Conn, error) {
+	direct := dl.startDirect(ctx, address)
+	wait := time.NewTimer(peerDelay)
+	defer wait.Stop()
+	select {
+	case dr := <-direct:
+		if dr.err == nil {
+			return dr.conn, nil
+		}
+		cn, err := dl.ThroughPeer(ctx, address)
+		return dl.settle(address, dr, peerResult{conn: cn, err: err})
+	case <-wait.C:
+		return dl.race(ctx, address, direct)
+	case <-ctx.Done():
+		go closeLate(direct)
+		return nil, &upstream.DialError{Address: address, Cause: ctx.Err()}
+	}
+}
+
+// race takes the first connection of a direct attempt, which is under way, and an attempt through peers.
+func (dl *Dialer) race(ctx context.Context, address string, direct <-chan directResult) (net.Conn, error) {
+	peersCtx, cancel := context.WithCancel(ctx)
+	peers := dl.startPeers(peersCtx, address)
+	select {
+	case dr := <-direct:
+		if dr.err == nil {
+			cancel()
+			go closeLatePeer(peers)
+			return dr.conn, nil
+		}
+		pr := <-peers
+		cancel()
+		return dl.settle(address, dr, pr)
+	case pr := <-peers:
+		cancel()
+		if pr.err != nil {
+			return dl.settle(address, <-direct, pr)
+		}
+		go func() {
+			if dr := <-direct; dr.isEvidence() {
+				dl.Paths.RecordReachedByPeer(address, pr.conn.Peer())
+			} else {
+				closeConn(dr.conn)
+			}
+		}()
+		return pr.conn, nil
+	}
+}
+
+// settle records what the results of both attempts show, and returns the connection or the error that follows.
+func (dl *Dialer) settle(address string, dr directResult, pr peerResult) (net.Conn, error) {
+	if dr.err == nil {
+		return dr.conn, nil
+	}
+	if pr.err == nil {
+		if dr.isEvidence() {
+			dl.Paths.RecordReachedByPeer(address, pr.conn.Peer())
+		}
+		return pr.conn, nil
+	}
+	if dr.isEvidence() && !isBlamed(pr.err) {
+		dl.Paths.RecordUnreached(address)
+	}
+	de := &upstream.DialError{
+		Address: address, Cause: dr.err, Peers: pr.err, Isolated: dl.Paths.Isolated(), Doubtful: isDoubtful(pr.err),
+	}
+	var direct *upstream.DialError
+	if errors.As(dr.err, &direct) {
+		de.Cause, de.ProcessPaused = direct.Cause, direct.ProcessPaused
+	}
+	return nil, de
+}
+
+// DialDirect connects without a peer, and records a success. It fails with an upstream.DialError.
+func (dl *Dialer) DialDirect(ctx context.Context, address string) (net.Conn, error) {
+	nc, err := dl.Direct(ctx, address)
+	if err == nil {
+		dl.Paths.RecordConnected(address)
+	}
+	return nc, err
+}
+
+// isBlamed reports whether peers found the target itself at fault.
+func isBlamed(err error) bool {
+	var fe *tunnelclient.FailureError
+	return errors.As(err, &fe) && fe.Blamed
+}
+
+// isDoubtful reports whether peers were asked and could not tell whether the target is at fault.
+func isDoubtful(err error) bool {
+	var fe *tunnelclient.FailureError
+	return errors.As(err, &fe) && fe.Asked > 0 && !fe.Blamed
+}
+
+// dialPeersFirst connects through a peer. If no peer can tell whether the target is at fault, the path may work again, and a direct
+// attempt follows.
+func (dl *Dialer) dialPeersFirst(ctx context.Context, address string) (net.Conn, error) {
+	cn, err := dl.ThroughPeer(ctx, address)
+	if err == nil {
+		dl.Paths.RecordUsedPeer(address, cn.Peer())
+		return cn, nil
+	}
+	if isBlamed(err) || ctx.Err() != nil {
+		return nil, &upstream.DialError{Address: address, Cause: err}
+	}
+	direct := dl.startDirect(ctx, address)
+	select {
+	case dr := <-direct:
+		return dl.settle(address, dr, peerResult{err: err})
+	case <-ctx.Done():
+		go closeLate(direct)
+		return nil, &upstream.DialError{Address: address, Cause: ctx.Err()}
+	}
+}
+
+// Check finds out in the background whether a target that is silent on open connections accepts new ones, and records the evidence.
+func (dl *Dialer) Check(address string) {
+	go func() {
+		nc, err := dl.dial(context.Background(), address)
+		if err == nil {
+			closeConn(nc)
+		}
+	}()
+}
+
+// Run probes lost paths until ctx ends.
+func (dl *Dialer) Run(ctx context.Context) {
+	tick := time.NewTicker(probeInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		if address, ok := dl.Paths.NextProbe(dl.IsTarget); ok {
+			dl.probe(ctx, address)
+		}
+	}
+}
+
+// probe connects directly to a target, and through a peer too while the instance is isolated.
+func (dl *Dialer) probe(ctx context.Context, address string) {
+	if !dl.Paths.Isolated() {
+		dr := <-dl.startDirect(ctx, address)
+		closeConn(dr.conn)
+		return
+	}
+	if nc, err := dl.dialDirectFirst(ctx, address); err == nil {
+		closeConn(nc)
+	}
+}
+
+func closeLate(direct <-chan directResult) {
+	dr := <-direct
+	closeConn(dr.conn)
+}
+
+func closeLatePeer(peers <-chan peerResult) {
+	if pr := <-peers; pr.err == nil {
+		closeConn(pr.conn)
+	}
+}
+
+// closeConn closes a connection that was never used; nil is ignored.
+func closeConn(nc net.Conn) {
+	if nc != nil {
+		_ = nc.Close()
+	}
+}
--- a/internal/targets/connectivity.go
+++ b/internal/targets/connectivity.go
@@ -25,6 +25,32 @@
 	return newest
 }
 
+// HasAddress reports whether a known target has the given address.
+func (dr *Directory) HasAddress(address string) bool {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	for _, en := range dr.entries {
+		if en.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
+// ForgetUnreachable readmits all targets and availability zones that were excluded because they accepted no connection or were silent.
+// It is called when this instance, and not they, turns out to be cut off.
+func (dr *Directory) ForgetUnreachable() {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	for _, en := range dr.entries {
+		en.connectFailures = 0
+		en.unreachableUntil = time.Time{}
+	}
+	for _, zn := range dr.zones {
+		zn.forgetFailures()
+	}
+}
+
 // Connectivity returns the connectivity of a target; the zero value when the target is unknown.
 func (dr *Directory) Connectivity(id string) Connectivity {
 	dr.mu.Lock()
--- a/internal/targets/zone.go
+++ b/internal/targets/zone.go
@@ -38,12 +38,17 @@
 // recordAnswer records an answer and reports whether it ends an exclusion of the zone.
 func (zn *zone) recordAnswer(now time.Time) bool {
 	zn.reachedAt = now
-	clear(zn.failures)
 	wasExcluded := !zn.excludedUntil.IsZero()
-	zn.excludedUntil, zn.nextProbeAt, zn.exclusions = time.Time{}, time.Time{}, 0
+	zn.forgetFailures()
 	return wasExcluded
 }
 
+// forgetFailures ends an exclusion and clears the failures that may lead to one.
+func (zn *zone) forgetFailures() {
+	clear(zn.failures)
+	zn.excludedUntil, zn.nextProbeAt, zn.exclusions = time.Time{}, time.Time{}, 0
+}
+
 // recordFailure records that a target or instance failed to answer, and reports whether this excludes the zone. It does so only
 // when nothing in the zone has answered for longer than quiet.
 func (zn *zone) recordFailure(source string, quiet time.Duration, now time.Time) bool {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -18,21 +18,21 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/silvermount/silvermount/internal/pauseclock"
-	"github.com/silvermount/silvermount/internal/sockopt"
 )
 
 // readBufferBytes holds the head of a response and several events.
 const readBufferBytes = 8 << 10
 
-// Liveness detects a lost connection to a target. The user timeout leaves time for several retransmissions of a request. Keep-alive
-// probes detect the loss while a request waits for its response. A target that answers nothing for two seconds leaves at most two probes
-// in a row unanswered, and keeps its connections.
-var Liveness = sockopt.Liveness{UserTimeout: 3200 * time.Millisecond, KeepAliveIdle: time.Second, KeepAliveInterval: time.Second}
-
 // conn is a pooled connection. It carries one request at a time.
 type conn struct {
 	net.Conn
 	br *bufio.Reader
+	// peer is the peer that the connection leads through; empty for a direct one.
+	peer string
+	// onRead is called whenever data was received; never nil.
+	onRead func()
+	// lastReadAt is when data was last received; nil before.
+	lastReadAt atomic.Pointer[time.Time]
 	// idleSince is when the last response ended; zero for a new connection.
 	idleSince time.Time
 	// idleFor is how long the connection had been idle when it was last reused; zero for a new connection.
@@ -46,56 +46,30 @@
 	keepAliveTimeout time.Duration
 }
 
-// DialError reports that no connection was established, so nothing was sent.
-type DialError struct {
-	Address string
-	Cause   error
-	// ProcessPaused is set when this process was paused during the dial. The timeout is then no evidence against the target.
-	ProcessPaused bool
-}
-
-// Error includes the address and the cause.
-func (de *DialError) Error() string {
-	return "no connection to " + de.Address + ": " + de.Cause.Error()
-}
-
-// Unwrap returns the cause.
-func (de *DialError) Unwrap() error { return de.Cause }
-
-// Refused reports whether the connection was refused: the machine is reachable, but the process that listened at the
-// address has ended.
-func (de *DialError) Refused() bool { return errors.Is(de.Cause, syscall.ECONNREFUSED) }
-
-// withElapsed sets ProcessPaused if the dial timed out, and the process was paused during it or it took much longer than its timeout.
-func (de *DialError) withElapsed(elapsed, paused, timeout time.Duration) *DialError {
-	var ne net.Error
-	timedOut := errors.As(de.Cause, &ne) && ne.Timeout()
-	de.ProcessPaused = timedOut && (paused > 0 || elapsed >= timeout+pauseclock.MinPause)
-	return de
+// newConn wraps an established connection, which may lead through a peer.
+func newConn(nc net.Conn, onRead func()) *conn {
+	cn := &conn{Conn: nc, onRead: onRead}
+	if th, ok := nc.(interface{ Peer() string }); ok {
+		cn.peer = th.Peer()
+	}
+	cn.br = bufio.NewReaderSize(cn, readBufferBytes)
+	return cn
 }
 
-// ConnectFunc opens a connection to the IP address and port of a target, like net.Dialer.DialContext.
-type ConnectFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
-// connect opens a connection whose loss the kernel detects.
-func connect(ctx context.Context, network, address string) (net.Conn, error) {
-	return Liveness.Dialer().DialContext(ctx, network, address)
+// State is what is known of a connection when it is about to be reused.
+type State struct {
+	// Peer is the peer that the connection leads through; empty for a direct one.
+	Peer string
+	// LastReadAt is when data was last received; zero before.
+	LastReadAt time.Time
 }
 
-func (pl *Pool) connect(ctx context.Context, address string) (*conn, error) {
-	timeout := pl.dialTimeout
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	now, paused := pl.now, pl.paused
-	startedAt, pausedBefore := now(), paused()
-	nc, err := pl.connectFunc(ctx, "tcp", address)
-	if err != nil {
-		de := &DialError{Address: address, Cause: err}
-		return nil, de.withElapsed(now().Sub(startedAt), paused()-pausedBefore, timeout)
+func (cn *conn) state() State {
+	st := State{Peer: cn.peer}
+	if at := cn.lastReadAt.Load(); at != nil {
+		st.LastReadAt = *at
 	}
-	cn := &conn{Conn: nc}
-	cn.br = bufio.NewReaderSize(cn, readBufferBytes)
-	return cn, nil
+	return st
 }
 
 // Read adds the bytes it reads to bytesRead. After the deadline of the call it waits for finalSteps further steps.
@@ -107,7 +81,12 @@
 		}
 		n, err = cn.Conn.Read(b)
 	}
-	cn.bytesRead.Add(int64(n))
+	if n > 0 {
+		now := time.Now()
+		cn.lastReadAt.Store(&now)
+		cn.bytesRead.Add(int64(n))
+		cn.onRead()
+	}
 	return n, err
 }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -23,9 +23,9 @@
 	Host       string
 	Header     http.Header
 	Body       []byte
-	// AtMostOnce is set for requests that may run only once. They are sent on new connections, because a target may drop an
-	// idle one silently and earlier than it announced.
-	AtMostOnce bool
+	// NewConnection is set for requests that must not be sent on an idle connection. A target may drop one silently and earlier than it
+	// announced, and its path may have been lost meanwhile.
+	NewConnection bool
 	// BeforeSend, if not nil, is called once a connection is there, immediately before anything is sent. If it returns an
 	// error, the call fails with that error as the cause and nothing is sent.
 	BeforeSend func() error
@@ -35,6 +35,9 @@
 	// AcceptResponse, if not nil, is called with each response head, and reports whether the response belongs to this call.
 	// Other responses are skipped.
 	AcceptResponse func(*http.Response) bool
+	// OnConnection, if not nil, is called before the request is sent with the peer that the connection leads through; empty for a direct
+	// connection.
+	OnConnection func(peer string)
 }
 
 // ExchangeError reports that an exchange failed before its response head was read.
@@ -87,10 +90,13 @@
 // Do sends a call and returns the head of its response. When ctx ends, the connection is closed, which ends the work at the
 // target. Response data that has arrived by the deadline of ctx is still read.
 func (pl *Pool) Do(ctx context.Context, ca Call) (*Response, error) {
-	cn, reused, err := pl.acquire(ctx, ca.Address, ca.AtMostOnce)
+	cn, reused, err := pl.acquire(ctx, ca.Address, ca.NewConnection)
 	if err != nil {
 		return nil, &ExchangeError{Sent: false, Cause: err}
 	}
+	if ca.OnConnection != nil {
+		ca.OnConnection(cn.peer)
+	}
 	pausedBefore := pl.paused()
 	detachContext := context.AfterFunc(ctx, func() {
 		cn.handleContextDone(ctx, time.Now(), pl.paused() > pausedBefore, pl.finalReadSteps)
--- a/internal/upstream/pause_test.go
+++ b/internal/upstream/pause_test.go
@@ -90,7 +90,7 @@
 			})
 			pl := NewPool(time.Now, metrics.NewSet(), time.Minute, WithPaused(func() time.Duration { return time.Duration(paused.Load()) }))
 			pl.finalReadSteps = int64(time.Minute / finalReadStep)
-			ca := Call{Address: address, Method: http.MethodPost, RequestURI: "/", Host: "h", Header: http.Header{}, AtMostOnce: true}
+			ca := Call{Address: address, Method: http.MethodPost, RequestURI: "/", Host: "h", Header: http.Header{}, NewConnection: true}
 			ca.OnSend = func(func() bool) {
 				// It is registered after the pool's own function. Both run in goroutines, and the pool's needs no lock.
 				context.AfterFunc(ctx, func() { time.Sleep(finalReadStep); close(handled) })
@@ -115,7 +115,7 @@
 	g := NewWithT(t)
 	local, remote := net.Pipe()
 	defer remote.Close()
-	cn := &conn{Conn: local}
+	cn := newConn(local, func() {})
 	defer cn.closeIgnoringError()
 	cn.finalSteps.Store(2)
 	g.Expect(cn.SetReadDeadline(time.Now().Add(-time.Minute))).To(Succeed())
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"math"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,10 +37,12 @@
 	opened *metrics.Counter
 	// paused returns the total time for which the process was paused; never nil.
 	paused func() time.Duration
-	// connectFunc opens new connections; never nil.
-	connectFunc ConnectFunc
-	// dialTimeout bounds the establishment of a connection.
-	dialTimeout time.Duration
+	// dial opens new connections; never nil. It fails with a DialError.
+	dial func(ctx context.Context, address string) (net.Conn, error)
+	// onDirectRead is called whenever data was received on a direct connection; never nil.
+	onDirectRead func()
+	// isReusableNow reports whether a connection to an address may be used for another request; never nil.
+	isReusableNow func(address string, st State) bool
 	// finalReadSteps is how many steps the reading of a response may take after the call's deadline.
 	finalReadSteps int64
 	// maxIdle is at least one.
@@ -62,22 +65,35 @@
 	return func(pl *Pool) { pl.paused = paused }
 }
 
-// WithConnect sets the function that opens connections to targets.
-func WithConnect(connect ConnectFunc) Option {
-	return func(pl *Pool) { pl.connectFunc = connect }
+// WithDial sets the function that opens connections to targets, in place of Dialer.Dial. It fails with a DialError.
+func WithDial(dial func(ctx context.Context, address string) (net.Conn, error)) Option {
+	return func(pl *Pool) { pl.dial = dial }
+}
+
+// WithOnDirectRead sets a function that is called whenever data was received on a connection that leads through no peer.
+func WithOnDirectRead(onRead func()) Option {
+	return func(pl *Pool) { pl.onDirectRead = onRead }
+}
+
+// WithReusable sets a function that reports whether an idle connection to an address may be used for another request.
+func WithReusable(isReusable func(address string, st State) bool) Option {
+	return func(pl *Pool) { pl.isReusableNow = isReusable }
 }
 
 // NewPool returns an empty pool. The counter of opened connections is registered in ms.
 func NewPool(now func() time.Time, ms *metrics.Set, dialTimeout time.Duration, opts ...Option) *Pool {
 	pl := &Pool{
-		now: now, connectFunc: connect, dialTimeout: dialTimeout, finalReadSteps: int64(finalReadTimeout / finalReadStep), idle: map[string][]*conn{}, openCounts: map[string]int{},
+		now: now, finalReadSteps: int64(finalReadTimeout / finalReadStep), idle: map[string][]*conn{}, openCounts: map[string]int{},
 		reduced: map[string]reducedIdle{},
 		opened:  ms.GetOrCreateCounter("silvermount_target_connections_opened_total"),
-		paused:  func() time.Duration { return 0 },
+		paused:  func() time.Duration { return 0 }, onDirectRead: func() {}, isReusableNow: func(string, State) bool { return true },
 	}
 	for _, opt := range opts {
 		opt(pl)
 	}
+	if pl.dial == nil {
+		pl.dial = Dialer{Timeout: dialTimeout, Connect: Connect, Now: now, Paused: pl.paused}.Dial
+	}
 	pl.SetMaxIdle(defaultMaxIdle)
 	return pl
 }
@@ -86,10 +102,8 @@
 func (pl *Pool) SetMaxIdle(limit int) { pl.maxIdle.Store(int64(max(1, limit))) }
 
 // acquire returns an idle connection if one can be reused, else a new one.
-func (pl *Pool) acquire(ctx context.Context, address string, atMostOnce bool) (cn *conn, reused bool, err error) {
-	// The target may have dropped an idle connection silently. The outcome of a request sent on it would be unknown, so
-	// requests that may run only once get a new connection.
-	for !atMostOnce {
+func (pl *Pool) acquire(ctx context.Context, address string, newConnection bool) (cn *conn, reused bool, err error) {
+	for !newConnection {
 		cn = pl.popIdle(address)
 		if cn == nil {
 			break
@@ -99,16 +113,20 @@
 		}
 		pl.discard(address, cn)
 	}
-	cn, err = pl.dial(ctx, address)
+	cn, err = pl.open(ctx, address)
 	return cn, false, err
 }
 
-// dial opens a connection and counts it.
-func (pl *Pool) dial(ctx context.Context, address string) (*conn, error) {
-	cn, err := pl.connect(ctx, address)
+// open opens a connection and counts it.
+func (pl *Pool) open(ctx context.Context, address string) (*conn, error) {
+	nc, err := pl.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
+	cn := newConn(nc, func() {})
+	if cn.peer == "" {
+		cn.onRead = pl.onDirectRead
+	}
 	pl.opened.Inc()
 	pl.mu.Lock()
 	pl.openCounts[address]++
@@ -118,7 +136,7 @@
 
 // Probe opens a connection to an address and keeps it idle for the next request. It fails with a DialError.
 func (pl *Pool) Probe(ctx context.Context, address string) error {
-	cn, err := pl.dial(ctx, address)
+	cn, err := pl.open(ctx, address)
 	if err != nil {
 		return err
 	}
@@ -146,7 +164,7 @@
 		timeout = cn.keepAliveTimeout - keepAliveMargin
 	}
 	cn.idleFor = pl.now().Sub(cn.idleSince)
-	return cn.idleFor < min(timeout, pl.reducedIdleTimeout(address)) && cn.isOpenAndEmpty()
+	return cn.idleFor < min(timeout, pl.reducedIdleTimeout(address)) && pl.isReusableNow(address, cn.state()) && cn.isOpenAndEmpty()
 }
 
 // reducedIdleTimeout returns the reduced idle timeout of a target, or the largest duration if it is not reduced.
@@ -213,7 +231,8 @@
 	}
 }
 
-// EvictExpired closes connections that have exceeded their idle timeout, and removes expired reductions of it.
+// EvictExpired closes idle connections that have exceeded their timeout, and those through peers that carry no more requests. It also
+// removes expired reductions of the timeout.
 func (pl *Pool) EvictExpired() {
 	now := pl.now()
 	expired := map[string][]*conn{}
@@ -222,7 +241,7 @@
 	for address, list := range pl.idle {
 		var kept []*conn
 		for _, cn := range list {
-			if now.Sub(cn.idleSince) < max(defaultIdleTimeout, cn.keepAliveTimeout) {
+			if now.Sub(cn.idleSince) < max(defaultIdleTimeout, cn.keepAliveTimeout) && (cn.peer == "" || pl.isReusableNow(address, cn.state())) {
 				kept = append(kept, cn)
 				continue
 			}
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -43,11 +43,11 @@
 			fx := newFixture(t)
 			tg := startFakeTarget(t, tc.respond)
 			ca := call(tg.address(), "/1")
-			ca.AtMostOnce = tc.atMostOnce
+			ca.NewConnection = tc.atMostOnce
 			fx.Expect(fx.do(ca)).To(Equal("/1"))
 			fx.clock.advance(tc.idleFor)
 			ca = call(tg.address(), "/2")
-			ca.AtMostOnce = tc.atMostOnce
+			ca.NewConnection = tc.atMostOnce
 			fx.Expect(fx.do(ca)).To(Equal("/2"))
 			want := 2
 			if tc.reused {
