--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -46,7 +46,7 @@
 		}
 	}()
 	lg := &log.Logger{Handler: sink, Level: log.MustParseLevel(ec.LogLevel)}
-	inst, err := instance.Start(ctx, s, lg, instance.WithMetrics(metricsSet))
+	inst, err := instance.Start(ctx, s, lg, append(ec.instanceOptions, instance.WithMetrics(metricsSet))...)
 	if err != nil {
 		lg.WithField("part", "kernel").WithField("instance", s.Instance).WithError(err).Error("instance not started")
 		return err
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -14,6 +14,7 @@
 	flags "github.com/jessevdk/go-flags"
 
 	"github.com/silvermount/silvermount/internal/config"
+	"github.com/silvermount/silvermount/internal/instance"
 	"github.com/silvermount/silvermount/internal/sighup"
 )
 
@@ -29,6 +30,16 @@
 
 	out io.Writer
 	err io.Writer
+	// instanceOptions configure the entry instance that a command runs.
+	instanceOptions []instance.Option
+}
+
+// Option configures Main.
+type Option func(*options)
+
+// WithInstanceOptions configures the entry instance that a command runs.
+func WithInstanceOptions(opts ...instance.Option) Option {
+	return func(op *options) { op.instanceOptions = opts }
 }
 
 func (op *options) logger() *log.Logger {
@@ -47,8 +58,11 @@
 }
 
 // Main runs the command that args name and returns the exit code.
-func Main(args []string, out, errOut io.Writer) int {
+func Main(args []string, out, errOut io.Writer, opts ...Option) int {
 	op := &options{out: out, err: errOut}
+	for _, opt := range opts {
+		opt(op)
+	}
 	parser := flags.NewNamedParser("silvermount", flags.HelpFlag|flags.PassDoubleDash)
 	if _, err := parser.AddGroup("Options", "", op); err != nil {
 		return reportError(errOut, err)
