fix(targetdial): try a target directly once more while others are out of reach

While the paths to all targets counted as lost, connections to targets that had never failed led through peers without a direct attempt. Such a target is now tried directly and through a peer at once, and its path counts as lost once the direct attempt fails: each target costs one attempt.

--- a/internal/pathstate/pathstate.go
+++ b/internal/pathstate/pathstate.go
@@ -29,8 +29,6 @@
 	mu sync.Mutex
 	// lost holds the targets that peers reach and this instance does not, by address.
 	lost map[string]*lostPath
-	// used holds addresses that were reached through peers only because all paths counted as lost.
-	used []string
 	// connectedAt is when a target last accepted a direct connection, heardAt when one last answered on any direct connection. Both are
 	// zero before the first time.
 	connectedAt, heardAt time.Time
@@ -99,7 +97,6 @@
 	tr.update(func(now time.Time) {
 		tr.connectedAt = now
 		tr.allLostSince = time.Time{}
-		tr.used = nil
 		tr.clearIsolation()
 		if tr.lost[address] == nil {
 			return
@@ -138,16 +135,12 @@
 	})
 }
 
-// RecordUsedPeer records a connection through a peer without a direct attempt.
+// RecordUsedPeer records a connection through a peer to a target whose path is lost.
 func (tr *Tracker) RecordUsedPeer(address, peer string) {
 	tr.update(func(now time.Time) {
 		tr.clearIsolation()
 		if lp := tr.lost[address]; lp != nil {
 			lp.peer, lp.reachedAt = peer, now
-			return
-		}
-		if !slices.Contains(tr.used, address) && len(tr.used) < maxUnreached {
-			tr.used = append(tr.used, address)
 		}
 	})
 }
@@ -169,8 +162,35 @@
 	})
 }
 
-// UsesPeers reports whether connections to a target are made through peers.
-func (tr *Tracker) UsesPeers(address string) bool {
+// Route is how connections to a target are made.
+type Route int
+
+// The routes. DirectFirst is the zero value.
+const (
+	// DirectFirst asks a peer only after a direct attempt failed or took long.
+	DirectFirst Route = iota
+	// Both asks a peer at once, beside a direct attempt: other paths are lost, and this one may be too.
+	Both
+	// PeersFirst makes no direct attempt, unless no peer connects: the path is lost.
+	PeersFirst
+)
+
+// Route returns how to connect to a target.
+func (tr *Tracker) Route(address string) Route {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	switch lp := tr.lost[address]; {
+	case lp != nil && !lp.doubtful:
+		return PeersFirst
+	case !tr.allLostSince.IsZero():
+		return Both
+	default:
+		return DirectFirst
+	}
+}
+
+// IsLost reports whether the path to a target counts as lost.
+func (tr *Tracker) IsLost(address string) bool {
 	_, lost := tr.LostSince(address)
 	return lost
 }
@@ -237,8 +257,7 @@
 			delete(tr.lost, address)
 		}
 	}
-	tr.used = slices.DeleteFunc(tr.used, func(address string) bool { return !listed(address) })
-	candidates := slices.Clone(tr.used)
+	var candidates []string
 	for address := range tr.lost {
 		candidates = append(candidates, address)
 	}
--- a/internal/pathstate/pathstate_test.go
+++ b/internal/pathstate/pathstate_test.go
@@ -22,63 +22,64 @@
 
 func newClock() *clock { return &clock{now: time.Unix(1_000_000, 0)} }
 
-func TestUsesPeers(t *testing.T) {
+func TestRoute(t *testing.T) {
 	tests := map[string]struct {
 		events     func(tr *pathstate.Tracker)
-		wantA      bool
-		wantOthers bool
+		wantA      pathstate.Route
+		wantOthers pathstate.Route
 	}{
-		"nothing known": {func(*pathstate.Tracker) {}, false, false},
+		"nothing known": {func(*pathstate.Tracker) {}, pathstate.DirectFirst, pathstate.DirectFirst},
 		"one target only reached by a peer": {func(tr *pathstate.Tracker) {
 			tr.RecordReachedByPeer("a", "p")
-		}, true, false},
+		}, pathstate.PeersFirst, pathstate.DirectFirst},
 		"two targets only reached by peers": {func(tr *pathstate.Tracker) {
 			tr.RecordReachedByPeer("a", "p")
 			tr.RecordReachedByPeer("b", "p")
-		}, true, true},
+		}, pathstate.PeersFirst, pathstate.Both},
 		"the same target twice": {func(tr *pathstate.Tracker) {
 			tr.RecordReachedByPeer("a", "p")
 			tr.RecordReachedByPeer("a", "q")
-		}, true, false},
+		}, pathstate.PeersFirst, pathstate.DirectFirst},
 		"another target accepted a connection between": {func(tr *pathstate.Tracker) {
 			tr.RecordReachedByPeer("a", "p")
 			tr.RecordConnected("c")
 			tr.RecordReachedByPeer("b", "p")
-		}, true, false},
+		}, pathstate.PeersFirst, pathstate.DirectFirst},
 		"an answer on an open connection proves nothing about new ones": {func(tr *pathstate.Tracker) {
 			tr.RecordReachedByPeer("a", "p")
 			tr.RecordHeard()
 			tr.RecordReachedByPeer("b", "p")
-		}, true, true},
+		}, pathstate.PeersFirst, pathstate.Both},
 		"a target that never failed accepts a connection": {func(tr *pathstate.Tracker) {
 			tr.RecordReachedByPeer("a", "p")
 			tr.RecordReachedByPeer("b", "p")
 			tr.RecordConnected("c")
-		}, true, false},
+		}, pathstate.PeersFirst, pathstate.DirectFirst},
 		"a lost path works again": {func(tr *pathstate.Tracker) {
 			tr.RecordReachedByPeer("a", "p")
 			tr.RecordReachedByPeer("b", "p")
 			tr.RecordConnected("b")
-		}, false, false},
+		}, pathstate.DirectFirst, pathstate.DirectFirst},
 		"a doubtful path fails again": {func(tr *pathstate.Tracker) {
 			tr.RecordReachedByPeer("a", "p")
 			tr.RecordReachedByPeer("b", "p")
 			tr.RecordConnected("b")
 			tr.RecordReachedByPeer("a", "p")
-		}, true, false},
+		}, pathstate.PeersFirst, pathstate.DirectFirst},
 		"neither this instance nor peers reach the target": {func(tr *pathstate.Tracker) {
 			tr.RecordUnreached("a")
 			tr.RecordUnreached("b")
-		}, false, false},
+		}, pathstate.DirectFirst, pathstate.DirectFirst},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			tr := pathstate.New(newClock().Now)
 			tc.events(tr)
-			g.Expect(tr.UsesPeers("a")).To(Equal(tc.wantA))
-			g.Expect(tr.UsesPeers("never used")).To(Equal(tc.wantOthers))
-			g.Expect(tr.AllLost()).To(Equal(tc.wantOthers))
+			g.Expect(tr.Route("a")).To(Equal(tc.wantA))
+			g.Expect(tr.Route("never used")).To(Equal(tc.wantOthers))
+			g.Expect(tr.IsLost("a")).To(Equal(tc.wantA != pathstate.DirectFirst))
+			g.Expect(tr.AllLost()).To(Equal(tc.wantOthers == pathstate.Both))
 		})
 	}
 }
@@ -145,14 +146,13 @@
 	for _, address := range []string{"a", "b", "gone"} {
 		tr.RecordReachedByPeer(address, "p")
 	}
-	tr.RecordUsedPeer("never failed", "p")
 	var probes []string
-	for range 6 {
+	for range 4 {
 		address, due := tr.NextProbe(listed)
 		g.Expect(due).To(BeTrue())
 		probes = append(probes, address)
 	}
-	g.Expect(probes).To(Equal([]string{"a", "b", "never failed", "a", "b", "never failed"}))
+	g.Expect(probes).To(Equal([]string{"a", "b", "a", "b"}))
 	g.Expect(tr.LostCount()).To(Equal(2))
 }
 
--- a/internal/targetdial/targetdial.go
+++ b/internal/targetdial/targetdial.go
@@ -62,10 +62,14 @@
 }
 
 func (dl *Dialer) dial(ctx context.Context, address string) (net.Conn, error) {
-	if dl.Paths.UsesPeers(address) {
+	switch dl.Paths.Route(address) {
+	case pathstate.PeersFirst:
 		return dl.dialPeersFirst(ctx, address)
+	case pathstate.Both:
+		return dl.race(ctx, address, dl.startDirect(ctx, address))
+	default:
+		return dl.dialDirectFirst(ctx, address)
 	}
-	return dl.dialDirectFirst(ctx, address)
 }
 
 // IsReusable reports whether an idle connection may carry another request. While the path to its target is lost, a direct connection must
--- a/internal/targetdial/targetdial_test.go
+++ b/internal/targetdial/targetdial_test.go
@@ -124,10 +124,10 @@
 				nw.g.Expect(de.Refused()).To(Equal(tc.wantRefused))
 			}
 			if !tc.wantLost {
-				nw.g.Consistently(func() bool { return tr.UsesPeers("a") }).WithTimeout(2 * directTimeout).Should(BeFalse())
+				nw.g.Consistently(func() bool { return tr.IsLost("a") }).WithTimeout(2 * directTimeout).Should(BeFalse())
 				return
 			}
-			nw.g.Eventually(func() bool { return tr.UsesPeers("a") }).WithTimeout(10 * time.Second).Should(BeTrue())
+			nw.g.Eventually(func() bool { return tr.IsLost("a") }).WithTimeout(10 * time.Second).Should(BeTrue())
 		})
 	}
 }
@@ -149,9 +149,13 @@
 	before := nw.dials.Load()
 	for range 20 {
 		dial("a")
-		dial("never used before")
+		dial("b")
 	}
 	nw.g.Expect(nw.dials.Load()).To(Equal(before))
+	for range 20 {
+		dial("never used before")
+	}
+	nw.g.Expect(nw.dials.Load()).To(Equal(before + 1))
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go dl.Run(ctx)
