fix(targetdial): know whether other targets are reached before judging a failure

An instance with few requests has heard no target for a while. Its failure to connect for a peer then told nothing of the target, and an instance that met three dead targets could take itself as isolated although others worked; its probes went on at the dead ones. If no target gave a sign in the last 0.5 s, an instance that does not connect for a peer within 50 ms, or that fails without a verdict of its peers, now also connects to up to three other targets. While isolated, any target is probed.

--- a/internal/duty/gatewaydeps/paths.go
+++ b/internal/duty/gatewaydeps/paths.go
@@ -65,9 +65,10 @@
 	})
 	pt.dialer = targetdial.New(targetdial.Deps{
 		Direct: direct.Dial, ThroughPeer: pt.client.Dial, IsPeerUsable: pt.client.IsUsable, Paths: pt.state, IsTarget: dr.HasAddress,
+		Addresses: dr.Addresses, Now: time.Now,
 	})
 	pt.server = tunnelserver.New(tunnelserver.Deps{
-		Dial: pt.dialer.DialDirect, IsTarget: dr.HasAddress, CutOff: pt.state.AllLost, LastSign: pt.state.LastSign, Liveness: upstream.Liveness,
+		Dial: pt.dialer.DialForPeer, IsTarget: dr.HasAddress, CutOff: pt.state.AllLost, LastSign: pt.state.LastSign, Liveness: upstream.Liveness,
 		Metrics: ms, Log: env.Logger("tunnels"), Now: time.Now,
 	})
 	ms.NewGauge("silvermount_targets_path_lost", func() float64 { return float64(pt.state.LostCount()) })
--- a/internal/pathstate/pathstate.go
+++ b/internal/pathstate/pathstate.go
@@ -205,6 +205,15 @@
 	return tr.allLostSince, !tr.allLostSince.IsZero()
 }
 
+// ExpireIsolation ends the isolation if there was no evidence of it lately.
+func (tr *Tracker) ExpireIsolation() {
+	tr.update(func(now time.Time) {
+		if !tr.isIsolated(now) {
+			tr.isolated = false
+		}
+	})
+}
+
 // Isolated reports whether neither this instance nor its peers reach any target, as far as this instance knows.
 func (tr *Tracker) Isolated() bool {
 	tr.mu.Lock()
@@ -245,11 +254,6 @@
 // NextProbe returns the address of a target to connect to directly, to find out whether its path works again. It reports false if no
 // path is lost. Targets for which listed returns false are forgotten.
 func (tr *Tracker) NextProbe(listed func(address string) bool) (string, bool) {
-	tr.update(func(now time.Time) {
-		if !tr.isIsolated(now) {
-			tr.isolated = false
-		}
-	})
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	for address := range tr.lost {
@@ -261,13 +265,6 @@
 	for address := range tr.lost {
 		candidates = append(candidates, address)
 	}
-	if tr.isIsolated(tr.now()) {
-		for address := range tr.unreached {
-			if listed(address) {
-				candidates = append(candidates, address)
-			}
-		}
-	}
 	if len(candidates) == 0 {
 		return "", false
 	}
--- a/internal/targetdial/targetdial.go
+++ b/internal/targetdial/targetdial.go
@@ -3,7 +3,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -31,6 +33,10 @@
 	Paths        *pathstate.Tracker
 	// IsTarget reports whether an address is that of a known target.
 	IsTarget func(address string) bool
+	// Addresses returns the addresses of all targets that take work.
+	Addresses func() []string
+	// Now returns the time of a monotonic clock.
+	Now func() time.Time
 }
 
 // Dialer connects to targets. It is safe for concurrent use.
@@ -185,6 +191,7 @@
 	}
 	if dr.isEvidence() && !isBlamed(pr.err) {
 		dl.Paths.RecordUnreached(address)
+		dl.tryOthers(address)
 	}
 	de := &upstream.DialError{
 		Address: address, Cause: dr.err, Peers: pr.err, Isolated: dl.Paths.Isolated(), Doubtful: isDoubtful(pr.err),
@@ -241,10 +248,7 @@
 // Check finds out in the background whether a target that is silent on open connections accepts new ones, and records the evidence.
 func (dl *Dialer) Check(address string) {
 	go func() {
-		nc, err := dl.dial(context.Background(), address)
-		if err == nil {
-			closeConn(nc)
-		}
+		closeProbe(dl.dial(context.Background(), address))
 	}()
 }
 
@@ -258,24 +262,59 @@
 		case <-ctx.Done():
 			return
 		}
-		if address, ok := dl.Paths.NextProbe(dl.IsTarget); ok {
-			dl.probe(ctx, address)
-		}
+		dl.probe(ctx)
 	}
 }
 
-// probe connects directly to a target, and through a peer too while the instance is isolated.
-func (dl *Dialer) probe(ctx context.Context, address string) {
-	if !dl.Paths.Isolated() {
+// probe connects directly to a target whose path is lost. While the instance is isolated, it connects to any target, directly or through a
+// peer.
+func (dl *Dialer) probe(ctx context.Context) {
+	dl.Paths.ExpireIsolation()
+	if dl.Paths.Isolated() {
+		for _, address := range dl.randomTargets(1, "") {
+			closeProbe(dl.dialDirectFirst(ctx, address))
+		}
+		return
+	}
+	if address, ok := dl.Paths.NextProbe(dl.IsTarget); ok {
 		dr := <-dl.startDirect(ctx, address)
 		closeConn(dr.conn)
+	}
+}
+
+const (
+	// staleSign is the age of the last sign of any target from which the failure of a connection does not tell whose fault it is.
+	staleSign = 500 * time.Millisecond
+	// maxOthers is how many other targets are tried then: some of them may be at fault too.
+	maxOthers = 3
+)
+
+// randomTargets returns the addresses of up to n random targets other than the given one.
+func (dl *Dialer) randomTargets(n int, except string) []string {
+	addresses := slices.DeleteFunc(dl.Addresses(), func(address string) bool { return address == except })
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(n, len(addresses))]
+}
+
+// tryOthers connects to some targets other than the given one in the background, if no target gave a sign lately. A success shows that
+// this instance is not cut off.
+func (dl *Dialer) tryOthers(except string) {
+	if dl.Now().Sub(dl.Paths.LastSign()) < staleSign {
 		return
 	}
-	if nc, err := dl.dialDirectFirst(ctx, address); err == nil {
-		closeConn(nc)
+	for _, address := range dl.randomTargets(maxOthers, except) {
+		go func() { closeProbe(dl.DialDirect(context.Background(), address)) }()
 	}
 }
 
+// DialForPeer connects directly to a target for a peer. If that takes long, it also makes sure that the age of the last sign of any target
+// tells whether this instance reaches others. It fails with an upstream.DialError.
+func (dl *Dialer) DialForPeer(ctx context.Context, address string) (net.Conn, error) {
+	others := time.AfterFunc(peerDelay, func() { dl.tryOthers(address) })
+	defer others.Stop()
+	return dl.DialDirect(ctx, address)
+}
+
 func closeLate(direct <-chan directResult) {
 	dr := <-direct
 	closeConn(dr.conn)
@@ -287,6 +326,13 @@
 	}
 }
 
+// closeProbe closes the connection of an attempt that was made for its evidence only.
+func closeProbe(nc net.Conn, err error) {
+	if err == nil {
+		closeConn(nc)
+	}
+}
+
 // closeConn closes a connection that was never used; nil is ignored.
 func closeConn(nc net.Conn) {
 	if nc != nil {
--- a/internal/targetdial/targetdial_test.go
+++ b/internal/targetdial/targetdial_test.go
@@ -88,7 +88,7 @@
 func (nw *network) dialer(tr *pathstate.Tracker) *targetdial.Dialer {
 	return targetdial.New(targetdial.Deps{
 		Direct: nw.dialDirect, ThroughPeer: nw.dialPeer, IsPeerUsable: func(peer string) bool { return peer == "usable" }, Paths: tr,
-		IsTarget: func(string) bool { return true },
+		IsTarget: func(string) bool { return true }, Addresses: func() []string { return []string{"a", "b", "other"} }, Now: time.Now,
 	})
 }
 
@@ -178,6 +178,8 @@
 		_, err := dl.Dial(t.Context(), address)
 		nw.g.Expect(err).To(HaveOccurred())
 	}
+	// The targets that were tried besides fail at once.
+	nw.g.Eventually(nw.dials.Load).WithTimeout(10 * time.Second).Should(BeNumerically(">=", 3+3*2))
 	before := nw.dials.Load()
 	_, err := dl.Dial(t.Context(), "d")
 	var de *upstream.DialError
@@ -219,3 +221,37 @@
 		})
 	}
 }
+
+// TestDialForPeerTellsWhetherOthersAreReached checks that a failure comes with fresh evidence of whether this instance reaches other
+// targets, and that a quick answer costs no further connection.
+func TestDialForPeerTellsWhetherOthersAreReached(t *testing.T) {
+	tests := map[string]struct {
+		direct string
+		// sign is set if a target gave a sign just before.
+		sign      bool
+		wantDials int64
+	}{
+		"connects":                        {works, false, 1},
+		"refused":                         {refuses, false, 1},
+		"hangs, others reached lately":    {hangs, true, 1},
+		"hangs, none reached for a while": {hangs, false, 3},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			nw := newNetwork(t, tc.direct, "none")
+			tr := pathstate.New(time.Now)
+			if tc.sign {
+				tr.RecordHeard()
+			}
+			closeIfOpen(nw.dialer(tr).DialForPeer(t.Context(), "a"))
+			nw.g.Eventually(nw.dials.Load).WithTimeout(10 * time.Second).Should(Equal(tc.wantDials))
+		})
+	}
+}
+
+func closeIfOpen(nc net.Conn, err error) {
+	if err == nil {
+		nc.Close()
+	}
+}
--- a/internal/targets/connectivity.go
+++ b/internal/targets/connectivity.go
@@ -37,6 +37,20 @@
 	return false
 }
 
+// Addresses returns the addresses of all targets that take work, in no order.
+func (dr *Directory) Addresses() []string {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	now := dr.now()
+	addresses := make([]string, 0, len(dr.entries))
+	for _, en := range dr.entries {
+		if en.takesWork(now) {
+			addresses = append(addresses, en.Address)
+		}
+	}
+	return addresses
+}
+
 // ForgetUnreachable readmits all targets and availability zones that were excluded because they accepted no connection or were silent.
 // It is called when this instance, and not they, turns out to be cut off.
 func (dr *Directory) ForgetUnreachable() {
