--- a/internal/tunnelclient/tunnelclient.go
+++ b/internal/tunnelclient/tunnelclient.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"io"
-	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
@@ -146,57 +145,82 @@
 func (cl *Client) Dial(ctx context.Context, address string) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, cl.DialTimeout+replyMargin+nextPeerDelay)
 	defer cancel()
-	answers := make(chan answer, maxAsked)
-	fe := &FailureError{}
-	var asked []string
-	blames, pending := 0, 0
+	se := &search{cl: cl, address: address, answers: make(chan answer, maxAsked)}
+	defer func() { go closeUnused(se.answers, se.pending) }()
 	next := time.NewTimer(0)
 	defer next.Stop()
 	for {
 		select {
 		case <-next.C:
-			pr, ok := cl.choose(asked)
-			if !ok || len(asked) == maxAsked {
-				if pending == 0 {
-					fe.Blamed = blames > 0
-					return nil, fe
-				}
-				continue
+			if se.askNext(ctx) {
+				next.Reset(nextPeerDelay)
+			} else if se.pending == 0 {
+				return nil, se.failure()
 			}
-			asked = append(asked, pr.Name)
-			fe.Asked++
-			pending++
-			go func() { answers <- cl.ask(ctx, pr, address) }()
-			next.Reset(nextPeerDelay)
-		case an := <-answers:
-			pending--
-			if an.err == nil && an.conn != nil {
-				go closeOthers(answers, pending)
-				return an.conn, nil
+		case an := <-se.answers:
+			if cn := se.take(an); cn != nil {
+				return cn, nil
 			}
-			if an.err == nil {
-				fe.LastOutcome = an.reply.Outcome
-				if an.reply.BlamesTarget() {
-					blames++
-					fe.Refused = an.reply.Outcome == tunnel.Refused
-				}
-			}
-			if blames >= minBlames {
-				fe.Blamed = true
-				go closeOthers(answers, pending)
-				return nil, fe
+			if se.blames >= minBlames {
+				return nil, se.failure()
 			}
 			next.Reset(0)
 		case <-ctx.Done():
-			fe.Blamed = blames > 0
-			go closeOthers(answers, pending)
-			return nil, fe
+			return nil, se.failure()
 		}
 	}
 }
 
-// closeOthers closes the connections of peers whose answers are no longer needed.
-func closeOthers(answers <-chan answer, pending int) {
+// search is the search for a peer that connects to a target.
+type search struct {
+	cl      *Client
+	address string
+	// answers receives the answers of the peers that were asked.
+	answers chan answer
+	// asked holds the names of these peers, and pending is how many have not answered.
+	asked   []string
+	pending int
+	// blames is how many peers found the target at fault, refused is set if its machine refused the last of them.
+	blames      int
+	refused     bool
+	lastOutcome tunnel.Outcome
+}
+
+// askNext asks another peer, and reports false if there is none.
+func (se *search) askNext(ctx context.Context) bool {
+	if len(se.asked) == maxAsked {
+		return false
+	}
+	pr, ok := se.cl.choose(se.asked)
+	if !ok {
+		return false
+	}
+	se.asked = append(se.asked, pr.Name)
+	se.pending++
+	go func() { se.answers <- se.cl.ask(ctx, pr, se.address) }()
+	return true
+}
+
+// take takes an answer into account, and returns its connection; nil without one.
+func (se *search) take(an answer) *Conn {
+	se.pending--
+	if an.err != nil {
+		return nil
+	}
+	se.lastOutcome = an.reply.Outcome
+	if an.reply.BlamesTarget() {
+		se.blames++
+		se.refused = an.reply.Outcome == tunnel.Refused
+	}
+	return an.conn
+}
+
+func (se *search) failure() *FailureError {
+	return &FailureError{Blamed: se.blames > 0, Refused: se.refused, Asked: len(se.asked), LastOutcome: se.lastOutcome}
+}
+
+// closeUnused closes the connections of peers that answer after the search has ended.
+func closeUnused(answers <-chan answer, pending int) {
 	for range pending {
 		if an := <-answers; an.conn != nil {
 			_ = an.conn.Close() // the connection was never used
@@ -245,101 +269,6 @@
 	return rp, err
 }
 
-// choose returns the next peer to ask, and false if there is none. It takes this availability zone and the others in turn, since a whole
-// zone may be cut off, and of two random peers the one that forwards less for its bandwidth.
-func (cl *Client) choose(asked []string) (Peer, bool) {
-	cl.mu.Lock()
-	defer cl.mu.Unlock()
-	cl.load()
-	groups := [][]Peer{cl.near, cl.far}
-	if len(asked)%2 == 1 {
-		slices.Reverse(groups)
-	}
-	for _, group := range groups {
-		if pr, ok := cl.chooseFrom(group, asked); ok {
-			return pr, true
-		}
-	}
-	return Peer{}, false
-}
-
-// load updates the list of peers. The lock is held.
-func (cl *Client) load() {
-	peers, version := cl.Peers()
-	if cl.loaded && version == cl.version {
-		return
-	}
-	cl.loaded, cl.version = true, version
-	cl.near, cl.far = nil, nil
-	live := map[string]bool{}
-	for _, pr := range peers {
-		live[pr.Name] = true
-		switch {
-		case pr.Name == cl.Instance || pr.Stopping:
-		case pr.AvailabilityZone == cl.AvailabilityZone:
-			cl.near = append(cl.near, pr)
-		default:
-			cl.far = append(cl.far, pr)
-		}
-	}
-	for name, st := range cl.states {
-		if !live[name] && st.open == 0 {
-			delete(cl.states, name)
-		}
-	}
-}
-
-const (
-	// choices is how many usable peers are compared for each choice.
-	choices = 2
-	// maxDraws bounds the random draws for a choice among peers of which many cannot be used.
-	maxDraws = 16
-)
-
-// chooseFrom chooses among the peers of a group. The lock is held.
-func (cl *Client) chooseFrom(group []Peer, asked []string) (Peer, bool) {
-	now := cl.Now()
-	var best Peer
-	found, usable := false, 0
-	start := 0
-	if len(group) > 0 {
-		start = rand.IntN(len(group))
-	}
-	for i := range min(len(group), maxDraws) {
-		pr := group[(start+i)%len(group)]
-		if len(group) > maxDraws {
-			pr = group[rand.IntN(len(group))]
-		}
-		if slices.Contains(asked, pr.Name) || !cl.isUsable(pr.Name, now) {
-			continue
-		}
-		if !found || cl.cost(pr, now) < cl.cost(best, now) {
-			best, found = pr, true
-		}
-		if usable++; usable == choices {
-			break
-		}
-	}
-	return best, found
-}
-
-func (cl *Client) isUsable(name string, now time.Time) bool {
-	st := cl.states[name]
-	return st == nil || !now.Before(st.avoidUntil)
-}
-
-// cost returns how much a peer forwards for its bandwidth. The lock is held.
-func (cl *Client) cost(pr Peer, now time.Time) float64 {
-	open := 0
-	if st := cl.states[pr.Name]; st != nil {
-		open = st.open
-		if now.Sub(st.reportedAt) < reportPeriod {
-			open = max(open, st.reported)
-		}
-	}
-	return float64(1+open) / float64(max(1, pr.BandwidthMbps))
-}
-
 // record records what an answer tells of its peer.
 func (cl *Client) record(an answer) {
 	outcome := string(an.reply.Outcome)
