fix(tunnelserver): blame no target whose path is known to be lost

An instance that had lost the path to one service and still reached another answered a peer's request for the first with a failure and a fresh sign of other targets. Two such answers made the peer take the target as dead, although a third instance reached it. An instance now says at once that it has no path to a target that only others reach, which is no evidence.

--- a/internal/duty/gatewaydeps/paths.go
+++ b/internal/duty/gatewaydeps/paths.go
@@ -68,7 +68,7 @@
 		Addresses: dr.Addresses, Now: time.Now,
 	})
 	pt.server = tunnelserver.New(tunnelserver.Deps{
-		Dial: pt.dialer.DialForPeer, IsTarget: dr.HasAddress, CutOff: pt.state.AllLost, LastSign: pt.state.LastSign, Liveness: upstream.Liveness,
+		Dial: pt.dialer.DialForPeer, IsTarget: dr.HasAddress, CutOff: pt.state.AllLost, HasNoPath: pt.state.IsLost, LastSign: pt.state.LastSign, Liveness: upstream.Liveness,
 		Metrics: ms, Log: env.Logger("tunnels"), Now: time.Now,
 	})
 	ms.NewGauge("silvermount_targets_path_lost", func() float64 { return float64(pt.state.LostCount()) })
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -38,8 +38,9 @@
 	// Refused means that the target's machine refused the connection, Failed that it did not answer.
 	Refused Outcome = "refused"
 	Failed  Outcome = "failed"
-	// CutOff means that the peer reaches no target itself.
+	// CutOff means that the peer reaches no target itself, NoPath that it does not reach this one although others do.
 	CutOff Outcome = "cut_off"
+	NoPath Outcome = "no_path"
 	// Busy means that the peer forwards as many connections as it may.
 	Busy Outcome = "busy"
 	// Stopping means that the peer is stopping.
--- a/internal/tunnelclient/tunnelclient.go
+++ b/internal/tunnelclient/tunnelclient.go
@@ -285,7 +285,9 @@
 	}
 	st.reported, st.reportedAt = an.reply.Open, now
 	switch {
-	case an.reply.Outcome == tunnel.Connected || an.reply.Outcome == tunnel.UnknownTarget || an.reply.BlamesTarget():
+	case an.reply.BlamesTarget():
+		st.avoidUntil = time.Time{}
+	case an.reply.Outcome == tunnel.Connected, an.reply.Outcome == tunnel.UnknownTarget, an.reply.Outcome == tunnel.NoPath:
 		st.avoidUntil = time.Time{}
 	case an.reply.Outcome == tunnel.Busy:
 		st.avoidUntil = now.Add(busyPeriod)
--- a/internal/tunnelserver/tunnelserver.go
+++ b/internal/tunnelserver/tunnelserver.go
@@ -35,8 +35,9 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// IsTarget reports whether an address is that of a known target.
 	IsTarget func(address string) bool
-	// CutOff reports whether this instance reaches no target itself.
-	CutOff func() bool
+	// CutOff reports whether this instance reaches no target itself, HasNoPath whether it does not reach a target that others reach.
+	CutOff    func() bool
+	HasNoPath func(address string) bool
 	// LastSign returns when a target last accepted a connection from this instance or answered it; zero if none has.
 	LastSign func() time.Time
 	// Liveness detects the loss of a peer.
@@ -194,6 +195,8 @@
 		return nil, tunnel.UnknownTarget, ""
 	case sv.CutOff():
 		return nil, tunnel.CutOff, ""
+	case sv.HasNoPath(rq.Address):
+		return nil, tunnel.NoPath, ""
 	}
 	nc, err := sv.Dial(context.Background(), rq.Address)
 	if err != nil {
--- a/internal/tunnelserver/tunnelserver_test.go
+++ b/internal/tunnelserver/tunnelserver_test.go
@@ -48,7 +48,8 @@
 	dialer := upstream.Dialer{Timeout: waitTimeout, Connect: upstream.Connect, Now: time.Now, Paused: func() time.Duration { return 0 }}
 	fx.server = tunnelserver.New(tunnelserver.Deps{
 		Dial: dialer.Dial, IsTarget: func(address string) bool { return address != "127.0.0.1:9" }, CutOff: func() bool { return fx.cutOff },
-		LastSign: func() time.Time { return time.Time{} }, Liveness: upstream.Liveness, Metrics: metrics.NewSet(),
+		HasNoPath: func(address string) bool { return address == "127.0.0.1:2" },
+		LastSign:  func() time.Time { return time.Time{} }, Liveness: upstream.Liveness, Metrics: metrics.NewSet(),
 		Log: &log.Logger{Handler: discard.New()}, Now: time.Now,
 	})
 	// It ends with the listener.
@@ -99,10 +100,11 @@
 		address string
 		want    tunnel.Outcome
 	}{
-		"unknown target":      {func(*fixture) {}, "127.0.0.1:9", tunnel.UnknownTarget},
-		"target refuses":      {func(*fixture) {}, "127.0.0.1:1", tunnel.Refused},
-		"instance is cut off": {func(fx *fixture) { fx.cutOff = true }, "127.0.0.1:1", tunnel.CutOff},
-		"instance stops":      {func(fx *fixture) { fx.server.Drain() }, "127.0.0.1:1", tunnel.Stopping},
+		"unknown target":             {func(*fixture) {}, "127.0.0.1:9", tunnel.UnknownTarget},
+		"target refuses":             {func(*fixture) {}, "127.0.0.1:1", tunnel.Refused},
+		"instance is cut off":        {func(fx *fixture) { fx.cutOff = true }, "127.0.0.1:1", tunnel.CutOff},
+		"path to the target is lost": {func(*fixture) {}, "127.0.0.1:2", tunnel.NoPath},
+		"instance stops":             {func(fx *fixture) { fx.server.Drain() }, "127.0.0.1:1", tunnel.Stopping},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
