fix(targetdial): take an attempt that was given up for no evidence

When a caller left or a deadline passed while peers were asked, their missing answer counted as if no peer could tell whether the target was at fault. Three such requests made the instance take itself as isolated. The attempt also went on until the direct one timed out, up to 0.25 s past the deadline. It now ends at once, and records nothing. TestCancelledDialIsNoEvidence failed before.

TestLostPathIsNotTriedAgainByRequests now waits until the first failure is recorded, which may happen after the connection is handed out.

--- a/internal/targetdial/targetdial.go
+++ b/internal/targetdial/targetdial.go
@@ -139,7 +139,7 @@
 			return dr.conn, nil
 		}
 		cn, err := dl.ThroughPeer(ctx, address)
-		return dl.settle(address, dr, peerResult{conn: cn, err: err})
+		return dl.settle(ctx, address, dr, peerResult{conn: cn, err: err})
 	case <-wait.C:
 		return dl.race(ctx, address, direct)
 	case <-ctx.Done():
@@ -151,35 +151,44 @@
 // race takes the first connection of a direct attempt, which is under way, and an attempt through peers.
 func (dl *Dialer) race(ctx context.Context, address string, direct <-chan directResult) (net.Conn, error) {
 	peersCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	peers := dl.startPeers(peersCtx, address)
+	var dr directResult
+	var pr peerResult
 	select {
-	case dr := <-direct:
+	case dr = <-direct:
 		if dr.err == nil {
-			cancel()
 			go closeLatePeer(peers)
 			return dr.conn, nil
 		}
-		pr := <-peers
-		cancel()
-		return dl.settle(address, dr, pr)
-	case pr := <-peers:
-		cancel()
-		if pr.err != nil {
-			return dl.settle(address, <-direct, pr)
+		pr = <-peers
+	case pr = <-peers:
+		if pr.err == nil {
+			go dl.recordLate(address, direct, pr.conn.Peer())
+			return pr.conn, nil
+		}
+		select {
+		case dr = <-direct:
+		case <-ctx.Done():
+			go closeLate(direct)
+			return nil, &upstream.DialError{Address: address, Cause: ctx.Err()}
 		}
-		go func() {
-			if dr := <-direct; dr.isEvidence() {
-				dl.Paths.RecordReachedByPeer(address, pr.conn.Peer())
-			} else {
-				closeConn(dr.conn)
-			}
-		}()
-		return pr.conn, nil
 	}
+	return dl.settle(ctx, address, dr, pr)
+}
+
+// recordLate waits for the result of a direct attempt to a target that a peer has connected to, and records it.
+func (dl *Dialer) recordLate(address string, direct <-chan directResult, peer string) {
+	dr := <-direct
+	if dr.isEvidence() {
+		dl.Paths.RecordReachedByPeer(address, peer)
+	}
+	closeConn(dr.conn)
 }
 
-// settle records what the results of both attempts show, and returns the connection or the error that follows.
-func (dl *Dialer) settle(address string, dr directResult, pr peerResult) (net.Conn, error) {
+// settle records what the results of both attempts show, and returns the connection or the error that follows. If ctx has ended, peers may
+// have had no time to answer.
+func (dl *Dialer) settle(ctx context.Context, address string, dr directResult, pr peerResult) (net.Conn, error) {
 	if dr.err == nil {
 		return dr.conn, nil
 	}
@@ -189,7 +198,7 @@
 		}
 		return pr.conn, nil
 	}
-	if dr.isEvidence() && !isBlamed(pr.err) {
+	if ctx.Err() == nil && dr.isEvidence() && !isBlamed(pr.err) {
 		dl.Paths.RecordUnreached(address)
 		dl.tryOthers(address)
 	}
@@ -238,7 +247,7 @@
 	direct := dl.startDirect(ctx, address)
 	select {
 	case dr := <-direct:
-		return dl.settle(address, dr, peerResult{err: err})
+		return dl.settle(ctx, address, dr, peerResult{err: err})
 	case <-ctx.Done():
 		go closeLate(direct)
 		return nil, &upstream.DialError{Address: address, Cause: ctx.Err()}
--- a/internal/targetdial/targetdial_test.go
+++ b/internal/targetdial/targetdial_test.go
@@ -39,6 +39,7 @@
 	blames  = "blames"
 	doubts  = "doubts"
 	paused  = "paused"
+	waits   = "waits"
 )
 
 func newNetwork(t *testing.T, direct, peers string) *network {
@@ -70,8 +71,11 @@
 	return nil, &upstream.DialError{Address: address, Cause: os.ErrDeadlineExceeded, ProcessPaused: nw.direct.Load() == paused}
 }
 
-func (nw *network) dialPeer(context.Context, string) (*tunnelclient.Conn, error) {
+func (nw *network) dialPeer(ctx context.Context, _ string) (*tunnelclient.Conn, error) {
 	switch nw.peers.Load() {
+	case waits:
+		<-ctx.Done()
+		return nil, &tunnelclient.FailureError{Asked: 2}
 	case works:
 		nw.tunnels.Add(1)
 		return &tunnelclient.Conn{TCPConn: nw.connect().(*net.TCPConn)}, nil
@@ -152,6 +156,8 @@
 		dial("b")
 	}
 	nw.g.Expect(nw.dials.Load()).To(Equal(before))
+	dial("never used before")
+	nw.g.Eventually(func() pathstate.Route { return tr.Route("never used before") }).WithTimeout(10 * time.Second).Should(Equal(pathstate.PeersFirst))
 	for range 20 {
 		dial("never used before")
 	}
@@ -197,6 +203,21 @@
 	nc.Close()
 }
 
+// TestCancelledDialIsNoEvidence checks that an attempt that its caller gave up ends at once and shows nothing.
+func TestCancelledDialIsNoEvidence(t *testing.T) {
+	nw := newNetwork(t, hangs, waits)
+	tr := pathstate.New(time.Now)
+	dl := nw.dialer(tr)
+	for _, address := range []string{"a", "b", "other"} {
+		ctx, cancel := context.WithTimeout(t.Context(), directTimeout/2)
+		_, err := dl.Dial(ctx, address)
+		cancel()
+		nw.g.Expect(errors.Is(err, context.DeadlineExceeded)).To(BeTrue())
+	}
+	nw.g.Consistently(tr.Isolated).WithTimeout(2 * directTimeout).Should(BeFalse())
+	nw.g.Expect(nw.dials.Load()).To(BeEquivalentTo(3))
+}
+
 func TestIsReusable(t *testing.T) {
 	tests := map[string]struct {
 		lost  bool
