fix(targetdial): bound the connections that slow targets lead to

Targets that take more than 50 ms to accept a connection, as when all instances start at once, got up to four further attempts for each through peers, and each of these up to three at other targets. That is load at the moment at which they have least room. Searches for a peer while the path is not known to be lost now have a budget: a tenth of the direct attempts, a burst of ten and five a second; at most every 0.5 s other targets are tried. Without a search, a failure counts as before.

--- a/internal/targetdial/targetdial.go
+++ b/internal/targetdial/targetdial.go
@@ -6,10 +6,12 @@
 	"math/rand/v2"
 	"net"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/silvermount/silvermount/internal/budget"
 	"github.com/silvermount/silvermount/internal/pathstate"
 	"github.com/silvermount/silvermount/internal/tunnelclient"
 	"github.com/silvermount/silvermount/internal/upstream"
@@ -39,11 +41,31 @@
 	Now func() time.Time
 }
 
+const (
+	// searchShare, searchBurst and minSearchRate (per second) bound the searches for a peer that follow direct attempts, as a share of
+	// these. Targets that are slow to accept connections must not get several times as many.
+	searchShare   = 0.1
+	searchBurst   = 10
+	minSearchRate = 5
+	// tryOthersInterval is the minimum time between two attempts at other targets to find out whether this instance reaches any.
+	tryOthersInterval = 500 * time.Millisecond
+)
+
 // Dialer connects to targets. It is safe for concurrent use.
-type Dialer struct{ Deps }
+type Dialer struct {
+	Deps
+	// searches is the budget of searches for a peer while the path of this instance is not known to be lost.
+	searches *budget.Retries
+
+	mu sync.Mutex
+	// triedOthersAt is when tryOthers last connected; zero before.
+	triedOthersAt time.Time
+}
 
 // New returns a dialer.
-func New(dp Deps) *Dialer { return &Dialer{Deps: dp} }
+func New(dp Deps) *Dialer {
+	return &Dialer{Deps: dp, searches: budget.NewRetries(searchShare, dp.Now, budget.WithBurst(searchBurst), budget.WithMinRate(minSearchRate))}
+}
 
 // Dial connects to a target. It fails with an upstream.DialError.
 func (dl *Dialer) Dial(ctx context.Context, address string) (net.Conn, error) {
@@ -130,24 +152,37 @@
 
 // dialDirectFirst connects directly, and asks peers as soon as that fails or takes long.
 func (dl *Dialer) dialDirectFirst(ctx context.Context, address string) (net.Conn, error) {
+	dl.searches.Deposit()
 	direct := dl.startDirect(ctx, address)
 	wait := time.NewTimer(peerDelay)
 	defer wait.Stop()
-	select {
-	case dr := <-direct:
-		if dr.err == nil {
-			return dr.conn, nil
+	for {
+		select {
+		case dr := <-direct:
+			return dl.afterDirect(ctx, address, dr)
+		case <-wait.C:
+			if dl.searches.TryWithdraw() {
+				return dl.race(ctx, address, direct)
+			}
+		case <-ctx.Done():
+			go closeLate(direct)
+			return nil, &upstream.DialError{Address: address, Cause: ctx.Err()}
 		}
-		cn, err := dl.ThroughPeer(ctx, address)
-		return dl.settle(ctx, address, dr, peerResult{conn: cn, err: err})
-	case <-wait.C:
-		return dl.race(ctx, address, direct)
-	case <-ctx.Done():
-		go closeLate(direct)
-		return nil, &upstream.DialError{Address: address, Cause: ctx.Err()}
 	}
 }
 
+// afterDirect returns the connection of a direct attempt, or asks peers after its failure.
+func (dl *Dialer) afterDirect(ctx context.Context, address string, dr directResult) (net.Conn, error) {
+	if dr.err == nil {
+		return dr.conn, nil
+	}
+	if !dl.searches.TryWithdraw() {
+		return nil, dr.err
+	}
+	cn, err := dl.ThroughPeer(ctx, address)
+	return dl.settle(ctx, address, dr, peerResult{conn: cn, err: err})
+}
+
 // race takes the first connection of a direct attempt, which is under way, and an attempt through peers.
 func (dl *Dialer) race(ctx context.Context, address string, direct <-chan directResult) (net.Conn, error) {
 	peersCtx, cancel := context.WithCancel(ctx)
@@ -308,7 +343,7 @@
 // tryOthers connects to some targets other than the given one in the background, if no target gave a sign lately. A success shows that
 // this instance is not cut off.
 func (dl *Dialer) tryOthers(except string) {
-	if dl.Now().Sub(dl.Paths.LastSign()) < staleSign {
+	if !dl.mayTryOthers() {
 		return
 	}
 	for _, address := range dl.randomTargets(maxOthers, except) {
@@ -316,6 +351,21 @@
 	}
 }
 
+// mayTryOthers reports whether to connect to other targets now, and records that this happens.
+func (dl *Dialer) mayTryOthers() bool {
+	now := dl.Now()
+	if now.Sub(dl.Paths.LastSign()) < staleSign {
+		return false
+	}
+	dl.mu.Lock()
+	defer dl.mu.Unlock()
+	if now.Sub(dl.triedOthersAt) < tryOthersInterval {
+		return false
+	}
+	dl.triedOthersAt = now
+	return true
+}
+
 // DialForPeer connects directly to a target for a peer. If that takes long, it also makes sure that the age of the last sign of any target
 // tells whether this instance reaches others. It fails with an upstream.DialError.
 func (dl *Dialer) DialForPeer(ctx context.Context, address string) (net.Conn, error) {
