--- a/internal/duty/frontend/frontend.go
+++ b/internal/duty/frontend/frontend.go
@@ -105,7 +105,7 @@
 		BodyMemory: budget.NewMemory(st.BodyBudgetBytes), Metrics: co.Metrics, Log: env.Logger("gateway"),
 		Random: rand.Float64, Now: time.Now, Paused: co.Pauses.Paused, PeersHeardAge: mesh.HeardAge,
 		Paths: gateway.Paths{
-			IsLost: co.Paths.IsLost, Isolated: co.Paths.Isolated, Check: co.TargetDialer.Check, AvoidPeer: co.TunnelClient.Avoid,
+			IsLost: co.PathState.IsLost, Isolated: co.PathState.Isolated, Check: co.TargetDialer.Check, AvoidPeer: co.TunnelClient.Avoid,
 		},
 		Stopping: env.Stopping.Load,
 	}, gatewayLimits(st))
--- a/internal/duty/gatewaydeps/gatewaydeps.go
+++ b/internal/duty/gatewaydeps/gatewaydeps.go
@@ -47,9 +47,9 @@
 	Targets    *targets.Directory
 	Dispatcher *dispatch.Dispatcher
 	Pool       *upstream.Pool
-	// Paths tracks which targets this instance reaches itself. TargetDialer connects to them, TunnelClient through peers, and TunnelServer
+	// PathState tracks which targets this instance reaches itself. TargetDialer connects to them, TunnelClient through peers, and TunnelServer
 	// does so for peers. Peers lists those that may be asked.
-	Paths        *pathstate.Tracker
+	PathState    *pathstate.Tracker
 	TargetDialer *targetdial.Dialer
 	TunnelClient *tunnelclient.Client
 	TunnelServer *tunnelserver.Server
@@ -209,7 +209,7 @@
 		Quarantine: tracker, Evacuations: evacuations, NotesNotifier: notesNotifier, RateLimits: limits, Permits: permits, BackOffs: backOffs, Feedback: fb,
 		ZoneRetries: budget.NewRetries(0, time.Now, budget.WithBurst(0), budget.WithMinRate(0)), SharedRetry: &SharedRetry{},
 		Adapter: ad, Routes: rts, TargetLimit: limitOf, Targets: dr, Dispatcher: ds, Metrics: ms, StateNotifier: stateNotifier, StoreCoordinator: &StoreCoordinator{}, Pool: pl, Pauses: pauses,
-		Paths: pt.state, TargetDialer: pt.dialer, TunnelClient: pt.client, TunnelServer: pt.server, Peers: pt.peers,
+		PathState: pt.state, TargetDialer: pt.dialer, TunnelClient: pt.client, TunnelServer: pt.server, Peers: pt.peers,
 	})
 	backgroundCtx, stopBackground := context.WithCancel(context.Background())
 	go pauses.Run(backgroundCtx)
--- a/internal/gossip/conn.go
+++ b/internal/gossip/conn.go
@@ -61,7 +61,7 @@
 	lg log.Interface
 }
 
-// Listen returns a listener for Serve.
+// Listen returns a listener for the connections of peers.
 func Listen(ctx context.Context, address string, lg log.Interface) (net.Listener, error) {
 	var lc net.ListenConfig
 	lis, err := lc.Listen(ctx, "tcp", address)
