fix(pathstate): take no busy moment for isolation

Three connections had failed at the same moment, and no peer had answered in time. The failures that make an instance isolated must now be half a second apart, the first from the last.

--- a/internal/pathstate/pathstate.go
+++ b/internal/pathstate/pathstate.go
@@ -15,6 +15,9 @@
 	// minUnreachedTargets is how many targets must be out of reach for this instance and its peers, with no sign of any target since, to
 	// take the instance as isolated.
 	minUnreachedTargets = 3
+	// minUnreachedSpan is the time between the first and the last failure that must lie between them. A machine that is busy for a moment
+	// fails at several at once.
+	minUnreachedSpan = 500 * time.Millisecond
 	// isolationPeriod is how long an instance stays isolated without further evidence. It covers two probes.
 	isolationPeriod = time.Second
 	// maxUnreached bounds the remembered targets that nobody reached.
@@ -34,8 +37,8 @@
 	connectedAt, heardAt time.Time
 	// allLostSince is when the paths to all targets were first taken as lost; zero while they are not.
 	allLostSince time.Time
-	// unreached holds the targets that neither this instance nor a peer reached, with the time of the failure.
-	unreached map[string]time.Time
+	// unreached holds the targets that neither this instance nor a peer reached.
+	unreached map[string]failures
 	// isolated is set while the instance counts as isolated; isolatedUntil is when that ends without further evidence.
 	isolated      bool
 	isolatedUntil time.Time
@@ -43,6 +46,9 @@
 	lastProbe string
 }
 
+// failures are the failures to reach one target.
+type failures struct{ first, last time.Time }
+
 // lostPath is the path to a target that only peers reach.
 type lostPath struct {
 	since time.Time
@@ -84,7 +90,7 @@
 
 // New returns a tracker that takes all paths as working.
 func New(now func() time.Time, opts ...Option) *Tracker {
-	tr := &Tracker{now: now, onChange: func(Change) {}, lost: map[string]*lostPath{}, unreached: map[string]time.Time{}}
+	tr := &Tracker{now: now, onChange: func(Change) {}, lost: map[string]*lostPath{}, unreached: map[string]failures{}}
 	for _, opt := range opts {
 		opt(tr)
 	}
@@ -148,20 +154,34 @@
 // RecordUnreached records that this instance could not reach a target, and that no peer could tell whether the target is at fault.
 func (tr *Tracker) RecordUnreached(address string) {
 	tr.update(func(now time.Time) {
-		for other, at := range tr.unreached {
-			if now.Sub(at) > isolationPeriod || at.Before(tr.lastSign()) {
+		for other, fl := range tr.unreached {
+			if now.Sub(fl.last) > isolationPeriod || fl.last.Before(tr.lastSign()) {
 				delete(tr.unreached, other)
 			}
 		}
-		if len(tr.unreached) < maxUnreached {
-			tr.unreached[address] = now
+		fl, known := tr.unreached[address]
+		if !known {
+			fl.first = now
+		}
+		fl.last = now
+		if known || len(tr.unreached) < maxUnreached {
+			tr.unreached[address] = fl
 		}
-		if tr.isolated || len(tr.unreached) >= minUnreachedTargets {
+		if tr.isolated || len(tr.unreached) >= minUnreachedTargets && tr.unreachedSpan(now) >= minUnreachedSpan {
 			tr.isolated, tr.isolatedUntil = true, now.Add(isolationPeriod)
 		}
 	})
 }
 
+// unreachedSpan returns the time since the first remembered failure. The lock is held.
+func (tr *Tracker) unreachedSpan(now time.Time) time.Duration {
+	span := time.Duration(0)
+	for _, fl := range tr.unreached {
+		span = max(span, now.Sub(fl.first))
+	}
+	return span
+}
+
 // Route is how connections to a target are made.
 type Route int
 
--- a/internal/targetdial/targetdial.go
+++ b/internal/targetdial/targetdial.go
@@ -56,6 +56,8 @@
 	Deps
 	// searches is the budget of searches for a peer while the path of this instance is not known to be lost.
 	searches *budget.Retries
+	// probesAny is set if the last probe went to any target. Only Run uses it.
+	probesAny bool
 
 	mu sync.Mutex
 	// triedOthersAt is when tryOthers last connected; zero before.
@@ -310,8 +312,8 @@
 	}
 }
 
-// probe connects directly to a target whose path is lost. While the instance is isolated, it connects to any target, directly or through a
-// peer.
+// probe connects directly to a target whose path is lost, or in turn to any target while the paths to all count as lost. While the instance
+// is isolated, it connects to any target, directly or through a peer. It is called by Run only.
 func (dl *Dialer) probe(ctx context.Context) {
 	dl.Paths.ExpireIsolation()
 	if dl.Paths.Isolated() {
@@ -320,7 +322,14 @@
 		}
 		return
 	}
-	if address, ok := dl.Paths.NextProbe(dl.IsTarget); ok {
+	address, ok := dl.Paths.NextProbe(dl.IsTarget)
+	dl.probesAny = !dl.probesAny && dl.Paths.AllLost()
+	if dl.probesAny {
+		for _, other := range dl.randomTargets(1, address) {
+			address, ok = other, true
+		}
+	}
+	if ok {
 		dr := <-dl.startDirect(ctx, address)
 		closeConn(dr.conn)
 	}
