feat(gateway): log the prompt parts of lost and served requests

The lines could not tell requests that share a part, which ends their targets, from targets that fail by themselves: they named the organisation, the route and the length of a prompt, and nothing of what it is made of. 'attempt failed' and 'request served' now name the parts, and 'attempt failed' how long the answer had lasted. Nothing decides by them yet.

--- a/internal/gateway/logging.go
+++ b/internal/gateway/logging.go
@@ -79,6 +79,10 @@
 	fs["events"] = rq.eventsForwarded
 	if sent {
 		fs["fingerprint"] = rq.fingerprint().String()
+		rq.addParts(fs)
+	}
+	if !rq.headAt.IsZero() {
+		fs["answered_for"] = roundedSince(rq.headAt, gw.Now()).String()
 	}
 	gw.Log.WithFields(fs).Warn("attempt failed")
 	gw.Metrics.GetOrCreateCounter(`silvermount_attempts_failed_total`).Inc()
@@ -110,6 +114,7 @@
 	}
 	fs["attempts"] = len(rq.tried)
 	rq.addVia(fs)
+	rq.addParts(fs)
 	if len(rq.tried) > 0 {
 		// Under load, the log may leave out the message that the request was sent.
 		fs["target"] = rq.tried[len(rq.tried)-1]
@@ -194,6 +199,25 @@
 	}
 }
 
+// maxLoggedParts and maxLoggedPartBytes bound the parts of a prompt in a log line.
+const (
+	maxLoggedParts     = 8
+	maxLoggedPartBytes = 32
+)
+
+// addParts adds the parts of the prompt, separated by commas. A part that is in flight at many targets that crash, and in no request
+// that is served, may be what crashes them.
+func (rq *request) addParts(fs log.Fields) {
+	if len(rq.PromptParts) == 0 {
+		return
+	}
+	var shown []string
+	for _, id := range rq.PromptParts[:min(len(rq.PromptParts), maxLoggedParts)] {
+		shown = append(shown, id[:min(len(id), maxLoggedPartBytes)])
+	}
+	fs["parts"] = strings.Join(shown, ",")
+}
+
 // addReachFields adds what else this instance reaches. One target that accepts no connection while others do is at fault itself; if
 // none does while peers are heard, this instance may be the one that is cut off.
 func (gw *Gateway) addReachFields(fs log.Fields) {
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -21,6 +21,9 @@
 	MaxAnswerTokens int
 	// AnswerTokensHint is the caller's estimate of the length of the answer; zero if it gives none.
 	AnswerTokensHint int
+	// PromptParts identifies the parts of the prompt in order; empty if unknown. Requests share parts, except for the last, which
+	// belongs to the request or its session.
+	PromptParts []string
 	// LastEventID is the id of the last event that the caller has received of the stream that it resumes; negative for a new
 	// request.
 	LastEventID int64
