--- a/internal/standin/targetsim/conn.go
+++ b/internal/standin/targetsim/conn.go
@@ -168,7 +168,7 @@
 	defer stop()
 	return cn.run(ctx, rq, kd, tokens, func(rn *Run) {
 		cn.server.setBody(rn, body)
-		if cn.server.hasCrashMarker(body) {
+		if cn.server.isCrashedBy(rq, body) {
 			cn.server.crashAfterDelay(ctx)
 		}
 	})
--- a/internal/standin/targetsim/server.go
+++ b/internal/standin/targetsim/server.go
@@ -45,6 +45,8 @@
 	AdvertisedAddress string
 	// CrashMarker is the text in a request body that crashes the target which runs the request; empty disables this.
 	CrashMarker string
+	// CrashesTarget, unless nil, reports whether a request crashes the target which runs it, whatever its body.
+	CrashesTarget func(*http.Request) bool
 	// CrashDelay is the time from the start of such a run to the crash; zero crashes the target at once.
 	CrashDelay time.Duration
 	// OnCrash, unless nil, is called in its own goroutine after each crash.
@@ -187,7 +189,10 @@
 	<-ctx.Done()
 }
 
-func (sv *Server) hasCrashMarker(body []byte) bool {
+func (sv *Server) isCrashedBy(rq *http.Request, body []byte) bool {
+	if sv.settings.CrashesTarget != nil && sv.settings.CrashesTarget(rq) {
+		return true
+	}
 	return sv.settings.CrashMarker != "" && bytes.Contains(body, []byte(sv.settings.CrashMarker))
 }
 
