--- a/internal/duty/gatewaydeps/gatewaydeps.go
+++ b/internal/duty/gatewaydeps/gatewaydeps.go
@@ -203,7 +203,8 @@
 		BackOffs: backOffs, OnBackOffWait: logBackOffWait(env.Logger("dispatch")),
 	})
 	tracker := quarantine.New(quarantine.Options{
-		Now: time.Now, TargetCount: dr.Len, Crashed: dr.Lost, NotifyPeers: notesNotifier.Notify, Metrics: ms, Log: env.Logger("blame"),
+		Instance: env.Settings.Instance, Now: time.Now, TargetCount: dr.Len, PeerCount: pt.peers.count, Crashed: dr.Lost,
+		NotifyPeers: notesNotifier.Notify, Metrics: ms, Log: env.Logger("blame"),
 	})
 	kernel.Provide(env, &Components{
 		Quarantine: tracker, Evacuations: evacuations, NotesNotifier: notesNotifier, RateLimits: limits, Permits: permits, BackOffs: backOffs, Feedback: fb,
--- a/internal/duty/gatewaydeps/paths.go
+++ b/internal/duty/gatewaydeps/paths.go
@@ -35,6 +35,12 @@
 	return nil, 0
 }
 
+// count returns the number of live peers.
+func (pl *PeerList) count() int {
+	list, _ := pl.get()
+	return len(list)
+}
+
 // paths holds what connects an instance to its targets, directly and through peers.
 type paths struct {
 	state  *pathstate.Tracker
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +13,7 @@
 	"github.com/silvermount/silvermount/internal/fingerprint"
 	"github.com/silvermount/silvermount/internal/lifecycle"
 	"github.com/silvermount/silvermount/internal/outcome"
+	"github.com/silvermount/silvermount/internal/quarantine"
 	"github.com/silvermount/silvermount/internal/responsehead"
 	"github.com/silvermount/silvermount/internal/retry"
 	"github.com/silvermount/silvermount/internal/routes"
@@ -70,6 +70,8 @@
 	forwardedEventID int64
 	// eventsForwarded is the number of events forwarded to the caller.
 	eventsForwarded int
+	// eventsOfAttempt is the number of events that were received in the latest attempt.
+	eventsOfAttempt int
 	// timeToFirst is the time from arrival to the first forwarded event, longestPause the longest time between two forwarded
 	// events. Both are zero before, and for responses that are not streams.
 	timeToFirst, longestPause time.Duration
@@ -79,24 +81,21 @@
 	sentAt, headAt time.Time
 	// head is the head of the latest response. It is valid only while headAt is set.
 	head responsehead.Head
-	// computeFingerprint computes the fingerprint on its first call only. The digest of a long body is expensive, and most
-	// requests do not need it.
-	computeFingerprint func() fingerprint.Fingerprint
+	// fingerprints are set once the body has been read.
+	fingerprints fingerprint.Set
+	// quarantine is what the request was refused for; it has no members before.
+	quarantine quarantine.Quarantine
 }
 
 // fingerprint returns the fingerprint that identifies the request when it is sent again under another id. It is safe for
 // concurrent use once the body has been read.
-func (rq *request) fingerprint() fingerprint.Fingerprint { return rq.computeFingerprint() }
+func (rq *request) fingerprint() fingerprint.Fingerprint { return rq.fingerprints.Whole() }
 
-// headHash returns the first part of the fingerprint. Its cost does not depend on the length of the body.
-func (rq *request) headHash() fingerprint.HeadHash {
-	return fingerprint.HeadHashOf(rq.fingerprintInput())
-}
-
-func (rq *request) fingerprintInput() fingerprint.Request {
-	return fingerprint.Request{
+// setFingerprints determines what the request has in common with others.
+func (rq *request) setFingerprints() {
+	rq.fingerprints = fingerprint.SetOf(fingerprint.Request{
 		Organisation: rq.org.Name, Method: rq.method, Host: rq.host, RequestURI: rq.requestURI, Body: rq.body,
-	}
+	}, rq.PromptParts)
 }
 
 // refusal returns the failure of a request that was not run and that the caller may retry.
@@ -110,7 +109,6 @@
 		method: r.Method, requestURI: r.RequestURI, host: r.Host, path: r.URL.EscapedPath(), header: r.Header,
 		arrived: arrived, freeBody: func() {},
 	}
-	rq.computeFingerprint = sync.OnceValue(func() fingerprint.Fingerprint { return fingerprint.Of(rq.fingerprintInput()) })
 	ri, err := gw.Protocol.ReadRequest(r)
 	if err != nil {
 		return rq, failure.New(failure.BadRequest, failure.NotRun, "the request cannot be read").WithCause(err)
@@ -129,6 +127,7 @@
 	if err := gw.readBody(r, rw, rq); err != nil {
 		return rq, err
 	}
+	rq.setFingerprints()
 	gw.logDeadlineError(rq, rq.deadline.ClearReadDeadline(rw.Controller()))
 	return rq, nil
 }
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -55,7 +55,9 @@
 	if !rq.headAt.IsZero() {
 		startedAt = rq.headAt
 	}
-	gw.Quarantine.RecordInterrupted(quarantine.InterruptedRun{Request: rq.fingerprint(), Incarnation: tg.ID, Elapsed: now.Sub(startedAt), At: now})
+	gw.Quarantine.RecordInterrupted(quarantine.InterruptedRun{
+		Fingerprints: rq.fingerprints.All(), Incarnation: tg.ID, Elapsed: now.Sub(startedAt), Answering: !rq.headAt.IsZero(), At: now,
+	})
 	var se *SilentTargetError
 	if !errors.As(cause, &se) {
 		gw.probeForCrash(tg)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -130,7 +130,7 @@
 		err = gw.run(r.Context(), rq, rw)
 	}
 	if err == nil {
-		gw.clearEvidence(rq)
+		gw.clearEvidence(rq, rw.Status())
 	}
 	gw.finish(rq, rw, err)
 }
--- a/internal/gateway/logging.go
+++ b/internal/gateway/logging.go
@@ -148,7 +148,8 @@
 		gw.addReachFields(fs)
 	}
 	if fe.Code == failure.EndsTargets {
-		fs["fingerprint"] = rq.fingerprint().String()
+		fs["fingerprint"] = rq.quarantine.ID().String()
+		rq.addParts(fs)
 	}
 	if fe.Code == failure.Unauthorized {
 		gw.addKeyFields(fs, rq.Key)
@@ -278,6 +279,11 @@
 	gw.Metrics.GetOrCreateCounter(`silvermount_requests_total{outcome="` + outcome + `",reason="` + reason + `"}`).Inc()
 }
 
+// countQuarantined counts a request that is refused for a quarantine, by what the quarantine identifies.
+func (gw *Gateway) countQuarantined(qu quarantine.Quarantine) {
+	gw.Metrics.GetOrCreateCounter(`silvermount_quarantined_requests_total{kind="` + qu.ID().Kind.String() + `"}`).Inc()
+}
+
 func (gw *Gateway) observe(name string, d time.Duration) {
 	gw.Metrics.GetOrCreateHistogram(name).Update(d.Seconds())
 }
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -73,7 +73,9 @@
 	}
 	for i := range 3 {
 		target := fmt.Sprint("target-", i)
-		tr.RecordInterrupted(quarantine.InterruptedRun{Request: fp, Incarnation: target, Elapsed: 100 * time.Millisecond, At: time.Now()})
+		tr.RecordInterrupted(quarantine.InterruptedRun{
+			Fingerprints: []fingerprint.Fingerprint{fp}, Incarnation: target, Elapsed: 100 * time.Millisecond, At: time.Now(),
+		})
 		tr.RecordCrash(target)
 	}
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -242,6 +242,10 @@
 	if errors.As(err, &ue) && !gw.isOver(ctx, rq) {
 		return gw.skipTarget(rq, sl, ue)
 	}
+	var fe *failure.Error
+	if errors.As(err, &fe) && fe.Code == failure.EndsTargets {
+		return fe
+	}
 	var ee *upstream.ExchangeError
 	if errors.As(err, &ee) && !ee.Sent {
 		if gw.isOver(ctx, rq) {
@@ -298,11 +302,15 @@
 // Error names the target and the cause.
 func (ue *UnavailableTargetError) Error() string { return "target " + ue.Target + " " + ue.Cause }
 
-// checkSend returns an error if a request may not be sent any more: it is over, or a target of the slot takes no requests now.
+// checkSend returns an error if a request may not be sent any more: it is over or quarantined, or a target of the slot takes no requests
+// now.
 func (gw *Gateway) checkSend(ctx context.Context, rq *request, sl *dispatch.Slot) error {
 	if gw.isOver(ctx, rq) {
 		return gw.cancellationError(ctx, rq)
 	}
+	if err := gw.recheckQuarantine(rq); err != nil {
+		return err
+	}
 	return gw.checkAvailable(sl)
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -88,7 +88,8 @@
 
 // forwardStream forwards the events of a response as they are received.
 func (gw *Gateway) forwardStream(ctx context.Context, rq *request, rw *responseWriter, sl *dispatch.Slot, rs *upstream.Response) error {
-	ar := gw.Quarantine.BeginRun(rq.headHash(), rq.fingerprint)
+	rq.eventsOfAttempt = 0
+	ar := gw.Quarantine.BeginRun(rq.fingerprints)
 	defer ar.End()
 	ahead := readahead.New(rs.Body, maxReadAheadBytes, slowWriteDelay, gw.BodyMemory.TryAcquire)
 	defer func() { gw.BodyMemory.Release(ahead.Close()) }()
@@ -124,6 +125,7 @@
 			}
 		}
 		wd.reset(stallTimeout)
+		rq.eventsOfAttempt++
 		gw.Targets.RecordReachable(sl.Target.ID)
 		sl.RecordEvent()
 		if ev.id >= 0 && ev.id <= rq.forwardedEventID {
--- a/internal/quarantine/activerun_test.go
+++ b/internal/quarantine/activerun_test.go
@@ -6,8 +6,6 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-
-	"github.com/silvermount/silvermount/internal/fingerprint"
 )
 
 // TestLongerActiveRunPreventsQuarantine keeps a run of a request active while targets crash during other runs of it.
@@ -44,7 +42,7 @@
 					host = local
 				}
 				fp := request(tc.request)
-				beginRun := func() func() { return host.BeginRun(fp.HeadHash(), func() fingerprint.Fingerprint { return fp }).End }
+				beginRun := func() func() { return host.BeginRun(fp).End }
 				endRun := func() {}
 				if tc.age > 0 {
 					endRun = beginRun()
--- a/internal/quarantine/bench_test.go
+++ b/internal/quarantine/bench_test.go
@@ -19,8 +19,8 @@
 		ck.advance(time.Millisecond)
 		var sn quarantine.Snapshot
 		for j := range runsPerCrash {
-			sn.Evidence = append(sn.Evidence, quarantine.InterruptedRun{
-				Request: request(fmt.Sprint(i, "-", j)), Incarnation: fmt.Sprint("target-", i), Elapsed: longRun, At: ck.now,
+			sn.Evidence = append(sn.Evidence, quarantine.Evidence{
+				Fingerprint: request(fmt.Sprint(i, "-", j)), Incarnation: fmt.Sprint("target-", i), Elapsed: longRun, At: ck.now,
 			})
 		}
 		in.MergePeer("peer", sn)
--- a/internal/quarantine/check.go
+++ b/internal/quarantine/check.go
@@ -1,50 +1,56 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/silvermount/silvermount/internal/fingerprint"
 )
 
 const (
-	// maxProbationPValue is the p-value above which a request with enough crashes is not put on probation. It is higher than
-	// maxPValue: coincidence or other requests may well explain the crashes.
+	// maxProbationPValue is the p-value above which a fingerprint with enough crashes is not put on probation. It is higher than
+	// maxPValue: coincidence or other fingerprints may well explain the crashes.
 	maxProbationPValue = 1e-2
-	// initialProbeInterval is the minimum time from the crash of a target that ran a request on probation, or from the last probe of
-	// the request, to its next probe on this instance. It doubles with each probe, up to maxProbeInterval.
+	// initialProbeInterval is the minimum time from the crash of a target that ran a fingerprint on probation, or from the last probe
+	// of the fingerprint, to its next probe on this instance. It doubles with each probe, up to maxProbeInterval.
 	initialProbeInterval = time.Second
 	maxProbeInterval     = 8 * time.Second
 )
 
-// probe is the last run of a request on probation on this instance.
+// probe is the last run of a fingerprint on probation on this instance.
 type probe struct {
 	// sentAt is when the request was let through.
 	sentAt time.Time
-	// interval is the minimum time from sentAt, or from a later crash of a target that ran the request, to the next probe.
+	// interval is the minimum time from sentAt, or from a later crash of a target that ran the fingerprint, to the next probe.
 	interval time.Duration
 }
 
 // Decision says whether a request may be sent to a target now.
 type Decision struct {
-	// Quarantined is set when the request must not be run.
+	// Quarantined is set when the request must not be run. Quarantine is the reason.
 	Quarantined bool
-	// Crashes is the number of targets that had crashed while they ran the request.
+	Quarantine  Quarantine
+	// Crashes is the number of targets that had crashed while they ran the request, or requests with what is suspected in it.
 	Crashes int
 	// Delay is how long the request has to wait before it is checked again; zero when it may run.
 	Delay time.Duration
 }
 
-// Quarantined reports whether a request must not be run, and how many targets had crashed while they ran it. Unlike Check
-// it sends no probe.
-func (tr *Tracker) Quarantined(fp fingerprint.Fingerprint) (crashes int, quarantined bool) {
+// Refused reports whether a request must not be run, and for which quarantine. Unlike Check it sends no probe.
+func (tr *Tracker) Refused(st fingerprint.Set) (qu Quarantine, refused bool) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	tr.evaluate()
-	qu, ok := tr.quarantines[fp]
-	return qu.Crashes, ok && qu.activeAt(tr.opts.Now())
+	now := tr.opts.Now()
+	for _, qu := range tr.quarantinesOf(st) {
+		if now.Before(tr.probeTurn(qu)) {
+			return qu, true
+		}
+	}
+	return Quarantine{}, false
 }
 
-// evaluate quarantines requests by the present evidence, and notifies peers if there is a new quarantine. The caller holds the
+// evaluate quarantines fingerprints by the present evidence, and notifies peers if there is a new quarantine. The caller holds the
 // lock.
 func (tr *Tracker) evaluate() {
 	tr.expire()
@@ -53,33 +59,89 @@
 	}
 }
 
-// Check decides whether a request may be sent to a target now. If it may and is on probation, the call counts as its probe.
-func (tr *Tracker) Check(fp fingerprint.Fingerprint) Decision {
+// quarantinesOf returns the quarantines whose members a request has all, sorted by ID. The caller holds the lock.
+func (tr *Tracker) quarantinesOf(st fingerprint.Set) []Quarantine {
+	var list []Quarantine
+	for _, qu := range tr.quarantines {
+		if st.HasAll(qu.Members) {
+			list = append(list, qu)
+		}
+	}
+	sortByID(list)
+	return list
+}
+
+// Check decides whether a request may be sent to a target now. If it may and has a fingerprint on probation, the call counts as a probe.
+func (tr *Tracker) Check(st fingerprint.Set) Decision {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	tr.evaluate()
-	now := tr.opts.Now()
-	if qu, ok := tr.quarantines[fp]; ok && qu.activeAt(now) {
-		return Decision{Quarantined: true, Crashes: qu.Crashes}
+	for _, qu := range tr.quarantinesOf(st) {
+		if dc := tr.refuse(qu); dc.Quarantined || dc.Delay > 0 {
+			return dc
+		}
 	}
-	unexplained := tr.unexplained()
-	sp := tr.suspect(fp, unexplained, unexplained)
-	if sp.meetsThresholds(tr.quarantines[fp]) {
-		return Decision{Crashes: len(sp.runs), Delay: max(0, settleDelay-now.Sub(sp.lastInterrupted()))}
+	var longest Decision
+	for _, fp := range tr.checkedFingerprints(st) {
+		dc := tr.checkFingerprint(fp)
+		if dc.Delay > longest.Delay || dc.Crashes > longest.Crashes && longest.Delay == 0 {
+			longest = dc
+		}
 	}
-	return Decision{Crashes: len(sp.runs), Delay: tr.probeDelay(sp)}
+	return longest
 }
 
-// probeDelay returns how long a request that may crash its targets has to wait before its next probe; zero when it may run now.
+// checkedFingerprints returns the fingerprints of a request that may delay it: the whole request and the parts of its prompt, if there
+// is evidence against them. A path or an organisation is common to so many requests that they would all have to wait. The caller
+// holds the lock.
+func (tr *Tracker) checkedFingerprints(st fingerprint.Set) []fingerprint.Fingerprint {
+	var list []fingerprint.Fingerprint
+	if tr.headCounts[st.HeadHash()] > 0 {
+		list = append(list, st.Whole())
+	}
+	for _, fp := range st.Shared() {
+		if isContent(fp) && (tr.evidenceCounts[fp] >= minCrashes || tr.memberCounts[fp] > 0) {
+			list = append(list, fp)
+		}
+	}
+	return list
+}
+
+// checkFingerprint decides whether a request with a fingerprint may be sent now, whatever its others. The caller holds the lock.
+func (tr *Tracker) checkFingerprint(fp fingerprint.Fingerprint) Decision {
+	sp := tr.suspect(fp, tr.crashesBefore(tr.opts.Now()))
+	dc := Decision{Crashes: len(sp.runs)}
+	switch {
+	case fp.Kind != fingerprint.WholeRequest && (tr.isOutranked(sp) || tr.isExonerated(sp)):
+		// What all requests have in common would stop them all.
+	case sp.meetsThresholds(tr.quarantines[fp]):
+		dc.Delay = max(0, settleDelay-tr.opts.Now().Sub(sp.lastInterrupted()))
+	case tr.memberCounts[fp] > 0 && fp.Kind != fingerprint.WholeRequest:
+		// The part is quarantined together with something else that this request does not have. Until one run has shown which of them is
+		// the cause, the others wait.
+		dc.Delay = tr.probeDelay(sp)
+	case len(sp.runs) >= minCrashes && sp.pValue <= maxProbationPValue && !sp.knownSound:
+		dc.Delay = tr.probeDelay(sp)
+	}
+	return dc
+}
+
+// isOutranked reports whether another fingerprint is clearly the better explanation for the crashes of a suspect. The caller holds the
+// lock.
+func (tr *Tracker) isOutranked(sp suspect) bool {
+	if len(sp.runs) == 0 {
+		return false
+	}
+	return slices.ContainsFunc(tr.assess(tr.opts.Now()).suspects, func(other suspect) bool { return other.outranks(sp) })
+}
+
+// probeDelay returns how long a fingerprint that may crash its targets has to wait before its next probe; zero when it may run now.
 //
-// While many targets crash, there is too little evidence to tell the requests that crash them from those that run beside them,
-// above all on an instance that is cut off from its peers. Run seldom, the former crash few targets, and the latter are answered
-// completely, which clears them. The caller holds the lock.
+// While many targets crash, there is too little evidence to tell what crashes them from what runs beside it, above all on an instance
+// that is cut off from its peers. Run seldom, the former crashes few targets, and the latter is answered completely, which clears it.
+// The caller holds the lock.
 func (tr *Tracker) probeDelay(sp suspect) time.Duration {
-	if len(sp.runs) < minCrashes || sp.pValue > maxProbationPValue {
-		return 0
-	}
-	pb, probed := tr.probes[sp.request]
+	pb, probed := tr.probes[sp.fingerprint]
 	if !probed {
 		pb.interval = initialProbeInterval
 	}
@@ -91,14 +153,16 @@
 	if remaining := pb.interval - now.Sub(since); remaining > 0 {
 		return remaining
 	}
-	tr.probes[sp.request] = probe{sentAt: now, interval: min(2*pb.interval, maxProbeInterval)}
+	tr.probes[sp.fingerprint] = probe{sentAt: now, interval: min(2*pb.interval, maxProbeInterval)}
 	return 0
 }
 
-// expireProbes removes the probes of requests that are no longer on probation. The caller holds the lock.
+// expireProbes removes the probes of fingerprints that are no longer on probation, and of quarantines that are gone. The caller holds
+// the lock.
 func (tr *Tracker) expireProbes() {
 	for fp := range tr.probes {
-		if tr.evidenceCounts[fp] < minCrashes {
+		_, quarantined := tr.quarantines[fp]
+		if tr.evidenceCounts[fp] < minCrashes && tr.memberCounts[fp] == 0 && !quarantined {
 			delete(tr.probes, fp)
 		}
 	}
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -40,18 +40,31 @@
 	// isolated is the number of instances that neither send gossip nor receive any. Crashes and runs through them are not
 	// counted.
 	isolated int
+	// traits returns what a request has in common with others, apart from the whole request: a fatal one of the given number, or a
+	// harmless one, whose number is negative. With traits, no two requests are alike. It is nil if only whole requests count.
+	traits func(rd *rand.Rand, fatal int) []fingerprint.Fingerprint
+	// warmUp is the time before the first fatal request and the first crash.
+	warmUp time.Duration
+	// turnsFatal makes harmless requests with turningPart fatal after the warm-up.
+	turnsFatal bool
+	// crashLimit is the number of targets that each fatal request, or trait of one, may crash before it must be quarantined; 3 if
+	// zero.
+	crashLimit int
 }
 
 // job is a request that a target runs.
 type job struct {
+	// name identifies what is counted: a repeated request, or a fatal request or trait.
 	name   string
+	set    fingerprint.Set
 	entry  *instance
 	target int
-	// sentAt is when the request was sent, endsAt when it will be answered or, if fatal, crash its target.
-	sentAt, endsAt time.Time
-	fatal          bool
-	tries          int
-	activeRun      *quarantine.ActiveRun
+	// sentAt is when the request was sent, headAt when its target begins to answer, and endsAt when it will be answered or, if fatal,
+	// crash its target.
+	sentAt, headAt, endsAt time.Time
+	fatal                  bool
+	tries                  int
+	activeRun              *quarantine.ActiveRun
 }
 
 // message is a snapshot on its way from one instance to another.
@@ -68,19 +81,23 @@
 	ck    *clock
 	fleet []*instance
 	// incarnations counts the restarts of each target; downUntil is when the next incarnation starts.
+	startedAt    time.Time
 	incarnations []int
 	downUntil    []time.Time
-	jobs         []job
+	jobs         []*job
 	messages     []message
 	gossiped     []int
-	// thirdCrash is when the third target crashed while it ran a fatal request. crashes counts the crashes of targets that ran
+	// thirdCrash is when the last target crashed that a fatal request may crash, usually the third. crashes counts the crashes of targets that ran
 	// it, and lateRuns its runs after the deadline for its quarantine.
 	thirdCrash map[string]time.Time
 	crashes    map[string]int
-	lateRuns   map[string]int
+	// sent counts the requests.
+	sent     int
+	lateRuns map[string]int
 	// refused counts the harmless requests that were refused, by name; served counts those that were answered.
 	refused map[string]int
-	served  int
+	// delayed counts the harmless requests that had to wait.
+	served, delayed int
 }
 
 func newSimulation(seed uint64, sc scenario) *simulation {
@@ -89,8 +106,9 @@
 		downUntil: make([]time.Time, sc.targets), gossiped: make([]int, sc.instances),
 		thirdCrash: map[string]time.Time{}, crashes: map[string]int{}, lateRuns: map[string]int{}, refused: map[string]int{},
 	}
-	for range sc.instances {
-		sm.fleet = append(sm.fleet, newInstance(sm.ck, sc.targets))
+	sm.startedAt = sm.ck.now
+	for i := range sc.instances {
+		sm.fleet = append(sm.fleet, newPeer(sm.ck, sc.targets, fmt.Sprint("instance-", i), sc.instances-1))
 	}
 	return sm
 }
@@ -100,13 +118,16 @@
 	for end := sm.ck.now.Add(length); sm.ck.now.Before(end); sm.ck.advance(step) {
 		sm.arrive()
 		sm.finish()
-		if sm.happens(sm.crashRate) {
+		if sm.isWarm() && sm.happens(sm.crashRate) {
 			sm.crash(sm.rd.IntN(sm.targets))
 		}
 		sm.deliverGossip()
 	}
 }
 
+// isWarm reports whether the time without faults is over.
+func (sm *simulation) isWarm() bool { return sm.ck.now.Sub(sm.startedAt) >= sm.warmUp }
+
 // happens reports whether an event of the given rate occurs in this step.
 func (sm *simulation) happens(perSecond float64) bool {
 	return sm.rd.Float64() < perSecond*step.Seconds()
@@ -114,8 +135,8 @@
 
 func (sm *simulation) arrive() {
 	for i := range sm.fatal {
-		if sm.happens(float64(sm.fatalRate)) {
-			sm.send(job{name: fmt.Sprint("fatal-", i), fatal: true})
+		if sm.isWarm() && sm.happens(float64(sm.fatalRate)) {
+			sm.send(job{name: fmt.Sprint("fatal-", i), fatal: true, set: sm.newSet(fmt.Sprint("fatal-", i), i)})
 		}
 	}
 	const perSecond = 40
@@ -126,18 +147,34 @@
 	if sm.rd.IntN(2) == 0 {
 		name = fmt.Sprint("body-", sm.rd.IntN(sm.repeated))
 	}
-	sm.send(job{name: name})
+	jb := job{name: name, set: sm.newSet(name, -1)}
+	if sm.turnsFatal && jb.set.Has(turningPart) && sm.ck.now.Sub(sm.startedAt) > sm.warmUp {
+		jb.name, jb.fatal = "turned", true
+	}
+	sm.send(jb)
+}
+
+// newSet returns the fingerprints of a request.
+func (sm *simulation) newSet(name string, fatal int) fingerprint.Set {
+	if sm.traits == nil {
+		return setOf(request(name))
+	}
+	sm.sent++
+	return setOf(append([]fingerprint.Fingerprint{request(fmt.Sprint("once-", sm.sent))}, sm.traits(sm.rd, fatal)...)...)
 }
 
 // send sends a request through a random instance to a random target that is up.
 func (sm *simulation) send(jb job) {
 	jb.entry = sm.fleet[sm.rd.IntN(len(sm.fleet))]
 	jb.tries++
-	dc := jb.entry.Check(request(jb.name))
+	dc := jb.entry.Tracker.Check(jb.set)
 	switch {
 	case dc.Quarantined && !jb.fatal:
 		sm.refused[jb.name]++
 		return
+	case dc.Delay > 0 && !jb.fatal:
+		sm.delayed++
+		return
 	case dc.Quarantined || dc.Delay > 0:
 		return // Fatal and repeated requests arrive again anyway.
 	}
@@ -146,17 +183,24 @@
 		return
 	}
 	jb.target = up[sm.rd.IntN(len(up))]
-	jb.sentAt = sm.ck.now
+	jb.sentAt, jb.headAt = sm.ck.now, sm.ck.now
+	if sm.traits != nil {
+		jb.headAt = sm.ck.now.Add(time.Duration(sm.rd.Int64N(int64(sm.meanDuration))))
+	}
 	jb.endsAt = sm.ck.now.Add(time.Duration(sm.rd.ExpFloat64() * float64(sm.meanDuration)))
+	if sm.traits != nil {
+		jb.endsAt = jb.headAt.Add(time.Duration(sm.rd.ExpFloat64() * float64(sm.meanDuration)))
+	}
 	if jb.fatal {
-		jb.endsAt = sm.ck.now.Add(20*time.Millisecond + time.Duration(sm.rd.IntN(280))*time.Millisecond)
+		jb.endsAt = jb.headAt.Add(20*time.Millisecond + time.Duration(sm.rd.IntN(280))*time.Millisecond)
 		if third, ok := sm.thirdCrash[jb.name]; ok && sm.ck.now.Sub(third) > quarantineDeadline && sm.connected(jb) {
 			sm.lateRuns[jb.name]++
 		}
 	}
-	fp := request(jb.name)
-	jb.activeRun = jb.entry.BeginRun(fp.HeadHash(), func() fingerprint.Fingerprint { return fp })
-	sm.jobs = append(sm.jobs, jb)
+	if sm.traits == nil {
+		jb.activeRun = jb.entry.Tracker.BeginRun(jb.set)
+	}
+	sm.jobs = append(sm.jobs, &jb)
 }
 
 func indices(n int) []int {
@@ -170,23 +214,26 @@
 // finish ends the requests whose time has come.
 func (sm *simulation) finish() {
 	for _, jb := range slices.Clone(sm.jobs) {
+		if jb.activeRun == nil && !sm.ck.now.Before(jb.headAt) {
+			jb.activeRun = jb.entry.Tracker.BeginRun(jb.set)
+		}
 		if sm.ck.now.Before(jb.endsAt) || !slices.Contains(sm.jobs, jb) {
 			continue
 		}
 		if jb.fatal {
-			if sm.connected(jb) {
+			if sm.connected(*jb) {
 				sm.crashes[jb.name]++
 			}
-			if _, known := sm.thirdCrash[jb.name]; !known && sm.crashes[jb.name] == 3 {
+			if _, known := sm.thirdCrash[jb.name]; !known && sm.crashes[jb.name] == max(3, sm.crashLimit) {
 				sm.thirdCrash[jb.name] = sm.ck.now
 			}
 			sm.crash(jb.target)
 			continue
 		}
-		sm.jobs = slices.DeleteFunc(sm.jobs, func(other job) bool { return other == jb })
+		sm.jobs = slices.DeleteFunc(sm.jobs, func(other *job) bool { return other == jb })
 		sm.served++
 		jb.activeRun.End()
-		jb.entry.RecordAnswered(request(jb.name))
+		jb.entry.Tracker.RecordAnswered(jb.set)
 	}
 }
 
@@ -198,29 +245,39 @@
 	incarnation := fmt.Sprint(i, "@", sm.incarnations[i])
 	sm.incarnations[i]++
 	sm.downUntil[i] = sm.ck.now.Add(downtime)
-	var lost []job
-	sm.jobs = slices.DeleteFunc(sm.jobs, func(jb job) bool {
+	var lost []*job
+	sm.jobs = slices.DeleteFunc(sm.jobs, func(jb *job) bool {
 		if jb.target == i {
 			lost = append(lost, jb)
 		}
 		return jb.target == i
 	})
 	for _, jb := range lost {
-		jb.activeRun.End()
-		jb.entry.RecordInterrupted(quarantine.InterruptedRun{
-			Request: request(jb.name), Incarnation: incarnation, Elapsed: sm.ck.now.Sub(jb.sentAt), At: sm.ck.now,
-		})
+		jb.entry.RecordInterrupted(sm.interruptedRun(jb, incarnation))
 	}
 	for _, jb := range lost {
 		jb.entry.RecordCrash(incarnation)
 	}
 	for _, jb := range lost {
-		if !jb.fatal && jb.tries < maxTries {
-			sm.send(job{name: jb.name, tries: jb.tries})
+		if (!jb.fatal || sm.traits != nil) && jb.tries < maxTries {
+			sm.send(job{name: jb.name, set: jb.set, fatal: jb.fatal, tries: jb.tries})
 		}
 	}
 }
 
+// interruptedRun ends a run and returns its record.
+func (sm *simulation) interruptedRun(jb *job, incarnation string) quarantine.InterruptedRun {
+	rn := quarantine.InterruptedRun{Fingerprints: jb.set.All(), Incarnation: incarnation, Elapsed: sm.ck.now.Sub(jb.sentAt), At: sm.ck.now}
+	if jb.activeRun == nil {
+		return rn
+	}
+	jb.activeRun.End()
+	if sm.traits != nil {
+		rn.Elapsed, rn.Answering = sm.ck.now.Sub(jb.headAt), true
+	}
+	return rn
+}
+
 // connected reports whether a request came through an instance that is not isolated.
 func (sm *simulation) connected(jb job) bool {
 	return !slices.Contains(sm.fleet[:sm.isolated], jb.entry)
@@ -282,11 +339,11 @@
 		}),
 		"many instances, slow gossip": with(func(sc *scenario) { sc.fatal, sc.instances, sc.maxGossipDelay = 2, 24, 150*time.Millisecond }),
 	}
-	const seeds = 4
+
 	for name, sc := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			for seed := range uint64(seeds) {
+			for seed := range uint64(seedCount) {
 				sm := newSimulation(seed, sc)
 				sm.run(20 * time.Second)
 				sm.checkResults(t, seed)
@@ -308,9 +365,9 @@
 	for _, in := range sm.fleet {
 		in.Check(request("any"))
 		for i := range max(sm.repeated, sm.fatal) {
-			g.Expect(in.HasEvidence(request(fmt.Sprint("body-", i)).HeadHash())).To(BeFalse())
-			g.Expect(in.HasEvidence(request(fmt.Sprint("fatal-", i)).HeadHash())).To(BeFalse())
+			g.Expect(in.HasEvidence(request(fmt.Sprint("body-", i)))).To(BeFalse())
+			g.Expect(in.HasEvidence(request(fmt.Sprint("fatal-", i)))).To(BeFalse())
 		}
 	}
-	t.Logf("seed %d: crashes per fatal request %v, requests served %d", seed, sm.crashes, sm.served)
+	t.Logf("seed %d: crashes per fatal request %v, late runs %v, requests served %d, delayed %d", seed, sm.crashes, sm.lateRuns, sm.served, sm.delayed)
 }
--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"bytes"
 	"slices"
 	"time"
 
@@ -10,14 +9,13 @@
 	"github.com/silvermount/silvermount/internal/fingerprint"
 )
 
-// ageTolerance is the minimum time by which a peer's quarantine must be newer than a tombstone to override it. Ages received from
-// peers are off by the transit time of their frames.
+// ageTolerance is the maximum error of a time that a peer sent as an age, which is off by the transit time of the frame.
 const ageTolerance = time.Second
 
-// Tombstone tells a peer that the evidence against a request is void up to a time.
+// Tombstone tells a peer that the evidence against a fingerprint is void up to a time.
 type Tombstone struct {
-	Request fingerprint.Fingerprint
-	At      time.Time
+	Fingerprint fingerprint.Fingerprint
+	At          time.Time
 	// ByOperator is set when an operator lifted the quarantine. The tombstone then holds until Until.
 	ByOperator bool
 	Until      time.Time
@@ -26,13 +24,13 @@
 // Snapshot is the state that an instance gossips to its peers. Times are on the local clock; on the wire they are ages.
 type Snapshot struct {
 	// Evidence holds recent interrupted runs of the instance itself whose targets crashed.
-	Evidence []InterruptedRun
+	Evidence []Evidence
 	// Tombstones holds the recent tombstones of the instance itself, and those by operators on any instance.
 	Tombstones []Tombstone
 	// Quarantines holds all quarantines that the instance knows, so that a starting instance learns of them from the first peer it
 	// reaches.
 	Quarantines []Quarantine
-	// ActiveRuns holds the active runs of requests with evidence against them.
+	// ActiveRuns holds the longest active run with each fingerprint that has evidence against it.
 	ActiveRuns []ActiveRunSummary
 }
 
@@ -44,15 +42,15 @@
 	now := tr.opts.Now()
 	sn := Snapshot{Evidence: slices.Clone(tr.localEvidence), ActiveRuns: tr.activeRunSummaries()}
 	for fp, ts := range tr.tombstones {
-		if ts.byOperator || now.Sub(ts.at) <= gossipDuration {
-			sn.Tombstones = append(sn.Tombstones, Tombstone{Request: fp, At: ts.at, ByOperator: ts.byOperator, Until: ts.until})
+		if ts.byOperator || !ts.fromPeer && now.Sub(ts.at) <= gossipDuration {
+			sn.Tombstones = append(sn.Tombstones, Tombstone{Fingerprint: fp, At: ts.at, ByOperator: ts.byOperator, Until: ts.until})
 		}
 	}
 	for _, qu := range tr.quarantines {
 		sn.Quarantines = append(sn.Quarantines, qu)
 	}
-	slices.SortFunc(sn.Tombstones, func(a, b Tombstone) int { return bytes.Compare(a.Request[:], b.Request[:]) })
-	slices.SortFunc(sn.Quarantines, func(a, b Quarantine) int { return bytes.Compare(a.Request[:], b.Request[:]) })
+	slices.SortFunc(sn.Tombstones, func(a, b Tombstone) int { return a.Fingerprint.Compare(b.Fingerprint) })
+	sortByID(sn.Quarantines)
 	return sn
 }
 
@@ -65,16 +63,17 @@
 	for _, ts := range sn.Tombstones {
 		tr.mergeTombstone(ts)
 	}
-	for _, rn := range sn.Evidence {
-		if _, known := tr.crashes[rn.Incarnation]; !known {
-			tr.addCrash(rn.Incarnation, rn.At)
+	for _, ev := range sn.Evidence {
+		if _, known := tr.crashes[ev.Incarnation]; !known {
+			tr.addCrash(ev.Incarnation, ev.At)
 		}
-		tr.addEvidence(rn, false)
+		tr.addEvidence(ev)
 	}
 	for _, qu := range sn.Quarantines {
 		tr.mergeQuarantine(peer, qu)
 	}
 	tr.peerRuns[peer] = sn.ActiveRuns
+	tr.revision++
 	quarantined := tr.quarantineSuspects()
 	if quarantined || len(tr.localEvidence) != evidenceBefore || len(tr.activeRunSummaries()) != activeBefore {
 		tr.opts.NotifyPeers()
@@ -83,25 +82,32 @@
 
 // mergeTombstone merges a tombstone from a peer. Only those by operators are forwarded to other peers. The caller holds the lock.
 func (tr *Tracker) mergeTombstone(ts Tombstone) {
-	if own, ok := tr.tombstones[ts.Request]; ok && !ts.At.After(own.at) {
+	if own, ok := tr.tombstones[ts.Fingerprint]; ok && !ts.At.After(own.at) {
 		return
 	}
-	qu, quarantined := tr.quarantines[ts.Request]
-	if quarantined && qu.Since.After(ts.At.Add(ageTolerance)) {
-		return
+	merged := tombstone{at: ts.At, until: ts.Until, byOperator: ts.ByOperator, fromPeer: true}
+	if !tr.clear(ts.Fingerprint, merged) {
+		// Evidence that this instance has not heard of yet is void too.
+		tr.setTombstone(ts.Fingerprint, merged)
 	}
-	tr.clear(ts.Request, tombstone{at: ts.At, until: ts.Until, byOperator: ts.ByOperator})
 }
 
-// mergeQuarantine merges a quarantine from a peer if it is new here or has a higher level. The caller holds the lock.
+// mergeQuarantine merges a quarantine from a peer if it is new here, has a higher level or lasts clearly longer. The caller holds the
+// lock.
 func (tr *Tracker) mergeQuarantine(peer string, qu Quarantine) {
-	if ts, ok := tr.tombstones[qu.Request]; ok && !qu.Since.After(ts.at.Add(ageTolerance)) {
-		return
+	for _, fp := range qu.Members {
+		if ts, ok := tr.tombstones[fp]; ok && !qu.EvidenceFrom.After(ts.at) {
+			qu = qu.WithoutMember(fp)
+			if fp.Kind == fingerprint.WholeRequest {
+				return
+			}
+		}
 	}
-	if own, ok := tr.quarantines[qu.Request]; ok && own.Level >= qu.Level {
+	if len(qu.Members) == 0 || !tr.opts.Now().Before(tr.retainedUntil(qu)) {
 		return
 	}
-	if !tr.opts.Now().Before(qu.retainedUntil()) {
+	own, ok := tr.quarantines[qu.ID()]
+	if ok && (own.Level > qu.Level || own.Level == qu.Level && qu.Until.Sub(own.Until) <= ageTolerance) {
 		return
 	}
 	tr.quarantine(qu, log.Fields{
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,7 +1,9 @@
 package quarantine
 
 import (
-	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -11,22 +13,53 @@
 	"github.com/silvermount/silvermount/internal/fingerprint"
 )
 
-// Quarantine is the decision that a request crashes its targets and is refused for a time.
+const (
+	// initialQuarantine is the duration of the first quarantine. The duration doubles, up to maxQuarantine, each time that
+	// another target crashes under a probe after its end.
+	initialQuarantine = 5 * time.Minute
+	maxQuarantine     = 2 * time.Hour
+	// maxProbedLevel is the highest level of a quarantine that ends although its requests are still sent. Each of these ends costs a
+	// target, and operators accept three.
+	maxProbedLevel = 3
+	// probeSpacing is the mean time between the moments at which two instances may probe a quarantine that has ended, so that the
+	// second one has learned of the outcome of the first.
+	probeSpacing = 10 * time.Second
+	// outcomeTimeout is the time after a probe of an ended quarantine after which its outcome is no longer waited for.
+	outcomeTimeout = 30 * time.Second
+)
+
+// Quarantine is the decision that requests which have all of some fingerprints crash their targets and are refused for a time.
 type Quarantine struct {
-	Request fingerprint.Fingerprint
-	// Crashes is the number of targets that had crashed while they ran the request.
+	// Members are these fingerprints, sorted; at least one. The slice is never modified.
+	Members []fingerprint.Fingerprint
+	// Crashes is the number of targets that had crashed while they ran such requests.
 	Crashes int
-	// Level is the number of consecutive quarantines of the request, from 1.
+	// Level is the number of consecutive quarantines of these fingerprints, from 1.
 	Level int
-	// Since is when the request was quarantined, Until when it is no longer refused.
+	// EvidenceFrom is when the first run was interrupted that counted. A complete answer after that shows that it should not have.
+	EvidenceFrom time.Time
+	// Since and Until are when the requests began to be refused and when one may be sent as a probe.
 	Since, Until time.Time
 }
 
-// activeAt reports whether the request is refused at a time.
-func (qu Quarantine) activeAt(now time.Time) bool { return now.Before(qu.Until) }
+// ID returns the fingerprint that identifies the quarantine: the whole request if that is a member, its only member, or the combination
+// of its members.
+func (qu Quarantine) ID() fingerprint.Fingerprint {
+	// Whole requests are sorted to the front.
+	if len(qu.Members) > 0 && qu.Members[0].Kind == fingerprint.WholeRequest {
+		return qu.Members[0]
+	}
+	return fingerprint.OfCombination(qu.Members)
+}
 
-// retainedUntil returns when a quarantine that has ended is forgotten. Until then a single crash can lead to the next quarantine.
-func (qu Quarantine) retainedUntil() time.Time { return qu.Until.Add(qu.Until.Sub(qu.Since)) }
+// WithoutMember returns a copy without a fingerprint.
+func (qu Quarantine) WithoutMember(fp fingerprint.Fingerprint) Quarantine {
+	qu.Members = slices.DeleteFunc(slices.Clone(qu.Members), func(other fingerprint.Fingerprint) bool { return other == fp })
+	return qu
+}
+
+// activeAt reports whether all requests are refused at a time.
+func (qu Quarantine) activeAt(now time.Time) bool { return now.Before(qu.Until) }
 
 // quarantineDuration returns the duration of a quarantine of the given level.
 func quarantineDuration(level int) time.Duration {
@@ -37,7 +70,7 @@
 	return d
 }
 
-// tombstone voids the evidence against a request up to a time.
+// tombstone voids the evidence against a fingerprint up to a time.
 type tombstone struct {
 	// at is the time up to which evidence and quarantines are void.
 	at time.Time
@@ -45,33 +78,41 @@
 	until time.Time
 	// byOperator is set when an operator lifted the quarantine. All instances then forward the tombstone.
 	byOperator bool
+	// fromPeer is set when a peer sent the tombstone.
+	fromPeer bool
 }
 
-// Quarantines returns the active quarantines, sorted by fingerprint.
+// Quarantines returns the quarantines for which requests are refused here, sorted by ID.
 func (tr *Tracker) Quarantines() []Quarantine {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	now := tr.opts.Now()
 	var list []Quarantine
 	for _, qu := range tr.quarantines {
-		if qu.activeAt(now) {
+		if now.Before(tr.probeTurn(qu)) {
 			list = append(list, qu)
 		}
 	}
-	slices.SortFunc(list, func(a, b Quarantine) int { return bytes.Compare(a.Request[:], b.Request[:]) })
+	sortByID(list)
 	return list
 }
 
-// LiftQuarantine ends the quarantine of a request on all instances, at the request of an operator. It reports whether there was
-// one.
-func (tr *Tracker) LiftQuarantine(fp fingerprint.Fingerprint) bool {
+func sortByID(list []Quarantine) {
+	slices.SortFunc(list, func(a, b Quarantine) int { return a.ID().Compare(b.ID()) })
+}
+
+// LiftQuarantine ends a quarantine on all instances, at the request of an operator. It reports whether there was one with this ID.
+func (tr *Tracker) LiftQuarantine(id fingerprint.Fingerprint) bool {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	tr.expire()
-	if _, ok := tr.quarantines[fp]; !ok {
+	qu, ok := tr.quarantines[id]
+	if !ok {
 		return false
 	}
-	tr.clear(fp, tombstone{at: tr.opts.Now(), byOperator: true})
+	for _, fp := range qu.Members {
+		tr.clear(fp, tombstone{at: tr.opts.Now(), byOperator: true})
+	}
 	tr.evaluateAndNotify()
 	return true
 }
@@ -81,15 +122,53 @@
 	if len(tr.quarantines) >= maxQuarantines {
 		tr.evictQuarantine()
 	}
-	if _, quarantinedBefore := tr.quarantines[qu.Request]; !quarantinedBefore {
-		adjustCount(tr.headCounts, qu.Request.HeadHash(), 1)
-	}
-	tr.quarantines[qu.Request] = qu
-	fields["fingerprint"] = qu.Request.String()
-	fields["ends"] = qu.Crashes
-	fields["level"] = qu.Level
+	tr.storeQuarantine(qu)
 	fields["for"] = qu.Until.Sub(tr.opts.Now()).Round(time.Second).String()
-	tr.opts.Log.WithFields(fields).Warn("request quarantined: targets crashed while they ran it")
+	fields["level"] = qu.Level
+	tr.opts.Log.WithFields(quarantineFields(qu)).WithFields(fields).Warn("request quarantined: targets crashed while they ran it")
+}
+
+// quarantineFields returns the log fields that identify a quarantine.
+func quarantineFields(qu Quarantine) log.Fields {
+	fs := log.Fields{"fingerprint": qu.ID().String(), "ends": qu.Crashes}
+	if len(qu.Members) > 1 {
+		fs["members"] = joinFingerprints(qu.Members)
+	}
+	return fs
+}
+
+// joinFingerprints returns the fingerprints separated by commas.
+func joinFingerprints(fps []fingerprint.Fingerprint) string {
+	texts := make([]string, len(fps))
+	for i, fp := range fps {
+		texts[i] = fp.String()
+	}
+	return strings.Join(texts, ",")
+}
+
+// storeQuarantine adds a quarantine, or replaces the one with its ID. The caller holds the lock.
+func (tr *Tracker) storeQuarantine(qu Quarantine) {
+	id := qu.ID()
+	if _, known := tr.quarantines[id]; !known {
+		tr.adjustMemberCounts(qu, 1)
+	}
+	tr.quarantines[id] = qu
+	tr.quarantinesChanged()
+}
+
+// quarantinesChanged makes the crashes that they explain be determined anew. The caller holds the lock.
+func (tr *Tracker) quarantinesChanged() {
+	tr.revision++
+	tr.quarantineRevision++
+}
+
+func (tr *Tracker) adjustMemberCounts(qu Quarantine, n int) {
+	for _, fp := range qu.Members {
+		adjustCount(tr.memberCounts, fp, n)
+		if fp.Kind == fingerprint.WholeRequest {
+			adjustCount(tr.headCounts, fp.HeadHash(), n)
+		}
+	}
 }
 
 // evictQuarantine removes the quarantine that ends first. The caller holds the lock.
@@ -100,55 +179,96 @@
 			first = qu
 		}
 	}
-	tr.removeQuarantine(first.Request)
+	tr.removeQuarantine(first)
 }
 
-// removeQuarantine removes the quarantine of a request. The caller holds the lock.
-func (tr *Tracker) removeQuarantine(fp fingerprint.Fingerprint) {
-	delete(tr.quarantines, fp)
-	adjustCount(tr.headCounts, fp.HeadHash(), -1)
+// removeQuarantine removes a quarantine. The caller holds the lock.
+func (tr *Tracker) removeQuarantine(qu Quarantine) {
+	id := qu.ID()
+	delete(tr.quarantines, id)
+	delete(tr.refusedAt, id)
+	delete(tr.probes, id)
+	tr.adjustMemberCounts(qu, -1)
+	tr.quarantinesChanged()
 }
 
-// clear voids the evidence against a request up to the time of the tombstone, and any quarantine. It reports whether there was
-// anything to void. The caller holds the lock.
+// clear voids the evidence against a fingerprint up to the time of the tombstone, and removes it from all quarantines. It reports
+// whether there was anything to void. The caller holds the lock.
 func (tr *Tracker) clear(fp fingerprint.Fingerprint, ts tombstone) bool {
-	cleared := tr.removeEvidence(fp, ts.at)
-	tr.localEvidence = slices.DeleteFunc(tr.localEvidence, func(rn InterruptedRun) bool {
-		return rn.Request == fp && !rn.At.After(ts.at)
-	})
-	tr.interrupted = slices.DeleteFunc(tr.interrupted, func(rn InterruptedRun) bool {
-		return rn.Request == fp && !rn.At.After(ts.at)
-	})
-	if qu, ok := tr.quarantines[fp]; ok {
-		cleared = true
-		ts.until = qu.retainedUntil()
-		tr.removeQuarantine(fp)
-		tr.opts.Log.WithFields(log.Fields{
-			"fingerprint": fp.String(), "ends": qu.Crashes, "lifted": ts.byOperator,
-		}).Warn("quarantine cleared")
-	}
-	if !cleared {
-		return false
+	cleared := tr.removeEvidence(fp, ts.at) > 0
+	if fp.Kind == fingerprint.WholeRequest {
+		tr.removeInterrupted(fp, ts.at)
+	}
+	for _, qu := range tr.quarantines {
+		if slices.Contains(qu.Members, fp) && !qu.EvidenceFrom.After(ts.at) {
+			cleared = true
+			ts.until = laterOf(ts.until, tr.retainedUntil(qu))
+			tr.removeMember(qu, fp, ts.byOperator)
+		}
 	}
+	if cleared {
+		tr.setTombstone(fp, ts)
+	}
+	return cleared
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// removeMember removes a fingerprint from a quarantine, which ends with its last member and with that of a whole request. The caller
+// holds the lock.
+func (tr *Tracker) removeMember(qu Quarantine, fp fingerprint.Fingerprint, lifted bool) {
+	tr.removeQuarantine(qu)
+	lg := tr.opts.Log.WithFields(quarantineFields(qu)).WithField("lifted", lifted)
+	narrowed := qu.WithoutMember(fp)
+	if len(narrowed.Members) == 0 || fp.Kind == fingerprint.WholeRequest {
+		lg.Warn("quarantine cleared")
+		return
+	}
+	lg.WithField("cleared", fp.String()).Warn("quarantine narrowed")
+	if other, ok := tr.quarantines[narrowed.ID()]; !ok || other.Level < narrowed.Level {
+		tr.storeQuarantine(narrowed)
+	}
+}
+
+// setTombstone stores a tombstone. The caller holds the lock.
+func (tr *Tracker) setTombstone(fp fingerprint.Fingerprint, ts tombstone) {
 	if len(tr.tombstones) >= maxQuarantines {
 		tr.evictOldestTombstone()
 	}
 	tr.tombstones[fp] = ts
-	return true
+	delete(tr.unpublished, fp)
+}
+
+// removeInterrupted removes a fingerprint from the interrupted runs whose targets are not known to have crashed. The caller holds the
+// lock.
+func (tr *Tracker) removeInterrupted(fp fingerprint.Fingerprint, until time.Time) {
+	for i, rn := range tr.interrupted {
+		if !rn.At.After(until) && slices.Contains(rn.Fingerprints, fp) {
+			tr.interrupted[i].Fingerprints = slices.DeleteFunc(slices.Clone(rn.Fingerprints), func(other fingerprint.Fingerprint) bool {
+				return other == fp
+			})
+		}
+	}
 }
 
-// removeEvidence removes the evidence against a request up to a time, and reports whether there was any. The caller holds the
+// removeEvidence removes the evidence against a fingerprint up to a time, and returns the number of crashes. The caller holds the
 // lock.
-func (tr *Tracker) removeEvidence(fp fingerprint.Fingerprint, until time.Time) bool {
+func (tr *Tracker) removeEvidence(fp fingerprint.Fingerprint, until time.Time) int {
 	if tr.evidenceCounts[fp] == 0 {
-		return false
+		return 0
 	}
-	removed := false
+	tr.removeLocalEvidence(fp, until)
+	removed := 0
 	for _, cr := range tr.crashes {
-		if rn, ok := cr.runsByRequest[fp]; ok && !rn.At.After(until) {
-			delete(cr.runsByRequest, fp)
+		if ev, ok := cr.runs[fp]; ok && !ev.At.After(until) {
+			cr.removeRun(fp)
 			tr.adjustCounts(fp, -1)
-			removed = true
+			removed++
 		}
 	}
 	return removed
@@ -165,11 +285,64 @@
 	delete(tr.tombstones, oldest)
 }
 
+// retainedUntil returns when a quarantine is forgotten. Until then a single crash can lead to the next one. The caller holds the lock.
+func (tr *Tracker) retainedUntil(qu Quarantine) time.Time {
+	return laterOf(qu.Until, tr.refusedAt[qu.ID()]).Add(maxQuarantine)
+}
+
+// refuse decides whether a request is refused for a quarantine that it has all fingerprints of. A quarantine whose time is over does not
+// end for all: one request at a time is sent as a probe, by one instance after the other, and the others wait for its outcome. The
+// caller holds the lock.
+func (tr *Tracker) refuse(qu Quarantine) Decision {
+	now, id := tr.opts.Now(), qu.ID()
+	refusal := Decision{Quarantined: true, Crashes: qu.Crashes, Quarantine: qu}
+	switch pb, probed := tr.probes[id]; {
+	case qu.activeAt(now):
+		tr.refusedAt[id] = now
+		tr.extend(qu)
+		return refusal
+	case now.Before(tr.probeTurn(qu)):
+		tr.refusedAt[id] = now
+		return refusal
+	case probed && now.Sub(pb.sentAt) < outcomeTimeout:
+		return Decision{Crashes: qu.Crashes, Delay: outcomeTimeout - now.Sub(pb.sentAt)}
+	default:
+		tr.probes[id] = probe{sentAt: now}
+		return Decision{}
+	}
+}
+
+// extend postpones the end of a quarantine that is not probed any more, since its requests are still sent. The caller holds the lock.
+func (tr *Tracker) extend(qu Quarantine) {
+	now := tr.opts.Now()
+	duration := quarantineDuration(qu.Level)
+	if qu.Level <= maxProbedLevel || qu.Until.Sub(now) > duration/2 {
+		return
+	}
+	qu.Until = now.Add(duration)
+	tr.storeQuarantine(qu)
+	tr.opts.NotifyPeers()
+}
+
+// probeTurn returns when this instance may probe a quarantine. The turns of the instances are spread at random. The caller holds the
+// lock.
+func (tr *Tracker) probeTurn(qu Quarantine) time.Time {
+	spread := time.Duration(tr.opts.PeerCount()) * probeSpacing
+	return qu.Until.Add(time.Duration(tr.position(qu.ID(), qu.Level) * float64(spread)))
+}
+
+// position returns a number from 0 to 1 that is random for each instance, fingerprint and level, and always the same.
+func (tr *Tracker) position(fp fingerprint.Fingerprint, level int) float64 {
+	b := binary.AppendUvarint([]byte(tr.opts.Instance), uint64(level))
+	sum := sha256.Sum256(append(append(b, byte(fp.Kind)), fp.Digest[:]...))
+	return float64(binary.BigEndian.Uint64(sum[:])) / math.MaxUint64
+}
+
 // expireQuarantines removes quarantines and tombstones that are too old. The caller holds the lock.
 func (tr *Tracker) expireQuarantines(now time.Time) {
-	for fp, qu := range tr.quarantines {
-		if !now.Before(qu.retainedUntil()) {
-			tr.removeQuarantine(fp)
+	for _, qu := range tr.quarantines {
+		if !now.Before(tr.retainedUntil(qu)) {
+			tr.removeQuarantine(qu)
 		}
 	}
 	for fp, ts := range tr.tombstones {
@@ -180,10 +353,10 @@
 }
 
 // joinTargets returns the targets of the runs, sorted and separated by commas.
-func joinTargets(runs []InterruptedRun) string {
+func joinTargets(runs []Evidence) string {
 	ids := make([]string, len(runs))
-	for i, rn := range runs {
-		ids[i] = rn.Incarnation
+	for i, ev := range runs {
+		ids[i] = ev.Incarnation
 	}
 	slices.Sort(ids)
 	return strings.Join(ids, ",")
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -41,10 +42,13 @@
 	notifications int
 }
 
-func newInstance(ck *clock, targets int) *instance {
+func newInstance(ck *clock, targets int) *instance { return newPeer(ck, targets, "alone", 0) }
+
+// newPeer returns an instance with a name and a number of peers.
+func newPeer(ck *clock, targets int, name string, peers int) *instance {
 	in := &instance{ck: ck, crashed: map[string]bool{}}
 	in.Tracker = quarantine.New(quarantine.Options{
-		Now: func() time.Time { return ck.now }, TargetCount: func() int { return targets },
+		Instance: name, Now: func() time.Time { return ck.now }, TargetCount: func() int { return targets }, PeerCount: func() int { return peers },
 		Crashed: func(id string) bool { return in.crashed[id] }, NotifyPeers: func() { in.notifications++ }, Metrics: metrics.NewSet(),
 		Log: &log.Logger{Handler: discard.New(), Level: log.ErrorLevel},
 	})
@@ -55,10 +59,39 @@
 	return fingerprint.Of(fingerprint.Request{Organisation: "red", RequestURI: name})
 }
 
+// setOf returns the fingerprints of a request. A whole request must come first.
+func setOf(fps ...fingerprint.Fingerprint) fingerprint.Set {
+	return fingerprint.NewSet(fps[0].HeadHash(), func() fingerprint.Fingerprint { return fps[0] }, slices.Clone(fps[1:])...)
+}
+
+// The following methods do for a whole request what those of the Tracker do for a set of fingerprints.
+
+func (in *instance) Check(fp fingerprint.Fingerprint) quarantine.Decision {
+	return in.Tracker.Check(setOf(fp))
+}
+
+func (in *instance) RecordAnswered(fp fingerprint.Fingerprint) { in.Tracker.RecordAnswered(setOf(fp)) }
+
+func (in *instance) BeginRun(fp fingerprint.Fingerprint) *quarantine.ActiveRun {
+	return in.Tracker.BeginRun(setOf(fp))
+}
+
+func (in *instance) HasEvidence(fp fingerprint.Fingerprint) bool {
+	return in.Tracker.HasEvidence(setOf(fp))
+}
+
+// Quarantined returns how many targets had crashed under a request that is refused.
+func (in *instance) Quarantined(fp fingerprint.Fingerprint) (crashes int, quarantined bool) {
+	qu, refused := in.Refused(setOf(fp))
+	return qu.Crashes, refused
+}
+
 // interrupt lets a target interrupt runs of the named requests and, if crashes is set, crash.
 func (in *instance) interrupt(target string, crashes bool, elapsed time.Duration, names ...string) {
 	for _, name := range names {
-		in.RecordInterrupted(quarantine.InterruptedRun{Request: request(name), Incarnation: target, Elapsed: elapsed, At: in.ck.now})
+		in.RecordInterrupted(quarantine.InterruptedRun{
+			Fingerprints: []fingerprint.Fingerprint{request(name)}, Incarnation: target, Elapsed: elapsed, At: in.ck.now,
+		})
 	}
 	if crashes {
 		in.RecordCrash(target)
@@ -183,13 +216,13 @@
 		g.Expect(in.Check(request("fatal")).Delay).To(BeZero())
 		in.interrupt(fmt.Sprint("target-", i), true, shortRun, "fatal")
 	}
-	g.Expect(in.HasEvidence(request("fatal").HeadHash())).To(BeTrue())
+	g.Expect(in.HasEvidence(request("fatal"))).To(BeTrue())
 	dc := in.Check(request("fatal"))
 	g.Expect(dc.Quarantined).To(BeFalse())
 	g.Expect(dc.Delay).To(BeNumerically(">", 0))
 	in.ck.advance(dc.Delay)
-	g.Expect(in.Check(request("fatal"))).To(Equal(quarantine.Decision{Quarantined: true, Crashes: 3}))
-	g.Expect(in.HasEvidence(request("another").HeadHash())).To(BeFalse())
+	g.Expect(in.Check(request("fatal"))).To(Equal(quarantine.Decision{Quarantined: true, Crashes: 3, Quarantine: in.Quarantines()[0]}))
+	g.Expect(in.HasEvidence(request("another"))).To(BeFalse())
 }
 
 // TestConcurrentRequestsAreDistinguishedByEvidence runs two requests on the same crashing targets. Only clearly stronger evidence
@@ -286,9 +319,9 @@
 		in.interrupt(fmt.Sprint("target-", i), false, shortRun, "fatal")
 		in.crashed[fmt.Sprint("target-", i)] = true
 	}
-	g.Expect(in.HasEvidence(request("fatal").HeadHash())).To(BeFalse())
+	g.Expect(in.HasEvidence(request("fatal"))).To(BeFalse())
 	in.ck.advance(7 * time.Second)
-	g.Expect(in.HasEvidence(request("fatal").HeadHash())).To(BeTrue())
+	g.Expect(in.HasEvidence(request("fatal"))).To(BeTrue())
 	g.Expect(in.notifications).To(BeNumerically(">", 0), "peers are notified")
 	g.Expect(in.quarantined("fatal")).To(BeTrue())
 }
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -1,13 +1,18 @@
-// Package quarantine detects requests that crash the targets which run them, and quarantines them. It identifies requests by
-// fingerprint, so that a quarantine also holds when the caller sends the request again under another id.
+// Package quarantine detects what crashes the targets that run it, and quarantines it. It looks for the cause among all that requests
+// have in common: the whole request, when its caller sends it again under another id, the parts of prompts, the path and the
+// organisation. All of these are fingerprints, and are handled alike.
 //
-// Each run that is interrupted by the crash of its target is evidence against its request. One crash interrupts many concurrent
-// runs, and targets also crash for other reasons. A request is therefore quarantined only when more targets crashed while running
-// it than coincidence or another request explains. On weaker evidence it is put on probation: it is run only as an occasional
-// probe. A complete answer clears it. Instances exchange their evidence, so that all come to the same decision.
+// Each run that is interrupted by the crash of its target is evidence against all its fingerprints. One crash interrupts many
+// concurrent runs, and targets also crash for other reasons. A fingerprint is therefore quarantined only when more targets crashed
+// while running it than coincidence or another fingerprint explains. Fingerprints that the evidence cannot tell apart are quarantined
+// together: only requests that have all of them are refused. On weaker evidence a request or part is put on probation: it is run only
+// as an occasional probe. A complete answer clears all fingerprints of its request. Instances exchange their evidence, so that all
+// come to the same decision.
 package quarantine
 
 import (
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,22 +23,17 @@
 )
 
 const (
-	// minCrashes is the number of targets that must crash while they run a request before it may be quarantined. Operators accept
+	// minCrashes is the number of targets that must crash while they run a fingerprint before it may be quarantined. Operators accept
 	// this many crashes per request.
 	minCrashes = 3
-	// settleDelay is the time between the last crash of a target that ran a request and the quarantine of the request. The request
-	// is delayed meanwhile, so that instances learn of each other's crashes and of the other requests that ran on the same targets.
+	// settleDelay is the time from the interruption of a run until it may lead to a quarantine. Requests with a suspected fingerprint
+	// are delayed meanwhile, so that instances learn of each other's crashes, of what else ran on the same targets, and of answers.
 	settleDelay = 200 * time.Millisecond
 	// crashDetectionTimeout bounds the time between the interruption of a run and the detection of its target's crash. The entry
 	// of a target that stops sending heartbeats is removed after three heartbeats, 3.6 s.
 	crashDetectionTimeout = 6 * time.Second
-	// evidenceTTL is how long a crash counts against the requests that ran on the target.
+	// evidenceTTL is how long a crash counts against what ran on the target.
 	evidenceTTL = 10 * time.Minute
-	// initialQuarantine is the duration of the first quarantine. The duration doubles, up to maxQuarantine, each time that
-	// another target crashes while it runs the request soon after the quarantine ends, so that a request that always crashes
-	// its target crashes ever fewer of them.
-	initialQuarantine = 5 * time.Minute
-	maxQuarantine     = 2 * time.Hour
 	// gossipDuration is how long local evidence is sent to peers. It exceeds the silence after which a peer is considered lost.
 	gossipDuration = 15 * time.Second
 	// expiryInterval is the time between two scans for expired crashes and quarantines. It is far below their lifetimes.
@@ -41,42 +41,94 @@
 )
 
 // Bounds of the state, with the maximum memory of an entry. They hold in a flood of different requests: old entries are evicted,
-// and runs beyond maxRunsPerCrash are ignored.
+// and fingerprints beyond maxRunsPerCrash are ignored.
 const (
-	// maxInterruptedRuns bounds the runs whose targets may still prove to have crashed; 100 bytes each.
+	// maxInterruptedRuns bounds the runs whose targets may still prove to have crashed; 100 bytes each, and 21 for each fingerprint.
 	maxInterruptedRuns = 2048
-	// maxCrashRecords bounds the crashes, and maxRunsPerCrash the runs recorded for each of them; 80 bytes each.
+	// maxCrashRecords bounds the crashes, and maxRunsPerCrash the fingerprints recorded for each of them; 80 bytes each.
 	maxCrashRecords = 512
-	maxRunsPerCrash = 64
-	// maxQuarantines bounds the quarantines, and separately the tombstones; 100 bytes each.
+	maxRunsPerCrash = 256
+	// maxQuarantines bounds the quarantines, and separately the tombstones; 150 bytes each.
 	maxQuarantines = 256
+	// maxUnpublished bounds the fingerprints with cleared evidence that peers are not told of; 40 bytes each.
+	maxUnpublished = 4096
 )
 
 // InterruptedRun is a run of a request that its target interrupted: it sent no answer, or an incomplete one.
 type InterruptedRun struct {
-	Request fingerprint.Fingerprint
+	// Fingerprints are those of the request.
+	Fingerprints []fingerprint.Fingerprint
 	// Incarnation identifies the process of the target that ran the request.
 	Incarnation string
 	// Elapsed is how long the target had run the request: since the head of its answer, or since the request was sent if no head
 	// came.
 	Elapsed time.Duration
+	// Answering is set if the head of the answer had come. Otherwise the request may have waited at the target.
+	Answering bool
 	// At is when the run was interrupted.
 	At time.Time
 }
 
+// Evidence is an interrupted run with one fingerprint whose target crashed.
+type Evidence struct {
+	Fingerprint fingerprint.Fingerprint
+	// Run is equal for all fingerprints of one run, and random. It is zero if it is not known.
+	Run uint32
+	// Incarnation, Elapsed, Answering and At are those of the run.
+	Incarnation string
+	Elapsed     time.Duration
+	Answering   bool
+	At          time.Time
+}
+
+// telling returns that of two runs with the same fingerprint on the same crashed target which tells more about the fingerprint. A
+// target that had answered one of them for long was not crashed by what they have in common. How long a run without an answer waited
+// is not known, so that the shorter one tells more.
+func (ev Evidence) telling(other Evidence) Evidence {
+	otherTellsMore := other.Elapsed < ev.Elapsed
+	switch {
+	case ev.Answering != other.Answering:
+		otherTellsMore = other.Answering
+	case ev.Answering:
+		otherTellsMore = other.Elapsed > ev.Elapsed
+	}
+	if otherTellsMore {
+		return other
+	}
+	return ev
+}
+
 // crash is the crash of one incarnation of a target.
 type crash struct {
 	at time.Time
-	// runsByRequest holds the runs that the crash interrupted, at most maxRunsPerCrash.
-	runsByRequest map[fingerprint.Fingerprint]InterruptedRun
+	// runs holds the most telling run that the crash interrupted for each fingerprint, at most maxRunsPerCrash.
+	runs map[fingerprint.Fingerprint]Evidence
+	// explainedBy holds the IDs of the quarantines that explain the crash, as of the revision explainedAt of the quarantines.
+	explainedBy []fingerprint.Fingerprint
+	explainedAt int
 }
 
-// Options are the dependencies of a Tracker. All fields are required.
+// setRun records the run that tells most about a fingerprint.
+func (cr *crash) setRun(ev Evidence) {
+	cr.runs[ev.Fingerprint] = ev
+	cr.explainedAt = 0
+}
+
+// removeRun removes the run with a fingerprint.
+func (cr *crash) removeRun(fp fingerprint.Fingerprint) {
+	delete(cr.runs, fp)
+	cr.explainedAt = 0
+}
+
+// Options are the dependencies of a Tracker. All fields are required but Instance and PeerCount, which an instance without peers may
+// leave out.
 type Options struct {
+	// Instance is the name of this instance.
+	Instance string
 	// Now returns the time of a monotonic clock.
 	Now func() time.Time
-	// TargetCount returns the current number of targets.
-	TargetCount func() int
+	// TargetCount returns the current number of targets, PeerCount that of live peers.
+	TargetCount, PeerCount func() int
 	// Crashed reports whether a target has disappeared without having announced that it would leave.
 	Crashed func(incarnation string) bool
 	// NotifyPeers is called when peers need a new snapshot. It must not call the Tracker.
@@ -85,7 +137,7 @@
 	Log         log.Interface
 }
 
-// Tracker holds the evidence against requests and their quarantines. It is safe for concurrent use.
+// Tracker holds the evidence against fingerprints and their quarantines. It is safe for concurrent use.
 type Tracker struct {
 	opts Options
 
@@ -94,45 +146,65 @@
 	interrupted []InterruptedRun
 	// crashes holds the targets that crashed, by incarnation.
 	crashes map[string]*crash
-	// localEvidence holds the interrupted runs of this instance whose targets crashed. They are sent to peers.
-	localEvidence []InterruptedRun
-	// quarantines holds the active quarantines and those that ended recently.
-	quarantines map[fingerprint.Fingerprint]Quarantine
-	// tombstones holds the requests that were cleared recently.
+	// localEvidence holds the interrupted runs of this instance whose targets crashed. It is sent to peers.
+	localEvidence []Evidence
+	// quarantines holds the active quarantines and those that ended recently, by their ID. memberCounts counts the quarantines that a
+	// fingerprint is a member of, and refusedAt is when a request was last refused for a quarantine here.
+	quarantines  map[fingerprint.Fingerprint]Quarantine
+	memberCounts map[fingerprint.Fingerprint]int
+	refusedAt    map[fingerprint.Fingerprint]time.Time
+	// tombstones holds the fingerprints that were cleared recently.
 	tombstones map[fingerprint.Fingerprint]tombstone
-	// evidenceCounts counts the crashes that are evidence against a request; headCounts counts those crashes and the quarantines of
-	// all requests with a head hash. Entries at zero are removed.
+	// answers holds what was recently answered completely by this instance, and unpublished how many runs with a fingerprint were
+	// cleared by that since peers were last told.
+	answers     answerMemory
+	unpublished map[fingerprint.Fingerprint]int
+	// evidenceCounts counts the crashes that are evidence against a fingerprint; headCounts counts those crashes and the quarantines
+	// of all requests with a head hash. Entries at zero are removed.
 	evidenceCounts map[fingerprint.Fingerprint]int
 	headCounts     map[fingerprint.HeadHash]int
-	// probes holds the last probes that this instance sent of requests on probation.
+	// probes holds the last probes that this instance sent, by the fingerprint on probation or the ID of the quarantine.
 	probes map[fingerprint.Fingerprint]probe
+	// startedAt is when the answer memory began to be filled.
+	startedAt time.Time
 	// lastExpiry is the time of the last scan for expired crashes and quarantines.
 	lastExpiry time.Time
-	// activeRuns holds the runs in progress on this instance, by head hash; peerRuns holds those that each peer reports for
-	// requests with evidence against them.
-	activeRuns map[fingerprint.HeadHash][]*ActiveRun
+	// revision changes with the evidence, the quarantines and the active runs, and quarantineRevision with the quarantines only. Both
+	// are above zero.
+	revision, quarantineRevision int
+	// evaluatedRevision is the revision at the last evaluation, and evaluateAgainAt when the next one is due even if nothing changes.
+	evaluatedRevision int
+	evaluateAgainAt   time.Time
+	// activeRuns holds the runs in progress on this instance; peerRuns holds those that each peer reports for fingerprints with
+	// evidence against them.
+	activeRuns map[*ActiveRun]struct{}
 	peerRuns   map[string][]ActiveRunSummary
 }
 
 // New returns a Tracker without any evidence.
 func New(op Options) *Tracker {
+	if op.PeerCount == nil {
+		op.PeerCount = func() int { return 0 }
+	}
 	tr := &Tracker{
 		opts: op, crashes: map[string]*crash{}, quarantines: map[fingerprint.Fingerprint]Quarantine{},
-		tombstones: map[fingerprint.Fingerprint]tombstone{}, evidenceCounts: map[fingerprint.Fingerprint]int{},
-		headCounts: map[fingerprint.HeadHash]int{}, activeRuns: map[fingerprint.HeadHash][]*ActiveRun{},
-		peerRuns: map[string][]ActiveRunSummary{}, probes: map[fingerprint.Fingerprint]probe{},
+		memberCounts: map[fingerprint.Fingerprint]int{}, refusedAt: map[fingerprint.Fingerprint]time.Time{},
+		tombstones: map[fingerprint.Fingerprint]tombstone{}, unpublished: map[fingerprint.Fingerprint]int{},
+		evidenceCounts: map[fingerprint.Fingerprint]int{}, headCounts: map[fingerprint.HeadHash]int{},
+		probes: map[fingerprint.Fingerprint]probe{}, activeRuns: map[*ActiveRun]struct{}{}, peerRuns: map[string][]ActiveRunSummary{},
+		startedAt: op.Now(), revision: 1, quarantineRevision: 1,
 	}
 	op.Metrics.NewGauge("silvermount_requests_judged", func() float64 { return float64(len(tr.Quarantines())) })
 	return tr
 }
 
-// RecordInterrupted records a run that was interrupted. The run counts against the request if its target proves to have crashed.
+// RecordInterrupted records a run that was interrupted. The run counts against its fingerprints if its target proves to have crashed.
 func (tr *Tracker) RecordInterrupted(rn InterruptedRun) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	tr.expire()
 	if _, crashed := tr.crashes[rn.Incarnation]; crashed {
-		tr.addEvidence(rn, true)
+		tr.addLocalEvidence(rn)
 		tr.evaluateAndNotify()
 		return
 	}
@@ -154,7 +226,7 @@
 	tr.evaluateAndNotify()
 }
 
-// evaluateAndNotify quarantines requests by the present evidence and notifies peers. The caller holds the lock.
+// evaluateAndNotify quarantines fingerprints by the present evidence and notifies peers. The caller holds the lock.
 func (tr *Tracker) evaluateAndNotify() {
 	tr.quarantineSuspects()
 	tr.opts.NotifyPeers()
@@ -166,50 +238,60 @@
 	if len(tr.crashes) >= maxCrashRecords {
 		tr.evictOldestCrash()
 	}
-	tr.crashes[incarnation] = &crash{at: at, runsByRequest: map[fingerprint.Fingerprint]InterruptedRun{}}
+	tr.crashes[incarnation] = &crash{at: at, runs: map[fingerprint.Fingerprint]Evidence{}}
 	kept := tr.interrupted[:0]
 	for _, rn := range tr.interrupted {
 		if rn.Incarnation != incarnation {
 			kept = append(kept, rn)
 			continue
 		}
-		tr.addEvidence(rn, true)
+		tr.addLocalEvidence(rn)
 	}
 	tr.interrupted = kept
 }
 
-// addEvidence counts the crash of a target against the request of an interrupted run. The caller holds the lock.
-func (tr *Tracker) addEvidence(rn InterruptedRun, localEvidence bool) {
-	cr := tr.crashes[rn.Incarnation]
-	if _, known := cr.runsByRequest[rn.Request]; known || len(cr.runsByRequest) >= maxRunsPerCrash {
-		return
+// addLocalEvidence counts the crash of a target against all fingerprints of a run of this instance. The caller holds the lock.
+func (tr *Tracker) addLocalEvidence(rn InterruptedRun) {
+	run := rand.Uint32()
+	for _, fp := range rn.Fingerprints {
+		ev := Evidence{Fingerprint: fp, Run: run, Incarnation: rn.Incarnation, Elapsed: rn.Elapsed, Answering: rn.Answering, At: rn.At}
+		if !tr.addEvidence(ev) {
+			continue
+		}
+		same := func(own Evidence) bool { return own.Fingerprint == fp && own.Incarnation == ev.Incarnation }
+		tr.localEvidence = append(slices.DeleteFunc(tr.localEvidence, same), ev)
 	}
-	if ts, ok := tr.tombstones[rn.Request]; ok && !rn.At.After(ts.at) {
-		return
+}
+
+// addEvidence counts the crash of a target against a fingerprint. It reports whether that says more than was known. The caller holds
+// the lock.
+func (tr *Tracker) addEvidence(ev Evidence) bool {
+	cr := tr.crashes[ev.Incarnation]
+	if known, ok := cr.runs[ev.Fingerprint]; ok {
+		cr.setRun(known.telling(ev))
+		tr.revision++
+		return cr.runs[ev.Fingerprint] == ev && known != ev
 	}
-	cr.runsByRequest[rn.Request] = rn
-	tr.adjustCounts(rn.Request, 1)
-	if rn.At.Before(cr.at) {
-		cr.at = rn.At
+	if len(cr.runs) >= maxRunsPerCrash {
+		return false
 	}
-	if localEvidence {
-		tr.localEvidence = append(tr.localEvidence, rn)
+	if ts, ok := tr.tombstones[ev.Fingerprint]; ok && !ev.At.After(ts.at) {
+		return false
 	}
-}
-
-// RecordAnswered records a complete answer, which voids all earlier evidence against the request.
-func (tr *Tracker) RecordAnswered(fp fingerprint.Fingerprint) {
-	tr.mu.Lock()
-	defer tr.mu.Unlock()
-	tr.expire()
-	if tr.clear(fp, tombstone{at: tr.opts.Now()}) {
-		tr.evaluateAndNotify()
+	if answeredAt, ok := tr.answers.last(ev.Fingerprint); ok && !ev.At.After(answeredAt) {
+		tr.countCleared(ev.Fingerprint, answeredAt, 1)
+		return false
+	}
+	cr.setRun(ev)
+	tr.adjustCounts(ev.Fingerprint, 1)
+	if ev.At.Before(cr.at) {
+		cr.at = ev.At
 	}
+	return true
 }
 
-// HasEvidence reports whether there is evidence or a quarantine for any request with a head hash. If there is none, calls of
-// Check and RecordAnswered are not needed.
-func (tr *Tracker) HasEvidence(hh fingerprint.HeadHash) bool {
+// HasEvidence reports whether a request may have to be refused or delayed. If not, calls of Check and Refused are not needed.
+func (tr *Tracker) HasEvidence(st fingerprint.Set) bool {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	if tr.detectionOverdue() {
@@ -217,13 +299,21 @@
 		tr.expire()
 		tr.evaluateAndNotify()
 	}
-	return tr.headCounts[hh] > 0
+	if tr.headCounts[st.HeadHash()] > 0 {
+		return true
+	}
+	return slices.ContainsFunc(st.Shared(), func(fp fingerprint.Fingerprint) bool {
+		return tr.evidenceCounts[fp] >= minCrashes || tr.memberCounts[fp] > 0
+	})
 }
 
-// adjustCounts changes the number of crashes that are evidence against a request. The caller holds the lock.
+// adjustCounts changes the number of crashes that are evidence against a fingerprint. The caller holds the lock.
 func (tr *Tracker) adjustCounts(fp fingerprint.Fingerprint, n int) {
+	tr.revision++
 	adjustCount(tr.evidenceCounts, fp, n)
-	adjustCount(tr.headCounts, fp.HeadHash(), n)
+	if fp.Kind == fingerprint.WholeRequest {
+		adjustCount(tr.headCounts, fp.HeadHash(), n)
+	}
 }
 
 // adjustCount changes a count and deletes it at zero.
@@ -236,7 +326,7 @@
 
 // removeCrash removes the crash of a target and the evidence that it gave. The caller holds the lock.
 func (tr *Tracker) removeCrash(incarnation string) {
-	for fp := range tr.crashes[incarnation].runsByRequest {
+	for fp := range tr.crashes[incarnation].runs {
 		tr.adjustCounts(fp, -1)
 	}
 	delete(tr.crashes, incarnation)
@@ -272,6 +362,9 @@
 			tr.removeCrash(id)
 		}
 	}
+	if len(tr.crashes) == 0 || len(tr.unpublished) > maxUnpublished {
+		clear(tr.unpublished)
+	}
 	tr.expireQuarantines(now)
 	tr.expireProbes()
 }
--- a/internal/quarantine/wire.go
+++ b/internal/quarantine/wire.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/binary"
+	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -12,10 +14,14 @@
 )
 
 const (
-	// wireVersion is the first byte of an encoded snapshot. It changes with the encoding.
-	wireVersion = 1
+	// wireVersion is the first byte of an encoded snapshot. It changes with the encoding. wholeRequestsVersion was the encoding of
+	// previous builds, in which all fingerprints were those of whole requests. An empty snapshot is still sent in it.
+	wireVersion          = 2
+	wholeRequestsVersion = 1
 	// maxListLength bounds each list in an encoded snapshot to 10 kB, and the memory that decoding allocates.
 	maxListLength = 256
+	// maxMembers bounds the members of a quarantine.
+	maxMembers = 8
 	// maxIncarnationLength bounds the identifier of an incarnation, in bytes.
 	maxIncarnationLength = 256
 	// maxDuration bounds the durations on the wire. It is far longer than any in use, and safe to add to a time.
@@ -32,40 +38,57 @@
 
 // Encode returns the wire form of a snapshot taken at the given time. Ages are in whole milliseconds.
 func (sn Snapshot) Encode(takenAt time.Time) []byte {
+	if len(sn.Evidence)+len(sn.Tombstones)+len(sn.Quarantines)+len(sn.ActiveRuns) == 0 {
+		return []byte{wholeRequestsVersion, 0, 0, 0, 0}
+	}
 	b := []byte{wireVersion}
-	evidence := lastEntries(sn.Evidence)
-	b = binary.AppendUvarint(b, uint64(len(evidence)))
-	for _, rn := range evidence {
-		b = append(b, rn.Request[:]...)
-		b = peercodec.AppendString(b, rn.Incarnation)
-		b = appendDuration(b, rn.Elapsed)
-		b = appendDuration(b, takenAt.Sub(rn.At))
-	}
-	tombstones := lastEntries(sn.Tombstones)
-	b = binary.AppendUvarint(b, uint64(len(tombstones)))
-	for _, ts := range tombstones {
-		b = append(b, ts.Request[:]...)
-		b = appendDuration(b, takenAt.Sub(ts.At))
-		b = appendDuration(b, remainingLift(ts, takenAt))
-	}
-	quarantines := lastEntries(sn.Quarantines)
-	b = binary.AppendUvarint(b, uint64(len(quarantines)))
-	for _, qu := range quarantines {
-		b = append(b, qu.Request[:]...)
-		b = binary.AppendUvarint(b, uint64(qu.Crashes))
-		b = binary.AppendUvarint(b, uint64(qu.Level))
-		b = appendDuration(b, takenAt.Sub(qu.Since))
-		b = appendDuration(b, qu.Until.Sub(qu.Since))
-	}
-	activeRuns := lastEntries(sn.ActiveRuns)
-	b = binary.AppendUvarint(b, uint64(len(activeRuns)))
-	for _, ar := range activeRuns {
-		b = append(b, ar.Request[:]...)
-		b = appendDuration(b, takenAt.Sub(ar.Since))
+	b = appendList(b, sn.Evidence, func(b []byte, ev Evidence) []byte { return ev.append(b, takenAt) })
+	b = appendList(b, sn.Tombstones, func(b []byte, ts Tombstone) []byte {
+		b = appendDuration(appendFingerprint(b, ts.Fingerprint), takenAt.Sub(ts.At))
+		return appendDuration(b, remainingLift(ts, takenAt))
+	})
+	b = appendList(b, sn.Quarantines, func(b []byte, qu Quarantine) []byte { return qu.append(b, takenAt) })
+	return appendList(b, sn.ActiveRuns, func(b []byte, ar ActiveRunSummary) []byte {
+		return appendDuration(appendFingerprint(b, ar.Fingerprint), takenAt.Sub(ar.Since))
+	})
+}
+
+// appendList appends the last entries of a list, with their number in front.
+func appendList[T any](b []byte, list []T, appendEntry func([]byte, T) []byte) []byte {
+	list = lastEntries(list)
+	b = binary.AppendUvarint(b, uint64(len(list)))
+	for _, entry := range list {
+		b = appendEntry(b, entry)
 	}
 	return b
 }
 
+func (ev Evidence) append(b []byte, takenAt time.Time) []byte {
+	b = appendFingerprint(b, ev.Fingerprint)
+	b = binary.AppendUvarint(b, uint64(ev.Run))
+	b = peercodec.AppendString(b, ev.Incarnation)
+	b = appendDuration(b, ev.Elapsed)
+	answering := byte(0)
+	if ev.Answering {
+		answering = 1
+	}
+	b = append(b, answering)
+	return appendDuration(b, takenAt.Sub(ev.At))
+}
+
+func (qu Quarantine) append(b []byte, takenAt time.Time) []byte {
+	b = appendList(b, qu.Members, appendFingerprint)
+	b = binary.AppendUvarint(b, uint64(qu.Crashes))
+	b = binary.AppendUvarint(b, uint64(qu.Level))
+	b = appendDuration(b, qu.Since.Sub(qu.EvidenceFrom))
+	b = appendDuration(b, takenAt.Sub(qu.Since))
+	return appendDuration(b, qu.Until.Sub(qu.Since))
+}
+
+func appendFingerprint(b []byte, fp fingerprint.Fingerprint) []byte {
+	return append(append(b, byte(fp.Kind)), fp.Digest[:]...)
+}
+
 // lastEntries returns the last maxListLength elements of a list.
 func lastEntries[T any](list []T) []T { return list[max(0, len(list)-maxListLength):] }
 
@@ -87,32 +110,26 @@
 	if len(b) == 0 {
 		return Snapshot{}, errors.Wrap(&peercodec.MalformedError{Reason: "no bytes"}, "decode snapshot")
 	}
-	if b[0] != wireVersion {
+	if b[0] != wireVersion && b[0] != wholeRequestsVersion {
 		return Snapshot{}, errors.Wrap(&VersionError{Version: b[0]}, "decode snapshot")
 	}
-	rd := reader{peercodec.NewReader(b[1:])}
+	rd := reader{Reader: peercodec.NewReader(b[1:]), version: b[0], takenAt: takenAt}
 	var sn Snapshot
 	for range rd.count() {
-		rn := InterruptedRun{Request: rd.fingerprint(), Incarnation: rd.incarnation()}
-		rn.Elapsed = rd.duration()
-		rn.At = takenAt.Add(-rd.duration())
-		sn.Evidence = append(sn.Evidence, rn)
+		sn.Evidence = append(sn.Evidence, rd.evidence())
 	}
 	for range rd.count() {
-		ts := Tombstone{Request: rd.fingerprint(), At: takenAt.Add(-rd.duration())}
+		ts := Tombstone{Fingerprint: rd.fingerprint(), At: rd.time()}
 		if left := rd.duration(); left > 0 {
 			ts.ByOperator, ts.Until = true, takenAt.Add(left)
 		}
 		sn.Tombstones = append(sn.Tombstones, ts)
 	}
 	for range rd.count() {
-		qu := Quarantine{Request: rd.fingerprint(), Crashes: rd.boundedInt(), Level: rd.boundedInt()}
-		qu.Since = takenAt.Add(-rd.duration())
-		qu.Until = qu.Since.Add(rd.duration())
-		sn.Quarantines = append(sn.Quarantines, qu)
+		sn.Quarantines = append(sn.Quarantines, rd.quarantine())
 	}
 	for range rd.count() {
-		sn.ActiveRuns = append(sn.ActiveRuns, ActiveRunSummary{Request: rd.fingerprint(), Since: takenAt.Add(-rd.duration())})
+		sn.ActiveRuns = append(sn.ActiveRuns, ActiveRunSummary{Fingerprint: rd.fingerprint(), Since: rd.time()})
 	}
 	if err := rd.Finish(); err != nil {
 		return Snapshot{}, errors.Wrap(err, "decode snapshot")
@@ -121,7 +138,11 @@
 }
 
 // reader reads the parts of a snapshot. After a failure it returns zero values.
-type reader struct{ *peercodec.Reader }
+type reader struct {
+	*peercodec.Reader
+	version byte
+	takenAt time.Time
+}
 
 func (rd *reader) count() int { return int(rd.ReadUvarint(maxListLength)) }
 
@@ -130,10 +151,50 @@
 
 func (rd *reader) duration() time.Duration { return rd.ReadDuration(maxDuration) }
 
+// time reads the age of something.
+func (rd *reader) time() time.Time { return rd.takenAt.Add(-rd.duration()) }
+
 func (rd *reader) fingerprint() fingerprint.Fingerprint {
 	var fp fingerprint.Fingerprint
-	copy(fp[:], rd.ReadBytes(len(fp)))
+	if rd.version != wholeRequestsVersion {
+		fp.Kind = fingerprint.Kind(rd.ReadUvarint(math.MaxInt8))
+	}
+	copy(fp.Digest[:], rd.ReadBytes(len(fp.Digest)))
 	return fp
 }
 
-func (rd *reader) incarnation() string { return rd.ReadString(maxIncarnationLength) }
+func (rd *reader) evidence() Evidence {
+	ev := Evidence{Fingerprint: rd.fingerprint()}
+	if rd.version != wholeRequestsVersion {
+		ev.Run = uint32(rd.ReadUvarint(math.MaxUint32))
+	}
+	ev.Incarnation, ev.Elapsed = rd.ReadString(maxIncarnationLength), rd.duration()
+	if rd.version != wholeRequestsVersion {
+		ev.Answering = rd.ReadUvarint(1) == 1
+	}
+	ev.At = rd.time()
+	return ev
+}
+
+func (rd *reader) quarantine() Quarantine {
+	members := 1
+	if rd.version != wholeRequestsVersion {
+		members = int(rd.ReadUvarint(maxMembers))
+	}
+	var qu Quarantine
+	for range members {
+		qu.Members = append(qu.Members, rd.fingerprint())
+	}
+	if !slices.IsSortedFunc(qu.Members, fingerprint.Fingerprint.Compare) || members == 0 {
+		rd.Fail("members not sorted")
+	}
+	qu.Crashes, qu.Level = rd.boundedInt(), rd.boundedInt()
+	evidenceAge := ageTolerance
+	if rd.version != wholeRequestsVersion {
+		evidenceAge = rd.duration()
+	}
+	qu.Since = rd.time()
+	qu.EvidenceFrom = qu.Since.Add(-evidenceAge)
+	qu.Until = qu.Since.Add(rd.duration())
+	return qu
+}
--- a/internal/quarantine/wire_test.go
+++ b/internal/quarantine/wire_test.go
@@ -8,21 +8,28 @@
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
+	"github.com/silvermount/silvermount/internal/fingerprint"
 	"github.com/silvermount/silvermount/internal/peercodec"
 	"github.com/silvermount/silvermount/internal/quarantine"
 )
 
 func sampleSnapshot(now time.Time) quarantine.Snapshot {
 	return quarantine.Snapshot{
-		Evidence: []quarantine.InterruptedRun{{Request: request("a"), Incarnation: "i-1@x", Elapsed: shortRun, At: now.Add(-time.Second)}},
+		Evidence: []quarantine.Evidence{
+			{Fingerprint: request("a"), Run: 7, Incarnation: "i-1@x", Elapsed: shortRun, At: now.Add(-time.Second)},
+			{Fingerprint: fingerprint.OfPart("ab12"), Run: 7, Incarnation: "i-1@x", Elapsed: longRun, Answering: true, At: now},
+		},
 		Tombstones: []quarantine.Tombstone{
-			{Request: request("b"), At: now.Add(-2 * time.Second)},
-			{Request: request("c"), At: now.Add(-time.Minute), ByOperator: true, Until: now.Add(time.Minute)},
+			{Fingerprint: request("b"), At: now.Add(-2 * time.Second)},
+			{Fingerprint: request("c"), At: now.Add(-time.Minute), ByOperator: true, Until: now.Add(time.Minute)},
 		},
 		Quarantines: []quarantine.Quarantine{
-			{Request: request("d"), Crashes: 4, Level: 2, Since: now.Add(-time.Hour), Until: now.Add(time.Hour)},
+			{
+				Members: []fingerprint.Fingerprint{request("d"), fingerprint.OfPart("ab12"), fingerprint.OfOrganisation("red")},
+				Crashes: 4, Level: 2, EvidenceFrom: now.Add(-2 * time.Hour), Since: now.Add(-time.Hour), Until: now.Add(time.Hour),
+			},
 		},
-		ActiveRuns: []quarantine.ActiveRunSummary{{Request: request("e"), Since: now.Add(-3 * time.Second)}},
+		ActiveRuns: []quarantine.ActiveRunSummary{{Fingerprint: request("e"), Since: now.Add(-3 * time.Second)}},
 	}
 }
 
@@ -48,6 +55,7 @@
 		"another version":  {[]byte{9}, true},
 		"too many entries": {[]byte{1, 0xff, 0xff, 0x7f}, false},
 		"name too long":    {append(append([]byte{1, 1}, make([]byte, 20)...), 0xff, 0x7f), false},
+		"no members":       {[]byte{2, 0, 0, 1, 0, 0, 0, 0, 0, 0}, false},
 		"trailing bytes":   {append(bytes.Clone(whole), 0), false},
 		"truncated list":   {whole[:len(whole)-1], false},
 	}
