feat(quarantine): keep quarantines in the store over a restart of all instances

A few of the instances now write each quarantine to the platform's store, as an object of a kind of its own, and a few that start read them back and tell the others. Nothing waits for the store.

--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"maps"
 	"net"
@@ -27,6 +28,10 @@
 	// Store returns a client of the object store. A watch fails if there is no answer for longer than the sum of its wait and
 	// maxSilence. After that, no call is sent over a connection that was idle meanwhile. onCall is called for each call.
 	Store func(address string, maxSilence time.Duration, onCall func()) listwatch.Store
+	// Records returns a client of the object store for objects that this product writes itself. onCall is called for each call.
+	Records func(address string, onCall func()) Records
+	// QuarantineKind is the kind of the objects in which quarantines are kept.
+	QuarantineKind string
 	// ConfigurationKind and ConfigurationName identify the object that holds the configuration. TargetKind is the kind of the
 	// objects that describe targets, EvacuationKind that of objects named after the availability zones that are evacuated.
 	ConfigurationKind, ConfigurationName, TargetKind, EvacuationKind string
@@ -38,6 +43,16 @@
 	MemoryOrders func(dial func(ctx context.Context, network, address string) (net.Conn, error)) MemoryOrders
 }
 
+// Records is a client for objects that this product writes itself. All fields are set.
+type Records struct {
+	// List returns all objects of a kind.
+	List func(ctx context.Context, kind string) (objectstore.Listing, error)
+	// Put creates an object, or replaces its value. Remove removes it, and succeeds if there is none. They fail with an
+	// objectstore.UnavailableError if nothing was done, and with an objectstore.UnknownOutcomeError if that is not known.
+	Put    func(ctx context.Context, kind, name string, value json.RawMessage) error
+	Remove func(ctx context.Context, kind, name string) error
+}
+
 // MemoryOrders is a client for memory orders to targets. All fields are set.
 type MemoryOrders struct {
 	// Reserve reserves memory at a target, or renews a reservation. It returns a reservation.RefusedError if the target surely did
--- a/internal/duty/gatewaydeps/gatewaydeps.go
+++ b/internal/duty/gatewaydeps/gatewaydeps.go
@@ -61,7 +61,9 @@
 	StateNotifier    *Notifier
 	StoreCoordinator *StoreCoordinator
 	Quarantine       *quarantine.Tracker
-	Evacuations      *evacuation.Tracker
+	// QuarantineChanges receives the changes of quarantines. They are dropped while it is full.
+	QuarantineChanges <-chan quarantine.Change
+	Evacuations       *evacuation.Tracker
 	// ZoneRetries is the retry budget that this instance holds for its availability zone while it is the holder, and SharedRetry
 	// withdraws a retry from that budget, wherever it is held.
 	ZoneRetries *budget.Retries
@@ -154,6 +156,18 @@
 	}))
 }
 
+// maxQuarantineChanges is how many changes of quarantines may wait to be stored. Far fewer happen at a time.
+const maxQuarantineChanges = 64
+
+// offerChange sends a change unless the channel is full.
+func offerChange(changes chan<- quarantine.Change, ch quarantine.Change, lg log.Interface) {
+	select {
+	case changes <- ch:
+	default:
+		lg.WithField("fingerprint", ch.Quarantine.ID().String()).Warn("quarantine is not stored: too many changes")
+	}
+}
+
 // releaseTimeout bounds the wait for the last reserved memory to be released. It covers a few round trips and is shorter than the
 // part of the grace that a stop leaves.
 const releaseTimeout = 100 * time.Millisecond
@@ -202,12 +216,14 @@
 		Permits: permits, OnPermitRefused: logNoPermit(env.Logger("dispatch"), limitOf),
 		BackOffs: backOffs, OnBackOffWait: logBackOffWait(env.Logger("dispatch")),
 	})
+	changes := make(chan quarantine.Change, maxQuarantineChanges)
 	tracker := quarantine.New(quarantine.Options{
+		OnChange: func(ch quarantine.Change) { offerChange(changes, ch, env.Logger("blame")) },
 		Instance: env.Settings.Instance, Now: time.Now, TargetCount: dr.Len, PeerCount: pt.peers.count, Crashed: dr.Lost,
 		NotifyPeers: notesNotifier.Notify, Metrics: ms, Log: env.Logger("blame"),
 	})
 	kernel.Provide(env, &Components{
-		Quarantine: tracker, Evacuations: evacuations, NotesNotifier: notesNotifier, RateLimits: limits, Permits: permits, BackOffs: backOffs, Feedback: fb,
+		Quarantine: tracker, QuarantineChanges: changes, Evacuations: evacuations, NotesNotifier: notesNotifier, RateLimits: limits, Permits: permits, BackOffs: backOffs, Feedback: fb,
 		ZoneRetries: budget.NewRetries(0, time.Now, budget.WithBurst(0), budget.WithMinRate(0)), SharedRetry: &SharedRetry{},
 		Adapter: ad, Routes: rts, TargetLimit: limitOf, Targets: dr, Dispatcher: ds, Metrics: ms, StateNotifier: stateNotifier, StoreCoordinator: &StoreCoordinator{}, Pool: pl, Pauses: pauses,
 		PathState: pt.state, TargetDialer: pt.dialer, TunnelClient: pt.client, TunnelServer: pt.server, Peers: pt.peers,
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -22,6 +22,7 @@
 	_ "github.com/silvermount/silvermount/internal/duty/orders"
 	"github.com/silvermount/silvermount/internal/duty/peers"
 	_ "github.com/silvermount/silvermount/internal/duty/peersync"
+	_ "github.com/silvermount/silvermount/internal/duty/quarantinestore"
 	_ "github.com/silvermount/silvermount/internal/duty/reports"
 	_ "github.com/silvermount/silvermount/internal/duty/store"
 	_ "github.com/silvermount/silvermount/internal/duty/storesync"
--- a/internal/quarantine/answers.go
+++ b/internal/quarantine/answers.go
@@ -89,7 +89,7 @@
 
 // announces reports whether this instance is one of the few that tell the others first. They differ between fingerprints.
 func (tr *Tracker) announces(fp fingerprint.Fingerprint) bool {
-	return tr.position(fp, 0)*float64(tr.opts.PeerCount()+1) < announcerCount
+	return tr.rank(fp, 0) < announcerCount
 }
 
 // knownSound reports whether a fingerprint was recently part of a complete answer, here or, as far as told, at a peer. The caller holds
--- a/internal/quarantine/check.go
+++ b/internal/quarantine/check.go
@@ -114,7 +114,7 @@
 	switch {
 	case fp.Kind != fingerprint.WholeRequest && (tr.isOutranked(sp) || tr.isExonerated(sp)):
 		// What all requests have in common would stop them all.
-	case sp.meetsThresholds(tr.quarantines[fp]):
+	case sp.meetsThresholds(tr.previousQuarantine(sp)):
 		dc.Delay = max(0, settleDelay-tr.opts.Now().Sub(sp.lastInterrupted()))
 	case tr.memberCounts[fp] > 0 && fp.Kind != fingerprint.WholeRequest:
 		// The part is quarantined together with something else that this request does not have. Until one run has shown which of them is
--- a/internal/quarantine/detection.go
+++ b/internal/quarantine/detection.go
@@ -35,8 +35,12 @@
 			return tr.advanceDoubtful() || changed
 		}
 		changed = true
-		qu := Quarantine{Members: tr.inseparable(sp), EvidenceFrom: sp.firstInterrupted(), Since: now}
-		previous := tr.quarantines[qu.ID()]
+		qu := Quarantine{EvidenceFrom: sp.firstInterrupted(), Since: now}
+		previous := tr.previousQuarantine(sp)
+		if previous.Level == 0 {
+			previous = Quarantine{Members: tr.inseparable(sp)}
+		}
+		qu.Members = previous.Members
 		qu.Level, qu.Crashes = previous.Level+1, previous.Crashes+len(sp.runs)
 		qu.Until = now.Add(quarantineDuration(qu.Level))
 		tr.quarantine(qu, log.Fields{
@@ -139,7 +143,7 @@
 		return cmp.Or(cmp.Compare(len(b.runs), len(a.runs)), cmp.Compare(a.pValue, b.pValue), a.fingerprint.Compare(b.fingerprint))
 	})
 	for _, sp := range as.suspects {
-		previous := tr.quarantines[sp.fingerprint]
+		previous := tr.previousQuarantine(sp)
 		if !sp.meetsThresholds(previous) {
 			continue
 		}
@@ -153,6 +157,35 @@
 	return suspect{}, false
 }
 
+// previousQuarantine returns the quarantine that the crashes under a suspect continue: that of the suspect alone, or one with all of
+// whose members the suspect ran on all targets whose crashes nothing explains yet. The caller holds the lock.
+func (tr *Tracker) previousQuarantine(sp suspect) Quarantine {
+	if qu, ok := tr.quarantines[sp.fingerprint]; ok || tr.memberCounts[sp.fingerprint] == 0 {
+		return qu
+	}
+	for _, qu := range tr.quarantines {
+		if slices.Contains(qu.Members, sp.fingerprint) && tr.ranTogether(qu.Members, sp) {
+			return qu
+		}
+	}
+	return Quarantine{}
+}
+
+// ranTogether reports whether all of the fingerprints were in those runs of a suspect whose crashes nothing explains yet. The caller
+// holds the lock.
+func (tr *Tracker) ranTogether(fps []fingerprint.Fingerprint, sp suspect) bool {
+	for _, ev := range sp.runs {
+		cr, ok := tr.crashes[ev.Incarnation]
+		if !ok || len(tr.explanations(cr)) > 0 {
+			continue
+		}
+		if slices.ContainsFunc(fps, func(fp fingerprint.Fingerprint) bool { return cr.runs[fp].Run != ev.Run }) {
+			return false
+		}
+	}
+	return true
+}
+
 // isExonerated reports whether a run with what many requests have in common lasts longer than those that crashes interrupted. The
 // caller holds the lock.
 func (tr *Tracker) isExonerated(sp suspect) bool {
--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -92,8 +92,8 @@
 	}
 }
 
-// mergeQuarantine merges a quarantine from a peer if it is new here, has a higher level or lasts clearly longer. The caller holds the
-// lock.
+// mergeQuarantine merges a quarantine from a peer, or from the store if that is empty, if it is new here, has a higher level or lasts
+// clearly longer. The caller holds the lock.
 func (tr *Tracker) mergeQuarantine(peer string, qu Quarantine) {
 	for _, fp := range qu.Members {
 		if ts, ok := tr.tombstones[fp]; ok && !qu.EvidenceFrom.After(ts.at) {
@@ -110,8 +110,30 @@
 	if ok && (own.Level > qu.Level || own.Level == qu.Level && qu.Until.Sub(own.Until) <= ageTolerance) {
 		return
 	}
-	tr.quarantine(qu, log.Fields{
-		"source": "peer", "peer": peer, "age": tr.opts.Now().Sub(qu.Since).Round(time.Millisecond).String(),
-	})
+	fs := log.Fields{"source": "peer", "peer": peer, "age": tr.opts.Now().Sub(qu.Since).Round(time.Millisecond).String()}
+	if peer == "" {
+		delete(fs, "peer")
+		fs["source"] = sourceStore
+	}
+	tr.quarantine(qu, fs)
 	tr.opts.NotifyPeers()
 }
+
+// sourceStore is the source of quarantines that were read from the store.
+const sourceStore = "store"
+
+// Restore adds quarantines that were kept in the store, unless they are known, were cleared since or have ended long ago. It returns the
+// latter.
+func (tr *Tracker) Restore(list []Quarantine) (expired []Quarantine) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.expire()
+	for _, qu := range list {
+		if !tr.opts.Now().Before(tr.retainedUntil(qu)) {
+			expired = append(expired, qu)
+			continue
+		}
+		tr.mergeQuarantine("", qu)
+	}
+	return expired
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -123,6 +123,9 @@
 		tr.evictQuarantine()
 	}
 	tr.storeQuarantine(qu)
+	if fields["source"] != sourceStore {
+		tr.reportChange(qu, false)
+	}
 	fields["for"] = qu.Until.Sub(tr.opts.Now()).Round(time.Second).String()
 	fields["level"] = qu.Level
 	tr.opts.Log.WithFields(quarantineFields(qu)).WithFields(fields).Warn("request quarantined: targets crashed while they ran it")
@@ -223,6 +226,7 @@
 // holds the lock.
 func (tr *Tracker) removeMember(qu Quarantine, fp fingerprint.Fingerprint, lifted bool) {
 	tr.removeQuarantine(qu)
+	tr.reportChange(qu, true)
 	lg := tr.opts.Log.WithFields(quarantineFields(qu)).WithField("lifted", lifted)
 	narrowed := qu.WithoutMember(fp)
 	if len(narrowed.Members) == 0 || fp.Kind == fingerprint.WholeRequest {
@@ -232,6 +236,7 @@
 	lg.WithField("cleared", fp.String()).Warn("quarantine narrowed")
 	if other, ok := tr.quarantines[narrowed.ID()]; !ok || other.Level < narrowed.Level {
 		tr.storeQuarantine(narrowed)
+		tr.reportChange(narrowed, false)
 	}
 }
 
@@ -321,9 +326,23 @@
 	}
 	qu.Until = now.Add(duration)
 	tr.storeQuarantine(qu)
+	tr.reportChange(qu, false)
 	tr.opts.NotifyPeers()
 }
 
+// reportChange reports a quarantine that begins, changes or ends. The caller holds the lock.
+func (tr *Tracker) reportChange(qu Quarantine, ended bool) {
+	tr.opts.OnChange(Change{Quarantine: qu, Ended: ended, Rank: tr.rank(qu.ID(), qu.Level)})
+}
+
+// rank returns about how many instances come before this one in an order that is random for each fingerprint and level.
+func (tr *Tracker) rank(fp fingerprint.Fingerprint, level int) float64 {
+	return tr.position(fp, level) * float64(tr.opts.PeerCount()+1)
+}
+
+// StartRank returns the rank of this instance for tasks that a few of all instances do when they start.
+func (tr *Tracker) StartRank() float64 { return tr.rank(fingerprint.Fingerprint{}, 0) }
+
 // probeTurn returns when this instance may probe a quarantine. The turns of the instances are spread at random. The caller holds the
 // lock.
 func (tr *Tracker) probeTurn(qu Quarantine) time.Time {
@@ -343,6 +362,7 @@
 	for _, qu := range tr.quarantines {
 		if !now.Before(tr.retainedUntil(qu)) {
 			tr.removeQuarantine(qu)
+			tr.reportChange(qu, true)
 		}
 	}
 	for fp, ts := range tr.tombstones {
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -120,8 +120,17 @@
 	cr.explainedAt = 0
 }
 
+// Change is a quarantine that has begun, has changed or has ended on this instance.
+type Change struct {
+	Quarantine Quarantine
+	Ended      bool
+	// Rank is about how many instances come before this one where a few of all instances suffice for a task. It differs between
+	// quarantines.
+	Rank float64
+}
+
 // Options are the dependencies of a Tracker. All fields are required but Instance and PeerCount, which an instance without peers may
-// leave out.
+// leave out, and OnChange.
 type Options struct {
 	// Instance is the name of this instance.
 	Instance string
@@ -133,8 +142,10 @@
 	Crashed func(incarnation string) bool
 	// NotifyPeers is called when peers need a new snapshot. It must not call the Tracker.
 	NotifyPeers func()
-	Metrics     *metrics.Set
-	Log         log.Interface
+	// OnChange is called when a quarantine begins, changes or ends. It must not block or call the Tracker.
+	OnChange func(Change)
+	Metrics  *metrics.Set
+	Log      log.Interface
 }
 
 // Tracker holds the evidence against fingerprints and their quarantines. It is safe for concurrent use.
@@ -186,6 +197,9 @@
 	if op.PeerCount == nil {
 		op.PeerCount = func() int { return 0 }
 	}
+	if op.OnChange == nil {
+		op.OnChange = func(Change) {}
+	}
 	tr := &Tracker{
 		opts: op, crashes: map[string]*crash{}, quarantines: map[fingerprint.Fingerprint]Quarantine{},
 		memberCounts: map[fingerprint.Fingerprint]int{}, refusedAt: map[fingerprint.Fingerprint]time.Time{},
