fix(gateway): count a request that another incarnation turned away as a retry

A target that starts again at its address turns away what was sent to its predecessor (421), and the request went on to the next target without a retry of the budget, though the target had received it. It now draws on the budget like any other request that a target turned away, and is refused as not run if that is empty. TestMisdirectedRequestDrawsOnTheRetryBudget failed before: the request reached a second target.

--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -33,7 +33,8 @@
 		gw.Targets.MarkLeaving(sl.Target.ID)
 		gw.logTargetState(sl.Target, "gone", "its address now belongs to another incarnation")
 		gw.logSkipped(rq, sl.Target, "its address now belongs to another incarnation")
-		return failure.New(failure.TargetUnreachable, gw.outcome(rq), "another target has the address").WithRetryAfter(overloadRetryAfter)
+		// The process at the address has received the request, so that another attempt is a retry.
+		return failure.New(failure.TargetShed, gw.outcome(rq), "another target has the address").WithRetryAfter(overloadRetryAfter)
 	case responsehead.Unverified:
 		rq.outcomes.Add(failure.Unknown)
 		err := &UnverifiedResponseError{Status: rs.StatusCode}
