--- a/internal/standin/targetsim/conn.go
+++ b/internal/standin/targetsim/conn.go
@@ -275,6 +275,9 @@
 		rs = rs.WithHeader("Connection", "close")
 	}
 	rs = sv.addLimits(rs)
+	if sv.settings.Unframed {
+		kd = NoLength
+	}
 	return rs.withFraming(kd)
 }
 
--- a/internal/standin/targetsim/server.go
+++ b/internal/standin/targetsim/server.go
@@ -40,6 +40,8 @@
 	IdleTimeout time.Duration
 	// TruncateAfter is the number of complete events that are sent before a Truncate fault.
 	TruncateAfter int
+	// Unframed omits the length and the chunks of all responses, which then end with their connections.
+	Unframed bool
 	// AdvertisedAddress is the host and port of a proxy through which others reach the target; empty means that they reach
 	// it at its own address.
 	AdvertisedAddress string
