fix(quarantine): judge what many requests share only while others are answered

What was part of answers before, or may have been, is now judged only once other requests without it were answered since its first crash; a peer's crash is settled only 0.2 s after it is known here; and a peer's quarantine ends where the fingerprint was answered since.

--- a/internal/quarantine/answers.go
+++ b/internal/quarantine/answers.go
@@ -12,6 +12,11 @@
 	answerGeneration = 30 * time.Second
 	// maxAnswersPerGeneration bounds each half of the answer memory; 60 bytes for each fingerprint.
 	maxAnswersPerGeneration = 4096
+	// maxRecentAnswers bounds the answers that are compared with those that are missing.
+	maxRecentAnswers = 64
+	// minOtherAnswers is how many other requests must have been answered before the lack of answers to requests with a fingerprint
+	// tells anything.
+	minOtherAnswers = 3
 	// announcerCount is how many instances tell the others of an answer at once. The others wait for more evidence, because an answer
 	// that clears a common fingerprint is seen by all instances.
 	announcerCount = 8
@@ -41,6 +46,36 @@
 	return at, ok
 }
 
+// recentAnswers holds the shared fingerprints of the newest complete answers of this instance. Its zero value is empty.
+type recentAnswers struct {
+	list [maxRecentAnswers]recentAnswer
+	next int
+}
+
+type recentAnswer struct {
+	at     time.Time
+	shared []fingerprint.Fingerprint
+}
+
+func (ra *recentAnswers) add(at time.Time, shared []fingerprint.Fingerprint) {
+	ra.list[ra.next] = recentAnswer{at: at, shared: shared}
+	ra.next = (ra.next + 1) % len(ra.list)
+}
+
+// countWithout returns the number of answers after a time to requests without a fingerprint. For a part of prompts only prompts count.
+func (ra *recentAnswers) countWithout(fp fingerprint.Fingerprint, after time.Time) int {
+	n := 0
+	for _, rc := range ra.list {
+		comparable := fp.Kind != fingerprint.PromptPart || slices.ContainsFunc(rc.shared, isPart)
+		if rc.at.After(after) && comparable && !slices.Contains(rc.shared, fp) {
+			n++
+		}
+	}
+	return n
+}
+
+func isPart(fp fingerprint.Fingerprint) bool { return fp.Kind == fingerprint.PromptPart }
+
 // RecordAnswered records that a request was answered completely and successfully, which voids all earlier evidence against its
 // fingerprints.
 func (tr *Tracker) RecordAnswered(st fingerprint.Set) {
@@ -48,6 +83,7 @@
 	defer tr.mu.Unlock()
 	tr.expire()
 	now := tr.opts.Now()
+	tr.recent.add(now, st.Shared())
 	published := false
 	for _, fp := range st.Shared() {
 		tr.answers.record(fp, now)
--- a/internal/quarantine/detection.go
+++ b/internal/quarantine/detection.go
@@ -92,7 +92,7 @@
 func (tr *Tracker) timeToSettle() time.Duration {
 	wait := maxEvaluationInterval
 	for _, cr := range tr.crashes {
-		if remaining := settleDelay - tr.opts.Now().Sub(cr.at); remaining >= 0 {
+		if remaining := settleDelay - tr.opts.Now().Sub(cr.settlesFrom()); remaining >= 0 {
 			wait = min(wait, remaining)
 		}
 	}
@@ -124,11 +124,11 @@
 	return as
 }
 
-// crashesBefore returns the crashes that are not newer than a time. The caller holds the lock.
+// crashesBefore returns the crashes whose evidence was exchanged since before a time. The caller holds the lock.
 func (tr *Tracker) crashesBefore(at time.Time) []*crash {
 	list := make([]*crash, 0, len(tr.crashes))
 	for _, cr := range tr.crashes {
-		if !cr.at.After(at) {
+		if !cr.settlesFrom().After(at) {
 			list = append(list, cr)
 		}
 	}
@@ -150,7 +150,7 @@
 		sp = tr.withoutSharedCrashes(sp, as)
 		others := slices.DeleteFunc(slices.Clone(as.suspects), func(other suspect) bool { return tr.sameRuns(sp, other.fingerprint) })
 		distinct := len(sp.runs) >= tieBreakCrashes || !sp.indistinguishable(others)
-		if sp.meetsThresholds(previous) && distinct && !tr.hasLongerActiveRun(sp) {
+		if sp.meetsThresholds(previous) && distinct && !tr.hasLongerActiveRun(sp) && tr.othersAreAnswered(sp) {
 			return sp, true
 		}
 	}
@@ -186,6 +186,12 @@
 	return true
 }
 
+// othersAreAnswered reports whether other requests were answered since the first crash under a suspect that needs a cautious judgement.
+// While none is, the lack of answers to requests with it says nothing against it. The caller holds the lock.
+func (tr *Tracker) othersAreAnswered(sp suspect) bool {
+	return !sp.cautious || tr.recent.countWithout(sp.fingerprint, sp.firstInterrupted()) >= minOtherAnswers
+}
+
 // isExonerated reports whether a run with what many requests have in common lasts longer than those that crashes interrupted. The
 // caller holds the lock.
 func (tr *Tracker) isExonerated(sp suspect) bool {
--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -66,6 +66,7 @@
 	for _, ev := range sn.Evidence {
 		if _, known := tr.crashes[ev.Incarnation]; !known {
 			tr.addCrash(ev.Incarnation, ev.At)
+			tr.crashes[ev.Incarnation].learnedAt = tr.opts.Now()
 		}
 		tr.addEvidence(ev)
 	}
@@ -96,11 +97,12 @@
 // clearly longer. The caller holds the lock.
 func (tr *Tracker) mergeQuarantine(peer string, qu Quarantine) {
 	for _, fp := range qu.Members {
-		if ts, ok := tr.tombstones[fp]; ok && !qu.EvidenceFrom.After(ts.at) {
-			qu = qu.WithoutMember(fp)
-			if fp.Kind == fingerprint.WholeRequest {
-				return
-			}
+		if !tr.isClearedSince(fp, qu.EvidenceFrom) {
+			continue
+		}
+		qu = qu.WithoutMember(fp)
+		if fp.Kind == fingerprint.WholeRequest {
+			return
 		}
 	}
 	if len(qu.Members) == 0 || !tr.opts.Now().Before(tr.retainedUntil(qu)) {
@@ -119,6 +121,21 @@
 	tr.opts.NotifyPeers()
 }
 
+// isClearedSince reports whether a fingerprint was cleared after a time. Peers that do not know of the answer that cleared it are told.
+// The caller holds the lock.
+func (tr *Tracker) isClearedSince(fp fingerprint.Fingerprint, at time.Time) bool {
+	if ts, ok := tr.tombstones[fp]; ok && !at.After(ts.at) {
+		return true
+	}
+	answeredAt, ok := tr.answers.last(fp)
+	if !ok || at.After(answeredAt) {
+		return false
+	}
+	tr.setTombstone(fp, tombstone{at: answeredAt})
+	tr.opts.NotifyPeers()
+	return true
+}
+
 // sourceStore is the source of quarantines that were read from the store.
 const sourceStore = "store"
 
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -101,6 +101,8 @@
 // crash is the crash of one incarnation of a target.
 type crash struct {
 	at time.Time
+	// learnedAt is when a peer told of the crash; zero if this instance saw it first.
+	learnedAt time.Time
 	// runs holds the most telling run that the crash interrupted for each fingerprint, at most maxRunsPerCrash.
 	runs map[fingerprint.Fingerprint]Evidence
 	// explainedBy holds the IDs of the quarantines that explain the crash, as of the revision explainedAt of the quarantines.
@@ -108,6 +110,9 @@
 	explainedAt int
 }
 
+// settlesFrom returns when this instance and its peers began to exchange what they know of the crash.
+func (cr *crash) settlesFrom() time.Time { return laterOf(cr.at, cr.learnedAt) }
+
 // setRun records the run that tells most about a fingerprint.
 func (cr *crash) setRun(ev Evidence) {
 	cr.runs[ev.Fingerprint] = ev
@@ -170,6 +175,8 @@
 	// cleared by that since peers were last told.
 	answers     answerMemory
 	unpublished map[fingerprint.Fingerprint]int
+	// recent holds the newest of these answers.
+	recent recentAnswers
 	// evidenceCounts counts the crashes that are evidence against a fingerprint; headCounts counts those crashes and the quarantines
 	// of all requests with a head hash. Entries at zero are removed.
 	evidenceCounts map[fingerprint.Fingerprint]int
