fix(quarantine): let the instances take turns with probes

Requests on probation that waited at several instances were all let through at the same moment, one second after the last crash, and crashed as many targets. Each instance now waits a little longer than the interval, at random by its name.

--- a/internal/quarantine/check.go
+++ b/internal/quarantine/check.go
@@ -15,6 +15,10 @@
 	// of the fingerprint, to its next probe on this instance. It doubles with each probe, up to maxProbeInterval.
 	initialProbeInterval = time.Second
 	maxProbeInterval     = 8 * time.Second
+	// probeStagger is the mean time between the probes of two instances, and maxStaggerFactor bounds the additional wait of an instance,
+	// as a multiple of the interval.
+	probeStagger     = 200 * time.Millisecond
+	maxStaggerFactor = 3
 )
 
 // probe is the last run of a fingerprint on probation on this instance.
@@ -150,7 +154,10 @@
 		since = pb.sentAt
 	}
 	now := tr.opts.Now()
-	if remaining := pb.interval - now.Sub(since); remaining > 0 {
+	// The instances take turns, so that one learns of the outcome of another's probe before it sends its own.
+	stagger := min(time.Duration(tr.opts.PeerCount())*probeStagger, maxStaggerFactor*pb.interval)
+	turn := pb.interval + time.Duration(tr.position(sp.fingerprint, 0)*float64(stagger))
+	if remaining := turn - now.Sub(since); remaining > 0 {
 		return remaining
 	}
 	tr.probes[sp.fingerprint] = probe{sentAt: now, interval: min(2*pb.interval, maxProbeInterval)}
