fix(quarantine): explain crashes by a whole request alone

A whole request implies its other members. TestQuarantineWithAClearedMemberExplainsCrashes failed before.

--- a/internal/quarantine/check.go
+++ b/internal/quarantine/check.go
@@ -67,7 +67,7 @@
 func (tr *Tracker) quarantinesOf(st fingerprint.Set) []Quarantine {
 	var list []Quarantine
 	for _, qu := range tr.quarantines {
-		if st.HasAll(qu.Members) {
+		if st.HasAll(qu.decisive()) {
 			list = append(list, qu)
 		}
 	}
--- a/internal/quarantine/detection.go
+++ b/internal/quarantine/detection.go
@@ -29,10 +29,10 @@
 	}
 	defer func() { tr.evaluatedRevision, tr.evaluateAgainAt = tr.revision, now.Add(tr.timeToSettle()) }()
 	changed := false
-	for {
+	for range maxQuarantines {
 		sp, ok := tr.strongestSuspect()
 		if !ok {
-			return tr.advanceDoubtful() || changed
+			break
 		}
 		changed = true
 		qu := Quarantine{EvidenceFrom: sp.firstInterrupted(), Since: now}
@@ -47,6 +47,7 @@
 			"source": "own", "targets": joinTargets(sp.runs), "chance": strconv.FormatFloat(sp.pValue, 'e', 1, 64),
 		})
 	}
+	return tr.advanceDoubtful() || changed
 }
 
 // advanceDoubtful lets the first probe of quarantines be sent now whose crashes others explain by now, and reports whether there were
@@ -270,7 +271,7 @@
 			ev, ran := cr.runs[fp]
 			return !ran || !ev.At.Before(qu.Until)
 		}
-		if !slices.ContainsFunc(qu.Members, missing) {
+		if !slices.ContainsFunc(qu.decisive(), missing) {
 			cr.explainedBy = append(cr.explainedBy, id)
 		}
 	}
--- a/internal/quarantine/lasting_test.go
+++ b/internal/quarantine/lasting_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -192,3 +193,29 @@
 		})
 	}
 }
+
+// TestQuarantineWithAClearedMemberExplainsCrashes guards against an instance that quarantines a request again and again, because one of the
+// members of its quarantine is no evidence here.
+func TestQuarantineWithAClearedMemberExplainsCrashes(t *testing.T) {
+	g := NewWithT(t)
+	ck := newClock()
+	a, b := newPeer(ck, 18, "a", 1), newPeer(ck, 18, "b", 1)
+	ck.advance(time.Minute)
+	org := fingerprint.OfOrganisation("red")
+	for i := range 3 {
+		a.RecordInterrupted(quarantine.InterruptedRun{
+			Fingerprints: []fingerprint.Fingerprint{request("fatal"), org}, Incarnation: fmt.Sprint("target-", i), Elapsed: shortRun, At: ck.now,
+		})
+		a.RecordCrash(fmt.Sprint("target-", i))
+	}
+	ck.advance(afterSettleDelay)
+	g.Expect(a.quarantined("fatal")).To(BeTrue())
+	sn := a.Snapshot()
+	g.Expect(sn.Quarantines[0].Members).To(ConsistOf(request("fatal"), org))
+	// The evidence against the organisation does not reach the other instance.
+	sn.Evidence = slices.DeleteFunc(sn.Evidence, func(ev quarantine.Evidence) bool { return ev.Fingerprint == org })
+	b.MergePeer("a", sn)
+	ck.advance(afterSettleDelay)
+	g.Expect(b.quarantined("fatal")).To(BeTrue())
+	g.Expect(b.Quarantines()[0].Level).To(Equal(1))
+}
