fix(quarantine): quarantine no organisation or path for itself

Paths and organisations now narrow a quarantine as members, and are not quarantined alone; TestOrganisationIsNotQuarantinedForItself.

--- a/internal/quarantine/answers.go
+++ b/internal/quarantine/answers.go
@@ -62,12 +62,11 @@
 	ra.next = (ra.next + 1) % len(ra.list)
 }
 
-// countWithout returns the number of answers after a time to requests without a fingerprint. For a part of prompts only prompts count.
-func (ra *recentAnswers) countWithout(fp fingerprint.Fingerprint, after time.Time) int {
+// countWithout returns the number of prompts without a part that were answered after a time.
+func (ra *recentAnswers) countWithout(part fingerprint.Fingerprint, after time.Time) int {
 	n := 0
 	for _, rc := range ra.list {
-		comparable := fp.Kind != fingerprint.PromptPart || slices.ContainsFunc(rc.shared, isPart)
-		if rc.at.After(after) && comparable && !slices.Contains(rc.shared, fp) {
+		if rc.at.After(after) && slices.ContainsFunc(rc.shared, isPart) && !slices.Contains(rc.shared, part) {
 			n++
 		}
 	}
--- a/internal/quarantine/check.go
+++ b/internal/quarantine/check.go
@@ -96,8 +96,7 @@
 }
 
 // checkedFingerprints returns the fingerprints of a request that may delay it: the whole request and the parts of its prompt, if there
-// is evidence against them. A path or an organisation is common to so many requests that they would all have to wait. The caller
-// holds the lock.
+// is evidence against them. The caller holds the lock.
 func (tr *Tracker) checkedFingerprints(st fingerprint.Set) []fingerprint.Fingerprint {
 	var list []fingerprint.Fingerprint
 	if tr.headCounts[st.HeadHash()] > 0 {
--- a/internal/quarantine/detection.go
+++ b/internal/quarantine/detection.go
@@ -112,7 +112,7 @@
 func (tr *Tracker) assess(before time.Time) assessment {
 	var as assessment
 	for fp, n := range tr.evidenceCounts {
-		if tr.memberCounts[fp] == 0 && n < minCrashes {
+		if !isContent(fp) || tr.memberCounts[fp] == 0 && n < minCrashes {
 			continue
 		}
 		if as.settled == nil {
--- a/internal/quarantine/lasting_test.go
+++ b/internal/quarantine/lasting_test.go
@@ -219,3 +219,23 @@
 	g.Expect(b.quarantined("fatal")).To(BeTrue())
 	g.Expect(b.Quarantines()[0].Level).To(Equal(1))
 }
+
+// TestOrganisationIsNotQuarantinedForItself guards against an organisation that is refused as a whole, because several fatal parts are in
+// its prompts and none of the others is answered meanwhile.
+func TestOrganisationIsNotQuarantinedForItself(t *testing.T) {
+	g := NewWithT(t)
+	sf := newSmallFleet(3)
+	sf.ck.advance(time.Minute)
+	for i := range 12 {
+		sf.send(t, i%3, sf.newRequest("first", fmt.Sprint("bad-", i%6)), true)
+		other := setOf(request(fmt.Sprint("other-", i)), fingerprint.OfOrganisation("blue"), fingerprint.OfPart("second"))
+		g.Expect(sf.send(t, i%3, other, false)).To(BeTrue())
+	}
+	for _, in := range sf.instances {
+		for _, qu := range in.Quarantines() {
+			g.Expect(qu.ID().Kind).NotTo(BeElementOf(fingerprint.Organisation, fingerprint.Path))
+		}
+		_, refused := in.Refused(setOf(request("plain"), fingerprint.OfOrganisation("red")))
+		g.Expect(refused).To(BeFalse())
+	}
+}
--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -31,8 +31,7 @@
 	// minPValueRatio is how many times smaller the p-value of a fingerprint must be than that of another one that ran on all the
 	// same targets. Between two similar ones the next crash decides, or the next complete answer.
 	minPValueRatio = 100
-	// minCautiousCrashes is the number of targets that must crash before something is quarantined that was part of complete answers, or
-	// that is not in the content of requests.
+	// minCautiousCrashes is the number of targets that must crash before something is quarantined that was part of complete answers.
 	minCautiousCrashes = tieBreakCrashes
 	// minMemoryAge is the time after the start of an instance until it knows what was part of complete answers.
 	minMemoryAge = 10 * time.Second
@@ -58,8 +57,9 @@
 	knownSound, cautious bool
 }
 
-// isContent reports whether a fingerprint identifies something in the content of requests. Any other, such as a path, is common to
-// requests that differ in all that a target processes, and is blamed only for crashes that no content explains.
+// isContent reports whether a fingerprint identifies something in the content of requests. Any other, such as an organisation, is common
+// to requests that differ in all that a target processes. It narrows a quarantine as a member, and is not quarantined for itself: that would
+// refuse too many.
 func isContent(fp fingerprint.Fingerprint) bool {
 	return fp.Kind == fingerprint.WholeRequest || fp.Kind == fingerprint.PromptPart
 }
@@ -94,7 +94,7 @@
 		return sp.pValue <= maxRepeatPValue
 	}
 	required := minCrashes
-	if sp.cautious || !isContent(sp.fingerprint) {
+	if sp.cautious {
 		required = minCautiousCrashes
 	}
 	return len(sp.runs) >= required && sp.pValue <= maxPValue
@@ -111,16 +111,10 @@
 }
 
 // outranks reports whether a suspect is clearly the better explanation for the crashes that it shares with another, although the other
-// may have more crashes: it is content, the other is not, and it explains nearly all of them; or nearly all crashes of both are the same
-// and the other is a part of prompts that was answered completely before, or that ran much longer on the targets before they crashed.
+// may have more crashes: nearly all crashes of both are the same, and the other is a part of prompts that was answered completely before,
+// or that ran much longer on the targets before they crashed.
 func (sp suspect) outranks(other suspect) bool {
-	if sp.fingerprint == other.fingerprint {
-		return false
-	}
-	if isContent(sp.fingerprint) != isContent(other.fingerprint) {
-		return isContent(sp.fingerprint) && sp.overlap(other) >= minOverlap
-	}
-	if other.fingerprint.Kind == fingerprint.WholeRequest {
+	if sp.fingerprint == other.fingerprint || other.fingerprint.Kind == fingerprint.WholeRequest {
 		return false
 	}
 	if sp.overlap(other) < minOverlap || other.overlap(sp) < minOverlap {
