--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -77,23 +77,23 @@
 // simulation is a small fleet on a simulated clock.
 type simulation struct {
 	scenario
-	rd    *rand.Rand
-	ck    *clock
-	fleet []*instance
+	rd        *rand.Rand
+	ck        *clock
+	fleet     []*instance
+	startedAt time.Time
 	// incarnations counts the restarts of each target; downUntil is when the next incarnation starts.
-	startedAt    time.Time
 	incarnations []int
 	downUntil    []time.Time
 	jobs         []*job
 	messages     []message
 	gossiped     []int
-	// thirdCrash is when the last target crashed that a fatal request may crash, usually the third. crashes counts the crashes of targets that ran
-	// it, and lateRuns its runs after the deadline for its quarantine.
-	thirdCrash map[string]time.Time
-	crashes    map[string]int
-	// sent counts the requests.
-	sent     int
-	lateRuns map[string]int
+	// lastAllowedCrash is when a fatal request had crashed as many targets as crashLimit allows. crashes counts the crashes of targets
+	// that ran it, and lateRuns its runs after the deadline for its quarantine.
+	lastAllowedCrash map[string]time.Time
+	crashes          map[string]int
+	lateRuns         map[string]int
+	// sent numbers the requests that are like no other.
+	sent int
 	// refused counts the harmless requests that were refused, by name; served counts those that were answered.
 	refused map[string]int
 	// delayed counts the harmless requests that had to wait.
@@ -104,7 +104,7 @@
 	sm := &simulation{
 		scenario: sc, rd: rand.New(rand.NewPCG(seed, 0)), ck: newClock(), incarnations: make([]int, sc.targets),
 		downUntil: make([]time.Time, sc.targets), gossiped: make([]int, sc.instances),
-		thirdCrash: map[string]time.Time{}, crashes: map[string]int{}, lateRuns: map[string]int{}, refused: map[string]int{},
+		lastAllowedCrash: map[string]time.Time{}, crashes: map[string]int{}, lateRuns: map[string]int{}, refused: map[string]int{},
 	}
 	sm.startedAt = sm.ck.now
 	for i := range sc.instances {
@@ -193,7 +193,7 @@
 	}
 	if jb.fatal {
 		jb.endsAt = jb.headAt.Add(20*time.Millisecond + time.Duration(sm.rd.IntN(280))*time.Millisecond)
-		if third, ok := sm.thirdCrash[jb.name]; ok && sm.ck.now.Sub(third) > quarantineDeadline && sm.connected(jb) {
+		if last, ok := sm.lastAllowedCrash[jb.name]; ok && sm.ck.now.Sub(last) > quarantineDeadline && sm.connected(jb) {
 			sm.lateRuns[jb.name]++
 		}
 	}
@@ -224,8 +224,8 @@
 			if sm.connected(*jb) {
 				sm.crashes[jb.name]++
 			}
-			if _, known := sm.thirdCrash[jb.name]; !known && sm.crashes[jb.name] == max(3, sm.crashLimit) {
-				sm.thirdCrash[jb.name] = sm.ck.now
+			if _, known := sm.lastAllowedCrash[jb.name]; !known && sm.crashes[jb.name] == max(3, sm.crashLimit) {
+				sm.lastAllowedCrash[jb.name] = sm.ck.now
 			}
 			sm.crash(jb.target)
 			continue
@@ -339,7 +339,6 @@
 		}),
 		"many instances, slow gossip": with(func(sc *scenario) { sc.fatal, sc.instances, sc.maxGossipDelay = 2, 24, 150*time.Millisecond }),
 	}
-
 	for name, sc := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -52,8 +52,8 @@
 	return fingerprint.OfCombination(qu.Members)
 }
 
-// decisive returns the members that decide whether a request is refused and a crash explained. A whole request implies all others, even where the evidence
-// against them was cleared.
+// decisive returns the members that decide whether a request is refused and a crash explained. A whole request implies all others, even
+// where the evidence against them was cleared.
 func (qu Quarantine) decisive() []fingerprint.Fingerprint {
 	if qu.ID().Kind == fingerprint.WholeRequest {
 		return qu.Members[:1]
