fix(quarantine): hold what a peer suspects until its crashes settle

A crash that a peer tells of settles 0.2 s after it is known here, since, but the delay of a suspect was counted from the interrupted run, seconds ago: zero. It is now counted from when the last of its crashes began to settle. TestStartingInstanceHoldsWhatPeersSuspect failed before.

--- a/internal/quarantine/check.go
+++ b/internal/quarantine/check.go
@@ -118,7 +118,7 @@
 	case fp.Kind != fingerprint.WholeRequest && len(sp.runs) > 0 && (tr.isOutranked(sp) || tr.isExonerated(sp) || !tr.othersAreAnswered(sp)):
 		// What all requests have in common would stop them all.
 	case sp.meetsThresholds(tr.previousQuarantine(sp)):
-		dc.Delay = max(0, settleDelay-tr.opts.Now().Sub(sp.lastInterrupted()))
+		dc.Delay = max(0, settleDelay-tr.opts.Now().Sub(tr.settlesFrom(sp)))
 	case tr.memberCounts[fp] > 0 && fp.Kind != fingerprint.WholeRequest:
 		// The part is quarantined together with something else that this request does not have. Until one run has shown which of them is
 		// the cause, the others wait.
@@ -129,6 +129,16 @@
 	return dc
 }
 
+// settlesFrom returns the time from which the crashes under a suspect settle: when the last run was interrupted, or when a peer told of it.
+// The caller holds the lock.
+func (tr *Tracker) settlesFrom(sp suspect) time.Time {
+	at := sp.lastInterrupted()
+	for _, ev := range sp.runs {
+		at = laterOf(at, tr.crashes[ev.Incarnation].settlesFrom())
+	}
+	return at
+}
+
 // isOutranked reports whether another fingerprint is clearly the better explanation for the crashes of a suspect. The caller holds the
 // lock.
 func (tr *Tracker) isOutranked(sp suspect) bool {
--- a/internal/quarantine/gossip_test.go
+++ b/internal/quarantine/gossip_test.go
@@ -68,6 +68,22 @@
 	}
 }
 
+// TestStartingInstanceHoldsWhatPeersSuspect starts an instance whose peers have not judged their evidence yet, since no request came.
+func TestStartingInstanceHoldsWhatPeersSuspect(t *testing.T) {
+	g := NewWithT(t)
+	ck := newClock()
+	a, late := newInstance(ck, 12), newInstance(ck, 12)
+	for i := range 4 {
+		a.interrupt(fmt.Sprint("target-", i), true, shortRun, "fatal")
+	}
+	ck.advance(3 * time.Second)
+	a.gossipTo(t, late)
+	dc := late.Check(request("fatal"))
+	g.Expect(dc.Delay).To(BeNumerically(">", 0))
+	ck.advance(dc.Delay)
+	g.Expect(late.quarantined("fatal")).To(BeTrue())
+}
+
 // TestStaleQuarantineFromAPeerIsIgnored lets a peer that was cut off send a quarantine that the other instances have ended since.
 func TestStaleQuarantineFromAPeerIsIgnored(t *testing.T) {
 	cases := map[string]struct {
