feat(gateway): log and count withdrawals from the retry budget

The log did not tell from which budget a retry came, what the balance was, by how many the floor was divided and how old the process was. Without these the causes of a fleet that exceeds its retry budget look alike.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -59,10 +59,41 @@
 	// balance is between zero and burst.
 	balance    float64
 	refilledAt time.Time
+	// sharers is the number of instances that the floor was divided by; zero if it was not divided.
+	sharers int
 	// borrow withdraws a retry from a budget that several instances share; nil if there is none.
 	borrow func() bool
 }
 
+// Source is the budget that a retry was withdrawn from.
+type Source string
+
+// The sources. The zero value means that no retry was withdrawn.
+const (
+	SourceOwn    Source = "own"
+	SourceShared Source = "shared"
+)
+
+// Withdrawal is the result of a request for one retry, with the inputs of the decision.
+type Withdrawal struct {
+	// Source is empty if the retry was denied.
+	Source Source
+	// Balance is what was left in the budget of the instance after the decision, of at most Burst.
+	Balance, Burst float64
+	// Sharers is the number of instances that the floor was divided by; zero if it was not divided.
+	Sharers int
+}
+
+// Granted reports whether the retry was withdrawn.
+func (wd Withdrawal) Granted() bool { return wd.Source != "" }
+
+// SetSharers sets the number of instances that the floor was divided by.
+func (rt *Retries) SetSharers(n int) {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	rt.sharers = n
+}
+
 // SetShared sets the function that withdraws a retry from a budget shared by several instances. It is called when the balance is
 // below one, without the lock held, and may block. Nil disables it.
 func (rt *Retries) SetShared(borrow func() bool) {
@@ -106,23 +137,31 @@
 }
 
 // TryWithdraw withdraws one retry from the balance, or else from the shared budget. It returns false when neither has one.
-func (rt *Retries) TryWithdraw() bool {
-	taken, borrow := rt.withdraw()
-	return taken || borrow != nil && borrow()
+func (rt *Retries) TryWithdraw() bool { return rt.Withdraw().Granted() }
+
+// Withdraw is TryWithdraw with the inputs of the decision.
+func (rt *Retries) Withdraw() Withdrawal {
+	wd, borrow := rt.withdraw()
+	if !wd.Granted() && borrow != nil && borrow() {
+		wd.Source = SourceShared
+	}
+	return wd
 }
 
 // withdraw withdraws one retry from the balance. If the balance is below one, it returns the function for the shared budget.
-func (rt *Retries) withdraw() (taken bool, borrow func() bool) {
+func (rt *Retries) withdraw() (wd Withdrawal, borrow func() bool) {
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
 	now := rt.now()
 	rt.credit(now.Sub(rt.refilledAt).Seconds() * rt.minRate)
 	rt.refilledAt = now
+	wd = Withdrawal{Balance: rt.balance, Burst: rt.burst, Sharers: rt.sharers}
 	if rt.balance < 1 {
-		return false, rt.borrow
+		return wd, rt.borrow
 	}
 	rt.balance--
-	return true, nil
+	wd.Balance, wd.Source = rt.balance, SourceOwn
+	return wd, nil
 }
 
 // Available reports whether the balance allows a retry, or a shared budget may, without withdrawing it.
--- a/internal/callerapi/inference.go
+++ b/internal/callerapi/inference.go
@@ -212,7 +212,7 @@
 		Code: fe.Code, Cancelled: rq.isOver(ctx), AtMostOnce: rq.atMostOnce, MayHaveRun: outcomes.MayHaveRun(),
 		Attempts: rq.life.Attempts, MaxAttempts: sv.limits.MaxAttempts, ResponseStarted: sk.Started(),
 		TryResume: func() bool { return rq.class.ContinueElsewhere && sv.rebuildForContinuation(rq, sk) },
-	}.ShouldRetry(sv.Retries)
+	}.ShouldRetry(sv.Retries.TryWithdraw)
 }
 
 // endFailed moves a request that gets no complete response to its final state, and returns its failure. The outcome "not run"
--- a/internal/duty/frontend/shares.go
+++ b/internal/duty/frontend/shares.go
@@ -78,6 +78,7 @@
 func (ls *limitShares) updateRetries(zoneMembers int) {
 	st := ls.settings.Load()
 	own, zone, shared := floorShares(st, zoneMembers, ls.maxLive)
+	ls.retries.SetSharers(ls.maxLive)
 	ls.retries.SetFloor(own.burst, own.perSecond)
 	ls.zoneRetries.SetFloor(zone.burst, zone.perSecond)
 	if shared {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,6 +83,8 @@
 	lifecycle   *lifecycle.Machine
 	stateCounts stateCounts
 	crashProbes probeSet
+	// startedAt is when New was called.
+	startedAt time.Time
 	// configStale is set while requests that need a key are refused because the configuration is stale.
 	configStale atomic.Bool
 	// refusing is set once new requests are refused.
@@ -94,7 +96,7 @@
 
 // New returns a Gateway and registers its gauges.
 func New(dp Deps, lm Limits) *Gateway {
-	gw := &Gateway{Deps: dp, lifecycle: lifecycle.New()}
+	gw := &Gateway{Deps: dp, lifecycle: lifecycle.New(), startedAt: dp.Now()}
 	gw.aborted, gw.abort = context.WithCancel(context.Background())
 	gw.SetLimits(lm)
 	gw.registerInFlightGauges()
--- a/internal/gateway/logging.go
+++ b/internal/gateway/logging.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"net/http"
 	"strings"
 	"time"
@@ -52,6 +53,27 @@
 	gw.Log.WithFields(fs).Info("request sent")
 }
 
+// withdrawRetry withdraws a retry of a request from the budget, and logs and counts the decision.
+func (gw *Gateway) withdrawRetry(requestID, service string) bool {
+	wd := gw.RetryBudget.Withdraw()
+	lg := gw.Log.WithFields(log.Fields{
+		"request": requestID, "service": service, "source": string(wd.Source), "balance": roundedTenth(wd.Balance),
+		"burst": roundedTenth(wd.Burst), "sharers": wd.Sharers, "uptime": roundedSince(gw.startedAt, gw.Now()).String(),
+	})
+	result := "denied"
+	if wd.Granted() {
+		result = string(wd.Source)
+		lg.Info("retry withdrawn")
+	} else {
+		lg.Warn("retry denied")
+	}
+	gw.Metrics.GetOrCreateCounter(`silvermount_retry_withdrawals_total{result="` + result + `"}`).Inc()
+	return wd.Granted()
+}
+
+// roundedTenth rounds to a tenth.
+func roundedTenth(f float64) float64 { return math.Round(10*f) / 10 }
+
 // logDelayed logs that a request has to wait because targets crashed while running it.
 func (gw *Gateway) logDelayed(rq *request, dc quarantine.Decision) {
 	fs := gw.logFields(rq)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -363,7 +363,7 @@
 		Code: fe.Code, Cancelled: gw.isOver(ctx, rq), AtMostOnce: rq.route.AtMostOnce(), MayHaveRun: rq.outcomes.MayHaveRun(),
 		Attempts: gw.countAvailable(rq.tried), MaxAttempts: rq.route.MaxAttempts, ResponseStarted: rw.Started(),
 		TryResume: func() bool { return rq.route.Resumable }, BudgetTaken: retryTaken,
-	}.Decide(gw.RetryBudget)
+	}.Decide(func() bool { return gw.withdrawRetry(rq.RequestID, rq.service) })
 	rq.noRetryReason = reason
 	return retried
 }
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -27,7 +27,7 @@
 	tried := append(slices.Clone(rq.tried), sl.Target.ID)
 	wd := startSilenceWatchdog(timeout, func() bool {
 		gw.recordSilence(rq, sl.Target)
-		if !gw.takeFailoverRetry(rq.route, rq.service, tried) {
+		if !gw.takeFailoverRetry(rq.RequestID, rq.route, rq.service, tried) {
 			return false
 		}
 		cancel(&SilentTargetError{After: timeout})
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -102,7 +102,7 @@
 			return false
 		}
 		gw.recordSilence(rq, sl.Target)
-		return gw.takeFailoverRetry(rq.route, rq.service, tried)
+		return gw.takeFailoverRetry(rq.RequestID, rq.route, rq.service, tried)
 	})
 	defer wd.stop()
 	firstEvent := true
@@ -141,8 +141,8 @@
 
 // takeFailoverRetry reports whether a request can move to another target now, and takes the retry for it from the budget. All
 // streams of a silent target call it at about the same time, and the budget may suffice for only some of them.
-func (gw *Gateway) takeFailoverRetry(rt routes.Route, service string, tried []string) bool {
-	return !rt.AtMostOnce() && gw.hasUntriedTarget(rt, service, tried) && gw.RetryBudget.TryWithdraw()
+func (gw *Gateway) takeFailoverRetry(requestID string, rt routes.Route, service string, tried []string) bool {
+	return !rt.AtMostOnce() && gw.hasUntriedTarget(rt, service, tried) && gw.withdrawRetry(requestID, service)
 }
 
 // hasUntriedTarget reports whether the route allows another attempt and an untried target is usable.
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -2,7 +2,6 @@
 package retry
 
 import (
-	"github.com/silvermount/silvermount/internal/budget"
 	"github.com/silvermount/silvermount/internal/failure"
 )
 
@@ -49,8 +48,9 @@
 	BudgetTaken bool
 }
 
-// Decide reports whether to retry, and if so withdraws the retry from the budget. Otherwise it returns the reason.
-func (fa FailedAttempt) Decide(rt *budget.Retries) (bool, Reason) {
+// Decide reports whether to retry, and if so withdraws the retry from the budget with withdraw, which reports false if the budget is
+// empty. Otherwise it returns the reason.
+func (fa FailedAttempt) Decide(withdraw func() bool) (bool, Reason) {
 	switch {
 	case fa.Cancelled || !retryable[fa.Code]:
 		return false, ""
@@ -60,14 +60,14 @@
 		return false, ReasonMaxAttempts
 	case fa.ResponseStarted && !fa.TryResume():
 		return false, ReasonResponseStarted
-	case fa.BudgetTaken || rt.TryWithdraw():
+	case fa.BudgetTaken || withdraw():
 		return true, ""
 	}
 	return false, ReasonBudgetExhausted
 }
 
 // ShouldRetry is Decide without the reason.
-func (fa FailedAttempt) ShouldRetry(rt *budget.Retries) bool {
-	retry, _ := fa.Decide(rt)
+func (fa FailedAttempt) ShouldRetry(withdraw func() bool) bool {
+	retry, _ := fa.Decide(withdraw)
 	return retry
 }
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -46,7 +46,7 @@
 			g := NewWithT(t)
 			now := func() time.Time { return time.Unix(0, 0) }
 			rt := budget.NewRetries(0, now, budget.WithBurst(tc.balance), budget.WithMinRate(0))
-			g.Expect(tc.fa.ShouldRetry(rt)).To(Equal(tc.want))
+			g.Expect(tc.fa.ShouldRetry(rt.TryWithdraw)).To(Equal(tc.want))
 			g.Expect(rt.Available()).To(Equal(tc.balance >= 1 && !tc.wantWithdrawn))
 		})
 	}
@@ -61,6 +61,6 @@
 		Code: failure.TargetLost, AtMostOnce: true, MayHaveRun: true, Attempts: 1, MaxAttempts: 2, ResponseStarted: true,
 		TryResume: func() bool { called = true; return true },
 	}
-	g.Expect(fa.ShouldRetry(budget.NewRetries(0, time.Now))).To(BeFalse())
+	g.Expect(fa.ShouldRetry(budget.NewRetries(0, time.Now).TryWithdraw)).To(BeFalse())
 	g.Expect(called).To(BeFalse())
 }
