fix(retrybudget): keep the retry floor of the fleet in the store, for each service

Cause: the budget of the fleet lived in the memory of each process. Each life began with a whole balance (27 of 27 lives made their first withdrawal with 9.5 of 9.5), and one balance served all services.

Now each service has an account, which begins empty. What may be saved up is reserved from a ledger in the store before it is used, for a second, and counts until it has been seen there for a whole window. A small part of the floor stays with the instances or the holder of their availability zone, for the time without a store. Requests still add their ratio.

--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -32,6 +32,8 @@
 	Records func(address string, onCall func()) Records
 	// QuarantineKind is the kind of the objects in which quarantines are kept.
 	QuarantineKind string
+	// RetryLedgerKind is the kind of the objects in which the retry ledger is kept.
+	RetryLedgerKind string
 	// ConfigurationKind and ConfigurationName identify the object that holds the configuration. TargetKind is the kind of the
 	// objects that describe targets, EvacuationKind that of objects named after the availability zones that are evacuated.
 	ConfigurationKind, ConfigurationName, TargetKind, EvacuationKind string
@@ -51,6 +53,12 @@
 	// objectstore.UnavailableError if nothing was done, and with an objectstore.UnknownOutcomeError if that is not known.
 	Put    func(ctx context.Context, kind, name string, value json.RawMessage) error
 	Remove func(ctx context.Context, kind, name string) error
+	// Get returns one object. It fails with an objectstore.NotFoundError if there is none.
+	Get func(ctx context.Context, kind, name string) (objectstore.Object, error)
+	// Replace replaces the value of the object that has the given version, or creates it if the version is zero, and returns it. If the
+	// object has another version, it fails with an objectstore.ConflictError and returns the object as it is, or a zero one if the store
+	// did not tell. Otherwise it fails like Put.
+	Replace func(ctx context.Context, kind, name string, version int64, value json.RawMessage) (objectstore.Object, error)
 }
 
 // MemoryOrders is a client for memory orders to targets. All fields are set.
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -59,55 +59,6 @@
 	// balance is between zero and burst.
 	balance    float64
 	refilledAt time.Time
-	// sharers is the number of instances that the floor was divided by; zero if it was not divided.
-	sharers int
-	// borrow withdraws a retry from a budget that several instances share; nil if there is none.
-	borrow func() bool
-}
-
-// Source is the budget that a retry was withdrawn from.
-type Source string
-
-// The sources. The zero value means that no retry was withdrawn.
-const (
-	SourceOwn    Source = "own"
-	SourceShared Source = "shared"
-)
-
-// Withdrawal is the result of a request for one retry, with the inputs of the decision.
-type Withdrawal struct {
-	// Source is empty if the retry was denied.
-	Source Source
-	// Balance is what was left in the budget of the instance after the decision, of at most Burst.
-	Balance, Burst float64
-	// Sharers is the number of instances that the floor was divided by; zero if it was not divided.
-	Sharers int
-}
-
-// Granted reports whether the retry was withdrawn.
-func (wd Withdrawal) Granted() bool { return wd.Source != "" }
-
-// SetSharers sets the number of instances that the floor was divided by.
-func (rt *Retries) SetSharers(n int) {
-	rt.mu.Lock()
-	defer rt.mu.Unlock()
-	rt.sharers = n
-}
-
-// SetShared sets the function that withdraws a retry from a budget shared by several instances. It is called when the balance is
-// below one, without the lock held, and may block. Nil disables it.
-func (rt *Retries) SetShared(borrow func() bool) {
-	rt.mu.Lock()
-	defer rt.mu.Unlock()
-	rt.borrow = borrow
-}
-
-// SetFloor changes the retries that are allowed without traffic: burst is the maximum balance, minRate the number per second.
-func (rt *Retries) SetFloor(burst, minRate float64) {
-	rt.mu.Lock()
-	defer rt.mu.Unlock()
-	rt.burst, rt.minRate = burst, minRate
-	rt.balance = min(rt.balance, burst)
 }
 
 // RetryOption configures a retry budget in NewRetries.
@@ -136,39 +87,25 @@
 	rt.credit(rt.ratio)
 }
 
-// TryWithdraw withdraws one retry from the balance, or else from the shared budget. It returns false when neither has one.
-func (rt *Retries) TryWithdraw() bool { return rt.Withdraw().Granted() }
-
-// Withdraw is TryWithdraw with the inputs of the decision.
-func (rt *Retries) Withdraw() Withdrawal {
-	wd, borrow := rt.withdraw()
-	if !wd.Granted() && borrow != nil && borrow() {
-		wd.Source = SourceShared
-	}
-	return wd
-}
-
-// withdraw withdraws one retry from the balance. If the balance is below one, it returns the function for the shared budget.
-func (rt *Retries) withdraw() (wd Withdrawal, borrow func() bool) {
+// TryWithdraw withdraws one retry from the balance. It returns false if there is none.
+func (rt *Retries) TryWithdraw() bool {
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
 	now := rt.now()
 	rt.credit(now.Sub(rt.refilledAt).Seconds() * rt.minRate)
 	rt.refilledAt = now
-	wd = Withdrawal{Balance: rt.balance, Burst: rt.burst, Sharers: rt.sharers}
 	if rt.balance < 1 {
-		return wd, rt.borrow
+		return false
 	}
 	rt.balance--
-	wd.Balance, wd.Source = rt.balance, SourceOwn
-	return wd, nil
+	return true
 }
 
-// Available reports whether the balance allows a retry, or a shared budget may, without withdrawing it.
+// Available reports whether the balance allows a retry, without withdrawing it.
 func (rt *Retries) Available() bool {
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
-	return rt.balance >= 1 || rt.borrow != nil
+	return rt.balance >= 1
 }
 
 // credit adds n retries to the balance, up to burst. The caller holds the lock.
--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -56,6 +56,8 @@
 	RetryShare  float64  `json:"retry_share"`
 	RetryFloor  float64  `json:"retry_floor"`
 	RetryWindow Duration `json:"retry_window"`
+	// AvailabilityZones are the names of all availability zones with instances. Without them, those of the instances seen are assumed.
+	AvailabilityZones []string `json:"availability_zones,omitempty"`
 	// DialTimeout limits the time to connect to a target. After it, another target is tried.
 	DialTimeout Duration `json:"dial_timeout"`
 	// OrderTimeout limits the duration of one order that reserves or releases memory at a target.
--- a/internal/duty/frontend/frontend.go
+++ b/internal/duty/frontend/frontend.go
@@ -73,8 +73,8 @@
 	if err != nil {
 		return nil, err
 	}
-	rt := newRetryBudget(env.Settings.Gateway)
-	sv := &servers{gw: newGateway(env, co, mesh, rt), mesh: mesh, tunnels: co.TunnelServer, lg: env.Logger("frontend")}
+	ls := newLimitShares(env, co, mesh)
+	sv := &servers{gw: newGateway(env, co, mesh), mesh: mesh, tunnels: co.TunnelServer, lg: env.Logger("frontend")}
 	st := env.Settings.Gateway
 	for _, l := range []struct {
 		address string
@@ -85,7 +85,6 @@
 			return nil, err
 		}
 	}
-	ls := newLimitShares(env, co, mesh, rt)
 	sv.runPeriodically(func() {
 		co.Pool.EvictExpired()
 		co.RateLimits.Prune(co.Targets.TakesWork)
@@ -97,11 +96,11 @@
 }
 
 // newGateway builds the gateway from the shared components and keeps its limits up to date with the settings.
-func newGateway(env *kernel.Env, co *gatewaydeps.Components, mesh *gossip.Mesh, rt *budget.Retries) *gateway.Gateway {
+func newGateway(env *kernel.Env, co *gatewaydeps.Components, mesh *gossip.Mesh) *gateway.Gateway {
 	st := env.Settings.Gateway
 	gw := gateway.New(gateway.Deps{
 		Protocol: co.Adapter.Protocol, Routes: co.Routes, Targets: co.Targets, Dispatcher: co.Dispatcher, Pool: co.Pool,
-		RetryBudget: rt, Quarantine: co.Quarantine, Feedback: co.Feedback, RateLimits: co.RateLimits, BackOffs: co.BackOffs,
+		RetryBudget: co.Retries.Own, Quarantine: co.Quarantine, Feedback: co.Feedback, RateLimits: co.RateLimits, BackOffs: co.BackOffs,
 		BodyMemory: budget.NewMemory(st.BodyBudgetBytes), Metrics: co.Metrics, Log: env.Logger("gateway"),
 		Random: rand.Float64, Now: time.Now, Paused: co.Pauses.Paused, PeersHeardAge: mesh.HeardAge,
 		Paths: gateway.Paths{
@@ -121,11 +120,6 @@
 	return lm
 }
 
-func newRetryBudget(st *config.Gateway) *budget.Retries {
-	burst, minRate := retryFloorShare(st, minSharers)
-	return budget.NewRetries(st.RetryShare, time.Now, budget.WithBurst(burst), budget.WithMinRate(minRate))
-}
-
 func (sv *servers) serve(ctx context.Context, address string, h http.Handler) error {
 	l, err := graceconn.Listen(ctx, address)
 	if err != nil {
--- a/internal/duty/frontend/shares.go
+++ b/internal/duty/frontend/shares.go
@@ -4,11 +4,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/silvermount/silvermount/internal/budget"
 	"github.com/silvermount/silvermount/internal/config"
 	"github.com/silvermount/silvermount/internal/duty/gatewaydeps"
 	"github.com/silvermount/silvermount/internal/gossip"
 	"github.com/silvermount/silvermount/internal/kernel"
+	"github.com/silvermount/silvermount/internal/retrybudget"
+	"github.com/silvermount/silvermount/internal/retryledger"
 	"github.com/silvermount/silvermount/internal/routes"
 	"github.com/silvermount/silvermount/internal/upstream"
 )
@@ -19,14 +20,9 @@
 	// sharerCountRetention is how long a larger number of instances still counts, because instances that are cut off keep using
 	// their shares.
 	sharerCountRetention = 60 * time.Second
-	// floorUtilisation is the part of the retry floor that the instances share out.
-	floorUtilisation = 0.9
-	// burstShare is the part of an instance's share that it may save up, because failures come in bursts. The rest is refilled over
-	// the window. The bound of the fleet does not depend on this value.
-	burstShare = 0.8
-	// minLocalBurst is the number of retries that an instance needs at once, for the failures of one target. If its share of the fleet's
-	// floor is smaller, the instances of an availability zone share one budget instead of dividing it.
-	minLocalBurst = 2
+	// reservationValidity is how long an instance may use retries from the ledger. It is long against the time of a call to the store and
+	// short against the window, which it extends for those that come next.
+	reservationValidity = time.Second
 	// idleShare is the part of a target's connections that may be idle.
 	idleShare = 0.5
 )
@@ -40,77 +36,101 @@
 	mesh    *gossip.Mesh
 	routes  *routes.Holder
 	pool    *upstream.Pool
-	retries *budget.Retries
-	// zoneRetries is the budget of the availability zone, which this instance uses while it is the holder. withdrawShared withdraws a
-	// retry from it, wherever it is held.
-	zoneRetries    *budget.Retries
-	withdrawShared func() bool
-	// maxLive is the largest number of live instances seen recently, and maxLiveAt is when it was last seen.
-	maxLive   int
-	maxLiveAt time.Time
+	retries *gatewaydeps.Retries
+	// lastMembers is the number of live instances at the last update.
+	lastMembers int
+	// live is the number of live instances, zoneMembers that of the availability zone of this instance, zones that of availability zones.
+	live, zoneMembers, zones recentMax
 }
 
-func newLimitShares(env *kernel.Env, co *gatewaydeps.Components, mesh *gossip.Mesh, rt *budget.Retries) *limitShares {
-	ls := &limitShares{zone: env.Settings.AvailabilityZone, mesh: mesh, routes: co.Routes, pool: co.Pool, retries: rt, zoneRetries: co.ZoneRetries, withdrawShared: co.SharedRetry.Withdraw, maxLive: minSharers, maxLiveAt: time.Now()}
+// recentMax is the largest value seen in the last sharerCountRetention.
+type recentMax struct {
+	value  int
+	seenAt time.Time
+}
+
+// update takes a new value into account and returns the maximum.
+func (rm *recentMax) update(value int, now time.Time) int {
+	if value >= rm.value || now.Sub(rm.seenAt) > sharerCountRetention {
+		rm.value, rm.seenAt = value, now
+	}
+	return rm.value
+}
+
+func newLimitShares(env *kernel.Env, co *gatewaydeps.Components, mesh *gossip.Mesh) *limitShares {
+	ls := &limitShares{zone: env.Settings.AvailabilityZone, mesh: mesh, routes: co.Routes, pool: co.Pool, retries: co.Retries}
 	ls.settings.Store(env.Settings.Gateway)
 	env.OnReload(func(s config.Settings) { ls.settings.Store(s.Gateway) })
+	st := env.Settings.Gateway
+	ls.retries.Ledger.SetLimits(ledgerLimits(st))
+	// Withdrawals of the availability zone go to one instance, so that few call the store when all start at once.
+	ls.retries.Own.SetBorrow(ls.retries.Shared.Withdraw)
+	ls.setShare(retrybudget.InitialShare(st.RetryFloor, len(st.AvailabilityZones)), 0)
 	return ls
 }
 
 // update adapts the shares to the number of live instances and the configuration.
 func (ls *limitShares) update() {
-	members := ls.mesh.Live()
-	live := len(members)
-	if live >= ls.maxLive || time.Since(ls.maxLiveAt) > sharerCountRetention {
-		ls.maxLive = max(minSharers, live)
-		ls.maxLiveAt = time.Now()
-	}
-	ls.updateRetries(membersOfZone(members, ls.zone))
+	members, now := ls.mesh.Live(), time.Now()
+	live := ls.live.update(max(minSharers, len(members)), now)
+	ls.updateRetries(members, now)
 	tb, _ := ls.routes.Current()
 	if tb == nil {
 		return
 	}
-	ls.pool.SetMaxIdle(idleLimit(tb.Services(), ls.maxLive))
+	ls.pool.SetMaxIdle(idleLimit(tb.Services(), live))
+	configured := func(name string) bool { _, ok := tb.Service(name); return ok }
+	ls.retries.Own.Retain(configured)
+	ls.retries.Zone.Retain(configured)
+	ls.retries.Ledger.Retain(configured)
 }
 
-// updateRetries sets this instance's share of the retry floor, or that of its availability zone if an instance's own share is too
-// small. zoneMembers is the number of live instances of the availability zone.
-func (ls *limitShares) updateRetries(zoneMembers int) {
+// updateRetries sets the limits of the ledger, and this instance's share of the rest of the retry floor, or that of its availability zone
+// if an instance's own share is too small.
+func (ls *limitShares) updateRetries(members []gossip.Member, now time.Time) {
 	st := ls.settings.Load()
-	own, zone, shared := floorShares(st, zoneMembers, ls.maxLive)
-	ls.retries.SetSharers(ls.maxLive)
-	ls.retries.SetFloor(own.burst, own.perSecond)
-	ls.zoneRetries.SetFloor(zone.burst, zone.perSecond)
-	if shared {
-		ls.retries.SetShared(ls.withdrawShared)
+	ls.retries.Ledger.SetLimits(ledgerLimits(st))
+	inZone, zones := countMembers(members, ls.zone)
+	sharers := ls.zoneMembers.update(inZone, now)
+	zoneCount := max(ls.zones.update(zones, now), len(st.AvailabilityZones))
+	grown := len(members) > ls.lastMembers
+	ls.lastMembers = len(members)
+	if grown || len(members) < 2 {
+		// Not all peers are known yet, or none is in reach, which an instance cannot tell from being alone.
 		return
 	}
-	ls.retries.SetShared(nil)
+	sh := retrybudget.NewShare(st.RetryFloor, zoneCount, sharers)
+	ls.setShare(sh, sharers)
+	if sh.Zone > 0 {
+		ls.retries.Own.SetBorrow(ls.retries.Shared.Withdraw)
+		return
+	}
+	ls.retries.Own.SetBorrow(nil)
+}
+
+// setShare sets the share of this instance.
+func (ls *limitShares) setShare(sh retrybudget.Share, sharers int) {
+	ls.retries.Own.SetShare(sh.Own, sharers)
+	ls.retries.Zone.SetShare(sh.Zone, sharers)
 }
 
-// membersOfZone returns how many of the members are in an availability zone.
-func membersOfZone(members []gossip.Member, zone string) int {
-	n := 0
+// countMembers returns how many of the members are in an availability zone, and the number of availability zones with members.
+func countMembers(members []gossip.Member, zone string) (inZone, zones int) {
+	names := map[string]struct{}{}
 	for _, mb := range members {
+		names[mb.AvailabilityZone] = struct{}{}
 		if mb.AvailabilityZone == zone {
-			n++
+			inZone++
 		}
 	}
-	return n
+	return inZone, len(names)
 }
 
-// floorShare is a share of the retry floor: the burst that may be saved up, and the refill per second.
-type floorShare struct{ burst, perSecond float64 }
-
-// floorShares divides the retry floor of a fleet of instances. shared reports whether the instances of an availability zone share one
-// budget; otherwise each has its own. One of the two shares is zero.
-func floorShares(st *config.Gateway, zoneMembers, instances int) (own, zone floorShare, shared bool) {
-	burst, perSecond := retryFloorShare(st, instances)
-	if burst >= minLocalBurst || burst == 0 {
-		return floorShare{burst, perSecond}, floorShare{}, false
+// ledgerLimits returns the limits of the retry ledger.
+func ledgerLimits(st *config.Gateway) retryledger.Limits {
+	return retryledger.Limits{
+		Retries: retrybudget.LedgerRetries(st.RetryFloor), Window: st.RetryWindow.Std(), Validity: reservationValidity,
 	}
-	members := float64(zoneMembers)
-	return floorShare{}, floorShare{members * burst, members * perSecond}, true
 }
 
 // maxIdlePerTarget is the number of idle connections to one target beyond which an instance has no use for more, even if the target
@@ -128,10 +148,3 @@
 	}
 	return limit
 }
-
-// retryFloorShare returns one instance's share of the retries that are allowed without traffic: the burst that it may save up, and the
-// refill per second. Together they stay within the share in every window.
-func retryFloorShare(st *config.Gateway, instances int) (burst, perSecond float64) {
-	share := floorUtilisation * st.RetryFloor / float64(instances)
-	return burstShare * share, (1 - burstShare) * share / st.RetryWindow.Std().Seconds()
-}
--- a/internal/duty/gatewaydeps/gatewaydeps.go
+++ b/internal/duty/gatewaydeps/gatewaydeps.go
@@ -12,7 +12,6 @@
 
 	"github.com/silvermount/silvermount/internal/adapter"
 	"github.com/silvermount/silvermount/internal/backoff"
-	"github.com/silvermount/silvermount/internal/budget"
 	"github.com/silvermount/silvermount/internal/config"
 	"github.com/silvermount/silvermount/internal/dispatch"
 	"github.com/silvermount/silvermount/internal/evacuation"
@@ -64,10 +63,7 @@
 	// QuarantineChanges receives the changes of quarantines. They are dropped while it is full.
 	QuarantineChanges <-chan quarantine.Change
 	Evacuations       *evacuation.Tracker
-	// ZoneRetries is the retry budget that this instance holds for its availability zone while it is the holder, and SharedRetry
-	// withdraws a retry from that budget, wherever it is held.
-	ZoneRetries *budget.Retries
-	SharedRetry *SharedRetry
+	Retries           *Retries
 	// NotesNotifier is notified when peers need to learn of a change in the requests that crash targets, in rate limits, or in
 	// evacuations.
 	NotesNotifier *Notifier
@@ -106,20 +102,6 @@
 	}
 }
 
-// SharedRetry withdraws retries from the budget that instances share, by a function that is set later. It is safe for concurrent use.
-type SharedRetry struct {
-	withdraw atomic.Pointer[func() bool]
-}
-
-// Set sets the function that Withdraw calls.
-func (sr *SharedRetry) Set(withdraw func() bool) { sr.withdraw.Store(&withdraw) }
-
-// Withdraw withdraws a retry, and reports whether the budget had one. Before Set it reports false.
-func (sr *SharedRetry) Withdraw() bool {
-	withdraw := sr.withdraw.Load()
-	return withdraw != nil && (*withdraw)()
-}
-
 // targetLimit returns a function that returns the rate limit of a target: the one that it states, or that of a cold target of its
 // service if this is lower.
 func targetLimit(limits *ratelimit.Tracker, dr *targets.Directory, rts *routes.Holder) func(target string) ratelimit.Limit {
@@ -224,7 +206,7 @@
 	})
 	kernel.Provide(env, &Components{
 		Quarantine: tracker, QuarantineChanges: changes, Evacuations: evacuations, NotesNotifier: notesNotifier, RateLimits: limits, Permits: permits, BackOffs: backOffs, Feedback: fb,
-		ZoneRetries: budget.NewRetries(0, time.Now, budget.WithBurst(0), budget.WithMinRate(0)), SharedRetry: &SharedRetry{},
+		Retries: newRetries(env, ad, ms.GetOrCreateCounter("silvermount_store_calls_total").Inc),
 		Adapter: ad, Routes: rts, TargetLimit: limitOf, Targets: dr, Dispatcher: ds, Metrics: ms, StateNotifier: stateNotifier, StoreCoordinator: &StoreCoordinator{}, Pool: pl, Pauses: pauses,
 		PathState: pt.state, TargetDialer: pt.dialer, TunnelClient: pt.client, TunnelServer: pt.server, Peers: pt.peers,
 	})
--- a/internal/duty/peersync/peersync.go
+++ b/internal/duty/peersync/peersync.go
@@ -115,12 +115,12 @@
 	du.permits = newPermitService(opts.Self.Name, du.ms, co.TargetLimit, du.lg)
 	co.Permits.SetRequestFunc(du.permits.requestPermit)
 	du.retries = &sharedRetries{
-		self: opts.Self, issuerOf: du.permits.issuerOf, query: du.ms.Query, held: co.ZoneRetries, lg: du.lg,
+		self: opts.Self, issuerOf: du.permits.issuerOf, query: du.ms.Query, held: co.Retries.Zone, lg: du.lg,
 		granted:    co.Metrics.GetOrCreateCounter("silvermount_shared_retries_granted_total"),
 		refused:    co.Metrics.GetOrCreateCounter("silvermount_shared_retries_refused_total"),
 		unanswered: co.Metrics.GetOrCreateCounter("silvermount_shared_retries_unanswered_total"),
 	}
-	co.SharedRetry.Set(du.retries.withdraw)
+	co.Retries.Shared.Set(du.retries.withdraw)
 	co.StateNotifier.SetCallback(du.ms.PublishState)
 	co.NotesNotifier.SetCallback(du.ms.PublishNotes)
 	co.Metrics.NewGauge("silvermount_peer_links", func() float64 { return float64(du.ms.LinkCount()) })
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -18,6 +19,8 @@
 	"github.com/silvermount/silvermount/internal/ratelimit"
 	"github.com/silvermount/silvermount/internal/reservation"
 	"github.com/silvermount/silvermount/internal/responsehead"
+	"github.com/silvermount/silvermount/internal/retrybudget"
+	"github.com/silvermount/silvermount/internal/retryledger"
 	"github.com/silvermount/silvermount/internal/routes"
 	"github.com/silvermount/silvermount/internal/targets"
 	"github.com/silvermount/silvermount/internal/upstream"
@@ -45,7 +48,7 @@
 		Now: time.Now, TargetCount: dr.Len, Crashed: dr.Lost, NotifyPeers: func() {}, Metrics: metrics.NewSet(),
 		Log: &log.Logger{Handler: discard.New()},
 	})
-	gw.RetryBudget = budget.NewRetries(1, time.Now)
+	gw.RetryBudget = newRetryBudget()
 	gw.RateLimits, gw.BackOffs = ratelimit.New(time.Now), backoff.New(time.Now, func() float64 { return 0 })
 	gw.Feedback = feedback.New(feedback.Deps{
 		Targets: dr, RateLimits: gw.RateLimits, BackOffs: gw.BackOffs, OnLeavingChange: func() {}, OnRateLimitChange: func() {},
@@ -54,3 +57,14 @@
 	gw.Random = func() float64 { return 0 }
 	return gw
 }
+
+// newRetryBudget returns a retry budget without limits.
+func newRetryBudget() *retrybudget.Budget {
+	reserve := func(_ context.Context, service string, n int) (retryledger.Reservation, error) {
+		return retryledger.Reservation{Service: service, ID: "r", Retries: n, Until: time.Now().Add(time.Minute)}, nil
+	}
+	return retrybudget.New(retrybudget.Options{
+		Ratio: 1, Reserve: reserve, Release: func(context.Context, retryledger.Reservation, int) error { return nil },
+		Spawn: func(f func()) { go f() }, Now: time.Now, Log: &log.Logger{Handler: discard.New()},
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/silvermount/silvermount/internal/quarantine"
 	"github.com/silvermount/silvermount/internal/ratelimit"
 	"github.com/silvermount/silvermount/internal/responsewriter"
+	"github.com/silvermount/silvermount/internal/retrybudget"
 	"github.com/silvermount/silvermount/internal/routes"
 	"github.com/silvermount/silvermount/internal/targets"
 	"github.com/silvermount/silvermount/internal/upstream"
@@ -32,7 +33,7 @@
 	Targets     *targets.Directory
 	Dispatcher  *dispatch.Dispatcher
 	Pool        *upstream.Pool
-	RetryBudget *budget.Retries
+	RetryBudget *retrybudget.Budget
 	Quarantine  *quarantine.Tracker
 	// Feedback processes the head of each response from a target. RateLimits and BackOffs hold the state that it derives.
 	Feedback   *feedback.Recorder
--- a/internal/gateway/logging.go
+++ b/internal/gateway/logging.go
@@ -55,12 +55,16 @@
 
 // withdrawRetry withdraws a retry of a request from the budget, and logs and counts the decision.
 func (gw *Gateway) withdrawRetry(requestID, service string) bool {
-	wd := gw.RetryBudget.Withdraw()
-	lg := gw.Log.WithFields(log.Fields{
+	wd := gw.RetryBudget.Withdraw(service)
+	fs := log.Fields{
 		"request": requestID, "service": service, "source": string(wd.Source), "balance": roundedTenth(wd.Balance),
-		"burst": roundedTenth(wd.Burst), "sharers": wd.Sharers, "uptime": roundedSince(gw.startedAt, gw.Now()).String(),
-	})
-	result := "denied"
+		"capacity": roundedTenth(wd.Capacity), "share": roundedTenth(wd.Share), "sharers": wd.Sharers, "free": wd.Free,
+		"uptime": roundedSince(gw.startedAt, gw.Now()).String(),
+	}
+	if wd.Cause != nil {
+		fs["cause"] = wd.Cause.Error()
+	}
+	lg, result := gw.Log.WithFields(fs), "denied"
 	if wd.Granted() {
 		result = string(wd.Source)
 		lg.Info("retry withdrawn")
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -165,7 +165,7 @@
 // shouldRetryFailure reports whether a request is to be retried on another target instead of forwarding the target's failure.
 func (gw *Gateway) shouldRetryFailure(ctx context.Context, rq *request, rw *responseWriter) bool {
 	return !gw.isOver(ctx, rq) && !rq.route.AtMostOnce() && !rw.Started() &&
-		gw.hasUntriedTarget(rq.route, rq.service, rq.tried) && gw.RetryBudget.Available()
+		gw.hasUntriedTarget(rq.route, rq.service, rq.tried) && gw.RetryBudget.Available(rq.service)
 }
 
 // handleInterrupted handles a response that broke off.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -32,8 +32,8 @@
 	if err := gw.transition(ctx, rq, lifecycle.Admit); err != nil {
 		return err
 	}
-	gw.RetryBudget.Deposit()
 	rq.service = rq.route.PickService(gw.Random())
+	gw.RetryBudget.Deposit(rq.service)
 	var last *failure.Error
 	for dialRetries := 0; ; {
 		err := gw.attempt(ctx, rq, rw)
@@ -121,7 +121,7 @@
 		Objective:       rq.route.Objective, MaxPause: rq.route.MaxPause, CallerIdleTimeout: rq.route.CallerIdleTimeout,
 		Arrived: rq.arrived, Deadline: rq.deadline.At, Priority: rq.priority(), Resumed: rq.forwardedEventID >= 0,
 		Caution: rq.caution(), Authorise: func() error { return gw.reauthorise(rq) },
-		CanRetry: len(rq.tried) == 0 && rq.route.MaxAttempts > 1 && gw.RetryBudget.Available(), Retried: len(rq.tried) > 0,
+		CanRetry: len(rq.tried) == 0 && rq.route.MaxAttempts > 1 && gw.RetryBudget.Available(rq.service), Retried: len(rq.tried) > 0,
 	}
 }
 
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -13,7 +13,6 @@
 	"github.com/apex/log/handlers/discard"
 	. "github.com/onsi/gomega"
 
-	"github.com/silvermount/silvermount/internal/budget"
 	"github.com/silvermount/silvermount/internal/dispatch"
 	"github.com/silvermount/silvermount/internal/gateway"
 	"github.com/silvermount/silvermount/internal/quarantine"
@@ -93,7 +92,7 @@
 	gw.SetLimits(gateway.Limits{MaxBodyBytes: 100})
 	gw.Dispatcher = dispatch.New(targets.New(time.Now), &reservation.Manager{}, dispatch.Options{Now: time.Now})
 	gw.Quarantine = quarantine.New(quarantine.Options{Now: time.Now, Metrics: metrics.NewSet()})
-	gw.RetryBudget = budget.NewRetries(1, time.Now)
+	gw.RetryBudget = newRetryBudget()
 	gw.Random = func() float64 { return 0 }
 	return gw
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -24,6 +24,7 @@
 	_ "github.com/silvermount/silvermount/internal/duty/peersync"
 	_ "github.com/silvermount/silvermount/internal/duty/quarantinestore"
 	_ "github.com/silvermount/silvermount/internal/duty/reports"
+	_ "github.com/silvermount/silvermount/internal/duty/retries"
 	_ "github.com/silvermount/silvermount/internal/duty/store"
 	_ "github.com/silvermount/silvermount/internal/duty/storesync"
 	_ "github.com/silvermount/silvermount/internal/duty/sweep"
