fix(retrybudget): grant a reserved retry to the request that reserved it

Requests that came at the same moment took all of a new reservation before the one that had made it, which was denied with the ledger not empty: 59 of 60 in TestManyFailuresAtOnceNeedFewReservations. The reservation and its first withdrawal are one step now.

--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -189,7 +189,11 @@
 func (bd *Budget) take(service string, from Source) Withdrawal {
 	bd.mu.Lock()
 	defer bd.mu.Unlock()
-	ac := bd.account(service)
+	return bd.takeLocked(bd.account(service), from)
+}
+
+// takeLocked is take for a caller that holds the lock.
+func (bd *Budget) takeLocked(ac *account, from Source) Withdrawal {
 	bd.expire(ac, bd.opts.Now())
 	wd := Withdrawal{Balance: ac.balance, Capacity: ac.capacity(bd.share), Share: bd.share, Sharers: bd.sharers, Free: ac.free}
 	if ac.balance < 1 {
@@ -211,10 +215,10 @@
 	if wd.Granted() {
 		return wd
 	}
-	if wd.Cause = bd.reserveMore(service, ac); wd.Cause != nil {
-		return wd
+	if err := bd.reserveMore(service, ac, func() { wd = bd.takeLocked(ac, SourceLedger) }); err != nil {
+		wd.Cause = err
 	}
-	return bd.take(service, SourceLedger)
+	return wd
 }
 
 // TryWithdraw withdraws a retry from an account without waiting. If that is empty, it begins a reservation, and reports whether it is worth
@@ -233,7 +237,7 @@
 // reserveForWaiting makes one reservation for all calls of TryWithdraw that found the account empty. The caller has locked ac.reserving.
 func (bd *Budget) reserveForWaiting(service string, ac *account) {
 	defer ac.reserving.Unlock()
-	_ = bd.reserveMore(service, ac) // it is logged there
+	_ = bd.reserveMore(service, ac, func() {}) // it is logged there
 	ac.waiting.Store(0)
 }
 
@@ -255,8 +259,9 @@
 // Unwrap returns the cause of the last failure.
 func (be *BackOffError) Unwrap() error { return be.Cause }
 
-// reserveMore adds a reservation to an account. The caller holds ac.reserving.
-func (bd *Budget) reserveMore(service string, ac *account) error {
+// reserveMore adds a reservation to an account, and then calls reserved with the lock held, so that no other call takes all of it first. The
+// caller holds ac.reserving.
+func (bd *Budget) reserveMore(service string, ac *account, reserved func()) error {
 	n, err := bd.wanted(ac)
 	if err != nil {
 		return err
@@ -273,6 +278,7 @@
 		return err
 	}
 	ac.add(rs, bd.share)
+	reserved()
 	bd.opts.Log.WithFields(log.Fields{"service": service, "retries": rs.Retries, "free": rs.Free}).Info("retries reserved")
 	return nil
 }
