fix(gateway): keep the failure of a target when no retry is left

A caller got 502 in place of the target's own 500: the answer was dropped because the budget might allow a retry, and the retry was then denied. The retry is taken before the answer is dropped. TestFailureOfTargetIsForwardedWhenRetryIsDenied failed before (502, 500 expected). TestEveryWayToAnotherTargetDrawsOnRetryBudget goes through the failures that are retried; it passed without a change.

--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -112,7 +112,7 @@
 	if len(body) < maxBufferedBytes {
 		rs.MarkComplete()
 	}
-	if vd == responsehead.Failed && gw.shouldRetryFailure(ctx, rq, rw) {
+	if vd == responsehead.Failed && gw.takeFailureRetry(ctx, rq, rw) {
 		gw.recordFailedAttempt(rq, sl.Target, &TargetFailureError{Status: rs.StatusCode})
 		return failure.New(failure.TargetRefused, failure.Failed, "the target answered %d", rs.StatusCode)
 	}
@@ -162,10 +162,14 @@
 	return "target responded with status " + strconv.Itoa(te.Status)
 }
 
-// shouldRetryFailure reports whether a request is to be retried on another target instead of forwarding the target's failure.
-func (gw *Gateway) shouldRetryFailure(ctx context.Context, rq *request, rw *responseWriter) bool {
-	return !gw.isOver(ctx, rq) && !rq.route.AtMostOnce() && !rw.Started() &&
-		gw.hasUntriedTarget(rq.route, rq.service, rq.tried) && gw.RetryBudget.Available(rq.service)
+// takeFailureRetry reports whether a request is to be retried on another target instead of forwarding the target's failure, and takes the
+// retry from the budget: once the failure is dropped, the retry must not be denied.
+func (gw *Gateway) takeFailureRetry(ctx context.Context, rq *request, rw *responseWriter) bool {
+	if gw.isOver(ctx, rq) || rw.Started() {
+		return false
+	}
+	rq.retryTaken = gw.takeFailoverRetry(rq.RequestID, rq.route, rq.service, rq.tried)
+	return rq.retryTaken
 }
 
 // handleInterrupted handles a response that broke off.
