fix(pathstate): recognise isolation when all requests fail at the same moments

Failures were forgotten after a second. Requests that fail together do so again only after the timeout of their connections, so that the evidence never spanned the half second that isolation needs. The first failure of a target now counts for three seconds if the target fails again without a sign of any target; the three targets must still have failed within one.

--- a/internal/pathstate/pathstate.go
+++ b/internal/pathstate/pathstate.go
@@ -20,6 +20,9 @@
 	minUnreachedSpan = 500 * time.Millisecond
 	// isolationPeriod is how long an instance stays isolated without further evidence. It covers two probes.
 	isolationPeriod = time.Second
+	// failureRetention is how long the first failure of a target counts for that span if the target fails again. It is longer than the
+	// timeouts of connections: requests that fail at the same moment do so again only after these.
+	failureRetention = 3 * time.Second
 	// maxUnreached bounds the remembered targets that nobody reached.
 	maxUnreached = 16
 )
@@ -155,7 +158,7 @@
 func (tr *Tracker) RecordUnreached(address string) {
 	tr.update(func(now time.Time) {
 		for other, fl := range tr.unreached {
-			if now.Sub(fl.last) > isolationPeriod || fl.last.Before(tr.lastSign()) {
+			if now.Sub(fl.last) > failureRetention || fl.last.Before(tr.lastSign()) {
 				delete(tr.unreached, other)
 			}
 		}
@@ -167,17 +170,30 @@
 		if known || len(tr.unreached) < maxUnreached {
 			tr.unreached[address] = fl
 		}
-		if tr.isolated || len(tr.unreached) >= minUnreachedTargets && tr.unreachedSpan(now) >= minUnreachedSpan {
+		if tr.isolated || tr.countUnreached(now) >= minUnreachedTargets && tr.unreachedSpan(now) >= minUnreachedSpan {
 			tr.isolated, tr.isolatedUntil = true, now.Add(isolationPeriod)
 		}
 	})
 }
 
-// unreachedSpan returns the time since the first remembered failure. The lock is held.
+// countUnreached returns the number of targets that were not reached lately. The lock is held.
+func (tr *Tracker) countUnreached(now time.Time) int {
+	n := 0
+	for _, fl := range tr.unreached {
+		if now.Sub(fl.last) <= isolationPeriod {
+			n++
+		}
+	}
+	return n
+}
+
+// unreachedSpan returns the time since the first failure of the targets that were not reached lately. The lock is held.
 func (tr *Tracker) unreachedSpan(now time.Time) time.Duration {
 	span := time.Duration(0)
 	for _, fl := range tr.unreached {
-		span = max(span, now.Sub(fl.first))
+		if now.Sub(fl.last) <= isolationPeriod {
+			span = max(span, now.Sub(fl.first))
+		}
 	}
 	return span
 }
--- a/internal/pathstate/pathstate_test.go
+++ b/internal/pathstate/pathstate_test.go
@@ -107,6 +107,30 @@
 				ck.advance(80 * time.Millisecond)
 			}
 		}, true},
+		"three targets at once, again after a timeout of their connections": {func(tr *pathstate.Tracker, ck *clock) {
+			for i := range 6 {
+				tr.RecordUnreached(fmt.Sprint(i % 3))
+				if i == 2 {
+					ck.advance(1050 * time.Millisecond)
+				}
+			}
+		}, true},
+		"three targets, one at a time": {func(tr *pathstate.Tracker, ck *clock) {
+			for i := range 3 {
+				tr.RecordUnreached(fmt.Sprint(i))
+				ck.advance(1050 * time.Millisecond)
+			}
+		}, false},
+		"three targets at once, an answer, again": {func(tr *pathstate.Tracker, ck *clock) {
+			for i := range 6 {
+				tr.RecordUnreached(fmt.Sprint(i % 3))
+				if i == 2 {
+					ck.advance(time.Millisecond)
+					tr.RecordHeard()
+					ck.advance(1050 * time.Millisecond)
+				}
+			}
+		}, false},
 		"one target, three times": {func(tr *pathstate.Tracker, _ *clock) {
 			for range 3 {
 				tr.RecordUnreached("a")
