--- a/internal/standin/targetsim/conn.go
+++ b/internal/standin/targetsim/conn.go
@@ -39,6 +39,10 @@
 	exchange *Exchange
 	// resetByServer is set once the server itself has reset the connection.
 	resetByServer atomic.Bool
+	// crashed is closed when the target has crashed for the request in progress; nil if that does not crash it.
+	crashed <-chan struct{}
+	// crashDueAt is when that crash is due.
+	crashDueAt time.Time
 }
 
 func newConn(sv *Server, nc net.Conn) *conn {
@@ -169,7 +173,8 @@
 	return cn.run(ctx, rq, kd, tokens, func(rn *Run) {
 		cn.server.setBody(rn, body)
 		if cn.server.isCrashedBy(rq, body) {
-			cn.server.crashAfterDelay(ctx)
+			cn.crashDueAt = time.Now().Add(cn.server.settings.CrashDelay)
+			cn.crashed = cn.server.crashAfterDelay(ctx)
 		}
 	})
 }
@@ -316,6 +321,9 @@
 		_, _ = cn.socket.Write([]byte(garbageBytes)) // the connection is closed whether this fails or not
 		return false
 	default:
+		if rs.Length != Chunked && cn.awaitCrash() {
+			return false
+		}
 		return cn.send(rs, kd) && cn.sendExtra(rs, kd)
 	}
 }
@@ -362,14 +370,28 @@
 			pc = pc[:len(pc)/2]
 		}
 		count++
+		if cn.crashed != nil && !time.Now().Before(cn.crashDueAt) && cn.awaitCrash() {
+			return false
+		}
 		return cn.sendPiece(pc, chunked) == nil && !truncate
 	})
-	if !complete || kd == Truncate {
+	if !complete || kd == Truncate || cn.awaitCrash() {
 		return false
 	}
 	return !chunked || cn.sendFinalChunk() == nil
 }
 
+// awaitCrash reports whether the request in progress crashes the target, and waits for that. Without it, a request could be answered while
+// the timer of its crash is late.
+func (cn *conn) awaitCrash() bool {
+	if cn.crashed == nil {
+		return false
+	}
+	<-cn.crashed
+	cn.reset()
+	return true
+}
+
 func (cn *conn) sendPiece(pc []byte, chunked bool) error {
 	if len(pc) == 0 {
 		return nil // an empty chunk would end the body
--- a/internal/standin/targetsim/server.go
+++ b/internal/standin/targetsim/server.go
@@ -181,14 +181,20 @@
 }
 
 // crashAfterDelay crashes the target once CrashDelay is over. With a delay of zero, the target has crashed and ctx, which
-// ends with the caller's connection, has ended when it returns.
-func (sv *Server) crashAfterDelay(ctx context.Context) {
+// ends with the caller's connection, has ended when it returns. The result is closed after the crash.
+func (sv *Server) crashAfterDelay(ctx context.Context) <-chan struct{} {
+	crashed := make(chan struct{})
 	if sv.settings.CrashDelay > 0 {
-		time.AfterFunc(sv.settings.CrashDelay, sv.Crash)
-		return
+		time.AfterFunc(sv.settings.CrashDelay, func() {
+			sv.Crash()
+			close(crashed)
+		})
+		return crashed
 	}
 	sv.Crash()
 	<-ctx.Done()
+	close(crashed)
+	return crashed
 }
 
 func (sv *Server) isCrashedBy(rq *http.Request, body []byte) bool {
