--- a/internal/duty/gatewaydeps/gatewaydeps_test.go
+++ b/internal/duty/gatewaydeps/gatewaydeps_test.go
@@ -27,7 +27,7 @@
 // invalidGateway returns settings in which every field that is checked is invalid.
 func invalidGateway() config.Gateway {
 	return config.Gateway{
-		Seeds: []string{"x"}, RevocationBound: -1, LeavingBound: -1, ConfigurationBound: -1, EvacuationBound: -1, Grace: -1, RetryShare: -1, RetryFloor: -1, RetryWindow: -1, Megabits: -1,
+		Seeds: []string{"x"}, RevocationBound: -1, LeavingBound: -1, ConfigurationBound: -1, EvacuationBound: -1, Grace: -1, RetryShare: -1, RetryFloor: -1, RetryWindow: -1, AvailabilityZones: []string{""}, Megabits: -1,
 		DialTimeout: -1, OrderTimeout: -1, MemoryHold: -1, MaxBodyBytes: -1, BodyBudgetBytes: -1,
 	}
 }
@@ -138,6 +138,7 @@
 		"retry share above one":         {func(gw *config.Gateway) { gw.RetryShare = 1.01 }, []string{"gateway.retry_share"}},
 		"retry share below zero":        {func(gw *config.Gateway) { gw.RetryShare = -0.01 }, []string{"gateway.retry_share"}},
 		"megabits below zero":           {func(gw *config.Gateway) { gw.Megabits = -1 }, []string{"gateway.megabits"}},
+		"availability zone twice":       {func(gw *config.Gateway) { gw.AvailabilityZones = []string{"a", "b", "a"} }, []string{"gateway.availability_zones[2]"}},
 		"retry floor below zero":        {func(gw *config.Gateway) { gw.RetryFloor = -1 }, []string{"gateway.retry_floor"}},
 		"retry window below zero":       {func(gw *config.Gateway) { gw.RetryWindow = -ms }, []string{"gateway.retry_window"}},
 		"budget for one body":           {func(gw *config.Gateway) { gw.BodyBudgetBytes = gw.MaxBodyBytes }, nil},
@@ -152,7 +153,7 @@
 			[]string{
 				"gateway.adapter", "gateway.callers", "gateway.readiness", "gateway.peers", "gateway.metrics", "gateway.store",
 				"gateway.seeds[0]", "gateway.revocation_bound", "gateway.leaving_bound", "gateway.configuration_bound", "gateway.evacuation_bound", "gateway.dial_timeout", "gateway.order_timeout",
-				"gateway.memory_hold", "gateway.grace", "gateway.retry_share", "gateway.retry_floor", "gateway.megabits", "gateway.retry_window",
+				"gateway.memory_hold", "gateway.grace", "gateway.retry_share", "gateway.retry_floor", "gateway.megabits", "gateway.retry_window", "gateway.availability_zones[0]",
 				"gateway.max_body_bytes", "gateway.body_budget_bytes",
 			},
 		},
--- a/internal/duty/gatewaydeps/settings.go
+++ b/internal/duty/gatewaydeps/settings.go
@@ -1,6 +1,7 @@
 package gatewaydeps
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -70,6 +71,7 @@
 	fs = append(fs, checkAddresses(gw)...)
 	fs = append(fs, checkDurations(gw)...)
 	fs = append(fs, checkNumbers(gw)...)
+	fs = append(fs, checkZones(gw)...)
 	return append(fs, checkBodies(gw)...)
 }
 
@@ -145,6 +147,18 @@
 	return fs
 }
 
+// checkZones checks the names of the availability zones. One that is there twice would divide the retry floor by too many.
+func checkZones(gw *config.Gateway) config.Faults {
+	var fs config.Faults
+	for i, name := range gw.AvailabilityZones {
+		if name == "" || slices.Contains(gw.AvailabilityZones[:i], name) {
+			path := "gateway.availability_zones[" + strconv.Itoa(i) + "]"
+			fs = append(fs, &config.Fault{Path: path, Value: name, Want: "a name that is not empty and not in the list before"})
+		}
+	}
+	return fs
+}
+
 func checkBodies(gw *config.Gateway) config.Faults {
 	maxBody, budget := gw.MaxBodyBytes, gw.BodyBudgetBytes
 	var fs config.Faults
