--- a/internal/retrybudget/fleet_test.go
+++ b/internal/retrybudget/fleet_test.go
@@ -91,3 +91,38 @@
 		})
 	}
 }
+
+// TestEveryInstanceOfLargeFleetCanRetry guards against a fleet so large that no instance may retry: the part of the floor of one instance is
+// less than a retry. Neighbouring instances fail one after the other.
+func TestEveryInstanceOfLargeFleetCanRetry(t *testing.T) {
+	tests := map[string]struct {
+		instances int
+		floor     float64
+	}{
+		"few instances": {8, 104},
+		"dozens":        {72, 220},
+		"hundreds":      {295, 660},
+		"a thousand":    {985, 1040},
+		"two thousand":  {1970, 1040},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			sf := newSimFleet(1, tc.instances, tc.floor)
+			sf.run(3*time.Second, nil, 0)
+			for i := range int(0.54 * tc.floor) {
+				g.Expect(sf.retry(sf.instances[i%tc.instances], "a")).To(BeTrue(), "retry %d", i)
+			}
+		})
+	}
+}
+
+// TestOneInstanceCanUseWhatTheFleetHas guards against retries that are denied to the one instance with failures while no other needs any.
+func TestOneInstanceCanUseWhatTheFleetHas(t *testing.T) {
+	g := NewWithT(t)
+	sf := newSimFleet(1, 72, 220)
+	sf.run(3*time.Second, nil, 0)
+	for i := range int(0.54 * sf.floor) {
+		g.Expect(sf.retry(sf.instances[0], "a")).To(BeTrue(), "retry %d", i)
+	}
+}
