feat(loadreport): tell peers of load beside the requests in flight

Cause: instances tell each other only what they have in flight. Nothing carries what waits, which return times were promised, what organisations have used or how fast targets are, so none of these can be decided for the fleet.

--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -67,4 +67,24 @@
 	// MaxBodyBytes limits the size of one body, BodyBudgetBytes the total size of all bodies held at the same time.
 	MaxBodyBytes    int64 `json:"max_body_bytes"`
 	BodyBudgetBytes int64 `json:"body_budget_bytes"`
+	// LoadControl switches on what decides under overload. Without it, none of these decisions is made.
+	LoadControl LoadControl `json:"load_control,omitzero"`
+}
+
+// LoadControl switches on the decisions under overload, one by one. The operations guide says what each does.
+type LoadControl struct {
+	// Queue orders waiting requests by urgency, and lets requests wait for a slot of a plain target.
+	Queue bool `json:"queue,omitempty"`
+	// CompletionAdmission admits, holds or refuses a prompt by when it is predicted to be answered.
+	CompletionAdmission bool `json:"completion_admission,omitempty"`
+	// ReturnTimes tells refused callers when room is expected, and admits those that return on time first.
+	ReturnTimes bool `json:"return_times,omitempty"`
+	// FairShares divides engine time between organisations while there is too little of it.
+	FairShares bool `json:"fair_shares,omitempty"`
+	// NeutralWorth values answers by what the configuration states, not by a fixed price for each token.
+	NeutralWorth bool `json:"neutral_worth,omitempty"`
+	// LearnedPace learns from answers how fast each target is.
+	LearnedPace bool `json:"learned_pace,omitempty"`
+	// GradualReturn limits what is sent to a target that has just started or recovered, and raises the limit while it answers well.
+	GradualReturn bool `json:"gradual_return,omitempty"`
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -35,6 +35,8 @@
 	// CallerIdleTimeout is how long the caller waits without receiving an event; zero means no limit.
 	CallerIdleTimeout time.Duration
 	Arrived, Deadline time.Time
+	// Organisation is the one that the request belongs to; empty if it belongs to none.
+	Organisation string
 	// Priority is that of the organisation or the route; 0 is the most urgent.
 	Priority int
 	// Resumed is set if a stream that already sent events continues on another target.
@@ -92,6 +94,8 @@
 	BackOffs *backoff.Tracker
 	// OnBackOffWait is called each time a request starts to wait for the end of a target's back-off; it may be nil.
 	OnBackOffWait func(request string, tg targets.Target, wait time.Duration)
+	// Slowdown returns the factor by which an incarnation is slower than its service states; nil if all targets keep their stated pace.
+	Slowdown func(target string) float64
 	// OnPermitRefused is called each time a request is refused a permit for a target; it may be nil.
 	OnPermitRefused func(request string, tg targets.Target, retryAfter time.Duration)
 }
@@ -163,6 +167,14 @@
 	}
 }
 
+// slowdown returns the factor by which a target is slower than its service states.
+func (ds *Dispatcher) slowdown(target string) float64 {
+	if ds.opts.Slowdown == nil {
+		return 1
+	}
+	return ds.opts.Slowdown(target)
+}
+
 // confirm returns a slot unless the authorisation of the request was withdrawn while permits and memory were acquired for it, which
 // takes calls to other instances and to targets.
 func (ds *Dispatcher) confirm(rq Request, sl *Slot) (*Slot, error) {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -158,7 +158,7 @@
 		_, _, blocked := ds.blocked(rq, tg.ID)
 		ph, _ := ds.backOffPhase(tg.ID)
 		cands[i] = placement.Target{
-			Name: tg.ID, SameZone: tg.AvailabilityZone == ds.opts.AvailabilityZone, Load: ds.loadTable.total(tg.ID), Slowdown: 1,
+			Name: tg.ID, SameZone: tg.AvailabilityZone == ds.opts.AvailabilityZone, Load: ds.loadTable.total(tg.ID), Slowdown: ds.slowdown(tg.ID),
 			CanHelp: ph == backoff.Available,
 			Blocked: blocked,
 		}
--- a/internal/duty/gatewaydeps/gatewaydeps.go
+++ b/internal/duty/gatewaydeps/gatewaydeps.go
@@ -18,6 +18,7 @@
 	"github.com/silvermount/silvermount/internal/feedback"
 	"github.com/silvermount/silvermount/internal/ident"
 	"github.com/silvermount/silvermount/internal/kernel"
+	"github.com/silvermount/silvermount/internal/loadreport"
 	"github.com/silvermount/silvermount/internal/pathstate"
 	"github.com/silvermount/silvermount/internal/pauseclock"
 	"github.com/silvermount/silvermount/internal/permit"
@@ -75,6 +76,8 @@
 	// BackOffs holds the targets that asked this instance to back off. Feedback updates all of these from the targets' answers.
 	BackOffs *backoff.Tracker
 	Feedback *feedback.Recorder
+	// LoadReports exchanges with peers what the parts of load control tell them.
+	LoadReports *loadreport.Exchange
 }
 
 // Notifier passes notifications of changes to a callback that is set later. It is safe for concurrent use.
@@ -209,6 +212,7 @@
 		Retries: newRetries(env, ad, ms.GetOrCreateCounter("silvermount_store_calls_total").Inc),
 		Adapter: ad, Routes: rts, TargetLimit: limitOf, Targets: dr, Dispatcher: ds, Metrics: ms, StateNotifier: stateNotifier, StoreCoordinator: &StoreCoordinator{}, Pool: pl, Pauses: pauses,
 		PathState: pt.state, TargetDialer: pt.dialer, TunnelClient: pt.client, TunnelServer: pt.server, Peers: pt.peers,
+		LoadReports: loadreport.New(time.Now, env.Logger("peers"), ms.GetOrCreateCounter("silvermount_load_report_parts_omitted_total").Inc),
 	})
 	backgroundCtx, stopBackground := context.WithCancel(context.Background())
 	go pauses.Run(backgroundCtx)
--- a/internal/duty/peersync/peersync.go
+++ b/internal/duty/peersync/peersync.go
@@ -18,6 +18,7 @@
 	"github.com/silvermount/silvermount/internal/evacuation"
 	"github.com/silvermount/silvermount/internal/gossip"
 	"github.com/silvermount/silvermount/internal/kernel"
+	"github.com/silvermount/silvermount/internal/loadreport"
 	"github.com/silvermount/silvermount/internal/peerstate"
 	"github.com/silvermount/silvermount/internal/placement"
 	"github.com/silvermount/silvermount/internal/position"
@@ -79,6 +80,8 @@
 	retries *sharedRetries
 	// tunnels connects peers to targets that they do not reach.
 	tunnels *tunnelserver.Server
+	// loadReports exchanges what the parts of load control tell peers.
+	loadReports *loadreport.Exchange
 	// configurationFetches and listFetches queue the documents to fetch, with one goroutine for each kind: a list with a target
 	// that is gone must not wait for a large configuration.
 	configurationFetches, listFetches chan fetchRequest
@@ -103,7 +106,7 @@
 	}
 	du := newDuty()
 	du.ad, du.rts, du.dr, du.ds, du.sc, du.tr = co.Adapter, co.Routes, co.Targets, co.Dispatcher, co.StoreCoordinator, co.Quarantine
-	du.rateLimits, du.evacuations = co.RateLimits, co.Evacuations
+	du.rateLimits, du.evacuations, du.loadReports = co.RateLimits, co.Evacuations, co.LoadReports
 	du.lg = env.Logger("peers")
 	l, err := gossip.Listen(ctx, env.Settings.Gateway.Peers, du.lg)
 	if err != nil {
@@ -123,6 +126,7 @@
 	co.Retries.Shared.Set(du.retries.withdraw)
 	co.StateNotifier.SetCallback(du.ms.PublishState)
 	co.NotesNotifier.SetCallback(du.ms.PublishNotes)
+	co.LoadReports.SetPublish(du.ms.PublishLoadReport)
 	co.Metrics.NewGauge("silvermount_peer_links", func() float64 { return float64(du.ms.LinkCount()) })
 	co.Metrics.NewGauge("silvermount_peer_subscribers", func() float64 { return float64(du.ms.SubscriberCount()) })
 	co.Dispatcher.SetPropagationDelay(du.ms.PropagationDelay)
@@ -149,7 +153,7 @@
 			Name: env.Settings.Instance, Incarnation: env.Incarnation, Address: gw.Peers,
 			AvailabilityZone: env.Settings.AvailabilityZone, BandwidthMbps: uint64(gw.Megabits),
 		},
-		Seeds: gw.Seeds, MinSendInterval: minPublishInterval, State: du.encodeState, ReceiveState: du.receiveState, Notes: du.encodeNotes, ReceiveNotes: du.receiveNotes, OnLost: du.onPeerLost, HandleFetch: du.serveDocument, Log: du.lg,
+		Seeds: gw.Seeds, MinSendInterval: minPublishInterval, State: du.encodeState, ReceiveState: du.receiveState, Notes: du.encodeNotes, ReceiveNotes: du.receiveNotes, LoadReport: du.loadReports.Encode, ReceiveLoadReport: du.receiveLoadReport, OnLost: du.onPeerLost, HandleFetch: du.serveDocument, Log: du.lg,
 		HandleQuery: du.answerQuery, AcceptableDelay: du.ds.AcceptableDelay,
 	}
 }
@@ -252,6 +256,13 @@
 	du.requestConfiguration(fetchRequest{document: configurationDocument, from: from, version: st.Configuration, asOf: asOf})
 }
 
+// receiveLoadReport applies the load report that a peer made at a time.
+func (du *duty) receiveLoadReport(from gossip.Member, b []byte, at time.Time) {
+	if err := du.loadReports.Receive(from.Name, b, at); err != nil {
+		du.lg.WithError(err).WithField("peer", from.Name).Error("cannot decode load report of peer")
+	}
+}
+
 // requestConfiguration fetches a newer configuration. In a large fleet all instances learn of it from the few followers, whose
 // links could not carry it to all of them at once. It is therefore fetched from the linked relays once they have it, and from
 // another peer only if that does not succeed.
@@ -303,6 +314,7 @@
 func (du *duty) onPeerLost(mb gossip.Member) {
 	du.ds.SetPeerLoads(mb.Name, nil)
 	du.tr.RemovePeer(mb.Name)
+	du.loadReports.Forget(mb.Name)
 	if !du.ms.HasLive(mb.AvailabilityZone) && du.dr.RecordPeerLoss(mb.AvailabilityZone, mb.Name) {
 		du.lg.WithFields(log.Fields{"zone": mb.AvailabilityZone, "cause": "instances lost"}).Warn("availability zone left out")
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -119,7 +119,7 @@
 		PromptTokens: rq.PromptTokens, MaxAnswerTokens: rq.MaxAnswerTokens, AnswerTokensHint: rq.AnswerTokensHint,
 		EventsForwarded: rq.eventsForwarded,
 		Objective:       rq.route.Objective, MaxPause: rq.route.MaxPause, CallerIdleTimeout: rq.route.CallerIdleTimeout,
-		Arrived: rq.arrived, Deadline: rq.deadline.At, Priority: rq.priority(), Resumed: rq.forwardedEventID >= 0,
+		Arrived: rq.arrived, Deadline: rq.deadline.At, Organisation: rq.org.Name, Priority: rq.priority(), Resumed: rq.forwardedEventID >= 0,
 		Caution: rq.caution(), Authorise: func() error { return gw.reauthorise(rq) },
 		CanRetry: len(rq.tried) == 0 && rq.route.MaxAttempts > 1 && gw.RetryBudget.Available(rq.service), Retried: len(rq.tried) > 0,
 	}
--- a/internal/gossip/changes.go
+++ b/internal/gossip/changes.go
@@ -20,7 +20,7 @@
 const (
 	// heartbeatChanged covers the heartbeat only.
 	heartbeatChanged changeKind = iota
-	// everythingChanged covers the member info, state, notes and heartbeat.
+	// everythingChanged covers the member info, state, notes, load report and heartbeat.
 	everythingChanged
 )
 
@@ -29,7 +29,7 @@
 	cl.newest++
 	r.lastChange = cl.newest
 	if kind >= everythingChanged {
-		r.infoChange, r.state.lastChange, r.notes.lastChange = cl.newest, cl.newest, cl.newest
+		r.infoChange, r.state.lastChange, r.notes.lastChange, r.loadReport.lastChange = cl.newest, cl.newest, cl.newest, cl.newest
 	}
 	if r.element == nil {
 		r.element = cl.byRecency.PushFront(r)
@@ -38,7 +38,7 @@
 	cl.byRecency.MoveToFront(r.element)
 }
 
-// touchPayload logs a change of a member's state or notes and of its heartbeat.
+// touchPayload logs a change of a member's state, notes or load report and of its heartbeat.
 func (cl *changeLog) touchPayload(r *record, sp *storedPayload) {
 	cl.touch(r, heartbeatChanged)
 	sp.lastChange = cl.newest
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -31,8 +31,8 @@
 	heartbeatCount int
 	// statePublished requests a call of Options.State before the next send.
 	statePublished atomic.Bool
-	// notesPublished requests a call of Options.Notes before the next send.
-	notesPublished atomic.Bool
+	// notesPublished requests a call of Options.Notes before the next send, loadReportPublished one of Options.LoadReport.
+	notesPublished, loadReportPublished atomic.Bool
 
 	// callbackMu is held while callbacks run, so that they see changes in order. It is locked before mu.
 	callbackMu sync.Mutex
@@ -145,6 +145,7 @@
 		}
 		ms.refreshState()
 		ms.refreshNotes()
+		ms.refreshLoadReport()
 		ms.reconcileLinks(ctx, &wg)
 		ms.wakeLinks()
 	}
@@ -162,6 +163,12 @@
 	ms.signal()
 }
 
+// PublishLoadReport announces that this instance's load report has changed. It never blocks.
+func (ms *Mesh) PublishLoadReport() {
+	ms.loadReportPublished.Store(true)
+	ms.signal()
+}
+
 func (ms *Mesh) signal() {
 	select {
 	case ms.wake <- struct{}{}:
@@ -294,7 +301,19 @@
 	ms.setPayload(&ms.self.notes, notes, madeAt)
 }
 
-// setPayload stores a new state or new notes of this instance, built at madeAt, unless unchanged. The lock is held.
+// refreshLoadReport calls Options.LoadReport if the report has been published since the last call.
+func (ms *Mesh) refreshLoadReport() {
+	if !ms.loadReportPublished.Swap(false) {
+		return
+	}
+	madeAt := ms.opts.Now()
+	report := ms.opts.LoadReport()
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	ms.setPayload(&ms.self.loadReport, report, madeAt)
+}
+
+// setPayload stores a new state, new notes or a new load report of this instance, built at madeAt, unless unchanged. The lock is held.
 func (ms *Mesh) setPayload(sp *storedPayload, body []byte, madeAt time.Time) {
 	if body == nil || sp.version > 0 && bytes.Equal(body, sp.body) {
 		return
--- a/internal/gossip/link.go
+++ b/internal/gossip/link.go
@@ -197,6 +197,7 @@
 	if inScope && lk.peerSubscription.includesState(r.Name) {
 		e.State = r.state.since(lk.sentChange, now)
 		e.Notes = r.notes.since(lk.sentChange, now)
+		e.LoadReport = r.loadReport.since(lk.sentChange, now)
 	}
 	return e, true
 }
--- a/internal/gossip/options.go
+++ b/internal/gossip/options.go
@@ -52,6 +52,11 @@
 	Notes func() []byte
 	// ReceiveNotes receives the newest notes of a member, as ReceiveState receives its state.
 	ReceiveNotes func(from Member, notes []byte, madeAt time.Time)
+	// LoadReport returns what this instance tells of its load beside its state. It is called only after PublishLoadReport, and a nil
+	// result leaves the previous report in force. The slice must not be modified afterwards.
+	LoadReport func() []byte
+	// ReceiveLoadReport receives the newest load report of a member, as ReceiveState receives its state.
+	ReceiveLoadReport func(from Member, report []byte, madeAt time.Time)
 	// OnLost is called once when a member is lost or replaced by another incarnation.
 	OnLost func(Member)
 	// HandleFetch returns the document that a peer fetches. It may be called concurrently.
@@ -114,6 +119,12 @@
 	if o.ReceiveNotes == nil {
 		o.ReceiveNotes = func(Member, []byte, time.Time) {}
 	}
+	if o.LoadReport == nil {
+		o.LoadReport = func() []byte { return nil }
+	}
+	if o.ReceiveLoadReport == nil {
+		o.ReceiveLoadReport = func(Member, []byte, time.Time) {}
+	}
 	if o.OnLost == nil {
 		o.OnLost = func(Member) {}
 	}
--- a/internal/gossip/record.go
+++ b/internal/gossip/record.go
@@ -28,11 +28,11 @@
 	unlinkedSince time.Duration
 	// seenBefore is set if this incarnation, or an earlier one of the name, was live here before.
 	seenBefore bool
-	// state changes with every request, notes rarely.
-	state, notes storedPayload
+	// state changes with every request, notes rarely, loadReport several times a second under load.
+	state, notes, loadReport storedPayload
 }
 
-// storedPayload is the newest state or the newest notes of a member.
+// storedPayload is the newest state, notes or load report of a member.
 type storedPayload struct {
 	// version is the member's heartbeat counter when it built body; 0 if there is no body.
 	version uint64
@@ -67,9 +67,9 @@
 	lost   bool
 	found  bool
 	member Member
-	// notes is set if body holds the member's notes instead of its state.
-	notes bool
-	body  []byte
+	// receive is the callback for body, which holds the member's state, notes or load report.
+	receive func(from Member, body []byte, madeAt time.Time)
+	body    []byte
 	// madeAt is when the member built body, or earlier.
 	madeAt time.Time
 	// heartbeatAge is the age of the heartbeat by which a member was found.
@@ -92,11 +92,7 @@
 			ms.opts.OnLost(ev.member)
 			continue
 		}
-		if ev.notes {
-			ms.opts.ReceiveNotes(ev.member, ev.body, ev.madeAt)
-			continue
-		}
-		ms.opts.ReceiveState(ev.member, ev.body, ev.madeAt)
+		ev.receive(ev.member, ev.body, ev.madeAt)
 	}
 }
 
@@ -121,6 +117,9 @@
 	if revived || e.Notes.Version > r.notes.version {
 		events = append(events, ms.applyPayload(r, &r.notes, e.Notes, e.ExtraDelay, now)...)
 	}
+	if revived || e.LoadReport.Version > r.loadReport.version {
+		events = append(events, ms.applyPayload(r, &r.loadReport, e.LoadReport, e.ExtraDelay, now)...)
+	}
 	return events
 }
 
@@ -217,7 +216,7 @@
 	ms.signal()
 }
 
-// applyPayload stores a newer state or newer notes, and returns an event with the newest if the member is live.
+// applyPayload stores a newer state, notes or load report, and returns an event with the newest if the member is live.
 func (ms *Mesh) applyPayload(r *record, stored *storedPayload, update payload, extraDelay time.Duration, now time.Time) []event {
 	if update.Version > stored.version {
 		// A pause of this process delays frames that arrive during it. Both estimates include that time, so it counts only once.
@@ -231,5 +230,17 @@
 	if stored.version == 0 || !r.live {
 		return nil
 	}
-	return []event{{member: r.Member, notes: stored == &r.notes, body: stored.body, madeAt: stored.madeAt}}
+	return []event{{member: r.Member, receive: ms.receiverOf(r, stored), body: stored.body, madeAt: stored.madeAt}}
+}
+
+// receiverOf returns the callback that receives a payload of a record.
+func (ms *Mesh) receiverOf(r *record, stored *storedPayload) func(from Member, body []byte, madeAt time.Time) {
+	switch stored {
+	case &r.notes:
+		return ms.opts.ReceiveNotes
+	case &r.loadReport:
+		return ms.opts.ReceiveLoadReport
+	default:
+		return ms.opts.ReceiveState
+	}
 }
--- a/internal/gossip/scope.go
+++ b/internal/gossip/scope.go
@@ -6,7 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// scope selects the members about which a peer is sent heartbeats, states and notes. Member infos are sent about all members
+// scope selects the members about which a peer is sent heartbeats, states, notes and load reports. Member infos are sent about all members
 // where includesAllInfo says so.
 type scope uint64
 
@@ -32,7 +32,7 @@
 	Shard, ShardCount uint64
 }
 
-// includesState reports whether the state and notes of a member belong to the subscribed shard. Heartbeats and member infos
+// includesState reports whether the state, notes and load report of a member belong to the subscribed shard. Heartbeats and member infos
 // are in every shard, so that no member seems lost while one relay is silent.
 func (su subscription) includesState(name string) bool {
 	return su.ShardCount <= 1 || xxhash.Sum64String(name)%su.ShardCount == su.Shard
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -25,13 +25,13 @@
 	// Heartbeat is a counter that only grows within an incarnation; 0 if the entry carries none.
 	Heartbeat uint64
 	// HeartbeatAge is the time since the process itself was heard from.
-	HeartbeatAge time.Duration
-	State, Notes payload
+	HeartbeatAge             time.Duration
+	State, Notes, LoadReport payload
 	// ExtraDelay is how much longer than the fastest the frame was in transit. The receiver sets it; it is not on the wire.
 	ExtraDelay time.Duration
 }
 
-// payload is the state or the notes of a process.
+// payload is the state, the notes or the load report of a process.
 type payload struct {
 	// Version is the heartbeat counter when Body was built; 0 if the entry has no payload.
 	Version uint64
@@ -108,6 +108,10 @@
 	entryNotesVersion protowire.Number = 8
 	entryNotes        protowire.Number = 9
 	entryNotesAge     protowire.Number = 10
+	// An instance of the previous build ignores the load report.
+	entryLoadReportVersion protowire.Number = 11
+	entryLoadReport        protowire.Number = 12
+	entryLoadReportAge     protowire.Number = 13
 
 	infoName             protowire.Number = 1
 	infoIncarnation      protowire.Number = 2
@@ -203,7 +207,10 @@
 	b = appendVarint(b, entryStateAge, toMicros(e.State.Age))
 	b = appendVarint(b, entryNotesVersion, e.Notes.Version)
 	b = appendBytes(b, entryNotes, e.Notes.Body)
-	return appendVarint(b, entryNotesAge, toMicros(e.Notes.Age))
+	b = appendVarint(b, entryNotesAge, toMicros(e.Notes.Age))
+	b = appendVarint(b, entryLoadReportVersion, e.LoadReport.Version)
+	b = appendBytes(b, entryLoadReport, e.LoadReport.Body)
+	return appendVarint(b, entryLoadReportAge, toMicros(e.LoadReport.Age))
 }
 
 func (mi memberInfo) append(b []byte) []byte {
@@ -313,6 +320,12 @@
 		e.Notes.Body = bytes.Clone(f.bytes)
 	case entryNotesAge:
 		e.Notes.Age = fromMicros(f.varint)
+	case entryLoadReportVersion:
+		e.LoadReport.Version = f.varint
+	case entryLoadReport:
+		e.LoadReport.Body = bytes.Clone(f.bytes)
+	case entryLoadReportAge:
+		e.LoadReport.Age = fromMicros(f.varint)
 	}
 	return nil
 }
--- a/internal/peercodec/peercodec.go
+++ b/internal/peercodec/peercodec.go
@@ -32,6 +32,9 @@
 // Failed reports whether an error is recorded.
 func (rd *Reader) Failed() bool { return rd.err != nil }
 
+// Remaining returns the number of unread bytes.
+func (rd *Reader) Remaining() int { return len(rd.rest) }
+
 // Finish returns the first error, which is a MalformedError. Unread bytes count as an error.
 func (rd *Reader) Finish() error {
 	if len(rd.rest) > 0 {
