fix(reservation): release memory at sound targets at once

Cause: all allocations of a reservation were renewed in one round, and the release waited for it. Nobody was told of orders without an answer. Change: each allocation is renewed and released by itself. OnUnanswered reports each order without an answer, unless the process was paused, the request ended or the target refused the order.

--- a/internal/reservation/reservation.go
+++ b/internal/reservation/reservation.go
@@ -9,6 +9,7 @@
 	"context"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -83,6 +84,9 @@
 	Release func(ctx context.Context, address, id string, onAnswer func(responsehead.Head)) error
 	// OnAnswer is called with the head of each answer to an order. It may be nil.
 	OnAnswer func(al Allocation, hd responsehead.Head)
+	// OnUnanswered is called with each order that got no answer although this process was running and nobody cancelled it. sentAt is
+	// when it was sent. It may be nil.
+	OnUnanswered func(al Allocation, sentAt time.Time, ue *UnansweredError)
 	// NewID returns a unique ID.
 	NewID func() string
 	// IsCurrent reports whether an incarnation of a target has not been superseded by a restart. A restart frees the
@@ -112,10 +116,17 @@
 	lg           log.Interface
 	allocations  []Allocation
 	stopRenewals context.CancelFunc
-	renewing     sync.WaitGroup
-	// renewalErrs holds the last error of a renewal for each allocation, since a target may still carry out a renewal
-	// without an answer. It is written only by the renewals and read only after they have ended.
-	renewalErrs []error
+	// renewals holds the renewals of each allocation, in the order of the allocations.
+	renewals []renewal
+}
+
+// renewal holds the renewals of one allocation. Each allocation is renewed by itself, so that a target that does not answer delays
+// neither the renewals nor the release at the others.
+type renewal struct {
+	running sync.WaitGroup
+	// err is the last error of a renewal, since a target may still carry out a renewal without an answer. It is written only by
+	// the renewals and read only after they have ended.
+	err error
 }
 
 // ID returns the ID of the reservation at each of its targets.
@@ -123,7 +134,7 @@
 
 // Acquire reserves memory for all allocations, or for none.
 func (mg *Manager) Acquire(ctx context.Context, als []Allocation) (*Reservation, error) {
-	rv := &Reservation{manager: mg, id: mg.NewID(), allocations: als, renewalErrs: make([]error, len(als))}
+	rv := &Reservation{manager: mg, id: mg.NewID(), allocations: als, renewals: make([]renewal, len(als))}
 	rv.lg = mg.Log.WithField("reservation", rv.id).WithField("request", requestIDOf(ctx))
 	errs := make([]error, len(als))
 	var wg sync.WaitGroup
@@ -142,24 +153,53 @@
 	}
 	if len(causes) > 0 {
 		// The next plan must not find this memory still in use, or it would take a target with free memory for a full one.
-		rv.releaseAll(errs).Wait()
+		rv.releaseAll(errs)
 		return nil, &AcquireError{Causes: causes}
 	}
 	ctx, rv.stopRenewals = context.WithCancel(context.WithoutCancel(ctx))
-	rv.renewing.Go(func() { rv.renewPeriodically(ctx) })
+	for i, al := range als {
+		rv.renewals[i].running.Go(func() { rv.renewPeriodically(ctx, al, &rv.renewals[i]) })
+	}
 	return rv, nil
 }
 
+// reserveOnce reserves or renews memory at one target.
 func (mg *Manager) reserveOnce(ctx context.Context, al Allocation, id string) error {
-	ctx, cancel := context.WithTimeout(ctx, mg.Timeout)
+	ue := mg.send(ctx, al, func(ctx context.Context, onAnswer func(responsehead.Head)) error {
+		return mg.Reserve(ctx, al.Address, id, al.Tokens, mg.LeaseDuration, onAnswer)
+	})
+	var re *RefusedError
+	switch {
+	case ue == nil:
+		return nil
+	case errors.As(ue.Cause, &re):
+		return ue.Cause
+	default:
+		return ue
+	}
+}
+
+// send sends one order and bounds it by the timeout. It returns nil after a success, and reports an order without an answer.
+func (mg *Manager) send(ctx context.Context, al Allocation, order func(ctx context.Context, onAnswer func(responsehead.Head)) error) *UnansweredError {
+	orderCtx, cancel := context.WithTimeout(ctx, mg.Timeout)
 	defer cancel()
-	pausedBefore := mg.paused()
-	err := mg.Reserve(ctx, al.Address, id, al.Tokens, mg.LeaseDuration, mg.answerCallback(al))
+	sentAt, pausedBefore := time.Now(), mg.paused()
+	var answered atomic.Bool
+	err := order(orderCtx, func(hd responsehead.Head) {
+		answered.Store(true)
+		if mg.OnAnswer != nil {
+			mg.OnAnswer(al, hd)
+		}
+	})
+	if err == nil {
+		return nil
+	}
+	ue := &UnansweredError{Address: al.Address, Cause: err, ProcessPaused: mg.paused() > pausedBefore}
 	var re *RefusedError
-	if err == nil || errors.As(err, &re) {
-		return err
+	if !errors.As(err, &re) && !answered.Load() && ctx.Err() == nil && !ue.ProcessPaused && mg.OnUnanswered != nil {
+		mg.OnUnanswered(al, sentAt, ue)
 	}
-	return &UnansweredError{Address: al.Address, Cause: err, ProcessPaused: mg.paused() > pausedBefore}
+	return ue
 }
 
 func (mg *Manager) paused() time.Duration {
@@ -169,8 +209,8 @@
 	return mg.Paused()
 }
 
-// renewPeriodically renews the reservation until ctx ends.
-func (rv *Reservation) renewPeriodically(ctx context.Context) {
+// renewPeriodically renews one allocation until ctx ends.
+func (rv *Reservation) renewPeriodically(ctx context.Context, al Allocation, rn *renewal) {
 	tick := time.NewTicker(rv.manager.LeaseDuration / renewalsPerLease)
 	defer tick.Stop()
 	for {
@@ -179,64 +219,59 @@
 		case <-ctx.Done():
 			return
 		}
-		// A release does not cancel the renewal, because the target may still carry out a cancelled order.
-		rv.renewAll(context.WithoutCancel(ctx))
-	}
-}
-
-// renewAll renews all allocations concurrently, so that a target that does not answer does not let the others expire.
-func (rv *Reservation) renewAll(ctx context.Context) {
-	var wg sync.WaitGroup
-	for i, al := range rv.allocations {
 		if !rv.manager.isCurrent(al) {
 			continue
 		}
-		wg.Go(func() {
-			err := rv.manager.reserveOnce(ctx, al, rv.id)
-			if err != nil {
-				rv.renewalErrs[i] = err
-			}
-			if err != nil && ctx.Err() == nil {
-				rv.lg.WithField("address", al.Address).WithField("cause", err.Error()).Warn("memory reservation not renewed")
-			}
-		})
+		// A release does not cancel the renewal, because the target may still carry out a cancelled order.
+		if err := rv.manager.reserveOnce(context.WithoutCancel(ctx), al, rv.id); err != nil {
+			rn.err = err
+			rv.lg.WithField("address", al.Address).WithField("cause", err.Error()).Warn("memory reservation not renewed")
+		}
 	}
-	wg.Wait()
 }
 
-// Release stops the renewals and releases the memory in the background.
+// Release stops the renewals and releases the memory in the background, at each target as soon as no renewal is in progress there.
 func (rv *Reservation) Release() {
 	rv.stopRenewals()
-	ended := rv.manager.releasing.Begin()
-	go func() {
-		defer ended()
-		// A renewal in progress could reserve the memory again after its release.
-		rv.renewing.Wait()
-		rv.releaseAll(rv.renewalErrs)
-	}()
+	for i, al := range rv.allocations {
+		ended := rv.manager.releasing.Begin()
+		go func() {
+			defer ended()
+			// A renewal in progress could reserve the memory again after its release.
+			rv.renewals[i].running.Wait()
+			rv.release(al, rv.renewals[i].err, func() {})
+		}()
+	}
 }
 
-// releaseAll releases every allocation that may hold memory, given the error of the last order for each. It returns a wait
-// group for the first release of those that certainly hold memory. Releases are repeated for orders without an answer.
-func (rv *Reservation) releaseAll(lastErrs []error) *sync.WaitGroup {
+// releaseAll releases every allocation that may hold memory, given the error of the last order for each. It waits for the first release
+// of those that certainly hold memory.
+func (rv *Reservation) releaseAll(lastErrs []error) {
 	var firstReleases sync.WaitGroup
 	for i, al := range rv.allocations {
-		var re *RefusedError
-		if errors.As(lastErrs[i], &re) {
-			continue
+		done := func() {}
+		if lastErrs[i] == nil {
+			firstReleases.Add(1)
+			done = firstReleases.Done
 		}
-		released := rv.manager.releasing.Begin()
-		if lastErrs[i] != nil {
-			go rv.releaseWithRetries(al, true, released)
-			continue
-		}
-		firstReleases.Add(1)
-		go rv.releaseWithRetries(al, false, func() {
-			released()
-			firstReleases.Done()
-		})
+		rv.release(al, lastErrs[i], done)
 	}
-	return &firstReleases
+	firstReleases.Wait()
+}
+
+// release releases an allocation in the background unless its last order was refused, given the error of that order. Releases are
+// repeated for orders without an answer. done is called after the first release.
+func (rv *Reservation) release(al Allocation, lastErr error, done func()) {
+	var re *RefusedError
+	if errors.As(lastErr, &re) {
+		done()
+		return
+	}
+	released := rv.manager.releasing.Begin()
+	go rv.releaseWithRetries(al, lastErr != nil, func() {
+		released()
+		done()
+	})
 }
 
 func (mg *Manager) isCurrent(al Allocation) bool {
@@ -269,16 +304,11 @@
 }
 
 func (mg *Manager) releaseOnce(al Allocation, id string) error {
-	ctx, cancel := context.WithTimeout(context.Background(), mg.Timeout)
-	defer cancel()
-	return errors.Wrap(mg.Release(ctx, al.Address, id, mg.answerCallback(al)), "release memory")
-}
-
-// answerCallback returns a function that passes the head of an answer for an allocation to OnAnswer.
-func (mg *Manager) answerCallback(al Allocation) func(responsehead.Head) {
-	return func(hd responsehead.Head) {
-		if mg.OnAnswer != nil {
-			mg.OnAnswer(al, hd)
-		}
+	ue := mg.send(context.Background(), al, func(ctx context.Context, onAnswer func(responsehead.Head)) error {
+		return mg.Release(ctx, al.Address, id, onAnswer)
+	})
+	if ue == nil {
+		return nil
 	}
+	return errors.Wrap(ue.Cause, "release memory")
 }
