fix(upstream): drop unacknowledged bytes of a cancelled request

Cause: the close of a connection leaves its unacknowledged bytes to the kernel, which delivers them later: a target can run a request whose attempt has ended, without the memory that was reserved for it. Change: such a connection is reset.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -121,9 +121,40 @@
 			return
 		}
 	}
+	cn.dropUnacknowledged()
 	cn.closeIgnoringError()
 }
 
+// dropUnacknowledged makes the close of the connection drop the data that the other end has not acknowledged. The kernel would deliver
+// it later otherwise, and the target would run a request that has ended.
+func (cn *conn) dropUnacknowledged() {
+	if tc, ok := cn.Conn.(interface{ SetLinger(sec int) error }); ok && cn.unacknowledged() > 0 {
+		_ = tc.SetLinger(0) // fails only if the connection is closed
+	}
+}
+
+// unacknowledged returns how many written bytes the other end of the TCP connection has not acknowledged; 0 if unknown. It is safe to
+// call while other goroutines read and write.
+func (cn *conn) unacknowledged() int {
+	sc, ok := cn.Conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	err = rc.Control(func(fd uintptr) {
+		// The call fails if the connection is broken; n is then not positive.
+		n, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+	})
+	if err != nil {
+		return 0
+	}
+	return max(0, n)
+}
+
 // activityCheck returns a function that reports whether data has arrived since its last call, or since activityCheck at
 // the first. The function may be used by one goroutine only.
 func (cn *conn) activityCheck() func() bool {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -32,6 +32,8 @@
 	// OnSend, if not nil, is called immediately before the request is sent. hasActivity reports whether data has arrived since
 	// its last call.
 	OnSend func(hasActivity func() bool)
+	// OnMonitor, if not nil, is called immediately before the request is sent. The monitor must not be used once the exchange has ended.
+	OnMonitor func(Monitor)
 	// AcceptResponse, if not nil, is called with each response head, and reports whether the response belongs to this call.
 	// Other responses are skipped.
 	AcceptResponse func(*http.Response) bool
@@ -114,6 +116,9 @@
 	if ca.OnSend != nil {
 		ca.OnSend(cn.activityCheck())
 	}
+	if ca.OnMonitor != nil {
+		ca.OnMonitor(Monitor{cn: cn, writtenBefore: writtenBefore})
+	}
 	go rs.writeRequest(ctx, req)
 	// Response.Close ends the body together with the connection.
 	rs.Response, err = readResponse(cn, req, ca.AcceptResponse) //nolint:bodyclose // the body stays open for the caller
