--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -91,6 +91,9 @@
 	// onSuperseded is called, with the lock held, for each incarnation that a later one with the same name replaces.
 	onSuperseded func(Target)
 
+	// onGone is called, with the lock held, for each target whose entry is gone.
+	onGone func(Target)
+
 	// evacuated returns the availability zones whose targets accept no new requests.
 	evacuated func() set.Set[string]
 
@@ -129,6 +132,12 @@
 	return func(dr *Directory) { dr.onSuperseded = hook }
 }
 
+// WithGoneHook sets a function that is called for each target whose entry is gone, whether or not it still accepts work for a while. It is
+// called with the lock held, so it must not call the directory.
+func WithGoneHook(hook func(Target)) Option {
+	return func(dr *Directory) { dr.onGone = hook }
+}
+
 // WithEvacuations sets a function that returns the evacuated availability zones. It may be called with the lock held, so it must
 // not call the directory.
 func WithEvacuations(evacuated func() set.Set[string]) Option {
@@ -138,7 +147,7 @@
 // New returns an empty directory; now is its clock.
 func New(now func() time.Time, opts ...Option) *Directory {
 	dr := &Directory{
-		now: now, onSuperseded: func(Target) {}, evacuated: func() set.Set[string] { return set.Set[string]{} }, entries: map[string]*entry{}, latest: map[string]incarnation{},
+		now: now, onSuperseded: func(Target) {}, onGone: func(Target) {}, evacuated: func() set.Set[string] { return set.Set[string]{} }, entries: map[string]*entry{}, latest: map[string]incarnation{},
 		leavingSince: map[string]time.Time{}, zones: map[string]*zone{}, history: history{removals: map[string]removal{}},
 	}
 	for _, o := range opts {
@@ -296,6 +305,7 @@
 	en.missingSince = dr.now()
 	en.graceUntil = dr.ownOutage.graceEnds()
 	dr.history.recordRemoval(en.ID, dr.now())
+	dr.onGone(en.Target)
 	return []Change{{Target: en.Target, Kind: "gone"}}
 }
 
@@ -345,6 +355,14 @@
 	return true
 }
 
+// IsLeaving reports whether an incarnation is leaving: it may refuse connections while it finishes its requests.
+func (dr *Directory) IsLeaving(id string) bool {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	_, leaving := dr.leavingSince[id]
+	return leaving
+}
+
 // LeavingIDs returns the sorted IDs of leaving incarnations to announce to peers: those with an entry, and those marked within
 // goneRetention.
 func (dr *Directory) LeavingIDs() []string {
