fix(gateway): end attempts in flight at lost targets

Cause: the attempt of a prompt with memory at several targets waited at a silent main target for its connection to time out, while the renewals there failed and those at the sound targets went on. Change: inflightattempts maps incarnations to the attempts in flight there. Certain evidence from orders, failed connections, examinations, the directory and answers of other incarnations ends attempts without a response and attempts with memory at the lost target. Streams with events and at-most-once requests whose answer may still come go on. Each end is logged and counted with its evidence.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -50,6 +50,10 @@
 	// CanRetry is set if the request may be retried on another target when this one rejects it, Retried if a target rejected
 	// it before.
 	CanRetry, Retried bool
+	// AttemptLost is set if an attempt was lost after it was sent.
+	AttemptLost bool
+	// LastEventAt is when the last event was forwarded; zero before the first.
+	LastEventAt time.Time
 	// mayProbe is set if the request may be sent to a half-open target.
 	mayProbe bool
 	// permitTarget is the target for which the request holds a permit; empty if it holds none.
--- a/internal/dispatch/slot.go
+++ b/internal/dispatch/slot.go
@@ -55,6 +55,18 @@
 	return ids
 }
 
+// MemoryTargets returns the incarnations at which memory is reserved for the request.
+func (sl *Slot) MemoryTargets() []string {
+	if sl.reservation == nil {
+		return nil
+	}
+	ids := make([]string, len(sl.Helpers))
+	for i, hp := range sl.Helpers {
+		ids[i] = hp.ID
+	}
+	return ids
+}
+
 // addStageLoad adds a load until the slot's next stage. The caller holds the load table's lock.
 func (sl *Slot) addStageLoad(id string, lo placement.Load) {
 	sl.stageLoads = append(sl.stageLoads, slotLoad{id: id, load: lo})
--- a/internal/duty/frontend/frontend.go
+++ b/internal/duty/frontend/frontend.go
@@ -106,6 +106,10 @@
 		Paths: gateway.Paths{
 			IsLost: co.PathState.IsLost, Isolated: co.PathState.Isolated, Check: co.TargetDialer.Check, AvoidPeer: co.TunnelClient.Avoid,
 		},
+		Attempts: co.Attempts,
+		Losses: gateway.Losses{
+			RecordDialFailure: co.Losses.RecordDialFailure, RecordAddressTaken: co.Losses.RecordAddressTaken, RecordAnswer: co.Losses.RecordAnswer,
+		},
 		Stopping: env.Stopping.Load,
 	}, gatewayLimits(st))
 	env.OnReload(func(s config.Settings) { gw.SetLimits(gatewayLimits(s.Gateway)) })
--- a/internal/duty/gatewaydeps/gatewaydeps.go
+++ b/internal/duty/gatewaydeps/gatewaydeps.go
@@ -17,6 +17,7 @@
 	"github.com/silvermount/silvermount/internal/evacuation"
 	"github.com/silvermount/silvermount/internal/feedback"
 	"github.com/silvermount/silvermount/internal/ident"
+	"github.com/silvermount/silvermount/internal/inflightattempts"
 	"github.com/silvermount/silvermount/internal/kernel"
 	"github.com/silvermount/silvermount/internal/loadreport"
 	"github.com/silvermount/silvermount/internal/pathstate"
@@ -54,6 +55,9 @@
 	TunnelClient *tunnelclient.Client
 	TunnelServer *tunnelserver.Server
 	Peers        *PeerList
+	// Attempts holds the attempts in flight. Losses receives the evidence that ends those at lost targets.
+	Attempts *inflightattempts.Registry
+	Losses   *Losses
 	// Pauses measures the pauses of the process.
 	Pauses  *pauseclock.Clock
 	Metrics *metrics.Set
@@ -168,16 +172,23 @@
 	evacuations := evacuation.New(time.Now)
 	ms.NewGauge("silvermount_zones_evacuated", func() float64 { return float64(evacuations.Evacuated().Len()) })
 	var pl *upstream.Pool
-	dr := targets.New(time.Now, targets.WithEvacuations(evacuations.Evacuated), targets.WithSupersededHook(func(tg targets.Target) { pl.CloseIdle(tg.Address) }))
+	attempts := inflightattempts.New(time.Now)
+	var ls *Losses
+	dr := targets.New(time.Now, targets.WithEvacuations(evacuations.Evacuated), targets.WithSupersededHook(func(tg targets.Target) {
+		pl.CloseIdle(tg.Address)
+		ls.recordSuperseded(tg)
+	}), targets.WithGoneHook(func(tg targets.Target) { ls.recordGone(tg) }))
 	var orders adapter.MemoryOrders
 	pt := newPaths(env, ms, pauses, dr, func() { orders.CloseIdle() })
+	ls = newLosses(env.Settings.Instance, dr, attempts, pt)
 	orders = ad.MemoryOrders(pt.dialNetwork)
 	pl = upstream.NewPool(time.Now, ms, env.Settings.Gateway.DialTimeout.Std(), upstream.WithPaused(pauses.Paused),
 		upstream.WithDial(pt.dialer.Dial), upstream.WithReusable(pt.dialer.IsReusable), upstream.WithOnDirectRead(pt.state.RecordHeard))
 	stateNotifier := &Notifier{}
 	mg := &reservation.Manager{
 		Reserve: orders.Reserve, Release: orders.Release, NewID: func() string { return ident.New("mem") }, IsCurrent: dr.IsCurrent,
-		Timeout: env.Settings.Gateway.OrderTimeout.Std(), LeaseDuration: env.Settings.Gateway.MemoryHold.Std(), Paused: pauses.Paused, Log: env.Logger("memory"),
+		OnUnanswered: ls.recordUnanswered,
+		Timeout:      env.Settings.Gateway.OrderTimeout.Std(), LeaseDuration: env.Settings.Gateway.MemoryHold.Std(), Paused: pauses.Paused, Log: env.Logger("memory"),
 	}
 	limits := ratelimit.New(time.Now)
 	ms.NewGauge("silvermount_targets_limited", func() float64 { return float64(limits.LimitedCount()) })
@@ -194,6 +205,7 @@
 		Log: env.Logger("feedback"), Now: time.Now,
 	})
 	mg.OnAnswer = func(al reservation.Allocation, hd responsehead.Head) {
+		ls.RecordAnswer(al.Target)
 		fb.Record(feedback.Report{Source: feedback.OrderAnswer, Target: dr.ByID(al.Target), Head: hd, ReceivedAt: time.Now()})
 	}
 	ds := dispatch.New(dr, mg, dispatch.Options{
@@ -211,7 +223,7 @@
 		Quarantine: tracker, QuarantineChanges: changes, Evacuations: evacuations, NotesNotifier: notesNotifier, RateLimits: limits, Permits: permits, BackOffs: backOffs, Feedback: fb,
 		Retries: newRetries(env, ad, ms.GetOrCreateCounter("silvermount_store_calls_total").Inc),
 		Adapter: ad, Routes: rts, TargetLimit: limitOf, Targets: dr, Dispatcher: ds, Metrics: ms, StateNotifier: stateNotifier, StoreCoordinator: &StoreCoordinator{}, Pool: pl, Pauses: pauses,
-		PathState: pt.state, TargetDialer: pt.dialer, TunnelClient: pt.client, TunnelServer: pt.server, Peers: pt.peers,
+		Attempts: attempts, Losses: ls, PathState: pt.state, TargetDialer: pt.dialer, TunnelClient: pt.client, TunnelServer: pt.server, Peers: pt.peers,
 		LoadReports: loadreport.New(time.Now, env.Logger("peers"), ms.GetOrCreateCounter("silvermount_load_report_parts_omitted_total").Inc),
 	})
 	backgroundCtx, stopBackground := context.WithCancel(context.Background())
--- a/internal/duty/gatewaydeps/paths.go
+++ b/internal/duty/gatewaydeps/paths.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -35,6 +36,12 @@
 	return nil, 0
 }
 
+// hasOther reports whether a live instance other than the given one may be asked.
+func (pl *PeerList) hasOther(instance string) bool {
+	list, _ := pl.get()
+	return slices.ContainsFunc(list, func(pr tunnelclient.Peer) bool { return pr.Name != instance && !pr.Stopping })
+}
+
 // count returns the number of live peers.
 func (pl *PeerList) count() int {
 	list, _ := pl.get()
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -60,6 +60,8 @@
 	excluded []string
 	// lostAttempt is set once an attempt was lost after it was sent. Further ones are not sent on idle connections.
 	lostAttempt bool
+	// attempt is the attempt in flight; nil before the first.
+	attempt *inFlightAttempt
 	// via is the peer that the latest attempt was sent through; nil if it was sent directly. A watchdog reads it concurrently.
 	via atomic.Pointer[string]
 	// retryTaken is set if the next retry has already been taken from the retry budget.
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/silvermount/silvermount/internal/inflightattempts"
 	"github.com/silvermount/silvermount/internal/quarantine"
 	"github.com/silvermount/silvermount/internal/targets"
 	"github.com/silvermount/silvermount/internal/upstream"
@@ -50,6 +51,12 @@
 	if !gw.Targets.TakesWork(tg.ID) {
 		return
 	}
+	var ue *UnacknowledgedRequestError
+	var le *inflightattempts.LostTargetError
+	if errors.As(cause, &ue) || errors.As(cause, &le) && le.Evidence.Target != tg.ID {
+		// The target did not run the request, or another target is the one that is lost.
+		return
+	}
 	now := gw.Now()
 	startedAt := rq.sentAt
 	if !rq.headAt.IsZero() {
@@ -58,12 +65,19 @@
 	gw.Quarantine.RecordInterrupted(quarantine.InterruptedRun{
 		Fingerprints: rq.fingerprints.All(), Incarnation: tg.ID, Elapsed: now.Sub(startedAt), Answering: !rq.headAt.IsZero(), At: now,
 	})
-	var se *SilentTargetError
-	if !errors.As(cause, &se) {
+	if !isSilence(cause) {
 		gw.probeForCrash(tg)
 	}
 }
 
+// isSilence reports whether an attempt was ended because its target was silent. Other evidence that a target is lost is silence too, or
+// has shown already that its process has ended.
+func isSilence(cause error) bool {
+	var se *SilentTargetError
+	var le *inflightattempts.LostTargetError
+	return errors.As(cause, &se) || errors.As(cause, &le)
+}
+
 // probeForCrash checks in the background whether a target that interrupted a run has crashed. A refused connection shows this
 // seconds before the target's entry disappears from the store.
 func (gw *Gateway) probeForCrash(tg targets.Target) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/silvermount/silvermount/internal/budget"
 	"github.com/silvermount/silvermount/internal/dispatch"
 	"github.com/silvermount/silvermount/internal/feedback"
+	"github.com/silvermount/silvermount/internal/inflightattempts"
 	"github.com/silvermount/silvermount/internal/lifecycle"
 	"github.com/silvermount/silvermount/internal/quarantine"
 	"github.com/silvermount/silvermount/internal/ratelimit"
@@ -50,6 +51,9 @@
 	Paused func() time.Duration
 	// Paths is what is known of the paths from this instance to the targets.
 	Paths Paths
+	// Attempts holds the attempts in flight, and Losses receives evidence that ends them.
+	Attempts *inflightattempts.Registry
+	Losses   Losses
 	// PeersHeardAge returns the time since this instance last heard a peer, and false if it is linked to none.
 	PeersHeardAge func() (time.Duration, bool)
 	// Stopping reports whether shutdown of the instance has been requested.
--- a/internal/gateway/logging_test.go
+++ b/internal/gateway/logging_test.go
@@ -15,6 +15,7 @@
 	"github.com/silvermount/silvermount/internal/budget"
 	"github.com/silvermount/silvermount/internal/eventlog"
 	"github.com/silvermount/silvermount/internal/gateway"
+	"github.com/silvermount/silvermount/internal/inflightattempts"
 	"github.com/silvermount/silvermount/internal/routes"
 	"github.com/silvermount/silvermount/internal/targets"
 )
@@ -31,10 +32,18 @@
 		Protocol: gateway.Protocol{ReadRequest: read},
 		Routes:   hd, Targets: targets.New(time.Now), BodyMemory: budget.NewMemory(bodyMemory), Metrics: metrics.NewSet(),
 		Log: &log.Logger{Handler: h}, Now: time.Now,
-		Paused: func() time.Duration { return 0 }, Paths: workingPaths(), PeersHeardAge: func() (time.Duration, bool) { return 0, false }, Stopping: func() bool { return false },
+		Paused: func() time.Duration { return 0 }, Paths: workingPaths(), PeersHeardAge: func() (time.Duration, bool) { return 0, false },
+		Attempts: inflightattempts.New(time.Now), Losses: noLosses(), Stopping: func() bool { return false },
 	}, gateway.Limits{})
 }
 
+// noLosses ignores evidence about targets.
+func noLosses() gateway.Losses {
+	return gateway.Losses{
+		RecordDialFailure: func(targets.Target, error) {}, RecordAddressTaken: func(string) {}, RecordAnswer: func(string) {},
+	}
+}
+
 func get(gw *gateway.Gateway, request, key string) int { return send(gw, request, key).Code }
 
 func send(gw *gateway.Gateway, request, key string) *httptest.ResponseRecorder {
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -31,6 +31,7 @@
 	case responsehead.Misdirected:
 		gw.Quarantine.RecordCrash(sl.Target.ID)
 		gw.Targets.MarkLeaving(sl.Target.ID)
+		gw.Losses.RecordAddressTaken(sl.Target.ID)
 		gw.logTargetState(sl.Target, "gone", "its address now belongs to another incarnation")
 		gw.logSkipped(rq, sl.Target, "its address now belongs to another incarnation")
 		// The process at the address has received the request, so that another attempt is a retry.
@@ -180,7 +181,10 @@
 		return fe
 	}
 	rq.lostAttempt = true
-	gw.recordFailedAttempt(rq, sl.Target, err)
+	err = rq.attempt.endReason(err)
+	if !gw.recordEnded(rq, sl, err, true) {
+		gw.recordFailedAttempt(rq, sl.Target, err)
+	}
 	gw.recordInterrupted(rq, sl.Target, err)
 	return failure.New(failure.TargetLost, failure.Unknown, "the target broke off").WithCause(err)
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -13,6 +13,7 @@
 	"github.com/silvermount/silvermount/internal/feedback"
 	"github.com/silvermount/silvermount/internal/lifecycle"
 	"github.com/silvermount/silvermount/internal/reservation"
+	"github.com/silvermount/silvermount/internal/responsehead"
 	"github.com/silvermount/silvermount/internal/retry"
 	"github.com/silvermount/silvermount/internal/targets"
 	"github.com/silvermount/silvermount/internal/tunnel"
@@ -102,10 +103,13 @@
 
 // sendAndForward sends a request to the chosen target and forwards the response.
 func (gw *Gateway) sendAndForward(ctx context.Context, rq *request, rw *responseWriter, sl *dispatch.Slot) error {
+	rq.attempt = gw.beginAttempt(ctx, rq, sl)
+	defer rq.attempt.end()
 	rs, err := gw.send(ctx, rq, sl)
 	if err != nil {
 		return err
 	}
+	// The connection can be used again only if it is returned before the attempt ends.
 	defer rs.Close()
 	return gw.handleResponse(ctx, rq, rw, sl, rs)
 }
@@ -122,6 +126,7 @@
 		Arrived: rq.arrived, Deadline: rq.deadline.At, Organisation: rq.org.Name, Priority: rq.priority(), Resumed: rq.forwardedEventID >= 0,
 		Caution: rq.caution(), Authorise: func() error { return gw.reauthorise(rq) },
 		CanRetry: len(rq.tried) == 0 && rq.route.MaxAttempts > 1 && gw.RetryBudget.Available(rq.service), Retried: len(rq.tried) > 0,
+		AttemptLost: rq.lostAttempt, LastEventAt: rq.lastEventAt,
 	}
 }
 
@@ -201,6 +206,7 @@
 		Address: sl.Target.Address, Method: rq.method, RequestURI: rq.requestURI, Host: rq.host, Header: h, Body: rq.body,
 		NewConnection:  rq.route.AtMostOnce() || rq.lostAttempt,
 		OnConnection:   rq.setVia,
+		OnMonitor:      gw.observeConnection(rq, sl, rq.attempt),
 		BeforeSend:     func() error { return gw.checkSend(ctx, rq, sl) },
 		AcceptResponse: func(resp *http.Response) bool { return gw.recordHead(rq, sl.Target, resp) },
 	}
@@ -209,13 +215,18 @@
 	rq.sentAt, rq.headAt = gw.Now(), time.Time{}
 	pauses := newPauseMeter(gw.Paused)
 	rq.via.Store(nil)
-	rs, err := gw.sendWithSilenceTimeout(tunnel.WithRequestID(ctx, rq.RequestID), rq, sl, ca)
+	rs, err := gw.sendWithSilenceTimeout(tunnel.WithRequestID(rq.attempt.ctx, rq.RequestID), rq, sl, ca)
+	rq.attempt.acks.stop()
+	rq.retryTaken = rq.retryTaken || rq.attempt.handle.RetryTaken()
 	if err != nil {
+		err = rq.attempt.endReason(err)
 		if ctx.Err() != nil {
 			gw.recordUnanswered(rq, sl, gw.Now().Sub(rq.sentAt)-pauses.sinceLast())
 		}
 		return nil, gw.handleExchangeError(ctx, rq, sl, err)
 	}
+	answeredAt := rq.headAt
+	rq.attempt.answeredAt.Store(&answeredAt)
 	gw.Targets.RecordReachable(sl.Target.ID)
 	gw.observe("silvermount_target_answer_seconds", rq.headAt.Sub(rq.sentAt))
 	return rs, nil
@@ -232,6 +243,9 @@
 		rq.head, rq.headAt = rp.Head, rp.ReceivedAt
 		rp.SentAt = rq.sentAt
 	}
+	if rp.Head.Verdict != responsehead.Misdirected {
+		gw.Losses.RecordAnswer(tg.ID)
+	}
 	gw.Feedback.Record(rp)
 	return matches
 }
@@ -251,6 +265,9 @@
 		if gw.isOver(ctx, rq) {
 			return gw.cancellationError(ctx, rq)
 		}
+		if gw.recordEnded(rq, sl, err, false) {
+			return gw.unsentLostError(rq, err)
+		}
 		return gw.unsentError(rq, sl.Target, err)
 	}
 	rq.tried = append(rq.tried, sl.Target.ID)
@@ -265,7 +282,7 @@
 		// The loss of an idle connection says nothing about the health of the target. If the target has crashed, it accepts no
 		// new connection.
 		gw.logAttemptFailed(rq, sl.Target, err, true)
-	} else {
+	} else if !gw.recordEnded(rq, sl, err, true) {
 		gw.recordFailedAttempt(rq, sl.Target, err)
 	}
 	gw.recordInterrupted(rq, sl.Target, err)
@@ -288,6 +305,7 @@
 	}
 	gw.logAttemptFailed(rq, tg, err, false)
 	gw.recordUnreachable(tg, err)
+	gw.Losses.RecordDialFailure(tg, err)
 	return failure.New(failure.TargetUnreachable, gw.outcome(rq), "the target took no connection").
 		WithCause(err).WithRetryAfter(overloadRetryAfter)
 }
