fix(inflightattempts): end at-most-once prompts whose memory expires

Cause: a prompt that may run once and has memory at several targets stayed at a silent target, so that the memory at the others stayed reserved. Change: it ends once the target has left all orders unanswered for 2 s. The memory there is about to expire then, and the answer with it.

--- a/internal/inflightattempts/decide.go
+++ b/internal/inflightattempts/decide.go
@@ -19,6 +19,11 @@
 	end
 )
 
+// minOnceSilence is how long a target must have left all orders unanswered to end a request that may run once and has memory reserved there.
+// It is two renewals of three in a lease: the memory there is about to expire, and the answer with it. A target that is frozen for two
+// seconds answers a later order.
+const minOnceSilence = 2 * time.Second
+
 // decide returns what becomes of the attempt. A target that is only silent may still answer, so that a request without reserved memory
 // leaves it only for another one. Reserved memory must not wait for that.
 func (at Attempt) decide(ev targetloss.Evidence, st Status, now time.Time) decision {
@@ -26,11 +31,12 @@
 	switch {
 	case st.HasUnreadData || st.LastDataAt.After(ev.Since) && !st.Answered:
 		return goOn
-	case st.Answered:
-		return at.decideAnswered(ev, usesMemory, st, now)
+	case st.Answered && (!usesMemory || now.Sub(st.LastDataAt) <= at.MaxSilence()):
+		// A stream that has stopped and uses no reserved memory has a watchdog of its own.
+		return goOn
 	case ev.Final():
 		return end
-	case at.AtMostOnce:
+	case at.AtMostOnce && (!usesMemory || ev.At.Sub(ev.Since) < minOnceSilence):
 		return goOn
 	case usesMemory:
 		return end
@@ -38,12 +44,3 @@
 		return endIfRetried
 	}
 }
-
-// decideAnswered decides on an attempt whose response has begun. It ends only for the sake of reserved memory, and only if the response
-// has stopped as well: a stream without reserved memory has a watchdog of its own.
-func (at Attempt) decideAnswered(ev targetloss.Evidence, usesMemory bool, st Status, now time.Time) decision {
-	if !usesMemory || at.AtMostOnce && !ev.Final() || now.Sub(st.LastDataAt) <= at.MaxSilence() {
-		return goOn
-	}
-	return end
-}
--- a/internal/inflightattempts/inflightattempts_test.go
+++ b/internal/inflightattempts/inflightattempts_test.go
@@ -17,7 +17,13 @@
 
 const silence = 1400 * time.Millisecond
 
+// longSilent stands for targetloss.Unanswered after another second.
+const longSilent targetloss.Kind = "long silent"
+
 func evidence(target string, kind targetloss.Kind) targetloss.Evidence {
+	if kind == longSilent {
+		return targetloss.Evidence{Target: target, Kind: targetloss.Unanswered, Since: now.Add(-silence - time.Second), At: now, Orders: 3}
+	}
 	return targetloss.Evidence{Target: target, Kind: kind, Since: now.Add(-silence), At: now, Orders: 2}
 }
 
@@ -37,22 +43,30 @@
 		noRetry bool
 		want    bool
 	}{
-		"silent main with memory, no retry left":     {main, silent, memory, false, inflightattempts.Status{}, true, true},
-		"silent helper with memory":                  {helper, silent, memory, false, inflightattempts.Status{}, false, true},
-		"unreachable main":                           {main, targetloss.Unreachable, nil, false, inflightattempts.Status{}, false, true},
-		"silent main, no retry left":                 {main, silent, nil, false, inflightattempts.Status{}, true, false},
-		"main has ended, no retry left":              {main, final, nil, false, inflightattempts.Status{}, true, true},
-		"another target":                             {other, final, memory, false, inflightattempts.Status{}, false, false},
-		"at most once, silent":                       {main, silent, nil, true, inflightattempts.Status{}, false, false},
-		"at most once with memory, silent":           {main, silent, memory, true, inflightattempts.Status{}, false, false},
-		"at most once, process has ended":            {main, final, nil, true, inflightattempts.Status{}, true, true},
-		"answer received, not read":                  {main, final, memory, false, inflightattempts.Status{HasUnreadData: true}, false, false},
-		"data since the evidence began":              {main, silent, memory, false, inflightattempts.Status{LastDataAt: ago(time.Second)}, false, false},
-		"stream with events":                         {main, silent, memory, false, inflightattempts.Status{Answered: true, LastDataAt: ago(time.Second)}, false, false},
-		"stream with events, main has ended":         {main, final, memory, false, inflightattempts.Status{Answered: true, LastDataAt: ago(time.Second)}, false, false},
-		"stream that has stopped, with memory":       {main, silent, memory, false, inflightattempts.Status{Answered: true, LastDataAt: ago(3 * time.Second)}, true, true},
-		"stream that has stopped, without memory":    {main, silent, nil, false, inflightattempts.Status{Answered: true, LastDataAt: ago(3 * time.Second)}, false, false},
-		"stream that has stopped, at most once":      {main, silent, memory, true, inflightattempts.Status{Answered: true, LastDataAt: ago(3 * time.Second)}, false, false},
+		"silent main with memory, no retry left":      {main, silent, memory, false, inflightattempts.Status{}, true, true},
+		"silent helper with memory":                   {helper, silent, memory, false, inflightattempts.Status{}, false, true},
+		"unreachable main":                            {main, targetloss.Unreachable, nil, false, inflightattempts.Status{}, false, true},
+		"silent main, no retry left":                  {main, silent, nil, false, inflightattempts.Status{}, true, false},
+		"main has ended, no retry left":               {main, final, nil, false, inflightattempts.Status{}, true, true},
+		"another target":                              {other, final, memory, false, inflightattempts.Status{}, false, false},
+		"at most once, silent":                        {main, silent, nil, true, inflightattempts.Status{}, false, false},
+		"at most once, silent for long":               {main, longSilent, nil, true, inflightattempts.Status{}, false, false},
+		"at most once with memory, silent":            {main, silent, memory, true, inflightattempts.Status{}, false, false},
+		"at most once with memory, lease nearly over": {main, longSilent, memory, true, inflightattempts.Status{}, true, true},
+		"at most once, process has ended":             {main, final, nil, true, inflightattempts.Status{}, true, true},
+		"answer received, not read":                   {main, final, memory, false, inflightattempts.Status{HasUnreadData: true}, false, false},
+		"data since the evidence began":               {main, silent, memory, false, inflightattempts.Status{LastDataAt: ago(time.Second)}, false, false},
+		"stream with events":                          {main, silent, memory, false, inflightattempts.Status{Answered: true, LastDataAt: ago(time.Second)}, false, false},
+		"stream with events, main has ended":          {main, final, memory, false, inflightattempts.Status{Answered: true, LastDataAt: ago(time.Second)}, false, false},
+		"stream that has stopped, with memory":        {main, silent, memory, false, inflightattempts.Status{Answered: true, LastDataAt: ago(3 * time.Second)}, true, true},
+		"stream that has stopped, without memory":     {main, silent, nil, false, inflightattempts.Status{Answered: true, LastDataAt: ago(3 * time.Second)}, false, false},
+		"stream that has stopped, at most once":       {main, silent, memory, true, inflightattempts.Status{Answered: true, LastDataAt: ago(3 * time.Second)}, false, false},
+		"stream that has stopped, at most once, lease nearly over": {
+			main, longSilent, memory, true, inflightattempts.Status{Answered: true, LastDataAt: ago(3 * time.Second)}, true, true,
+		},
+		"stream with events, lease nearly over": {
+			main, longSilent, memory, true, inflightattempts.Status{Answered: true, LastDataAt: ago(time.Second)}, true, false,
+		},
 		"stream that has stopped, helper has memory": {helper, silent, memory, false, inflightattempts.Status{Answered: true, LastDataAt: ago(3 * time.Second)}, false, true},
 	}
 	for name, tc := range tests {
