--- /dev/null
+++ b/internal/inflightattempts/decide.go
@@ -0,0 +1,46 @@
+package inflightattempts
+
+import (
+	"slices"
+	"time"
+
+	"github.com/silvermount/silvermount/internal/targetloss"
+)
+
+// decision is what becomes of an attempt when a target of it is lost.
+type decision int
+
+const (
+	// goOn lets the attempt continue.
+	goOn decision = iota
+	// endIfRetried ends it if another target can be tried.
+	endIfRetried
+	// end ends it in any case.
+	end
+)
+
+// minOnceSilence is how long a target must have left all orders unanswered to end a request that may run once and has memory reserved there.
+// It is two renewals of three in a lease: the memory there is about to expire, and the answer with it. A target that is frozen for two
+// seconds answers a later order.
+const minOnceSilence = 2 * time.Second
+
+// decide returns what becomes of the attempt. A target that is only silent may still answer, so that a request without reserved memory
+// leaves it only for another one. Reserved memory must not wait for that.
+func (at Attempt) decide(ev targetloss.Evidence, st Status, now time.Time) decision {
+	usesMemory := slices.Contains(at.Memory, ev.Target)
+	switch {
+	case st.HasUnreadData || st.LastDataAt.After(ev.Since) && !st.Answered:
+		return goOn
+	case st.Answered && (!usesMemory || now.Sub(st.LastDataAt) <= at.MaxSilence()):
+		// A stream that has stopped and uses no reserved memory has a watchdog of its own.
+		return goOn
+	case ev.Final():
+		return end
+	case at.AtMostOnce && (!usesMemory || ev.At.Sub(ev.Since) < minOnceSilence):
+		return goOn
+	case usesMemory:
+		return end
+	default:
+		return endIfRetried
+	}
+}
