feat(dispatch): report what each request shows of the pace of its target

The prediction of a pass was known only inside the slot, and nobody learned by how much targets miss it. A slot now reports passes between events, first tokens, rejections and failures to a callback. Without the callbacks nothing changes.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -162,6 +162,10 @@
 			CanHelp: ph == backoff.Available,
 			Blocked: blocked,
 		}
+		if ds.isReturning(tg.ID) {
+			cands[i].CanHelp = false
+			cands[i].Blocked = blocked || rq.isLong() && !rq.Resumed
+		}
 		if ds.loadTable.isFull(tg.ID, now) {
 			cands[i].CanHelp = false
 			cands[i].Load.MemoryTokens = max(cands[i].Load.MemoryTokens, rq.Service.Engine.MemoryTokens)
--- a/internal/dispatch/slot.go
+++ b/internal/dispatch/slot.go
@@ -34,6 +34,8 @@
 	decoding                  bool
 	// arrived is when the request arrived, and lastEventAt when its last event was forwarded; zero before the first event.
 	arrived, lastEventAt time.Time
+	// pass is the engine pass that the next event ends.
+	pass passStart
 	// late is set once the answer has missed a limit, so that no further delay can reduce its worth.
 	late bool
 }
@@ -77,6 +79,7 @@
 // RecordFirstToken records that the answer has begun, so that prefill is complete at all targets of the slot. Further calls
 // have no effect.
 func (sl *Slot) RecordFirstToken() {
+	sl.sampleFirstToken()
 	if sl.prompt.Tokens == 0 || sl.decoding {
 		return
 	}
@@ -125,12 +128,14 @@
 			return
 		}
 	}
+	sl.sampleOutcome(SampleShed)
 	sl.ds.loadTable.markFull(sl.Target.ID, now.Add(fullPeriod))
 }
 
 // RecordEvent records that an event was forwarded. A pause that was too long makes the answer late, and its target no longer
 // needs to be kept free for it.
 func (sl *Slot) RecordEvent() {
+	sl.samplePass()
 	if !sl.decoding || sl.late {
 		return
 	}
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -120,6 +120,7 @@
 		gw.Targets.RecordSuccess(sl.Target.ID)
 	} else {
 		gw.recordTargetFailure(sl.Target)
+		sl.RecordFailedAnswer()
 	}
 	sl.RecordFirstToken()
 	if err := gw.transition(ctx, rq, lifecycle.FirstToken); err != nil {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -132,13 +132,20 @@
 			// The event was already forwarded before the stream moved to this target.
 			continue
 		}
+		forwardedFrom := gw.Now()
 		err = ahead.During(func() error { return gw.forwardEvent(rq, rw, rs, ev) })
 		if err != nil {
 			return err
 		}
+		if gw.Now().Sub(forwardedFrom) > maxUnseenDelay {
+			sl.SkipPass()
+		}
 	}
 }
 
+// maxUnseenDelay is how long the forwarding of an event may take without hiding when the next one arrives: a tenth of a short engine pass.
+const maxUnseenDelay = 5 * time.Millisecond
+
 // takeFailoverRetry reports whether a request can move to another target now, and takes the retry for it from the budget. All
 // streams of a silent target call it at about the same time, and the budget may suffice for only some of them.
 func (gw *Gateway) takeFailoverRetry(requestID string, rt routes.Route, service string, tried []string) bool {
