feat(gatewaydeps): learned pace and gradual return behind their switches

The limit of a return joins the stated and the configured one, of which the lowest counts; while its issuer does not answer, an instance issues its equal part itself. Without the switches nothing is sampled, reported or limited.

--- a/internal/dispatch/samples.go
+++ b/internal/dispatch/samples.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/silvermount/silvermount/internal/placement"
+	"github.com/silvermount/silvermount/internal/routes"
 )
 
 // SampleKind is what a sample observed.
@@ -112,3 +113,14 @@
 	}
 	return counts
 }
+
+// plainAnswerTime is how long a plain target is assumed to need for a request: the bound on the shortest objectives.
+const plainAnswerTime = 250 * time.Millisecond
+
+// AnswerTime returns how long a target of a service takes for a request.
+func AnswerTime(sv routes.Service) time.Duration {
+	if sv.Engine == nil {
+		return plainAnswerTime
+	}
+	return meanAnswerTime(sv.Engine)
+}
--- a/internal/duty/gatewaydeps/gatewaydeps.go
+++ b/internal/duty/gatewaydeps/gatewaydeps.go
@@ -68,7 +68,7 @@
 	// NotesNotifier is notified when peers need to learn of a change in the requests that crash targets, in rate limits, or in
 	// evacuations.
 	NotesNotifier *Notifier
-	// TargetLimit returns the rate limit of a target: the one that it states, or a lower one while it warms up.
+	// TargetLimit returns the rate limit of a target: the one that it states, or a lower one while it warms up or returns gradually.
 	TargetLimit func(target string) ratelimit.Limit
 	// RateLimits holds the rate limits that targets state, and Permits obtains the permits that requests to such targets need.
 	RateLimits *ratelimit.Tracker
@@ -183,9 +183,16 @@
 	ms.NewGauge("silvermount_targets_limited", func() float64 { return float64(limits.LimitedCount()) })
 	ms.NewGauge("silvermount_targets_cold", func() float64 { return float64(dr.ColdCount()) })
 	rts := &routes.Holder{}
-	limitOf := targetLimit(limits, dr, rts)
-	permits := permit.NewClient(time.Now, limitOf, ms)
 	backOffs := backoff.New(time.Now, rand.Float64)
+	ps := newPaces(paceDeps{
+		Switches: env.Settings.Gateway.LoadControl, Now: time.Now, Paused: pauses.Paused, Targets: dr, Routes: rts, BackOffs: backOffs,
+		Log: env.Logger("pace"), Metrics: ms,
+	})
+	statedLimit := targetLimit(limits, dr, rts)
+	limitOf := func(target string) ratelimit.Limit { return statedLimit(target).Lower(ps.limit(target)) }
+	permits := permit.NewClient(time.Now, limitOf, ms, permit.WithLocal(func(target string) (permit.Decision, bool) {
+		return ps.localPermit(target, statedLimit(target), 1+pt.peers.count())
+	}))
 	ms.NewGauge("silvermount_targets_leaving", func() float64 { return float64(dr.LeavingCount()) })
 	ms.NewGauge("silvermount_targets_backed_off", func() float64 { return float64(backOffs.ActiveCount()) })
 	notesNotifier := &Notifier{}
@@ -196,11 +203,12 @@
 	mg.OnAnswer = func(al reservation.Allocation, hd responsehead.Head) {
 		fb.Record(feedback.Report{Source: feedback.OrderAnswer, Target: dr.ByID(al.Target), Head: hd, ReceivedAt: time.Now()})
 	}
-	ds := dispatch.New(dr, mg, dispatch.Options{
+	ds := dispatch.New(dr, mg, ps.connect(dispatch.Options{
 		Instance: env.Settings.Instance, AvailabilityZone: env.Settings.AvailabilityZone, Now: time.Now, OnLoadChange: stateNotifier.Notify,
 		Permits: permits, OnPermitRefused: logNoPermit(env.Logger("dispatch"), limitOf),
 		BackOffs: backOffs, OnBackOffWait: logBackOffWait(env.Logger("dispatch")),
-	})
+	}))
+	loadReports := loadreport.New(time.Now, env.Logger("peers"), ms.GetOrCreateCounter("silvermount_load_report_parts_omitted_total").Inc)
 	changes := make(chan quarantine.Change, maxQuarantineChanges)
 	tracker := quarantine.New(quarantine.Options{
 		OnChange: func(ch quarantine.Change) { offerChange(changes, ch, env.Logger("blame")) },
@@ -212,9 +220,13 @@
 		Retries: newRetries(env, ad, ms.GetOrCreateCounter("silvermount_store_calls_total").Inc),
 		Adapter: ad, Routes: rts, TargetLimit: limitOf, Targets: dr, Dispatcher: ds, Metrics: ms, StateNotifier: stateNotifier, StoreCoordinator: &StoreCoordinator{}, Pool: pl, Pauses: pauses,
 		PathState: pt.state, TargetDialer: pt.dialer, TunnelClient: pt.client, TunnelServer: pt.server, Peers: pt.peers,
-		LoadReports: loadreport.New(time.Now, env.Logger("peers"), ms.GetOrCreateCounter("silvermount_load_report_parts_omitted_total").Inc),
+		LoadReports: loadReports,
 	})
 	backgroundCtx, stopBackground := context.WithCancel(context.Background())
+	if ps.enabled() {
+		loadReports.Register(loadreport.KindPace, ps.reportPart())
+		go ps.run(backgroundCtx, ds.InFlight, loadReports.Publish)
+	}
 	go pauses.Run(backgroundCtx)
 	go pt.dialer.Run(backgroundCtx)
 	return func(ctx context.Context) error {
--- a/internal/gradualreturn/ramp.go
+++ b/internal/gradualreturn/ramp.go
@@ -24,7 +24,8 @@
 	// firstRequestRate is the limit until the first outcome while nothing is in flight, in requests/s: one request at once, and no second one
 	// before peers know of the first.
 	firstRequestRate = 20
-	// fillTime is the time in which all slots are filled at the rate at which a return ends: from there on the slots limit the target.
+	// fillTime is the time in which all slots are filled at the rate at which a return ends, unless they turn over faster: from there on the
+	// slots limit the target.
 	fillTime = time.Second
 	// maxQuiet is how long a return lasts without any outcome. A target that nobody needed for that long is not flooded when it is needed.
 	maxQuiet = 30 * time.Second
@@ -41,6 +42,9 @@
 	Scarce bool
 }
 
+// turnover returns the rate in requests/s at which the slots turn over.
+func (si Situation) turnover() float64 { return float64(si.Slots) / si.AnswerTime.Seconds() }
+
 // firstRate returns the first rate of a return in requests/s, and false if the target needs no limit. When few targets are steady, the
 // demand that they cannot carry is more than a few requests for each of the others.
 func (si Situation) firstRate() (float64, bool) {
@@ -52,8 +56,7 @@
 		factor /= 2
 	}
 	share := firstShare * max(1, factor)
-	turnover := float64(si.Slots) / si.AnswerTime.Seconds()
-	return share * turnover, share < 1
+	return share * si.turnover(), share < 1
 }
 
 // Evidence is what happened at a target since the last step.
@@ -79,7 +82,7 @@
 
 // Ramp is the return of one target. It is immutable.
 type Ramp struct {
-	// first, rate and full are the rates at the beginning, now, and at the end, in requests/s; 0 < first <= full.
+	// first, rate and full are the rates at the beginning, now, and at the end, in requests/s; 0 < first < full.
 	first, rate, full float64
 	// steppedAt is when the rate last changed.
 	steppedAt time.Time
@@ -92,10 +95,10 @@
 // Begin returns the return of a target that becomes available, and false if it needs no limit.
 func Begin(now time.Time, si Situation) (Ramp, bool) {
 	first, limited := si.firstRate()
-	full := float64(si.Slots) / fillTime.Seconds()
-	if !limited || first >= full {
+	if !limited {
 		return Ramp{}, false
 	}
+	full := max(float64(si.Slots)/fillTime.Seconds(), si.turnover())
 	return Ramp{first: first, rate: first, full: full, steppedAt: now, outcomeAt: now}, true
 }
 
--- a/internal/permit/client.go
+++ b/internal/permit/client.go
@@ -40,6 +40,8 @@
 	granted    *metrics.Counter
 	refused    *metrics.Counter
 	unanswered *metrics.Counter
+	// local decides on a request whose issuer did not answer. It reports false if only the issuer may.
+	local func(target string) (Decision, bool)
 
 	// anyBlocked is set while blockedUntil has entries. It avoids locking for each target when no target of the fleet is limited.
 	anyBlocked atomic.Bool
@@ -50,15 +52,28 @@
 	blockedUntil map[string]time.Time
 }
 
+// Option configures a Client in NewClient.
+type Option func(*Client)
+
+// WithLocal sets a function that decides on a request for a permit whose issuer did not answer. It reports false if only the issuer may.
+func WithLocal(local func(target string) (Decision, bool)) Option {
+	return func(cl *Client) { cl.local = local }
+}
+
 // NewClient returns a client that looks up the rate limits of targets with limitOf. It acquires no permits of limited targets
 // until SetRequestFunc is called.
-func NewClient(now func() time.Time, limitOf func(target string) ratelimit.Limit, ms *metrics.Set) *Client {
-	return &Client{
-		now: now, limitOf: limitOf, blockedUntil: map[string]time.Time{},
+func NewClient(now func() time.Time, limitOf func(target string) ratelimit.Limit, ms *metrics.Set, opts ...Option) *Client {
+	cl := &Client{
+		local: func(string) (Decision, bool) { return Decision{}, false },
+		now:   now, limitOf: limitOf, blockedUntil: map[string]time.Time{},
 		granted:    ms.GetOrCreateCounter("silvermount_permits_granted_total"),
 		refused:    ms.GetOrCreateCounter("silvermount_permits_refused_total"),
 		unanswered: ms.GetOrCreateCounter("silvermount_permits_unanswered_total"),
 	}
+	for _, opt := range opts {
+		opt(cl)
+	}
+	return cl
 }
 
 // SetRequestFunc sets the function that sends requests to issuers.
@@ -101,7 +116,10 @@
 	switch {
 	case err != nil:
 		cl.unanswered.Inc()
-		dc = Decision{Delay: unansweredBlock}
+		dc = cl.decideUnanswered(tg.ID)
+		if dc.Granted {
+			return dc
+		}
 	case dc.Granted:
 		cl.granted.Inc()
 		return dc
@@ -115,6 +133,15 @@
 	return dc
 }
 
+// decideUnanswered decides on a request whose issuer did not answer. Without a permit, the target is blocked for a while, so that not each
+// request waits for the issuer.
+func (cl *Client) decideUnanswered(target string) Decision {
+	if dc, decided := cl.local(target); decided && dc.Granted {
+		return dc
+	}
+	return Decision{Delay: unansweredBlock}
+}
+
 func (cl *Client) sendRequest(ctx context.Context, rq Request) (Decision, error) {
 	cl.mu.Lock()
 	request := cl.request
