fix(quarantine): quarantine a path for itself where no part explains its crashes

A path is now quarantined for itself on stronger evidence than content: five crashes under different requests that no part explains, all of them counted as chance, three answers to other paths, and none to the path in the last half minute, which an instance that knows of one refutes.

--- a/internal/quarantine/answers.go
+++ b/internal/quarantine/answers.go
@@ -62,11 +62,12 @@
 	ra.next = (ra.next + 1) % len(ra.list)
 }
 
-// countWithout returns the number of prompts without a part that were answered after a time.
-func (ra *recentAnswers) countWithout(part fingerprint.Fingerprint, after time.Time) int {
+// countWithout returns the number of requests without a fingerprint that were answered after a time. For a part only prompts count.
+func (ra *recentAnswers) countWithout(fp fingerprint.Fingerprint, after time.Time) int {
 	n := 0
 	for _, rc := range ra.list {
-		if rc.at.After(after) && slices.ContainsFunc(rc.shared, isPart) && !slices.Contains(rc.shared, part) {
+		comparable := !isPart(fp) || slices.ContainsFunc(rc.shared, isPart)
+		if rc.at.After(after) && comparable && !slices.Contains(rc.shared, fp) {
 			n++
 		}
 	}
@@ -131,7 +132,8 @@
 // the lock.
 func (tr *Tracker) knownSound(fp fingerprint.Fingerprint) bool {
 	if ts, ok := tr.tombstones[fp]; ok && !ts.byOperator {
-		return true
+		// The tombstone of a quarantine outlives it by hours, for which a path that turns fatal must not pass as sound.
+		return !isPath(fp) || tr.opts.Now().Sub(ts.at) <= answerGeneration
 	}
 	_, ok := tr.answers.last(fp)
 	return ok
--- a/internal/quarantine/detection.go
+++ b/internal/quarantine/detection.go
@@ -1,7 +1,7 @@
 package quarantine
 
 import (
-	"cmp"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -104,20 +104,25 @@
 type assessment struct {
 	// settled are the crashes before the time.
 	settled []*crash
-	// suspects are the fingerprints that may have to be quarantined, with the evidence from settled crashes.
+	// suspects are the fingerprints of content that may have to be quarantined, with the evidence from settled crashes.
 	suspects []suspect
+	// paths are those with enough evidence for a quarantine.
+	paths []suspect
 }
 
 // assess assesses the evidence from runs that were interrupted before a time. The caller holds the lock.
 func (tr *Tracker) assess(before time.Time) assessment {
 	var as assessment
 	for fp, n := range tr.evidenceCounts {
-		if !isContent(fp) || tr.memberCounts[fp] == 0 && n < minCrashes {
+		if fp.Kind == fingerprint.Organisation || tr.memberCounts[fp] == 0 && n < minCrashes {
 			continue
 		}
 		if as.settled == nil {
 			as.settled = tr.crashesBefore(before)
 		}
+		if isPath(fp) {
+			continue
+		}
 		if sp := tr.suspect(fp, as.settled); sp.freshCount > 0 {
 			as.suspects = append(as.suspects, sp)
 		}
@@ -140,9 +145,8 @@
 func (tr *Tracker) strongestSuspect() (suspect, bool) {
 	as := tr.assess(tr.opts.Now().Add(-settleDelay))
 	as.suspects = slices.DeleteFunc(as.suspects, tr.isExonerated)
-	slices.SortFunc(as.suspects, func(a, b suspect) int {
-		return cmp.Or(cmp.Compare(len(b.runs), len(a.runs)), cmp.Compare(a.pValue, b.pValue), a.fingerprint.Compare(b.fingerprint))
-	})
+	slices.SortFunc(as.suspects, suspect.compareStrength)
+	as.paths = tr.suspectPaths(as)
 	for _, sp := range as.suspects {
 		previous := tr.previousQuarantine(sp)
 		if !sp.meetsThresholds(previous) {
@@ -155,9 +159,63 @@
 			return sp, true
 		}
 	}
+	return tr.strongestPath(as)
+}
+
+// strongestPath returns the next path to quarantine. The caller holds the lock.
+func (tr *Tracker) strongestPath(as assessment) (suspect, bool) {
+	slices.SortFunc(as.paths, suspect.compareStrength)
+	for _, sp := range as.paths {
+		if !tr.isExonerated(sp) && tr.othersAreAnswered(sp) {
+			return sp, true
+		}
+	}
 	return suspect{}, false
 }
 
+// suspectPaths returns the paths with enough evidence for a quarantine. A path that was recently answered is left out: several causes in
+// requests to it, and a pause of its answers, look the same as a path that crashes targets. The caller holds the lock.
+func (tr *Tracker) suspectPaths(as assessment) []suspect {
+	var paths []suspect
+	for fp, n := range tr.evidenceCounts {
+		if !isPath(fp) || tr.memberCounts[fp] == 0 && n < minCautiousCrashes {
+			continue
+		}
+		sp := tr.suspect(fp, crashesByRequest(fp, tr.withoutParts(as)))
+		if !sp.knownSound && sp.meetsThresholds(tr.previousQuarantine(sp)) {
+			paths = append(paths, sp)
+		}
+	}
+	return paths
+}
+
+// withoutParts returns the settled crashes that no part of prompts explains or is likely to explain. A part that was recently answered is
+// the less likely explanation. The caller holds the lock.
+func (tr *Tracker) withoutParts(as assessment) []*crash {
+	return slices.DeleteFunc(slices.Clone(as.settled), func(cr *crash) bool {
+		suspected := slices.ContainsFunc(as.suspects, func(sp suspect) bool {
+			_, ran := cr.runs[sp.fingerprint]
+			return ran && isPart(sp.fingerprint) && !sp.knownSound && sp.pValue <= maxProbationPValue
+		})
+		return suspected || slices.ContainsFunc(tr.explanations(cr), func(id fingerprint.Fingerprint) bool {
+			return slices.ContainsFunc(tr.quarantines[id].Members, isPart)
+		})
+	})
+}
+
+// crashesByRequest returns the first crash under each request with a path. That one request is sent again and again and crashes several
+// targets says nothing against its path.
+func crashesByRequest(path fingerprint.Fingerprint, crashes []*crash) []*crash {
+	first := map[fingerprint.Fingerprint]*crash{}
+	for _, cr := range crashes {
+		whole, known := cr.requestOf(cr.runs[path])
+		if earlier, counted := first[whole]; known && (!counted || cr.at.Before(earlier.at)) {
+			first[whole] = cr
+		}
+	}
+	return slices.Collect(maps.Values(first))
+}
+
 // previousQuarantine returns the quarantine that the crashes under a suspect continue: that of the suspect alone, or one with all of
 // whose members the suspect ran on all targets whose crashes nothing explains yet. The caller holds the lock.
 func (tr *Tracker) previousQuarantine(sp suspect) Quarantine {
@@ -199,12 +257,15 @@
 	return sp.fingerprint.Kind != fingerprint.WholeRequest && tr.hasLongerActiveRun(sp)
 }
 
-// withoutSharedCrashes returns the suspect without the crashes of targets that also ran a better suspect: one that outranks it, or one
-// with more crashes. That one is the likelier cause of these, whether it is quarantined or not. The caller holds the lock.
+// withoutSharedCrashes returns the suspect without the crashes of targets that also ran a better suspect: one that outranks it, one
+// with more crashes, or a path if only the suspect was recently answered. That one is the likelier cause of these, whether it is quarantined or not. The caller holds the lock.
 func (tr *Tracker) withoutSharedCrashes(sp suspect, as assessment) suspect {
 	better := slices.DeleteFunc(slices.Clone(as.suspects), func(other suspect) bool {
 		return !other.outranks(sp) && (len(other.runs) <= len(sp.runs) || sp.outranks(other))
 	})
+	if sp.knownSound {
+		better = append(better, as.paths...)
+	}
 	unshared := slices.DeleteFunc(slices.Clone(as.settled), func(cr *crash) bool {
 		return slices.ContainsFunc(better, func(other suspect) bool {
 			_, ran := cr.runs[other.fingerprint]
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -65,6 +65,16 @@
 // settlesFrom returns when this instance and its peers began to exchange what they know of the crash.
 func (cr *crash) settlesFrom() time.Time { return laterOf(cr.at, cr.learnedAt) }
 
+// requestOf returns the whole request of a run, if it is known.
+func (cr *crash) requestOf(ev Evidence) (whole fingerprint.Fingerprint, known bool) {
+	for fp, other := range cr.runs {
+		if fp.Kind == fingerprint.WholeRequest && other.Run == ev.Run && ev.Run != 0 {
+			return fp, true
+		}
+	}
+	return fingerprint.Fingerprint{}, false
+}
+
 // setRun records the run that tells most about a fingerprint.
 func (cr *crash) setRun(ev Evidence) {
 	cr.runs[ev.Fingerprint] = ev
--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -97,7 +97,7 @@
 // clearly longer. The caller holds the lock.
 func (tr *Tracker) mergeQuarantine(peer string, qu Quarantine) {
 	for _, fp := range qu.Members {
-		if !tr.isClearedSince(fp, qu.EvidenceFrom) {
+		if !tr.isClearedSince(fp, qu.EvidenceFrom) && !tr.isRefuted(fp, qu) {
 			continue
 		}
 		qu = qu.WithoutMember(fp)
@@ -136,6 +136,17 @@
 	return true
 }
 
+// isRefuted reports whether a quarantine is one of a path for itself that this instance knows to be sound, as a path that was recently
+// answered is not quarantined for itself. The peer that judged it did not know of the answer, and is told. The caller holds the lock.
+func (tr *Tracker) isRefuted(fp fingerprint.Fingerprint, qu Quarantine) bool {
+	if !isPath(fp) || slices.ContainsFunc(qu.Members, isContent) || !tr.knownSound(fp) {
+		return false
+	}
+	tr.setTombstone(fp, tombstone{at: tr.opts.Now()})
+	tr.opts.NotifyPeers()
+	return true
+}
+
 // sourceStore is the source of quarantines that were read from the store.
 const sourceStore = "store"
 
--- a/internal/quarantine/lasting_test.go
+++ b/internal/quarantine/lasting_test.go
@@ -239,3 +239,54 @@
 		g.Expect(refused).To(BeFalse())
 	}
 }
+
+// TestPathIsQuarantinedForItself sends requests whose path is all that they have in common and that crash targets, beside others that are
+// answered. It guards against a path that crashes targets without end, and against one that is refused for what some of its requests do.
+func TestPathIsQuarantinedForItself(t *testing.T) {
+	path := fingerprint.OfPath(fingerprint.Request{RequestURI: "/bad"})
+	organisation := func(i int) fingerprint.Fingerprint {
+		return fingerprint.OfOrganisation(fmt.Sprint("organisation-", i%4))
+	}
+	cases := map[string]struct {
+		// requestName and parts are those of the ith request with the path.
+		requestName func(i int) string
+		parts       func(i int) []fingerprint.Fingerprint
+		// answered is set if a request with the path was answered before the crashes.
+		answered bool
+		want     bool
+	}{
+		"different requests":   {requestName: func(i int) string { return fmt.Sprint("bad-", i) }, want: true},
+		"two requests":         {requestName: func(i int) string { return fmt.Sprint("bad-", i%2) }},
+		"answered just before": {requestName: func(i int) string { return fmt.Sprint("bad-", i) }, answered: true},
+		"two parts of prompts": {
+			requestName: func(i int) string { return fmt.Sprint("bad-", i) },
+			parts: func(i int) []fingerprint.Fingerprint {
+				return []fingerprint.Fingerprint{fingerprint.OfPart(fmt.Sprint("bad-", i%2))}
+			},
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			sf := newSmallFleet(3)
+			sf.ck.advance(time.Minute)
+			if tc.answered {
+				sf.send(t, 0, setOf(request("sound"), path, organisation(0)), false)
+			}
+			for i := range 10 {
+				traits := []fingerprint.Fingerprint{request(tc.requestName(i)), path, organisation(i)}
+				if tc.parts != nil {
+					traits = append(traits, tc.parts(i)...)
+				}
+				sf.send(t, i%3, setOf(traits...), true)
+				for in := range 3 {
+					sf.send(t, in, sf.newRequest("first"), false)
+				}
+			}
+			for i, in := range sf.instances {
+				_, refused := in.Refused(setOf(request("another"), path, fingerprint.OfOrganisation("another")))
+				g.Expect(refused).To(Equal(tc.want), "instance %d", i)
+			}
+		})
+	}
+}
--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -52,18 +52,22 @@
 	// pValue is the probability that as many targets crashed for other reasons within that time. It is the minimum over the
 	// shortest runs, because a request that waited on a target before it was executed seems to have run there for long.
 	pValue float64
-	// knownSound is set if the fingerprint was recently part of a complete answer, and cautious also if that cannot be known yet. A
-	// cautious judgement needs stronger evidence.
+	// knownSound is set if the fingerprint was recently part of a complete answer, and cautious also if that cannot be known yet and for
+	// paths. A cautious judgement needs stronger evidence.
 	knownSound, cautious bool
 }
 
 // isContent reports whether a fingerprint identifies something in the content of requests. Any other, such as an organisation, is common
-// to requests that differ in all that a target processes. It narrows a quarantine as a member, and is not quarantined for itself: that would
-// refuse too many.
+// to requests that differ in all that a target processes. It narrows a quarantine as a member. An organisation is not quarantined for
+// itself, because that would refuse too many.
 func isContent(fp fingerprint.Fingerprint) bool {
 	return fp.Kind == fingerprint.WholeRequest || fp.Kind == fingerprint.PromptPart
 }
 
+// isPath reports whether a fingerprint is a path, which is quarantined for itself only for crashes under different requests that no
+// part of prompts explains.
+func isPath(fp fingerprint.Fingerprint) bool { return fp.Kind == fingerprint.Path }
+
 // lastInterrupted returns when the most recent of the runs was interrupted.
 func (sp suspect) lastInterrupted() time.Time {
 	var at time.Time
@@ -110,6 +114,13 @@
 	return 0, false
 }
 
+// compareStrength orders suspects by their evidence, the strongest first.
+func (sp suspect) compareStrength(other suspect) int {
+	return cmp.Or(
+		cmp.Compare(len(other.runs), len(sp.runs)), cmp.Compare(sp.pValue, other.pValue), sp.fingerprint.Compare(other.fingerprint),
+	)
+}
+
 // outranks reports whether a suspect is clearly the better explanation for the crashes that it shares with another, although the other
 // may have more crashes: nearly all crashes of both are the same, and the other is a part of prompts that was answered completely before,
 // or that ran much longer on the targets before they crashed.
@@ -164,7 +175,7 @@
 	sp := suspect{fingerprint: fp, pValue: 1}
 	if fp.Kind != fingerprint.WholeRequest {
 		sp.knownSound = tr.knownSound(fp)
-		sp.cautious = sp.knownSound || tr.opts.Now().Sub(tr.startedAt) < minMemoryAge
+		sp.cautious = sp.knownSound || isPath(fp) || tr.opts.Now().Sub(tr.startedAt) < minMemoryAge
 	}
 	for _, cr := range crashes {
 		ev, ran := cr.runs[fp]
