--- a/internal/quarantine/lasting_test.go
+++ b/internal/quarantine/lasting_test.go
@@ -239,3 +239,86 @@
 		g.Expect(refused).To(BeFalse())
 	}
 }
+
+// TestPathIsQuarantinedForItself sends requests whose path is all that they have in common and that crash targets, beside others that are
+// answered. It guards against a path that crashes targets without end, and against one that is refused for what some of its requests do.
+func TestPathIsQuarantinedForItself(t *testing.T) {
+	path := fingerprint.OfPath(fingerprint.Request{RequestURI: "/bad"})
+	organisation := func(i int) fingerprint.Fingerprint {
+		return fingerprint.OfOrganisation(fmt.Sprint("organisation-", i%4))
+	}
+	cases := map[string]struct {
+		// requestName and parts are those of the ith request with the path.
+		requestName func(i int) string
+		parts       func(i int) []fingerprint.Fingerprint
+		// answered is set if a request with the path was answered before the crashes.
+		answered bool
+		want     bool
+	}{
+		"different requests":   {requestName: func(i int) string { return fmt.Sprint("bad-", i) }, want: true},
+		"two requests":         {requestName: func(i int) string { return fmt.Sprint("bad-", i%2) }},
+		"answered just before": {requestName: func(i int) string { return fmt.Sprint("bad-", i) }, answered: true},
+		"two parts of prompts": {
+			requestName: func(i int) string { return fmt.Sprint("bad-", i) },
+			parts: func(i int) []fingerprint.Fingerprint {
+				return []fingerprint.Fingerprint{fingerprint.OfPart(fmt.Sprint("bad-", i%2))}
+			},
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			sf := newSmallFleet(3)
+			sf.ck.advance(time.Minute)
+			if tc.answered {
+				sf.send(t, 0, setOf(request("sound"), path, organisation(0)), false)
+			}
+			for i := range 10 {
+				traits := []fingerprint.Fingerprint{request(tc.requestName(i)), path, organisation(i)}
+				if tc.parts != nil {
+					traits = append(traits, tc.parts(i)...)
+				}
+				sf.send(t, i%3, setOf(traits...), true)
+				for in := range 3 {
+					sf.send(t, in, sf.newRequest("first"), false)
+				}
+			}
+			for i, in := range sf.instances {
+				_, refused := in.Refused(setOf(request("another"), path, fingerprint.OfOrganisation("another")))
+				g.Expect(refused).To(Equal(tc.want), "instance %d", i)
+			}
+		})
+	}
+}
+
+// TestPartsOfTheSameCrashesAreToldApartByAnAnswer guards against the refusal of a part whose requests begin shortly after those of the cause,
+// on the same targets: that they ran for a shorter time tells nothing.
+func TestPartsOfTheSameCrashesAreToldApartByAnAnswer(t *testing.T) {
+	g := NewWithT(t)
+	sf := newSmallFleet(1)
+	in := sf.instances[0]
+	sf.ck.advance(time.Minute)
+	refused := func(part string) bool {
+		_, refused := in.Refused(sf.newRequest("first", part))
+		return refused
+	}
+	for i := range 5 {
+		for part, elapsed := range map[string]time.Duration{"fatal": 30 * time.Millisecond, "other": 5 * time.Millisecond} {
+			in.RecordInterrupted(quarantine.InterruptedRun{
+				Fingerprints: sf.newRequest("first", part).All(), Incarnation: fmt.Sprint("shared-", i), Elapsed: elapsed, Answering: true, At: sf.ck.now,
+			})
+		}
+		in.RecordCrash(fmt.Sprint("shared-", i))
+		sf.ck.advance(200 * time.Millisecond)
+		in.Tracker.RecordAnswered(sf.newRequest("first"))
+	}
+	sf.ck.advance(afterSettleDelay)
+	g.Expect(refused("fatal")).To(BeFalse())
+	g.Expect(refused("other")).To(BeFalse())
+	for _, part := range []string{"fatal", "other"} {
+		g.Expect(in.Tracker.Check(sf.newRequest("first", part)).Delay).To(BeNumerically(">", 0), part)
+	}
+	in.Tracker.RecordAnswered(sf.newRequest("first", "other"))
+	g.Expect(refused("fatal")).To(BeTrue())
+	g.Expect(refused("other")).To(BeFalse())
+}
