--- a/internal/reservation/lost_test.go
+++ b/internal/reservation/lost_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,11 +37,11 @@
 func TestReleaseDoesNotWaitForSilentTarget(t *testing.T) {
 	runInBubble(t, func(g *WithT, ft *fakeTargets) {
 		mg := ft.manager()
-		silent := false
-		silenceTarget(mg, func(address string) bool { return silent && address == "a" })
+		var silent atomic.Bool
+		silenceTarget(mg, func(address string) bool { return silent.Load() && address == "a" })
 		rv, err := mg.Acquire(context.Background(), allocations)
 		g.Expect(err).NotTo(HaveOccurred())
-		silent = true
+		silent.Store(true)
 		// The first renewal at the silent target is in progress.
 		advance(mg.LeaseDuration/3 + 2*roundTrip)
 		rv.Release()
@@ -111,19 +112,24 @@
 func TestEachRenewalWithoutAnswerIsReported(t *testing.T) {
 	runInBubble(t, func(g *WithT, ft *fakeTargets) {
 		mg := ft.manager()
-		silent := false
-		silenceTarget(mg, func(address string) bool { return silent && address == "b" })
+		var silent atomic.Bool
+		silenceTarget(mg, func(address string) bool { return silent.Load() && address == "b" })
+		var mu sync.Mutex
 		var sent []time.Time
 		mg.OnUnanswered = func(al reservation.Allocation, sentAt time.Time, _ *reservation.UnansweredError) {
+			mu.Lock()
+			defer mu.Unlock()
 			g.Expect(al.Address).To(Equal("b"))
 			sent = append(sent, sentAt)
 		}
 		rv, err := mg.Acquire(context.Background(), allocations)
 		g.Expect(err).NotTo(HaveOccurred())
 		acquiredAt := time.Now()
-		silent = true
+		silent.Store(true)
 		advance(2*mg.LeaseDuration/3 + mg.Timeout + roundTrip)
+		mu.Lock()
+		defer mu.Unlock()
 		g.Expect(sent).To(Equal([]time.Time{acquiredAt.Add(mg.LeaseDuration / 3), acquiredAt.Add(2 * mg.LeaseDuration / 3)}))
-		rv.Release()
+		ft.acquired = append(ft.acquired, rv)
 	})
 }
