test(dispatch): replay slow and returning targets in the simulated fleet

The simulated engines can crash, return as other incarnations and become slower, and instances exchange paces, outcomes and permits.

--- a/internal/dispatch/sim_engine_test.go
+++ b/internal/dispatch/sim_engine_test.go
@@ -40,14 +40,21 @@
 	slots chan struct{}
 	// failing is set for an engine that accepts each request and interrupts it at once.
 	failing bool
+	// slowdown is the factor by which passes take longer; zero counts as 1.
+	slowdown float64
+	// crashed is closed when the engine crashes.
+	crashed chan struct{}
 	// arrivals counts the requests received.
 	arrivals int
-	wake     chan struct{}
+	// arrivalTimes holds when they were received.
+	arrivalTimes []time.Time
+	wake         chan struct{}
 }
 
 func newSimEngine() *simEngine {
 	return &simEngine{
 		answers: map[*simAnswer]bool{}, slots: make(chan struct{}, simEngineConfig.Slots), wake: make(chan struct{}, 1),
+		crashed: make(chan struct{}),
 	}
 }
 
@@ -99,7 +106,7 @@
 			*queue = (*queue)[1:]
 		}
 	}
-	return simEngineConfig.PassTime(placement.Target{Load: load, Slowdown: 1}), func() { en.finishPass(prefilled, answers) }
+	return simEngineConfig.PassTime(placement.Target{Load: load, Slowdown: max(1, en.slowdown)}), func() { en.finishPass(prefilled, answers) }
 }
 
 func (en *simEngine) finishPass(prefilled []*prefillPart, answers []*simAnswer) {
@@ -152,10 +159,25 @@
 	}
 }
 
+// setSlowdown sets the factor by which passes take longer from the next one on.
+func (en *simEngine) setSlowdown(factor float64) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.slowdown = factor
+}
+
+// setFailing sets whether the engine interrupts each request at once.
+func (en *simEngine) setFailing(failing bool) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.failing = failing
+}
+
 // recordArrival counts a request, and reports whether the engine interrupts it.
 func (en *simEngine) recordArrival() bool {
 	en.mu.Lock()
 	defer en.mu.Unlock()
 	en.arrivals++
+	en.arrivalTimes = append(en.arrivalTimes, time.Now())
 	return en.failing
 }
--- a/internal/dispatch/sim_fleet_test.go
+++ b/internal/dispatch/sim_fleet_test.go
@@ -53,6 +53,14 @@
 	phases             []trafficPhase
 	// failing is the number of targets that interrupt every request while being listed as healthy.
 	failing int
+	// incident changes the fleet while traffic flows; it may be nil.
+	incident func(ctx context.Context, fl *simFleet)
+	// slowTargets is the number of targets that the incident slows down, for the statistics of paces.
+	slowTargets int
+	// countFrom is the time after the start from which arriving requests are counted.
+	countFrom time.Duration
+	// learnedPace and gradualReturn enable these parts.
+	learnedPace, gradualReturn bool
 }
 
 // outcomeCounts counts the requests of a class by outcome.
@@ -67,6 +75,9 @@
 	mu       sync.Mutex
 	byClass  map[requestClass]*outcomeCounts
 	arrivals map[string]int
+	// arrivalTimes holds when requests arrived at each target, since the start.
+	arrivalTimes map[string][]time.Duration
+	paces        *paceStats
 }
 
 // add adds the outcome of another simulation.
@@ -118,6 +129,7 @@
 	*harness
 	name          string
 	lastPublished map[string]placement.Load
+	paces         *simPaces
 }
 
 // simFleet is a fleet of instances and the engines that they share.
@@ -127,44 +139,58 @@
 	instances []*simInstance
 	engines   map[string]*simEngine
 	result    *simResult
+	startedAt time.Time
 	wg        sync.WaitGroup
 }
 
 // simulate runs a traffic pattern in simulated time.
 func simulate(t *testing.T, seed uint64, tp trafficPattern) *simResult {
 	t.Helper()
-	sr := &simResult{byClass: map[requestClass]*outcomeCounts{}, arrivals: map[string]int{}}
+	sr := &simResult{byClass: map[requestClass]*outcomeCounts{}, arrivals: map[string]int{}, arrivalTimes: map[string][]time.Duration{}, paces: newPaceStats()}
 	synctest.Test(t, func(t *testing.T) {
 		fl := &simFleet{
-			trafficPattern: tp, rd: rand.New(rand.NewPCG(seed, 0)), engines: map[string]*simEngine{}, result: sr,
+			trafficPattern: tp, rd: rand.New(rand.NewPCG(seed, 0)), engines: map[string]*simEngine{}, result: sr, startedAt: time.Now(),
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		var engines sync.WaitGroup
 		for i := range tp.targets {
-			en := newSimEngine()
-			en.failing = i < tp.failing
-			fl.engines[id(i)] = en
-			engines.Go(func() { en.run(ctx) })
+			for _, name := range []string{id(i), restartedID(i)} {
+				en := newSimEngine()
+				en.failing = i < tp.failing
+				fl.engines[name] = en
+				engines.Go(func() { en.run(ctx) })
+			}
 		}
 		for range tp.instances {
-			fl.instances = append(fl.instances, newSimInstance(t, len(fl.instances), tp.targets))
+			fl.instances = append(fl.instances, newSimInstance(t, len(fl.instances), tp.targets, fl.connectPaces))
 		}
 		engines.Go(func() { fl.exchangeLoads(ctx) })
+		engines.Go(func() { fl.updatePaces(ctx) })
+		if tp.incident != nil {
+			engines.Go(func() { tp.incident(ctx, fl) })
+		}
 		fl.sendTraffic()
 		fl.wg.Wait()
 		cancel()
 		engines.Wait()
 		for name, en := range fl.engines {
 			sr.arrivals[name] = en.arrivals
+			for _, at := range en.arrivalTimes {
+				sr.arrivalTimes[name] = append(sr.arrivalTimes[name], at.Sub(fl.startedAt))
+			}
 		}
 	})
 	return sr
 }
 
-func newSimInstance(t *testing.T, i, targets int) *simInstance {
-	hs := newHarness(t, targets, func(op *dispatch.Options) { op.Instance = fmt.Sprint("instance-", i) })
-	hs.SetPropagationDelay(func() time.Duration { return loadExchangeInterval })
-	return &simInstance{harness: hs, name: fmt.Sprint("instance-", i)}
+func newSimInstance(t *testing.T, i, targets int, connect func(*simInstance, *dispatch.Options)) *simInstance {
+	in := &simInstance{name: fmt.Sprint("instance-", i)}
+	in.harness = newHarness(t, targets, func(op *dispatch.Options) {
+		op.Instance = in.name
+		connect(in, op)
+	})
+	in.SetPropagationDelay(func() time.Duration { return loadExchangeInterval })
+	return in
 }
 
 // sendTraffic sends the requests of all phases.
@@ -206,6 +232,9 @@
 			break
 		}
 		firstToken, longestPause, complete := fl.serveAttempt(ctx, rc, rq, sl)
+		if !complete && ctx.Err() == nil {
+			sl.RecordFailure()
+		}
 		if complete {
 			record = outcomeOf(rc, firstToken, longestPause)
 			break
@@ -214,7 +243,9 @@
 		rq.Caution = targets.RequireReachable
 		record = func(oc *outcomeCounts) { oc.failed++ }
 	}
-	fl.recordOutcome(rc, record)
+	if rq.Arrived.Sub(fl.startedAt) >= fl.countFrom {
+		fl.recordOutcome(rc, record)
+	}
 }
 
 func outcomeOf(rc requestClass, firstToken, longestPause time.Duration) func(*outcomeCounts) {
@@ -246,13 +277,15 @@
 	defer sl.Release()
 	main := fl.engines[sl.Target.ID]
 	if main.recordArrival() {
-		sl.RecordFailure()
 		return 0, 0, false
 	}
-	main.slots <- struct{}{}
+	select {
+	case main.slots <- struct{}{}:
+	case <-main.crashed:
+		return 0, 0, false
+	}
 	defer func() { <-main.slots }()
-	fl.waitForPrefill(rq, sl)
-	if ctx.Err() != nil {
+	if !fl.waitForPrefill(rq, sl) || ctx.Err() != nil {
 		return 0, 0, false
 	}
 	firstToken = time.Since(rq.Arrived)
@@ -260,7 +293,11 @@
 	sa := main.startAnswer(int64(rq.PromptTokens), rc.events)
 	defer main.endAnswer(sa)
 	for at := time.Now(); rc.events > 0; rc.events-- {
-		<-sa.events
+		select {
+		case <-sa.events:
+		case <-main.crashed:
+			return 0, 0, false
+		}
 		longestPause = max(longestPause, time.Since(at))
 		at = time.Now()
 		sl.RecordEvent()
@@ -268,8 +305,8 @@
 	return firstToken, longestPause, true
 }
 
-// waitForPrefill has the targets of the slot prefill equal parts of a prompt, and waits until all are done.
-func (fl *simFleet) waitForPrefill(rq dispatch.Request, sl *dispatch.Slot) {
+// waitForPrefill has the targets of the slot prefill equal parts of a prompt, and waits until all are done. It reports false if one crashed.
+func (fl *simFleet) waitForPrefill(rq dispatch.Request, sl *dispatch.Slot) bool {
 	// If memory is reserved, the first helper is the main target.
 	reserved := len(sl.Helpers) > 0 && sl.Helpers[0].Reservation != ""
 	count := int64(len(sl.Helpers))
@@ -278,16 +315,24 @@
 	}
 	tokens := int64(rq.PromptTokens)
 	share := func(en *simEngine) *prefillPart { return en.addPart(tokens/count, tokens*tokens/2/count, count > 1) }
-	parts := []*prefillPart{}
+	parts, engines := []*prefillPart{}, []*simEngine{}
 	if !reserved {
-		parts = append(parts, share(fl.engines[sl.Target.ID]))
+		engines = append(engines, fl.engines[sl.Target.ID])
 	}
 	for _, hp := range sl.Helpers {
-		parts = append(parts, share(fl.engines[hp.ID]))
+		engines = append(engines, fl.engines[hp.ID])
 	}
-	for _, pt := range parts {
-		<-pt.done
+	for _, en := range engines {
+		parts = append(parts, share(en))
+	}
+	for i, pt := range parts {
+		select {
+		case <-pt.done:
+		case <-engines[i].crashed:
+			return false
+		}
 	}
+	return true
 }
 
 // exchangeLoads publishes the loads of each instance to all others.
