--- a/internal/gradualreturn/fleet_test.go
+++ b/internal/gradualreturn/fleet_test.go
@@ -70,6 +70,8 @@
 	// blockedUntil is when each instance may ask for another permit of each target.
 	blockedUntil []map[int]time.Duration
 	issuers      map[int]*permit.Issuer
+	// reported is set for the instances whose peers hold outcomes of theirs.
+	reported []bool
 	// refused counts the requests for which no target had room, refusedAfter those of them after the return.
 	refused, refusedAfter int
 	// admissible is the sum over time of the limit at the issuer for the first returning target, by tick.
@@ -83,7 +85,7 @@
 	if sc.utilisation == 0 {
 		sc.utilisation = utilisation
 	}
-	fl := &fleet{scenario: sc, rd: rand.New(rand.NewPCG(1, 2)), arrivals: make([][]time.Duration, sc.targets), issuers: map[int]*permit.Issuer{}}
+	fl := &fleet{scenario: sc, rd: rand.New(rand.NewPCG(1, 2)), arrivals: make([][]time.Duration, sc.targets), reported: make([]bool, sc.instances), issuers: map[int]*permit.Issuer{}}
 	for range sc.instances {
 		fl.controllers = append(fl.controllers, gradualreturn.NewController())
 		fl.limits = append(fl.limits, nil)
@@ -177,6 +179,10 @@
 func (fl *fleet) exchange() {
 	for i, from := range fl.controllers {
 		own := from.Own()
+		if len(own) == 0 && !fl.reported[i] {
+			continue
+		}
+		fl.reported[i] = len(own) > 0
 		for j, to := range fl.controllers {
 			if i != j && (i < fl.cutOff) == (j < fl.cutOff) {
 				to.SetPeer(fmt.Sprint(i), own)
