feat(dispatch): admission by predicted completion, and return times

With engines 1.3 times slower than stated, answers in time fell from 31 a second at the capacity to 22 at twice and 15 at three times of it, since prompts that would be late were admitted by uncorrected predictions. Both are off without Options.Admission.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -50,6 +50,8 @@
 	// CanRetry is set if the request may be retried on another target when this one rejects it, Retried if a target rejected
 	// it before.
 	CanRetry, Retried bool
+	// Admission is the state of the request for Options.Admission, which does not decide on a request without it.
+	Admission *RequestAdmission
 	// mayProbe is set if the request may be sent to a half-open target.
 	mayProbe bool
 	// permitTarget is the target for which the request holds a permit; empty if it holds none.
@@ -96,6 +98,8 @@
 	OnBackOffWait func(request string, tg targets.Target, wait time.Duration)
 	// Slowdown returns the factor by which an incarnation is slower than its service states; nil if all targets keep their stated pace.
 	Slowdown func(target string) float64
+	// Admission decides on prompts with the error of recent predictions and promised returns; nil disables both.
+	Admission *Admission
 	// OnPermitRefused is called each time a request is refused a permit for a target; it may be nil.
 	OnPermitRefused func(request string, tg targets.Target, retryAfter time.Duration)
 }
--- a/internal/dispatch/overload.go
+++ b/internal/dispatch/overload.go
@@ -60,7 +60,7 @@
 const longRetryShare = 0.33
 
 // overloadError returns the refusal of a prompt that was not placed, with the time after which to retry.
-func (ds *Dispatcher) overloadError(rq Request, pr placement.Prompt) error {
+func (ds *Dispatcher) overloadError(rq Request, pr placement.Prompt) *failure.Error {
 	if rq.isLong() {
 		after := time.Duration(longRetryShare * float64(max(pr.UntilDeadline, 0)))
 		return failure.New(failure.Overloaded, failure.NotRun, "the prompt cannot be answered in its caller's time").WithRetryAfter(after)
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -99,6 +99,7 @@
 	ds.loadTable.mu.Lock()
 	defer ds.loadTable.mu.Unlock()
 	cands := ds.candidates(rq, tgs)
+	all := cands
 	ps := newPools(rq.Service.Engine, cands, ds.arrivals, unpropagatedPlacements(rq.Service.Engine, cands, delay))
 	if rq.isLong() && !rq.Resumed {
 		cands = ps.long
@@ -111,9 +112,10 @@
 		return nil, stoppingError()
 	}
 	pl, ok := ds.bestPlan(rq, pr, cands, ps, op, delay)
-	switch decide(rq, pr, pl, ok, cands, op) {
+	dc, err := ds.decide(plannedPrompt{request: rq, prompt: pr, plan: pl, planned: ok, candidates: cands, all: all, options: op})
+	switch dc {
 	case decisionRefuse:
-		return nil, ds.overloadError(rq, pr)
+		return nil, err
 	case decisionWait:
 		return nil, nil
 	case decisionPlace:
@@ -178,7 +180,7 @@
 	}
 	sl := &Slot{
 		ds: ds, engine: rq.Service.Engine, Target: byID[pl.Main], CandidateCount: len(tgs), ChosenAt: ds.opts.Now(), Priority: enginePriority(rq), prompt: pr, plan: pl,
-		PredictedFirstToken: pl.TimeToFirstToken, PredictedPause: pl.PredictedPause, arrived: rq.Arrived, late: rq.Resumed,
+		PredictedFirstToken: pl.TimeToFirstToken, PredictedPause: pl.PredictedPause, arrived: rq.Arrived, late: rq.Resumed, pausedBefore: ds.opts.Admission.paused(),
 	}
 	parts := 1 + len(pl.Helpers)
 	prefillLoad := pr.PrefillLoad(parts)
--- a/internal/dispatch/sim_engine_test.go
+++ b/internal/dispatch/sim_engine_test.go
@@ -40,6 +40,8 @@
 	slots chan struct{}
 	// failing is set for an engine that accepts each request and interrupts it at once.
 	failing bool
+	// slowdown returns the factor by which passes take longer than the stated figures; nil if they do not.
+	slowdown func() float64
 	// arrivals counts the requests received.
 	arrivals int
 	wake     chan struct{}
@@ -99,7 +101,11 @@
 			*queue = (*queue)[1:]
 		}
 	}
-	return simEngineConfig.PassTime(placement.Target{Load: load, Slowdown: 1}), func() { en.finishPass(prefilled, answers) }
+	factor := 1.0
+	if en.slowdown != nil {
+		factor = en.slowdown()
+	}
+	return simEngineConfig.PassTime(placement.Target{Load: load, Slowdown: factor}), func() { en.finishPass(prefilled, answers) }
 }
 
 func (en *simEngine) finishPass(prefilled []*prefillPart, answers []*simAnswer) {
--- a/internal/dispatch/sim_fleet_test.go
+++ b/internal/dispatch/sim_fleet_test.go
@@ -13,7 +13,9 @@
 	"time"
 
 	"github.com/silvermount/silvermount/internal/dispatch"
+	"github.com/silvermount/silvermount/internal/failure"
 	"github.com/silvermount/silvermount/internal/placement"
+	"github.com/silvermount/silvermount/internal/returntimes"
 	"github.com/silvermount/silvermount/internal/routes"
 	"github.com/silvermount/silvermount/internal/targets"
 )
@@ -53,8 +55,21 @@
 	phases             []trafficPhase
 	// failing is the number of targets that interrupt every request while being listed as healthy.
 	failing int
+	// returning is set if refused callers come back once, after the time that they were told, at most a third of the time that they have
+	// left. The impatient share of them comes back at once instead, and does so impatientReturns times.
+	returning bool
+	impatient float64
+	// slowdown returns the factor by which engines are slower than stated at a time since the start; nil if they are not.
+	slowdown func(since time.Duration) float64
+	// admission switches on the decisions by predicted completion and the return times of all instances.
+	admission dispatch.AdmissionOptions
+	// silentPeers is set if instances do not tell each other the times that they promised.
+	silentPeers bool
 }
 
+// impatientReturns is how often a caller comes back that ignores Retry-After.
+const impatientReturns = 3
+
 // outcomeCounts counts the requests of a class by outcome.
 type outcomeCounts struct {
 	total, inTime, lateFirst, latePause, refused, failed int
@@ -67,6 +82,30 @@
 	mu       sync.Mutex
 	byClass  map[requestClass]*outcomeCounts
 	arrivals map[string]int
+	// callers holds one entry for each caller.
+	callers []simCaller
+}
+
+// simCaller is what became of one caller.
+type simCaller struct {
+	class  requestClass
+	tokens int
+	// arrived is when the last request of the caller arrived, since the start; began is that of the first one.
+	began, arrived time.Duration
+	// returns counts the requests after the first.
+	returns                    int
+	inTime, refused, impatient bool
+}
+
+// count returns the number of callers that meet a condition.
+func (sr *simResult) count(meets func(simCaller) bool) int {
+	n := 0
+	for _, ca := range sr.callers {
+		if meets(ca) {
+			n++
+		}
+	}
+	return n
 }
 
 // add adds the outcome of another simulation.
@@ -84,6 +123,7 @@
 		sum.failed += oc.failed
 		sum.refusedWait += oc.refusedWait
 	}
+	sr.callers = append(sr.callers, other.callers...)
 	for name, n := range other.arrivals {
 		sr.arrivals[name] += n
 	}
@@ -102,7 +142,7 @@
 // String returns a table with one line for each class.
 func (sr *simResult) String() string {
 	var sb strings.Builder
-	for _, rc := range []requestClass{shortClass, middleClass, longClass} {
+	for _, rc := range []requestClass{shortClass, promptClass, middleClass, longClass} {
 		if oc := sr.byClass[rc]; oc != nil {
 			fmt.Fprintf(&sb, "%-6s requests %4d, in time %4d, late first token %3d, late pause %3d, refused %3d (after %s), failed %3d\n",
 				rc.name, oc.total, oc.inTime, oc.lateFirst, oc.latePause, oc.refused,
@@ -117,6 +157,7 @@
 type simInstance struct {
 	*harness
 	name          string
+	admission     *dispatch.Admission
 	lastPublished map[string]placement.Load
 }
 
@@ -127,6 +168,7 @@
 	instances []*simInstance
 	engines   map[string]*simEngine
 	result    *simResult
+	start     time.Time
 	wg        sync.WaitGroup
 }
 
@@ -136,20 +178,24 @@
 	sr := &simResult{byClass: map[requestClass]*outcomeCounts{}, arrivals: map[string]int{}}
 	synctest.Test(t, func(t *testing.T) {
 		fl := &simFleet{
-			trafficPattern: tp, rd: rand.New(rand.NewPCG(seed, 0)), engines: map[string]*simEngine{}, result: sr,
+			trafficPattern: tp, rd: rand.New(rand.NewPCG(seed, 0)), engines: map[string]*simEngine{}, result: sr, start: time.Now(),
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		var engines sync.WaitGroup
 		for i := range tp.targets {
 			en := newSimEngine()
 			en.failing = i < tp.failing
+			if tp.slowdown != nil {
+				en.slowdown = func() float64 { return tp.slowdown(time.Since(fl.start)) }
+			}
 			fl.engines[id(i)] = en
 			engines.Go(func() { en.run(ctx) })
 		}
 		for range tp.instances {
-			fl.instances = append(fl.instances, newSimInstance(t, len(fl.instances), tp.targets))
+			fl.instances = append(fl.instances, newSimInstance(t, len(fl.instances), tp))
 		}
 		engines.Go(func() { fl.exchangeLoads(ctx) })
+		engines.Go(func() { fl.exchangeReturnTimes(ctx) })
 		fl.sendTraffic()
 		fl.wg.Wait()
 		cancel()
@@ -161,17 +207,22 @@
 	return sr
 }
 
-func newSimInstance(t *testing.T, i, targets int) *simInstance {
-	hs := newHarness(t, targets, func(op *dispatch.Options) { op.Instance = fmt.Sprint("instance-", i) })
+func newSimInstance(t *testing.T, i int, tp trafficPattern) *simInstance {
+	var ad *dispatch.Admission
+	if tp.admission.CompletionAdmission || tp.admission.ReturnTimes {
+		tp.admission.Now = time.Now
+		ad = dispatch.NewAdmission(tp.admission)
+	}
+	hs := newHarness(t, tp.targets, func(op *dispatch.Options) { op.Instance, op.Admission = fmt.Sprint("instance-", i), ad })
 	hs.SetPropagationDelay(func() time.Duration { return loadExchangeInterval })
-	return &simInstance{harness: hs, name: fmt.Sprint("instance-", i)}
+	return &simInstance{harness: hs, name: fmt.Sprint("instance-", i), admission: ad}
 }
 
 // sendTraffic sends the requests of all phases.
 func (fl *simFleet) sendTraffic() {
 	for _, ph := range fl.phases {
 		for over := time.Now().Add(ph.duration); time.Now().Before(over); time.Sleep(time.Millisecond) {
-			for _, rc := range []requestClass{shortClass, middleClass, longClass} {
+			for _, rc := range []requestClass{shortClass, promptClass, middleClass, longClass} {
 				if fl.rd.Float64() < ph.ratePerSecond[rc]*time.Millisecond.Seconds() {
 					fl.sendRequest(rc)
 				}
@@ -182,6 +233,7 @@
 
 // sendRequest sends a request of random size to a random instance.
 func (fl *simFleet) sendRequest(rc requestClass) {
+	impatient := fl.impatient > 0 && fl.rd.Float64() < fl.impatient
 	tokens := int(float64(rc.tokens) * math.Exp(promptSizeSigma*fl.rd.NormFloat64()-promptSizeSigma*promptSizeSigma/2))
 	in := fl.instances[fl.rd.IntN(len(fl.instances))]
 	rq := plainRequest()
@@ -189,32 +241,54 @@
 	rq.PromptTokens, rq.MaxAnswerTokens, rq.MaxPause = tokens, rc.events*simEngineConfig.StepsPerPass, rc.maxPause
 	rq.Objective, rq.Deadline, rq.CallerIdleTimeout = rc.objective, rq.Arrived.Add(rc.deadline), 4*rc.objective
 	rq.Service = routes.Service{Name: "s", Engine: &simEngineConfig}
-	fl.wg.Go(func() { fl.serveWithRetries(in, rc, rq) })
+	fl.wg.Go(func() { fl.serveCaller(in, rc, rq, impatient) })
+}
+
+// serveCaller sends the requests of a caller, and counts the outcome of the last.
+func (fl *simFleet) serveCaller(in *simInstance, rc requestClass, rq dispatch.Request, impatient bool) {
+	ca := simCaller{class: rc, tokens: rq.PromptTokens, began: time.Since(fl.start), impatient: impatient}
+	caller := returntimes.Caller(requestIDs.Load())
+	for {
+		rq.Admission = &dispatch.RequestAdmission{Caller: caller}
+		ca.arrived = time.Since(fl.start)
+		record, retryAfter, refused := fl.serveWithRetries(in, rc, rq)
+		left := time.Until(rq.Deadline)
+		returns := 1
+		if impatient {
+			retryAfter, returns = time.Millisecond, impatientReturns
+		}
+		if !fl.returning || !refused || ca.returns >= returns || left <= 0 {
+			fl.recordOutcome(rc, record, ca)
+			return
+		}
+		time.Sleep(min(retryAfter, left/3))
+		ca.returns++
+		// The caller comes back with a new request id, to any instance.
+		in = fl.instances[int(requestIDs.Add(1))%len(fl.instances)]
+		rq.ID, rq.Arrived, rq.Exclude, rq.Caution = fmt.Sprint("request-", requestIDs.Load()), time.Now(), nil, targets.AllowProbe
+	}
 }
 
-// serveWithRetries runs the attempts of a request and counts its outcome.
-func (fl *simFleet) serveWithRetries(in *simInstance, rc requestClass, rq dispatch.Request) {
+// serveWithRetries runs the attempts of a request. It returns its outcome, and whether and until when it was refused.
+func (fl *simFleet) serveWithRetries(in *simInstance, rc requestClass, rq dispatch.Request) (record func(*outcomeCounts), retryAfter time.Duration, refused bool) {
 	ctx, cancel := context.WithDeadline(context.Background(), rq.Deadline)
 	defer cancel()
 	const attempts = 3
-	var record func(*outcomeCounts)
 	for range attempts {
 		sl, err := in.Acquire(ctx, rq)
 		if err != nil {
 			waited := time.Since(rq.Arrived)
-			record = func(oc *outcomeCounts) { oc.refused++; oc.refusedWait += waited }
-			break
+			return func(oc *outcomeCounts) { oc.refused++; oc.refusedWait += waited }, failure.FromError(err).RetryAfter, true
 		}
 		firstToken, longestPause, complete := fl.serveAttempt(ctx, rc, rq, sl)
 		if complete {
-			record = outcomeOf(rc, firstToken, longestPause)
-			break
+			return outcomeOf(rc, firstToken, longestPause), 0, false
 		}
 		rq.Exclude = append(rq.Exclude, sl.Target.ID)
 		rq.Caution = targets.RequireReachable
 		record = func(oc *outcomeCounts) { oc.failed++ }
 	}
-	fl.recordOutcome(rc, record)
+	return record, 0, false
 }
 
 func outcomeOf(rc requestClass, firstToken, longestPause time.Duration) func(*outcomeCounts) {
@@ -230,9 +304,13 @@
 	}
 }
 
-func (fl *simFleet) recordOutcome(rc requestClass, record func(*outcomeCounts)) {
+func (fl *simFleet) recordOutcome(rc requestClass, record func(*outcomeCounts), ca simCaller) {
 	fl.result.mu.Lock()
 	defer fl.result.mu.Unlock()
+	var own outcomeCounts
+	record(&own)
+	ca.inTime, ca.refused = own.inTime > 0, own.refused > 0
+	fl.result.callers = append(fl.result.callers, ca)
 	if fl.result.byClass[rc] == nil {
 		fl.result.byClass[rc] = &outcomeCounts{}
 	}
@@ -308,3 +386,24 @@
 		}
 	}
 }
+
+// reportExchangeInterval is how often instances tell each other the times that they promised.
+const reportExchangeInterval = 100 * time.Millisecond
+
+// exchangeReturnTimes tells all instances the promises of each other.
+func (fl *simFleet) exchangeReturnTimes(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(reportExchangeInterval)
+		for _, from := range fl.instances {
+			if from.admission == nil || fl.silentPeers {
+				return
+			}
+			body := from.admission.ReportPart().Encode(time.Now())
+			for _, to := range fl.instances {
+				if to != from {
+					to.admission.ReportPart().Receive(from.name, body, time.Now())
+				}
+			}
+		}
+	}
+}
--- a/internal/dispatch/slot.go
+++ b/internal/dispatch/slot.go
@@ -36,6 +36,9 @@
 	arrived, lastEventAt time.Time
 	// late is set once the answer has missed a limit, so that no further delay can reduce its worth.
 	late bool
+	// longestPause is the longest time between two events so far. pausedBefore is the total time for which the process was paused before the
+	// target was chosen.
+	longestPause, pausedBefore time.Duration
 }
 
 // slotLoad is the part of a slot's load at one target.
@@ -81,6 +84,7 @@
 		return
 	}
 	sl.decoding = true
+	sl.ds.opts.Admission.observeFirstToken(sl)
 	sl.lastEventAt = sl.ds.opts.Now()
 	sl.late = sl.late || sl.lastEventAt.Sub(sl.arrived) > sl.prompt.Objective
 	sl.ds.loadTable.mu.Lock()
@@ -131,13 +135,14 @@
 // RecordEvent records that an event was forwarded. A pause that was too long makes the answer late, and its target no longer
 // needs to be kept free for it.
 func (sl *Slot) RecordEvent() {
-	if !sl.decoding || sl.late {
+	if !sl.decoding {
 		return
 	}
 	now := sl.ds.opts.Now()
 	pause := now.Sub(sl.lastEventAt)
 	sl.lastEventAt = now
-	if pause > sl.prompt.MaxPause {
+	sl.longestPause = max(sl.longestPause, pause)
+	if !sl.late && pause > sl.prompt.MaxPause {
 		sl.markLate()
 	}
 }
@@ -162,6 +167,9 @@
 
 // Release removes the slot's load and releases its reserved memory. Further calls have no effect.
 func (sl *Slot) Release() {
+	if sl.decoding && len(sl.stageLoads) > 0 {
+		sl.ds.opts.Admission.observeEnd(sl)
+	}
 	sl.ds.loadTable.mu.Lock()
 	sl.removeLoads(sl.stageLoads)
 	sl.removeLoads(sl.lifetimeLoads)
