feat(gateway): wire admission by predicted completion and return times

A caller is recognised by organisation, host, path and prompt; the fingerprint of a body without parts is computed only where return times are on.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -89,6 +89,11 @@
 	return &Admission{opts: op, ledger: returntimes.New(op.Now())}
 }
 
+// PromisesReturns reports whether refused callers are promised return times.
+func (ds *Dispatcher) PromisesReturns() bool {
+	return ds.opts.Admission != nil && ds.opts.Admission.opts.ReturnTimes
+}
+
 // ReportPart returns what tells peers the promises of this instance.
 func (ad *Admission) ReportPart() loadreport.Part {
 	return loadreport.Part{
--- a/internal/duty/frontend/metrics_test.go
+++ b/internal/duty/frontend/metrics_test.go
@@ -183,12 +183,12 @@
 	}
 }
 
-// kindFromName returns the kind of a metric by the naming convention: counters end in total, histograms in their unit of time.
+// kindFromName returns the kind of a metric by the naming convention: counters end in total, histograms in their unit of time or in ratio.
 func kindFromName(name string) string {
 	switch {
 	case strings.HasSuffix(name, "_total"):
 		return "counter"
-	case strings.HasSuffix(name, "_seconds"):
+	case strings.HasSuffix(name, "_seconds"), strings.HasSuffix(name, "_ratio"):
 		return "histogram"
 	default:
 		return "gauge"
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -16,6 +16,7 @@
 	"github.com/silvermount/silvermount/internal/quarantine"
 	"github.com/silvermount/silvermount/internal/responsehead"
 	"github.com/silvermount/silvermount/internal/retry"
+	"github.com/silvermount/silvermount/internal/returntimes"
 	"github.com/silvermount/silvermount/internal/routes"
 )
 
@@ -83,6 +84,8 @@
 	head responsehead.Head
 	// fingerprints are set once the body has been read.
 	fingerprints fingerprint.Set
+	// admission is the dispatcher's state of the request.
+	admission dispatch.RequestAdmission
 	// quarantine is what the request was refused for; it has no members before.
 	quarantine quarantine.Quarantine
 }
@@ -98,6 +101,17 @@
 	}, rq.PromptParts)
 }
 
+// caller returns what identifies the caller of a prompt when it returns after a refusal: its organisation, the host and path, and the parts of
+// the prompt, or, without parts, the whole request, which takes long for a long body. The id of a request is not part of it, since each attempt of
+// a caller has another one; nor is the service, which is picked anew for each request.
+func (rq *request) caller() returntimes.Caller {
+	parts := rq.PromptParts
+	if len(parts) == 0 {
+		parts = []string{rq.fingerprint().String()}
+	}
+	return returntimes.CallerOf(append([]string{rq.org.Name, rq.host, rq.path}, parts...)...)
+}
+
 // refusal returns the failure of a request that was not run and that the caller may retry.
 func refusal(code failure.Code, retryAfter time.Duration, format string, args ...any) *failure.Error {
 	return failure.New(code, failure.NotRun, format, args...).WithRetryAfter(retryAfter)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -114,6 +114,9 @@
 func (gw *Gateway) dispatchRequest(rq *request) dispatch.Request {
 	sv, _ := rq.table.Service(rq.service)
 	sv.Name = rq.service
+	if rq.PromptTokens > 0 && rq.admission.Caller == 0 && gw.Dispatcher.PromisesReturns() {
+		rq.admission.Caller = rq.caller()
+	}
 	return dispatch.Request{
 		ID: rq.RequestID, Service: sv, Exclude: rq.excluded,
 		PromptTokens: rq.PromptTokens, MaxAnswerTokens: rq.MaxAnswerTokens, AnswerTokensHint: rq.AnswerTokensHint,
@@ -122,6 +125,7 @@
 		Arrived: rq.arrived, Deadline: rq.deadline.At, Organisation: rq.org.Name, Priority: rq.priority(), Resumed: rq.forwardedEventID >= 0,
 		Caution: rq.caution(), Authorise: func() error { return gw.reauthorise(rq) },
 		CanRetry: len(rq.tried) == 0 && rq.route.MaxAttempts > 1 && gw.RetryBudget.Available(rq.service), Retried: len(rq.tried) > 0,
+		Admission: &rq.admission,
 	}
 }
 
--- a/internal/returntimes/returntimes.go
+++ b/internal/returntimes/returntimes.go
@@ -2,7 +2,12 @@
 // clock and has no lock: times are parameters, and its caller serialises the calls.
 package returntimes
 
-import "time"
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 const (
 	// bucketSize is the grain in which promises are counted against what is expected to finish.
@@ -32,6 +37,18 @@
 // Caller identifies a caller over its requests: a hash of what its requests have in common.
 type Caller uint64
 
+// CallerOf returns the caller whose requests have the given strings in common. It is never zero, which stands for an unknown caller.
+func CallerOf(parts ...string) Caller {
+	h := xxhash.New()
+	var length [binary.MaxVarintLen64]byte
+	for _, part := range parts {
+		// Writing to a hash never fails. The length in front keeps bytes that move from one part to the next from giving the same caller.
+		_, _ = h.Write(length[:binary.PutUvarint(length[:], uint64(len(part)))])
+		_, _ = h.WriteString(part)
+	}
+	return Caller(max(1, h.Sum64()))
+}
+
 // Promise is a time at which a caller should return.
 type Promise struct {
 	Lane Lane
--- a/internal/returntimes/returntimes_test.go
+++ b/internal/returntimes/returntimes_test.go
@@ -23,6 +23,15 @@
 	}
 }
 
+// TestCallerOf guards against callers of different requests that share a promise.
+func TestCallerOf(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(returntimes.CallerOf("a", "b")).To(Equal(returntimes.CallerOf("a", "b")))
+	g.Expect(returntimes.CallerOf("a", "b")).NotTo(Equal(returntimes.CallerOf("ab", "")))
+	g.Expect(returntimes.CallerOf("a", "b")).NotTo(Equal(returntimes.CallerOf("b", "a")))
+	g.Expect(returntimes.CallerOf()).NotTo(BeZero())
+}
+
 // TestNoBucketHoldsMoreThanFinishes guards against callers that all return at the first moment at which anything is free.
 func TestNoBucketHoldsMoreThanFinishes(t *testing.T) {
 	g := NewWithT(t)
