--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -54,6 +54,8 @@
 	AttemptLost bool
 	// LastEventAt is when the last event was forwarded; zero before the first.
 	LastEventAt time.Time
+	// Admission is the state of the request for Options.Admission, which does not decide on a request without it.
+	Admission *RequestAdmission
 	// mayProbe is set if the request may be sent to a half-open target.
 	mayProbe bool
 	// permitTarget is the target for which the request holds a permit; empty if it holds none.
@@ -106,6 +108,8 @@
 	Returning func(target string) (returning, proven bool)
 	// OnSample is called with what each request shows of the pace of its target; it may be nil.
 	OnSample func(Sample)
+	// Admission decides on prompts with the error of recent predictions and promised returns; nil disables both.
+	Admission *Admission
 	// OnPermitRefused is called each time a request is refused a permit for a target; it may be nil.
 	OnPermitRefused func(request string, tg targets.Target, retryAfter time.Duration)
 }
--- a/internal/dispatch/sim_engine_test.go
+++ b/internal/dispatch/sim_engine_test.go
@@ -40,8 +40,8 @@
 	slots chan struct{}
 	// failing is set for an engine that accepts each request and interrupts it at once.
 	failing bool
-	// slowdown is the factor by which passes take longer; zero counts as 1.
-	slowdown float64
+	// slowdown returns the factor by which passes take longer than the stated figures; nil if they do not.
+	slowdown func() float64
 	// crashed is closed when the engine crashes.
 	crashed chan struct{}
 	// arrivals counts the requests received.
@@ -106,7 +106,11 @@
 			*queue = (*queue)[1:]
 		}
 	}
-	return simEngineConfig.PassTime(placement.Target{Load: load, Slowdown: max(1, en.slowdown)}), func() { en.finishPass(prefilled, answers) }
+	factor := 1.0
+	if en.slowdown != nil {
+		factor = en.slowdown()
+	}
+	return simEngineConfig.PassTime(placement.Target{Load: load, Slowdown: factor}), func() { en.finishPass(prefilled, answers) }
 }
 
 func (en *simEngine) finishPass(prefilled []*prefillPart, answers []*simAnswer) {
@@ -163,7 +167,7 @@
 func (en *simEngine) setSlowdown(factor float64) {
 	en.mu.Lock()
 	defer en.mu.Unlock()
-	en.slowdown = factor
+	en.slowdown = func() float64 { return factor }
 }
 
 // setFailing sets whether the engine interrupts each request at once.
--- a/internal/duty/gatewaydeps/gatewaydeps.go
+++ b/internal/duty/gatewaydeps/gatewaydeps.go
@@ -215,12 +215,13 @@
 		ls.RecordAnswer(al.Target)
 		fb.Record(feedback.Report{Source: feedback.OrderAnswer, Target: dr.ByID(al.Target), Head: hd, ReceivedAt: time.Now()})
 	}
+	reports := loadreport.New(time.Now, env.Logger("peers"), ms.GetOrCreateCounter("silvermount_load_report_parts_omitted_total").Inc)
 	ds := dispatch.New(dr, mg, ps.connect(dispatch.Options{
-		Instance: env.Settings.Instance, AvailabilityZone: env.Settings.AvailabilityZone, Now: time.Now, OnLoadChange: stateNotifier.Notify,
+		Admission: newAdmission(env, ms, pauses, reports),
+		Instance:  env.Settings.Instance, AvailabilityZone: env.Settings.AvailabilityZone, Now: time.Now, OnLoadChange: stateNotifier.Notify,
 		Permits: permits, OnPermitRefused: logNoPermit(env.Logger("dispatch"), limitOf),
 		BackOffs: backOffs, OnBackOffWait: logBackOffWait(env.Logger("dispatch")),
 	}))
-	loadReports := loadreport.New(time.Now, env.Logger("peers"), ms.GetOrCreateCounter("silvermount_load_report_parts_omitted_total").Inc)
 	changes := make(chan quarantine.Change, maxQuarantineChanges)
 	tracker := quarantine.New(quarantine.Options{
 		OnChange: func(ch quarantine.Change) { offerChange(changes, ch, env.Logger("blame")) },
@@ -232,12 +233,12 @@
 		Retries: newRetries(env, ad, ms.GetOrCreateCounter("silvermount_store_calls_total").Inc),
 		Adapter: ad, Routes: rts, TargetLimit: limitOf, Targets: dr, Dispatcher: ds, Metrics: ms, StateNotifier: stateNotifier, StoreCoordinator: &StoreCoordinator{}, Pool: pl, Pauses: pauses,
 		Attempts: attempts, Losses: ls, PathState: pt.state, TargetDialer: pt.dialer, TunnelClient: pt.client, TunnelServer: pt.server, Peers: pt.peers,
-		LoadReports: loadReports,
+		LoadReports: reports,
 	})
 	backgroundCtx, stopBackground := context.WithCancel(context.Background())
 	if ps.enabled() {
-		loadReports.Register(loadreport.KindPace, ps.reportPart())
-		go ps.run(backgroundCtx, ds.InFlight, loadReports.Publish)
+		reports.Register(loadreport.KindPace, ps.reportPart())
+		go ps.run(backgroundCtx, ds.InFlight, reports.Publish)
 	}
 	go pauses.Run(backgroundCtx)
 	go pt.dialer.Run(backgroundCtx)
