feat(upstream): bound the head of a response in bytes, lines and time

Cause: http.ReadResponse reads a status line, header lines and interim responses without bound, and a head that trickles counts as activity for the silence timeout.

Change: a scanner at the connection counts the bytes (64 KiB) and lines (256) of one head, not those of the body. A head has at most 3 s from its first byte, and the attempt's silence timeout if the request can be repeated; the body of a response that is skipped has the same time. The failures are HeadTooLargeError and SlowHeadError; framing errors of a body become InvalidBodyError. They count against the target like bytes that are no response, and the connection is closed.

The tests for heads without end, trickling heads and the type of framing errors fail without the change.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -201,6 +201,7 @@
 		Address: sl.Target.Address, Method: rq.method, RequestURI: rq.requestURI, Host: rq.host, Header: h, Body: rq.body,
 		NewConnection:  rq.route.AtMostOnce() || rq.lostAttempt,
 		OnConnection:   rq.setVia,
+		HeadTimeout:    gw.headTimeout(rq, sl),
 		BeforeSend:     func() error { return gw.checkSend(ctx, rq, sl) },
 		AcceptResponse: func(resp *http.Response) bool { return gw.recordHead(rq, sl.Target, resp) },
 	}
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -166,6 +166,19 @@
 	}
 }
 
+// minHeadTimeout leaves time for two retransmissions of a part of a head.
+const minHeadTimeout = 600 * time.Millisecond
+
+// headTimeout returns how long a head may take from its first byte; zero means the maximum. The silence timeout does not end a head that
+// trickles.
+func (gw *Gateway) headTimeout(rq *request, sl *dispatch.Slot) time.Duration {
+	timeout := gw.silenceTimeout(rq, sl)
+	if timeout <= 0 {
+		return 0
+	}
+	return max(minHeadTimeout, timeout)
+}
+
 // recordUnanswered records a failure against a target that sent nothing until the request was cancelled, unless the wait was
 // too short to tell. waited does not include pauses of this process.
 func (gw *Gateway) recordUnanswered(rq *request, sl *dispatch.Slot, waited time.Duration) {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -42,6 +42,9 @@
 	bytesWritten atomic.Int64
 	// finalSteps is how many further steps a read may wait after the deadline of its call; zero before the deadline.
 	finalSteps atomic.Int64
+	// head scans the head of a response while it is read, and watch bounds its time; both are nil otherwise.
+	head  *headScanner
+	watch *headWatch
 	// keepAliveTimeout is how long the target keeps an idle connection open, by its Keep-Alive header; zero if unknown.
 	keepAliveTimeout time.Duration
 }
@@ -72,7 +75,38 @@
 	return st
 }
 
-// Read adds the bytes it reads to bytesRead. After the deadline of the call it waits for finalSteps further steps.
+// beginHead bounds what is read until endHead to one head. It fails with a HeadTooLargeError.
+func (cn *conn) beginHead(timeout time.Duration, paused func() time.Duration) error {
+	cn.head = &headScanner{}
+	cn.watch = &headWatch{cn: cn, timeout: timeout, paused: paused}
+	buffered, err := cn.br.Peek(cn.br.Buffered())
+	if err != nil {
+		return errors.Wrap(err, "peek buffered data")
+	}
+	return cn.scanHead(buffered)
+}
+
+// scanHead scans received bytes of a head, and starts to bound its time once it has begun.
+func (cn *conn) scanHead(b []byte) error {
+	err := cn.head.scan(b)
+	if cn.head.begun() {
+		cn.watch.start()
+	}
+	return err
+}
+
+// endHead ends the bounds. It returns a HeadTooLargeError or a SlowHeadError if the head exceeded a bound, else err.
+func (cn *conn) endHead(err error) error {
+	if cn.head.err != nil {
+		err = cn.head.err
+	}
+	watch := cn.watch
+	cn.head, cn.watch = nil, nil
+	return watch.stop(err)
+}
+
+// Read adds the bytes it reads to bytesRead. After the deadline of the call it waits for finalSteps further steps. It fails with a
+// HeadTooLargeError when a head exceeds its bounds.
 func (cn *conn) Read(b []byte) (int, error) {
 	n, err := cn.Conn.Read(b)
 	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && cn.finalSteps.Add(-1) >= 0 {
@@ -87,6 +121,11 @@
 		cn.bytesRead.Add(int64(n))
 		cn.onRead()
 	}
+	if cn.head != nil {
+		if headErr := cn.scanHead(b[:n]); headErr != nil {
+			return 0, headErr
+		}
+	}
 	return n, err
 }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -35,6 +35,8 @@
 	// AcceptResponse, if not nil, is called with each response head, and reports whether the response belongs to this call.
 	// Other responses are skipped.
 	AcceptResponse func(*http.Response) bool
+	// HeadTimeout bounds the time from the first byte of a response head to its end. Zero and longer times mean three seconds.
+	HeadTimeout time.Duration
 	// OnConnection, if not nil, is called before the request is sent with the peer that the connection leads through; empty for a direct
 	// connection.
 	OnConnection func(peer string)
@@ -116,7 +118,7 @@
 	}
 	go rs.writeRequest(ctx, req)
 	// Response.Close ends the body together with the connection.
-	rs.Response, err = readResponse(cn, req, ca.AcceptResponse) //nolint:bodyclose // the body stays open for the caller
+	rs.Response, err = pl.readResponse(cn, req, ca) //nolint:bodyclose // the body stays open for the caller
 	if err != nil {
 		stale := reused && cn.bytesRead.Load() == readBefore && isConnectionClosed(err) && ctx.Err() == nil
 		if stale {
@@ -186,26 +188,60 @@
 	*rs.writeSucceeded = req.Write(rs.cn) == nil
 }
 
-// readResponse reads the head of the next final response that accept takes, or of the next one if accept is nil. It skips
-// interim responses (1xx) and the responses to other requests.
-func readResponse(cn *conn, req *http.Request, accept func(*http.Response) bool) (*http.Response, error) {
+// headTimeout returns the bound on the time of a head.
+func (ca Call) headTimeout() time.Duration {
+	if ca.HeadTimeout <= 0 {
+		return maxHeadDuration
+	}
+	return min(ca.HeadTimeout, maxHeadDuration)
+}
+
+// readResponse reads the head of the next final response that the call accepts. It skips interim responses (1xx) and the responses to other
+// requests.
+func (pl *Pool) readResponse(cn *conn, req *http.Request, ca Call) (*http.Response, error) {
 	for range maxUnmatchedResponses {
-		resp, err := http.ReadResponse(cn.br, req)
+		resp, err := pl.readHead(cn, req, ca)
 		if err != nil {
 			return nil, errors.Wrap(err, "read response head")
 		}
-		if resp.StatusCode >= http.StatusOK && (accept == nil || accept(resp)) {
+		if resp.StatusCode >= http.StatusOK && (ca.AcceptResponse == nil || ca.AcceptResponse(resp)) {
+			resp.Body = &checkedBody{ReadCloser: resp.Body}
 			return resp, nil
 		}
-		_, err = io.CopyN(io.Discard, resp.Body, maxUnmatchedBodyBytes)
-		resp.Body.Close()
-		if !errors.Is(err, io.EOF) || resp.Close {
-			return nil, &UnmatchedResponseError{}
+		if err := pl.skipBody(cn, resp, ca); err != nil {
+			return nil, err
 		}
 	}
 	return nil, &UnmatchedResponseError{}
 }
 
+// readHead reads one head within its bounds.
+func (pl *Pool) readHead(cn *conn, req *http.Request, ca Call) (*http.Response, error) {
+	if err := cn.beginHead(ca.headTimeout(), pl.paused); err != nil {
+		return nil, cn.endHead(err)
+	}
+	resp, err := http.ReadResponse(cn.br, req)
+	if err := cn.endHead(err); err != nil {
+		return nil, err
+	}
+	return resp, nil
+}
+
+// skipBody reads the body of a response that is not used. The body has as much time as a head.
+func (pl *Pool) skipBody(cn *conn, resp *http.Response, ca Call) error {
+	hw := &headWatch{cn: cn, timeout: ca.headTimeout(), paused: pl.paused}
+	hw.start()
+	_, err := io.CopyN(io.Discard, resp.Body, maxUnmatchedBodyBytes)
+	resp.Body.Close()
+	if watchErr := hw.stop(nil); watchErr != nil {
+		return watchErr
+	}
+	if !errors.Is(err, io.EOF) || resp.Close {
+		return &UnmatchedResponseError{}
+	}
+	return nil
+}
+
 // MarkComplete records that the body was read to its end, so that Close can return the connection to the pool.
 func (rs *Response) MarkComplete() { rs.complete = true }
 
