feat(budget): end the slowest transfer when memory is short

Cause: a request body is held until its request ends. Targets that read a body slowly take the whole memory for bodies, and other callers are refused; a caller that sends slowly reserves what it has announced.

Change: each request has an account. While it waits for another party to take bytes it has a transfer, and an acquisition that does not fit ends the transfers with the fewest bytes per second, after a grace of 250 ms, and waits at most 500 ms for their memory. An eighth of the memory is left to accounts up to 256 KiB. A body of known length is charged as it arrives.

--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -16,10 +16,15 @@
 // chunkSize is the number of bytes by which the memory reserved for a body of unknown length grows.
 const chunkSize = 64 << 10
 
+// growthFactor is by how much the buffer of a body of known length grows. A small factor leaves as much garbage behind as the body has bytes.
+const growthFactor = 8
+
 // Reader reads request bodies. It is safe for concurrent use.
 type Reader struct {
 	// Memory is the budget that the bodies of all requests share.
 	Memory *budget.Memory
+	// Account is charged in place of Memory if it is set.
+	Account *budget.Account
 	// MaxBytes is the maximum size of one body.
 	MaxBytes int64
 	// RetryAfter is when a caller should retry if there was no memory for its body, or if its body timed out.
@@ -44,18 +49,39 @@
 	return rd.readChunked(r.Body)
 }
 
-// readSized reads a body whose length is known.
-func (rd Reader) readSized(src io.Reader, size int64) (b []byte, free func(), err error) {
-	if size == 0 {
-		return nil, func() {}, nil
+// acquire acquires memory for the next part of a body.
+func (rd Reader) acquire(n int64) bool {
+	if rd.Account != nil {
+		return rd.Account.Acquire(n)
 	}
-	if !rd.Memory.TryAcquire(size) {
-		return nil, func() {}, rd.noMemory()
+	return rd.Memory.TryAcquire(n)
+}
+
+func (rd Reader) release(n int64) {
+	if rd.Account != nil {
+		rd.Account.Release(n)
+		return
 	}
-	free = func() { rd.Memory.Release(size) }
-	b = make([]byte, size)
-	if _, err := io.ReadFull(src, b); err != nil {
-		return nil, free, rd.readError(err)
+	rd.Memory.Release(n)
+}
+
+// readSized reads a body whose length is known. Memory is acquired as the body arrives: a caller that sends slowly holds what it has sent,
+// not what it has announced.
+func (rd Reader) readSized(src io.Reader, size int64) (b []byte, free func(), err error) {
+	var reserved int64
+	free = func() { rd.release(reserved) }
+	for int64(len(b)) < size {
+		target := min(size, max(chunkSize, growthFactor*int64(len(b))))
+		if !rd.acquire(target - reserved) {
+			return nil, free, rd.noMemory()
+		}
+		reserved = target
+		grown := make([]byte, target)
+		n := copy(grown, b)
+		if _, err := io.ReadFull(src, grown[n:]); err != nil {
+			return nil, free, rd.readError(err)
+		}
+		b = grown
 	}
 	return b, free, nil
 }
@@ -63,9 +89,9 @@
 // readChunked reads a body of unknown length.
 func (rd Reader) readChunked(src io.Reader) (b []byte, free func(), err error) {
 	var reserved int64
-	free = func() { rd.Memory.Release(reserved) }
+	free = func() { rd.release(reserved) }
 	for {
-		if !rd.Memory.TryAcquire(chunkSize) {
+		if !rd.acquire(chunkSize) {
 			return nil, free, rd.noMemory()
 		}
 		reserved += chunkSize
--- /dev/null
+++ b/internal/budget/account.go
@@ -0,0 +1,240 @@
+package budget
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// transferGrace is how long a transfer may take before it can be ended. A party that is not slow takes what is held for it within
+	// this time.
+	transferGrace = 250 * time.Millisecond
+	// maxReclaimWait bounds the wait for the memory of ended transfers: the grace, and the time in which a request gives up its memory.
+	maxReclaimWait = 500 * time.Millisecond
+	// recheckInterval is the time after which a wait for memory looks for transfers that are beyond the grace by now.
+	recheckInterval = 25 * time.Millisecond
+	// smallBytes is up to which size an account is small. One part in smallShare of the memory is left to small accounts, so that bodies of
+	// several MB do not keep out the many requests that need little.
+	smallBytes = 256 << 10
+	smallShare = 8
+)
+
+// Progress is how far a transfer is.
+type Progress struct {
+	// Taken is the number of bytes that the other party has taken.
+	Taken int64
+	// Done is set once it has taken everything.
+	Done bool
+}
+
+// Account is the memory that one request holds. While the request waits for another party to take bytes, a transfer, it can be ended for the
+// benefit of others. An Account is safe for concurrent use.
+type Account struct {
+	mm *Memory
+	// end makes the request give up its memory; never nil. It is called once at most.
+	end func(held int64)
+	// endMu is held while end is called, and while a transfer begins or ends: end is only called during a transfer.
+	endMu sync.Mutex
+
+	// The fields below are guarded by the lock of mm.
+
+	// held is the number of bytes.
+	held int64
+	// progress returns how far the present transfer is; nil without one.
+	progress func() Progress
+	// startedAt is when the present transfer began.
+	startedAt time.Time
+	// ended is set once end is to be called. It is reset if the transfer was over by then.
+	ended bool
+}
+
+// Open returns an account without memory. If memory is short while it has a slow transfer, end is called with the bytes it holds: the
+// request must then close the account soon.
+func (mm *Memory) Open(end func(held int64)) *Account { return &Account{mm: mm, end: end} }
+
+// TryAcquire acquires n bytes, or returns false when fewer are free.
+func (ac *Account) TryAcquire(n int64) bool {
+	ac.mm.mu.Lock()
+	defer ac.mm.mu.Unlock()
+	return ac.tryAcquire(n)
+}
+
+// tryAcquire is TryAcquire. The lock is held.
+func (ac *Account) tryAcquire(n int64) bool {
+	if ac.mm.used+n > ac.limit(n) {
+		return false
+	}
+	ac.mm.used += n
+	ac.held += n
+	return true
+}
+
+// limit returns how many bytes may be used after the account has acquired n more. The lock is held.
+func (ac *Account) limit(n int64) int64 {
+	alone := ac.mm.used == ac.held
+	if alone || ac.held+n <= smallBytes {
+		return ac.mm.limit
+	}
+	return ac.mm.limit - ac.mm.limit/smallShare
+}
+
+// Acquire acquires n bytes. When fewer are free, it ends the slowest transfers of other accounts and waits briefly for their memory. It
+// returns false if that does not suffice.
+func (ac *Account) Acquire(n int64) bool {
+	timeout := time.NewTimer(maxReclaimWait)
+	defer timeout.Stop()
+	for {
+		acquired, victims, freed := ac.acquireOrChoose(n)
+		if acquired || freed == nil {
+			return acquired
+		}
+		for _, vc := range victims {
+			vc.account.endDuringTransfer(vc.held)
+		}
+		select {
+		case <-freed:
+		case <-time.After(recheckInterval):
+		case <-timeout.C:
+			return ac.TryAcquire(n)
+		}
+	}
+}
+
+// endDuringTransfer calls end if the transfer is still in progress.
+func (ac *Account) endDuringTransfer(held int64) {
+	ac.endMu.Lock()
+	defer ac.endMu.Unlock()
+	if ac.confirmEnd() {
+		ac.end(held)
+	}
+}
+
+// confirmEnd reports whether the transfer is still in progress. If not, the account is not ended.
+func (ac *Account) confirmEnd() bool {
+	ac.mm.mu.Lock()
+	defer ac.mm.mu.Unlock()
+	if ac.progress != nil {
+		return true
+	}
+	ac.ended = false
+	ac.mm.ending -= ac.held
+	return false
+}
+
+// victim is an account that is ended, with the memory that it holds.
+type victim struct {
+	account *Account
+	held    int64
+}
+
+// acquireOrChoose acquires n bytes, or marks the accounts to end for them. freed is closed when memory was released; it is nil if there is
+// nothing to wait for.
+func (ac *Account) acquireOrChoose(n int64) (acquired bool, victims []victim, freed <-chan struct{}) {
+	mm := ac.mm
+	mm.mu.Lock()
+	defer mm.mu.Unlock()
+	if n > mm.limit || ac.tryAcquire(n) {
+		return n <= mm.limit, nil, nil
+	}
+	missing := mm.used + n - ac.limit(n) - mm.ending
+	for missing > 0 {
+		slowest := mm.slowestTransfer(ac, time.Now())
+		if slowest == nil {
+			break
+		}
+		slowest.ended = true
+		mm.ending += slowest.held
+		missing -= slowest.held
+		victims = append(victims, victim{account: slowest, held: slowest.held})
+	}
+	if mm.ending == 0 && !mm.hasOtherTransfer(ac) {
+		return false, nil, nil
+	}
+	if mm.freed == nil {
+		mm.freed = make(chan struct{})
+	}
+	return false, victims, mm.freed
+}
+
+// slowestTransfer returns the account whose transfer took the fewest bytes per second, and of equal ones the longest time; nil without one
+// beyond the grace. The lock is held.
+func (mm *Memory) slowestTransfer(except *Account, now time.Time) *Account {
+	var slowest *Account
+	var lowestRate float64
+	for ac := range mm.transfers {
+		elapsed := now.Sub(ac.startedAt)
+		if ac == except || ac.ended || ac.held == 0 || elapsed < transferGrace {
+			continue
+		}
+		pg := ac.progress()
+		if pg.Done {
+			continue
+		}
+		rate := float64(pg.Taken) / elapsed.Seconds()
+		if slowest == nil || rate < lowestRate || rate == lowestRate && ac.startedAt.Before(slowest.startedAt) {
+			slowest, lowestRate = ac, rate
+		}
+	}
+	return slowest
+}
+
+// hasOtherTransfer reports whether another account may release memory soon: it has a transfer, which may be within the grace. The lock is held.
+func (mm *Memory) hasOtherTransfer(except *Account) bool {
+	for ac := range mm.transfers {
+		if ac != except && ac.held > 0 && !ac.progress().Done {
+			return true
+		}
+	}
+	return false
+}
+
+// Release returns n acquired bytes.
+func (ac *Account) Release(n int64) {
+	ac.mm.mu.Lock()
+	defer ac.mm.mu.Unlock()
+	ac.release(n)
+}
+
+// release is Release. The lock is held.
+func (ac *Account) release(n int64) {
+	ac.held -= n
+	if ac.ended {
+		ac.mm.ending -= n
+	}
+	ac.mm.release(n)
+}
+
+// Close returns all memory and ends the transfer.
+func (ac *Account) Close() {
+	ac.EndTransfer()
+	ac.mm.mu.Lock()
+	defer ac.mm.mu.Unlock()
+	ac.release(ac.held)
+}
+
+// BeginTransfer begins a transfer. progress must not block, and is called by other goroutines.
+func (ac *Account) BeginTransfer(progress func() Progress) {
+	ac.endMu.Lock()
+	defer ac.endMu.Unlock()
+	ac.mm.mu.Lock()
+	defer ac.mm.mu.Unlock()
+	ac.progress, ac.startedAt = progress, time.Now()
+	ac.mm.transfers[ac] = struct{}{}
+}
+
+// EndTransfer ends the present transfer, if any. Afterwards the account is not ended until the next one begins.
+func (ac *Account) EndTransfer() {
+	ac.endMu.Lock()
+	defer ac.endMu.Unlock()
+	ac.mm.mu.Lock()
+	defer ac.mm.mu.Unlock()
+	ac.progress = nil
+	delete(ac.mm.transfers, ac)
+}
+
+// Ended reports whether the account was ended for the benefit of others.
+func (ac *Account) Ended() bool {
+	ac.mm.mu.Lock()
+	defer ac.mm.mu.Unlock()
+	return ac.ended
+}
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -11,10 +11,16 @@
 	mu sync.Mutex
 	// used never exceeds limit.
 	used, limit int64
+	// ending is what the accounts hold that were ended and are not closed yet.
+	ending int64
+	// transfers are the accounts with a transfer in progress.
+	transfers map[*Account]struct{}
+	// freed is closed at the next release; nil if nobody waits for it.
+	freed chan struct{}
 }
 
 // NewMemory returns a budget of limit bytes.
-func NewMemory(limit int64) *Memory { return &Memory{limit: limit} }
+func NewMemory(limit int64) *Memory { return &Memory{limit: limit, transfers: map[*Account]struct{}{}} }
 
 // TryAcquire acquires n bytes, or returns false when fewer are free.
 func (mm *Memory) TryAcquire(n int64) bool {
@@ -30,8 +36,17 @@
 // Release returns n acquired bytes to the budget.
 func (mm *Memory) Release(n int64) {
 	mm.mu.Lock()
+	defer mm.mu.Unlock()
+	mm.release(n)
+}
+
+// release is Release. The lock is held.
+func (mm *Memory) release(n int64) {
 	mm.used -= n
-	mm.mu.Unlock()
+	if mm.freed != nil && n > 0 {
+		close(mm.freed)
+		mm.freed = nil
+	}
 }
 
 // Used returns the number of acquired bytes.
