feat(gateway): bound events and bodies of responses, and slow parties

Cause: a line of an event was read whole before its size was checked, a plain body had no bound but the deadline, its buffer was not charged to the memory for bodies, and slow targets kept that memory from others. A target that broke off after 256 KiB was taken for a caller that went away.

Change: events are bounded while they are read, also empty lines, and charged beyond 64 KiB. Bodies end at gateway.max_response_bytes (256 MiB unless set) with ResponseTooLargeError, and the failure counts against the target. Buffered responses are charged; without memory they are forwarded unbuffered. Sending a request and forwarding a response are transfers that can be ended when memory is short.

--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -67,6 +67,8 @@
 	// MaxBodyBytes limits the size of one body, BodyBudgetBytes the total size of all bodies held at the same time.
 	MaxBodyBytes    int64 `json:"max_body_bytes"`
 	BodyBudgetBytes int64 `json:"body_budget_bytes"`
+	// MaxResponseBytes limits the size of the body of one response.
+	MaxResponseBytes int64 `json:"max_response_bytes"`
 	// LoadControl switches on what decides under overload. Without it, none of these decisions is made.
 	LoadControl LoadControl `json:"load_control,omitzero"`
 }
--- a/internal/duty/frontend/frontend.go
+++ b/internal/duty/frontend/frontend.go
@@ -113,7 +113,7 @@
 }
 
 func gatewayLimits(st *config.Gateway) gateway.Limits {
-	lm := gateway.Limits{MaxBodyBytes: st.MaxBodyBytes}
+	lm := gateway.Limits{MaxBodyBytes: st.MaxBodyBytes, MaxResponseBytes: st.MaxResponseBytes}
 	if bound := st.RevocationBound.Std(); bound > 0 {
 		lm.MaxConfigStaleness = max(bound-proofMargin, bound/2)
 	}
--- a/internal/duty/gatewaydeps/gatewaydeps_test.go
+++ b/internal/duty/gatewaydeps/gatewaydeps_test.go
@@ -28,7 +28,7 @@
 func invalidGateway() config.Gateway {
 	return config.Gateway{
 		Seeds: []string{"x"}, RevocationBound: -1, LeavingBound: -1, ConfigurationBound: -1, EvacuationBound: -1, Grace: -1, RetryShare: -1, RetryFloor: -1, RetryWindow: -1, AvailabilityZones: []string{""}, Megabits: -1,
-		DialTimeout: -1, OrderTimeout: -1, MemoryHold: -1, MaxBodyBytes: -1, BodyBudgetBytes: -1,
+		DialTimeout: -1, OrderTimeout: -1, MemoryHold: -1, MaxBodyBytes: -1, MaxResponseBytes: -1, BodyBudgetBytes: -1,
 	}
 }
 
@@ -66,7 +66,7 @@
 
 func TestDefaults(t *testing.T) {
 	filled := config.Gateway{
-		Grace: config.Duration(10 * time.Second), MaxBodyBytes: 4 << 20, BodyBudgetBytes: 64 << 20,
+		Grace: config.Duration(10 * time.Second), MaxBodyBytes: 4 << 20, BodyBudgetBytes: 20 << 20, MaxResponseBytes: 256 << 20,
 		RetryShare: 0.1, RetryFloor: 20, RetryWindow: config.Duration(10 * time.Second),
 		DialTimeout: config.Duration(250 * time.Millisecond), OrderTimeout: config.Duration(400 * time.Millisecond),
 		MemoryHold:   config.Duration(3 * time.Second),
@@ -104,8 +104,8 @@
 			func(gw *config.Gateway) { gw.DialTimeout, gw.OrderTimeout, gw.MemoryHold = 1, 2, 3 },
 		},
 		"body limits given": {
-			config.Gateway{MaxBodyBytes: 1, BodyBudgetBytes: 2},
-			func(gw *config.Gateway) { gw.MaxBodyBytes, gw.BodyBudgetBytes = 1, 2 },
+			config.Gateway{MaxBodyBytes: 1, BodyBudgetBytes: 2, MaxResponseBytes: 3},
+			func(gw *config.Gateway) { gw.MaxBodyBytes, gw.BodyBudgetBytes, gw.MaxResponseBytes = 1, 2, 3 },
 		},
 	}
 	for name, tc := range tests {
@@ -158,6 +158,7 @@
 		"budget below one body":         {func(gw *config.Gateway) { gw.BodyBudgetBytes = gw.MaxBodyBytes - 1 }, []string{"gateway.body_budget_bytes"}},
 		"maximum body below zero":       {func(gw *config.Gateway) { gw.MaxBodyBytes = -1 }, []string{"gateway.max_body_bytes"}},
 		"body budget below zero":        {func(gw *config.Gateway) { gw.BodyBudgetBytes = -1 }, []string{"gateway.body_budget_bytes"}},
+		"maximum response below zero":   {func(gw *config.Gateway) { gw.MaxResponseBytes = -1 }, []string{"gateway.max_response_bytes"}},
 		"dial timeout below zero":       {func(gw *config.Gateway) { gw.DialTimeout = -ms }, []string{"gateway.dial_timeout"}},
 		"order timeout below zero":      {func(gw *config.Gateway) { gw.OrderTimeout = -ms }, []string{"gateway.order_timeout"}},
 		"memory hold below zero":        {func(gw *config.Gateway) { gw.MemoryHold = -ms }, []string{"gateway.memory_hold"}},
@@ -167,7 +168,7 @@
 				"gateway.adapter", "gateway.callers", "gateway.readiness", "gateway.peers", "gateway.metrics", "gateway.store",
 				"gateway.seeds[0]", "gateway.revocation_bound", "gateway.leaving_bound", "gateway.configuration_bound", "gateway.evacuation_bound", "gateway.dial_timeout", "gateway.order_timeout",
 				"gateway.memory_hold", "gateway.grace", "gateway.retry_share", "gateway.retry_floor", "gateway.megabits", "gateway.retry_window", "gateway.availability_zones[0]",
-				"gateway.max_body_bytes", "gateway.body_budget_bytes",
+				"gateway.max_body_bytes", "gateway.max_response_bytes", "gateway.body_budget_bytes",
 			},
 		},
 	}
--- a/internal/duty/gatewaydeps/settings.go
+++ b/internal/duty/gatewaydeps/settings.go
@@ -24,8 +24,12 @@
 	minGrace = time.Second
 	// defaultMaxBody, in bytes, fits a million tokens of four bytes each.
 	defaultMaxBody = 4 << 20
-	// defaultBodyBudget, in bytes, allows a burst of large bodies in a process of a few hundred MB.
-	defaultBodyBudget = 64 << 20
+	// defaultBodyBudget, in bytes, allows a burst of large bodies. With the garbage that they leave, it is below half of the memory of the
+	// smallest instances, which have 184 MB; 24 MiB is not always.
+	defaultBodyBudget = 20 << 20
+	// defaultMaxResponse, in bytes, is far above the largest answer of a service. It ends a body that has no end before the network and
+	// the caller have carried it until the deadline.
+	defaultMaxResponse = 256 << 20
 	// defaultRetryShare is a fraction of the requests, and defaultRetryFloor a number of attempts in each defaultRetryWindow.
 	defaultRetryShare  = 0.1
 	defaultRetryFloor  = 20
@@ -47,6 +51,7 @@
 	setDefault(&gw.ConfigurationBound, config.Duration(defaultPropagationBound))
 	setDefault(&gw.MaxBodyBytes, defaultMaxBody)
 	setDefault(&gw.BodyBudgetBytes, defaultBodyBudget)
+	setDefault(&gw.MaxResponseBytes, defaultMaxResponse)
 	// A window that is set alone gets no defaults for the others: it is valid without any retries.
 	if gw.RetryShare == 0 && gw.RetryFloor == 0 && gw.RetryWindow == 0 {
 		gw.RetryShare, gw.RetryFloor = defaultRetryShare, defaultRetryFloor
@@ -166,6 +171,10 @@
 		value := strconv.FormatInt(maxBody, 10)
 		fs = append(fs, &config.Fault{Path: "gateway.max_body_bytes", Value: value, Want: "a positive number"})
 	}
+	if gw.MaxResponseBytes <= 0 {
+		value := strconv.FormatInt(gw.MaxResponseBytes, 10)
+		fs = append(fs, &config.Fault{Path: "gateway.max_response_bytes", Value: value, Want: "a positive number"})
+	}
 	if budget < max(1, maxBody) {
 		value := strconv.FormatInt(budget, 10)
 		fs = append(fs, &config.Fault{Path: "gateway.body_budget_bytes", Value: value, Want: "at least max_body_bytes, and positive"})
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/silvermount/silvermount/internal/body"
+	"github.com/silvermount/silvermount/internal/budget"
 	"github.com/silvermount/silvermount/internal/deadline"
 	"github.com/silvermount/silvermount/internal/dispatch"
 	"github.com/silvermount/silvermount/internal/failure"
@@ -46,8 +47,10 @@
 	arrived    time.Time
 	// deadline is the earlier of the caller's deadline and the route's.
 	deadline deadline.Deadline
-	// freeBody returns the memory of the body to the budget; never nil.
-	freeBody  func()
+	// memory is what the request holds of the memory for bodies; never nil.
+	memory *budget.Account
+	// cancel ends the request with a cause. It is set before the first transfer.
+	cancel    context.CancelFunc
 	lifecycle lifecycle.Record
 	// stateBeforeEnd is the lifecycle state in which a failed request ended.
 	stateBeforeEnd lifecycle.State
@@ -62,6 +65,8 @@
 	lostAttempt bool
 	// via is the peer that the latest attempt was sent through; nil if it was sent directly. A watchdog reads it concurrently.
 	via atomic.Pointer[string]
+	// plainStarted is set once part of a response that is not a stream was forwarded. Nothing can continue it.
+	plainStarted bool
 	// retryTaken is set if the next retry has already been taken from the retry budget.
 	retryTaken bool
 	// noRetryReason is why the last failed attempt was not retried; empty before.
@@ -107,8 +112,9 @@
 func (gw *Gateway) admit(r *http.Request, rw *responseWriter, arrived time.Time) (*request, error) {
 	rq := &request{
 		method: r.Method, requestURI: r.RequestURI, host: r.Host, path: r.URL.EscapedPath(), header: r.Header,
-		arrived: arrived, freeBody: func() {},
+		arrived: arrived,
 	}
+	rq.memory = gw.BodyMemory.Open(func(held int64) { gw.endSlowTransfer(rq, rw, held) })
 	ri, err := gw.Protocol.ReadRequest(r)
 	if err != nil {
 		return rq, failure.New(failure.BadRequest, failure.NotRun, "the request cannot be read").WithCause(err)
@@ -204,14 +210,15 @@
 		maxBytes = min(maxBytes, lm)
 	}
 	br := body.Reader{
-		Memory: gw.BodyMemory, MaxBytes: maxBytes, RetryAfter: overloadRetryAfter,
+		Account: rq.memory, MaxBytes: maxBytes, RetryAfter: overloadRetryAfter,
 		IncompleteCode: failure.CallerGone, TimeoutCode: failure.DeadlineExceeded,
 	}
 	// When requests are aborted, a body that is still being received is no longer waited for.
 	stopWatch := context.AfterFunc(gw.aborted, func() { gw.logDeadlineError(rq, rw.Controller().SetReadDeadline(gw.Now())) })
 	defer stopWatch()
 	var err error
-	rq.body, rq.freeBody, err = br.Read(r)
+	// The account is closed with the request.
+	rq.body, _, err = br.Read(r)
 	// Even a complete body must not be sent any more.
 	if gw.aborted.Err() != nil {
 		return gw.abortedError(rq)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,6 +72,8 @@
 type Limits struct {
 	// MaxBodyBytes is the maximum size of a request body. A lower limit in the configuration takes precedence.
 	MaxBodyBytes int64
+	// MaxResponseBytes is the maximum size of the body of a response. Zero means no limit.
+	MaxResponseBytes int64
 	// MaxConfigStaleness is the maximum time since the configuration was last confirmed to be the newest. Beyond it,
 	// requests that need a key are refused. Zero means no limit.
 	MaxConfigStaleness time.Duration
@@ -126,7 +128,7 @@
 	rq, err := gw.admit(r, rw, arrived)
 	defer func() {
 		// A body that was read only in part also holds memory.
-		rq.freeBody()
+		rq.memory.Close()
 		gw.stateCounts.leave(rq.lifecycle.State)
 	}()
 	if err == nil {
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -105,11 +104,14 @@
 func (gw *Gateway) handlePlain(
 	ctx context.Context, rq *request, rw *responseWriter, sl *dispatch.Slot, rs *upstream.Response, vd responsehead.Verdict,
 ) error {
-	body, err := io.ReadAll(io.LimitReader(rs.Body, maxBufferedBytes))
+	if err := gw.checkResponseBytes(rs.ContentLength); err != nil {
+		return gw.handleInterrupted(ctx, rq, sl, err)
+	}
+	body, whole, err := readBuffered(rq, rs.Body)
 	if err != nil {
 		return gw.handleInterrupted(ctx, rq, sl, err)
 	}
-	if len(body) < maxBufferedBytes {
+	if whole {
 		rs.MarkComplete()
 	}
 	if vd == responsehead.Failed && gw.takeFailureRetry(ctx, rq, rw) {
@@ -125,33 +127,83 @@
 	if err := gw.transition(ctx, rq, lifecycle.FirstToken); err != nil {
 		return err
 	}
-	rest := io.Reader(bytes.NewReader(nil))
-	if len(body) == maxBufferedBytes {
-		rest = rs.Body
+	return gw.forwardPlain(ctx, rq, rw, sl, rs, body, whole)
+}
+
+// ResponseTooLargeError means that the body of a response exceeds the maximum size.
+type ResponseTooLargeError struct{ MaxBytes int64 }
+
+// Error includes the maximum.
+func (re *ResponseTooLargeError) Error() string {
+	return "response is larger than the maximum of " + strconv.FormatInt(re.MaxBytes, 10) + " bytes"
+}
+
+// checkResponseBytes returns a ResponseTooLargeError if a body of n bytes exceeds the maximum.
+func (gw *Gateway) checkResponseBytes(n int64) error {
+	if limit := gw.limits.Load().MaxResponseBytes; limit > 0 && n > limit {
+		return &ResponseTooLargeError{MaxBytes: limit}
 	}
-	return gw.forwardPlain(ctx, rq, rw, rs, body, rest)
+	return nil
+}
+
+// bufferPartBytes is the number of bytes by which the memory for a buffered response grows.
+const bufferPartBytes = 16 << 10
+
+// readBuffered reads a response up to maxBufferedBytes, or less if there is no memory for it. whole is set if it was read to its end.
+func readBuffered(rq *request, src io.Reader) (body []byte, whole bool, err error) {
+	for len(body) < maxBufferedBytes && rq.memory.Acquire(bufferPartBytes) {
+		part, err := io.ReadAll(io.LimitReader(src, bufferPartBytes))
+		if err != nil {
+			return nil, false, err
+		}
+		body = append(body, part...)
+		if len(part) < bufferPartBytes {
+			return body, true, nil
+		}
+	}
+	return body, false, nil
 }
 
 // forwardPlain forwards the buffered beginning of a response, and then the rest as it is received.
 func (gw *Gateway) forwardPlain(
-	ctx context.Context, rq *request, rw *responseWriter, rs *upstream.Response, body []byte, rest io.Reader,
+	ctx context.Context, rq *request, rw *responseWriter, sl *dispatch.Slot, rs *upstream.Response, body []byte, whole bool,
 ) error {
 	copyEndToEndHeaders(rw.w.Header(), rs.Header)
-	if len(body) < maxBufferedBytes {
+	if whole {
 		rw.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	rw.start(rs.StatusCode)
+	rq.plainStarted = true
+	rt := gw.beginResponseTransfer(rq, rw)
+	defer rt.end()
 	// Flush now, so that the response is not delayed until the exchange with the target has ended.
-	if err := rw.Forward(body, true); err != nil {
+	if err := rt.forward(body, true); err != nil || whole {
 		return err
 	}
-	if _, err := io.Copy(rw.w, rest); err != nil {
-		return gw.cancellationError(ctx, rq).WithCause(err)
-	}
-	if len(body) == maxBufferedBytes {
-		rs.MarkComplete()
+	return gw.forwardRest(ctx, sl, rs, rt)
+}
+
+// forwardRest forwards the rest of a response as it is received.
+func (gw *Gateway) forwardRest(ctx context.Context, sl *dispatch.Slot, rs *upstream.Response, rt *responseTransfer) error {
+	buf := make([]byte, forwardPartBytes)
+	for {
+		n, err := rs.Body.Read(buf)
+		if sizeErr := gw.checkResponseBytes(rt.taken.Load() + int64(n)); sizeErr != nil {
+			return gw.handleInterrupted(ctx, rt.rq, sl, sizeErr)
+		}
+		if n > 0 {
+			if err := rt.forward(buf[:n], false); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			rs.MarkComplete()
+			return nil
+		}
+		if err != nil {
+			return gw.handleInterrupted(ctx, rt.rq, sl, err)
+		}
 	}
-	return nil
 }
 
 // TargetFailureError means that a target responded with a failure.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -27,6 +27,8 @@
 func (gw *Gateway) run(ctx context.Context, rq *request, rw *responseWriter) error {
 	ctx, cancel := rq.deadline.Context(ctx)
 	defer cancel()
+	ctx, rq.cancel = context.WithCancel(ctx)
+	defer rq.cancel()
 	ctx, cancelEnd := gw.withAbort(ctx)
 	defer cancelEnd()
 	if err := gw.transition(ctx, rq, lifecycle.Admit); err != nil {
@@ -37,6 +39,10 @@
 	var last *failure.Error
 	for dialRetries := 0; ; {
 		err := gw.attempt(ctx, rq, rw)
+		if err == nil && rq.memory.Ended() {
+			// The connection was closed during the last write.
+			err = gw.slowTransferError(rq)
+		}
 		if err == nil {
 			return gw.transition(ctx, rq, lifecycle.Finish)
 		}
@@ -178,6 +184,8 @@
 	case gw.aborted.Err() != nil:
 		// Aborting requests sets a read deadline on the connections, which also looks as if the caller had disconnected.
 		return gw.abortedError(rq)
+	case rq.memory.Ended():
+		return gw.slowTransferError(rq)
 	case ctx.Err() != nil && gw.Now().Before(rq.deadline.At):
 		return failure.New(failure.CallerGone, gw.outcome(rq), "the caller went away")
 	default:
@@ -202,6 +210,7 @@
 		NewConnection:  rq.route.AtMostOnce() || rq.lostAttempt,
 		OnConnection:   rq.setVia,
 		HeadTimeout:    gw.headTimeout(rq, sl),
+		OnWrite:        rq.trackRequestTransfer,
 		BeforeSend:     func() error { return gw.checkSend(ctx, rq, sl) },
 		AcceptResponse: func(resp *http.Response) bool { return gw.recordHead(rq, sl.Target, resp) },
 	}
@@ -211,6 +220,7 @@
 	pauses := newPauseMeter(gw.Paused)
 	rq.via.Store(nil)
 	rs, err := gw.sendWithSilenceTimeout(tunnel.WithRequestID(ctx, rq.RequestID), rq, sl, ca)
+	rq.memory.EndTransfer()
 	if err != nil {
 		if ctx.Err() != nil {
 			gw.recordUnanswered(rq, sl, gw.Now().Sub(rq.sentAt)-pauses.sinceLast())
@@ -363,7 +373,7 @@
 	retried, reason := retry.FailedAttempt{
 		Code: fe.Code, Cancelled: gw.isOver(ctx, rq), AtMostOnce: rq.route.AtMostOnce(), MayHaveRun: rq.outcomes.MayHaveRun(),
 		Attempts: gw.countAvailable(rq.tried), MaxAttempts: rq.route.MaxAttempts, ResponseStarted: rw.Started(),
-		TryResume: func() bool { return rq.route.Resumable }, BudgetTaken: retryTaken,
+		TryResume: func() bool { return rq.route.Resumable && !rq.plainStarted }, BudgetTaken: retryTaken,
 	}.Decide(func() bool { return gw.withdrawRetry(rq.RequestID, rq.service) })
 	rq.noRetryReason = reason
 	return retried
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/silvermount/silvermount/internal/dispatch"
+	"github.com/silvermount/silvermount/internal/failure"
 	"github.com/silvermount/silvermount/internal/lifecycle"
 	"github.com/silvermount/silvermount/internal/readahead"
 	"github.com/silvermount/silvermount/internal/routes"
@@ -56,33 +57,90 @@
 // Error implements the error interface.
 func (*EventTooLargeError) Error() string { return "event is larger than the maximum of 1 MiB" }
 
-// readEvent returns the next complete event, or io.EOF if the stream ended after a complete event.
-func readEvent(br *bufio.Reader) (event, error) {
+// eventReader reads the events of a stream.
+type eventReader struct {
+	br *bufio.Reader
+	// reserve reserves memory for an event beyond freeEventBytes, and reports whether there is enough.
+	reserve func(bytes int64) bool
+	// reserved is the memory that is reserved for the present event.
+	reserved int64
+}
+
+const (
+	// freeEventBytes is the size up to which no memory is reserved for an event. Nearly all events are smaller.
+	freeEventBytes = 64 << 10
+	// eventPartBytes is the number of bytes by which the reserved memory grows.
+	eventPartBytes = 64 << 10
+)
+
+// NoMemoryError means that there is no memory for a large event.
+type NoMemoryError struct{}
+
+// Error implements the error interface.
+func (*NoMemoryError) Error() string { return "no memory for a large event" }
+
+// next returns the next complete event, or io.EOF if the stream ended after a complete event.
+func (er *eventReader) next() (event, error) {
 	ev := event{id: -1}
+	// lineStart is where the current line begins in the event, skipped the number of bytes in empty lines before the event.
+	lineStart, skipped := 0, 0
 	for {
-		line, err := br.ReadBytes('\n')
-		ev.raw = append(ev.raw, line...)
+		part, err := er.br.ReadSlice('\n')
+		if sizeErr := er.checkSize(skipped + len(ev.raw) + len(part)); sizeErr != nil {
+			return event{}, sizeErr
+		}
+		ev.raw = append(ev.raw, part...)
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
 		if errors.Is(err, io.EOF) && len(bytes.TrimSpace(ev.raw)) > 0 {
 			return event{}, &TruncatedEventError{}
 		}
 		if err != nil {
 			return event{}, err
 		}
-		if len(ev.raw) > maxEventBytes {
-			return event{}, &EventTooLargeError{}
-		}
-		trimmed := bytes.TrimRight(line, "\r\n")
-		if v, ok := bytes.CutPrefix(trimmed, idField); ok {
-			if n, parseErr := strconv.ParseInt(string(bytes.TrimSpace(v)), 10, 64); parseErr == nil {
-				ev.id = n
-			}
-		}
-		if len(trimmed) == 0 && len(ev.raw) > len(line) {
+		trimmed := bytes.TrimRight(ev.raw[lineStart:], "\r\n")
+		ev.parseID(trimmed)
+		if len(trimmed) == 0 && lineStart > 0 {
 			return ev, nil
 		}
 		if len(trimmed) == 0 {
+			skipped += len(ev.raw)
 			ev.raw = ev.raw[:0]
 		}
+		lineStart = len(ev.raw)
+	}
+}
+
+// checkSize returns an error if an event of n bytes is too large, or if there is no memory for it.
+func (er *eventReader) checkSize(n int) error {
+	if n > maxEventBytes {
+		return &EventTooLargeError{}
+	}
+	for int64(n) > freeEventBytes+er.reserved {
+		if !er.reserve(eventPartBytes) {
+			return &NoMemoryError{}
+		}
+		er.reserved += eventPartBytes
+	}
+	return nil
+}
+
+// takeReserved returns the memory to release after the present event.
+func (er *eventReader) takeReserved() int64 {
+	n := er.reserved
+	er.reserved = 0
+	return n
+}
+
+// parseID sets the id if the line holds one.
+func (ev *event) parseID(line []byte) {
+	v, ok := bytes.CutPrefix(line, idField)
+	if !ok {
+		return
+	}
+	if n, err := strconv.ParseInt(string(bytes.TrimSpace(v)), 10, 64); err == nil {
+		ev.id = n
 	}
 }
 
@@ -91,9 +149,11 @@
 	rq.eventsOfAttempt = 0
 	ar := gw.Quarantine.BeginRun(rq.fingerprints)
 	defer ar.End()
-	ahead := readahead.New(rs.Body, maxReadAheadBytes, slowWriteDelay, gw.BodyMemory.TryAcquire)
-	defer func() { gw.BodyMemory.Release(ahead.Close()) }()
-	br := bufio.NewReader(ahead)
+	ahead := readahead.New(rs.Body, maxReadAheadBytes, slowWriteDelay, rq.memory.TryAcquire)
+	defer func() { rq.memory.Release(ahead.Close()) }()
+	er := &eventReader{br: bufio.NewReader(ahead), reserve: rq.memory.Acquire}
+	defer func() { rq.memory.Release(er.takeReserved()) }()
+	var received int64
 	stallTimeout := max(minStallTimeout, stallPauseFactor*rq.route.MaxPause)
 	// Cloned, because the watchdog may read it while the next attempt appends to rq.tried.
 	tried := slices.Clone(rq.tried)
@@ -107,11 +167,21 @@
 	defer wd.stop()
 	firstEvent := true
 	for {
-		ev, err := readEvent(br)
+		rq.memory.Release(er.takeReserved())
+		ev, err := er.next()
+		received += int64(len(ev.raw))
+		if err == nil {
+			err = gw.checkResponseBytes(received)
+		}
 		if errors.Is(err, io.EOF) {
 			gw.finishStream(rw, sl, rs)
 			return nil
 		}
+		var ne *NoMemoryError
+		if errors.As(err, &ne) {
+			// The target is not to blame.
+			return failure.New(failure.NoMemory, gw.outcome(rq), "memory is short").WithCause(err).WithRetryAfter(overloadRetryAfter)
+		}
 		if err != nil {
 			rq.retryTaken = wd.hasFired()
 			return gw.handleInterrupted(ctx, rq, sl, wd.cause(err))
@@ -158,7 +228,9 @@
 		rw.w.Header().Del("Content-Length")
 		rw.start(rs.StatusCode)
 	}
-	if err := rw.Forward(ev.raw, true); err != nil {
+	rt := gw.beginResponseTransfer(rq, rw)
+	defer rt.end()
+	if err := rt.forward(ev.raw, true); err != nil {
 		return err
 	}
 	rq.forwardedEventID = max(rq.forwardedEventID, ev.id)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -37,6 +37,8 @@
 	AcceptResponse func(*http.Response) bool
 	// HeadTimeout bounds the time from the first byte of a response head to its end. Zero and longer times mean three seconds.
 	HeadTimeout time.Duration
+	// OnWrite, if not nil, is called before the request is sent. progress may be called by any goroutine until the call ends.
+	OnWrite func(progress func() WriteProgress)
 	// OnConnection, if not nil, is called before the request is sent with the peer that the connection leads through; empty for a direct
 	// connection.
 	OnConnection func(peer string)
@@ -116,6 +118,9 @@
 	if ca.OnSend != nil {
 		ca.OnSend(cn.activityCheck())
 	}
+	if ca.OnWrite != nil {
+		ca.OnWrite(func() WriteProgress { return rs.writeProgress(writtenBefore) })
+	}
 	go rs.writeRequest(ctx, req)
 	// Response.Close ends the body together with the connection.
 	rs.Response, err = pl.readResponse(cn, req, ca) //nolint:bodyclose // the body stays open for the caller
@@ -196,6 +201,28 @@
 	return min(ca.HeadTimeout, maxHeadDuration)
 }
 
+// WriteProgress is how far the sending of a request is.
+type WriteProgress struct {
+	// Acknowledged is the number of bytes that the target's machine has acknowledged. It acknowledges little more than its process reads.
+	Acknowledged int64
+	// Done is set once everything is acknowledged.
+	Done bool
+}
+
+// writeProgress returns the progress of a request before which the connection had written some bytes.
+func (rs *Response) writeProgress(writtenBefore int64) WriteProgress {
+	written := false
+	select {
+	case <-rs.writeDone:
+		written = true
+	default:
+	}
+	unacknowledged := rs.cn.unacknowledgedBytes()
+	return WriteProgress{
+		Acknowledged: rs.cn.bytesWritten.Load() - writtenBefore - unacknowledged, Done: written && unacknowledged == 0,
+	}
+}
+
 // readResponse reads the head of the next final response that the call accepts. It skips interim responses (1xx) and the responses to other
 // requests.
 func (pl *Pool) readResponse(cn *conn, req *http.Request, ca Call) (*http.Response, error) {
