feat: bound what the store, engines and other services answer

Cause: answers of the store, to orders and to reports were read whole, a listing had as many pages as the store claimed, heads of such answers were bounded by the 10 MiB of net/http only, and an object that was too large was cut off and decoded nevertheless.

The entry role's events, answers and uncompressed records are bounded too. Large uploads no longer take the memory that is left to small ones for their first bytes; optional buffers leave a quarter free.

--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -70,6 +70,9 @@
 func (rd Reader) readSized(src io.Reader, size int64) (b []byte, free func(), err error) {
 	var reserved int64
 	free = func() { rd.release(reserved) }
+	if rd.Account != nil {
+		rd.Account.Expect(size)
+	}
 	for int64(len(b)) < size {
 		target := min(size, max(chunkSize, growthFactor*int64(len(b))))
 		if !rd.acquire(target - reserved) {
--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -17,6 +17,8 @@
 	// several MB do not keep out the many requests that need little.
 	smallBytes = 256 << 10
 	smallShare = 8
+	// spareShares is how many such parts spare memory leaves free: that of small accounts, and one beside it.
+	spareShares = 2
 )
 
 // Progress is how far a transfer is.
@@ -40,6 +42,8 @@
 
 	// held is the number of bytes.
 	held int64
+	// expected is how many bytes the account will hold at least.
+	expected int64
 	// progress returns how far the present transfer is; nil without one.
 	progress func() Progress
 	// startedAt is when the present transfer began.
@@ -52,6 +56,14 @@
 // request must then close the account soon.
 func (mm *Memory) Open(end func(held int64)) *Account { return &Account{mm: mm, end: end} }
 
+// Expect tells how many bytes the account will hold. A large body then takes none of the memory that is left to small accounts, also not
+// for its first bytes.
+func (ac *Account) Expect(n int64) {
+	ac.mm.mu.Lock()
+	defer ac.mm.mu.Unlock()
+	ac.expected = n
+}
+
 // TryAcquire acquires n bytes, or returns false when fewer are free.
 func (ac *Account) TryAcquire(n int64) bool {
 	ac.mm.mu.Lock()
@@ -59,6 +71,13 @@
 	return ac.tryAcquire(n)
 }
 
+// TryAcquireSpare acquires n bytes for what the request can do without. It leaves a part of the memory free for what others need.
+func (ac *Account) TryAcquireSpare(n int64) bool {
+	ac.mm.mu.Lock()
+	defer ac.mm.mu.Unlock()
+	return ac.mm.used+n <= ac.mm.limit-spareShares*ac.mm.limit/smallShare && ac.tryAcquire(n)
+}
+
 // tryAcquire is TryAcquire. The lock is held.
 func (ac *Account) tryAcquire(n int64) bool {
 	if ac.mm.used+n > ac.limit(n) {
@@ -72,7 +91,7 @@
 // limit returns how many bytes may be used after the account has acquired n more. The lock is held.
 func (ac *Account) limit(n int64) int64 {
 	alone := ac.mm.used == ac.held
-	if alone || ac.held+n <= smallBytes {
+	if alone || max(ac.expected, ac.held+n) <= smallBytes {
 		return ac.mm.limit
 	}
 	return ac.mm.limit - ac.mm.limit/smallShare
--- a/internal/budget/account_test.go
+++ b/internal/budget/account_test.go
@@ -105,11 +105,17 @@
 	g.Expect(open().TryAcquire(limit / 2)).To(BeFalse())
 	g.Expect(open().TryAcquire(limit * 3 / 8)).To(BeTrue())
 	g.Expect(open().Acquire(smallBytes + 1)).To(BeFalse())
+	beginning := open()
+	beginning.Expect(limit / 2)
+	g.Expect(beginning.TryAcquire(1)).To(BeFalse(), "the first bytes of a large body")
 	for range limit / smallShare / smallBytes {
 		g.Expect(open().TryAcquire(smallBytes)).To(BeTrue())
 	}
 	g.Expect(open().TryAcquire(1)).To(BeFalse())
 	mm = NewMemory(limit)
+	g.Expect(open().TryAcquireSpare(limit * 3 / 4)).To(BeTrue())
+	g.Expect(open().TryAcquireSpare(1)).To(BeFalse(), "what is not needed leaves memory for the rest")
+	mm = NewMemory(limit)
 	g.Expect(open().TryAcquire(limit)).To(BeTrue(), "a body that is alone may use all memory")
 }
 
--- a/internal/callerapi/attempt.go
+++ b/internal/callerapi/attempt.go
@@ -4,12 +4,12 @@
 	"bufio"
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/silvermount/silvermount/internal/boundedread"
 	"github.com/silvermount/silvermount/internal/cancel"
 	"github.com/silvermount/silvermount/internal/engine"
 	"github.com/silvermount/silvermount/internal/failure"
@@ -21,6 +21,9 @@
 
 const (
 	eventBufferBytes = 64 << 10
+	// maxEventBytes bounds a line of a stream, maxBodyBytes the body of a response that is held whole.
+	maxEventBytes = 1 << 20
+	maxBodyBytes  = 64 << 20
 	// maxResumeAttempts bounds the attempts to resume an interrupted stream at the same engine.
 	maxResumeAttempts = 2
 )
@@ -134,7 +137,7 @@
 	if rq.fields.Stream {
 		return sv.relayStream(ctx, rq, sk, resp, onFirstToken)
 	}
-	b, err := io.ReadAll(resp.Body)
+	b, err := boundedread.All(resp.Body, maxBodyBytes)
 	if err != nil {
 		return failureFromInterruption(ctx, rq, err)
 	}
@@ -166,11 +169,26 @@
 	}
 }
 
+// readLine reads a line of a stream. It fails with a boundedread.TooLargeError beyond maxEventBytes.
+func readLine(br *bufio.Reader) ([]byte, error) {
+	var line []byte
+	for {
+		part, err := br.ReadSlice('\n')
+		if len(line)+len(part) > maxEventBytes {
+			return nil, &boundedread.TooLargeError{MaxBytes: maxEventBytes}
+		}
+		line = append(line, part...)
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return line, err
+		}
+	}
+}
+
 // relayStream passes an event stream on to the caller. The stream is complete only if it ends with the [DONE] marker.
 func (sv *Server) relayStream(ctx context.Context, rq *request, sk *sink, resp *http.Response, onFirstToken func()) error {
 	br := bufio.NewReaderSize(resp.Body, eventBufferBytes)
 	for {
-		line, err := br.ReadBytes('\n')
+		line, err := readLine(br)
 		if err != nil {
 			return failureFromInterruption(ctx, rq, err)
 		}
--- a/internal/callerapi/tickets.go
+++ b/internal/callerapi/tickets.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/silvermount/silvermount/internal/boundedread"
 	"github.com/silvermount/silvermount/internal/claim"
 	"github.com/silvermount/silvermount/internal/failure"
 	"github.com/silvermount/silvermount/internal/ticket"
@@ -94,7 +95,7 @@
 }
 
 // forwardClient opens a connection for each request: http.Transport could resend a request after the failure of an idle one.
-var forwardClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+var forwardClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: boundedread.MaxHeadBytes}}
 
 const copyBufferBytes = 32 << 10
 
--- a/internal/duty/callers/callers.go
+++ b/internal/duty/callers/callers.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 
+	"github.com/silvermount/silvermount/internal/boundedread"
 	"github.com/silvermount/silvermount/internal/budget"
 	"github.com/silvermount/silvermount/internal/bundlestate"
 	"github.com/silvermount/silvermount/internal/callerapi"
@@ -172,7 +173,7 @@
 }
 
 // serviceClient opens a connection for each call, because the transport silently retries a call whose idle connection is broken.
-var serviceClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+var serviceClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: boundedread.MaxHeadBytes}}
 
 func callService(_ fleet.Target, r *http.Request) (*http.Response, error) { return serviceClient.Do(r) }
 
--- a/internal/duty/operators/operators.go
+++ b/internal/duty/operators/operators.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-chi/chi/v5"
 
+	"github.com/silvermount/silvermount/internal/boundedread"
 	"github.com/silvermount/silvermount/internal/bundlestate"
 	"github.com/silvermount/silvermount/internal/bundlestore"
 	"github.com/silvermount/silvermount/internal/callerapi"
@@ -124,7 +125,7 @@
 		return nil, err
 	}
 	ap.registerGauges()
-	srv := &http.Server{Handler: ap.handler(), ReadHeaderTimeout: headerTimeout}
+	srv := &http.Server{Handler: ap.handler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: boundedread.MaxHeadBytes}
 	go func() {
 		if err := srv.Serve(ls.Operators); !errors.Is(err, http.ErrServerClosed) {
 			env.Logger("operators").WithError(err).Error("listener failed")
--- a/internal/duty/reports/reports.go
+++ b/internal/duty/reports/reports.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/silvermount/silvermount/internal/boundedread"
 	"github.com/silvermount/silvermount/internal/config"
 	"github.com/silvermount/silvermount/internal/engine"
 	"github.com/silvermount/silvermount/internal/fleet"
@@ -52,8 +53,8 @@
 
 // NewClients returns clients that share a pool of connections. Attempts that must not be repeated each open their own connection.
 func NewClients() Clients {
-	shared := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second}}
-	fresh := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	shared := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: boundedread.MaxHeadBytes}}
+	fresh := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: boundedread.MaxHeadBytes}}
 	return func(t fleet.Target) *engine.Client { return engine.New(t.URL, shared, fresh) }
 }
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/silvermount/silvermount/internal/boundedread"
 )
 
 // The headers of an attempt and of its response.
@@ -200,13 +202,16 @@
 	return resp.Body.Close()
 }
 
+// maxControlBytes bounds a report or a list of memory holds, of which an engine has as many as requests.
+const maxControlBytes = 4 << 20
+
 func (hc *httpClient) getJSON(ctx context.Context, path string, into any) error {
 	resp, err := hc.call(ctx, http.MethodGet, path, nil)
 	if err != nil {
 		return err
 	}
 	defer resp.Body.Close()
-	return errors.Wrap(json.NewDecoder(resp.Body).Decode(into), "decode engine response")
+	return errors.Wrap(boundedread.JSON(resp.Body, maxControlBytes, into), "decode engine response")
 }
 
 func (hc *httpClient) call(ctx context.Context, method, path string, body any) (*http.Response, error) {
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -149,9 +149,17 @@
 // bufferPartBytes is the number of bytes by which the memory for a buffered response grows.
 const bufferPartBytes = 16 << 10
 
+// acquireBuffer acquires memory for the next part of a buffered response. Short responses are buffered as long as there is any memory.
+func (rq *request) acquireBuffer(buffered int) bool {
+	if buffered == 0 {
+		return rq.memory.TryAcquire(bufferPartBytes)
+	}
+	return rq.memory.TryAcquireSpare(bufferPartBytes)
+}
+
 // readBuffered reads a response up to maxBufferedBytes, or less if there is no memory for it. whole is set if it was read to its end.
 func readBuffered(rq *request, src io.Reader) (body []byte, whole bool, err error) {
-	for len(body) < maxBufferedBytes && rq.memory.Acquire(bufferPartBytes) {
+	for len(body) < maxBufferedBytes && rq.acquireBuffer(len(body)) {
 		part, err := io.ReadAll(io.LimitReader(src, bufferPartBytes))
 		if err != nil {
 			return nil, false, err
--- a/internal/job/store.go
+++ b/internal/job/store.go
@@ -5,19 +5,21 @@
 	"compress/gzip"
 	"context"
 	"encoding/json"
-	"io"
 	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/silvermount/silvermount/internal/boundedread"
 	"github.com/silvermount/silvermount/internal/objectstore"
 )
 
 const (
 	// maxPartBytes keeps a part below the store's maximum size of values after it is encoded as base64.
-	maxPartBytes  = 700 << 10
-	retryInterval = 50 * time.Millisecond
+	maxPartBytes = 700 << 10
+	// maxUncompressedBytes bounds what the parts of a body or a result are uncompressed to.
+	maxUncompressedBytes = 64 << 20
+	retryInterval        = 50 * time.Millisecond
 	// partsKind is the kind of the objects that hold the parts of bodies and answers.
 	partsKind = "jobparts"
 )
@@ -232,6 +234,6 @@
 	if err != nil {
 		return nil, &PartCorruptError{Part: prefix + "0"}
 	}
-	b, err := io.ReadAll(zr)
+	b, err := boundedread.All(zr, maxUncompressedBytes)
 	return b, errors.Wrap(err, "uncompress")
 }
--- a/internal/objectstore/objectstore.go
+++ b/internal/objectstore/objectstore.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -14,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
 
+	"github.com/silvermount/silvermount/internal/boundedread"
 	"github.com/silvermount/silvermount/internal/position"
 )
 
@@ -31,6 +31,9 @@
 // MaxValueBytes is the maximum size of an object's value that the object API accepts.
 const MaxValueBytes = 1 << 20
 
+// maxListBytes bounds a response that may hold all objects of a kind, or the changes of a watch.
+const maxListBytes = 64 << 20
+
 // Object is one versioned value. In the result of a watch, a deleted object has no value.
 type Object struct {
 	// Name is unique within a kind.
@@ -133,7 +136,7 @@
 
 // New returns a client for the object API at the base URL.
 func New(base string, opts ...Option) *Client {
-	cl := &Client{base: base, http: &http.Client{}, timeout: time.Second, onCall: func(bool) {}}
+	cl := &Client{base: base, http: &http.Client{Transport: newTransport()}, timeout: time.Second, onCall: func(bool) {}}
 	WithRates(50, 200)(cl)
 	for _, o := range opts {
 		o(cl)
@@ -141,6 +144,17 @@
 	return cl
 }
 
+// newTransport returns the default transport with a bound on the head of a response.
+func newTransport() http.RoundTripper {
+	tr, ok := http.DefaultTransport.(*http.Transport)
+	if !ok {
+		return http.DefaultTransport
+	}
+	tr = tr.Clone()
+	tr.MaxResponseHeaderBytes = boundedread.MaxHeadBytes
+	return tr
+}
+
 // Get returns one object, or a NotFoundError if it does not exist.
 func (cl *Client) Get(ctx context.Context, kind, name string) (Object, error) {
 	var o Object
@@ -202,7 +216,7 @@
 	default:
 		return &UnavailableError{Cause: &StatusError{Status: resp.StatusCode}}
 	}
-	if err := json.NewDecoder(resp.Body).Decode(into); err != nil {
+	if err := boundedread.JSON(resp.Body, maxListBytes, into); err != nil {
 		return &UnavailableError{Cause: err}
 	}
 	return nil
@@ -247,7 +261,7 @@
 		return 0, &UnknownOutcomeError{Cause: &StatusError{Status: resp.StatusCode}}
 	}
 	var o Object
-	b, err := io.ReadAll(resp.Body)
+	b, err := boundedread.All(resp.Body, 2*MaxValueBytes)
 	if err == nil {
 		err = json.Unmarshal(b, &o)
 	}
--- a/internal/operatorclient/operatorclient.go
+++ b/internal/operatorclient/operatorclient.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/silvermount/silvermount/internal/boundedread"
 	"github.com/silvermount/silvermount/internal/duty/operators"
 	"github.com/silvermount/silvermount/internal/errorbudget"
 	"github.com/silvermount/silvermount/internal/fleet"
@@ -76,6 +77,9 @@
 	return replies, nil
 }
 
+// maxAnswerBytes bounds the answer of one instance.
+const maxAnswerBytes = 16 << 20
+
 func (cl *Client) query(ctx context.Context, method, url string, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -92,5 +96,5 @@
 	if resp.StatusCode != http.StatusOK {
 		return &StatusError{Status: resp.StatusCode}
 	}
-	return errors.Wrap(json.NewDecoder(resp.Body).Decode(into), "decode answer")
+	return errors.Wrap(boundedread.JSON(resp.Body, maxAnswerBytes, into), "decode answer")
 }
