test: targets and peers that write without end, in the soak and as fuzz targets

Cause: no stand-in wrote without end, and a frame of a peer had as many entries as fit into 16 MiB: one of two bytes takes some hundred bytes of memory.

Frames have at most 65,536 entries.

--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -55,6 +55,10 @@
 	SenderUptime time.Duration
 }
 
+// maxFrameItems bounds the entries, requests and responses of a frame, each of which takes far more memory than bytes on the wire. It is
+// many times the number of instances.
+const maxFrameItems = 1 << 16
+
 func (fr *frame) empty() bool {
 	return fr.Subscription == nil && len(fr.Entries) == 0 && len(fr.Requests) == 0 && len(fr.Responses) == 0
 }
@@ -227,6 +231,9 @@
 // set stores one decoded field in the frame.
 func (fr *frame) set(f field) error {
 	var err error
+	if len(fr.Entries)+len(fr.Requests)+len(fr.Responses) >= maxFrameItems {
+		return &MalformedError{Message: "too many entries"}
+	}
 	switch f.num {
 	case frameEntry:
 		var e entry
--- a/internal/standin/targetsim/conn.go
+++ b/internal/standin/targetsim/conn.go
@@ -231,7 +231,7 @@
 
 func (cn *conn) outcome(ctx, dctx context.Context, complete bool, kd Kind) State {
 	switch {
-	case complete, kd == Reset, kd == Garbage:
+	case complete, kd == Reset, kd == Garbage, isEndless(kd):
 		return Done
 	case cn.resetByServer.Load():
 		return Aborted
@@ -320,6 +320,10 @@
 		consumeBody(rs)
 		_, _ = cn.socket.Write([]byte(garbageBytes)) // the connection is closed whether this fails or not
 		return false
+	case EndlessHead, EndlessLine, EndlessEvent, TrickledHead:
+		consumeBody(rs)
+		cn.sendEndless(rs, kd)
+		return false
 	default:
 		if rs.Length != Chunked && cn.awaitCrash() {
 			return false
--- a/internal/standin/targetsim/plan.go
+++ b/internal/standin/targetsim/plan.go
@@ -37,6 +37,13 @@
 	NoSignature Kind = "no-signature"
 	// Garbage sends bytes that are not HTTP and closes the connection.
 	Garbage Kind = "garbage"
+	// EndlessHead sends header fields until the caller closes the connection, EndlessLine one header line, and EndlessEvent a line of a
+	// body.
+	EndlessHead  Kind = "endless-head"
+	EndlessLine  Kind = "endless-line"
+	EndlessEvent Kind = "endless-event"
+	// TrickledHead sends a head that does not end, one byte at a time.
+	TrickledHead Kind = "trickled-head"
 )
 
 // plan holds the faults that are injected into the next requests.
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -48,3 +48,24 @@
 		})
 	}
 }
+
+// FuzzRead checks that a message of a peer is refused or survives another encoding.
+func FuzzRead(f *testing.F) {
+	for _, seed := range []string{"", "\x00", "\x00\x02{}", "\xff\xff", "\x00\x10{\"address\":\"a:1\"}", "\x00\x02[]", "\x10\x01"} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		g := NewWithT(t)
+		rq, err := tunnel.Read[tunnel.Request](bytes.NewReader(b))
+		if err != nil {
+			return
+		}
+		var out bytes.Buffer
+		if tunnel.Write(&out, rq) != nil {
+			return // escapes made it larger than the maximum
+		}
+		again, err := tunnel.Read[tunnel.Request](&out)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(again).To(Equal(rq))
+	})
+}
