feat(dispatch): give each organisation its share while engine time is short

Cause: an organisation that sends and repeats more gets more engine time in overload, and takes it from those that send little.

Change: with load_control.fair_shares, a prompt of an organisation that would use more than its max-min share is refused while at least three quarters of the slots are in use, if it would be late or make others late. Peers are told of the usage every 250 ms while engine time is short. Without the setting nothing changes.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -96,6 +96,8 @@
 	OnBackOffWait func(request string, tg targets.Target, wait time.Duration)
 	// Slowdown returns the factor by which an incarnation is slower than its service states; nil if all targets keep their stated pace.
 	Slowdown func(target string) float64
+	// Shares divides engine time between organisations while it is short; nil disables shares.
+	Shares *Shares
 	// OnPermitRefused is called each time a request is refused a permit for a target; it may be nil.
 	OnPermitRefused func(request string, tg targets.Target, retryAfter time.Duration)
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -111,7 +111,11 @@
 		return nil, stoppingError()
 	}
 	pl, ok := ds.bestPlan(rq, pr, cands, ps, op, delay)
-	switch decide(rq, pr, pl, ok, cands, op) {
+	dc, err := ds.applyShares(rq, pr, pl, ok, tgs, decide(rq, pr, pl, ok, cands, op))
+	if err != nil {
+		return nil, err
+	}
+	switch dc {
 	case decisionRefuse:
 		return nil, ds.overloadError(rq, pr)
 	case decisionWait:
@@ -179,6 +183,7 @@
 	sl := &Slot{
 		ds: ds, engine: rq.Service.Engine, Target: byID[pl.Main], CandidateCount: len(tgs), ChosenAt: ds.opts.Now(), Priority: enginePriority(rq), prompt: pr, plan: pl,
 		PredictedFirstToken: pl.TimeToFirstToken, PredictedPause: pl.PredictedPause, arrived: rq.Arrived, late: rq.Resumed,
+		usage: ds.newSlotUsage(rq, pr),
 	}
 	parts := 1 + len(pl.Helpers)
 	prefillLoad := pr.PrefillLoad(parts)
--- a/internal/dispatch/slot.go
+++ b/internal/dispatch/slot.go
@@ -36,6 +36,8 @@
 	arrived, lastEventAt time.Time
 	// late is set once the answer has missed a limit, so that no further delay can reduce its worth.
 	late bool
+	// usage is what the organisation of the request was charged for; nil without shares, and once it is settled.
+	usage *slotUsage
 }
 
 // slotLoad is the part of a slot's load at one target.
@@ -131,6 +133,9 @@
 // RecordEvent records that an event was forwarded. A pause that was too long makes the answer late, and its target no longer
 // needs to be kept free for it.
 func (sl *Slot) RecordEvent() {
+	if sl.usage != nil {
+		sl.usage.events++
+	}
 	if !sl.decoding || sl.late {
 		return
 	}
@@ -162,6 +167,7 @@
 
 // Release removes the slot's load and releases its reserved memory. Further calls have no effect.
 func (sl *Slot) Release() {
+	sl.settleUsage()
 	sl.ds.loadTable.mu.Lock()
 	sl.removeLoads(sl.stageLoads)
 	sl.removeLoads(sl.lifetimeLoads)
