feat(answerworth): weigh answers by engine time and priority

Cause: an answer counts 0.7 + 0.1 per 1,000 prompt tokens, which values a prompt of 190,000 tokens at 16 short ones and ignores the priority that operators state.

Change: with load_control.neutral_worth, worth is the square root of the engine time relative to a prompt of mean length, halved for each step of priority up to four. A late answer keeps a quarter, as before.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -98,6 +98,8 @@
 	Slowdown func(target string) float64
 	// Shares divides engine time between organisations while it is short; nil disables shares.
 	Shares *Shares
+	// NeutralWorth values answers by their engine time and priority, in place of a price for each token.
+	NeutralWorth bool
 	// OnPermitRefused is called each time a request is refused a permit for a target; it may be nil.
 	OnPermitRefused func(request string, tg targets.Target, retryAfter time.Duration)
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/silvermount/silvermount/internal/answerworth"
 	"github.com/silvermount/silvermount/internal/backoff"
 	"github.com/silvermount/silvermount/internal/failure"
 	"github.com/silvermount/silvermount/internal/placement"
@@ -25,7 +26,7 @@
 
 // newPrompt converts a request to the form that package placement plans with.
 func (ds *Dispatcher) newPrompt(rq Request) placement.Prompt {
-	worth := baseWorth + worthPerThousandTokens*float64(rq.PromptTokens)/1000
+	worth := ds.answerWorth(rq)
 	now := ds.opts.Now()
 	pause := rq.MaxPause
 	if pause <= 0 {
@@ -38,6 +39,18 @@
 	}
 }
 
+// answerWorth returns the points that an answer in time is worth.
+func (ds *Dispatcher) answerWorth(rq Request) float64 {
+	en := rq.Service.Engine
+	if !ds.opts.NeutralWorth || en == nil {
+		return baseWorth + worthPerThousandTokens*float64(rq.PromptTokens)/1000
+	}
+	answer := en.MeanAnswerTokens
+	return answerworth.Answer{
+		EngineTime: en.EngineTimeOf(int64(rq.PromptTokens), answer), MeanEngineTime: en.EngineTimeOf(en.MeanPromptTokens, answer), Priority: rq.Priority,
+	}.Points()
+}
+
 // expectedAnswerTokens returns how many tokens of the answer are still expected: the caller's hint or else the mean number,
 // at most the caller's limit, less what was already forwarded.
 func expectedAnswerTokens(rq Request) int {
--- a/internal/dispatch/sim_shares_test.go
+++ b/internal/dispatch/sim_shares_test.go
@@ -42,8 +42,8 @@
 	instances, targets int
 	duration           time.Duration
 	organisations      map[string]organisationTraffic
-	// shares enables fair shares.
-	shares bool
+	// shares enables fair shares, neutralWorth values answers neutrally.
+	shares, neutralWorth bool
 	// measureFrom is the time since the start from which requests count.
 	measureFrom time.Duration
 	// usageReaches and loadsReach report whether the usage or the loads known at one instance reach another at a time since the start.
@@ -159,6 +159,7 @@
 	}))
 	hs := newHarness(t, fl.pattern.targets, func(op *dispatch.Options) {
 		op.Instance = fmt.Sprint("instance-", i)
+		op.NeutralWorth = fl.pattern.neutralWorth
 		if fl.pattern.shares {
 			op.Shares = sh
 		}
--- a/internal/duty/gatewaydeps/gatewaydeps.go
+++ b/internal/duty/gatewaydeps/gatewaydeps.go
@@ -201,7 +201,7 @@
 		Instance: env.Settings.Instance, AvailabilityZone: env.Settings.AvailabilityZone, Now: time.Now, OnLoadChange: stateNotifier.Notify,
 		Permits: permits, OnPermitRefused: logNoPermit(env.Logger("dispatch"), limitOf),
 		BackOffs: backOffs, OnBackOffWait: logBackOffWait(env.Logger("dispatch")),
-		Shares: newShares(env, ms, loadReports),
+		Shares: newShares(env, ms, loadReports), NeutralWorth: env.Settings.Gateway.LoadControl.NeutralWorth,
 	})
 	changes := make(chan quarantine.Change, maxQuarantineChanges)
 	tracker := quarantine.New(quarantine.Options{
