--- a/internal/dispatch/shares.go
+++ b/internal/dispatch/shares.go
@@ -188,7 +188,12 @@
 	if float64(pr.Elapsed+pl.TimeToFirstToken) > maxCrowdedFirstToken*float64(pr.Objective) || pl.PredictedPause > pr.MaxPause {
 		return true
 	}
-	return float64(pl.OthersLoss) > maxOthersLateLoss*float64(ds.arrivals.shortAtRisk)
+	atRisk := ds.arrivals.shortAtRisk
+	if atRisk == 0 {
+		// No short prompt has arrived here yet.
+		atRisk = pr.InTimeWorth - pr.LateWorth
+	}
+	return float64(pl.OthersLoss) > maxOthersLateLoss*float64(atRisk)
 }
 
 // slotsUsed returns the share of the slots of targets that is in use. The caller holds the load table's lock.
