--- a/internal/dispatch/slot.go
+++ b/internal/dispatch/slot.go
@@ -41,6 +41,8 @@
 	// longestPause is the longest time between two events so far. pausedBefore is the total time for which the process was paused before the
 	// target was chosen.
 	longestPause, pausedBefore time.Duration
+	// usage is what the organisation of the request was charged for; nil without shares, and once it is settled.
+	usage *slotUsage
 }
 
 // slotLoad is the part of a slot's load at one target.
@@ -152,6 +154,9 @@
 // needs to be kept free for it.
 func (sl *Slot) RecordEvent() {
 	sl.samplePass()
+	if sl.usage != nil {
+		sl.usage.events++
+	}
 	if !sl.decoding {
 		return
 	}
@@ -187,6 +192,7 @@
 	if sl.decoding && len(sl.stageLoads) > 0 {
 		sl.ds.opts.Admission.observeEnd(sl)
 	}
+	sl.settleUsage()
 	sl.ds.loadTable.mu.Lock()
 	sl.removeLoads(sl.stageLoads)
 	sl.removeLoads(sl.lifetimeLoads)
