feat(dispatch): a queue of waiting requests with turns

Requests that find no room poll, or are all woken whenever anything changes; plain requests never wait and are shed by full targets.

With Options.Queue, a request without room joins the queue of its service. Capacity that becomes free gives one turn to look, to the first request: a slot freed here is tried first by it, since peers do not know of it yet; turns for room that all instances see are spread over the time in which choices become known, and yield once to a peer whose head is clearly more urgent. A turn that is not used is passed on. A fallback of 20 ms covers what no event tells. Plain requests wait while all slots are taken, at most until 0.8 of the objective less the mean time of an answer. Short prompts wait while they are predicted to be in time a pass later. Without the option, all is decided as before.

--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -8,6 +8,9 @@
 	"time"
 
 	"github.com/silvermount/silvermount/internal/dispatch"
+	"github.com/silvermount/silvermount/internal/position"
+	"github.com/silvermount/silvermount/internal/routes"
+	"github.com/silvermount/silvermount/internal/targets"
 )
 
 // BenchmarkAcquire measures one choice of a target for a short and for a long prompt, with short answers in flight at a
@@ -42,3 +45,39 @@
 		}
 	}
 }
+
+// BenchmarkQueuedAcquire measures one more request that joins a queue of 1,000, the release of the only slot, and the wake of the first one,
+// which takes the slot.
+func BenchmarkQueuedAcquire(b *testing.B) {
+	const waiting = 999
+	dr := targets.New(time.Now)
+	dr.ApplyList([]targets.Target{{ID: "t1", Service: "s", Slots: 1, AvailabilityZone: "a"}}, nil, position.Position{}, time.Now())
+	ds := dispatch.New(dr, nil, dispatch.Options{Instance: "i", AvailabilityZone: "a", Now: time.Now, Queue: &dispatch.QueueOptions{}})
+	ctx, cancel := context.WithCancel(b.Context())
+	defer cancel()
+	placed := make(chan *dispatch.Slot, waiting)
+	send := func() {
+		now := time.Now()
+		rq := dispatch.Request{
+			ID: "r", Service: routes.Service{Name: "s"}, Objective: time.Hour, Arrived: now, Deadline: now.Add(2 * time.Hour),
+		}
+		go func() {
+			if sl, err := ds.Acquire(ctx, rq); err == nil {
+				placed <- sl
+			}
+		}()
+	}
+	send()
+	held := <-placed
+	for range waiting {
+		send()
+	}
+	for ds.QueueLength() < waiting {
+		time.Sleep(time.Millisecond)
+	}
+	for b.Loop() {
+		send()
+		held.Release()
+		held = <-placed
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -50,12 +50,18 @@
 	// CanRetry is set if the request may be retried on another target when this one rejects it, Retried if a target rejected
 	// it before.
 	CanRetry, Retried bool
+	// Returning is set if the caller was refused before and came back at the time that it was promised.
+	Returning bool
+	// BodyBytes is the memory that the request holds while it waits.
+	BodyBytes int64
 	// mayProbe is set if the request may be sent to a half-open target.
 	mayProbe bool
 	// permitTarget is the target for which the request holds a permit; empty if it holds none.
 	permitTarget string
 	// permitRefusals counts the permits that the request was refused.
 	permitRefusals int
+	// wait is the state of the request in the queue of its service; nil without queues.
+	wait *wait
 }
 
 // Helper is a target that prefills part of the prompt for the main target.
@@ -77,6 +83,8 @@
 	acceptable acceptableDelay
 	// arrivals describes the requests that arrive at this instance; the load table's lock guards it.
 	arrivals arrivalStats
+	// queues is nil if waiting requests poll.
+	queues *queueSet
 }
 
 // Options holds the settings, dependencies and callbacks of a Dispatcher.
@@ -98,11 +106,17 @@
 	Slowdown func(target string) float64
 	// OnPermitRefused is called each time a request is refused a permit for a target; it may be nil.
 	OnPermitRefused func(request string, tg targets.Target, retryAfter time.Duration)
+	// Queue configures the queues of waiting requests; nil lets them poll.
+	Queue *QueueOptions
 }
 
 // New returns a Dispatcher without any load.
 func New(dr *targets.Directory, mg *reservation.Manager, op Options) *Dispatcher {
-	return &Dispatcher{targets: dr, reservations: mg, opts: op, loadTable: newLoadTable()}
+	ds := &Dispatcher{targets: dr, reservations: mg, opts: op, loadTable: newLoadTable()}
+	if op.Queue != nil {
+		ds.queues = newQueueSet(ds, *op.Queue)
+	}
+	return ds
 }
 
 // OwnLoads returns the load of this instance at each target, by incarnation.
@@ -111,6 +125,7 @@
 // SetPeerLoads replaces the loads that a peer reported, by incarnation; nil removes the peer.
 func (ds *Dispatcher) SetPeerLoads(peer string, loads map[string]placement.Load) {
 	ds.loadTable.setPeer(peer, loads)
+	ds.queues.peerLoadsChanged()
 }
 
 const (
@@ -125,45 +140,66 @@
 // Acquire chooses a target and adds the request's load there. If there is no room, a short prompt waits for part of its
 // objective, and a longer one for as long as it can still be answered. The caller must release the slot.
 func (ds *Dispatcher) Acquire(ctx context.Context, rq Request) (*Slot, error) {
+	rq.mayProbe = rq.canProbe()
+	ds.recordArrival(rq)
+	if ds.queues != nil && !rq.Resumed {
+		return ds.acquireQueued(ctx, rq)
+	}
 	deadline := rq.roomWaitDeadline()
 	if rq.isLong() || rq.Resumed {
 		deadline = rq.Deadline
 	}
-	rq.mayProbe = rq.canProbe()
-	ds.recordArrival(rq)
+	for {
+		sl, roomFreedChan, err := ds.look(ctx, &rq)
+		if sl != nil || err != nil {
+			return sl, err
+		}
+		if ds.opts.Now().After(deadline) {
+			return nil, noRoomError()
+		}
+		ds.waitForRoom(ctx, rq, roomFreedChan)
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// noRoomError is the refusal of a request that found no room for as long as it may wait.
+func noRoomError() error {
+	return failure.New(failure.Overloaded, failure.NotRun, "no target has room").WithRetryAfter(roomRetryAfter)
+}
+
+// look looks for a target until the request gets one, or there is no room now. In the latter case it returns neither a slot nor an
+// error, but a channel that is closed when room may have become free since.
+func (ds *Dispatcher) look(ctx context.Context, rq *Request) (*Slot, <-chan struct{}, error) {
 	for {
 		roomFreedChan := ds.loadTable.roomFreedChan()
 		if err := rq.authorise(); err != nil {
-			return nil, err
+			return nil, nil, err
 		}
-		sl, ok, err := ds.tryOnce(ctx, rq)
+		sl, ok, err := ds.tryOnce(ctx, *rq)
 		var ne *noPermitError
 		if errors.As(err, &ne) {
 			rq.permitRefusals++
 			continue
 		}
 		if err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 		if ok {
-			return ds.confirm(rq, sl)
+			sl, err = ds.confirm(*rq, sl)
+			return sl, nil, err
 		}
-		rq, ok, err = ds.waitUntilUnblocked(ctx, rq)
+		*rq, ok, err = ds.waitUntilUnblocked(ctx, *rq)
 		if err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 		if ok {
 			continue
 		}
 		// A request probes an availability zone on its first attempt or not at all.
 		rq.Caution = max(rq.Caution, targets.RequireReachable)
-		if ds.opts.Now().After(deadline) {
-			return nil, failure.New(failure.Overloaded, failure.NotRun, "no target has room").WithRetryAfter(roomRetryAfter)
-		}
-		ds.waitForRoom(ctx, rq, roomFreedChan)
-		if ctx.Err() != nil {
-			return nil, ctx.Err()
-		}
+		return nil, roomFreedChan, nil
 	}
 }
 
@@ -256,6 +292,14 @@
 		return nil, false, failure.New(failure.NoTarget, failure.NotRun, "no target of the service takes work").
 			WithRetryAfter(ds.RetryAfter(rq.Service.Name))
 	}
+	if sl, ok, err := ds.tryFreedTarget(ctx, rq, tgs); ok || err != nil {
+		return sl, ok, err
+	}
+	return ds.tryAmong(ctx, rq, tgs)
+}
+
+// tryAmong tries once to choose one of the given targets. It reports false if there is no room now.
+func (ds *Dispatcher) tryAmong(ctx context.Context, rq Request, tgs []targets.Target) (*Slot, bool, error) {
 	if rq.Service.Engine != nil && rq.PromptTokens > 0 {
 		return ds.place(ctx, rq, tgs)
 	}
@@ -309,7 +353,7 @@
 }
 
 // chooseLeastBusy chooses the target of a plain service with the lowest utilisation, preferring the local availability zone.
-// It returns nil if all targets are blocked.
+// It returns nil if all targets are blocked, or avoided by a request that may wait for a slot.
 func (ds *Dispatcher) chooseLeastBusy(rq Request, tgs []targets.Target) *Slot {
 	ds.loadTable.mu.Lock()
 	defer ds.loadTable.mu.Unlock()
@@ -318,7 +362,11 @@
 		if _, _, blocked := ds.blocked(rq, tg.ID); blocked {
 			continue
 		}
-		cost := float64(ds.loadTable.total(tg.ID).Decoding) / float64(max(1, tg.Slots))
+		taken := ds.loadTable.total(tg.ID).Decoding
+		if ds.avoidsPlainTarget(rq, tg.ID, tg.Slots, taken) {
+			continue
+		}
+		cost := float64(taken) / float64(max(1, tg.Slots))
 		if tg.AvailabilityZone != ds.opts.AvailabilityZone {
 			cost += otherZoneCost
 		}
--- a/internal/dispatch/failures.go
+++ b/internal/dispatch/failures.go
@@ -22,6 +22,7 @@
 
 // RecordFailure records that the target interrupted or failed the attempt.
 func (sl *Slot) RecordFailure() {
+	sl.rejected = true
 	if sl.engine == nil {
 		return
 	}
--- a/internal/dispatch/loads.go
+++ b/internal/dispatch/loads.go
@@ -21,6 +21,8 @@
 	// fullUntil is the time until which an incarnation that refused memory counts as full; after it, its predicted load
 	// counts again.
 	fullUntil map[string]time.Time
+	// shedMarks holds the plain targets that shed a request lately.
+	shedMarks map[string]shedMark
 	// backOffLoads holds the incarnations whose back-off from this instance is published to peers as load.
 	backOffLoads map[string]struct{}
 	// roomFreed is closed and replaced whenever room may have become free.
@@ -30,7 +32,7 @@
 func newLoadTable() *loadTable {
 	return &loadTable{
 		ownByTarget: map[string]placement.Load{}, byPeer: map[string]map[string]placement.Load{}, peerTotals: map[string]placement.Load{},
-		fullUntil: map[string]time.Time{}, backOffLoads: map[string]struct{}{}, roomFreed: make(chan struct{}),
+		fullUntil: map[string]time.Time{}, shedMarks: map[string]shedMark{}, backOffLoads: map[string]struct{}{}, roomFreed: make(chan struct{}),
 	}
 }
 
@@ -116,6 +118,35 @@
 	return marked
 }
 
+// shedMark is what is known of the queue of a plain target from a request that it shed.
+type shedMark struct {
+	// taken is the number of requests that the target had beside that request, and until is when this is forgotten.
+	taken int
+	until time.Time
+}
+
+// shedMarkPeriod is how long it is remembered how many requests a target takes. The size of its queue does not change, but what peers had in
+// flight there may have been counted too low.
+const shedMarkPeriod = 10 * time.Second
+
+// markShed records that a plain target shed a request, which is still part of its load here.
+func (lt *loadTable) markShed(id string, now time.Time) {
+	lt.mu.Lock()
+	defer lt.mu.Unlock()
+	for other, mark := range lt.shedMarks {
+		if now.After(mark.until) {
+			delete(lt.shedMarks, other)
+		}
+	}
+	lt.shedMarks[id] = shedMark{taken: lt.total(id).Decoding - 1, until: now.Add(shedMarkPeriod)}
+}
+
+// wouldShed reports whether a plain target with that many requests sheds another one. The caller holds the lock.
+func (lt *loadTable) wouldShed(id string, taken int, now time.Time) bool {
+	mark, marked := lt.shedMarks[id]
+	return marked && !now.After(mark.until) && taken >= mark.taken
+}
+
 // roomFreedChan returns a channel that is closed when room may have become free.
 func (lt *loadTable) roomFreedChan() <-chan struct{} {
 	lt.mu.Lock()
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -111,7 +111,7 @@
 		return nil, stoppingError()
 	}
 	pl, ok := ds.bestPlan(rq, pr, cands, ps, op, delay)
-	switch decide(rq, pr, pl, ok, cands, op) {
+	switch decideInQueue(rq, pr, pl, ok, cands, op) {
 	case decisionRefuse:
 		return nil, ds.overloadError(rq, pr)
 	case decisionWait:
--- a/internal/dispatch/shutdown.go
+++ b/internal/dispatch/shutdown.go
@@ -16,6 +16,7 @@
 func (ds *Dispatcher) SetShutdownTime(at time.Time) {
 	ds.shutdownAt.Store(&at)
 	ds.loadTable.wakeWaiters()
+	ds.queues.wakeAll()
 }
 
 // shutdownBeforeDeadline returns when this instance stops, if that is before the request's deadline. It ignores the shutdown
--- a/internal/dispatch/sim_fleet_test.go
+++ b/internal/dispatch/sim_fleet_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -53,6 +54,8 @@
 	phases             []trafficPhase
 	// failing is the number of targets that interrupt every request while being listed as healthy.
 	failing int
+	// queue switches the queues of waiting requests on.
+	queue bool
 }
 
 // outcomeCounts counts the requests of a class by outcome.
@@ -118,6 +121,9 @@
 	*harness
 	name          string
 	lastPublished map[string]placement.Load
+	// queuesChanged is set when the queues change, and queuesPublishedAt is when they were published last.
+	queuesChanged     atomic.Bool
+	queuesPublishedAt time.Time
 }
 
 // simFleet is a fleet of instances and the engines that they share.
@@ -147,9 +153,12 @@
 			engines.Go(func() { en.run(ctx) })
 		}
 		for range tp.instances {
-			fl.instances = append(fl.instances, newSimInstance(t, len(fl.instances), tp.targets))
+			fl.instances = append(fl.instances, newSimInstance(t, len(fl.instances), tp))
 		}
 		engines.Go(func() { fl.exchangeLoads(ctx) })
+		if tp.queue {
+			engines.Go(func() { fl.exchangeQueues(ctx) })
+		}
 		fl.sendTraffic()
 		fl.wg.Wait()
 		cancel()
@@ -161,10 +170,16 @@
 	return sr
 }
 
-func newSimInstance(t *testing.T, i, targets int) *simInstance {
-	hs := newHarness(t, targets, func(op *dispatch.Options) { op.Instance = fmt.Sprint("instance-", i) })
-	hs.SetPropagationDelay(func() time.Duration { return loadExchangeInterval })
-	return &simInstance{harness: hs, name: fmt.Sprint("instance-", i)}
+func newSimInstance(t *testing.T, i int, tp trafficPattern) *simInstance {
+	in := &simInstance{name: fmt.Sprint("instance-", i)}
+	in.harness = newHarness(t, tp.targets, func(op *dispatch.Options) {
+		op.Instance = in.name
+		if tp.queue {
+			op.Queue = &dispatch.QueueOptions{OnChange: func() { in.queuesChanged.Store(true) }}
+		}
+	})
+	in.SetPropagationDelay(func() time.Duration { return loadExchangeInterval })
+	return in
 }
 
 // sendTraffic sends the requests of all phases.
@@ -290,6 +305,28 @@
 	}
 }
 
+// queueExchangeInterval is the least time between two load reports of an instance.
+const queueExchangeInterval = 100 * time.Millisecond
+
+// exchangeQueues publishes the queues of each instance to all others once they change.
+func (fl *simFleet) exchangeQueues(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(loadExchangeInterval)
+		for _, from := range fl.instances {
+			if time.Since(from.queuesPublishedAt) < queueExchangeInterval || !from.queuesChanged.Swap(false) {
+				continue
+			}
+			from.queuesPublishedAt = time.Now()
+			body := from.EncodeQueues(time.Now())
+			for _, to := range fl.instances {
+				if to != from {
+					to.ReceiveQueues(from.name, body, time.Now())
+				}
+			}
+		}
+	}
+}
+
 // exchangeLoads publishes the loads of each instance to all others.
 func (fl *simFleet) exchangeLoads(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/dispatch/slot.go
+++ b/internal/dispatch/slot.go
@@ -36,6 +36,8 @@
 	arrived, lastEventAt time.Time
 	// late is set once the answer has missed a limit, so that no further delay can reduce its worth.
 	late bool
+	// rejected is set if the target did not serve the request.
+	rejected bool
 }
 
 // slotLoad is the part of a slot's load at one target.
@@ -83,6 +85,15 @@
 	sl.decoding = true
 	sl.lastEventAt = sl.ds.opts.Now()
 	sl.late = sl.late || sl.lastEventAt.Sub(sl.arrived) > sl.prompt.Objective
+	sl.replacePrefillLoad()
+	sl.ds.queues.freed(sl.Target, sl.freesMuch())
+}
+
+// freesMuch reports whether the capacity that the slot frees may suffice for several requests.
+func (sl *Slot) freesMuch() bool { return len(sl.Helpers) > 0 || sl.prompt.Tokens > maxShortTokens }
+
+// replacePrefillLoad replaces the load until the first token by that of an answer.
+func (sl *Slot) replacePrefillLoad() {
 	sl.ds.loadTable.mu.Lock()
 	defer sl.ds.loadTable.mu.Unlock()
 	sl.removeLoads(sl.stageLoads)
@@ -118,6 +129,7 @@
 // RecordShed records that the target rejected the request for lack of room. If address is that of a helper, the helper caused
 // the rejection, and is not used as one by other requests for a while either.
 func (sl *Slot) RecordShed(address string) {
+	sl.rejected = true
 	now := sl.ds.opts.Now()
 	for _, hp := range sl.Helpers {
 		if hp.Address == address {
@@ -126,6 +138,9 @@
 		}
 	}
 	sl.ds.loadTable.markFull(sl.Target.ID, now.Add(fullPeriod))
+	if sl.engine == nil && sl.ds.queues != nil {
+		sl.ds.loadTable.markShed(sl.Target.ID, now)
+	}
 }
 
 // RecordEvent records that an event was forwarded. A pause that was too long makes the answer late, and its target no longer
@@ -163,6 +178,7 @@
 // Release removes the slot's load and releases its reserved memory. Further calls have no effect.
 func (sl *Slot) Release() {
 	sl.ds.loadTable.mu.Lock()
+	held := len(sl.stageLoads)+len(sl.lifetimeLoads) > 0
 	sl.removeLoads(sl.stageLoads)
 	sl.removeLoads(sl.lifetimeLoads)
 	sl.stageLoads, sl.lifetimeLoads = nil, nil
@@ -173,6 +189,12 @@
 		sl.reservation.Release()
 		sl.reservation = nil
 	}
+	if held {
+		if sl.engine == nil && !sl.rejected {
+			sl.ds.queues.answered(sl.Target.Service, sl.ds.opts.Now().Sub(sl.ChosenAt))
+		}
+		sl.ds.queues.freed(sl.Target, sl.freesMuch())
+	}
 }
 
 func (ds *Dispatcher) notifyLoadChange() {
--- a/internal/placement/predict.go
+++ b/internal/placement/predict.go
@@ -112,3 +112,9 @@
 	contextTokens := lo.ContextTokens + lo.WholePrefill.Tokens + moreContext
 	return ta.slowdown() * en.decodePassTime(requests, contextTokens)
 }
+
+// EngineTime returns the time for which a prompt and its answer occupy an idle target, whose passes other requests may share.
+func (en Engine) EngineTime(pr Prompt) time.Duration {
+	passes := ceilDiv(pr.AnswerTokens, int64(en.StepsPerPass))
+	return time.Duration(en.prefillTime(pr.Part(1)) + float64(passes)*en.decodePassTime(1, pr.Tokens)/float64(en.Slots))
+}
--- a/internal/waitqueue/entry.go
+++ b/internal/waitqueue/entry.go
@@ -10,7 +10,7 @@
 // became overdue before.
 const overdueShare = 0.4
 
-// Entry describes a waiting request. Its exported fields are not changed while it waits.
+// Entry describes a waiting request. Only Late changes while it waits.
 type Entry struct {
 	// Returning is set for a caller that came back at the time that it was promised.
 	Returning bool
@@ -30,13 +30,13 @@
 	Need int64
 	// Selective is set for a request that may not use all targets of its service. That it finds no room says nothing of others.
 	Selective bool
+	// Late is set for a request that found room where it would be late, although its slack has not ended.
+	Late bool
 
 	// latestStart, overdueAt and worthPerSecond are derived from the fields above when the request joins, since each turn compares them for
 	// all waiters. worthPerSecond is the worth for each second of engine time.
 	latestStart, overdueAt time.Time
 	worthPerSecond         float64
-	// late is set once the request was found to be late although its slack has not ended.
-	late bool
 }
 
 // Slack is the time for which the request can still wait and be in time; negative if it cannot be in time.
@@ -64,7 +64,7 @@
 )
 
 func (en *Entry) rank(now time.Time) rank {
-	inTime := !en.late && !now.After(en.latestStart)
+	inTime := !en.Late && !now.After(en.latestStart)
 	switch {
 	case !now.Before(en.overdueAt):
 		return rankOverdue
--- a/internal/waitqueue/waitqueue.go
+++ b/internal/waitqueue/waitqueue.go
@@ -126,7 +126,7 @@
 // ReturnLate ends the turn of a waiter that found room where it would be late. From now on it goes after all that can be in time.
 func (qu *Queue[T]) ReturnLate(wa *Waiter[T], now time.Time) {
 	qu.Return(wa, now)
-	wa.late = true
+	wa.Late = true
 }
 
 // first returns the first waiter that matches.
--- a/internal/waitqueue/waitqueue_test.go
+++ b/internal/waitqueue/waitqueue_test.go
@@ -162,15 +162,16 @@
 		waiting, newcomer waitqueue.Entry
 		want              bool
 	}{
-		"equal":                       {short(0), short(0), true},
-		"newcomer is more urgent":     {short(0), short(100 * time.Millisecond), false},
-		"long one waits":              {long(2900 * time.Millisecond), short(0), false},
-		"short one waits":             {short(0), long(0), false},
-		"larger long one waits":       {long(time.Second), edited(long(0), func(en *waitqueue.Entry) { en.Need = 100_000 }), false},
-		"smaller long one waits":      {long(time.Second), edited(long(0), func(en *waitqueue.Entry) { en.Need = 300_000 }), true},
-		"waiting one excludes some":   {edited(short(0), func(en *waitqueue.Entry) { en.Selective = true }), short(0), false},
-		"newcomer excludes some":      {short(0), edited(short(0), func(en *waitqueue.Entry) { en.Selective = true }), false},
-		"waiting one is already late": {short(time.Second), short(0), false},
+		"equal":                     {short(0), short(0), true},
+		"newcomer is more urgent":   {short(0), short(100 * time.Millisecond), false},
+		"long one waits":            {long(2900 * time.Millisecond), short(0), false},
+		"short one waits":           {short(0), long(0), false},
+		"larger long one waits":     {long(time.Second), edited(long(0), func(en *waitqueue.Entry) { en.Need = 100_000 }), false},
+		"smaller long one waits":    {long(time.Second), edited(long(0), func(en *waitqueue.Entry) { en.Need = 300_000 }), true},
+		"waiting one excludes some": {edited(short(0), func(en *waitqueue.Entry) { en.Selective = true }), short(0), false},
+		"newcomer excludes some":    {short(0), edited(short(0), func(en *waitqueue.Entry) { en.Selective = true }), false},
+		"waiting one would be late with the room that there is": {edited(short(100*time.Millisecond), func(en *waitqueue.Entry) { en.Late = true }), short(0), false},
+		"waiting one is already late":                           {short(time.Second), short(0), false},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
