--- a/internal/duty/gatewaydeps/gatewaydeps.go
+++ b/internal/duty/gatewaydeps/gatewaydeps.go
@@ -196,11 +196,16 @@
 	mg.OnAnswer = func(al reservation.Allocation, hd responsehead.Head) {
 		fb.Record(feedback.Report{Source: feedback.OrderAnswer, Target: dr.ByID(al.Target), Head: hd, ReceivedAt: time.Now()})
 	}
+	reports := loadreport.New(time.Now, env.Logger("peers"), ms.GetOrCreateCounter("silvermount_load_report_parts_omitted_total").Inc)
+	queue := queueOptions(env.Settings.Gateway, env.Logger("dispatch"), ms, reports)
 	ds := dispatch.New(dr, mg, dispatch.Options{
 		Instance: env.Settings.Instance, AvailabilityZone: env.Settings.AvailabilityZone, Now: time.Now, OnLoadChange: stateNotifier.Notify,
 		Permits: permits, OnPermitRefused: logNoPermit(env.Logger("dispatch"), limitOf),
-		BackOffs: backOffs, OnBackOffWait: logBackOffWait(env.Logger("dispatch")),
+		BackOffs: backOffs, OnBackOffWait: logBackOffWait(env.Logger("dispatch")), Queue: queue,
 	})
+	if queue != nil {
+		exchangeQueues(ds, ms, reports)
+	}
 	changes := make(chan quarantine.Change, maxQuarantineChanges)
 	tracker := quarantine.New(quarantine.Options{
 		OnChange: func(ch quarantine.Change) { offerChange(changes, ch, env.Logger("blame")) },
@@ -212,7 +217,7 @@
 		Retries: newRetries(env, ad, ms.GetOrCreateCounter("silvermount_store_calls_total").Inc),
 		Adapter: ad, Routes: rts, TargetLimit: limitOf, Targets: dr, Dispatcher: ds, Metrics: ms, StateNotifier: stateNotifier, StoreCoordinator: &StoreCoordinator{}, Pool: pl, Pauses: pauses,
 		PathState: pt.state, TargetDialer: pt.dialer, TunnelClient: pt.client, TunnelServer: pt.server, Peers: pt.peers,
-		LoadReports: loadreport.New(time.Now, env.Logger("peers"), ms.GetOrCreateCounter("silvermount_load_report_parts_omitted_total").Inc),
+		LoadReports: reports,
 	})
 	backgroundCtx, stopBackground := context.WithCancel(context.Background())
 	go pauses.Run(backgroundCtx)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -122,6 +122,7 @@
 		Arrived: rq.arrived, Deadline: rq.deadline.At, Organisation: rq.org.Name, Priority: rq.priority(), Resumed: rq.forwardedEventID >= 0,
 		Caution: rq.caution(), Authorise: func() error { return gw.reauthorise(rq) },
 		CanRetry: len(rq.tried) == 0 && rq.route.MaxAttempts > 1 && gw.RetryBudget.Available(rq.service), Retried: len(rq.tried) > 0,
+		BodyBytes: int64(len(rq.body)),
 	}
 }
 
