--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -35,6 +35,12 @@
 // decide returns whether a prompt runs as planned, waits, or is refused, and the failure of a refused one. The caller holds the load table's
 // lock.
 func (ds *Dispatcher) decide(pp plannedPrompt) (decision, error) {
+	if dc, ok := pp.decideInQueue(); ok {
+		if dc == decisionRefuse {
+			return dc, ds.overloadError(pp.request, pp.prompt)
+		}
+		return dc, nil
+	}
 	if ds.opts.Admission != nil && pp.request.Admission != nil && !pp.request.Resumed {
 		return ds.admit(pp)
 	}
--- a/internal/dispatch/failures.go
+++ b/internal/dispatch/failures.go
@@ -23,6 +23,7 @@
 // RecordFailure records that the target interrupted or failed the attempt.
 func (sl *Slot) RecordFailure() {
 	sl.sampleOutcome(SampleFailure)
+	sl.rejected = true
 	if sl.engine == nil {
 		return
 	}
--- a/internal/dispatch/sim_fleet_test.go
+++ b/internal/dispatch/sim_fleet_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -73,6 +74,8 @@
 	admission dispatch.AdmissionOptions
 	// silentPeers is set if instances do not tell each other the times that they promised.
 	silentPeers bool
+	// queue switches the queues of waiting requests on.
+	queue bool
 }
 
 // impatientReturns is how often a caller comes back that ignores Retry-After.
@@ -171,6 +174,9 @@
 	admission     *dispatch.Admission
 	lastPublished map[string]placement.Load
 	paces         *simPaces
+	// queuesChanged is set when the queues change, and queuesPublishedAt is when they were published last.
+	queuesChanged     atomic.Bool
+	queuesPublishedAt time.Time
 }
 
 // simFleet is a fleet of instances and the engines that they share.
@@ -211,6 +217,9 @@
 		engines.Go(func() { fl.exchangeLoads(ctx) })
 		engines.Go(func() { fl.updatePaces(ctx) })
 		engines.Go(func() { fl.exchangeReturnTimes(ctx) })
+		if tp.queue {
+			engines.Go(func() { fl.exchangeQueues(ctx) })
+		}
 		if tp.incident != nil {
 			engines.Go(func() { tp.incident(ctx, fl) })
 		}
@@ -236,6 +245,9 @@
 	}
 	in.harness = newHarness(t, tp.targets, func(op *dispatch.Options) {
 		op.Instance, op.Admission = in.name, in.admission
+		if tp.queue {
+			op.Queue = &dispatch.QueueOptions{OnChange: func() { in.queuesChanged.Store(true) }}
+		}
 		connect(in, op)
 	})
 	in.SetPropagationDelay(func() time.Duration { return loadExchangeInterval })
@@ -411,6 +423,28 @@
 	return true
 }
 
+// queueExchangeInterval is the least time between two load reports of an instance.
+const queueExchangeInterval = 100 * time.Millisecond
+
+// exchangeQueues publishes the queues of each instance to all others once they change.
+func (fl *simFleet) exchangeQueues(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(loadExchangeInterval)
+		for _, from := range fl.instances {
+			if time.Since(from.queuesPublishedAt) < queueExchangeInterval || !from.queuesChanged.Swap(false) {
+				continue
+			}
+			from.queuesPublishedAt = time.Now()
+			body := from.EncodeQueues(time.Now())
+			for _, to := range fl.instances {
+				if to != from {
+					to.ReceiveQueues(from.name, body, time.Now())
+				}
+			}
+		}
+	}
+}
+
 // exchangeLoads publishes the loads of each instance to all others.
 func (fl *simFleet) exchangeLoads(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/duty/gatewaydeps/gatewaydeps.go
+++ b/internal/duty/gatewaydeps/gatewaydeps.go
@@ -216,13 +216,17 @@
 		fb.Record(feedback.Report{Source: feedback.OrderAnswer, Target: dr.ByID(al.Target), Head: hd, ReceivedAt: time.Now()})
 	}
 	reports := loadreport.New(time.Now, env.Logger("peers"), ms.GetOrCreateCounter("silvermount_load_report_parts_omitted_total").Inc)
+	queue := queueOptions(env.Settings.Gateway, env.Logger("dispatch"), ms, reports)
 	ds := dispatch.New(dr, mg, ps.connect(dispatch.Options{
 		Admission: newAdmission(env, ms, pauses, reports),
 		Instance:  env.Settings.Instance, AvailabilityZone: env.Settings.AvailabilityZone, Now: time.Now, OnLoadChange: stateNotifier.Notify,
 		Permits: permits, OnPermitRefused: logNoPermit(env.Logger("dispatch"), limitOf),
 		BackOffs: backOffs, OnBackOffWait: logBackOffWait(env.Logger("dispatch")),
-		Shares: newShares(env, ms, reports), NeutralWorth: env.Settings.Gateway.LoadControl.NeutralWorth,
+		Shares: newShares(env, ms, reports), NeutralWorth: env.Settings.Gateway.LoadControl.NeutralWorth, Queue: queue,
 	}))
+	if queue != nil {
+		exchangeQueues(ds, ms, reports)
+	}
 	changes := make(chan quarantine.Change, maxQuarantineChanges)
 	tracker := quarantine.New(quarantine.Options{
 		OnChange: func(ch quarantine.Change) { offerChange(changes, ch, env.Logger("blame")) },
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -136,6 +136,7 @@
 		Caution: rq.caution(), Authorise: func() error { return gw.reauthorise(rq) },
 		CanRetry: len(rq.tried) == 0 && rq.route.MaxAttempts > 1 && gw.RetryBudget.Available(rq.service), Retried: len(rq.tried) > 0,
 		AttemptLost: rq.lostAttempt, LastEventAt: rq.lastEventAt, Admission: &rq.admission,
+		BodyBytes: int64(len(rq.body)),
 	}
 }
 
