fix(budget): never end a transfer of 64 KiB/s or more

Cause: on a busy machine with the race detector, a request of another caller was ended as the slowest that was left, and its caller got a closed connection although only a target was slow.

Change: a transfer is slow below 64 KiB/s since it was last looked at, so that bytes which buffers take at once count once only. The write deadline is set only while a response is forwarded; a caller whose target is slow gets a response.

--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -9,6 +9,9 @@
 	// transferGrace is how long a transfer may take before it can be ended. A party that is not slow takes what is held for it within
 	// this time.
 	transferGrace = 250 * time.Millisecond
+	// slowBytesPerSecond is the rate from which on a transfer is not slow. At this rate, a body of 4 MB takes a minute, longer than any
+	// request may.
+	slowBytesPerSecond = 64 << 10
 	// maxReclaimWait bounds the wait for the memory of ended transfers: the grace, and the time in which a request gives up its memory.
 	maxReclaimWait = 500 * time.Millisecond
 	// recheckInterval is the time after which a wait for memory looks for transfers that are beyond the grace by now.
@@ -46,8 +49,9 @@
 	expected int64
 	// progress returns how far the present transfer is; nil without one.
 	progress func() Progress
-	// startedAt is when the present transfer began.
-	startedAt time.Time
+	// sampledAt is when the present transfer began, or was last found not to be slow; sampledBytes is what had been taken by then.
+	sampledAt    time.Time
+	sampledBytes int64
 	// ended is set once end is to be called. It is reset if the transfer was over by then.
 	ended bool
 }
@@ -176,27 +180,37 @@
 }
 
 // slowestTransfer returns the account whose transfer took the fewest bytes per second, and of equal ones the longest time; nil without one
-// beyond the grace. The lock is held.
+// that is slow for longer than the grace. The lock is held.
 func (mm *Memory) slowestTransfer(except *Account, now time.Time) *Account {
 	var slowest *Account
 	var lowestRate float64
 	for ac := range mm.transfers {
-		elapsed := now.Sub(ac.startedAt)
-		if ac == except || ac.ended || ac.held == 0 || elapsed < transferGrace {
+		if ac == except || ac.ended || ac.held == 0 {
 			continue
 		}
-		pg := ac.progress()
-		if pg.Done {
-			continue
-		}
-		rate := float64(pg.Taken) / elapsed.Seconds()
-		if slowest == nil || rate < lowestRate || rate == lowestRate && ac.startedAt.Before(slowest.startedAt) {
+		rate, slow := ac.slowRate(now)
+		if slow && (slowest == nil || rate < lowestRate || rate == lowestRate && ac.sampledAt.Before(slowest.sampledAt)) {
 			slowest, lowestRate = ac, rate
 		}
 	}
 	return slowest
 }
 
+// slowRate returns the rate of a transfer in bytes per second, and reports whether it is slow. A transfer that was fast begins a new sample:
+// the first bytes of each are taken at once by buffers, also those of a slow party. The lock is held.
+func (ac *Account) slowRate(now time.Time) (rate float64, slow bool) {
+	elapsed := now.Sub(ac.sampledAt)
+	if elapsed < transferGrace {
+		return 0, false
+	}
+	pg := ac.progress()
+	rate = float64(pg.Taken-ac.sampledBytes) / elapsed.Seconds()
+	if rate >= slowBytesPerSecond {
+		ac.sampledAt, ac.sampledBytes = now, pg.Taken
+	}
+	return rate, rate < slowBytesPerSecond && !pg.Done
+}
+
 // hasOtherTransfer reports whether another account may release memory soon: it has a transfer, which may be within the grace. The lock is held.
 func (mm *Memory) hasOtherTransfer(except *Account) bool {
 	for ac := range mm.transfers {
@@ -237,7 +251,7 @@
 	defer ac.endMu.Unlock()
 	ac.mm.mu.Lock()
 	defer ac.mm.mu.Unlock()
-	ac.progress, ac.startedAt = progress, time.Now()
+	ac.progress, ac.sampledAt, ac.sampledBytes = progress, time.Now(), 0
 	ac.mm.transfers[ac] = struct{}{}
 }
 
--- a/internal/budget/account_test.go
+++ b/internal/budget/account_test.go
@@ -50,12 +50,12 @@
 				g.Expect(ac.TryAcquire(tr.held)).To(BeTrue())
 				if !tr.none {
 					ac.BeginTransfer(func() Progress { return Progress{Taken: tr.taken, Done: tr.done} })
-					ac.startedAt = time.Now().Add(-tr.age)
+					ac.sampledAt = time.Now().Add(-tr.age)
 				}
 			}
 			own := mm.Open(func(int64) { t.Error("the account that acquires is ended") })
 			own.BeginTransfer(func() Progress { return Progress{} })
-			own.startedAt = time.Now().Add(-time.Hour)
+			own.sampledAt = time.Now().Add(-time.Hour)
 			g.Expect(own.Acquire(tc.need)).To(Equal(!tc.wantNot))
 			var got []int
 			for i := range ended {
@@ -78,7 +78,7 @@
 		accounts[i] = mm.Open(func(int64) { ended.Add(1); time.AfterFunc(maxReclaimWait/6, accounts[i].Close) })
 		accounts[i].TryAcquire(50)
 		accounts[i].BeginTransfer(func() Progress { return Progress{} })
-		accounts[i].startedAt = time.Now().Add(-time.Second)
+		accounts[i].sampledAt = time.Now().Add(-time.Second)
 	}
 	results := make(chan bool)
 	for range 2 {
@@ -119,6 +119,33 @@
 	g.Expect(open().TryAcquire(limit)).To(BeTrue(), "a body that is alone may use all memory")
 }
 
+// TestFastTransferIsNotEnded guards against the end of a transfer that takes long only because it is large, and against a slow one that is
+// taken for fast since buffers took its first bytes.
+func TestFastTransferIsNotEnded(t *testing.T) {
+	const early = 1 << 20
+	tests := map[string]struct {
+		bytesPerSecond float64
+		wantEnded      bool
+	}{"fast": {4 * slowBytesPerSecond, false}, "slow after its first bytes": {slowBytesPerSecond / 64, true}}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			mm := NewMemory(100)
+			var ended atomic.Bool
+			var ac *Account
+			ac = mm.Open(func(int64) { ended.Store(true); go ac.Close() })
+			g.Expect(ac.TryAcquire(100)).To(BeTrue())
+			startedAt := time.Now().Add(-time.Second)
+			ac.BeginTransfer(func() Progress {
+				return Progress{Taken: early + int64(tc.bytesPerSecond*time.Since(startedAt).Seconds())}
+			})
+			ac.sampledAt = startedAt
+			g.Expect(mm.Open(func(int64) {}).Acquire(1)).To(Equal(tc.wantEnded))
+			g.Expect(ended.Load()).To(Equal(tc.wantEnded))
+		})
+	}
+}
+
 // TestFinishedTransferIsNotEnded guards against the end of a request whose transfer finished after it was chosen.
 func TestFinishedTransferIsNotEnded(t *testing.T) {
 	g := NewWithT(t)
@@ -126,7 +153,7 @@
 	ac := mm.Open(func(int64) { t.Error("ended after the transfer") })
 	g.Expect(ac.TryAcquire(100)).To(BeTrue())
 	ac.BeginTransfer(func() Progress { return Progress{} })
-	ac.startedAt = time.Now().Add(-time.Second)
+	ac.sampledAt = time.Now().Add(-time.Second)
 	other := mm.Open(func(int64) {})
 	_, victims, _ := other.acquireOrChoose(10)
 	g.Expect(victims).To(HaveLen(1))
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -65,6 +65,8 @@
 	lostAttempt bool
 	// via is the peer that the latest attempt was sent through; nil if it was sent directly. A watchdog reads it concurrently.
 	via atomic.Pointer[string]
+	// responding is set while a part of a response is forwarded. The end of a slow transfer reads it concurrently.
+	responding atomic.Bool
 	// plainStarted is set once part of a response that is not a stream was forwarded. Nothing can continue it.
 	plainStarted bool
 	// retryTaken is set if the next retry has already been taken from the retry budget.
--- a/internal/gateway/transfer.go
+++ b/internal/gateway/transfer.go
@@ -14,7 +14,10 @@
 	gw.Log.WithField("request", rq.RequestID).WithField("held_bytes", held).WithField("used_bytes", gw.BodyMemory.Used()).
 		WithField("elapsed", roundedSince(rq.arrived, gw.Now()).String()).Warn("slow transfer ended, memory is short")
 	rq.cancel()
-	gw.logDeadlineError(rq, rw.Controller().SetWriteDeadline(gw.Now()))
+	if rq.responding.Load() {
+		// A caller whose target is slow can still be answered.
+		gw.logDeadlineError(rq, rw.Controller().SetWriteDeadline(gw.Now()))
+	}
 }
 
 // slowTransferError returns the failure of a request that was ended by endSlowTransfer.
@@ -44,11 +47,15 @@
 // beginResponseTransfer begins a transfer. end must be called.
 func (gw *Gateway) beginResponseTransfer(rq *request, rw *responseWriter) *responseTransfer {
 	rt := &responseTransfer{gw: gw, rq: rq, rw: rw}
+	rq.responding.Store(true)
 	rq.memory.BeginTransfer(func() budget.Progress { return budget.Progress{Taken: rt.taken.Load()} })
 	return rt
 }
 
-func (rt *responseTransfer) end() { rt.rq.memory.EndTransfer() }
+func (rt *responseTransfer) end() {
+	rt.rq.memory.EndTransfer()
+	rt.rq.responding.Store(false)
+}
 
 // forward writes a part of the response in small parts, and flushes the last if flush is set.
 func (rt *responseTransfer) forward(b []byte, flush bool) error {
