--- a/internal/dispatch/sim_plain_test.go
+++ b/internal/dispatch/sim_plain_test.go
@@ -11,6 +11,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/silvermount/silvermount/internal/dispatch"
 	"github.com/silvermount/silvermount/internal/position"
 	"github.com/silvermount/silvermount/internal/targets"
 )
