fix(dispatch): account for refused prompts in the shares of organisations

Cause: after the merge of admission and shares, a prompt that admission refused returned before the shares recorded it as demand, so that unused shares were not known and a repeating organisation kept 0.100 of the engine time of 24 organisations (TestRepeatingOrganisationGetsItsShare).

Change: the shares see each decision, and the refusal of admission is returned after them.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -127,13 +127,13 @@
 	}
 	pl, ok := ds.bestPlan(rq, pr, cands, ps, op, delay)
 	dc, err := ds.decide(plannedPrompt{request: rq, prompt: pr, plan: pl, planned: ok, candidates: cands, all: all, options: op})
-	if err == nil {
-		dc, err = ds.applyShares(rq, pr, pl, ok, tgs, dc)
-	}
-	if err != nil {
+	dc, refusal := ds.applyShares(rq, pr, pl, ok, tgs, dc)
+	switch {
+	case refusal != nil:
+		return nil, refusal
+	case dc == decisionRefuse:
 		return nil, err
-	}
-	if dc == decisionWait {
+	case dc == decisionWait:
 		return nil, nil
 	}
 	return ds.addPlanLoad(rq, pr, pl, tgs), nil
