fix: don't end sent attempts on refused connections alone

A process that closes its listener and drains was taken for ended, and all its unanswered attempts were ended. Refused connections are no final evidence any more. An attempt on an open connection ends on them only after two unanswered orders; if the process has ended, the connection breaks by itself.

--- a/internal/gateway/losttarget.go
+++ b/internal/gateway/losttarget.go
@@ -61,6 +61,7 @@
 		st.Answered, st.LastDataAt = true, *at
 	}
 	if mo := ia.monitor.Load(); mo != nil {
+		st.Sent = true
 		st.HasUnreadData = mo.HasUnreadData()
 		if at := mo.LastReadAt(); at.After(st.LastDataAt) {
 			st.LastDataAt = at
--- a/internal/inflightattempts/decide.go
+++ b/internal/inflightattempts/decide.go
@@ -24,17 +24,24 @@
 // seconds answers a later order.
 const minOnceSilence = 2 * time.Second
 
+// minOrders is how many orders without an answer release memory at a target that refuses new connections.
+const minOrders = 2
+
 // decide returns what becomes of the attempt. A target that is only silent may still answer, so that a request without reserved memory
 // leaves it only for another one. Reserved memory must not wait for that.
 func (at Attempt) decide(ev targetloss.Evidence, st Status, now time.Time) decision {
 	usesMemory := slices.Contains(at.Memory, ev.Target)
+	refused := ev.Kind == targetloss.Refused
 	switch {
+	case refused && st.Sent && ev.Orders < minOrders:
+		// If the process has ended, the connection of the attempt breaks by itself.
+		return goOn
 	case st.HasUnreadData || st.LastDataAt.After(ev.Since) && !st.Answered:
 		return goOn
 	case st.Answered && (!usesMemory || now.Sub(st.LastDataAt) <= at.MaxSilence()):
 		// A stream that has stopped and uses no reserved memory has a watchdog of its own.
 		return goOn
-	case ev.Final():
+	case ev.Final() || refused && !st.Sent:
 		return end
 	case at.AtMostOnce && (!usesMemory || ev.At.Sub(ev.Since) < minOnceSilence):
 		return goOn
--- a/internal/inflightattempts/inflightattempts.go
+++ b/internal/inflightattempts/inflightattempts.go
@@ -38,6 +38,8 @@
 
 // Status is what an attempt has received so far.
 type Status struct {
+	// Sent is set once the attempt has a connection on which its request is sent.
+	Sent bool
 	// Answered is set once the head of the response was received.
 	Answered bool
 	// LastDataAt is when data was last received; zero before.
--- a/internal/targetloss/evidence.go
+++ b/internal/targetloss/evidence.go
@@ -16,7 +16,7 @@
 	Unanswered Kind = "unanswered_orders"
 	// Unreachable means that neither this instance nor a peer could connect.
 	Unreachable Kind = "unreachable"
-	// Refused means that connections of this instance and of a peer were refused: the process has ended.
+	// Refused means that connections of this instance and of a peer were refused: the process has ended or closed its listener.
 	Refused Kind = "refused"
 	// Superseded means that a later incarnation with the same name is listed.
 	Superseded Kind = "superseded"
@@ -35,9 +35,10 @@
 	Orders int
 }
 
-// Final reports whether the process of the incarnation has ended, so that no answer can come from it any more.
+// Final reports whether the process of the incarnation has ended, so that no answer can come from it any more. Refused connections do not
+// show this: a process that drains closes its listener first.
 func (ev Evidence) Final() bool {
-	return ev.Kind == Refused || ev.Kind == Superseded || ev.Kind == AddressTaken
+	return ev.Kind == Superseded || ev.Kind == AddressTaken
 }
 
 // String names the kind and the number of unanswered orders.
