--- a/internal/duty/gatewaydeps/losses.go
+++ b/internal/duty/gatewaydeps/losses.go
@@ -30,7 +30,7 @@
 		Examine: func(target, address string) targetloss.Finding {
 			return ls.restrict(target, pt.dialer.Examine(context.Background(), address))
 		},
-		LastSign: pt.state.LastSign, OnLost: ls.onLost, Spawn: func(f func()) { go f() }, Now: time.Now,
+		LastSign: pt.state.LastSign, LastData: attempts.LastDataAt, OnLost: ls.onLost, Spawn: func(f func()) { go f() }, Now: time.Now,
 	})
 	return ls
 }
--- a/internal/inflightattempts/inflightattempts.go
+++ b/internal/inflightattempts/inflightattempts.go
@@ -139,6 +139,33 @@
 	return len(rg.byTarget[target]) > 0
 }
 
+// LastDataAt returns when an attempt in flight at an incarnation last received data; zero if none did.
+func (rg *Registry) LastDataAt(target string) time.Time {
+	rg.mu.Lock()
+	hds := slices.Clone(rg.byTarget[target])
+	rg.mu.Unlock()
+	var last time.Time
+	for _, hd := range hds {
+		if hd.attempt.Target != target {
+			continue
+		}
+		if at := hd.lastDataAt(); at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
+
+// lastDataAt returns when the attempt last received data; zero if it received none or has ended.
+func (hd *Handle) lastDataAt() time.Time {
+	hd.mu.Lock()
+	defer hd.mu.Unlock()
+	if hd.ended {
+		return time.Time{}
+	}
+	return hd.attempt.Status().LastDataAt
+}
+
 // consider ends the attempt if the evidence calls for it.
 func (hd *Handle) consider(ev targetloss.Evidence, now time.Time) {
 	hd.mu.Lock()
--- a/internal/targetloss/targetloss.go
+++ b/internal/targetloss/targetloss.go
@@ -11,6 +11,8 @@
 	Examine func(target, address string) Finding
 	// LastSign returns when any target was last heard; zero if none was.
 	LastSign func() time.Time
+	// LastData returns when an attempt in flight last received data from a target; zero if none did.
+	LastData func(target string) time.Time
 	// OnLost is called with certain evidence, again for each further order without an answer. No lock is held.
 	OnLost func(Evidence)
 	// Spawn runs a function in the background.
@@ -37,7 +39,9 @@
 
 // RecordUnanswered records an order to a target that got no answer while this process was running.
 func (wt *Watcher) RecordUnanswered(target, address string, sentAt time.Time) {
+	data := wt.LastData(target)
 	wt.mu.Lock()
+	wt.tracker.RecordData(target, data)
 	wt.tracker.RecordUnanswered(target, sentAt, wt.Now())
 	wt.mu.Unlock()
 	wt.examine(target, address)
@@ -58,16 +62,19 @@
 	wt.examine(target, address)
 }
 
-// RecordDialFailure records a failed connection to a target. If the finding leaves open whose fault it is, the target is examined.
+// RecordDialFailure records a failed connection to a target. If the finding leaves open whose fault it is or
+// is not certain by itself, the target is examined.
 func (wt *Watcher) RecordDialFailure(target, address string, fi Finding) {
+	data := wt.LastData(target)
 	wt.mu.Lock()
+	wt.tracker.RecordData(target, data)
 	wt.tracker.RecordSuspicion(target, wt.Now())
 	ev, certain := wt.tracker.RecordFinding(target, fi, wt.LastSign(), wt.Now())
 	wt.mu.Unlock()
 	switch {
 	case certain:
 		wt.OnLost(ev)
-	case fi == FoundNothing:
+	case fi == FoundNothing || fi == FoundUnreachable:
 		wt.examine(target, address)
 	}
 }
@@ -99,13 +106,15 @@
 	})
 }
 
-// examineOnce examines a target, reports it if it is lost, and reports whether to examine it again.
+// examineOnce examines a target, reports it if it is lost, and reports whether to examine it again: further evidence came meanwhile, or it was
+// out of reach once, which is not certain by itself.
 func (wt *Watcher) examineOnce(target, address string) bool {
 	fi := wt.Examine(target, address)
-	sign := wt.LastSign()
+	sign, data := wt.LastSign(), wt.LastData(target)
 	wt.mu.Lock()
+	wt.tracker.RecordData(target, data)
 	ev, certain := wt.tracker.RecordFinding(target, fi, sign, wt.Now())
-	again := wt.examining[target] && !certain
+	again := !certain && (wt.examining[target] || fi == FoundUnreachable && wt.tracker.suspects(target))
 	if again {
 		wt.examining[target] = false
 	} else {
--- a/internal/targetloss/tracker_test.go
+++ b/internal/targetloss/tracker_test.go
@@ -33,6 +33,7 @@
 		"one order, target accepts connections":      {one, false, targetloss.FoundConnected, -1, none},
 		"two orders, target accepts connections":     {two, false, targetloss.FoundConnected, -1, targetloss.Unanswered},
 		"two orders at the same time":                {[]order{{0, 400}, {10, 410}}, false, targetloss.FoundConnected, -1, none},
+		"orders of two prompts, 401 ms apart":        {[]order{{0, 400}, {401, 801}}, false, targetloss.FoundConnected, -1, none},
 		"two orders, the first long ago":             {[]order{{0, 400}, {9000, 9400}}, false, targetloss.FoundConnected, -1, none},
 		"two orders and an answer":                   {two, true, targetloss.FoundConnected, -1, none},
 		"one order, a peer does not reach it either": {one, false, targetloss.FoundUnreachable, -1, targetloss.Unreachable},
