fix: end at-most-once requests by the time of unanswered orders

The two seconds were counted from the first suspicion, which can be older than the first unanswered order or come without any. They are now counted from the sending of the first unanswered order, and two are required.

--- a/internal/inflightattempts/decide.go
+++ b/internal/inflightattempts/decide.go
@@ -24,7 +24,7 @@
 // seconds answers a later order.
 const minOnceSilence = 2 * time.Second
 
-// minOrders is how many orders without an answer release memory at a target that refuses new connections.
+// minOrders is how many orders without an answer release memory at a target that refuses new connections, or of a request that may run once.
 const minOrders = 2
 
 // decide returns what becomes of the attempt. A target that is only silent may still answer, so that a request without reserved memory
@@ -43,7 +43,7 @@
 		return goOn
 	case ev.Final() || refused && !st.Sent:
 		return end
-	case at.AtMostOnce && (!usesMemory || ev.At.Sub(ev.Since) < minOnceSilence):
+	case at.AtMostOnce && (!usesMemory || ev.Orders < minOrders || ev.At.Sub(ev.FirstOrderAt) < minOnceSilence):
 		return goOn
 	case usesMemory:
 		return end
--- a/internal/inflightattempts/inflightattempts_test.go
+++ b/internal/inflightattempts/inflightattempts_test.go
@@ -20,6 +20,13 @@
 // longSilent stands for targetloss.Unanswered after another second.
 const longSilent targetloss.Kind = "long silent"
 
+// longSuspected stands for targetloss.Unanswered after a suspicion that arose a second before the first order, and longUnreachable for
+// targetloss.Unreachable for 3 s without an order.
+const (
+	longSuspected   targetloss.Kind = "long suspected"
+	longUnreachable targetloss.Kind = "long unreachable"
+)
+
 // refusedOnce stands for targetloss.Refused after one order without an answer.
 const refusedOnce targetloss.Kind = "refused once"
 
@@ -27,10 +34,17 @@
 	if kind == refusedOnce {
 		return targetloss.Evidence{Target: target, Kind: targetloss.Refused, Since: now.Add(-silence), At: now, Orders: 1}
 	}
-	if kind == longSilent {
-		return targetloss.Evidence{Target: target, Kind: targetloss.Unanswered, Since: now.Add(-silence - time.Second), At: now, Orders: 3}
+	ev := targetloss.Evidence{Target: target, Kind: kind, Since: now.Add(-silence), FirstOrderAt: now.Add(-silence), At: now, Orders: 2}
+	switch kind {
+	case longSilent:
+		ev.Kind, ev.Orders = targetloss.Unanswered, 3
+		ev.Since, ev.FirstOrderAt = now.Add(-silence-time.Second), now.Add(-silence-time.Second)
+	case longSuspected:
+		ev.Kind, ev.Since = targetloss.Unanswered, now.Add(-silence-time.Second)
+	case longUnreachable:
+		ev.Kind, ev.Since, ev.FirstOrderAt, ev.Orders = targetloss.Unreachable, now.Add(-3*time.Second), time.Time{}, 0
 	}
-	return targetloss.Evidence{Target: target, Kind: kind, Since: now.Add(-silence), At: now, Orders: 2}
+	return ev
 }
 
 // TestWhichAttemptsEnd guards against attempts that are ended although their answer may still come, against streams that are ended while
@@ -59,6 +73,8 @@
 		"at most once, silent for long":               {main, longSilent, nil, true, inflightattempts.Status{}, false, false},
 		"at most once with memory, silent":            {main, silent, memory, true, inflightattempts.Status{}, false, false},
 		"at most once with memory, lease nearly over": {main, longSilent, memory, true, inflightattempts.Status{}, true, true},
+		"at most once with memory, suspected before":  {main, longSuspected, memory, true, inflightattempts.Status{}, true, false},
+		"at most once with memory, no order":          {main, longUnreachable, memory, true, inflightattempts.Status{}, true, false},
 		"at most once, process has ended":             {main, final, nil, true, inflightattempts.Status{}, true, true},
 		"listener closed, connection open":            {main, refusedOnce, nil, false, inflightattempts.Status{Sent: true}, false, false},
 		"listener closed, with memory":                {main, refusedOnce, memory, false, inflightattempts.Status{Sent: true}, false, false},
--- a/internal/targetloss/evidence.go
+++ b/internal/targetloss/evidence.go
@@ -31,6 +31,8 @@
 	Kind   Kind
 	// Since is when the target was first found silent or gone, At when the evidence became certain. Since is not after At.
 	Since, At time.Time
+	// FirstOrderAt is when the first of the orders without an answer was sent; zero if there is none. It may be after Since.
+	FirstOrderAt time.Time
 	// Orders is the number of orders without an answer.
 	Orders int
 }
--- a/internal/targetloss/tracker.go
+++ b/internal/targetloss/tracker.go
@@ -26,6 +26,8 @@
 	since, latest time.Time
 	// orders is the number of orders without an answer, each sent after the one before had failed and minOrderInterval after it was sent.
 	orders int
+	// firstSentAt is when the first of these orders was sent; zero if there is none.
+	firstSentAt time.Time
 	// lastSentAt is when the latest of these orders was sent; zero if there is none.
 	lastSentAt time.Time
 	// unreachable is how often neither this instance nor a peer could connect.
@@ -47,6 +49,9 @@
 	if !ok || sp.orders > 0 && (sentAt.Before(sp.latest) || sentAt.Sub(sp.lastSentAt) < minOrderInterval) {
 		return
 	}
+	if sp.orders == 0 {
+		sp.firstSentAt = sentAt
+	}
 	sp.orders++
 	sp.latest, sp.lastSentAt = now, sentAt
 	tr.suspicions[target] = sp
@@ -93,7 +98,7 @@
 		// The target has answered since the examination began.
 		return Evidence{}, false
 	}
-	ev := Evidence{Target: target, Since: sp.since, At: now, Orders: sp.orders}
+	ev := Evidence{Target: target, Since: sp.since, At: now, FirstOrderAt: sp.firstSentAt, Orders: sp.orders}
 	switch fi {
 	case FoundRefused, FoundRefusedAlone:
 		ev.Kind = Refused
--- a/internal/targetloss/tracker_test.go
+++ b/internal/targetloss/tracker_test.go
@@ -65,6 +65,7 @@
 			g.Expect(certain).To(Equal(tc.want != none))
 			if certain {
 				g.Expect(ev.Since).To(Equal(at(tc.orders[0].sentMS)))
+				g.Expect(ev.FirstOrderAt).To(Equal(at(tc.orders[0].sentMS)))
 				g.Expect(ev.Orders).To(Equal(len(tc.orders)))
 			}
 		})
