fix: a closed receive window is no unacknowledged request

A target that read nothing for 2.5 s lost its request, since bytes that are not sent count as unacknowledged. The time since the last acknowledgement (TCP_INFO) is required too; acknowledged window probes refresh it. The kernel's user timeout still ends such a connection after more than 3 s.

--- a/internal/gateway/losttarget.go
+++ b/internal/gateway/losttarget.go
@@ -165,6 +165,9 @@
 	// acknowledged.
 	acknowledged   func() int64
 	unacknowledged func() int
+	// ackSilence returns for how long data in flight or probes of a closed receive window have not been acknowledged; 0 if there are none.
+	// A target that reads nothing for a while closes its window, and its machine still acknowledges probes.
+	ackSilence func() time.Duration
 	// end ends the attempt.
 	end func(*UnacknowledgedRequestError)
 
@@ -180,10 +183,11 @@
 
 // startAckWatchdog starts a watchdog for a request that is about to be sent.
 func startAckWatchdog(
-	acknowledged func() int64, unacknowledged func() int, paused func() time.Duration, end func(*UnacknowledgedRequestError),
+	acknowledged func() int64, unacknowledged func() int, ackSilence, paused func() time.Duration, end func(*UnacknowledgedRequestError),
 ) *ackWatchdog {
 	aw := &ackWatchdog{
-		acknowledged: acknowledged, unacknowledged: unacknowledged, end: end, pauses: newPauseMeter(paused), progressAt: time.Now(),
+		acknowledged: acknowledged, unacknowledged: unacknowledged, ackSilence: ackSilence, end: end, pauses: newPauseMeter(paused),
+		progressAt: time.Now(),
 	}
 	aw.mu.Lock()
 	defer aw.mu.Unlock()
@@ -203,7 +207,7 @@
 	if n := aw.acknowledged(); n > aw.progress || aw.unacknowledged() == 0 {
 		aw.progress, aw.progressAt = max(n, aw.progress), now
 	}
-	if silence := now.Sub(aw.progressAt); silence >= maxUnacknowledged {
+	if silence := now.Sub(aw.progressAt); silence >= maxUnacknowledged && aw.ackSilence() >= maxUnacknowledged {
 		aw.end(&UnacknowledgedRequestError{For: silence})
 		return
 	}
@@ -228,7 +232,7 @@
 		if len(sl.MemoryTargets()) == 0 || rq.route.AtMostOnce() {
 			return
 		}
-		ia.acks = startAckWatchdog(mo.Acknowledged, mo.Unacknowledged, gw.Paused, func(ue *UnacknowledgedRequestError) { ia.cancel(ue) })
+		ia.acks = startAckWatchdog(mo.Acknowledged, mo.Unacknowledged, mo.AckSilence, gw.Paused, func(ue *UnacknowledgedRequestError) { ia.cancel(ue) })
 	}
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -194,6 +194,30 @@
 	return max(0, n)
 }
 
+// ackSilence returns the time since the last acknowledgement if data in flight or probes of a closed receive window wait for one; 0
+// otherwise and if unknown. It is safe to call while other goroutines read and write.
+func (cn *conn) ackSilence() time.Duration {
+	sc, ok := cn.Conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	var ti *unix.TCPInfo
+	err = rc.Control(func(fd uintptr) {
+		// The call fails if this is no TCP connection; ti is then nil.
+		ti, _ = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	// An answer resets the count of probes. The intervals between probes grow beyond any bound of ours, so that the time since the last
+	// acknowledgement counts only if an earlier probe than the latest is unanswered too.
+	if err != nil || ti == nil || ti.Unacked == 0 && ti.Probes < 2 {
+		return 0
+	}
+	return time.Duration(ti.Last_ack_recv) * time.Millisecond
+}
+
 // activityCheck returns a function that reports whether data has arrived since its last call, or since activityCheck at
 // the first. The function may be used by one goroutine only.
 func (cn *conn) activityCheck() func() bool {
