--- a/internal/duty/gatewaydeps/losses.go
+++ b/internal/duty/gatewaydeps/losses.go
@@ -83,7 +83,14 @@
 
 func (ls *Losses) recordSuperseded(tg targets.Target) {
 	if ls.attempts.InFlight(tg.ID) {
-		go ls.RecordSuperseded(tg.ID)
+		go func() {
+			if ls.directory.IsLeaving(tg.ID) {
+				// It may finish its requests beside the later incarnation.
+				ls.RecordSuspicion(tg.ID, tg.Address)
+				return
+			}
+			ls.RecordSuperseded(tg.ID)
+		}()
 	}
 }
 
