--- a/internal/gateway/losttarget.go
+++ b/internal/gateway/losttarget.go
@@ -117,7 +117,9 @@
 		"evidence_age": roundedSince(ev.Since, gw.Now()).String(), "certain_for": roundedSince(ev.At, gw.Now()).String(),
 	})
 	if ev.Target == sl.Target.ID {
-		gw.recordTargetFailure(sl.Target)
+		if !gw.Paths.IsLost(sl.Target.Address) {
+			gw.recordTargetFailure(sl.Target)
+		}
 		return
 	}
 	rq.excluded = append(rq.excluded, ev.Target)
