--- a/internal/gateway/losttarget.go
+++ b/internal/gateway/losttarget.go
@@ -49,6 +49,7 @@
 	ia.ctx, ia.handle = gw.Attempts.Begin(ctx, inflightattempts.Attempt{
 		Target: sl.Target.ID, Memory: sl.MemoryTargets(), AtMostOnce: rt.AtMostOnce(), Status: ia.status,
 		MaxSilence: func() time.Duration { return max(minStallTimeout, rt.MaxPause, sl.MaxSilence()) },
+		HasOther:   func() bool { return !rt.AtMostOnce() && gw.hasUntriedTarget(rt, service, tried) },
 		TryRetry:   func() bool { return gw.takeFailoverRetry(requestID, rt, service, tried) },
 	})
 	return ia
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -230,9 +230,10 @@
 	rq.via.Store(nil)
 	rs, err := gw.sendWithSilenceTimeout(tunnel.WithRequestID(rq.attempt.ctx, rq.RequestID), rq, sl, ca)
 	rq.attempt.acks.stop()
-	rq.retryTaken = rq.retryTaken || rq.attempt.handle.RetryTaken()
 	rq.memory.EndTransfer()
 	if err != nil {
+		// No retry can be taken for the attempt after this.
+		rq.retryTaken = rq.attempt.handle.End() || rq.retryTaken
 		err = rq.attempt.endReason(err)
 		if ctx.Err() != nil {
 			gw.recordUnanswered(rq, sl, gw.Now().Sub(rq.sentAt)-pauses.sinceLast())
@@ -241,6 +242,8 @@
 	}
 	answeredAt := rq.headAt
 	rq.attempt.answeredAt.Store(&answeredAt)
+	// No retry is taken for an attempt that was answered, so that this is final.
+	rq.retryTaken = rq.attempt.handle.RetryTaken() || rq.retryTaken
 	gw.Targets.RecordReachable(sl.Target.ID)
 	gw.observe("silvermount_target_answer_seconds", rq.headAt.Sub(rq.sentAt))
 	return rs, nil
--- a/internal/inflightattempts/inflightattempts.go
+++ b/internal/inflightattempts/inflightattempts.go
@@ -32,6 +32,8 @@
 	MaxSilence func() time.Duration
 	// Status returns what has been received so far.
 	Status func() Status
+	// HasOther reports whether another target can be tried. It is asked before the request is sent, since no retry is spent then.
+	HasOther func() bool
 	// TryRetry takes the retry that follows the end of the attempt, and reports whether another target can be tried.
 	TryRetry func() bool
 }
@@ -96,10 +98,11 @@
 	return ids
 }
 
-// End removes the attempt and cancels its context.
-func (hd *Handle) End() {
+// End removes the attempt, cancels its context, and reports whether the retry that follows the attempt was taken. It may be called again.
+func (hd *Handle) End() bool {
 	hd.mu.Lock()
 	hd.ended = true
+	retryTaken := hd.retryTaken
 	hd.mu.Unlock()
 	hd.cancel(nil)
 	rg := hd.registry
@@ -113,6 +116,7 @@
 		}
 		rg.byTarget[id] = rest
 	}
+	return retryTaken
 }
 
 // RetryTaken reports whether the retry that follows the attempt was taken when it was ended.
@@ -173,11 +177,15 @@
 	if hd.ended {
 		return
 	}
-	dc := hd.attempt.decide(ev, hd.attempt.Status(), now)
+	st := hd.attempt.Status()
+	dc := hd.attempt.decide(ev, st, now)
 	if dc == goOn {
 		return
 	}
-	if dc == endIfRetried && !hd.retryTaken {
+	if dc == endIfRetried && !st.Sent && !hd.attempt.HasOther() {
+		return
+	}
+	if dc == endIfRetried && st.Sent && !hd.retryTaken {
 		if !hd.attempt.TryRetry() {
 			return
 		}
--- a/internal/inflightattempts/inflightattempts_test.go
+++ b/internal/inflightattempts/inflightattempts_test.go
@@ -104,6 +104,7 @@
 			ctx, hd := rg.Begin(context.Background(), inflightattempts.Attempt{
 				Target: main, Memory: tc.memory, AtMostOnce: tc.once, MaxSilence: func() time.Duration { return 2 * time.Second },
 				Status: func() inflightattempts.Status { return tc.status }, TryRetry: func() bool { return !tc.noRetry },
+				HasOther: func() bool { return !tc.noRetry },
 			})
 			defer hd.End()
 			rg.Record(evidence(tc.lost, tc.kind))
@@ -134,3 +135,20 @@
 	g.Expect(rg.InFlight("main")).To(BeFalse())
 	g.Expect(rg.InFlight("helper")).To(BeFalse())
 }
+
+// TestNoRetryIsTakenBeforeSending guards against retries that are withdrawn from the budget and not used.
+func TestNoRetryIsTakenBeforeSending(t *testing.T) {
+	for name, sent := range map[string]bool{"dialling": false, "sent": true} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			rg := inflightattempts.New(func() time.Time { return now })
+			ctx, hd := rg.Begin(context.Background(), inflightattempts.Attempt{
+				Target: "main", Status: func() inflightattempts.Status { return inflightattempts.Status{Sent: sent} },
+				HasOther: func() bool { return true }, TryRetry: func() bool { return true },
+			})
+			rg.Record(evidence("main", targetloss.Unanswered))
+			g.Expect(ctx.Err()).To(HaveOccurred())
+			g.Expect(hd.End()).To(Equal(sent))
+		})
+	}
+}
