--- a/internal/duty/gatewaydeps/losses.go
+++ b/internal/duty/gatewaydeps/losses.go
@@ -37,7 +37,7 @@
 
 // onLost ends the attempts that certain evidence ends. A target that cannot be reached is not chosen for a while.
 func (ls *Losses) onLost(ev targetloss.Evidence) {
-	if ev.Kind == targetloss.Unreachable || ev.Kind == targetloss.Refused {
+	if !ev.ByDial && (ev.Kind == targetloss.Unreachable || ev.Kind == targetloss.Refused) {
 		ls.directory.RecordUnreachable(ev.Target)
 	}
 	ls.attempts.Record(ev)
--- a/internal/targetloss/evidence.go
+++ b/internal/targetloss/evidence.go
@@ -35,6 +35,8 @@
 	FirstOrderAt time.Time
 	// Orders is the number of orders without an answer.
 	Orders int
+	// ByDial is set if the evidence became certain by the dial of a request, which is recorded against the target by itself.
+	ByDial bool
 }
 
 // Final reports whether the process of the incarnation has ended, so that no answer can come from it any more. Refused connections do not
--- a/internal/targetloss/targetloss.go
+++ b/internal/targetloss/targetloss.go
@@ -73,6 +73,7 @@
 	wt.mu.Unlock()
 	switch {
 	case certain:
+		ev.ByDial = true
 		wt.OnLost(ev)
 	case fi == FoundNothing || fi == FoundUnreachable:
 		wt.examine(target, address)
--- a/internal/targetloss/targetloss_test.go
+++ b/internal/targetloss/targetloss_test.go
@@ -104,6 +104,9 @@
 			fx := newFixture()
 			fx.RecordDialFailure(target, "a:1", tc.finding)
 			g.Expect(fx.lost).To(HaveLen(tc.lost))
+			for _, ev := range fx.lost {
+				g.Expect(ev.ByDial).To(BeTrue(), "the dial counts twice against the target")
+			}
 			g.Expect(fx.pending != nil).To(Equal(tc.examined))
 		})
 	}
