--- a/internal/duty/gatewaydeps/losses.go
+++ b/internal/duty/gatewaydeps/losses.go
@@ -30,14 +30,14 @@
 		Examine: func(target, address string) targetloss.Finding {
 			return ls.restrict(target, pt.dialer.Examine(context.Background(), address))
 		},
-		LastSign: pt.state.LastSign, OnLost: ls.onLost, Spawn: func(f func()) { go f() }, Now: time.Now,
+		LastSign: pt.state.LastSign, LastData: attempts.LastDataAt, OnLost: ls.onLost, Spawn: func(f func()) { go f() }, Now: time.Now,
 	})
 	return ls
 }
 
 // onLost ends the attempts that certain evidence ends. A target that cannot be reached is not chosen for a while.
 func (ls *Losses) onLost(ev targetloss.Evidence) {
-	if ev.Kind == targetloss.Unreachable || ev.Kind == targetloss.Refused {
+	if !ev.ByDial && (ev.Kind == targetloss.Unreachable || ev.Kind == targetloss.Refused) {
 		ls.directory.RecordUnreachable(ev.Target)
 	}
 	ls.attempts.Record(ev)
@@ -83,7 +83,14 @@
 
 func (ls *Losses) recordSuperseded(tg targets.Target) {
 	if ls.attempts.InFlight(tg.ID) {
-		go ls.RecordSuperseded(tg.ID)
+		go func() {
+			if ls.directory.IsLeaving(tg.ID) {
+				// It may finish its requests beside the later incarnation.
+				ls.RecordSuspicion(tg.ID, tg.Address)
+				return
+			}
+			ls.RecordSuperseded(tg.ID)
+		}()
 	}
 }
 
--- a/internal/gateway/losttarget.go
+++ b/internal/gateway/losttarget.go
@@ -49,6 +49,7 @@
 	ia.ctx, ia.handle = gw.Attempts.Begin(ctx, inflightattempts.Attempt{
 		Target: sl.Target.ID, Memory: sl.MemoryTargets(), AtMostOnce: rt.AtMostOnce(), Status: ia.status,
 		MaxSilence: func() time.Duration { return max(minStallTimeout, rt.MaxPause, sl.MaxSilence()) },
+		HasOther:   func() bool { return !rt.AtMostOnce() && gw.hasUntriedTarget(rt, service, tried) },
 		TryRetry:   func() bool { return gw.takeFailoverRetry(requestID, rt, service, tried) },
 	})
 	return ia
@@ -61,6 +62,7 @@
 		st.Answered, st.LastDataAt = true, *at
 	}
 	if mo := ia.monitor.Load(); mo != nil {
+		st.Sent = true
 		st.HasUnreadData = mo.HasUnreadData()
 		if at := mo.LastReadAt(); at.After(st.LastDataAt) {
 			st.LastDataAt = at
@@ -116,7 +118,9 @@
 		"evidence_age": roundedSince(ev.Since, gw.Now()).String(), "certain_for": roundedSince(ev.At, gw.Now()).String(),
 	})
 	if ev.Target == sl.Target.ID {
-		gw.recordTargetFailure(sl.Target)
+		if !gw.Paths.IsLost(sl.Target.Address) {
+			gw.recordTargetFailure(sl.Target)
+		}
 		return
 	}
 	rq.excluded = append(rq.excluded, ev.Target)
@@ -164,6 +168,9 @@
 	// acknowledged.
 	acknowledged   func() int64
 	unacknowledged func() int
+	// ackSilence returns for how long data in flight or probes of a closed receive window have not been acknowledged; 0 if there are none.
+	// A target that reads nothing for a while closes its window, and its machine still acknowledges probes.
+	ackSilence func() time.Duration
 	// end ends the attempt.
 	end func(*UnacknowledgedRequestError)
 
@@ -179,10 +186,11 @@
 
 // startAckWatchdog starts a watchdog for a request that is about to be sent.
 func startAckWatchdog(
-	acknowledged func() int64, unacknowledged func() int, paused func() time.Duration, end func(*UnacknowledgedRequestError),
+	acknowledged func() int64, unacknowledged func() int, ackSilence, paused func() time.Duration, end func(*UnacknowledgedRequestError),
 ) *ackWatchdog {
 	aw := &ackWatchdog{
-		acknowledged: acknowledged, unacknowledged: unacknowledged, end: end, pauses: newPauseMeter(paused), progressAt: time.Now(),
+		acknowledged: acknowledged, unacknowledged: unacknowledged, ackSilence: ackSilence, end: end, pauses: newPauseMeter(paused),
+		progressAt: time.Now(),
 	}
 	aw.mu.Lock()
 	defer aw.mu.Unlock()
@@ -202,7 +210,7 @@
 	if n := aw.acknowledged(); n > aw.progress || aw.unacknowledged() == 0 {
 		aw.progress, aw.progressAt = max(n, aw.progress), now
 	}
-	if silence := now.Sub(aw.progressAt); silence >= maxUnacknowledged {
+	if silence := now.Sub(aw.progressAt); silence >= maxUnacknowledged && aw.ackSilence() >= maxUnacknowledged {
 		aw.end(&UnacknowledgedRequestError{For: silence})
 		return
 	}
@@ -227,7 +235,7 @@
 		if len(sl.MemoryTargets()) == 0 || rq.route.AtMostOnce() {
 			return
 		}
-		ia.acks = startAckWatchdog(mo.Acknowledged, mo.Unacknowledged, gw.Paused, func(ue *UnacknowledgedRequestError) { ia.cancel(ue) })
+		ia.acks = startAckWatchdog(mo.Acknowledged, mo.Unacknowledged, mo.AckSilence, gw.Paused, func(ue *UnacknowledgedRequestError) { ia.cancel(ue) })
 	}
 }
 
--- a/internal/inflightattempts/inflightattempts.go
+++ b/internal/inflightattempts/inflightattempts.go
@@ -32,12 +32,16 @@
 	MaxSilence func() time.Duration
 	// Status returns what has been received so far.
 	Status func() Status
+	// HasOther reports whether another target can be tried. It is asked before the request is sent, since no retry is spent then.
+	HasOther func() bool
 	// TryRetry takes the retry that follows the end of the attempt, and reports whether another target can be tried.
 	TryRetry func() bool
 }
 
 // Status is what an attempt has received so far.
 type Status struct {
+	// Sent is set once the attempt has a connection on which its request is sent.
+	Sent bool
 	// Answered is set once the head of the response was received.
 	Answered bool
 	// LastDataAt is when data was last received; zero before.
@@ -94,10 +98,11 @@
 	return ids
 }
 
-// End removes the attempt and cancels its context.
-func (hd *Handle) End() {
+// End removes the attempt, cancels its context, and reports whether the retry that follows the attempt was taken. It may be called again.
+func (hd *Handle) End() bool {
 	hd.mu.Lock()
 	hd.ended = true
+	retryTaken := hd.retryTaken
 	hd.mu.Unlock()
 	hd.cancel(nil)
 	rg := hd.registry
@@ -111,6 +116,7 @@
 		}
 		rg.byTarget[id] = rest
 	}
+	return retryTaken
 }
 
 // RetryTaken reports whether the retry that follows the attempt was taken when it was ended.
@@ -137,6 +143,33 @@
 	return len(rg.byTarget[target]) > 0
 }
 
+// LastDataAt returns when an attempt in flight at an incarnation last received data; zero if none did.
+func (rg *Registry) LastDataAt(target string) time.Time {
+	rg.mu.Lock()
+	hds := slices.Clone(rg.byTarget[target])
+	rg.mu.Unlock()
+	var last time.Time
+	for _, hd := range hds {
+		if hd.attempt.Target != target {
+			continue
+		}
+		if at := hd.lastDataAt(); at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
+
+// lastDataAt returns when the attempt last received data; zero if it received none or has ended.
+func (hd *Handle) lastDataAt() time.Time {
+	hd.mu.Lock()
+	defer hd.mu.Unlock()
+	if hd.ended {
+		return time.Time{}
+	}
+	return hd.attempt.Status().LastDataAt
+}
+
 // consider ends the attempt if the evidence calls for it.
 func (hd *Handle) consider(ev targetloss.Evidence, now time.Time) {
 	hd.mu.Lock()
@@ -144,11 +177,15 @@
 	if hd.ended {
 		return
 	}
-	dc := hd.attempt.decide(ev, hd.attempt.Status(), now)
+	st := hd.attempt.Status()
+	dc := hd.attempt.decide(ev, st, now)
 	if dc == goOn {
 		return
 	}
-	if dc == endIfRetried && !hd.retryTaken {
+	if dc == endIfRetried && !st.Sent && !hd.attempt.HasOther() {
+		return
+	}
+	if dc == endIfRetried && st.Sent && !hd.retryTaken {
 		if !hd.attempt.TryRetry() {
 			return
 		}
