fix(quarantine): end a refuted quarantine of a path instead of refusing its organisation

A quarantine of a path and an organisation lost the path when a peer refuted it, and the organisation was then refused for itself, with its requests to all other paths. The quarantine now ends with the path where no content is among its members, both in the instance that judged it and in those that learn of it from a peer.

TestOrganisationIsNotQuarantinedForItself has the case "a refuted path", which failed before.

--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -100,10 +100,10 @@
 		if !tr.isClearedSince(fp, qu.EvidenceFrom) && !tr.isRefuted(fp, qu) {
 			continue
 		}
-		qu = qu.WithoutMember(fp)
-		if fp.Kind == fingerprint.WholeRequest {
+		if qu.endsWithout(fp) {
 			return
 		}
+		qu = qu.WithoutMember(fp)
 	}
 	if len(qu.Members) == 0 || !tr.opts.Now().Before(tr.retainedUntil(qu)) {
 		return
--- a/internal/quarantine/lasting_test.go
+++ b/internal/quarantine/lasting_test.go
@@ -220,23 +220,52 @@
 	g.Expect(b.Quarantines()[0].Level).To(Equal(1))
 }
 
-// TestOrganisationIsNotQuarantinedForItself guards against an organisation that is refused as a whole, because several fatal parts are in
-// its prompts and none of the others is answered meanwhile.
+// TestOrganisationIsNotQuarantinedForItself guards against an organisation that is refused as a whole: because several fatal parts are in
+// its prompts and none of the others is answered meanwhile, or because it is what is left of the quarantine of its path when an instance
+// that knows of an answer to the path refutes that.
 func TestOrganisationIsNotQuarantinedForItself(t *testing.T) {
-	g := NewWithT(t)
-	sf := newSmallFleet(3)
-	sf.ck.advance(time.Minute)
-	for i := range 12 {
-		sf.send(t, i%3, sf.newRequest("first", fmt.Sprint("bad-", i%6)), true)
-		other := setOf(request(fmt.Sprint("other-", i)), fingerprint.OfOrganisation("blue"), fingerprint.OfPart("second"))
-		g.Expect(sf.send(t, i%3, other, false)).To(BeTrue())
+	path := fingerprint.OfPath(fingerprint.Request{RequestURI: "/bad"})
+	cases := map[string]struct {
+		// answered is a request that the last instance answers before the crashes.
+		answered []fingerprint.Fingerprint
+		// crashing is the ith request that crashes its target, sent to one of the first senders instances in turn.
+		crashing func(sf *smallFleet, i int) fingerprint.Set
+		senders  int
+	}{
+		"several fatal parts": {
+			crashing: func(sf *smallFleet, i int) fingerprint.Set { return sf.newRequest("first", fmt.Sprint("bad-", i%6)) }, senders: 3,
+		},
+		"a refuted path": {
+			answered: []fingerprint.Fingerprint{request("sound"), path, fingerprint.OfOrganisation("blue")},
+			crashing: func(_ *smallFleet, i int) fingerprint.Set {
+				return setOf(request(fmt.Sprint("bad-", i)), path, fingerprint.OfOrganisation("red"))
+			},
+			senders: 2,
+		},
 	}
-	for _, in := range sf.instances {
-		for _, qu := range in.Quarantines() {
-			g.Expect(qu.ID().Kind).NotTo(BeElementOf(fingerprint.Organisation, fingerprint.Path))
-		}
-		_, refused := in.Refused(setOf(request("plain"), fingerprint.OfOrganisation("red")))
-		g.Expect(refused).To(BeFalse())
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			sf := newSmallFleet(3)
+			sf.ck.advance(time.Minute)
+			if tc.answered != nil {
+				sf.instances[2].Tracker.RecordAnswered(setOf(tc.answered...))
+				sf.ck.advance(5 * time.Second)
+			}
+			for i := range 12 {
+				sf.send(t, i%tc.senders, tc.crashing(sf, i), true)
+				other := setOf(request(fmt.Sprint("other-", i)), fingerprint.OfOrganisation("blue"), fingerprint.OfPart("second"))
+				g.Expect(sf.send(t, i%3, other, false)).To(BeTrue())
+			}
+			sf.exchange(t)
+			for _, in := range sf.instances {
+				for _, qu := range in.Quarantines() {
+					g.Expect(qu.ID().Kind).NotTo(BeElementOf(fingerprint.Organisation, fingerprint.Path))
+				}
+				_, refused := in.Refused(setOf(request("plain"), fingerprint.OfOrganisation("red")))
+				g.Expect(refused).To(BeFalse())
+			}
+		})
 	}
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -61,6 +61,13 @@
 	return qu.Members
 }
 
+// endsWithout reports whether a quarantine ends with a member: with the last one, with that of a whole request, and with a path that no
+// content is left beside, since the organisation that would be left is not quarantined for itself.
+func (qu Quarantine) endsWithout(fp fingerprint.Fingerprint) bool {
+	rest := qu.WithoutMember(fp).Members
+	return len(rest) == 0 || fp.Kind == fingerprint.WholeRequest || isPath(fp) && !slices.ContainsFunc(rest, isContent)
+}
+
 // WithoutMember returns a copy without a fingerprint.
 func (qu Quarantine) WithoutMember(fp fingerprint.Fingerprint) Quarantine {
 	qu.Members = slices.DeleteFunc(slices.Clone(qu.Members), func(other fingerprint.Fingerprint) bool { return other == fp })
@@ -231,17 +238,16 @@
 	return a
 }
 
-// removeMember removes a fingerprint from a quarantine, which ends with its last member and with that of a whole request. The caller
-// holds the lock.
+// removeMember removes a fingerprint from a quarantine, which may end it. The caller holds the lock.
 func (tr *Tracker) removeMember(qu Quarantine, fp fingerprint.Fingerprint, lifted bool) {
 	tr.removeQuarantine(qu)
 	tr.reportChange(qu, true)
 	lg := tr.opts.Log.WithFields(quarantineFields(qu)).WithField("lifted", lifted)
-	narrowed := qu.WithoutMember(fp)
-	if len(narrowed.Members) == 0 || fp.Kind == fingerprint.WholeRequest {
+	if qu.endsWithout(fp) {
 		lg.Warn("quarantine cleared")
 		return
 	}
+	narrowed := qu.WithoutMember(fp)
 	lg.WithField("cleared", fp.String()).Warn("quarantine narrowed")
 	if other, ok := tr.quarantines[narrowed.ID()]; !ok || other.Level < narrowed.Level {
 		tr.storeQuarantine(narrowed)
