fix(quarantine): refute the quarantine of a path only with an answer of the instance itself

A tombstone younger than 30 s counted as an answer to the path, and refuting made a new one, so instances refuted on each other's tombstones and a path that turned fatal after it had been answered might never be quarantined. An instance now refutes only with its own answer of the last 30 s.

--- a/internal/quarantine/answers.go
+++ b/internal/quarantine/answers.go
@@ -139,6 +139,12 @@
 	return ok
 }
 
+// recentlyAnswered reports whether this instance itself recently answered a request with a fingerprint. The caller holds the lock.
+func (tr *Tracker) recentlyAnswered(fp fingerprint.Fingerprint) bool {
+	at, ok := tr.answers.last(fp)
+	return ok && tr.opts.Now().Sub(at) <= answerGeneration
+}
+
 // removeLocalEvidence removes a fingerprint from the evidence of this instance up to a time. The caller holds the lock.
 func (tr *Tracker) removeLocalEvidence(fp fingerprint.Fingerprint, until time.Time) {
 	tr.localEvidence = slices.DeleteFunc(tr.localEvidence, func(ev Evidence) bool {
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -45,8 +45,8 @@
 	traits func(rd *rand.Rand, fatal int) []fingerprint.Fingerprint
 	// warmUp is the time before the first fatal request and the first crash.
 	warmUp time.Duration
-	// turnsFatal makes harmless requests with turningPart fatal after the warm-up.
-	turnsFatal bool
+	// turning is what turns fatal after the warm-up: all harmless requests with it do. It is zero if nothing turns fatal.
+	turning fingerprint.Fingerprint
 	// crashLimit is the number of targets that each fatal request, or trait of one, may crash before it must be quarantined; 3 if
 	// zero.
 	crashLimit int
@@ -148,7 +148,7 @@
 		name = fmt.Sprint("body-", sm.rd.IntN(sm.repeated))
 	}
 	jb := job{name: name, set: sm.newSet(name, -1)}
-	if sm.turnsFatal && jb.set.Has(turningPart) && sm.ck.now.Sub(sm.startedAt) > sm.warmUp {
+	if sm.turning != (fingerprint.Fingerprint{}) && jb.set.Has(sm.turning) && sm.ck.now.Sub(sm.startedAt) > sm.warmUp {
 		jb.name, jb.fatal = "turned", true
 	}
 	sm.send(jb)
--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -136,10 +136,11 @@
 	return true
 }
 
-// isRefuted reports whether a quarantine is one of a path for itself that this instance knows to be sound, as a path that was recently
-// answered is not quarantined for itself. The peer that judged it did not know of the answer, and is told. The caller holds the lock.
+// isRefuted reports whether a quarantine is one of a path for itself that this instance has recently answered itself. The peer that judged
+// it did not know of the answer, and is told. A tombstone from a peer does not count, because instances would refute on each other's
+// tombstones long after the last answer. The caller holds the lock.
 func (tr *Tracker) isRefuted(fp fingerprint.Fingerprint, qu Quarantine) bool {
-	if !isPath(fp) || slices.ContainsFunc(qu.Members, isContent) || !tr.knownSound(fp) {
+	if !isPath(fp) || slices.ContainsFunc(qu.Members, isContent) || !tr.recentlyAnswered(fp) {
 		return false
 	}
 	tr.setTombstone(fp, tombstone{at: tr.opts.Now()})
--- a/internal/quarantine/traits_test.go
+++ b/internal/quarantine/traits_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	. "github.com/onsi/gomega"
+
 	"github.com/silvermount/silvermount/internal/fingerprint"
 )
 
@@ -62,8 +64,8 @@
 		"many instances, slow gossip":            with(func(sc *scenario) { sc.instances, sc.maxGossipDelay = 24, 150*time.Millisecond }),
 		"many crashes, no fatal part":            with(func(sc *scenario) { sc.fatal, sc.crashRate, sc.targets = 0, 2.5, 12 }),
 		"many crashes, long requests":            with(func(sc *scenario) { sc.fatal, sc.crashRate, sc.meanDuration = 0, 2.5, 2*time.Second }),
-		"a part turns fatal":                     with(func(sc *scenario) { sc.fatal, sc.turnsFatal = 0, true }),
-		"a part turns fatal, others crash":       with(func(sc *scenario) { sc.fatal, sc.turnsFatal, sc.crashRate = 0, true, 1 }),
+		"a part turns fatal":                     with(func(sc *scenario) { sc.fatal, sc.turning = 0, turningPart }),
+		"a part turns fatal, others crash":       with(func(sc *scenario) { sc.fatal, sc.turning, sc.crashRate = 0, turningPart, 1 }),
 		"beside a harmless part": with(func(sc *scenario) {
 			sc.traits = func(rd *rand.Rand, fatal int) []fingerprint.Fingerprint {
 				switch {
@@ -127,3 +129,28 @@
 		})
 	}
 }
+
+// TestPathThatTurnsFatalIsQuarantined guards against a path that crashes targets without end, because the instances refute its quarantine
+// on the tombstones that they told each other, after the last answer to it is long past.
+func TestPathThatTurnsFatalIsQuarantined(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	path := fingerprint.OfPath(fingerprint.Request{RequestURI: "/bad"})
+	sm := newSimulation(1, scenario{
+		instances: 12, targets: 18, repeated: 10, meanDuration: 300 * time.Millisecond, maxGossipDelay: 150 * time.Millisecond,
+		crashLimit: 5, warmUp: 15 * time.Second, turning: path,
+		traits: func(rd *rand.Rand, fatal int) []fingerprint.Fingerprint {
+			if rd.IntN(80) == 0 {
+				return []fingerprint.Fingerprint{fingerprint.OfOrganisation("red"), path}
+			}
+			return promptTraits(rd, fatal)
+		},
+	})
+	sm.run(sm.warmUp + 75*time.Second)
+	t.Logf("crashes %v, late runs %v", sm.crashes, sm.lateRuns)
+	for i, in := range sm.fleet {
+		_, refused := in.Refused(setOf(request("another"), path, fingerprint.OfOrganisation("red")))
+		g.Expect(refused).To(BeTrue(), "instance %d", i)
+	}
+	g.Expect(sm.refused).To(BeEmpty())
+}
