fix(quarantine): count a path with an old tombstone as sound while it is answered

A path with a tombstone older than 30 s did not count as sound, even if it had been answered a second ago. Its answers now count as those of any other fingerprint do.

TestAnsweredPathWithAnOldTombstoneIsSound failed before: the path was refused after ten crashes although it was answered just before.

--- a/internal/quarantine/answers.go
+++ b/internal/quarantine/answers.go
@@ -131,11 +131,12 @@
 // knownSound reports whether a fingerprint was recently part of a complete answer, here or, as far as told, at a peer. The caller holds
 // the lock.
 func (tr *Tracker) knownSound(fp fingerprint.Fingerprint) bool {
-	if ts, ok := tr.tombstones[fp]; ok && !ts.byOperator {
-		// The tombstone of a quarantine outlives it by hours, for which a path that turns fatal must not pass as sound.
-		return !isPath(fp) || tr.opts.Now().Sub(ts.at) <= answerGeneration
+	// The tombstone of a quarantine outlives it by hours, for which a path that turns fatal must not pass as sound.
+	ts, ok := tr.tombstones[fp]
+	if ok && !ts.byOperator && (!isPath(fp) || tr.opts.Now().Sub(ts.at) <= answerGeneration) {
+		return true
 	}
-	_, ok := tr.answers.last(fp)
+	_, ok = tr.answers.last(fp)
 	return ok
 }
 
--- a/internal/quarantine/lasting_test.go
+++ b/internal/quarantine/lasting_test.go
@@ -351,3 +351,42 @@
 	g.Expect(refused("fatal")).To(BeTrue())
 	g.Expect(refused("other")).To(BeFalse())
 }
+
+// TestAnsweredPathWithAnOldTombstoneIsSound guards against the refusal of a path that was answered just before, because it was quarantined
+// and cleared long ago. The instance has no peers, which would refute its quarantine at once.
+func TestAnsweredPathWithAnOldTombstoneIsSound(t *testing.T) {
+	g := NewWithT(t)
+	sf := newSmallFleet(1)
+	path := fingerprint.OfPath(fingerprint.Request{RequestURI: "/bad"})
+	set := func(name string, i int) fingerprint.Set {
+		return setOf(request(fmt.Sprint(name, i)), path, fingerprint.OfOrganisation(fmt.Sprint("organisation-", i%4)))
+	}
+	crash := func(name string) {
+		for i := range 10 {
+			sf.send(t, 0, set(name, i), true)
+			for range 3 {
+				sf.send(t, 0, sf.newRequest("first"), false)
+			}
+		}
+	}
+	refused := func(in *instance) bool {
+		_, refused := in.Refused(set("another", 0))
+		return refused
+	}
+	sf.ck.advance(time.Minute)
+	crash("early")
+	g.Expect(refused(sf.instances[0])).To(BeTrue())
+	sf.instances[0].Tracker.RecordAnswered(set("sound", 0))
+	sf.exchange(t)
+	sf.ck.advance(11 * time.Minute)
+	for i := range 30 {
+		for _, in := range sf.instances {
+			in.Tracker.RecordAnswered(set("sound", i))
+		}
+		sf.ck.advance(time.Second)
+	}
+	crash("late")
+	for i, in := range sf.instances {
+		g.Expect(refused(in)).To(BeFalse(), "instance %d", i)
+	}
+}
