--- a/internal/quarantine/answers.go
+++ b/internal/quarantine/answers.go
@@ -131,14 +131,21 @@
 // knownSound reports whether a fingerprint was recently part of a complete answer, here or, as far as told, at a peer. The caller holds
 // the lock.
 func (tr *Tracker) knownSound(fp fingerprint.Fingerprint) bool {
-	if ts, ok := tr.tombstones[fp]; ok && !ts.byOperator {
-		// The tombstone of a quarantine outlives it by hours, for which a path that turns fatal must not pass as sound.
-		return !isPath(fp) || tr.opts.Now().Sub(ts.at) <= answerGeneration
+	// The tombstone of a quarantine outlives it by hours, for which a path that turns fatal must not pass as sound.
+	ts, ok := tr.tombstones[fp]
+	if ok && !ts.byOperator && (!isPath(fp) || tr.opts.Now().Sub(ts.at) <= answerGeneration) {
+		return true
 	}
-	_, ok := tr.answers.last(fp)
+	_, ok = tr.answers.last(fp)
 	return ok
 }
 
+// recentlyAnswered reports whether this instance itself recently answered a request with a fingerprint. The caller holds the lock.
+func (tr *Tracker) recentlyAnswered(fp fingerprint.Fingerprint) bool {
+	at, ok := tr.answers.last(fp)
+	return ok && tr.opts.Now().Sub(at) <= answerGeneration
+}
+
 // removeLocalEvidence removes a fingerprint from the evidence of this instance up to a time. The caller holds the lock.
 func (tr *Tracker) removeLocalEvidence(fp fingerprint.Fingerprint, until time.Time) {
 	tr.localEvidence = slices.DeleteFunc(tr.localEvidence, func(ev Evidence) bool {
--- a/internal/quarantine/lasting_test.go
+++ b/internal/quarantine/lasting_test.go
@@ -220,23 +220,52 @@
 	g.Expect(b.Quarantines()[0].Level).To(Equal(1))
 }
 
-// TestOrganisationIsNotQuarantinedForItself guards against an organisation that is refused as a whole, because several fatal parts are in
-// its prompts and none of the others is answered meanwhile.
+// TestOrganisationIsNotQuarantinedForItself guards against an organisation that is refused as a whole: because several fatal parts are in
+// its prompts and none of the others is answered meanwhile, or because it is what is left of the quarantine of its path when an instance
+// that knows of an answer to the path refutes that.
 func TestOrganisationIsNotQuarantinedForItself(t *testing.T) {
-	g := NewWithT(t)
-	sf := newSmallFleet(3)
-	sf.ck.advance(time.Minute)
-	for i := range 12 {
-		sf.send(t, i%3, sf.newRequest("first", fmt.Sprint("bad-", i%6)), true)
-		other := setOf(request(fmt.Sprint("other-", i)), fingerprint.OfOrganisation("blue"), fingerprint.OfPart("second"))
-		g.Expect(sf.send(t, i%3, other, false)).To(BeTrue())
+	path := fingerprint.OfPath(fingerprint.Request{RequestURI: "/bad"})
+	cases := map[string]struct {
+		// answered is a request that the last instance answers before the crashes.
+		answered []fingerprint.Fingerprint
+		// crashing is the ith request that crashes its target, sent to one of the first senders instances in turn.
+		crashing func(sf *smallFleet, i int) fingerprint.Set
+		senders  int
+	}{
+		"several fatal parts": {
+			crashing: func(sf *smallFleet, i int) fingerprint.Set { return sf.newRequest("first", fmt.Sprint("bad-", i%6)) }, senders: 3,
+		},
+		"a refuted path": {
+			answered: []fingerprint.Fingerprint{request("sound"), path, fingerprint.OfOrganisation("blue")},
+			crashing: func(_ *smallFleet, i int) fingerprint.Set {
+				return setOf(request(fmt.Sprint("bad-", i)), path, fingerprint.OfOrganisation("red"))
+			},
+			senders: 2,
+		},
 	}
-	for _, in := range sf.instances {
-		for _, qu := range in.Quarantines() {
-			g.Expect(qu.ID().Kind).NotTo(BeElementOf(fingerprint.Organisation, fingerprint.Path))
-		}
-		_, refused := in.Refused(setOf(request("plain"), fingerprint.OfOrganisation("red")))
-		g.Expect(refused).To(BeFalse())
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			sf := newSmallFleet(3)
+			sf.ck.advance(time.Minute)
+			if tc.answered != nil {
+				sf.instances[2].Tracker.RecordAnswered(setOf(tc.answered...))
+				sf.ck.advance(5 * time.Second)
+			}
+			for i := range 12 {
+				sf.send(t, i%tc.senders, tc.crashing(sf, i), true)
+				other := setOf(request(fmt.Sprint("other-", i)), fingerprint.OfOrganisation("blue"), fingerprint.OfPart("second"))
+				g.Expect(sf.send(t, i%3, other, false)).To(BeTrue())
+			}
+			sf.exchange(t)
+			for _, in := range sf.instances {
+				for _, qu := range in.Quarantines() {
+					g.Expect(qu.ID().Kind).NotTo(BeElementOf(fingerprint.Organisation, fingerprint.Path))
+				}
+				_, refused := in.Refused(setOf(request("plain"), fingerprint.OfOrganisation("red")))
+				g.Expect(refused).To(BeFalse())
+			}
+		})
 	}
 }
 
@@ -322,3 +351,72 @@
 	g.Expect(refused("fatal")).To(BeTrue())
 	g.Expect(refused("other")).To(BeFalse())
 }
+
+// TestAnsweredPathWithAnOldTombstoneIsSound guards against the refusal of a path that was answered just before, because it was quarantined
+// and cleared long ago. The instance has no peers, which would refute its quarantine at once.
+func TestAnsweredPathWithAnOldTombstoneIsSound(t *testing.T) {
+	g := NewWithT(t)
+	sf := newSmallFleet(1)
+	path := fingerprint.OfPath(fingerprint.Request{RequestURI: "/bad"})
+	set := func(name string, i int) fingerprint.Set {
+		return setOf(request(fmt.Sprint(name, i)), path, fingerprint.OfOrganisation(fmt.Sprint("organisation-", i%4)))
+	}
+	crash := func(name string) {
+		for i := range 10 {
+			sf.send(t, 0, set(name, i), true)
+			for range 3 {
+				sf.send(t, 0, sf.newRequest("first"), false)
+			}
+		}
+	}
+	refused := func(in *instance) bool {
+		_, refused := in.Refused(set("another", 0))
+		return refused
+	}
+	sf.ck.advance(time.Minute)
+	crash("early")
+	g.Expect(refused(sf.instances[0])).To(BeTrue())
+	sf.instances[0].Tracker.RecordAnswered(set("sound", 0))
+	sf.exchange(t)
+	sf.ck.advance(11 * time.Minute)
+	for i := range 30 {
+		for _, in := range sf.instances {
+			in.Tracker.RecordAnswered(set("sound", i))
+		}
+		sf.ck.advance(time.Second)
+	}
+	crash("late")
+	for i, in := range sf.instances {
+		g.Expect(refused(in)).To(BeFalse(), "instance %d", i)
+	}
+}
+
+// TestTiedPartsThatWereAnsweredAreHeld guards against two parts that run on, although enough targets crashed under both, because the crashes
+// do not tell them apart and both were answered before.
+func TestTiedPartsThatWereAnsweredAreHeld(t *testing.T) {
+	g := NewWithT(t)
+	sf := newSmallFleet(1)
+	in := sf.instances[0]
+	parts := []string{"fatal", "other"}
+	sf.ck.advance(time.Minute)
+	for _, part := range parts {
+		in.Tracker.RecordAnswered(sf.newRequest("first", part))
+	}
+	for i := range 6 {
+		sf.ck.advance(time.Second)
+		for _, part := range parts {
+			in.RecordInterrupted(quarantine.InterruptedRun{
+				Fingerprints: sf.newRequest("first", part).All(), Incarnation: fmt.Sprint("shared-", i), Elapsed: 30 * time.Millisecond, Answering: true,
+				At: sf.ck.now,
+			})
+		}
+		in.RecordCrash(fmt.Sprint("shared-", i))
+		sf.ck.advance(afterSettleDelay)
+		in.Tracker.RecordAnswered(sf.newRequest("first"))
+	}
+	for _, part := range parts {
+		_, refused := in.Refused(sf.newRequest("first", part))
+		g.Expect(refused).To(BeFalse(), part)
+		g.Expect(in.Tracker.Check(sf.newRequest("first", part)).Delay).To(BeNumerically(">", 0), part)
+	}
+}
