feat(loadreport): report less often in a large fleet

Cause: ten reports a second from each of 984 peers are 9,840 a second at every instance, 3 MB/s with reports of 300 bytes, where control may take 20 kB/s.

--- a/internal/duty/gatewaydeps/gatewaydeps.go
+++ b/internal/duty/gatewaydeps/gatewaydeps.go
@@ -215,7 +215,8 @@
 		ls.RecordAnswer(al.Target)
 		fb.Record(feedback.Report{Source: feedback.OrderAnswer, Target: dr.ByID(al.Target), Head: hd, ReceivedAt: time.Now()})
 	}
-	reports := loadreport.New(time.Now, env.Logger("peers"), ms.GetOrCreateCounter("silvermount_load_report_parts_omitted_total").Inc)
+	reports := loadreport.New(time.Now, env.Logger("peers"), ms.GetOrCreateCounter("silvermount_load_report_parts_omitted_total").Inc,
+		loadreport.WithMembers(pt.peers.count))
 	queue := queueOptions(env.Settings.Gateway, env.Logger("dispatch"), ms, reports)
 	ds := dispatch.New(dr, mg, ps.connect(dispatch.Options{
 		Admission: newAdmission(env, ms, pauses, reports),
--- a/internal/loadreport/loadreport.go
+++ b/internal/loadreport/loadreport.go
@@ -30,8 +30,10 @@
 const (
 	// MaxBytes is the maximum size of a report. With reports of this size ten times a second, an instance sends less than its loads take.
 	MaxBytes = 16 << 10
-	// publishInterval is the minimum time between two reports. The beliefs in them age over hundreds of milliseconds.
-	publishInterval = 100 * time.Millisecond
+	// minPublishInterval is the minimum time between two reports. The beliefs in them age over hundreds of milliseconds.
+	minPublishInterval = 100 * time.Millisecond
+	// maxReceivedPerSecond bounds the reports that an instance receives from all its peers: in a larger fleet each sends less often.
+	maxReceivedPerSecond = 1000
 	// partHeaderBytes is the maximum size of the kind and the length before each part.
 	partHeaderBytes = 1 + binary.MaxVarintLen32
 )
@@ -52,6 +54,8 @@
 	now       func() time.Time
 	lg        log.Interface
 	onOmitted func()
+	// members returns the number of other instances.
+	members func() int
 
 	mu sync.Mutex
 	// publish marks the report as changed; nil until SetPublish.
@@ -65,9 +69,26 @@
 	publishedAt time.Time
 }
 
+// Option configures an Exchange.
+type Option func(*Exchange)
+
+// WithMembers sets the function that returns the number of other instances. Without it, the fleet counts as small.
+func WithMembers(members func() int) Option {
+	return func(ex *Exchange) { ex.members = members }
+}
+
 // New returns an exchange without parts. onOmitted is called for each part that is left out of a report for its size; it may be nil.
-func New(now func() time.Time, lg log.Interface, onOmitted func()) *Exchange {
-	return &Exchange{now: now, lg: lg, onOmitted: onOmitted, parts: map[Kind]Part{}}
+func New(now func() time.Time, lg log.Interface, onOmitted func(), opts ...Option) *Exchange {
+	ex := &Exchange{now: now, lg: lg, onOmitted: onOmitted, members: func() int { return 0 }, parts: map[Kind]Part{}}
+	for _, opt := range opts {
+		opt(ex)
+	}
+	return ex
+}
+
+// publishInterval returns the time between two reports of this instance.
+func (ex *Exchange) publishInterval() time.Duration {
+	return max(minPublishInterval, time.Duration(ex.members())*time.Second/maxReceivedPerSecond)
 }
 
 // Register adds a part. A kind is registered at most once, before the first report.
@@ -87,12 +108,13 @@
 
 // Publish requests that the report is sent again, at once or when the publish interval is over. It never blocks.
 func (ex *Exchange) Publish() {
+	interval := ex.publishInterval()
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
 	if ex.publish == nil || ex.timer != nil {
 		return
 	}
-	wait := publishInterval - ex.now().Sub(ex.publishedAt)
+	wait := interval - ex.now().Sub(ex.publishedAt)
 	if ex.publishedAt.IsZero() || wait <= 0 {
 		ex.publishedAt = ex.now()
 		ex.publish()
