--- a/internal/loadreport/loadreport_test.go
+++ b/internal/loadreport/loadreport_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -99,14 +100,14 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				const seconds = 10
-				published := 0
+				var published atomic.Int64
 				ex := loadreport.New(time.Now, &log.Logger{Handler: discard.New()}, nil, loadreport.WithMembers(func() int { return tc.members }))
-				ex.SetPublish(func() { published++ })
+				ex.SetPublish(func() { published.Add(1) })
 				for range seconds * 1000 {
 					ex.Publish()
 					time.Sleep(time.Millisecond)
 				}
-				NewWithT(t).Expect(float64(published) / seconds).To(BeNumerically("~", tc.want, 0.2))
+				NewWithT(t).Expect(float64(published.Load()) / seconds).To(BeNumerically("~", tc.want, 0.2))
 				time.Sleep(seconds * time.Second)
 			})
 		})
