--- a/internal/quarantine/check.go
+++ b/internal/quarantine/check.go
@@ -124,8 +124,7 @@
 		// The part is quarantined together with something else that this request does not have. Until one run has shown which of them is
 		// the cause, the others wait.
 		dc.Delay = tr.probeDelay(sp)
-	case sp.meetsThresholds(tr.previousQuarantine(sp)), len(sp.runs) >= minCrashes && sp.pValue <= maxProbationPValue && !sp.knownSound:
-		// What meets the thresholds and is not quarantined is tied with something else, which a probe may tell apart.
+	case len(sp.runs) >= minCrashes && sp.pValue <= maxProbationPValue && !sp.knownSound:
 		dc.Delay = tr.probeDelay(sp)
 	}
 	return dc
