--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -25,6 +25,7 @@
 
 var cases = map[string]func(*bed) error{
 	"tunnel-end": tunnelEnd,
+	"attempts":   tooManyEngines,
 	"denied":     deniedPrompts,
 }
 
