test: review case 3, a removed key works again after the store's return

All instances are killed while the store comes back from a copy that still has the key: about 60 of 60 requests run that were sent more than 5 s after the removal was acknowledged. The former case 3 becomes case 4.

--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -26,6 +26,7 @@
 var cases = map[string]func(*bed) error{
 	"tunnel-end": tunnelEnd,
 	"attempts":   tooManyEngines,
+	"revoked":    revokedKey,
 	"denied":     deniedPrompts,
 }
 
