--- a/review/_cases/denied.go
+++ b/review/_cases/denied.go
@@ -17,9 +17,9 @@
 	modelEngines = 18
 	// leadTime is the time from the start of the machines to that of the traffic, firstCrash the time from there to the first crash.
 	leadTime      = 10 * time.Second
-	firstCrash    = 600 * time.Millisecond
+	firstCrash    = 500 * time.Millisecond
 	crashes       = 3
-	crashInterval = 400 * time.Millisecond
+	crashInterval = 250 * time.Millisecond
 	afterCrashes  = 4 * time.Second
 	// promptInterval is the time between two prompts at one instance.
 	promptInterval = 250 * time.Millisecond
