--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -19,6 +19,7 @@
 	"github.com/silvermount/silvermount/internal/retry"
 	"github.com/silvermount/silvermount/internal/returntimes"
 	"github.com/silvermount/silvermount/internal/routes"
+	"github.com/silvermount/silvermount/internal/upstream"
 )
 
 const (
@@ -91,6 +92,8 @@
 	sentAt, headAt time.Time
 	// head is the head of the latest response. It is valid only while headAt is set.
 	head responsehead.Head
+	// framing says how the end of the latest response is recognised; empty before.
+	framing upstream.Framing
 	// fingerprints are set once the body has been read.
 	fingerprints fingerprint.Set
 	// admission is the dispatcher's state of the request.
--- a/internal/gateway/logging.go
+++ b/internal/gateway/logging.go
@@ -139,6 +139,7 @@
 		fs["late_by"] = reason
 	}
 	fs["attempts"] = len(rq.tried)
+	fs["framing"] = string(rq.framing)
 	rq.addVia(fs)
 	rq.addParts(fs)
 	if len(rq.tried) > 0 {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -93,6 +93,31 @@
 	complete       bool
 }
 
+// Framing is how the end of a response is recognised.
+type Framing string
+
+// The framings.
+const (
+	// ByLength means that the head states the length of the body, or that there is none.
+	ByLength Framing = "length"
+	// ByChunks means that the last chunk ends the body.
+	ByChunks Framing = "chunks"
+	// ByConnection means that the body ends with the connection.
+	ByConnection Framing = "connection"
+)
+
+// Framing returns how the end of the response is recognised.
+func (rs *Response) Framing() Framing {
+	switch {
+	case rs.ContentLength >= 0:
+		return ByLength
+	case len(rs.TransferEncoding) > 0:
+		return ByChunks
+	default:
+		return ByConnection
+	}
+}
+
 // Do sends a call and returns the head of its response. When ctx ends, the connection is closed, which ends the work at the
 // target. Response data that has arrived by the deadline of ctx is still read.
 func (pl *Pool) Do(ctx context.Context, ca Call) (*Response, error) {
