feat(quarantine): log what a quarantine rests on

Change: 'request quarantined' has cautious, begun, since_first, answers_with, answers_without, interrupted_with and interrupted_without. The tracker keeps the newest 64 interrupted runs beside the newest 64 answers for this.

--- a/internal/quarantine/answers.go
+++ b/internal/quarantine/answers.go
@@ -12,8 +12,8 @@
 	answerGeneration = 30 * time.Second
 	// maxAnswersPerGeneration bounds each half of the answer memory; 60 bytes for each fingerprint.
 	maxAnswersPerGeneration = 4096
-	// maxRecentAnswers bounds the answers that are compared with those that are missing.
-	maxRecentAnswers = 64
+	// maxRecentRuns bounds the answers, and separately the interrupted runs, with which the runs of a suspect are compared.
+	maxRecentRuns = 64
 	// minOtherAnswers is how many other requests must have been answered before the lack of answers to requests with a fingerprint
 	// tells anything.
 	minOtherAnswers = 3
@@ -46,32 +46,34 @@
 	return at, ok
 }
 
-// recentAnswers holds the shared fingerprints of the newest complete answers of this instance. Its zero value is empty.
-type recentAnswers struct {
-	list [maxRecentAnswers]recentAnswer
+// recentRuns holds the shared fingerprints of the newest runs on this instance that ended in one way. Its zero value is empty.
+type recentRuns struct {
+	list [maxRecentRuns]recentRun
 	next int
 }
 
-type recentAnswer struct {
+type recentRun struct {
 	at     time.Time
 	shared []fingerprint.Fingerprint
 }
 
-func (ra *recentAnswers) add(at time.Time, shared []fingerprint.Fingerprint) {
-	ra.list[ra.next] = recentAnswer{at: at, shared: shared}
-	ra.next = (ra.next + 1) % len(ra.list)
+func (rr *recentRuns) add(at time.Time, shared []fingerprint.Fingerprint) {
+	rr.list[rr.next] = recentRun{at: at, shared: shared}
+	rr.next = (rr.next + 1) % len(rr.list)
 }
 
-// countWithout returns the number of requests without a fingerprint that were answered after a time. For a part only prompts count.
-func (ra *recentAnswers) countWithout(fp fingerprint.Fingerprint, after time.Time) int {
-	n := 0
-	for _, rc := range ra.list {
-		comparable := !isPart(fp) || slices.ContainsFunc(rc.shared, isPart)
-		if rc.at.After(after) && comparable && !slices.Contains(rc.shared, fp) {
-			n++
+// count returns the number of runs with and without a fingerprint that ended after a time. For a part only prompts count.
+func (rr *recentRuns) count(fp fingerprint.Fingerprint, after time.Time) (with, without int) {
+	for _, rn := range rr.list {
+		switch {
+		case !rn.at.After(after) || isPart(fp) && !slices.ContainsFunc(rn.shared, isPart):
+		case slices.Contains(rn.shared, fp):
+			with++
+		default:
+			without++
 		}
 	}
-	return n
+	return with, without
 }
 
 func isPart(fp fingerprint.Fingerprint) bool { return fp.Kind == fingerprint.PromptPart }
@@ -83,7 +85,7 @@
 	defer tr.mu.Unlock()
 	tr.expire()
 	now := tr.opts.Now()
-	tr.recent.add(now, st.Shared())
+	tr.recentAnswers.add(now, st.Shared())
 	published := false
 	for _, fp := range st.Shared() {
 		tr.answers.record(fp, now)
--- a/internal/quarantine/detection.go
+++ b/internal/quarantine/detection.go
@@ -43,13 +43,26 @@
 		qu.Members = previous.Members
 		qu.Level, qu.Crashes = previous.Level+1, previous.Crashes+len(sp.runs)
 		qu.Until = now.Add(quarantineDuration(qu.Level))
-		tr.quarantine(qu, log.Fields{
-			"source": "own", "targets": joinTargets(sp.runs), "chance": strconv.FormatFloat(sp.pValue, 'e', 1, 64),
-		})
+		fs := tr.evidenceFields(sp)
+		fs["source"] = "own"
+		tr.quarantine(qu, fs)
 	}
 	return tr.advanceDoubtful() || changed
 }
 
+// evidenceFields returns the log fields that tell what a decision on a suspect rests on. The caller holds the lock.
+func (tr *Tracker) evidenceFields(sp suspect) log.Fields {
+	from := sp.firstInterrupted()
+	answersWith, answersWithout := tr.recentAnswers.count(sp.fingerprint, from)
+	interruptedWith, interruptedWithout := tr.recentInterrupted.count(sp.fingerprint, from.Add(-rateWindow))
+	return log.Fields{
+		"targets": joinTargets(sp.runs), "chance": strconv.FormatFloat(sp.pValue, 'e', 1, 64), "cautious": sp.cautious,
+		"begun": sp.countBegun(), "since_first": tr.opts.Now().Sub(from).Round(time.Millisecond).String(),
+		"answers_with": answersWith, "answers_without": answersWithout,
+		"interrupted_with": interruptedWith, "interrupted_without": interruptedWithout,
+	}
+}
+
 // advanceDoubtful lets the first probe of quarantines be sent now whose crashes others explain by now, and reports whether there were
 // any. What ran beside the cause in its first crashes may look like the cause until it has crashed more targets. The caller holds
 // the lock.
@@ -248,7 +261,8 @@
 // othersAreAnswered reports whether other requests were answered since the first crash under a suspect that needs a cautious judgement.
 // While none is, the lack of answers to requests with it says nothing against it. The caller holds the lock.
 func (tr *Tracker) othersAreAnswered(sp suspect) bool {
-	return !sp.cautious || tr.recent.countWithout(sp.fingerprint, sp.firstInterrupted()) >= minOtherAnswers
+	_, others := tr.recentAnswers.count(sp.fingerprint, sp.firstInterrupted())
+	return !sp.cautious || others >= minOtherAnswers
 }
 
 // isExonerated reports whether a run with what many requests have in common lasts longer than those that crashes interrupted. The
--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -88,6 +88,17 @@
 	return at
 }
 
+// countBegun returns how many of the runs their targets had begun to answer.
+func (sp suspect) countBegun() int {
+	n := 0
+	for _, ev := range sp.runs {
+		if ev.Answering {
+			n++
+		}
+	}
+	return n
+}
+
 // meetsThresholds reports whether the evidence suffices for a quarantine, provided that it is complete. previous is the last
 // quarantine of the fingerprint, if any.
 func (sp suspect) meetsThresholds(previous Quarantine) bool {
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -104,8 +104,8 @@
 	// cleared by that since peers were last told.
 	answers     answerMemory
 	unpublished map[fingerprint.Fingerprint]int
-	// recent holds the newest of these answers.
-	recent recentAnswers
+	// recentAnswers holds the newest of these answers, recentInterrupted the newest runs that were interrupted.
+	recentAnswers, recentInterrupted recentRuns
 	// evidenceCounts counts the crashes that are evidence against a fingerprint; headCounts counts those crashes and the quarantines
 	// of all requests with a head hash. Entries at zero are removed.
 	evidenceCounts map[fingerprint.Fingerprint]int
@@ -153,6 +153,7 @@
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	tr.expire()
+	tr.recentInterrupted.add(rn.At, rn.Fingerprints)
 	if _, crashed := tr.crashes[rn.Incarnation]; crashed {
 		tr.addLocalEvidence(rn)
 		tr.evaluateAndNotify()
