fix(quarantine): compare the crashes under a part with the runs of other requests

Three of 18 targets crashed right at the start of the traffic, and for three seconds all prompts were refused with a final 400, because they share a part: 27 of 58, where 5 are allowed.

Cause: crashes under a part were compared with nothing. How often targets crash otherwise is taken from those that did not run the part, and there are none if all prompts have it; and a run that a target had not begun to answer counted like one that it had. Only in the first 10 s of an instance, and for what had just been answered, were answers to other prompts asked for.

Ruled out as the cause of its own: the age of the instance.

Change: a part with fewer than three begun runs needs five crashes, all of them counted as chance, and three other prompts answered since. A part that over four in five of the prompts had is judged only by separate crashes, all counted as chance, with nothing more specific in some of the runs; until then its requests are not delayed either. Why this works: a sound part of all prompts is under every crash, but under no pattern of its own; a fatal part beside other prompts is begun, and the others end without crashes, so that three crashes suffice as before.

--- a/internal/quarantine/answers.go
+++ b/internal/quarantine/answers.go
@@ -17,6 +17,9 @@
 	// minOtherAnswers is how many other requests must have been answered before the lack of answers to requests with a fingerprint
 	// tells anything.
 	minOtherAnswers = 3
+	// minOtherShare is the share of the runs that ended about the time of the crashes under a fingerprint which must have been without it,
+	// for a comparison of crashes with and without it.
+	minOtherShare = 0.2
 	// announcerCount is how many instances tell the others of an answer at once. The others wait for more evidence, because an answer
 	// that clears a common fingerprint is seen by all instances.
 	announcerCount = 8
--- a/internal/quarantine/check.go
+++ b/internal/quarantine/check.go
@@ -115,7 +115,7 @@
 	sp := tr.suspect(fp, tr.crashesBefore(tr.opts.Now()))
 	dc := Decision{Crashes: len(sp.runs)}
 	switch {
-	case fp.Kind != fingerprint.WholeRequest && len(sp.runs) > 0 && (tr.isOutranked(sp) || tr.isExonerated(sp) || !tr.othersAreAnswered(sp)):
+	case fp.Kind != fingerprint.WholeRequest && len(sp.runs) > 0 && (tr.isOutranked(sp) || tr.isExonerated(sp) || !tr.isConclusive(sp)):
 		// What all requests have in common would stop them all.
 	case sp.meetsThresholds(tr.previousQuarantine(sp)):
 		dc.Delay = max(0, settleDelay-tr.opts.Now().Sub(tr.settlesFrom(sp)))
--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -52,8 +52,9 @@
 	// pValue is the probability that as many targets crashed for other reasons within that time. It is the minimum over the
 	// shortest runs, because a request that waited on a target before it was executed seems to have run there for long.
 	pValue float64
-	// knownSound is set if the fingerprint was recently part of a complete answer, and cautious also if that cannot be known yet and for
-	// paths. A cautious judgement needs stronger evidence.
+	// knownSound is set if the fingerprint was recently part of a complete answer, and cautious also if that cannot be known yet, for paths,
+	// and if the targets had begun to answer too few of the runs: they may have crashed while the requests waited there. A cautious
+	// judgement needs stronger evidence.
 	knownSound, cautious bool
 }
 
@@ -99,6 +100,18 @@
 	return n
 }
 
+// separateCrashes returns how many events the crashes come from: targets that crash at nearly the same moment may have a common cause.
+func (sp suspect) separateCrashes() int {
+	events := 0
+	var last time.Time
+	for _, ev := range slices.SortedFunc(slices.Values(sp.runs), func(a, b Evidence) int { return a.At.Compare(b.At) }) {
+		if events == 0 || ev.At.Sub(last) >= settleDelay {
+			events, last = events+1, ev.At
+		}
+	}
+	return events
+}
+
 // meetsThresholds reports whether the evidence suffices for a quarantine, provided that it is complete. previous is the last
 // quarantine of the fingerprint, if any.
 func (sp suspect) meetsThresholds(previous Quarantine) bool {
@@ -184,10 +197,6 @@
 // suspect returns a fingerprint with the evidence from the given crashes. The caller holds the lock.
 func (tr *Tracker) suspect(fp fingerprint.Fingerprint, crashes []*crash) suspect {
 	sp := suspect{fingerprint: fp, pValue: 1}
-	if fp.Kind != fingerprint.WholeRequest {
-		sp.knownSound = tr.knownSound(fp)
-		sp.cautious = sp.knownSound || isPath(fp) || tr.opts.Now().Sub(tr.startedAt) < minMemoryAge
-	}
 	for _, cr := range crashes {
 		ev, ran := cr.runs[fp]
 		if !ran || tr.isExplainedWithout(fp, cr) {
@@ -201,14 +210,21 @@
 	slices.SortFunc(sp.runs, func(a, b Evidence) int {
 		return cmp.Or(cmp.Compare(a.Elapsed, b.Elapsed), strings.Compare(a.Incarnation, b.Incarnation))
 	})
+	if fp.Kind != fingerprint.WholeRequest {
+		sp.knownSound = tr.knownSound(fp)
+		sp.cautious = sp.knownSound || isPath(fp) || tr.opts.Now().Sub(tr.startedAt) < minMemoryAge ||
+			tr.memberCounts[fp] == 0 && sp.countBegun() < min(minCrashes, len(sp.runs))
+	}
 	if sp.freshCount > 0 {
-		tr.assessChance(&sp)
+		sp.pValue, sp.maxElapsed = tr.chance(sp, sp.cautious)
 	}
 	return sp
 }
 
-// assessChance computes the p-value of a suspect. The caller holds the lock.
-func (tr *Tracker) assessChance(sp *suspect) {
+// chance returns the p-value of a suspect, and the duration of the longest run that it is computed from. With countOwn, other targets may
+// have crashed under the suspect for other reasons too. The caller holds the lock.
+func (tr *Tracker) chance(sp suspect, countOwn bool) (pValue float64, maxElapsed time.Duration) {
+	pValue = 1
 	shortest := minElapsed
 	if sp.fingerprint.Kind != fingerprint.WholeRequest {
 		shortest = minSharedElapsed
@@ -216,14 +232,15 @@
 	unexplained := tr.unexplained()
 	rates := make([]float64, len(sp.runs))
 	for i, ev := range sp.runs {
-		rates[i] = tr.backgroundCrashRate(ev, unexplained, sp.cautious)
+		rates[i] = tr.backgroundCrashRate(ev, unexplained, countOwn)
 	}
 	for n := min(minCrashes, len(sp.runs)); n <= len(sp.runs) && n > 0; n++ {
-		maxElapsed := max(shortest, sp.runs[n-1].Elapsed)
-		if pValue := coincidenceProbability(rates, n, maxElapsed); pValue < sp.pValue {
-			sp.pValue, sp.maxElapsed = pValue, maxElapsed
+		within := max(shortest, sp.runs[n-1].Elapsed)
+		if probability := coincidenceProbability(rates, n, within); probability < pValue {
+			pValue, maxElapsed = probability, within
 		}
 	}
+	return pValue, maxElapsed
 }
 
 // coincidenceProbability returns the probability that targets crashed for other reasons in n of the runs, each within the given
