fix(callerapi): end relayed answers that break off with their connection

What callers saw: the entry role passed on the beginning of an answer of a plain service or of another instance, appended 'event: error' to it when it broke off, and ended the response in order: a cut text looked complete, with foreign bytes at its end.

Cause: the error event is meant for event streams with a [DONE] marker, and was written after any part of any answer.

Change: a relayed response that has begun and fails ends with its connection, as in the gateway role. Its objective is recorded before.

--- a/internal/callerapi/inference.go
+++ b/internal/callerapi/inference.go
@@ -59,11 +59,11 @@
 		rq.body = body
 		err = sv.runDeduplicated(ctx, r, rq, sk, run)
 	}
+	sv.recordObjective(rq, err)
 	if err != nil {
 		sv.countError(err)
 		sk.writeError(err)
 	}
-	sv.recordObjective(rq, err)
 }
 
 // runDeduplicated runs a request under its ticket or idempotency key, if it has one.
--- a/internal/callerapi/response.go
+++ b/internal/callerapi/response.go
@@ -35,6 +35,8 @@
 	// payloads holds the data of the events since the request body was last built. It is kept only for classes whose streams
 	// may continue on another target.
 	payloads [][]byte
+	// relayed is set if the response is that of another instance or of a plain service, passed on as it is.
+	relayed bool
 	// recording, if not nil, receives a copy of all that is written.
 	recording *claim.Response
 }
@@ -64,7 +66,7 @@
 }
 
 // writeError ends a response with an error: as an error response if nothing was sent, else as an error event without a
-// following [DONE].
+// following [DONE]. It panics with http.ErrAbortHandler if part of a relayed response was sent, whose end only the connection can tell.
 func (sk *sink) writeError(err error) {
 	fe := failure.FromError(err)
 	b, marshalErr := json.Marshal(errorBody{Error: errorDetail{
@@ -73,6 +75,9 @@
 	if marshalErr != nil {
 		return
 	}
+	if sk.Started() && sk.relayed {
+		panic(http.ErrAbortHandler)
+	}
 	if sk.Started() {
 		// A write error means that the caller is gone; there is nobody left to notify.
 		_ = sk.Forward(fmt.Appendf(nil, "event: error\ndata: %s\n\n", b), true)
--- a/internal/callerapi/tickets.go
+++ b/internal/callerapi/tickets.go
@@ -106,6 +106,7 @@
 			sk.Header().Set(h, v)
 		}
 	}
+	sk.relayed = true
 	buf := make([]byte, copyBufferBytes)
 	for {
 		n, err := resp.Body.Read(buf)
