fix(quarantine): keep asking for answers to others under a member of a quarantine

Cause: since a part that is quarantined together with others counted as conclusive at once, also on an instance that has just started or has answered the part lately. Such a part needed answers to three other prompts before. Found by reading the change; no run showed it, and two tries at a test that tells both apart did not: the crashes of the quarantine itself are held against its members in another place.

Change: only the comparison with runs of others is left out for a member, not the answers.

--- a/internal/quarantine/detection.go
+++ b/internal/quarantine/detection.go
@@ -262,10 +262,14 @@
 // has only begun to read a request, and the lack of answers, tell nothing while no other request is answered either. And if nearly all
 // requests have the fingerprint, every crash comes under it, whatever the cause. The caller holds the lock.
 func (tr *Tracker) isConclusive(sp suspect) bool {
-	if sp.fingerprint.Kind == fingerprint.WholeRequest || tr.memberCounts[sp.fingerprint] > 0 {
+	if sp.fingerprint.Kind == fingerprint.WholeRequest {
 		return true
 	}
-	return (!sp.cautious || tr.othersAreAnswered(sp)) && (tr.othersEnded(sp) || tr.isConclusiveAlone(sp))
+	if sp.cautious && !tr.othersAreAnswered(sp) {
+		return false
+	}
+	// The crashes were conclusive already for what is quarantined together with others.
+	return tr.memberCounts[sp.fingerprint] > 0 || tr.othersEnded(sp) || tr.isConclusiveAlone(sp)
 }
 
 // isConclusiveAlone reports whether the crashes under a suspect are conclusive although there are no other requests to compare with: they
