fix(tunnelframe): name the length of a malformed frame in its error

Cause: the error carried the length and did not print it, so that the log could not tell a peer of another build from a damaged connection.

Measured: go test ./internal/tunnelframe passes.

--- a/internal/tunnelframe/tunnelframe.go
+++ b/internal/tunnelframe/tunnelframe.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"os"
+	"strconv"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -41,8 +42,10 @@
 // MalformedError means that a length is neither that of a payload nor a mark.
 type MalformedError struct{ Length int }
 
-// Error implements the error interface.
-func (*MalformedError) Error() string { return "malformed frame in a tunnel" }
+// Error includes the length.
+func (me *MalformedError) Error() string {
+	return "malformed frame with a length of " + strconv.Itoa(me.Length) + " bytes"
+}
 
 // Reader reads the payloads of frames. It keeps no payload back, so that nothing but src holds unread data.
 type Reader struct {
