fix(tunnelserver): mark a target's connection as broken off if a write to it failed

What callers would see: an answer without length or chunks through a peer, reset by its target while the request was still being forwarded, could look complete.

Cause: the kernel reports a reset once. If the write to the target received it, the next read received the end of the data, and the peer was told of an orderly end.

Change: before the mark, the server waits for a write that is under way, 0.2 s at most, and marks the connection as broken off if any write failed.

--- a/internal/tunnelserver/pair.go
+++ b/internal/tunnelserver/pair.go
@@ -16,6 +16,9 @@
 	peer, target *net.TCPConn
 	// framed is set if the peer takes the target's data in frames. A peer of an older build does not.
 	framed bool
+	// writeMu is held during each write to the target, and guards writeFailed, which is set once one has failed.
+	writeMu     sync.Mutex
+	writeFailed bool
 }
 
 // forward forwards bytes until both directions have ended.
@@ -29,7 +32,7 @@
 // forwardToTarget forwards what the peer sends. When the peer closes its side, the connection to the target is closed, which ends the work
 // there.
 func (pr *pair) forwardToTarget() {
-	readErr, writeErr := copyAll(pr.target, pr.peer)
+	readErr, writeErr := copyParts(pr.peer, 0, pr.writeToTarget)
 	if writeErr != nil && pr.framed {
 		// What the target sent before it ended is still forwarded. Data that is left unread would reset the connection to the peer.
 		_, readErr = io.Copy(io.Discard, pr.peer)
@@ -42,6 +45,33 @@
 	closeIgnoringError(pr.target)
 }
 
+func (pr *pair) writeToTarget(b []byte) error {
+	pr.writeMu.Lock()
+	defer pr.writeMu.Unlock()
+	_, err := pr.target.Write(b)
+	pr.writeFailed = pr.writeFailed || err != nil
+	return errors.Wrap(err, "forward data to target")
+}
+
+const (
+	// failedWriteWait bounds the wait for a write that is under way. One to a connection that was reset returns at once.
+	failedWriteWait = 200 * time.Millisecond
+	// failedWriteStep is the time between two looks at it.
+	failedWriteStep = time.Millisecond
+)
+
+// brokeOff reports whether the connection to a target broke off that was read to its end. The kernel reports a reset only once: to a write,
+// and the end of the data to the next read.
+func (pr *pair) brokeOff() bool {
+	for end := time.Now().Add(failedWriteWait); !pr.writeMu.TryLock(); time.Sleep(failedWriteStep) {
+		if time.Now().After(end) {
+			return false
+		}
+	}
+	defer pr.writeMu.Unlock()
+	return pr.writeFailed
+}
+
 // forwardToPeer forwards what the target sends. The peer sees after the last byte that the target closed its side or broke off.
 func (pr *pair) forwardToPeer() {
 	if !pr.framed {
@@ -53,7 +83,7 @@
 	}
 	readErr, writeErr := copyFrames(pr.peer, pr.target)
 	mark := tunnelframe.EndMark()
-	if readErr != nil {
+	if readErr != nil || writeErr == nil && pr.brokeOff() {
 		mark = tunnelframe.ResetMark()
 	}
 	if writeErr == nil {
@@ -87,7 +117,7 @@
 	}
 }
 
-// copyAll copies until the source ends or an operation fails. The errors are nil if the source ended in order.
+// copyAll copies until the source ends or an operation fails. The errors are nil if the source ended.
 func copyAll(to io.Writer, from io.Reader) (readErr, writeErr error) {
 	return copyParts(from, 0, func(part []byte) error {
 		_, err := to.Write(part)
