fix(upstream): take no reset during the write of a request for the end of a response

What callers would see: an answer without length or chunks that its target began early and reset, while it was still being sent the request, seemed complete.

Change: a body that ends with its connection fails with io.ErrUnexpectedEOF if the write of the request has failed.

--- a/internal/upstream/checkedbody.go
+++ b/internal/upstream/checkedbody.go
@@ -29,3 +29,20 @@
 	}
 	return n, &InvalidBodyError{Cause: err}
 }
+
+// connectionBody is a body that ends with its connection. The kernel reports a reset of the connection only once: if the write of the request
+// receives it, the next read receives the end of the data.
+type connectionBody struct {
+	io.ReadCloser
+	// writeFailed reports whether the write of the request has failed.
+	writeFailed func() bool
+}
+
+// Read returns io.ErrUnexpectedEOF at the end of the data if the connection may have been reset.
+func (cb *connectionBody) Read(b []byte) (int, error) {
+	n, err := cb.ReadCloser.Read(b)
+	if errors.Is(err, io.EOF) && cb.writeFailed() {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -156,6 +156,9 @@
 	go rs.writeRequest(ctx, req)
 	// Response.Close ends the body together with the connection.
 	rs.Response, err = pl.readResponse(cn, req, ca) //nolint:bodyclose // the body stays open for the caller
+	if err == nil && rs.Framing() == ByConnection {
+		rs.Body = &connectionBody{ReadCloser: rs.Body, writeFailed: rs.writeFailed}
+	}
 	if err != nil {
 		stale := reused && cn.bytesRead.Load() == readBefore && isConnectionClosed(err) && ctx.Err() == nil
 		if stale {
@@ -327,6 +330,18 @@
 // connection is closed.
 const requestWriteWait = 200 * time.Millisecond
 
+// writeFailed reports whether the write of the request has failed. It waits for requestWriteWait at most.
+func (rs *Response) writeFailed() bool {
+	timer := time.NewTimer(requestWriteWait)
+	defer timer.Stop()
+	select {
+	case <-rs.writeDone:
+		return !*rs.writeSucceeded
+	case <-timer.C:
+		return false
+	}
+}
+
 // requestWritten reports whether the request was written completely. It waits for requestWriteWait at most.
 func (rs *Response) requestWritten() bool {
 	timer := time.NewTimer(requestWriteWait)
