fix(budget): end slow transfers only for a body that then fits

What callers saw: while memory was short on a busy machine, a small request got 503 "memory is short, and this transfer was the slowest" although neither its caller nor its target was slow.

Cause: memory for a large body is acquired in parts. For the first 64 KiB of a body of 4 MB, a transfer of 200 KB was ended that had not moved for 0.26 s, because the target had no processor time. It freed too little for the body, which was refused later all the same.

Change: transfers are ended only if the memory of all that are chosen suffices for the whole body that is expected, and a transfer is left out if the others suffice without it.

Evidence: a trial print in Acquire showed the victims (held 200000, rate 0, age 256 to 356 ms, for a part of 65536 of a body of 4190208, one victim). Four of the new kinds in the tests of this package fail without the change.

--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -1,6 +1,8 @@
 package budget
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 )
@@ -101,8 +103,8 @@
 	return ac.mm.limit - ac.mm.limit/smallShare
 }
 
-// Acquire acquires n bytes. When fewer are free, it ends the slowest transfers of other accounts and waits briefly for their memory. It
-// returns false if that does not suffice.
+// Acquire acquires n bytes. When fewer are free, it ends the slowest transfers of other accounts, if their memory suffices, and waits briefly.
+// It returns false if no memory became free in that time.
 func (ac *Account) Acquire(n int64) bool {
 	timeout := time.NewTimer(maxReclaimWait)
 	defer timeout.Stop()
@@ -148,6 +150,8 @@
 type victim struct {
 	account *Account
 	held    int64
+	// rate is that of its transfer in bytes per second.
+	rate float64
 }
 
 // acquireOrChoose acquires n bytes, or marks the accounts to end for them. freed is closed when memory was released; it is nil if there is
@@ -159,16 +163,12 @@
 	if n > mm.limit || ac.tryAcquire(n) {
 		return n <= mm.limit, nil, nil
 	}
-	missing := mm.used + n - ac.limit(n) - mm.ending
-	for missing > 0 {
-		slowest := mm.slowestTransfer(ac, time.Now())
-		if slowest == nil {
-			break
-		}
-		slowest.ended = true
-		mm.ending += slowest.held
-		missing -= slowest.held
-		victims = append(victims, victim{account: slowest, held: slowest.held})
+	// Transfers are only ended for a body that then fits as a whole.
+	needed := max(n, ac.expected-ac.held)
+	victims = mm.chooseVictims(ac, mm.used+needed-ac.limit(n)-mm.ending, time.Now())
+	for _, vc := range victims {
+		vc.account.ended = true
+		mm.ending += vc.held
 	}
 	if mm.ending == 0 && !mm.hasOtherTransfer(ac) {
 		return false, nil, nil
@@ -179,21 +179,44 @@
 	return false, victims, mm.freed
 }
 
-// slowestTransfer returns the account whose transfer took the fewest bytes per second, and of equal ones the longest time; nil without one
-// that is slow for longer than the grace. The lock is held.
-func (mm *Memory) slowestTransfer(except *Account, now time.Time) *Account {
-	var slowest *Account
-	var lowestRate float64
+// chooseVictims returns accounts with slow transfers that together hold the missing bytes, the slowest first and of equal ones the oldest.
+// It returns none if all of them hold less than that, and none without which the others suffice: ending those would help nobody. The lock
+// is held.
+func (mm *Memory) chooseVictims(except *Account, missing int64, now time.Time) []victim {
+	if missing <= 0 {
+		return nil
+	}
+	var candidates []victim
 	for ac := range mm.transfers {
 		if ac == except || ac.ended || ac.held == 0 {
 			continue
 		}
-		rate, slow := ac.slowRate(now)
-		if slow && (slowest == nil || rate < lowestRate || rate == lowestRate && ac.sampledAt.Before(slowest.sampledAt)) {
-			slowest, lowestRate = ac, rate
+		if rate, slow := ac.slowRate(now); slow {
+			candidates = append(candidates, victim{account: ac, held: ac.held, rate: rate})
+		}
+	}
+	slices.SortFunc(candidates, func(a, b victim) int {
+		return cmp.Or(cmp.Compare(a.rate, b.rate), a.account.sampledAt.Compare(b.account.sampledAt))
+	})
+	var chosen []victim
+	for _, vc := range candidates {
+		if missing <= 0 {
+			break
+		}
+		chosen = append(chosen, vc)
+		missing -= vc.held
+	}
+	if missing > 0 {
+		return nil
+	}
+	surplus := -missing
+	for i, vc := range slices.Backward(chosen) {
+		if vc.held <= surplus {
+			surplus -= vc.held
+			chosen = slices.Delete(chosen, i, i+1)
 		}
 	}
-	return slowest
+	return chosen
 }
 
 // slowRate returns the rate of a transfer in bytes per second, and reports whether it is slow. A transfer that was fast begins a new sample:
--- a/internal/budget/account_test.go
+++ b/internal/budget/account_test.go
@@ -34,6 +34,8 @@
 		"no transfer":                                  {[]transfer{{100, 0, time.Minute, true, false}}, 10, nil, true},
 		"memory is free":                               {[]transfer{{50, 0, time.Minute, false, false}}, 50, nil, false},
 		"more than the whole":                          {[]transfer{{100, 0, time.Minute, false, false}}, 101, nil, true},
+		"all that is slow does not suffice":            {[]transfer{{40, 0, time.Second, false, false}, {60, 0, time.Second, true, false}}, 50, nil, true},
+		"a slower one without which another suffices":  {[]transfer{{20, 0, 2 * time.Second, false, false}, {80, 0, time.Second, false, false}}, 60, []int{1}, false},
 		"a transfer that holds nothing is never ended": {[]transfer{{0, 0, time.Minute, false, false}, {100, 9, time.Second, false, false}}, 10, []int{1}, false},
 	}
 	for name, tc := range tests {
@@ -68,6 +70,41 @@
 	}
 }
 
+// TestTransfersAreOnlyEndedForBodiesThatFitThen guards against small requests that are ended on a busy machine for the first part of a large
+// body, which is refused later for want of memory all the same.
+func TestTransfersAreOnlyEndedForBodiesThatFitThen(t *testing.T) {
+	const limit = 16 << 20
+	tests := map[string]struct {
+		// held is the memory of a slow transfer, size that of the body whose first part is to be received.
+		held, size int64
+		wantEnded  bool
+	}{
+		"the whole body fits":          {4 << 20, 4 << 20, true},
+		"only its first part fits":     {200_000, 4 << 20, false},
+		"a small body":                 {200_000, 100_000, true},
+		"a body larger than the limit": {4 << 20, 2 * limit, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			mm := NewMemory(limit)
+			var ended atomic.Bool
+			var ac *Account
+			ac = mm.Open(func(int64) { ended.Store(true); go ac.Close() })
+			g.Expect(ac.TryAcquire(tc.held)).To(BeTrue())
+			ac.BeginTransfer(func() Progress { return Progress{} })
+			ac.sampledAt = time.Now().Add(-time.Second)
+			body := mm.Open(func(int64) {})
+			body.Expect(tc.size)
+			for free := body.limit(1) - mm.Used(); free > 0; free = body.limit(1) - mm.Used() {
+				g.Expect(mm.Open(func(int64) {}).TryAcquire(min(free, smallBytes))).To(BeTrue())
+			}
+			g.Expect(body.Acquire(64 << 10)).To(Equal(tc.wantEnded))
+			g.Expect(ended.Load()).To(Equal(tc.wantEnded))
+		})
+	}
+}
+
 // TestMemoryOfEndedTransferIsNotCountedTwice guards against the end of more transfers while the memory of the first is on its way.
 func TestMemoryOfEndedTransferIsNotCountedTwice(t *testing.T) {
 	g := NewWithT(t)
