test(targetdial): let attempts that outlast a test fail quietly

Cause: direct attempts continue when their caller has its connection. One that a slow network of the test had delayed dialled after the test had ended and closed its listener, and the assertion that this dial succeeds failed.

Change: the assertion holds as long as the test runs, that is until its context ends, which is before the listener is closed. A failed connection is returned to the dialler as a failure.

The failure itself was not reproduced.

--- a/internal/targetdial/targetdial_test.go
+++ b/internal/targetdial/targetdial_test.go
@@ -24,7 +24,9 @@
 
 // network says what becomes of connections. It counts direct attempts.
 type network struct {
-	g       *WithT
+	g *WithT
+	// ctx ends with the test, before lis is closed. Attempts may continue after it.
+	ctx     context.Context
 	lis     net.Listener
 	direct  atomic.Value
 	peers   atomic.Value
@@ -45,7 +47,7 @@
 )
 
 func newNetwork(t *testing.T, direct, peers string) *network {
-	nw := &network{g: NewWithT(t)}
+	nw := &network{g: NewWithT(t), ctx: t.Context()}
 	var err error
 	nw.lis, err = net.Listen("tcp", "127.0.0.1:0")
 	nw.g.Expect(err).NotTo(HaveOccurred())
@@ -55,23 +57,25 @@
 	return nw
 }
 
-func (nw *network) connect() net.Conn {
+func (nw *network) connect() (net.Conn, error) {
 	nc, err := net.Dial("tcp", nw.lis.Addr().String())
-	nw.g.Expect(err).NotTo(HaveOccurred())
-	return nc
+	if nw.ctx.Err() == nil {
+		nw.g.Expect(err).NotTo(HaveOccurred())
+	}
+	return nc, err
 }
 
 func (nw *network) dialDirect(_ context.Context, address string) (net.Conn, error) {
 	nw.dials.Add(1)
 	switch nw.direct.Load() {
 	case works:
-		return nw.connect(), nil
+		return nw.connect()
 	case refuses:
 		return nil, &upstream.DialError{Address: address, Cause: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
 	}
 	time.Sleep(directTimeout)
 	if nw.direct.Load() == slow {
-		return nw.connect(), nil
+		return nw.connect()
 	}
 	return nil, &upstream.DialError{Address: address, Cause: os.ErrDeadlineExceeded, ProcessPaused: nw.direct.Load() == paused}
 }
@@ -83,7 +87,11 @@
 		return nil, &tunnelclient.FailureError{Asked: 2}
 	case works:
 		nw.tunnels.Add(1)
-		return &tunnelclient.Conn{TCPConn: nw.connect().(*net.TCPConn)}, nil
+		nc, err := nw.connect()
+		if err != nil {
+			return nil, &tunnelclient.FailureError{}
+		}
+		return &tunnelclient.Conn{TCPConn: nc.(*net.TCPConn)}, nil
 	case blames:
 		return nil, &tunnelclient.FailureError{Asked: 2, Blamed: true}
 	case refuses:
