test(platform): let the engine wait after the event that is read first

Cause: the engine sent an event every 100 ms and was slowed down only after the first had been read. The test's process was paused for up to 0.7 s in which the engine finished (the log has pauses of 215, 167 and 331 ms).

Change: the stand-in engine sends one event and then nothing until its request ends. An instance that held the event back until the end of the stream would never forward it, so the check is as strict as before.

--- a/internal/standin/modelsim/modelsim.go
+++ b/internal/standin/modelsim/modelsim.go
@@ -39,7 +39,9 @@
 	PrefillPerToken, EventInterval time.Duration
 	// TokensPerEvent is the number of tokens in one event.
 	TokensPerEvent int
-	Model          string
+	// SilentAfter is the number of events after which a stream stops until its request ends; 0 for none.
+	SilentAfter int
+	Model       string
 	// Cluster holds the engines that can help; an engine without a Cluster can use its own tickets only.
 	Cluster *Cluster
 }
@@ -60,6 +62,9 @@
 	return func(se *Settings) { se.PrefillPerToken, se.EventInterval = prefillPerToken, eventInterval }
 }
 
+// WithSilenceAfter makes each stream stop after some events until its request ends.
+func WithSilenceAfter(events int) Option { return func(se *Settings) { se.SilentAfter = events } }
+
 // WithCluster adds the engine to a cluster, whose engines can help each other.
 func WithCluster(cl *Cluster) Option { return func(se *Settings) { se.Cluster = cl } }
 
--- a/internal/standin/modelsim/stream.go
+++ b/internal/standin/modelsim/stream.go
@@ -92,6 +92,10 @@
 	body := func(send func([]byte) bool) bool {
 		sentVersion := version
 		for id := lastReceived + 1; id <= last; id++ {
+			if n := en.settings.SilentAfter; n > 0 && id-lastReceived > n {
+				<-ctx.Done()
+				return false
+			}
 			if !sleep(ctx, en.slowed(en.settings.EventInterval)) {
 				return false
 			}
