fix(targetdial): report the end of the caller's context, also if noticed late

TestCancelledDialIsNoEvidence failed once beside load: the error of an attempt that its caller had given up was not the end of the context.

Cause: read from the code and reproduced by a network of the test whose peers answer late. If the process notices the end of the context only when the direct attempt has failed too, both results are ready, and the error of the direct attempt was returned: a time-out that looks like one of the target.

Change: unless the connection was refused, the cause is the end of the context. What is recorded of the path is as before: nothing.

Measured: the kind "noticed late" failed before ("i/o timeout; no peer answered"), and the package passes 3 times in a row with the race detector.

--- a/internal/targetdial/targetdial.go
+++ b/internal/targetdial/targetdial.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -224,7 +225,7 @@
 }
 
 // settle records what the results of both attempts show, and returns the connection or the error that follows. If ctx has ended, peers may
-// have had no time to answer.
+// have had no time to answer, and only a refused connection says more than that.
 func (dl *Dialer) settle(ctx context.Context, address string, dr directResult, pr peerResult) (net.Conn, error) {
 	if dr.err == nil {
 		return dr.conn, nil
@@ -246,6 +247,9 @@
 	if errors.As(dr.err, &direct) {
 		de.Cause, de.ProcessPaused = direct.Cause, direct.ProcessPaused
 	}
+	if err := ctx.Err(); err != nil && !errors.Is(dr.err, syscall.ECONNREFUSED) {
+		de.Cause = err
+	}
 	return nil, de
 }
 
--- a/internal/targetdial/targetdial_test.go
+++ b/internal/targetdial/targetdial_test.go
@@ -43,6 +43,7 @@
 	doubts  = "doubts"
 	paused  = "paused"
 	waits   = "waits"
+	late    = "late"
 	slow    = "slow"
 )
 
@@ -85,6 +86,10 @@
 	case waits:
 		<-ctx.Done()
 		return nil, &tunnelclient.FailureError{Asked: 2}
+	case late:
+		<-ctx.Done()
+		time.Sleep(directTimeout)
+		return nil, &tunnelclient.FailureError{Asked: 2}
 	case works:
 		nw.tunnels.Add(1)
 		nc, err := nw.connect()
@@ -218,19 +223,24 @@
 	nc.Close()
 }
 
-// TestCancelledDialIsNoEvidence checks that an attempt that its caller gave up ends at once and shows nothing.
+// TestCancelledDialIsNoEvidence checks that an attempt that its caller gave up ends at once and shows nothing, also if the process notices
+// the end when the direct attempt has failed too.
 func TestCancelledDialIsNoEvidence(t *testing.T) {
-	nw := newNetwork(t, hangs, waits)
-	tr := pathstate.New(time.Now)
-	dl := nw.dialer(tr)
-	for _, address := range []string{"a", "b", "other"} {
-		ctx, cancel := context.WithTimeout(t.Context(), directTimeout/2)
-		_, err := dl.Dial(ctx, address)
-		cancel()
-		nw.g.Expect(errors.Is(err, context.DeadlineExceeded)).To(BeTrue())
+	for name, peers := range map[string]string{"noticed at once": waits, "noticed late": late} {
+		t.Run(name, func(t *testing.T) {
+			nw := newNetwork(t, hangs, peers)
+			tr := pathstate.New(time.Now)
+			dl := nw.dialer(tr)
+			for _, address := range []string{"a", "b", "other"} {
+				ctx, cancel := context.WithTimeout(t.Context(), directTimeout/2)
+				_, err := dl.Dial(ctx, address)
+				cancel()
+				nw.g.Expect(errors.Is(err, context.DeadlineExceeded)).To(BeTrue(), "%v", err)
+			}
+			nw.g.Consistently(tr.Isolated).WithTimeout(2 * directTimeout).Should(BeFalse())
+			nw.g.Expect(nw.dials.Load()).To(BeEquivalentTo(3))
+		})
 	}
-	nw.g.Consistently(tr.Isolated).WithTimeout(2 * directTimeout).Should(BeFalse())
-	nw.g.Expect(nw.dials.Load()).To(BeEquivalentTo(3))
 }
 
 func TestIsReusable(t *testing.T) {
