fix(upstream): give a slow head only the time back that a pause took

What callers saw: a target that trickles its response head was given up after 6 s, the whole time of the request, instead of 3 s, and the request was refused as overloaded although another target was free.

Cause: after a pause of this process, however short, the bound on the time of a head began again. On a busy machine the process is paused in every few seconds (the log has 175 ms and 221 ms), and the bound never ended.

Change: the target gets the length of the pauses, as the comment said.

TestSlowHeadEndsDespiteShortPauses failed before (the deadline passed first) and passes.

--- a/internal/upstream/head_test.go
+++ b/internal/upstream/head_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
@@ -178,6 +179,31 @@
 	}
 }
 
+// TestSlowHeadEndsDespiteShortPauses guards against a bound on the time of a head that begins again at each short pause of the process, so that
+// the deadline of the request passes first on a busy machine.
+func TestSlowHeadEndsDespiteShortPauses(t *testing.T) {
+	const headTimeout, pausePeriod, pauseLength = 300 * time.Millisecond, 250 * time.Millisecond, 100 * time.Millisecond
+	fx := newFixture(t)
+	startedAt := time.Now()
+	pool := upstream.NewPool(fx.clock.Now, metrics.NewSet(), dialTimeout,
+		upstream.WithPaused(func() time.Duration { return time.Since(startedAt) / pausePeriod * pauseLength }))
+	tg := startFakeTarget(t, func(nc net.Conn, _ *http.Request, _ string) bool {
+		for {
+			if _, err := io.WriteString(nc, "z"); err != nil {
+				return false
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 10*headTimeout)
+	defer cancel()
+	ca := call(tg.address(), "/1")
+	ca.HeadTimeout = headTimeout
+	_, err := pool.Do(ctx, ca)
+	var se *upstream.SlowHeadError
+	fx.Expect(errors.As(err, &se)).To(BeTrue(), "%v", err)
+}
+
 // TestHeadTimeoutDoesNotBoundTheWait guards against a bound on the time of a head that ends requests whose response takes long to begin, or
 // whose body does.
 func TestHeadTimeoutDoesNotBoundTheWait(t *testing.T) {
--- a/internal/upstream/headwatch.go
+++ b/internal/upstream/headwatch.go
@@ -49,14 +49,12 @@
 func (hw *headWatch) fire(now time.Time) {
 	hw.mu.Lock()
 	defer hw.mu.Unlock()
-	wait := time.Duration(0)
-	switch {
-	case hw.stopped:
+	if hw.stopped {
 		return
-	case now.Sub(hw.dueAt) >= pauseclock.MinPause || hw.paused() > hw.pausedBefore:
-		// The target gets the time again that the pause of this process took.
-		wait = hw.timeout
-	case hw.cn.hasUnreadData():
+	}
+	// The target gets the time again that pauses of this process took.
+	wait := min(hw.timeout, hw.pausedSinceSet(now))
+	if wait == 0 && hw.cn.hasUnreadData() {
 		// This process is slow to read. What it may still read is bounded in bytes.
 		wait = headRecheckInterval
 	}
@@ -69,6 +67,16 @@
 	hw.cn.closeIgnoringError()
 }
 
+// pausedSinceSet returns for how long the process was paused since the timer was set, as pauses or the lateness of the timer show. The lock is
+// held.
+func (hw *headWatch) pausedSinceSet(now time.Time) time.Duration {
+	paused := hw.paused() - hw.pausedBefore
+	if late := now.Sub(hw.dueAt); late >= pauseclock.MinPause {
+		paused = max(paused, late)
+	}
+	return paused
+}
+
 // stop ends the watch. It returns a SlowHeadError if the connection was closed, else err.
 func (hw *headWatch) stop(err error) error {
 	hw.mu.Lock()
