fix(upstream): reset the connection of a request that is cancelled while it is written

TestCancelledRequestIsNotDeliveredLater failed once beside load: the target saw an orderly end, not a reset.

Cause: whether a cancelled request is dropped by the kernel was decided by the bytes that the target's machine has not acknowledged. Between two writes there are none, while the next bytes are on their way to the kernel, which then delivers them. If they are the last, the target runs a request that has ended.

Change: a connection is also reset while a request is being written.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -40,6 +40,8 @@
 	bytesRead atomic.Int64
 	// bytesWritten counts the bytes that were handed to the kernel.
 	bytesWritten atomic.Int64
+	// writing is set while a request is being written.
+	writing atomic.Bool
 	// finalSteps is how many further steps a read may wait after the deadline of its call; zero before the deadline.
 	finalSteps atomic.Int64
 	// head scans the head of a response while it is read, and watch bounds its time; both are nil otherwise.
@@ -165,9 +167,10 @@
 }
 
 // dropUnacknowledged makes the close of the connection drop the data that the other end has not acknowledged. The kernel would deliver
-// it later otherwise, and the target would run a request that has ended.
+// it later otherwise, and the target would run a request that has ended. While a request is being written, its next bytes may be on their way
+// to the kernel although all before are acknowledged.
 func (cn *conn) dropUnacknowledged() {
-	if tc, ok := cn.Conn.(interface{ SetLinger(sec int) error }); ok && cn.unacknowledged() > 0 {
+	if tc, ok := cn.Conn.(interface{ SetLinger(sec int) error }); ok && (cn.writing.Load() || cn.unacknowledged() > 0) {
 		_ = tc.SetLinger(0) // fails only if the connection is closed
 	}
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -225,6 +225,8 @@
 		rs.cn.closeIgnoringError()
 		return
 	}
+	rs.cn.writing.Store(true)
+	defer rs.cn.writing.Store(false)
 	// A write error is not returned: the response on the same connection then fails, or is an early response.
 	*rs.writeSucceeded = req.Write(rs.cn) == nil
 }
