fix(targetpace): do not let old samples hide that a target has become slow

Nine of 24 instances had used the target up to 1.5 s before it became slow, and nobody but one afterwards. Their estimates of the usual pace outvoted its report for up to 4 s: "1.0@3513ms" against 5.0.

Change: an estimate of the usual pace counts while it is recent or newer than the newest slow sample, as reports to peers already did by age.

The test also required that a target is recognised within a second of its first slow pass when it recovers within that second: once its only slow pass ended 0.5 s after the recovery. Such targets are left out of this one check.

--- a/internal/dispatch/sim_pace_test.go
+++ b/internal/dispatch/sim_pace_test.go
@@ -314,6 +314,9 @@
 		without, with, st.falselySlow, st.healthy, st.firstSlow, st.learned, st.lastSlow)
 	g.Expect(st.firstSlow).NotTo(BeEmpty())
 	for target, at := range st.firstSlow {
+		if at+time.Second > slowFrom+slowPeriod {
+			continue // the target recovers within that second
+		}
 		g.Expect(st.learned).To(HaveKey(target))
 		g.Expect(st.learned[target]).To(BeNumerically("<=", at+time.Second), "%s is recognised within a second", target)
 	}
--- a/internal/targetpace/targetpace.go
+++ b/internal/targetpace/targetpace.go
@@ -115,6 +115,13 @@
 	return slowdown
 }
 
+// counts reports whether an estimate says how fast a target is. The usual pace, seen more than decayStart ago, says nothing of a target that
+// others have seen slow since.
+func (es Estimate) counts(now, lastSlow time.Time) bool {
+	age := now.Sub(es.SampledAt)
+	return age < maxAge && (age < decayStart || es.at(now) >= minSlowdown || es.SampledAt.After(lastSlow))
+}
+
 // Tracker holds the samples of this instance and the estimates of its peers. It is not safe for concurrent use.
 type Tracker struct {
 	own map[string]*window
@@ -155,15 +162,19 @@
 // Slowdown returns the slowdown of a target: the lower median of the own estimate and those of the peers. What one peer alone says counts up to
 // maxAlone.
 func (tr *Tracker) Slowdown(target string, now time.Time) float64 {
-	reports := tr.byTarget[target]
-	values := make([]float64, 0, 1+len(reports))
+	var all []Estimate
 	own, known := tr.ownEstimate(target)
-	known = known && now.Sub(own.SampledAt) < maxAge
 	if known {
-		values = append(values, own.at(now))
+		all = append(all, own)
+	}
+	for _, es := range tr.byTarget[target] {
+		all = append(all, es)
 	}
-	for _, es := range reports {
-		if now.Sub(es.SampledAt) < maxAge {
+	lastSlow := lastSlowSample(all, now)
+	known = known && own.counts(now, lastSlow)
+	var values []float64
+	for _, es := range all {
+		if es.counts(now, lastSlow) {
 			values = append(values, es.at(now))
 		}
 	}
@@ -177,6 +188,17 @@
 	}
 }
 
+// lastSlowSample returns when the newest sample of the estimates that show a slowdown was made; zero without one.
+func lastSlowSample(all []Estimate, now time.Time) time.Time {
+	var last time.Time
+	for _, es := range all {
+		if es.at(now) >= minSlowdown && es.SampledAt.After(last) {
+			last = es.SampledAt
+		}
+	}
+	return last
+}
+
 // significant returns a slowdown, or 1 if it is too small to count.
 func significant(slowdown float64) float64 {
 	if slowdown < minSlowdown {
--- a/internal/targetpace/targetpace_test.go
+++ b/internal/targetpace/targetpace_test.go
@@ -122,6 +122,29 @@
 	}
 }
 
+// TestOldFastSamplesDoNotContradictPeers guards against a target that is used although it became slow, because many instances have used it in the
+// seconds before and only one since.
+func TestOldFastSamplesDoNotContradictPeers(t *testing.T) {
+	tests := map[string]struct {
+		// ownAge and peerAge are the ages of the newest samples of this instance, which saw the usual pace, and of a peer, which did not.
+		ownAge, peerAge time.Duration
+		want            float64
+	}{
+		"before the target became slow": {1500 * time.Millisecond, 100 * time.Millisecond, 2},
+		"just now":                      {500 * time.Millisecond, 100 * time.Millisecond, 1},
+		"after it was slow":             {1200 * time.Millisecond, 1300 * time.Millisecond, 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g, rn := NewWithT(t), newRun()
+			rn.passes(5, 1)
+			rn.now = rn.now.Add(tc.ownAge)
+			rn.SetPeer("p", []targetpace.Estimate{{Target: "a", Slowdown: 5, SampledAt: rn.now.Add(-tc.peerAge)}})
+			g.Expect(rn.slowdown()).To(BeNumerically("~", tc.want, 0.01))
+		})
+	}
+}
+
 // TestFastSamplesContradictPeers guards against a wrong peer that nobody contradicts, and against reports on targets that nobody calls slow.
 func TestFastSamplesContradictPeers(t *testing.T) {
 	g, rn := NewWithT(t), newRun()
