refactor: ask for unacknowledged bytes in one place, and plainer names

conn.unacknowledgedBytes repeated conn.unacknowledged. Estimate.counts is isRelevant. The package comment of tunnelframe says that its frames are not the framing of an answer. Behaviour and assertions are unchanged.

--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -104,7 +104,7 @@
 }
 
 // Acquire acquires n bytes. When fewer are free, it ends the slowest transfers of other accounts, if their memory suffices, and waits briefly.
-// It returns false if no memory became free in that time.
+// It returns false if too little became free in that time.
 func (ac *Account) Acquire(n int64) bool {
 	timeout := time.NewTimer(maxReclaimWait)
 	defer timeout.Stop()
--- a/internal/targetpace/targetpace.go
+++ b/internal/targetpace/targetpace.go
@@ -115,9 +115,9 @@
 	return slowdown
 }
 
-// counts reports whether an estimate says how fast a target is. The usual pace, seen more than decayStart ago, says nothing of a target that
+// isRelevant reports whether an estimate tells how fast its target is by now. The usual pace, seen more than decayStart ago, says nothing of a target that
 // others have seen slow since.
-func (es Estimate) counts(now, lastSlow time.Time) bool {
+func (es Estimate) isRelevant(now, lastSlow time.Time) bool {
 	age := now.Sub(es.SampledAt)
 	return age < maxAge && (age < decayStart || es.at(now) >= minSlowdown || es.SampledAt.After(lastSlow))
 }
@@ -171,17 +171,17 @@
 		all = append(all, es)
 	}
 	lastSlow := lastSlowSample(all, now)
-	known = known && own.counts(now, lastSlow)
+	hasOwn := known && own.isRelevant(now, lastSlow)
 	var values []float64
 	for _, es := range all {
-		if es.counts(now, lastSlow) {
+		if es.isRelevant(now, lastSlow) {
 			values = append(values, es.at(now))
 		}
 	}
 	switch {
 	case len(values) == 0:
 		return 1
-	case len(values) == 1 && !known:
+	case len(values) == 1 && !hasOwn:
 		return significant(min(values[0], maxAlone))
 	default:
 		return significant(lowerMedian(values))
--- a/internal/tunnelframe/tunnelframe.go
+++ b/internal/tunnelframe/tunnelframe.go
@@ -1,5 +1,6 @@
 // Package tunnelframe frames what a peer forwards from a target, so that the end of the target's connection can be told from the end of
-// the peer: the kernel closes the connections of a process that was killed in order.
+// the peer: when a process is killed, the kernel closes its connections as if it had closed them itself. The frames are those of the tunnel,
+// and independent of how the target marks the end of its answer.
 //
 // A frame is a length of two bytes, big-endian, and as many bytes of payload. Two lengths stand for marks without payload, which end the
 // data: the target closed its connection, or it broke off.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -252,27 +252,6 @@
 	return err == nil && n > 0
 }
 
-// unacknowledgedBytes returns how many written bytes the other machine has not acknowledged; zero if that is unknown.
-func (cn *conn) unacknowledgedBytes() int64 {
-	sc, ok := cn.Conn.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	rc, err := sc.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	n := 0
-	err = rc.Control(func(fd uintptr) {
-		// The call fails if the connection is closed; n is then zero.
-		n, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
-	})
-	if err != nil {
-		return 0
-	}
-	return int64(n)
-}
-
 // isOpenAndEmpty reports whether an idle connection is still open and has received nothing. Data that arrives on an idle
 // connection belongs to no request, so the connection must not be reused.
 func (cn *conn) isOpenAndEmpty() bool {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -255,7 +255,7 @@
 		written = true
 	default:
 	}
-	unacknowledged := rs.cn.unacknowledgedBytes()
+	unacknowledged := int64(rs.cn.unacknowledged())
 	return WriteProgress{
 		Acknowledged: rs.cn.bytesWritten.Load() - writtenBefore - unacknowledged, Done: written && unacknowledged == 0,
 	}
