fix(gateway): recognise the crash of a target that restarts before it is probed

What callers saw: a request that crashes its targets was run again at further ones, and ended with 502 instead of 400, because one of its three crashes was not known.

Cause: the crash of a target that broke off a run was concluded from refused connections only, at 0, 0.1 and 0.4 s. A target that listens again by then refuses none, although its next incarnation is listed. And if it was listed before the interruption was recorded, the run was dropped like one on a target that leaves.

Three runs broke off at three targets, and two lines "target crashed" follow: the third instance probed when its target listened again.

Change: a target counts as crashed, too, if a later incarnation with its name, or another target with its address, is listed within 2 s of the interruption, unless it was leaving. The line "target crashed" names the cause.

TestReplaced covers the list of targets.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -19,6 +19,10 @@
 // belong to another process.
 var crashProbeDelays = []time.Duration{0, 100 * time.Millisecond, 400 * time.Millisecond}
 
+// replacementCheckDelays are the times after the interruption of a run at which the list of targets is asked whether its target was
+// replaced. A process that restarts at once refuses no connection.
+var replacementCheckDelays = []time.Duration{time.Second, 2 * time.Second}
+
 // probeSet is the set of targets that are being probed for a crash. It is safe for concurrent use.
 type probeSet struct {
 	mu sync.Mutex
@@ -48,7 +52,7 @@
 // have crashed. A target that was leaving is ignored, since its process ends as planned. A target that was only silent is
 // not probed.
 func (gw *Gateway) recordInterrupted(rq *request, tg targets.Target, cause error) {
-	if !gw.Targets.TakesWork(tg.ID) {
+	if !gw.Targets.TakesWork(tg.ID) && !gw.Targets.Replaced(tg.ID) {
 		return
 	}
 	var ue *UnacknowledgedRequestError
@@ -85,19 +89,51 @@
 		return
 	}
 	go func() {
-		defer gw.crashProbes.end(tg.ID)
 		startedAt := gw.Now()
-		for _, delay := range crashProbeDelays {
-			time.Sleep(delay - gw.Now().Sub(startedAt))
-			if gw.refusesConnections(tg) {
-				gw.logCrashed(tg, "connection refused", gw.Now().Sub(startedAt))
-				gw.Quarantine.RecordCrash(tg.ID)
-				return
-			}
+		cause := gw.crashCause(tg, startedAt)
+		// A later interruption must be probed at once, also while this one waits for a replacement.
+		gw.crashProbes.end(tg.ID)
+		if cause == "" && gw.isReplacedSoon(tg, startedAt) {
+			cause = causeReplaced
+		}
+		if cause != "" {
+			gw.logCrashed(tg, cause, gw.Now().Sub(startedAt))
+			gw.Quarantine.RecordCrash(tg.ID)
 		}
 	}()
 }
 
+// The causes that are logged for a crash.
+const (
+	causeRefused  = "connection refused"
+	causeReplaced = "replaced by another incarnation"
+)
+
+// crashCause probes a target that interrupted a run at a time, and returns how it is known that it has crashed; empty if it is not.
+func (gw *Gateway) crashCause(tg targets.Target, interruptedAt time.Time) string {
+	for _, delay := range crashProbeDelays {
+		time.Sleep(delay - gw.Now().Sub(interruptedAt))
+		if gw.refusesConnections(tg) {
+			return causeRefused
+		}
+		if gw.Targets.Replaced(tg.ID) {
+			return causeReplaced
+		}
+	}
+	return ""
+}
+
+// isReplacedSoon reports whether a target that interrupted a run at a time is replaced soon after.
+func (gw *Gateway) isReplacedSoon(tg targets.Target, interruptedAt time.Time) bool {
+	for _, delay := range replacementCheckDelays {
+		time.Sleep(delay - gw.Now().Sub(interruptedAt))
+		if gw.Targets.Replaced(tg.ID) {
+			return true
+		}
+	}
+	return false
+}
+
 // refusesConnections reports whether no process listens on a target's address.
 func (gw *Gateway) refusesConnections(tg targets.Target) bool {
 	return isConnectionRefused(gw.Pool.Probe(context.Background(), tg.Address))
--- a/internal/targets/incarnation.go
+++ b/internal/targets/incarnation.go
@@ -53,6 +53,26 @@
 	return !known || !en.superseded
 }
 
+// Replaced reports whether the process of a target has ended without having been marked as leaving: a later incarnation with its name, or
+// another target with its address, was listed after it. One address is one process.
+func (dr *Directory) Replaced(id string) bool {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	en, known := dr.entries[id]
+	if !known || en.leaving {
+		return false
+	}
+	if en.superseded {
+		return true
+	}
+	for _, other := range dr.entries {
+		if en.Address != "" && other.Address == en.Address && other.listOrder > en.listOrder {
+			return true
+		}
+	}
+	return false
+}
+
 // pruneNames removes the names whose latest incarnation has no entry any more. The caller holds the lock.
 func (dr *Directory) pruneNames() {
 	for name, in := range dr.latest {
--- a/internal/targets/incarnation_test.go
+++ b/internal/targets/incarnation_test.go
@@ -96,3 +96,37 @@
 		})
 	}
 }
+
+// TestReplaced guards against a restart that no refused connection shows, and against taking a planned one for a crash.
+func TestReplaced(t *testing.T) {
+	first, second := incarnationOfA(1000), incarnationOfA(2000)
+	leavingFirst := first
+	leavingFirst.Leaving = true
+	sameAddress := targetAt("b", first.Address)
+	tests := map[string]struct {
+		before, after []targets.Target
+		want          bool
+	}{
+		"no other incarnation":                {[]targets.Target{first}, nil, false},
+		"removed":                             {[]targets.Target{first}, []targets.Target{targetAt("b", "b.example:80")}, false},
+		"later incarnation":                   {[]targets.Target{first}, []targets.Target{second}, true},
+		"later incarnation of a leaving one":  {[]targets.Target{leavingFirst}, []targets.Target{second}, false},
+		"another target with the address":     {[]targets.Target{first}, []targets.Target{first, sameAddress}, true},
+		"leaving, another with the address":   {[]targets.Target{leavingFirst}, []targets.Target{leavingFirst, sameAddress}, false},
+		"an earlier target had the address":   {[]targets.Target{sameAddress}, []targets.Target{sameAddress, first}, false},
+		"an earlier target, which is removed": {[]targets.Target{sameAddress}, []targets.Target{first}, false},
+		"not known":                           {[]targets.Target{second}, nil, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			cl := newClock()
+			dr := targets.New(cl.now)
+			applyList(dr, tc.before, cl.now())
+			if tc.after != nil {
+				applyList(dr, tc.after, cl.now())
+			}
+			g.Expect(dr.Replaced(first.ID)).To(Equal(tc.want))
+		})
+	}
+}
