--- a/internal/standin/targetsim/run.go
+++ b/internal/standin/targetsim/run.go
@@ -65,6 +65,9 @@
 	Signature string
 	// StartedAt is the time at which the run was recorded, with a monotonic clock reading.
 	StartedAt time.Time
+	// FinishedAt is when the run ended, with a monotonic clock reading; zero while it is Running. All of a response that is Done was
+	// written before.
+	FinishedAt time.Time
 }
 
 // Hash returns the hash of a body in the form of Run.BodyHash.
--- a/internal/standin/targetsim/server.go
+++ b/internal/standin/targetsim/server.go
@@ -351,7 +351,11 @@
 	rn.BodySize = len(body)
 }
 
-func (sv *Server) finishRun(rn *Run, st State) { sv.mu.Lock(); defer sv.mu.Unlock(); rn.State = st }
+func (sv *Server) finishRun(rn *Run, st State) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	rn.State, rn.FinishedAt = st, time.Now()
+}
 
 func (sv *Server) recordRefusal(rs Response) Response {
 	sv.mu.Lock()
