--- a/internal/quarantine/cancelled.go
+++ b/internal/quarantine/cancelled.go
@@ -35,6 +35,7 @@
 	tr.forgetCancelled(func(rn InterruptedRun) bool { return rn.Incarnation == incarnation })
 }
 
+// forgetCancelled removes the cancelled runs that match. The caller holds the lock.
 func (tr *Tracker) forgetCancelled(matches func(InterruptedRun) bool) {
 	tr.cancelled = slices.DeleteFunc(tr.cancelled, matches)
 }
