--- a/review/7/run.sh
+++ b/review/9/run.sh
@@ -4,4 +4,4 @@
 for program in target/silvermount target/review-2; do
   [ -x "$program" ] || { echo "$program is missing: build with deploy/system.toml and review/build-2.sh" >&2; exit 2; }
 done
-exec target/review-2 restart review/7
+exec target/review-2 silent-store review/9
--- a/review/_stand2/leaving.go
+++ b/review/_stand2/leaving.go
@@ -112,7 +112,7 @@
 	return judgeLate(rec, leaver, goneAt, from), nil
 }
 
-// playRestart restarts an instance and replaces an engine, both as planned, shortly after the open connections to the store went silent.
+// playRestart restarts an instance and replaces engines, both as planned, shortly after the open connections to the store went silent.
 func playRestart(rec *record, trouble bool) (int, error) {
 	bd, proxies, err := newSmallBed(rec)
 	if err != nil {
@@ -127,10 +127,15 @@
 	_ = restarted.cmd.Process.Signal(syscall.SIGTERM)
 	<-restarted.exited
 	rec.say("%s has ended", restarted.name)
+	// Engines are replaced one after the other. The first new one starts.
+	if _, err := bd.addEngine("i-5", service, zones[1], work); err != nil {
+		return notRun, err
+	}
+	time.Sleep(50 * time.Millisecond)
 	if trouble {
 		silenceStore(rec, proxies)
 	}
-	// By now the other instances have found new connections to the store, up to 1.6 s ago.
+	// After this time the other instances have found new connections to the store.
 	time.Sleep(1900 * time.Millisecond)
 	leaver := bd.engines[0]
 	goneAt := bd.store.remove("servers", leaver.id)
@@ -155,11 +160,11 @@
 	}
 	rec.say("%s lists the engines %s after its start", restarted.name, time.Since(startedAt).Round(time.Millisecond))
 	time.Sleep(350 * time.Millisecond)
-	// The engine that replaces the leaver starts.
-	if _, err := bd.addEngine("i-5", service, zones[0], work); err != nil {
+	// The next new engine starts.
+	if _, err := bd.addEngine("i-6", service, zones[0], work); err != nil {
 		return notRun, err
 	}
-	rec.say("a new engine is in the store")
+	rec.say("the next new engine is in the store")
 	if err := restarted.waitReady(10 * time.Second); err != nil {
 		return notRun, err
 	}
