--- a/review/_stand2/bed.go
+++ b/review/_stand2/bed.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -50,7 +51,9 @@
 	instances []*instance
 	engines   []*engine
 	bounds    bounds
-	closed    sync.Once
+	// ports holds the ports that are given to instances.
+	ports  map[int]bool
+	closed sync.Once
 }
 
 // bounds are those of the small site files.
@@ -62,13 +65,26 @@
 
 var zones = []string{"zone-a", "zone-b", "zone-c"}
 
-func freePort() int {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+const (
+	// firstPort and portCount bound the ports of the instances. They lie below those that the kernel gives to outgoing connections.
+	firstPort = 12000
+	portCount = 18000
+)
+
+// freePort returns a port that is free now, and that no earlier call returned.
+func (bd *bed) freePort() int {
+	for {
+		port := firstPort + rand.IntN(portCount)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		l.Close()
+		if !bd.ports[port] {
+			bd.ports[port] = true
+			return port
+		}
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
 }
 
 func newBed(rec *record) (*bed, error) {
@@ -80,7 +96,7 @@
 	if err != nil {
 		return nil, err
 	}
-	bd := &bed{dir: dir, rec: rec, store: st, bounds: smallBounds}
+	bd := &bed{dir: dir, rec: rec, store: st, bounds: smallBounds, ports: map[int]bool{}}
 	bd.closeOnSignal()
 	return bd, nil
 }
@@ -115,7 +131,7 @@
 
 // addInstance prepares an instance. storeAddress is the way to the store.
 func (bd *bed) addInstance(name, storeAddress string) *instance {
-	at := func() string { return fmt.Sprintf("127.0.0.1:%d", freePort()) }
+	at := func() string { return fmt.Sprintf("127.0.0.1:%d", bd.freePort()) }
 	in := &instance{name: name, callers: at(), readiness: at(), peers: at(), metrics: at(), store: storeAddress}
 	in.settings = filepath.Join(bd.dir, name+".json")
 	in.log = filepath.Join(bd.dir, name+".log")
@@ -193,7 +209,17 @@
 			return nil
 		}
 	}
-	return fmt.Errorf("%s is not ready", in.name)
+	return fmt.Errorf("%s is not ready; the end of its log: %s", in.name, in.lastLog())
+}
+
+// lastLog returns the end of the log of the instance.
+func (in *instance) lastLog() string {
+	const maxBytes = 1000
+	b, err := os.ReadFile(in.log)
+	if err != nil {
+		return err.Error()
+	}
+	return string(b[max(0, len(b)-maxBytes):])
 }
 
 // close ends all processes and stand-ins that the bed started.
--- a/review/_stand2/client.go
+++ b/review/_stand2/client.go
@@ -13,20 +13,22 @@
 
 // answer is what a client got for one request.
 type answer struct {
-	id, instance string
-	unsafe       bool
-	sentAt       time.Time
-	took         time.Duration
-	status       int
-	err          error
-	signature    string
-	whole        bool
+	id, instance, path string
+	unsafe             bool
+	sentAt             time.Time
+	took               time.Duration
+	status             int
+	err                error
+	signature          string
+	whole              bool
 }
 
 // clients send requests to the instances in turn, each on connections of its own.
 type clients struct {
-	bed     *bed
-	key     func() string
+	bed *bed
+	key func() string
+	// thing returns what the next safe request is about; nil for always the same.
+	thing   func() string
 	mu      sync.Mutex
 	answers []answer
 	stopped atomic.Bool
@@ -38,13 +40,18 @@
 // send sends one request and records its answer.
 func (cs *clients) send(hc *http.Client, in *instance, unsafe bool, key string) answer {
 	an := answer{id: newID(), instance: in.name, unsafe: unsafe, sentAt: time.Now()}
-	method, prefix := http.MethodGet, safePrefix
+	method, path := http.MethodGet, safePrefix+"2f"
+	if cs.thing != nil {
+		path = safePrefix + cs.thing()
+	}
 	var body io.Reader
 	if unsafe {
-		method, prefix = http.MethodPost, unsafePrefix
-		body = bytes.NewReader(bytes.Repeat([]byte("x"), 600))
+		method, path = http.MethodPost, unsafePrefix+"2f"
+		// Two unsafe requests are never the same.
+		body = bytes.NewReader(bytes.Repeat([]byte(an.id), 40))
 	}
-	req, err := http.NewRequest(method, "http://"+in.callers+prefix+"2f", body)
+	an.path = path
+	req, err := http.NewRequest(method, "http://"+in.callers+path, body)
 	if err != nil {
 		panic(err)
 	}
@@ -65,7 +72,7 @@
 	cs.mu.Lock()
 	cs.answers = append(cs.answers, an)
 	cs.mu.Unlock()
-	cs.bed.rec.log("%s unsafe=%t to %s: %d %v after %s", an.id, an.unsafe, an.instance, an.status, errText(an.err), an.took.Round(time.Millisecond))
+	cs.bed.rec.log("%s %s to %s: %d %v after %s", an.id, an.path, an.instance, an.status, errText(an.err), an.took.Round(time.Millisecond))
 	return an
 }
 
--- a/review/_stand2/engine.go
+++ b/review/_stand2/engine.go
@@ -11,8 +11,8 @@
 
 // arrival is a request that reached an engine.
 type arrival struct {
-	engine, id, tenant, method string
-	at                         time.Time
+	engine, id, tenant, method, path string
+	at                               time.Time
 	// ran is unset for a request that was rejected.
 	ran bool
 }
@@ -27,6 +27,8 @@
 
 	mu       sync.Mutex
 	arrivals []arrival
+	// running counts the requests under way, by path.
+	running map[string]int
 	// cut holds the arrivals whose runs were broken off.
 	cut []arrival
 }
@@ -36,7 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
-	en := &engine{id: id, service: service, zone: zone, slots: 16, work: work, rec: rec, address: l.Addr().String()}
+	en := &engine{id: id, service: service, zone: zone, slots: 16, work: work, rec: rec, running: map[string]int{}, address: l.Addr().String()}
 	en.server = &http.Server{Handler: http.HandlerFunc(en.serve)}
 	go func() { _ = en.server.Serve(l) }()
 	return en, nil
@@ -59,7 +61,7 @@
 	if err != nil {
 		return
 	}
-	ar := arrival{engine: en.id, id: r.Header.Get("X-Attempt-Id"), tenant: r.Header.Get("X-Tenant"), method: r.Method, at: time.Now()}
+	ar := arrival{engine: en.id, id: r.Header.Get("X-Attempt-Id"), tenant: r.Header.Get("X-Tenant"), method: r.Method, path: r.URL.Path, at: time.Now()}
 	w.Header().Set("X-Attempt-Id", ar.id)
 	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != en.id {
 		en.record(ar)
@@ -69,6 +71,8 @@
 	}
 	ar.ran = true
 	en.record(ar)
+	en.addRunning(ar.path, 1)
+	defer en.addRunning(ar.path, -1)
 	select {
 	case <-time.After(en.work):
 	case <-r.Context().Done():
@@ -88,6 +92,19 @@
 	en.rec.log("%s reaches %s, %s, tenant %q, runs=%t", ar.id, ar.engine, ar.method, ar.tenant, ar.ran)
 }
 
+func (en *engine) addRunning(path string, n int) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.running[path] += n
+}
+
+// runs reports whether a request for a path is under way.
+func (en *engine) runs(path string) bool {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return en.running[path] > 0
+}
+
 // arrivalsAfter returns the arrivals after an instant.
 func (en *engine) arrivalsAfter(at time.Time) []arrival {
 	en.mu.Lock()
--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -20,6 +20,7 @@
 	"silent-store": playSilentStore,
 	"restart":      playRestart,
 	"last-tenant":  playLastTenant,
+	"hot-request":  playHotRequest,
 }
 
 func main() {
