--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -21,6 +21,7 @@
 	"restart":      playRestart,
 	"last-tenant":  playLastTenant,
 	"hot-request":  playHotRequest,
+	"older-copy":   playOlderCopy,
 }
 
 func main() {
--- a/review/_stand2/store.go
+++ b/review/_stand2/store.go
@@ -22,6 +22,9 @@
 	changed chan struct{}
 	server  *http.Server
 	address string
+	// era counts how often the store came back from an older copy, away is set while it answers 503.
+	era  int
+	away bool
 	// onList is called with the kind of each list; nil for none.
 	onList func(kind string)
 }
@@ -59,6 +62,47 @@
 	return st, nil
 }
 
+// copyOfStore is a copy that the store can come back from.
+type copyOfStore struct {
+	revision int64
+	kinds    map[string]map[string]*object
+	history  []change
+}
+
+func (st *store) copy() copyOfStore {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	cp := copyOfStore{revision: st.revision, kinds: map[string]map[string]*object{}, history: append([]change{}, st.history...)}
+	for kind, objects := range st.kinds {
+		cp.kinds[kind] = map[string]*object{}
+		for name, ob := range objects {
+			kept := *ob
+			cp.kinds[kind][name] = &kept
+		}
+	}
+	return cp
+}
+
+// goAway makes the store answer 503 until it comes back.
+func (st *store) goAway() {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.away = true
+	close(st.changed)
+	st.changed = make(chan struct{})
+}
+
+// comeBack makes the store answer again, from an older copy.
+func (st *store) comeBack(cp copyOfStore) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.away = false
+	st.era++
+	st.revision, st.kinds, st.history = cp.revision, cp.kinds, cp.history
+	close(st.changed)
+	st.changed = make(chan struct{})
+}
+
 // watchLists calls f with the kind of each list from now on.
 func (st *store) watchLists(f func(kind string)) {
 	st.mu.Lock()
@@ -133,6 +177,14 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
+	st.mu.Lock()
+	away := st.away
+	w.Header().Set("Store-Era", strconv.Itoa(st.era))
+	st.mu.Unlock()
+	if away {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	kind, name, _ := strings.Cut(path, "/")
 	name, isStatus := strings.CutSuffix(name, "/status")
 	switch {
@@ -189,6 +241,16 @@
 	timeout := time.After(time.Duration(min(wait, 30000)) * time.Millisecond)
 	for expired := false; ; {
 		st.mu.Lock()
+		w.Header().Set("Store-Era", strconv.Itoa(st.era))
+		if st.away || since > st.revision {
+			away := st.away
+			st.mu.Unlock()
+			if away {
+				panic(http.ErrAbortHandler)
+			}
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		events := []map[string]any{}
 		for _, ch := range st.history {
 			if ch.kind == kind && ch.revision > since {
