--- a/review/_stand3/bed.go
+++ b/review/_stand3/bed.go
@@ -160,7 +160,7 @@
 	if bd.store != nil {
 		bd.store.Close()
 	}
-	if bd.dir != "" {
+	if bd.dir != "" && os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(bd.dir) // a folder that is left behind does no harm
 	}
 }
--- a/review/_stand3/client.go
+++ b/review/_stand3/client.go
@@ -32,6 +32,8 @@
 
 	mu      sync.Mutex
 	answers []answer
+	// takers holds the instance that each attempt was sent to, by its id.
+	takers map[string]*instance
 }
 
 // clientTimeout is beyond every deadline.
@@ -39,7 +41,7 @@
 
 func newClients(bd *bed) *clients {
 	tr := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 10 * time.Second}
-	return &clients{bd: bd, http: &http.Client{Timeout: clientTimeout, Transport: tr}}
+	return &clients{bd: bd, http: &http.Client{Timeout: clientTimeout, Transport: tr}, takers: map[string]*instance{}}
 }
 
 // run sends perSecond attempts a second for a time, and waits for the answers.
@@ -54,10 +56,24 @@
 	}
 }
 
+// instanceFor returns the instance for an attempt: the platform sends no client to one that is not ready.
+func (cs *clients) instanceFor(no int) *instance {
+	all := cs.bd.instances
+	for i := range all {
+		if in := all[(no+i)%len(all)]; in.up.Load() {
+			return in
+		}
+	}
+	return all[no%len(all)]
+}
+
 // send sends one attempt and records its answer.
 func (cs *clients) send(no int, ca call) {
-	in := cs.bd.instances[no%len(cs.bd.instances)]
+	in := cs.instanceFor(no)
 	id := fmt.Sprintf("attempt-%06d", no)
+	cs.mu.Lock()
+	cs.takers[id] = in
+	cs.mu.Unlock()
 	an, text := cs.exchange(in, id, ca)
 	cs.bd.rec.log("%s %s %s at %s: %s", id, ca.method, ca.path, in.name, text)
 	cs.mu.Lock()
--- a/review/_stand3/instance.go
+++ b/review/_stand3/instance.go
@@ -8,6 +8,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -17,7 +19,11 @@
 // instance is one process of the system.
 type instance struct {
 	name, callers, readiness string
-	cmd                      *exec.Cmd
+	// addresses are those of callers, readiness, peers and metrics.
+	addresses [4]string
+	cmd       *exec.Cmd
+	// up is set while clients may use the instance.
+	up atomic.Bool
 }
 
 // freeAddress returns a loopback address with a port that is free now.
@@ -41,8 +47,8 @@
 				return err
 			}
 		}
-		in := &instance{name: fmt.Sprintf("edge-%d", no), callers: addresses[0], readiness: addresses[1]}
-		settings := bd.settingsOf(no, addresses, seeds)
+		in := &instance{name: fmt.Sprintf("edge-%d", no), callers: addresses[0], readiness: addresses[1], addresses: addresses}
+		settings := bd.settingsOf(no, addresses, seeds, true)
 		if err := in.start(bd.dir, settings); err != nil {
 			return err
 		}
@@ -58,12 +64,12 @@
 }
 
 // settingsOf returns what deploy/settings.json.tmpl gives with the bounds of tywi-cyfeiriad.
-func (bd *bed) settingsOf(no int, addresses [4]string, seeds []string) object {
+func (bd *bed) settingsOf(no int, addresses [4]string, seeds []string, firstStart bool) object {
 	return object{
 		"instance": fmt.Sprintf("edge-%d", no), "availability_zone": zones[no%len(zones)],
 		"gateway": object{
 			"adapter": "platform", "callers": addresses[0], "readiness": addresses[1], "peers": addresses[2], "metrics": addresses[3],
-			"seeds": seeds, "first_start": true, "megabits": 1000, "store": bd.store.Address(), "revocation_bound": "5000ms",
+			"seeds": seeds, "first_start": firstStart, "megabits": 1000, "store": bd.store.Address(), "revocation_bound": "5000ms",
 			"leaving_bound": "2000ms", "configuration_bound": "2000ms", "availability_zones": zones, "grace": "8s", "retry_share": 0.2,
 			"retry_floor": 100, "retry_window": "10s",
 		},
@@ -87,24 +93,57 @@
 	defer logFile.Close()
 	in.cmd = exec.Command("target/silvermount", "entry", "--settings", path)
 	in.cmd.Stdout, in.cmd.Stderr = logFile, logFile
-	return in.cmd.Start()
+	if err := in.cmd.Start(); err != nil {
+		return err
+	}
+	go in.awaitReady()
+	return nil
+}
+
+// awaitReady lets clients use the instance once it is ready.
+func (in *instance) awaitReady() {
+	for deadline := time.Now().Add(startTimeout); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if in.ready() {
+			in.up.Store(true)
+			return
+		}
+	}
+}
+
+func (in *instance) ready() bool {
+	resp, err := http.Get("http://" + in.readiness + "/readyz")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
 }
 
 func (bd *bed) allReady() bool {
 	for _, in := range bd.instances {
-		resp, err := http.Get("http://" + in.readiness + "/readyz")
-		if err != nil {
-			return false
-		}
-		resp.Body.Close()
-		if resp.StatusCode != http.StatusOK {
+		if !in.up.Load() {
 			return false
 		}
 	}
 	return true
 }
 
+// seedsOf returns the addresses of the peers, as the platform gives them to an instance that starts again.
+func (bd *bed) seedsOf() []string {
+	var seeds []string
+	for _, in := range bd.instances {
+		seeds = append(seeds, in.addresses[2])
+	}
+	return seeds
+}
+
+// stop ends the process with a signal, and waits for its end. Clients that open connections go to the others from now on.
+func (in *instance) stop(sig syscall.Signal) {
+	in.up.Store(false)
+	_ = in.cmd.Process.Signal(sig) // it may have ended by itself
+	_ = in.cmd.Wait()              // the exit code of a process that was told to stop says nothing
+}
+
 func (in *instance) kill() {
-	_ = in.cmd.Process.Kill() // it may have ended by itself
-	_ = in.cmd.Wait()         // the exit code of a killed process says nothing
+	in.stop(syscall.SIGKILL)
 }
--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -1,4 +1,4 @@
-// Command review-3 runs the scripts of review/11 and review/12.
+// Command review-3 runs the scripts of review/11 to review/13.
 package main
 
 import (
@@ -19,6 +19,7 @@
 var cases = map[string]func(bd *bed, trouble bool) (broken bool, err error){
 	"outage":  runOutage,
 	"leaving": runLeaving,
+	"gone":    runGone,
 }
 
 func main() {
