fix(routes): keep checking keys once the last organisation is gone

Callers with a removed key, and callers with a key that never existed, were served without end as soon as a configuration had an empty list of organisations: the adapter built the table of keys only if the list had an entry, and a configuration without that table uses no keys.

Where the field is missing, a key is refused if keys were in force before at this instance, or if the settings bound revocations, since an instance that has just started cannot know what was in force. Requests without a key run there as before, and credentials pass where keys were never used. The log line "configuration in force" tells how many keys are valid and whether requests need one.

--- a/internal/duty/peersync/peersync.go
+++ b/internal/duty/peersync/peersync.go
@@ -396,7 +396,7 @@
 		asOf = time.Time{}
 	}
 	if du.rts.ApplyIfNewer(routes.New(ct), doc, asOf) {
-		fs := log.Fields{"version": ct.Version, "routes": len(ct.Routes), "services": len(ct.Services), "source": "peer"}
+		fs := log.Fields{"version": ct.Version, "routes": len(ct.Routes), "services": len(ct.Services), "keys": len(ct.Keys), "uses_keys": ct.Keys != nil, "source": "peer"}
 		if !asOf.IsZero() {
 			fs["age"] = time.Since(asOf).Round(time.Millisecond).String()
 		}
--- a/internal/duty/storesync/storesync.go
+++ b/internal/duty/storesync/storesync.go
@@ -203,7 +203,7 @@
 	sy.version = ct.Version
 	if sy.rts.ApplyIfNewer(routes.New(ct), it.Value, sy.proofTime(asOf)) {
 		sy.lg.WithFields(log.Fields{
-			"version": ct.Version, "routes": len(ct.Routes), "services": len(ct.Services), "source": "store",
+			"version": ct.Version, "routes": len(ct.Routes), "services": len(ct.Services), "keys": len(ct.Keys), "uses_keys": ct.Keys != nil, "source": "store",
 			"age": time.Since(asOf).Round(time.Millisecond).String(),
 		}).Info("configuration in force")
 	}
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -45,8 +45,9 @@
 	table      *routes.Table
 	service    string
 	org        routes.Organisation
-	needsKey   bool
-	arrived    time.Time
+	// needsKey is set if the request runs only with a key that is in force.
+	needsKey bool
+	arrived  time.Time
 	// deadline is the earlier of the caller's deadline and the route's.
 	deadline deadline.Deadline
 	// memory is what the request holds of the memory for bodies; never nil.
@@ -171,10 +172,16 @@
 	}
 	rq.table = tb
 	rq.route = rt
-	rq.needsKey = tb.NeedsKey(rt)
+	rq.needsKey = tb.NeedsKey(rt) || rq.Key != "" && !rt.Public && gw.keysAreRevoked()
 	return gw.checkKey(rq, tb, confirmedAt)
 }
 
+// keysAreRevoked reports whether a key that the configuration in force lacks may have been revoked, even if that configuration uses no
+// keys. An instance that has not had a configuration with keys cannot know that, and assumes it if the settings bound revocations.
+func (gw *Gateway) keysAreRevoked() bool {
+	return gw.Routes.UsedKeys() || gw.limits.Load().MaxConfigStaleness > 0
+}
+
 // recheckKey checks the key of a request that has not been sent to any target against the configuration in force now, since
 // the key may be revoked while the request waits for capacity. The request keeps the route that it was admitted with.
 func (gw *Gateway) recheckKey(rq *request) error {
--- a/internal/gateway/key_test.go
+++ b/internal/gateway/key_test.go
@@ -12,6 +12,40 @@
 	"github.com/silvermount/silvermount/internal/routes"
 )
 
+// TestKeysWithoutOrganisations guards against removed and invented keys that are accepted once a configuration without organisations is in
+// force.
+func TestKeysWithoutOrganisations(t *testing.T) {
+	const version = 4
+	withoutKeys := routes.New(configWithoutKeys(version))
+	tests := map[string]struct {
+		before, inForce *routes.Table
+		maxStaleness    time.Duration
+		key             string
+	}{
+		"no key is valid, removed key":                 {tableWithKeys(3, "taken"), tableWithKeys(version), 0, "taken"},
+		"no key is valid, unknown key":                 {tableWithKeys(3, "taken"), tableWithKeys(version), 0, "new"},
+		"no key is valid, no key":                      {tableWithKeys(3, "taken"), tableWithKeys(version), 0, ""},
+		"no key is valid, first configuration":         {nil, tableWithKeys(version), 0, "new"},
+		"keys are not used any more, removed key":      {tableWithKeys(3, "taken"), withoutKeys, 0, "taken"},
+		"keys are not used any more, unknown key":      {tableWithKeys(3, "taken"), withoutKeys, 0, "new"},
+		"keys were not used here, revocations bounded": {nil, withoutKeys, time.Second, "taken"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			at := time.Unix(1000, 0)
+			hd := &routes.Holder{}
+			if tc.before != nil {
+				hd.ApplyIfNewer(tc.before, nil, at)
+			}
+			hd.ApplyIfNewer(tc.inForce, nil, at)
+			gw := newGateway(hd, memory.New())
+			gw.Now = func() time.Time { return at }
+			gw.SetLimits(gateway.Limits{MaxConfigStaleness: tc.maxStaleness})
+			NewWithT(t).Expect(send(gw, "1", tc.key).Code).To(Equal(http.StatusUnauthorized))
+		})
+	}
+}
+
 // TestKeyOfPossiblyNewerConfiguration sends requests with keys to an instance that may lack the newest configuration.
 //
 // It guards against a 401 for a valid key, seconds after the store accepted the configuration that contains it. The instance had
--- a/internal/gateway/logging_test.go
+++ b/internal/gateway/logging_test.go
@@ -55,9 +55,16 @@
 	return rec
 }
 
+// configWithoutKeys returns a configuration with one route and no keys.
+func configWithoutKeys(version int64) routes.Config {
+	return routes.Config{Version: version, Routes: []routes.Route{
+		{Name: "r", Host: "example.com", PathPrefix: "/", Services: []routes.WeightedService{{Service: "s", Weight: 1}}},
+	}}
+}
+
 func tableWithKeys(version int64, keys ...string) *routes.Table {
-	ct := routes.Config{Version: version, Keys: map[string]routes.Organisation{}}
-	ct.Routes = []routes.Route{{Name: "r", Host: "example.com", PathPrefix: "/", Services: []routes.WeightedService{{Service: "s", Weight: 1}}}}
+	ct := configWithoutKeys(version)
+	ct.Keys = map[string]routes.Organisation{}
 	for _, key := range keys {
 		ct.Keys[key] = routes.Organisation{Name: "o"}
 	}
--- a/internal/routes/holder.go
+++ b/internal/routes/holder.go
@@ -21,6 +21,8 @@
 	// removedKeys maps the digest of each key that was in force here to the first version without it. It holds at most
 	// maxRemovedKeys.
 	removedKeys map[Digest]int64
+	// usedKeys is set once a table that uses keys was in force. It is never reset.
+	usedKeys bool
 }
 
 // maxRemovedKeys is the maximum number of removed keys that are remembered, at 40 bytes each.
@@ -35,6 +37,13 @@
 	return version, known
 }
 
+// UsedKeys reports whether a table that uses keys is in force at this instance, or was before.
+func (hd *Holder) UsedKeys() bool {
+	hd.mu.Lock()
+	defer hd.mu.Unlock()
+	return hd.usedKeys
+}
+
 // recordRemovedKeys updates removedKeys when a table replaces another. The caller holds mu.
 func (hd *Holder) recordRemovedKeys(before, after *Table) {
 	if hd.removedKeys == nil {
@@ -63,6 +72,7 @@
 		hd.recordRemovedKeys(hd.table, tb)
 	}
 	if newer {
+		hd.usedKeys = hd.usedKeys || tb.UsesKeys()
 		hd.table = tb
 		hd.document = document
 	}
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -81,7 +81,7 @@
 	// byHost holds the routes of each host, the longest path prefix first.
 	byHost   map[string][]Route
 	services map[string]Service
-	// byKey is nil if no organisations are configured, in which case no request needs a key.
+	// byKey is nil if the configuration does not use keys, in which case no request needs one. It is empty if no key is valid.
 	byKey map[string]Organisation
 }
 
@@ -91,7 +91,7 @@
 	Limits   Limits
 	Routes   []Route
 	Services []Service
-	// Keys maps each key to its owner; nil if no organisations are configured.
+	// Keys maps each key to its owner. It is nil if the configuration does not use keys, and empty if no key is valid.
 	Keys map[string]Organisation
 }
 
@@ -141,8 +141,11 @@
 // Services returns all services by name.
 func (tb *Table) Services() map[string]Service { return tb.services }
 
+// UsesKeys reports whether requests need a key on all routes that are not public.
+func (tb *Table) UsesKeys() bool { return tb.byKey != nil }
+
 // NeedsKey reports whether requests on the route need a key.
-func (tb *Table) NeedsKey(rt Route) bool { return tb.byKey != nil && !rt.Public }
+func (tb *Table) NeedsKey(rt Route) bool { return tb.UsesKeys() && !rt.Public }
 
 // Organisation returns the owner of a key. It reports false for an unknown key.
 func (tb *Table) Organisation(key string) (Organisation, bool) {
