fix(targets): do not list a lapsed target that a peer reports with changes

An instance that had just been restarted sent a target requests for as long as the target served, over 12 s after its entry had gone. Peers had granted the target the grace of an entry that lapses in an outage of the store, and reported it beside the changes of their list. The receiver entered it like a listed target and relied on the list that follows to mark it as missing. Changes do not: the removal was older than the list of the receiver.

A lapsed target that is unknown is now entered as missing, with what is left of the peer's grace, beside a list as well as beside changes, and not at all when none is left. The log tells the grace of a target without an entry, and when a peer's lapsed target is entered, which was not logged at all.

Evidence: TestLapsedTargetOfPeerIsNotListed failed before ("changes", "no grace left").

--- a/internal/duty/peersync/targets.go
+++ b/internal/duty/peersync/targets.go
@@ -152,9 +152,13 @@
 // logTargetChanges logs changes of targets that result from the state of a peer.
 func (du *duty) logTargetChanges(lg log.Interface, changes []targets.Change, asOf time.Time) {
 	for _, ch := range changes {
-		lg.WithFields(log.Fields{
+		fs := log.Fields{
 			"target": ch.Target.ID, "service": ch.Target.Service, "address": ch.Target.Address, "source": "peer",
 			"age": time.Since(asOf).Round(time.Millisecond).String(),
-		}).Info("target " + ch.Kind)
+		}
+		if ch.Grace > 0 {
+			fs["grace"] = ch.Grace.Round(time.Millisecond).String()
+		}
+		lg.WithFields(fs).Info("target " + ch.Kind)
 	}
 }
--- a/internal/duty/storesync/storesync.go
+++ b/internal/duty/storesync/storesync.go
@@ -241,10 +241,14 @@
 // reportChanges logs changes of targets and notifies peers of them.
 func (sy *syncer) reportChanges(changes []targets.Change, asOf time.Time) {
 	for _, ch := range changes {
-		sy.lg.WithFields(log.Fields{
+		fs := log.Fields{
 			"target": ch.Target.ID, "service": ch.Target.Service, "address": ch.Target.Address, "source": "store",
 			"age": time.Since(asOf).Round(time.Millisecond).String(),
-		}).Info("target " + ch.Kind)
+		}
+		if ch.Grace > 0 {
+			fs["grace"] = ch.Grace.Round(time.Millisecond).String()
+		}
+		sy.lg.WithFields(fs).Info("target " + ch.Kind)
 	}
 	if len(changes) > 0 {
 		sy.stateNotifier.Notify()
--- a/internal/targets/apply.go
+++ b/internal/targets/apply.go
@@ -29,7 +29,7 @@
 		return dr.confirmOnly(asOf)
 	}
 	dr.history.begin(at, true)
-	changes := dr.replaceAll(list, asOf)
+	changes := dr.replaceAll(list, asOf, dr.ownOutage.graceEnds())
 	for _, name := range unreadable {
 		changes = append(changes, dr.invalidate(name, asOf)...)
 	}
--- a/internal/targets/history.go
+++ b/internal/targets/history.go
@@ -111,9 +111,6 @@
 	dr.listPosition = pc.At
 	dr.history.begin(pc.At, false)
 	dr.confirm(asOf)
-	for _, tg := range la.Targets {
-		dr.addLapsed(tg)
-	}
 	graceUntil := dr.peerGrace(la)
 	var changes []Change
 	for _, id := range pc.Removed {
@@ -123,6 +120,7 @@
 		delete(dr.lastRestore.quarantined, tg.ID)
 		changes = append(changes, dr.upsert(tg)...)
 	}
+	changes = append(changes, dr.addLapsed(la.Targets, graceUntil)...)
 	dr.prune()
 	return append(changes, dr.releaseQuarantined()...)
 }
@@ -135,9 +133,5 @@
 		dr.history.recordRemoval(id, dr.now())
 		return nil
 	}
-	changes := dr.markMissing(en)
-	if len(changes) > 0 {
-		en.graceUntil = graceUntil
-	}
-	return changes
+	return dr.markMissing(en, graceUntil)
 }
--- a/internal/targets/incarnation.go
+++ b/internal/targets/incarnation.go
@@ -30,7 +30,7 @@
 // holds the lock.
 func (dr *Directory) supersede(en *entry) []Change {
 	en.superseded = true
-	changes := dr.markMissing(en)
+	changes := dr.markMissing(en, time.Time{})
 	en.graceUntil = time.Time{}
 	dr.onSuperseded(en.Target)
 	return changes
--- a/internal/targets/lapse.go
+++ b/internal/targets/lapse.go
@@ -76,17 +76,9 @@
 // replaceFromPeer replaces the whole list with that of a peer. Entries that it newly misses get at most the peer's remaining
 // grace period. The caller holds the lock.
 func (dr *Directory) replaceFromPeer(list []Target, la Lapsed, asOf time.Time) []Change {
-	for _, tg := range la.Targets {
-		dr.addLapsed(tg)
-	}
-	changes := dr.replaceAll(list, asOf)
 	graceUntil := dr.peerGrace(la)
-	for _, ch := range changes {
-		if ch.Kind == "gone" {
-			dr.entries[ch.Target.ID].graceUntil = graceUntil
-		}
-	}
-	return changes
+	changes := dr.replaceAll(list, asOf, graceUntil)
+	return append(changes, dr.addLapsed(la.Targets, graceUntil)...)
 }
 
 // peerGrace returns until when an entry that a peer's list newly misses may be missing, and records it. The caller holds the lock.
@@ -98,16 +90,30 @@
 	return dr.peerGraceUntil
 }
 
-// addLapsed adds a lapsed target that a peer reports and this instance does not know. The caller holds the lock.
-func (dr *Directory) addLapsed(tg Target) {
-	if _, known := dr.entries[tg.ID]; known {
-		return
+// addLapsed adds the lapsed targets that a peer reports and this instance does not know. They are missing from the list and accept work
+// until graceUntil. The caller holds the lock.
+func (dr *Directory) addLapsed(lapsed []Target, graceUntil time.Time) []Change {
+	grace := graceUntil.Sub(dr.now())
+	if grace <= 0 {
+		return nil
 	}
-	if latest, _ := dr.registerLatest(tg); !latest {
-		return
+	var changes []Change
+	for _, tg := range lapsed {
+		if _, known := dr.entries[tg.ID]; known {
+			continue
+		}
+		latest, superseded := dr.registerLatest(tg)
+		changes = append(changes, superseded...)
+		if !latest {
+			continue
+		}
+		_, markedLeaving := dr.leavingSince[tg.ID]
+		en := &entry{Target: tg, leaving: tg.Leaving || markedLeaving}
+		dr.entries[tg.ID] = en
+		dr.markMissing(en, graceUntil)
+		changes = append(changes, Change{Target: tg, Kind: "lapsed", Grace: grace})
 	}
-	_, markedLeaving := dr.leavingSince[tg.ID]
-	dr.entries[tg.ID] = &entry{Target: tg, leaving: tg.Leaving || markedLeaving}
+	return changes
 }
 
 // presumedDead reports whether a target is not listed and there is no sign that it is alive: it accepted no connection, or
--- a/internal/targets/lapse_test.go
+++ b/internal/targets/lapse_test.go
@@ -1,11 +1,13 @@
 package targets_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/silvermount/silvermount/internal/position"
 	"github.com/silvermount/silvermount/internal/targets"
 )
 
@@ -125,6 +127,51 @@
 	}
 }
 
+// TestLapsedTargetOfPeerIsNotListed guards against requests to a target that left long ago: a peer reports it as lapsed beside its list or
+// the changes of its list, and the instance, which listed the targets after it had left, takes it for a listed one for good.
+func TestLapsedTargetOfPeerIsNotListed(t *testing.T) {
+	at := func(revision int64) position.Position { return position.Position{Revision: revision} }
+	updates := map[string]func(dr *targets.Directory, la targets.Lapsed, now time.Time) []targets.Change{
+		"list": func(dr *targets.Directory, la targets.Lapsed, now time.Time) []targets.Change {
+			return dr.ApplyPeerList(newTargets("a", "b"), la, at(7), now)
+		},
+		"changes": func(dr *targets.Directory, la targets.Lapsed, now time.Time) []targets.Change {
+			return dr.ApplyPeerChanges(targets.PeerChanges{Since: at(5), At: at(7), Changed: newTargets("b")}, la, now)
+		},
+		"changes that remove it": func(dr *targets.Directory, la targets.Lapsed, now time.Time) []targets.Change {
+			return dr.ApplyPeerChanges(targets.PeerChanges{Since: at(5), At: at(7), Changed: newTargets("b"), Removed: []string{"gone"}}, la, now)
+		},
+	}
+	const grace = 1500 * time.Millisecond
+	lapsed := targets.Lapsed{Targets: newTargets("gone"), GraceLeft: grace}
+	for name, update := range updates {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			cl := newClock()
+			dr := targets.New(cl.now)
+			dr.ApplyList(newTargets("a"), nil, at(5), cl.now())
+			changes := update(dr, lapsed, cl.now())
+			g.Expect(changes).To(ContainElement(targets.Change{Target: newTargets("gone")[0], Kind: "lapsed", Grace: grace}))
+			g.Expect(dr.Len()).To(Equal(2), "it is not listed")
+			cl.advance(grace - 1)
+			g.Expect(dr.TakesWork("gone")).To(BeTrue())
+			cl.advance(1)
+			g.Expect(dr.TakesWork("gone")).To(BeFalse())
+			g.Expect(idsOf(dr.Usable("s", targets.AllowProbe))).To(Equal([]string{"a", "b"}))
+			pc, known := dr.ChangesSince(at(6))
+			g.Expect(!known || slices.Contains(pc.Removed, "gone")).To(BeTrue(), "peers learn that it has no entry")
+		})
+	}
+	t.Run("no grace left", func(t *testing.T) {
+		g := NewWithT(t)
+		cl := newClock()
+		dr := targets.New(cl.now)
+		dr.ApplyList(newTargets("a"), nil, at(5), cl.now())
+		updates["changes"](dr, targets.Lapsed{Targets: newTargets("gone")}, cl.now())
+		g.Expect(dr.TakesWork("gone")).To(BeFalse())
+	})
+}
+
 func TestLapsedTargetsForPeers(t *testing.T) {
 	tests := map[string]struct {
 		events    func(cl *clock, dr *targets.Directory)
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -159,12 +159,15 @@
 // Change is a change to one target.
 type Change struct {
 	Target Target
-	// Kind is one of "listed", "leaving", "gone" and "back".
+	// Kind is one of "listed", "leaving", "gone", "lapsed" and "back". A peer reported a lapsed target that was unknown here.
 	Kind string
+	// Grace is how much longer a gone or lapsed target accepts work; zero for others.
+	Grace time.Duration
 }
 
-// replaceAll replaces the whole list with one that was current as of asOf, when the store was asked. The caller holds the lock.
-func (dr *Directory) replaceAll(list []Target, asOf time.Time) []Change {
+// replaceAll replaces the whole list with one that was current as of asOf, when the store was asked. Targets that it newly misses accept
+// work until graceUntil. The caller holds the lock.
+func (dr *Directory) replaceAll(list []Target, asOf, graceUntil time.Time) []Change {
 	dr.confirm(asOf)
 	var changes []Change
 	listed := map[string]bool{}
@@ -179,7 +182,7 @@
 	}
 	for id, en := range dr.entries {
 		if !listed[id] {
-			changes = append(changes, dr.markMissing(en)...)
+			changes = append(changes, dr.markMissing(en, graceUntil)...)
 		}
 	}
 	dr.prune()
@@ -192,7 +195,7 @@
 	dr.prune()
 	delete(dr.lastRestore.quarantined, dr.latest[name].id)
 	if en, ok := dr.entries[dr.latest[name].id]; ok {
-		return dr.markMissing(en)
+		return dr.markMissing(en, dr.ownOutage.graceEnds())
 	}
 	return nil
 }
@@ -296,17 +299,18 @@
 	return nil
 }
 
-// markMissing records that an entry is no longer listed, and grants it the grace period of a store outage. The caller holds the
-// lock.
-func (dr *Directory) markMissing(en *entry) []Change {
+// markMissing records that an entry is no longer listed, and that its target accepts work until graceUntil, if that is set. The caller
+// holds the lock.
+func (dr *Directory) markMissing(en *entry, graceUntil time.Time) []Change {
 	if !en.missingSince.IsZero() {
 		return nil
 	}
-	en.missingSince = dr.now()
-	en.graceUntil = dr.ownOutage.graceEnds()
-	dr.history.recordRemoval(en.ID, dr.now())
+	now := dr.now()
+	en.missingSince = now
+	en.graceUntil = graceUntil
+	dr.history.recordRemoval(en.ID, now)
 	dr.onGone(en.Target)
-	return []Change{{Target: en.Target, Kind: "gone"}}
+	return []Change{{Target: en.Target, Kind: "gone", Grace: max(0, graceUntil.Sub(now))}}
 }
 
 // prune removes entries, names and leaving incarnations that need not be kept any longer. The caller holds the lock.
