fix(listwatch): do not take a lost connection for an outage of the store

The open connections of all instances to the store went silent, and the entry of a target went right after that. The instances found the silence in time, but sent the target requests for two more seconds, up to 3.4 s after its entry had gone: they took the missing entry for one that lapsed in an outage of the store. Any failed call counted as an outage, also one that timed out on a connection of this instance, a waiting watch that the store cut, and a history that expired twice.

The store client now tells a call that was interrupted on an established connection from one that got no connection or was refused. After the first interrupted call, an instance lists at once on another connection; only if that fails too is the store away. Until then it keeps its list. Outages that refuse connections or calls are recognised in the same call as before. An outage that shows itself by silence alone and ends within 1.67 s (bound of 2 s) is not recognised any more; entries lapse after 3.6 s without a heartbeat.

The simulated fleet learns silent connections, and sends lapsed targets and changes to peers as the real one does. The stand-in store can silence its open connections.

--- a/internal/duty/storesync/evacuations.go
+++ b/internal/duty/storesync/evacuations.go
@@ -54,8 +54,9 @@
 			}
 			return pp.suspended(es.answeredAt)
 		},
-		Backoff:   func() (minDelay, maxDelay time.Duration) { return pp.backoffBounds(sy.dr.ConfirmedAt()) },
-		OnFailure: func(error) { sy.detector.recordFailure() },
+		Backoff:          func() (minDelay, maxDelay time.Duration) { return pp.backoffBounds(sy.dr.ConfirmedAt()) },
+		OnFailure:        func(error) { sy.detector.recordFailure() },
+		OnConnectionLost: func(error) { sy.detector.recordFailure() },
 	}
 }
 
--- a/internal/duty/storesync/simfleet_test.go
+++ b/internal/duty/storesync/simfleet_test.go
@@ -99,6 +99,8 @@
 	// An isolated instance reaches neither peers nor the store. The store answers calls of a rejected instance with an error, and
 	// those of an unanswered one not at all.
 	isolated, rejected, unanswered atomic.Bool
+	// lostConnections counts how often the open connections of the instance to the store went silent. New ones work.
+	lostConnections atomic.Int64
 	// storeUnreachable is set while the instance reports to its peers that the store does not respond to it.
 	storeUnreachable atomic.Bool
 	// outdatedSince is when the instance learned of a newer configuration than its own.
@@ -138,7 +140,7 @@
 	ctx, cancel := context.WithTimeout(ctx, after+callTimeout)
 	defer cancel()
 	<-ctx.Done()
-	return objectstore.Listing{}, &objectstore.UnavailableError{Cause: ctx.Err()}
+	return objectstore.Listing{}, &objectstore.UnavailableError{Cause: &objectstore.ConnectionLostError{Cause: ctx.Err()}}
 }
 
 // callTimeout is how long a call waits for an overdue response.
@@ -146,9 +148,10 @@
 
 func (si *simInstance) watch(ctx context.Context, kind string, since position.Position, wait time.Duration) (objectstore.Listing, error) {
 	si.countCall()
+	connection := si.lostConnections.Load()
 	for deadline := time.Now().Add(wait); ; {
 		l, err := si.call(si.store, kind)
-		if si.timesOut() {
+		if si.timesOut() || connection != si.lostConnections.Load() {
 			return si.awaitTimeout(ctx, time.Until(deadline))
 		}
 		if ctx.Err() != nil {
@@ -317,11 +320,15 @@
 	own, _ := to.sy.dr.ListPosition()
 	switch {
 	case at.After(own):
+		if pc, known := from.sy.dr.ChangesSince(own); known {
+			to.sy.dr.ApplyPeerChanges(pc, from.sy.dr.Lapsed(), asOf)
+			return
+		}
 		if at.RestoredSince(own) {
 			to.sy.dr.RecordStoreRestore(at.Era, asOf)
 		}
 		_, list := from.sy.dr.Listed()
-		to.sy.dr.ApplyPeerList(list, targets.Lapsed{}, at, asOf)
+		to.sy.dr.ApplyPeerList(list, from.sy.dr.Lapsed(), at, asOf)
 	case at == own && !at.IsZero():
 		to.sy.dr.Confirm(asOf)
 	}
--- a/internal/duty/storesync/storesync.go
+++ b/internal/duty/storesync/storesync.go
@@ -161,7 +161,8 @@
 			_, provenAt := sy.rts.Current()
 			return pp.backoffBounds(provenAt)
 		},
-		NewestReported: sy.coordinator.NewestPeerVersion,
+		NewestReported:   sy.coordinator.NewestPeerVersion,
+		OnConnectionLost: func(error) { sy.detector.recordFailure() },
 		OnFailure: func(error) {
 			sy.detector.recordFailure()
 			// A listener seldom requests targets, and a store that no instance reaches is unavailable for both kinds.
@@ -229,6 +230,7 @@
 			sy.targetAnswers.Add(1)
 			sy.stateNotifier.Notify()
 		},
+		OnConnectionLost: func(error) { sy.detector.recordFailure() },
 		OnFailure: func(error) {
 			sy.detector.recordFailure()
 			sy.dr.RecordStoreFailure()
--- a/internal/duty/storesync/unanswered_test.go
+++ b/internal/duty/storesync/unanswered_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
 	"github.com/silvermount/silvermount/internal/position"
+	"github.com/silvermount/silvermount/internal/targets"
 )
 
 // changeBound is the maximum time until an instance that the store responds to must know of a change in the store.
@@ -55,6 +57,79 @@
 	}
 }
 
+// TestGraceOfMissingEntries guards against two opposite faults: the entry of a target goes while the connections of instances to the store
+// are silent, and the target gets requests for another two seconds; or an entry lapses in an outage of the store, and the target gets none.
+func TestGraceOfMissingEntries(t *testing.T) {
+	tests := map[string]struct {
+		begin, end func(fl *fleet)
+		duration   time.Duration
+		// grace is set if the entry may have lapsed.
+		grace bool
+	}{
+		"connections go silent": {
+			begin: func(fl *fleet) {
+				for _, si := range fl.instances {
+					si.lostConnections.Add(1)
+				}
+			},
+			end: func(*fleet) {},
+		},
+		"store is silent": {
+			begin: func(fl *fleet) {
+				for _, si := range fl.instances {
+					si.unanswered.Store(true)
+				}
+			},
+			end: func(fl *fleet) {
+				for _, si := range fl.instances {
+					si.unanswered.Store(false)
+				}
+			},
+			duration: 5 * time.Second, grace: true,
+		},
+		"store is unavailable": {
+			begin:    func(fl *fleet) { fl.store.edit(func() { fl.store.down = true }) },
+			end:      func(fl *fleet) { fl.store.edit(func() { fl.store.down = false }) },
+			duration: 5 * time.Second, grace: true,
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			runInFleet(t, func(g *WithT, fl *fleet) {
+				tc.begin(fl)
+				time.Sleep(tc.duration / 2)
+				fl.change(kindTargets)
+				time.Sleep(tc.duration / 2)
+				tc.end(fl)
+				unknown := slices.Clone(fl.instances)
+				granted := 0
+				for until := time.Now().Add(changeBound + maxListenerBackoff); len(unknown) > 0 && time.Now().Before(until); time.Sleep(callLatency) {
+					unknown = slices.DeleteFunc(unknown, func(si *simInstance) bool {
+						if !si.sy.dr.TakesWork("target-2") {
+							return false
+						}
+						if si.sy.dr.TakesWork("target-1") {
+							granted++
+						}
+						return true
+					})
+				}
+				g.Expect(unknown).To(BeEmpty())
+				if tc.grace {
+					g.Expect(granted).To(Equal(len(fl.instances)))
+				} else {
+					g.Expect(granted).To(BeZero())
+				}
+				time.Sleep(targets.LapseGrace + gossipInterval)
+				for _, si := range fl.instances {
+					g.Expect(si.sy.dr.TakesWork("target-1")).To(BeFalse(), si.name)
+				}
+			})
+		})
+	}
+}
+
 // TestReplacementFollowersReportChangesPromptly checks that other instances replace the followers while the store responds to none
 // of them, so that a leaving target is known at once and not only when the state from peers is stale. Without replacement it was
 // known 2 to 2.5 s late.
--- a/internal/listwatch/listwatch.go
+++ b/internal/listwatch/listwatch.go
@@ -69,12 +69,17 @@
 	// NewestReported returns a number that increases when another source reports something newer in the store. An increase shows
 	// that the store responds, and ends a back-off early. Optional.
 	NewestReported func() int64
-	// OnFailure is called for each failed call.
+	// OnFailure is called for each failed call that shows that the store does not respond to this instance.
 	OnFailure func(err error)
-	Log       log.Interface
+	// OnConnectionLost is called if the first failed call after a successful one was interrupted on an established connection. That says
+	// nothing about the store yet: the list that follows at once, on another connection, does. Optional.
+	OnConnectionLost func(err error)
+	Log              log.Interface
 
-	// failing is set from a failed call to the next successful one.
+	// failing is set from a failed call that OnFailure is called for to the next successful one.
 	failing bool
+	// connectionLost is set from a lost connection to the next successful call.
+	connectionLost bool
 	// lastSuccess is when the request of the last successful call was sent.
 	lastSuccess time.Time
 	// listedAt is the position of the store in the newest list; zero before the first.
@@ -86,32 +91,52 @@
 // Run lists and watches until ctx is cancelled.
 func (lw *ListWatcher) Run(ctx context.Context) {
 	var backoff time.Duration
-	gone := false
+	// listedAtOnce is set from a list without a back-off before it to the next successful watch. A store that interrupts every watch must
+	// not cause a busy loop.
+	listedAtOnce := false
 	for ctx.Err() == nil {
 		since, err := lw.list(ctx)
 		for err == nil {
 			since, err = lw.watch(ctx, since)
 			if err == nil {
 				backoff = 0
-				gone = false
+				listedAtOnce = false
 			}
 		}
-		var hg *objectstore.HistoryGoneError
-		// History that is gone again right after a list is handled as a failed call, to avoid a busy loop.
-		if errors.As(err, &hg) && !gone {
-			gone = true
-			lw.Log.WithField("kind", lw.Kind).WithField("version", since.Revision).Info("change history has expired in the store, listing again")
-			continue
-		}
 		if ctx.Err() != nil {
 			return
 		}
-		lw.recordFailure(err)
+		if lw.storeMayRespond(err, since) && !listedAtOnce {
+			listedAtOnce = true
+			continue
+		}
 		backoff = lw.nextBackoff(backoff)
 		lw.waitBackoff(ctx, backoff)
 	}
 }
 
+// storeMayRespond records a failed call, and reports whether the store may respond to this instance all the same.
+func (lw *ListWatcher) storeMayRespond(err error, since position.Position) bool {
+	lg := lw.Log.WithField("kind", lw.Kind)
+	var hg *objectstore.HistoryGoneError
+	var cl *objectstore.ConnectionLostError
+	switch {
+	case errors.As(err, &hg):
+		lg.WithField("version", since.Revision).Info("change history has expired in the store, listing again")
+		return true
+	case errors.As(err, &cl) && !lw.failing && !lw.connectionLost:
+		lw.connectionLost = true
+		lg.WithField("cause", err.Error()).Info("lost a connection to the store, listing on another")
+		if lw.OnConnectionLost != nil {
+			lw.OnConnectionLost(err)
+		}
+		return true
+	default:
+		lw.recordFailure(err)
+		return false
+	}
+}
+
 // waitBackoff waits for the back-off with jitter, from half to one and a half of it. If another source reports something newer, it
 // returns after at most half of the minimum back-off.
 func (lw *ListWatcher) waitBackoff(ctx context.Context, backoff time.Duration) {
@@ -248,6 +273,7 @@
 		lw.Log.WithField("kind", lw.Kind).Info("regained the store")
 	}
 	lw.failing = false
+	lw.connectionLost = false
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/listwatch/listwatch_test.go
+++ b/internal/listwatch/listwatch_test.go
@@ -38,6 +38,8 @@
 	oldestRevision int64
 	// failure is the error of all calls; nil if they succeed.
 	failure error
+	// nextResults are the errors of the next calls, in order; nil for a call that succeeds.
+	nextResults []error
 	// listTimes and watchTimes hold when the calls were made.
 	listTimes, watchTimes []time.Time
 }
@@ -64,10 +66,25 @@
 	f()
 }
 
+// takeNextResult returns the error of a call according to nextResults.
+func (fs *fakeStore) takeNextResult() error {
+	fs.mu.Lock()
+	defer fs.mu.Unlock()
+	if len(fs.nextResults) == 0 {
+		return nil
+	}
+	err := fs.nextResults[0]
+	fs.nextResults = fs.nextResults[1:]
+	return err
+}
+
 func (fs *fakeStore) list(_ context.Context, _ string) (objectstore.Listing, error) {
 	fs.mu.Lock()
 	fs.listTimes = append(fs.listTimes, time.Now())
 	fs.mu.Unlock()
+	if err := fs.takeNextResult(); err != nil {
+		return objectstore.Listing{}, err
+	}
 	time.Sleep(callLatency)
 	fs.mu.Lock()
 	defer fs.mu.Unlock()
@@ -82,6 +99,9 @@
 	fs.mu.Lock()
 	fs.watchTimes = append(fs.watchTimes, time.Now())
 	fs.mu.Unlock()
+	if err := fs.takeNextResult(); err != nil {
+		return objectstore.Listing{}, err
+	}
 	deadline := time.Now().Add(wait)
 	for {
 		l, done, err := fs.changesSince(since.Revision)
@@ -124,10 +144,11 @@
 
 // replicaState is the state of a replica that tests check.
 type replicaState struct {
-	items    map[string]string
-	asOf     time.Time
-	lists    int
-	failures int
+	items map[string]string
+	asOf  time.Time
+	lists int
+	// failures and connectionsLost count the calls of OnFailure and OnConnectionLost.
+	failures, connectionsLost int
 	// asOfTooLate is set if an asOf time was later than the start of the call that it belongs to.
 	asOfTooLate bool
 }
@@ -148,8 +169,9 @@
 	lw := &listwatch.ListWatcher{
 		Store: listwatch.Store{List: fs.list, Watch: fs.watch}, Kind: kind, WatchTimeout: func() time.Duration { return watchTimeout },
 		Replace: rp.replace, Apply: rp.apply, Confirm: rp.confirm,
-		OnFailure: func(error) { rp.mu.Lock(); defer rp.mu.Unlock(); rp.failures++ },
-		Log:       &log.Logger{Handler: rp.log, Level: log.DebugLevel},
+		OnFailure:        func(error) { rp.mu.Lock(); defer rp.mu.Unlock(); rp.failures++ },
+		OnConnectionLost: func(error) { rp.mu.Lock(); defer rp.mu.Unlock(); rp.connectionsLost++ },
+		Log:              &log.Logger{Handler: rp.log, Level: log.DebugLevel},
 	}
 	for _, o := range opts {
 		o(lw)
@@ -315,6 +337,73 @@
 	})
 }
 
+// TestFailuresThatAreNoOutage guards against an outage of the store that is concluded from calls that fail although the store responds: a
+// connection of this instance goes silent, a waiting watch is cut, or the history has expired.
+func TestFailuresThatAreNoOutage(t *testing.T) {
+	unavailable := &objectstore.UnavailableError{Cause: &objectstore.StatusError{Status: 503}}
+	lost := &objectstore.UnavailableError{Cause: &objectstore.ConnectionLostError{Cause: context.DeadlineExceeded}}
+	gone := &objectstore.HistoryGoneError{Kind: kind}
+	tests := map[string]struct {
+		// results are the errors of the calls that follow the first list.
+		results                   []error
+		failures, connectionsLost int
+		// atOnce is set if the changes are known without a back-off.
+		atOnce bool
+	}{
+		"watch interrupted":                            {[]error{lost}, 0, 1, true},
+		"each watch interrupted":                       {[]error{lost, nil, lost, nil, lost}, 0, 3, false},
+		"watch and list interrupted":                   {[]error{lost, lost}, 1, 1, false},
+		"watch, list and list interrupted":             {[]error{lost, lost, lost}, 2, 1, false},
+		"watch interrupted, list refused":              {[]error{lost, unavailable}, 1, 1, false},
+		"watch refused":                                {[]error{unavailable}, 1, 0, false},
+		"watch refused, list interrupted":              {[]error{unavailable, lost}, 2, 0, false},
+		"history gone":                                 {[]error{gone}, 0, 0, true},
+		"history gone right after each list":           {[]error{gone, nil, gone, nil, gone}, 0, 0, false},
+		"watch interrupted, history gone after a list": {[]error{lost, nil, gone}, 0, 1, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			withFakeClock(t, func(t *testing.T, g *WithT) {
+				fs := newFakeStore()
+				rp := startReplica(t, fs)
+				advance(2 * callLatency)
+				fs.edit(func() { fs.nextResults = tc.results })
+				advance(watchTimeout)
+				fs.put("a", "1")
+				advance(4 * callLatency)
+				if tc.atOnce {
+					g.Expect(rp.state().items).To(HaveKey("a"))
+				}
+				advance(time.Minute)
+				g.Expect(rp.state().items).To(HaveKey("a"))
+				g.Expect(rp.state().failures).To(Equal(tc.failures))
+				g.Expect(rp.state().connectionsLost).To(Equal(tc.connectionsLost))
+			})
+		})
+	}
+}
+
+// TestBacksOffWhileConnectionsAreLost guards against a busy loop of lists and watches when the store interrupts every watch, or all calls.
+func TestBacksOffWhileConnectionsAreLost(t *testing.T) {
+	lost := &objectstore.UnavailableError{Cause: &objectstore.ConnectionLostError{Cause: context.DeadlineExceeded}}
+	for name, result := range map[string][]error{"every watch": {nil, lost}, "all calls": {lost, lost}} {
+		t.Run(name, func(t *testing.T) {
+			withFakeClock(t, func(t *testing.T, g *WithT) {
+				fs := newFakeStore()
+				for range 1000 {
+					fs.nextResults = append(fs.nextResults, result...)
+				}
+				startReplica(t, fs)
+				advance(10 * time.Second)
+				fs.edit(func() {
+					g.Expect(len(fs.listTimes)).To(BeNumerically(">", 5), "calls are too rare")
+					g.Expect(len(fs.listTimes)).To(BeNumerically("<", 200), "lists without back-off")
+				})
+			})
+		})
+	}
+}
+
 // TestBacksOffWhileHistoryStaysGone guards against a busy loop of lists and watches. The store discards its history at once, so that
 // each watch fails with a HistoryGoneError.
 func TestBacksOffWhileHistoryStaysGone(t *testing.T) {
--- a/internal/objectstore/objectstore.go
+++ b/internal/objectstore/objectstore.go
@@ -89,6 +89,18 @@
 // Unwrap returns the cause.
 func (ue *UnavailableError) Unwrap() error { return ue.Cause }
 
+// ConnectionLostError is the cause of an UnavailableError if a connection was established but carried no complete response. That
+// connection alone may be lost, while the store responds on others.
+type ConnectionLostError struct{ Cause error }
+
+// Error includes the cause.
+func (ce *ConnectionLostError) Error() string {
+	return "connection to the store lost: " + ce.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (ce *ConnectionLostError) Unwrap() error { return ce.Cause }
+
 // UnknownOutcomeError is returned if a write failed and it is unknown whether it has taken effect.
 type UnknownOutcomeError struct{ Cause error }
 
--- a/internal/standin/objectsim/endpoint.go
+++ b/internal/standin/objectsim/endpoint.go
@@ -47,6 +47,7 @@
 	store    *store
 	pageSize int
 	listener net.Listener
+	conns    *silenceableListener
 	server   *http.Server
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -70,11 +71,12 @@
 		store: st, pageSize: pageSize, listener: ln, ctx: ctx, cancel: cancel,
 		calls: map[CallKey]int{}, watches: map[int]context.CancelFunc{},
 	}
+	ep.conns = &silenceableListener{Listener: ln, open: map[*silenceableConn]struct{}{}}
 	ep.server = &http.Server{
 		Handler: http.HandlerFunc(ep.serve), ReadHeaderTimeout: headerTimeout,
 		BaseContext: func(net.Listener) context.Context { return ctx },
 	}
-	go func() { _ = ep.server.Serve(ln) }() // it returns when the endpoint is closed
+	go func() { _ = ep.server.Serve(ep.conns) }() // it returns when the endpoint is closed
 	return ep, nil
 }
 
@@ -125,6 +127,10 @@
 	}
 }
 
+// SilenceConnections makes the open connections carry nothing any more in either direction, for good. They stay open, and connections that
+// are opened later work.
+func (ep *Endpoint) SilenceConnections() { ep.conns.silence() }
+
 // WatchCount returns how many watches are waiting for an event.
 func (ep *Endpoint) WatchCount() int { ep.mu.Lock(); defer ep.mu.Unlock(); return len(ep.watches) }
 
@@ -218,8 +224,8 @@
 	if err != nil {
 		panic(http.ErrAbortHandler) // this makes the server close the connection
 	}
-	if tc, ok := nc.(*net.TCPConn); ok {
-		_ = tc.SetLinger(0) // if this fails, the connection is closed gracefully, which serves as well
+	if sc, ok := nc.(*silenceableConn); ok {
+		_ = sc.tcp.SetLinger(0) // if this fails, the connection is closed gracefully, which serves as well
 	}
 	_ = nc.Close() // the caller may have closed it already
 }
