fix(targets): end an outage when peers confirm the list

An instance that gets its list from peers marked an outage at a failed call about the configuration, and kept the mark until it listed the targets by itself, which may be hours later. Targets that left around that list then got requests for another two seconds, since their entries counted as lapsed.

A confirmation that the list was current after the newest failed call ends the outage now, as of that time. The grace of entries that lapsed in a real outage counts from there.

Evidence: "an outage that was over for peers long ago" of TestEntriesThatLapseInStoreOutage failed before.

--- a/internal/targets/lapse.go
+++ b/internal/targets/lapse.go
@@ -10,7 +10,9 @@
 type outage struct {
 	// startedAt is when the first call failed; recoveredAt is when the first call was made that succeeded again.
 	startedAt, recoveredAt time.Time
-	ongoing                bool
+	// failedAt is when the newest call failed.
+	failedAt time.Time
+	ongoing  bool
 }
 
 // recordFailure records a failed call.
@@ -18,6 +20,7 @@
 	if !ou.ongoing {
 		ou.startedAt = at
 	}
+	ou.failedAt = at
 	ou.ongoing = true
 }
 
@@ -29,6 +32,14 @@
 	ou.ongoing = false
 }
 
+// recordConfirmation records that the list was current at a time, according to this instance or a peer. If that is after the newest failed
+// call, the outage is over, although this instance may not call the store again for long.
+func (ou *outage) recordConfirmation(asOf time.Time) {
+	if asOf.After(ou.failedAt) {
+		ou.recordSuccess(asOf)
+	}
+}
+
 // graceEnds returns the time until which an entry may be missing because of the outage; zero when there was none.
 func (ou *outage) graceEnds() time.Time {
 	if ou.recoveredAt.IsZero() {
--- a/internal/targets/lapse_test.go
+++ b/internal/targets/lapse_test.go
@@ -59,6 +59,25 @@
 			cl.advance(2 * time.Second)
 			applyDelete(dr, "n1", cl.now())
 		}, []string{"f1", "f2", "n2"}},
+		"an outage that was over for peers long ago grants no grace period": {func(cl *clock, dr *targets.Directory) {
+			dr.Confirm(cl.now())
+			cl.advance(time.Minute)
+			dr.RecordStoreRecovery(cl.now())
+			applyList(dr, twoZones([]string{"n1"}, far), cl.now())
+		}, []string{"f1", "f2", "n1"}},
+		"the grace period starts when peers confirm the list": {func(cl *clock, dr *targets.Directory) {
+			dr.Confirm(cl.now())
+			cl.advance(1900 * time.Millisecond)
+			dr.RecordStoreRecovery(cl.now())
+			applyList(dr, twoZones([]string{"n1"}, far), cl.now())
+		}, []string{"f1", "f2", "n1", "n2"}},
+		"a confirmation from before the outage does not end it": {func(cl *clock, dr *targets.Directory) {
+			dr.Confirm(cl.now().Add(-time.Second))
+			cl.advance(time.Minute)
+			dr.RecordStoreRecovery(cl.now())
+			applyList(dr, nil, cl.now())
+			cl.advance(1900 * time.Millisecond)
+		}, []string{"f1", "f2", "n1", "n2"}},
 		"an unreachable target is not used": {func(cl *clock, dr *targets.Directory) {
 			dr.RecordStoreRecovery(cl.now())
 			applyList(dr, nil, cl.now())
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -223,6 +223,7 @@
 	if asOf.After(dr.confirmedAt) {
 		dr.confirmedAt = asOf
 	}
+	dr.ownOutage.recordConfirmation(asOf)
 }
 
 // ListPosition returns the position in the store's history at which the list last changed, and the newest time as of which the
