fix(gateway): detect that the target of an unframed answer was killed

Callers got streams that ended as complete before their last event. An answer may have neither length nor chunks and end with its connection, and the kernel closes the connections of a killed process in order. The gateway took that for the end of the answer.

When such an answer ends, the gateway now opens a connection to the target. If it is refused although the target is listed and not leaving, the answer is handled as interrupted.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -127,7 +127,7 @@
 func (gw *Gateway) crashCause(tg targets.Target, interruptedAt time.Time) string {
 	for _, delay := range crashProbeDelays {
 		time.Sleep(delay - gw.Now().Sub(interruptedAt))
-		if gw.refusesConnections(tg) {
+		if gw.refusesConnections(context.Background(), tg) {
 			return causeRefused
 		}
 		if gw.Targets.Replaced(tg.ID) {
@@ -149,8 +149,8 @@
 }
 
 // refusesConnections reports whether no process listens on a target's address.
-func (gw *Gateway) refusesConnections(tg targets.Target) bool {
-	return isConnectionRefused(gw.Pool.Probe(context.Background(), tg.Address))
+func (gw *Gateway) refusesConnections(ctx context.Context, tg targets.Target) bool {
+	return isConnectionRefused(gw.Pool.Probe(ctx, tg.Address))
 }
 
 // recordCrashIfRefused records the crash of a target that refused a connection and was not leaving.
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -109,6 +109,9 @@
 		return gw.handleInterrupted(ctx, rq, sl, err)
 	}
 	body, whole, err := readBuffered(rq, rs.Body)
+	if whole {
+		err = gw.checkEnd(ctx, sl, rs)
+	}
 	if err != nil {
 		return gw.handleInterrupted(ctx, rq, sl, err)
 	}
@@ -207,8 +210,11 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			rs.MarkComplete()
-			return nil
+			err = gw.checkEnd(ctx, sl, rs)
+			if err == nil {
+				rs.MarkComplete()
+				return nil
+			}
 		}
 		if err != nil {
 			return gw.handleInterrupted(ctx, rt.rq, sl, err)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -174,8 +174,10 @@
 			err = gw.checkResponseBytes(received)
 		}
 		if errors.Is(err, io.EOF) {
-			gw.finishStream(rw, sl, rs)
-			return nil
+			wd.stop()
+			if err = gw.finishStream(ctx, rw, sl, rs); err == nil {
+				return nil
+			}
 		}
 		var ne *NoMemoryError
 		if errors.As(err, &ne) {
@@ -256,15 +258,19 @@
 	rq.lastEventAt = now
 }
 
-// finishStream completes a stream that was received to its end. The stream is complete even if the deadline passes at this
-// moment.
-func (gw *Gateway) finishStream(rw *responseWriter, sl *dispatch.Slot, rs *upstream.Response) {
+// finishStream completes a stream that was received to its end, unless the end may be that of its target. The stream is complete even if the
+// deadline passes at this moment.
+func (gw *Gateway) finishStream(ctx context.Context, rw *responseWriter, sl *dispatch.Slot, rs *upstream.Response) error {
+	if err := gw.checkEnd(ctx, sl, rs); err != nil {
+		return err
+	}
 	rs.MarkComplete()
 	gw.Targets.RecordSuccess(sl.Target.ID)
 	if !rw.Started() {
 		copyEndToEndHeaders(rw.w.Header(), rs.Header)
 		rw.start(rs.StatusCode)
 	}
+	return nil
 }
 
 // stallWatchdog breaks off a stream that has stalled, but only while the stream can continue on another target. A stall alone
--- a/internal/standin/targetsim/conn.go
+++ b/internal/standin/targetsim/conn.go
@@ -369,7 +369,15 @@
 	chunked := rs.Header.Get("Transfer-Encoding") != ""
 	count := 0
 	complete := rs.Body(func(pc []byte) bool {
-		truncate := kd == Truncate && (rs.Length != Chunked || count == cn.server.settings.TruncateAfter)
+		atFault := rs.Length != Chunked || count == cn.server.settings.TruncateAfter
+		if atFault && kd == Kill {
+			if rs.Length != Chunked {
+				_ = cn.sendPiece(pc[:len(pc)/2], chunked) // the target is killed whether this fails or not
+			}
+			cn.server.Kill()
+			return false
+		}
+		truncate := kd == Truncate && atFault
 		if truncate {
 			pc = pc[:len(pc)/2]
 		}
--- a/internal/standin/targetsim/plan.go
+++ b/internal/standin/targetsim/plan.go
@@ -13,6 +13,9 @@
 	Reset Kind = "reset"
 	// Truncate closes the connection in the middle of an event, or of a body with a known length.
 	Truncate Kind = "cut"
+	// Kill kills the process of the target after TruncateAfter complete events, or half of a body that is sent at once. The kernel closes
+	// its connections in order.
+	Kill Kind = "kill"
 	// Hang runs the request and sends nothing until the caller closes the connection.
 	Hang Kind = "hang"
 	// InternalError responds with status 500.
--- a/internal/standin/targetsim/server.go
+++ b/internal/standin/targetsim/server.go
@@ -147,15 +147,29 @@
 	}
 }
 
+// StopListening refuses new connections until Relaunch. Requests in progress go on.
+func (sv *Server) StopListening() { sv.stop(func(*conn) {}) }
+
+// Kill acts like the kill of a process: the kernel closes all connections in order, and new ones are refused until Relaunch.
+func (sv *Server) Kill() {
+	sv.stop(func(cn *conn) {
+		cn.resetByServer.Store(true)
+		_ = cn.socket.Close() // it may be closed already
+	})
+}
+
 // shutDown closes the listener and resets all connections. It reports whether the target was up before.
-func (sv *Server) shutDown() bool {
+func (sv *Server) shutDown() bool { return sv.stop((*conn).reset) }
+
+// stop closes the listener, and then all connections with end. It reports whether the target was up before.
+func (sv *Server) stop(end func(*conn)) bool {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
 	wasDown := sv.down
 	sv.down = true
 	_ = sv.listener.Close() // it may be closed already
 	for cn := range sv.conns {
-		cn.reset()
+		end(cn)
 	}
 	return !wasDown
 }
