fix(responsewriter): reset broken answers to callers that speak HTTP/1.0

A caller that speaks HTTP/1.0 knows no chunks: the close of its connection ends an answer. The gateway closed the connection of an answer that it could not complete in order, so that the answer looked complete.

The connection of such a caller is reset now. Other callers miss the last chunk, as before, and keep what was sent: a reset could discard it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -127,7 +127,7 @@
 // completed or the caller has disconnected.
 func (gw *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := gw.Now()
-	rw := &responseWriter{Writer: responsewriter.New(w), w: w, turnsCallersAway: gw.turnsCallersAway}
+	rw := &responseWriter{Writer: responsewriter.New(w), w: w, r: r, turnsCallersAway: gw.turnsCallersAway}
 	gw.stateCounts.enter(lifecycle.Received)
 	rq, err := gw.admit(r, rw, arrived)
 	defer func() {
--- a/internal/gateway/responsewriter.go
+++ b/internal/gateway/responsewriter.go
@@ -42,6 +42,7 @@
 type responseWriter struct {
 	*responsewriter.Writer
 	w http.ResponseWriter
+	r *http.Request
 	// turnsCallersAway reports whether callers should open their next connection to another instance.
 	turnsCallersAway func() bool
 }
@@ -66,8 +67,7 @@
 	gw.endLifecycle(rq, rw, fe)
 	gw.logFailed(rq, rw, fe)
 	if rw.Started() {
-		// Abort the connection, so that the caller cannot mistake the incomplete response for a complete one.
-		panic(http.ErrAbortHandler)
+		rw.Abort(rw.r)
 	}
 	if err := rw.writeError(fe); err != nil {
 		gw.logNotDelivered(rq, err)
--- a/internal/graceconn/graceconn.go
+++ b/internal/graceconn/graceconn.go
@@ -108,6 +108,15 @@
 	return tc.CloseWrite()
 }
 
+// SetLinger sets whether the close of the connection resets it, as net.TCPConn does.
+func (cn *conn) SetLinger(sec int) error {
+	tc, ok := cn.Conn.(*net.TCPConn)
+	if !ok {
+		return errors.Wrap(errors.ErrUnsupported, "set linger")
+	}
+	return tc.SetLinger(sec)
+}
+
 func (cn *conn) deadline() time.Time {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
--- a/internal/responsewriter/responsewriter.go
+++ b/internal/responsewriter/responsewriter.go
@@ -67,6 +67,28 @@
 	return nil
 }
 
+// Abort closes the connection of a response to a request that has started and cannot be completed. It does not return. A caller that speaks
+// HTTP/1.0 takes the end of the connection for the end of the response, so that its connection is reset. Other callers miss the last chunk,
+// and get all that was sent before.
+func (wr *Writer) Abort(r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		wr.reset()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// reset resets the connection.
+func (wr *Writer) reset() {
+	nc, _, err := wr.rc.Hijack()
+	if err != nil {
+		return // the connection is closed already, or the writer has none
+	}
+	if lc, ok := nc.(interface{ SetLinger(sec int) error }); ok {
+		_ = lc.SetLinger(0) // fails only if the connection is closed
+	}
+	_ = nc.Close() // the connection is not used again
+}
+
 // extendDeadline extends the write deadline for a write after the deadline of the response. The process may have been stalled until
 // the original write deadline had passed.
 func (wr *Writer) extendDeadline() {
