fix(upstream): reject response heads that are none of HTTP/1

A target that answered with status 000 let its caller wait until the deadline and get 504: statuses below 200 were skipped like interim answers. Heads of HTTP/9.9 and statuses above 599 were passed on. A write to the store and a release of memory that were answered with status 000 counted as done.

net/http reads three digits, or a sign and two, and any version as a head. A head that is none of HTTP/1, or whose status is not 100 or 102 to 599, now fails the attempt at once: a safe request goes elsewhere, an unsafe one gets 502.

--- a/internal/callerapi/services.go
+++ b/internal/callerapi/services.go
@@ -12,6 +12,7 @@
 	"github.com/silvermount/silvermount/internal/failure"
 	"github.com/silvermount/silvermount/internal/fleet"
 	"github.com/silvermount/silvermount/internal/policy"
+	"github.com/silvermount/silvermount/internal/responsecheck"
 	"github.com/silvermount/silvermount/internal/router"
 )
 
@@ -73,6 +74,9 @@
 		return sv.handleServiceError(ctx, rq, sl, err)
 	}
 	defer resp.Body.Close()
+	if err := responsecheck.Check(resp); err != nil {
+		return sv.handleServiceError(ctx, rq, sl, err)
+	}
 	sv.Fleet.ConfirmReachable(sl.Target.Name)
 	sl.RecordFirstToken(0)
 	return copyResponse(sk, resp)
--- a/internal/callerapi/tickets.go
+++ b/internal/callerapi/tickets.go
@@ -10,6 +10,7 @@
 	"github.com/silvermount/silvermount/internal/boundedread"
 	"github.com/silvermount/silvermount/internal/claim"
 	"github.com/silvermount/silvermount/internal/failure"
+	"github.com/silvermount/silvermount/internal/responsecheck"
 	"github.com/silvermount/silvermount/internal/ticket"
 )
 
@@ -91,6 +92,9 @@
 		return issuerGone.WithCause(err)
 	}
 	defer resp.Body.Close()
+	if err := responsecheck.Check(resp); err != nil {
+		return failure.New(failure.TargetLost, failure.Unknown, "the other instance broke off before it answered").WithCause(err)
+	}
 	return copyResponse(sk, resp)
 }
 
--- a/internal/standin/targetsim/conn.go
+++ b/internal/standin/targetsim/conn.go
@@ -356,7 +356,10 @@
 func (cn *conn) send(rs Response, kd Kind) bool {
 	_, _ = cn.writer.Write(cn.pendingExtra) // Flush returns the error, here and below
 	cn.pendingExtra = nil
-	_, _ = fmt.Fprintf(cn.writer, "HTTP/1.1 %d %s\r\n", rs.Status, http.StatusText(rs.Status))
+	if kd == InvalidStatus {
+		rs.Status = 0
+	}
+	_, _ = fmt.Fprintf(cn.writer, "HTTP/1.1 %03d %s\r\n", rs.Status, http.StatusText(rs.Status))
 	_ = rs.Header.Write(cn.writer)
 	_, _ = cn.writer.WriteString("\r\n")
 	if cn.writer.Flush() != nil {
--- a/internal/standin/targetsim/plan.go
+++ b/internal/standin/targetsim/plan.go
@@ -38,6 +38,8 @@
 	WrongSignature Kind = "wrong-signature"
 	// NoSignature omits the signature.
 	NoSignature Kind = "no-signature"
+	// InvalidStatus sends the response with status 000, which HTTP does not know.
+	InvalidStatus Kind = "invalid-status"
 	// Garbage sends bytes that are not HTTP and closes the connection.
 	Garbage Kind = "garbage"
 	// EndlessHead sends header fields until the caller closes the connection, EndlessLine one header line, and EndlessEvent a line of a
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/silvermount/silvermount/internal/responsecheck"
 	"github.com/silvermount/silvermount/internal/tunnel"
 )
 
@@ -269,6 +270,9 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "read response head")
 		}
+		if err := responsecheck.Check(resp); err != nil {
+			return nil, err
+		}
 		if resp.StatusCode >= http.StatusOK && (ca.AcceptResponse == nil || ca.AcceptResponse(resp)) {
 			resp.Body = &checkedBody{ReadCloser: resp.Body}
 			return resp, nil
--- a/internal/upstream/head_test.go
+++ b/internal/upstream/head_test.go
@@ -76,6 +76,57 @@
 	return false
 }
 
+// TestInvalidHeadEndsTheCall guards against heads that are no response of HTTP/1 and are passed on as one, or skipped like an interim
+// response, so that the caller waits until its deadline.
+func TestInvalidHeadEndsTheCall(t *testing.T) {
+	tests := map[string]struct {
+		statusLine string
+		// want is the status of the response; zero if the call must fail.
+		want int
+	}{
+		"status 000":             {"HTTP/1.1 000 OK", 0},
+		"status 099":             {"HTTP/1.1 099 OK", 0},
+		"signed status":          {"HTTP/1.1 +20 OK", 0},
+		"negative status":        {"HTTP/1.1 -01 OK", 0},
+		"short status":           {"HTTP/1.1 42 OK", 0},
+		"long status":            {"HTTP/1.1 1000 OK", 0},
+		"switch of protocols":    {"HTTP/1.1 101 Switching Protocols", 0},
+		"status above the range": {"HTTP/1.1 600 OK", 0},
+		"highest three digits":   {"HTTP/1.1 999 OK", 0},
+		"HTTP/2.0":               {"HTTP/2.0 200 OK", 0},
+		"HTTP/9.9":               {"HTTP/9.9 200 OK", 0},
+		"HTTP/0.9":               {"HTTP/0.9 200 OK", 0},
+		"HTTP/1.0":               {"HTTP/1.0 200 OK", http.StatusOK},
+		"HTTP/1.1":               {"HTTP/1.1 200 OK", http.StatusOK},
+		"highest status":         {"HTTP/1.1 599 Any", 599},
+		"after an interim response": {
+			"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK", http.StatusOK,
+		},
+		"invalid after an interim response": {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK", 0},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			fx := newFixture(t)
+			tg := startFakeTarget(t, func(nc net.Conn, rq *http.Request, _ string) bool {
+				fmt.Fprintf(nc, "%s\r\n%s: %s\r\nContent-Length: 2\r\n\r\nok", tc.statusLine, headerRequestID, rq.RequestURI)
+				return true
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+			defer cancel()
+			rs, err := fx.pool.Do(ctx, call(tg.address(), "/1"))
+			fx.Expect(ctx.Err()).NotTo(HaveOccurred(), "the call must not wait for its deadline")
+			if tc.want != 0 {
+				fx.Expect(err).NotTo(HaveOccurred())
+				defer rs.Close()
+				fx.Expect(rs.StatusCode).To(Equal(tc.want))
+				return
+			}
+			fx.Expect(err).To(HaveOccurred())
+			fx.Expect(fx.pool.OpenCount(tg.address())).To(BeZero(), "the connection is not used again")
+		})
+	}
+}
+
 // TestHeadWithoutEndIsGivenUp guards against a target that writes a head without end and thereby takes all memory of the instance.
 func TestHeadWithoutEndIsGivenUp(t *testing.T) {
 	long := strings.Repeat("x", 32<<10)
