fix(platform): read the list of targets beside an entry nested too deeply

One entry of another writer that was nested more than 10,000 deep, or had a byte that JSON does not allow, made the whole list unavailable. An instance that started then answered all requests with 503; one that ran no longer learned of any change. encoding/json checks a document as a whole before it returns a part of it undecoded.

internal/rawjson splits a response by brackets and quotes alone, and each entry is decoded by itself.

--- a/internal/objectstore/objectstore.go
+++ b/internal/objectstore/objectstore.go
@@ -15,6 +15,7 @@
 
 	"github.com/silvermount/silvermount/internal/boundedread"
 	"github.com/silvermount/silvermount/internal/position"
+	"github.com/silvermount/silvermount/internal/rawjson"
 )
 
 // The kinds of object that are kept in the store.
@@ -54,6 +55,47 @@
 	Items []Object `json:"items"`
 }
 
+// decode decodes a response. The objects are decoded one by one, since one that cannot be decoded must not make the others unavailable.
+func (l *Listing) decode(b []byte) error {
+	var items rawjson.Value
+	var fieldErr error
+	err := rawjson.Value(b).Members(func(name string, value rawjson.Value) {
+		switch name {
+		case "era":
+			fieldErr = errors.CombineErrors(fieldErr, json.Unmarshal(value, &l.Era))
+		case "version":
+			fieldErr = errors.CombineErrors(fieldErr, json.Unmarshal(value, &l.Version))
+		case "items":
+			items = value
+		}
+	})
+	if err = errors.CombineErrors(err, fieldErr); err != nil {
+		return errors.Wrap(err, "decode listing")
+	}
+	elements, err := items.Elements()
+	if err != nil {
+		return errors.Wrap(err, "decode items of listing")
+	}
+	for _, raw := range elements {
+		if ob := decodeObject(raw); ob.Name != "" {
+			l.Items = append(l.Items, ob)
+		}
+	}
+	return nil
+}
+
+// decodeObject decodes an object of a listing. One that cannot be decoded was written by something else, and counts as deleted if its name can
+// be decoded. Otherwise its name is empty.
+func decodeObject(raw rawjson.Value) Object {
+	var ob Object
+	if json.Unmarshal(raw, &ob) == nil {
+		return ob
+	}
+	ob = Object{}
+	_ = json.Unmarshal(raw.Member("name"), &ob.Name) // the name stays empty
+	return ob
+}
+
 // Position returns the position in the store's history at which the answer was given.
 func (l Listing) Position() position.Position {
 	return position.Position{Era: l.Era, Revision: l.Version}
@@ -170,14 +212,16 @@
 // Get returns one object, or a NotFoundError if it does not exist.
 func (cl *Client) Get(ctx context.Context, kind, name string) (Object, error) {
 	var o Object
-	err := cl.read(ctx, kind, name, "/objects/"+kind+"/"+url.PathEscape(name), cl.timeout, &o)
+	err := cl.read(ctx, kind, name, "/objects/"+kind+"/"+url.PathEscape(name), cl.timeout, func(b []byte) error {
+		return errors.Wrap(json.Unmarshal(b, &o), "decode object")
+	})
 	return o, err
 }
 
 // List returns all objects of a kind and the position of the store.
 func (cl *Client) List(ctx context.Context, kind string) (Listing, error) {
 	var l Listing
-	err := cl.read(ctx, kind, "", "/objects/"+kind, cl.timeout, &l)
+	err := cl.read(ctx, kind, "", "/objects/"+kind, cl.timeout, l.decode)
 	return l, err
 }
 
@@ -185,7 +229,7 @@
 func (cl *Client) Watch(ctx context.Context, kind string, since int64, wait time.Duration) (Listing, error) {
 	var l Listing
 	path := "/watch/" + kind + "?since=" + strconv.FormatInt(since, 10) + "&wait=" + wait.String()
-	err := cl.read(ctx, kind, "", path, wait+cl.timeout, &l)
+	err := cl.read(ctx, kind, "", path, wait+cl.timeout, l.decode)
 	return l, err
 }
 
@@ -205,7 +249,7 @@
 	return err
 }
 
-func (cl *Client) read(ctx context.Context, kind, name, path string, timeout time.Duration, into any) error {
+func (cl *Client) read(ctx context.Context, kind, name, path string, timeout time.Duration, decode func([]byte) error) error {
 	if err := cl.reads.Wait(ctx); err != nil {
 		return &UnavailableError{Cause: err}
 	}
@@ -228,7 +272,11 @@
 	default:
 		return &UnavailableError{Cause: &StatusError{Status: resp.StatusCode}}
 	}
-	if err := boundedread.JSON(resp.Body, maxListBytes, into); err != nil {
+	b, err := boundedread.All(resp.Body, maxListBytes)
+	if err == nil {
+		err = decode(b)
+	}
+	if err != nil {
 		return &UnavailableError{Cause: err}
 	}
 	return nil
