fix(targets): tell peers no grace after an outage of this instance alone

The grace that peers are told now comes only from an outage whose end this instance saw itself. Its own lists keep the grace.

Evidence: by reading; "nothing after an outage of this instance alone" of TestLapsedTargetsForPeers covers it.

--- a/internal/targets/lapse.go
+++ b/internal/targets/lapse.go
@@ -13,6 +13,8 @@
 	// failedAt is when the newest call failed.
 	failedAt time.Time
 	ongoing  bool
+	// seenToEnd is set if a call of this instance showed the end of the outage, and not what peers know.
+	seenToEnd bool
 }
 
 // recordFailure records a failed call.
@@ -28,6 +30,7 @@
 func (ou *outage) recordSuccess(at time.Time) {
 	if ou.ongoing {
 		ou.recoveredAt = at
+		ou.seenToEnd = true
 	}
 	ou.ongoing = false
 }
@@ -35,11 +38,20 @@
 // recordConfirmation records that the list was current at a time, according to this instance or a peer. If that is after the newest failed
 // call, the outage is over, although this instance may not call the store again for long.
 func (ou *outage) recordConfirmation(asOf time.Time) {
-	if asOf.After(ou.failedAt) {
-		ou.recordSuccess(asOf)
+	if ou.ongoing && asOf.After(ou.failedAt) {
+		ou.recoveredAt, ou.ongoing, ou.seenToEnd = asOf, false, false
 	}
 }
 
+// graceForPeersEnds is graceEnds for entries of the list that peers get. The store may have turned only this instance away, so that what peers
+// know of an outage comes from instances that saw it end.
+func (ou *outage) graceForPeersEnds() time.Time {
+	if !ou.seenToEnd {
+		return time.Time{}
+	}
+	return ou.graceEnds()
+}
+
 // graceEnds returns the time until which an entry may be missing because of the outage; zero when there was none.
 func (ou *outage) graceEnds() time.Time {
 	if ou.recoveredAt.IsZero() {
@@ -75,7 +87,7 @@
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
 	now := dr.now()
-	la := Lapsed{GraceLeft: max(0, dr.ownOutage.graceEnds().Sub(now), dr.peerGraceUntil.Sub(now))}
+	la := Lapsed{GraceLeft: max(0, dr.ownOutage.graceForPeersEnds().Sub(now), dr.peerGraceUntil.Sub(now))}
 	for _, en := range dr.entries {
 		if !en.missingSince.IsZero() && en.takesWork(now) {
 			la.Targets = append(la.Targets, en.Target)
--- a/internal/targets/lapse_test.go
+++ b/internal/targets/lapse_test.go
@@ -206,6 +206,12 @@
 			applyList(dr, nil, cl.now())
 			cl.advance(time.Second)
 		}, time.Second, []string{"a"}},
+		"nothing after an outage of this instance alone": {func(cl *clock, dr *targets.Directory) {
+			dr.RecordStoreFailure()
+			cl.advance(time.Second)
+			dr.Confirm(cl.now())
+			applyPeerList(dr, nil, targets.Lapsed{}, cl.now())
+		}, 0, nil},
 		"nothing after the grace period": {func(cl *clock, dr *targets.Directory) {
 			dr.RecordStoreFailure()
 			dr.RecordStoreRecovery(cl.now())
