--- a/internal/duty/storesync/evacuations.go
+++ b/internal/duty/storesync/evacuations.go
@@ -27,7 +27,7 @@
 
 // evacuationWatcher returns the ListWatcher of the evacuations, which must be known within a bound.
 func (sy *syncer) evacuationWatcher(st listwatch.Store, lg log.Interface, bound time.Duration) *listwatch.ListWatcher {
-	pp := newPollPolicy(bound, sy.coordinator, sy.hasSeeds, sy.firstStart)
+	pp := sy.newPollPolicy(sy.ad.EvacuationKind, bound)
 	es := &evacuationSync{}
 	return &listwatch.ListWatcher{
 		Store: st, Kind: sy.ad.EvacuationKind, Log: lg, Pause: pp.pause, WatchTimeout: pp.watchTimeout,
--- a/internal/duty/storesync/pollpolicy.go
+++ b/internal/duty/storesync/pollpolicy.go
@@ -94,12 +94,24 @@
 	startedAt time.Time
 	// hasSeeds is set if there may be peers, firstStart if the whole fleet is starting for the first time.
 	hasSeeds, firstStart bool
+	// random returns a random duration below a maximum.
+	random func(limit time.Duration) time.Duration
 	// listed is set by the first pause, in which peers are discovered.
 	listed bool
 }
 
 func newPollPolicy(bound time.Duration, sc *gatewaydeps.StoreCoordinator, hasSeeds, firstStart bool) *pollPolicy {
-	return &pollPolicy{timings: newTimings(bound), role: sc.Role, settledFor: sc.SettledFor, jitterFraction: rand.Float64(), startedAt: time.Now(), hasSeeds: hasSeeds, firstStart: firstStart}
+	return &pollPolicy{timings: newTimings(bound), role: sc.Role, settledFor: sc.SettledFor, jitterFraction: rand.Float64(), startedAt: time.Now(), hasSeeds: hasSeeds, firstStart: firstStart, random: rand.N[time.Duration]}
+}
+
+// newPollPolicy returns the policy of this instance for a kind of object, of which changes must be known within a bound.
+func (sy *syncer) newPollPolicy(kind string, bound time.Duration) *pollPolicy {
+	pp := newPollPolicy(bound, sy.coordinator, sy.hasSeeds, sy.firstStart)
+	if sy.newRandom != nil {
+		pp.random = sy.newRandom(kind)
+		pp.jitterFraction = float64(pp.random(time.Second)) / float64(time.Second)
+	}
+	return pp
 }
 
 // suspended reports whether calls to the store are suspended, given the time of the last update from the store or peers. An instance
@@ -156,15 +168,15 @@
 	switch pp.role() {
 	case gatewaydeps.RoleFollower:
 		if changed {
-			return rand.N(maxFollowerPause)
+			return pp.random(maxFollowerPause)
 		}
 	case gatewaydeps.RoleStandby, gatewaydeps.RoleListener:
 		if changed {
-			return maxListenerPause/2 + rand.N(maxListenerPause/2)
+			return maxListenerPause/2 + pp.random(maxListenerPause/2)
 		}
 	default:
 		if first && pp.hasSeeds && !pp.firstStart {
-			return maxDiscoveryPause/2 + rand.N(maxDiscoveryPause/2)
+			return maxDiscoveryPause/2 + pp.random(maxDiscoveryPause/2)
 		}
 	}
 	return 0
--- a/internal/duty/storesync/storesync.go
+++ b/internal/duty/storesync/storesync.go
@@ -53,6 +53,8 @@
 	rewrittenEra int64
 	// targetAnswers counts the successful calls about targets.
 	targetAnswers atomic.Int64
+	// newRandom returns the source of random durations for a kind of object; nil for one that is not seeded.
+	newRandom func(kind string) func(limit time.Duration) time.Duration
 	// pending collects the contents of the response about targets that is being read. It is used by one goroutine.
 	pending targetUpdate
 }
@@ -135,7 +137,7 @@
 }
 
 func (sy *syncer) configurationWatcher(st listwatch.Store, lg log.Interface) *listwatch.ListWatcher {
-	pp := newPollPolicy(sy.configurationBound, sy.coordinator, sy.hasSeeds, sy.firstStart)
+	pp := sy.newPollPolicy(sy.ad.ConfigurationKind, sy.configurationBound)
 	return &listwatch.ListWatcher{
 		Store: st, Kind: sy.ad.ConfigurationKind, Log: lg, Pause: pp.pause, WatchTimeout: pp.watchTimeout,
 		Replace: func(items []objectstore.Object, asOf time.Time) {
@@ -211,7 +213,7 @@
 }
 
 func (sy *syncer) targetWatcher(st listwatch.Store, lg log.Interface) *listwatch.ListWatcher {
-	pp := newPollPolicy(sy.leavingBound, sy.coordinator, sy.hasSeeds, sy.firstStart)
+	pp := sy.newPollPolicy(sy.ad.TargetKind, sy.leavingBound)
 	return &listwatch.ListWatcher{
 		Store: st, Kind: sy.ad.TargetKind, Log: lg, Pause: pp.pause, WatchTimeout: pp.watchTimeout,
 		Replace: func(items []objectstore.Object, asOf time.Time) {
