fix(listwatch): back off before the list that follows a lost connection

The list right after an interrupted call cost callers in real outages of the store that show themselves by silence: the instances of a small fleet tried again in step and without the jitter of a back-off, so that fewer of them had a proof of the configuration before the last one was too old, and keys were refused.

The list now waits for the shortest back-off, as any failed call of an instance that reads the store itself did before; instances with a longer back-off wait no longer than that, since the list decides whether the store is away.

--- a/internal/listwatch/listwatch.go
+++ b/internal/listwatch/listwatch.go
@@ -72,7 +72,7 @@
 	// OnFailure is called for each failed call that shows that the store does not respond to this instance.
 	OnFailure func(err error)
 	// OnConnectionLost is called if the first failed call after a successful one was interrupted on an established connection. That says
-	// nothing about the store yet: the list that follows at once, on another connection, does. Optional.
+	// nothing about the store yet: the list that follows, on another connection, does. Optional.
 	OnConnectionLost func(err error)
 	Log              log.Interface
 
@@ -91,50 +91,53 @@
 // Run lists and watches until ctx is cancelled.
 func (lw *ListWatcher) Run(ctx context.Context) {
 	var backoff time.Duration
-	// listedAtOnce is set from a list without a back-off before it to the next successful watch. A store that interrupts every watch must
-	// not cause a busy loop.
-	listedAtOnce := false
+	gone := false
 	for ctx.Err() == nil {
 		since, err := lw.list(ctx)
 		for err == nil {
 			since, err = lw.watch(ctx, since)
 			if err == nil {
 				backoff = 0
-				listedAtOnce = false
+				gone = false
 			}
 		}
 		if ctx.Err() != nil {
 			return
 		}
-		if lw.storeMayRespond(err, since) && !listedAtOnce {
-			listedAtOnce = true
+		var hg *objectstore.HistoryGoneError
+		// History that is gone again right after a list is listed after a back-off, to avoid a busy loop.
+		if errors.As(err, &hg) && !gone {
+			gone = true
+			lw.Log.WithField("kind", lw.Kind).WithField("version", since.Revision).Info("change history has expired in the store, listing again")
 			continue
 		}
+		lost := lw.isConnectionLost(err)
+		if !lost && hg == nil {
+			lw.recordFailure(err)
+		}
 		backoff = lw.nextBackoff(backoff)
+		if lost {
+			// The next call shows whether the store responds, which must not be left open for a long back-off.
+			lw.waitBackoff(ctx, min(backoff, minBackoff))
+			continue
+		}
 		lw.waitBackoff(ctx, backoff)
 	}
 }
 
-// storeMayRespond records a failed call, and reports whether the store may respond to this instance all the same.
-func (lw *ListWatcher) storeMayRespond(err error, since position.Position) bool {
-	lg := lw.Log.WithField("kind", lw.Kind)
-	var hg *objectstore.HistoryGoneError
+// isConnectionLost reports whether a failed call shows no more than the loss of its connection: it was interrupted on an established one, and
+// the call before it was successful.
+func (lw *ListWatcher) isConnectionLost(err error) bool {
 	var cl *objectstore.ConnectionLostError
-	switch {
-	case errors.As(err, &hg):
-		lg.WithField("version", since.Revision).Info("change history has expired in the store, listing again")
-		return true
-	case errors.As(err, &cl) && !lw.failing && !lw.connectionLost:
-		lw.connectionLost = true
-		lg.WithField("cause", err.Error()).Info("lost a connection to the store, listing on another")
-		if lw.OnConnectionLost != nil {
-			lw.OnConnectionLost(err)
-		}
-		return true
-	default:
-		lw.recordFailure(err)
+	if !errors.As(err, &cl) || lw.failing || lw.connectionLost {
 		return false
 	}
+	lw.connectionLost = true
+	lw.Log.WithField("kind", lw.Kind).WithField("cause", err.Error()).Info("lost a connection to the store, listing on another")
+	if lw.OnConnectionLost != nil {
+		lw.OnConnectionLost(err)
+	}
+	return true
 }
 
 // waitBackoff waits for the back-off with jitter, from half to one and a half of it. If another source reports something newer, it
