--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -172,14 +172,14 @@
 	}
 	rq.table = tb
 	rq.route = rt
-	rq.needsKey = tb.NeedsKey(rt) || rq.Key != "" && !rt.Public && gw.keysAreRevoked()
+	rq.needsKey = tb.NeedsKey(rt) || rq.Key != "" && !rt.Public && gw.keysMayBeRevoked()
 	return gw.checkKey(rq, tb, confirmedAt)
 }
 
-// keysAreRevoked reports whether a key that the configuration in force lacks may have been revoked, even if that configuration uses no
-// keys. An instance that has not had a configuration with keys cannot know that, and assumes it if the settings bound revocations.
-func (gw *Gateway) keysAreRevoked() bool {
-	return gw.Routes.UsedKeys() || gw.limits.Load().MaxConfigStaleness > 0
+// keysMayBeRevoked reports whether a key that the configuration in force lacks may have been valid before, also if that configuration uses
+// no keys. An instance that has just started does not know earlier configurations, and assumes so if the settings bound revocations.
+func (gw *Gateway) keysMayBeRevoked() bool {
+	return gw.Routes.EverUsedKeys() || gw.limits.Load().MaxConfigStaleness > 0
 }
 
 // recheckKey checks the key of a request that has not been sent to any target against the configuration in force now, since
--- a/internal/objectstore/objectstore.go
+++ b/internal/objectstore/objectstore.go
@@ -91,6 +91,7 @@
 	if json.Unmarshal(raw, &ob) == nil {
 		return ob
 	}
+	// A failed decoding may have set some fields.
 	ob = Object{}
 	_ = json.Unmarshal(raw.Member("name"), &ob.Name) // the name stays empty
 	return ob
--- a/internal/routes/holder.go
+++ b/internal/routes/holder.go
@@ -21,8 +21,8 @@
 	// removedKeys maps the digest of each key that was in force here to the first version without it. It holds at most
 	// maxRemovedKeys.
 	removedKeys map[Digest]int64
-	// usedKeys is set once a table that uses keys was in force. It is never reset.
-	usedKeys bool
+	// everUsedKeys is set once a table that uses keys was in force. It is never reset.
+	everUsedKeys bool
 }
 
 // maxRemovedKeys is the maximum number of removed keys that are remembered, at 40 bytes each.
@@ -37,11 +37,11 @@
 	return version, known
 }
 
-// UsedKeys reports whether a table that uses keys is in force at this instance, or was before.
-func (hd *Holder) UsedKeys() bool {
+// EverUsedKeys reports whether a table that uses keys is in force at this instance, or was before.
+func (hd *Holder) EverUsedKeys() bool {
 	hd.mu.Lock()
 	defer hd.mu.Unlock()
-	return hd.usedKeys
+	return hd.everUsedKeys
 }
 
 // recordRemovedKeys updates removedKeys when a table replaces another. The caller holds mu.
@@ -72,7 +72,7 @@
 		hd.recordRemovedKeys(hd.table, tb)
 	}
 	if newer {
-		hd.usedKeys = hd.usedKeys || tb.UsesKeys()
+		hd.everUsedKeys = hd.everUsedKeys || tb.UsesKeys()
 		hd.table = tb
 		hd.document = document
 	}
--- a/internal/targets/lapse.go
+++ b/internal/targets/lapse.go
@@ -13,8 +13,8 @@
 	// failedAt is when the newest call failed.
 	failedAt time.Time
 	ongoing  bool
-	// seenToEnd is set if a call of this instance showed the end of the outage, and not what peers know.
-	seenToEnd bool
+	// endedByOwnCall is set if a call of this instance showed the end of the outage, rather than a confirmation by peers.
+	endedByOwnCall bool
 }
 
 // recordFailure records a failed call.
@@ -30,7 +30,7 @@
 func (ou *outage) recordSuccess(at time.Time) {
 	if ou.ongoing {
 		ou.recoveredAt = at
-		ou.seenToEnd = true
+		ou.endedByOwnCall = true
 	}
 	ou.ongoing = false
 }
@@ -39,14 +39,14 @@
 // call, the outage is over, although this instance may not call the store again for long.
 func (ou *outage) recordConfirmation(asOf time.Time) {
 	if ou.ongoing && asOf.After(ou.failedAt) {
-		ou.recoveredAt, ou.ongoing, ou.seenToEnd = asOf, false, false
+		ou.recoveredAt, ou.ongoing, ou.endedByOwnCall = asOf, false, false
 	}
 }
 
 // graceForPeersEnds is graceEnds for entries of the list that peers get. The store may have turned only this instance away, so that what peers
 // know of an outage comes from instances that saw it end.
 func (ou *outage) graceForPeersEnds() time.Time {
-	if !ou.seenToEnd {
+	if !ou.endedByOwnCall {
 		return time.Time{}
 	}
 	return ou.graceEnds()
--- a/internal/targets/restore.go
+++ b/internal/targets/restore.go
@@ -35,7 +35,7 @@
 	dr.lastRestore = storeRestore{era: era, at: asOf, quarantined: map[string]Target{}}
 	dr.ownOutage.ongoing = false
 	dr.ownOutage.recoveredAt = asOf
-	dr.ownOutage.seenToEnd = true
+	dr.ownOutage.endedByOwnCall = true
 }
 
 // StoreRestoredAt returns the era that began with the newest restore of the store from an older copy, and when the call that
